--- /dev/null
+++ b/mustardgap/__version__.py
@@ -0,0 +1,3 @@
+"""The version of mustardgap."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/mustardgap/outcomes.py
@@ -0,0 +1,68 @@
+"""Tagged outcomes of requests and records."""
+
+from dataclasses import dataclass, field
+
+from . import status_codes
+from .status_codes import Code
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answered:
+    """An executor gave a whole answer to this request."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    code: Code = status_codes.ANSWERED
+    executor: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Streamed:
+    """A whole answer was passed on while it arrived."""
+
+    status: int
+    size: int
+    code: Code = status_codes.ANSWERED
+    executor: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotRun:
+    """The request certainly wasn't run; ``retry_after`` is in seconds."""
+
+    code: Code
+    detail: str = ""
+    retry_after: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unknown:
+    """The request may have run."""
+
+    code: Code
+    detail: str = ""
+    executor: str = ""
+
+
+Outcome = Answered | Streamed | NotRun | Unknown
+
+
+@dataclass(frozen=True, kw_only=True)
+class Accepted:
+    """The fold accepted a record at an offset."""
+
+    offset: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rejected:
+    """The fold turned a record down; ``changed`` names what is newer than its base."""
+
+    code: Code
+    detail: str = ""
+    offset: int = -1
+    changed: list[str] = field(default_factory=list)
+
+
+Verdict = Accepted | Rejected
--- /dev/null
+++ b/mustardgap/supervisors.py
@@ -0,0 +1,97 @@
+"""A supervisor tree: a child that dies restarts alone, one that keeps dying ends its parent."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+
+from .exceptions import ChildFailed
+
+Child = Callable[[], Awaitable[None]]
+
+
+class Supervisor:
+    """Runs children, one task each, and restarts those that fail.
+
+    :param name: the name in logs.
+    :param max_restarts: more restarts than this within ``window_s`` end this supervisor.
+    :param window_s: the seconds over which restarts are counted.
+    :param backoff_s: the first wait before a restart; it doubles up to 16 times that.
+    """
+
+    def __init__(
+        self, *, name: str, max_restarts: int = 5, window_s: float = 30.0, backoff_s: float = 0.1
+    ) -> None:
+        self.name = name
+        self.max_restarts = max_restarts
+        self.window_s = window_s
+        self.backoff_s = backoff_s
+        self.restarts = 0
+        self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
+        self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def start_child(self, name: str, child: Child) -> asyncio.Task[None]:
+        """Run a child until it returns, is stopped, or keeps failing.
+
+        :param name: the child's name, unique under this supervisor.
+        :param child: a coroutine function without arguments.
+        :return: the task that watches the child.
+        """
+        if name in self._tasks_by_name:
+            raise ValueError(f"{self.name} has a child {name} already")
+        task = asyncio.create_task(self._watch(name, child), name=f"{self.name}/{name}")
+        self._tasks_by_name[name] = task
+        return task
+
+    def children(self) -> list[str]:
+        """The names of the children that run."""
+        return list(self._tasks_by_name)
+
+    async def stop_child(self, name: str) -> None:
+        """Cancel a child and wait until it has ended."""
+        task = self._tasks_by_name.pop(name, None)
+        if task is None:
+            return
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Wait until a child keeps failing.
+
+        :raises ChildFailed: MG2005 with the child's name.
+        """
+        await asyncio.shield(self._failed)
+
+    async def stop(self) -> None:
+        """Stop all children, the youngest first."""
+        for name in reversed(list(self._tasks_by_name)):
+            await self.stop_child(name)
+
+    async def _watch(self, name: str, child: Child) -> None:
+        failures: deque[float] = deque()
+        while True:
+            try:
+                await child()
+                self._tasks_by_name.pop(name, None)
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception as exc:
+                now = time.monotonic()
+                failures.append(now)
+                while failures and now - failures[0] > self.window_s:
+                    failures.popleft()
+                logging.exception("%s/%s failed (%d)", self.name, name, len(failures))
+                if len(failures) > self.max_restarts:
+                    self._give_up(name, exc)
+                    return
+            self.restarts += 1
+            await asyncio.sleep(self.backoff_s * min(16, 2 ** (len(failures) - 1)))
+
+    def _give_up(self, name: str, exc: Exception) -> None:
+        self._tasks_by_name.pop(name, None)
+        if not self._failed.done():
+            detail = f"{type(exc).__name__}: {exc}"
+            self._failed.set_exception(ChildFailed(detail=detail, place=f"{self.name}/{name}"))
--- /dev/null
+++ b/mustardgap/timers.py
@@ -0,0 +1,108 @@
+"""A timer service that the other parts subscribe to, and the clocks they read."""
+
+import asyncio
+import inspect
+import time
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+
+Callback = Callable[[], Awaitable[None] | None]
+
+
+class Clock:
+    """The process's clocks; tests put a fake in its place."""
+
+    def monotonic(self) -> float:
+        """Seconds that only go forward."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Seconds since the epoch; may jump."""
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for some seconds."""
+        await asyncio.sleep(seconds)
+
+
+class Timers:
+    """Calls subscribers at their period, and tells of gaps in which the process didn't run.
+
+    :param clock: the clocks to read.
+    :param gap_s: a tick later than this many seconds counts as a gap.
+    """
+
+    TICK_S = 0.25
+
+    def __init__(self, *, clock: Clock | None = None, gap_s: float = 2.0) -> None:
+        self.clock = clock or Clock()
+        self.gap_s = gap_s
+        self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
+        self._gap_callbacks: list[Callable[[float], None]] = []
+        self._last_tick = self.clock.monotonic()
+
+    def subscribe(self, name: str, period_s: float, callback: Callback) -> Callable[[], None]:
+        """Call back every ``period_s`` seconds until the returned function is called.
+
+        :param name: a unique name, for logs.
+        :param period_s: seconds between the end of one call and the start of the next.
+        :param callback: a function or coroutine function without arguments.
+        :return: a function that ends the subscription.
+        """
+        if name in self._tasks_by_name:
+            raise ValueError(f"timer {name} is subscribed already")
+        self._tasks_by_name[name] = asyncio.create_task(
+            self._run(name, period_s, callback), name=f"timer:{name}"
+        )
+        return lambda: self._unsubscribe(name)
+
+    def on_gap(self, callback: Callable[[float], None]) -> None:
+        """Call back with the seconds lost when the process finds that it was paused.
+
+        A process that was stopped for longer than its leases would otherwise act on what it no
+        longer holds. Parts that hold leases also compare deadlines before each step, so a late
+        call here can't make them act wrongly.
+        """
+        self._gap_callbacks.append(callback)
+
+    async def run(self) -> None:
+        """Watch for gaps until cancelled."""
+        self._last_tick = self.clock.monotonic()
+        while True:
+            await self.clock.sleep(self.TICK_S)
+            self.check_gap()
+
+    def check_gap(self) -> float:
+        """Tell subscribers of a gap since the last tick.
+
+        :return: the seconds lost, 0 for none.
+        """
+        now = self.clock.monotonic()
+        lost = now - self._last_tick - self.TICK_S
+        self._last_tick = now
+        if lost < self.gap_s:
+            return 0.0
+        for callback in self._gap_callbacks:
+            callback(lost)
+        return lost
+
+    def close(self) -> None:
+        """End all subscriptions."""
+        for name in list(self._tasks_by_name):
+            self._unsubscribe(name)
+
+    def _unsubscribe(self, name: str) -> None:
+        task = self._tasks_by_name.pop(name, None)
+        if task is not None:
+            task.cancel()
+
+    async def _run(self, name: str, period_s: float, callback: Callback) -> None:
+        while True:
+            await self.clock.sleep(period_s)
+            try:
+                result = callback()
+                if inspect.isawaitable(result):
+                    await result
+            except Exception:
+                logging.exception("timer %s failed", name)
