--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,106 @@
+"""Starting and ending the separate processes of demo, tests and benchmarks on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from urllib.error import URLError
+from urllib.request import urlopen
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def free_ports(count: int) -> list[int]:
+    """Find TCP ports on loopback that nobody listens on now.
+
+    :param count: how many.
+    :rtype: list
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+class Processes:
+    """The processes that one run has started, each by name; only these are ever ended.
+
+    :param folder: where each process's output is written.
+    """
+
+    def __init__(self, *, folder: str | Path) -> None:
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.by_name: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, module: str, *args: str) -> subprocess.Popen[bytes]:
+        """Start ``python -m module args`` under a name; its output goes to ``<name>.log``."""
+        with open(self.folder / f"{name}.log", "ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *args],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        self.by_name[name] = process
+        return process
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that still runs."""
+        if self.by_name[name].poll() is None:
+            self.by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.by_name[name].wait(timeout=10)
+
+    def stop(self, name: str, timeout_s: float = 40.0) -> int:
+        """Ask a process to end and wait for it.
+
+        :return: its exit status.
+        """
+        self.signal(name, signal.SIGTERM)
+        try:
+            return self.by_name[name].wait(timeout=timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill(name)
+            return -signal.SIGKILL
+
+    def stop_all(self) -> None:
+        """End every process of this run, frozen ones too."""
+        for name, process in reversed(self.by_name.items()):
+            if process.poll() is None:
+                self.signal(name, signal.SIGCONT)
+                self.kill(name)
+
+    def output(self, name: str) -> str:
+        """What a process has written so far."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+
+
+def wait_http(url: str, *, timeout_s: float = 20.0) -> None:
+    """Wait until a URL answers 200.
+
+    :raises TimeoutError: it didn't in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while True:
+        try:
+            with urlopen(url, timeout=1.0) as resp:
+                if resp.status == 200:
+                    return
+        except (URLError, OSError):
+            pass
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{url} didn't answer 200 within {timeout_s} s")
+        time.sleep(0.05)
