Add the OpenTelemetry instruments

Cause: every part counts before it logs, so the instruments must be there first. Ruled out: prometheus_client's default registry (adds undocumented collectors) and exemplars (a reservoir for each attribute set that nothing reads). Conclusion: one module with all instruments, their specs for the docs page, and render().

--- /dev/null
+++ b/mustardgap/metrics.py
@@ -0,0 +1,169 @@
+"""All OpenTelemetry instruments of mustardgap, and their text for a scrape."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Counter, Histogram, Observation, UpDownCounter
+from opentelemetry.sdk.metrics import AlwaysOffExemplarFilter, MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+from .__version__ import __version__
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0)
+
+
+class Spec(NamedTuple):
+    """What the documentation says of one instrument."""
+
+    name: str
+    kind: str
+    unit: str
+    description: str
+    attributes: tuple[str, ...]
+
+
+specs_by_name: dict[str, Spec] = {}
+_callbacks_by_name: dict[str, Callable[[], float]] = {}
+
+# The registry is our own: the default one adds collectors of the process that we don't document.
+_registry = CollectorRegistry(auto_describe=False)
+_reader = PrometheusMetricReader(scope_info_enabled=False, registry=_registry)
+# Exemplars are off: they keep a reservoir for each attribute set, and nothing here reads them.
+_provider = MeterProvider(
+    metric_readers=[_reader],
+    resource=Resource({"service.name": "mustardgap", "service.version": __version__}),
+    exemplar_filter=AlwaysOffExemplarFilter(),
+    shutdown_on_exit=False,
+)
+_meter = _provider.get_meter("mustardgap", __version__)
+
+
+def render() -> bytes:
+    """All instruments as text in the Prometheus format."""
+    return generate_latest(_registry)
+
+
+def observe(name: str, callback: Callable[[], float]) -> None:
+    """Read a gauge from a function at each scrape.
+
+    :param name: the name of one of this module's gauges.
+    :param callback: a function that returns the value.
+    :raises KeyError: there is no such gauge.
+    """
+    if specs_by_name[name].kind != "gauge":
+        raise KeyError(name)
+    _callbacks_by_name[name] = callback
+
+
+def _note(kind: str, name: str, unit: str, description: str, attributes: tuple[str, ...]) -> None:
+    if name in specs_by_name:
+        raise ValueError(f"{name} is defined already")
+    specs_by_name[name] = Spec(name, kind, unit, description, attributes)
+
+
+def _counter(name: str, unit: str, description: str, *attributes: str) -> Counter:
+    _note("counter", name, unit, description, attributes)
+    return _meter.create_counter(name, unit=unit, description=description)
+
+
+def _level(name: str, unit: str, description: str, *attributes: str) -> UpDownCounter:
+    _note("up-down counter", name, unit, description, attributes)
+    return _meter.create_up_down_counter(name, unit=unit, description=description)
+
+
+def _seconds(name: str, description: str, *attributes: str) -> Histogram:
+    _note("histogram", name, "s", description, attributes)
+    return _meter.create_histogram(
+        name, unit="s", description=description, explicit_bucket_boundaries_advisory=SECONDS
+    )
+
+
+def _gauge(name: str, unit: str, description: str) -> None:
+    _note("gauge", name, unit, description, ())
+
+    def read(_: CallbackOptions) -> Iterable[Observation]:
+        callback = _callbacks_by_name.get(name)
+        return [Observation(callback())] if callback else []
+
+    _meter.create_observable_gauge(name, callbacks=[read], unit=unit, description=description)
+
+
+# Requests.
+requests = _counter(
+    "mustardgap.requests", "{request}", "Requests by outcome", "service", "mustardgap.code"
+)
+request_duration = _seconds(
+    "mustardgap.request.duration", "From a request's head to the end of its answer", "service"
+)
+active_requests = _level(
+    "mustardgap.requests.active", "{request}", "Requests being served", "service"
+)
+retries = _counter(
+    "mustardgap.request.retries", "{try}", "Tries after a request's first", "service"
+)
+callers_connections = _level(
+    "mustardgap.callers.connections", "{connection}", "Open connections of callers"
+)
+refused_connections = _counter(
+    "mustardgap.connections.refused", "{connection}", "Connections closed at the limit", "port"
+)
+malformed_requests = _counter(
+    "mustardgap.requests.malformed", "{request}", "Requests that aren't valid HTTP", "port"
+)
+
+# Executors and slots.
+queue_wait = _seconds("mustardgap.queue.wait", "From asking for a slot to having one", "service")
+queue_length = _level(
+    "mustardgap.queue.length", "{request}", "Requests that wait for a slot", "service"
+)
+slots_used = _level("mustardgap.slots.used", "{slot}", "Slots in use by this entry host", "service")
+slots_lent = _counter("mustardgap.slots.lent", "{slot}", "Slots lent to other entry hosts")
+ejections = _counter(
+    "mustardgap.executor.ejections", "{executor}", "Executors ejected as outliers", "service"
+)
+keys_claimed = _counter(
+    "mustardgap.keys.claims", "{claim}", "Claims of an Idempotency-Key by result", "result"
+)
+
+# The log.
+log_appends = _counter("mustardgap.log.appends", "{record}", "Records appended", "purpose")
+log_append_duration = _seconds("mustardgap.log.append.duration", "From append to answer")
+log_errors = _counter("mustardgap.log.errors", "{call}", "Failed calls to the log", "call")
+log_reads = _counter("mustardgap.log.reads", "{record}", "Records read from the log")
+fold_verdicts = _counter(
+    "mustardgap.fold.verdicts", "{record}", "Records folded by verdict", "kind", "mustardgap.code"
+)
+checkpoints = _counter("mustardgap.checkpoints", "{checkpoint}", "Checkpoints written")
+_gauge("mustardgap.log.offset", "{record}", "Offset folded up to")
+_gauge("mustardgap.log.age", "s", "Time since this entry host last knew that it was current")
+
+# Peers.
+peer_bytes = _counter("mustardgap.peer.io", "By", "Bytes between peers by message", "direction")
+peer_messages = _counter(
+    "mustardgap.peer.messages", "{message}", "Messages between peers", "direction", "type"
+)
+member_changes = _counter(
+    "mustardgap.member.changes", "{change}", "Changes of entry hosts' states", "state"
+)
+_gauge("mustardgap.members.live", "{host}", "Entry hosts known to be live")
+
+# Capacity.
+actor_steps = _counter(
+    "mustardgap.actor.steps", "{step}", "Steps carried out on the platform", "kind", "result"
+)
+plan_duration = _seconds("mustardgap.plan.duration", "Time to work out one plan")
+plan_moves = _counter("mustardgap.plan.moves", "{move}", "Moves of hosts between pools", "reason")
+jobs_ended = _counter("mustardgap.jobs.ended", "{job}", "Jobs ended by code", "mustardgap.code")
+job_attempts = _counter("mustardgap.job.attempts", "{attempt}", "Attempts by outcome", "outcome")
+wave_steps = _counter("mustardgap.wave.steps", "{step}", "Steps of maintenance waves", "step")
+_gauge("mustardgap.hosts.out", "{host}", "Hosts of pools that are out of service")
+_gauge("mustardgap.budget.breaches", "{service}", "Services below their availability budget")
+
+# The daemon.
+restarts = _counter("mustardgap.child.restarts", "{restart}", "Restarts of parts", "child")
+gaps = _counter("mustardgap.process.gaps", "{gap}", "Gaps in which the process didn't run")
+log_lines = _counter("mustardgap.log_lines", "{line}", "Lines logged or suppressed", "result")
+_gauge("mustardgap.ready", "1", "1 when this entry host takes requests")
