Add settings of peer streams and slot leases

Cause: peer streams and lent slots need a heartbeat, connect and idle bounds, a lease and a cache time. Ruled out: constants in the modules; operators size them to their network. Measured: nothing yet; defaults only. Conclusion: additive fields with defaults; no present settings file changes meaning.

--- a/mustardgap/settings.py
+++ b/mustardgap/settings.py
@@ -59,6 +59,10 @@
     fanout: Count = 3
     suspect_s: Seconds = 3.0
     dead_s: Seconds = 15.0
+    heartbeat_s: Seconds = 1.0
+    connect_timeout_s: Seconds = 1.5
+    idle_s: Seconds = 30.0
+    max_queued: Count = 2000
     seeds: list[Address] = []
     tls: TlsSettings | None = None
 
@@ -82,6 +86,8 @@
     connect_timeout_s: Seconds = 0.5
     sharing: Annotated[str, Meta(pattern="^(fixed|lending|least)$")] = "lending"
     max_waiting: Count = 5000
+    lease_s: Seconds = 3.0
+    cache_s: Seconds = 0.5
     retry_ratio: Ratio = 0.1
     max_tries: Annotated[int, Meta(ge=1, le=10)] = 3
     key_ttl_s: Seconds = 3600.0
