Add the outcomes of a kept key and of an answer that broke off

Cause: an answer that is too large to be kept on the log, or that broke off after part of it was passed on, is neither an answer, a refusal nor an unknown. Ruled out: telling the first as unknown (it is known to have run) and the second as a problem (its status line has gone out already). Measured: nothing; types and codes only. Conclusion: AlreadyRan (MG1002), BrokenOff and MG1205 caller_gone are added to the contract.

--- a/mustardgap/outcomes.py
+++ b/mustardgap/outcomes.py
@@ -45,7 +45,28 @@
     executor: str = ""
 
 
-Outcome = Answered | Streamed | NotRun | Unknown
+@dataclass(frozen=True, kw_only=True)
+class AlreadyRan:
+    """An earlier request with the same key ran and was answered; the answer wasn't kept.
+
+    :param status: the status of that answer.
+    """
+
+    status: int
+    code: Code = status_codes.ANSWER_NOT_KEPT
+    detail: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class BrokenOff:
+    """Part of the answer was passed on before it broke off; the caller's connection is reset."""
+
+    code: Code
+    detail: str = ""
+    executor: str = ""
+
+
+Outcome = Answered | Streamed | NotRun | Unknown | AlreadyRan | BrokenOff
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -40,6 +40,14 @@
 # 1xxx: outcomes of requests. 10xx answered, 11xx not run, 12xx may have run.
 ANSWERED = _code(1000, "answered", 200, 0, "Answered by an executor", "")
 REPLAYED = _code(1001, "replayed", 200, 0, "Answer of an earlier request with the same key", "")
+ANSWER_NOT_KEPT = _code(
+    1002,
+    "answer_not_kept",
+    409,
+    12,
+    "Ran: an earlier request with this Idempotency-Key was answered; the answer wasn't kept",
+    "Look the result up; don't send it again with a new key.",
+)
 QUEUE_FULL = _code(
     1100,
     "queue_full",
@@ -174,6 +182,14 @@
     "May have run: the executor answered with another request's id",
     "Ask again with the same Idempotency-Key, or look the result up before sending again.",
 )
+CALLER_GONE = _code(
+    1205,
+    "caller_gone",
+    499,
+    12,
+    "May have run: the caller hung up",
+    "Ask again with the same Idempotency-Key, or look the result up before sending again.",
+)
 UNKNOWN_KEY = _code(
     1204,
     "unknown_key",
