Add members, peer streams and gossip

Cause: equal entry hosts must find each other, tell who is alive and speak over one stream a pair. Ruled out: a full mesh (119 heartbeats a second at 120 hosts), gRPC's shared subchannels (a stream opened anew because the old went silent would reuse the dead connection), heartbeats relayed for every member (their bytes grow with the fleet).

--- /dev/null
+++ b/mustardgap/gossip.py
@@ -0,0 +1,152 @@
+"""Gossip among entry hosts: who is there, how far each has read the log, and notices."""
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from .links import Link
+from .members import Member, MemberState, row_of
+from .messages import Gossip, MemberDelta, MemberRow, NoticeRow
+from .peers import Peers
+
+NoticeCallback = Callable[[str, Any, Member], None]
+MAX_NOTICES = 20_000
+MAX_ROWS = 200
+
+
+class Notice(NamedTuple):
+    """The latest word on a key; ``until`` is monotonic."""
+
+    stamp: int
+    until: float
+    value: Any
+
+
+class Gossiper:
+    """Tells a few peers at a time what changed since they were last told.
+
+    What is gossiped may be lost at any moment: nothing that must hold rests on it.
+
+    :param peers: the streams to the peers.
+    """
+
+    def __init__(self, *, peers: Peers) -> None:
+        self.peers = peers
+        self.members = peers.members
+        self.timers = peers.timers
+        self.settings = peers.settings
+        self.notices_by_key: dict[tuple[str, str], Notice] = {}
+        self._callbacks_by_kind: dict[str, list[NoticeCallback]] = {}
+        peers.handle(Gossip, self._take)
+        peers.on_open(self._opened)
+        self.members.on_change(self._changed)
+
+    def on_notice(self, kind: str, callback: NoticeCallback) -> None:
+        """Call back with key, value and the peer that passed it on, when a notice is new."""
+        self._callbacks_by_kind.setdefault(kind, []).append(callback)
+
+    def publish(
+        self, kind: str, key: str, value: Any, *, ttl_s: float, urgent: bool = False
+    ) -> None:
+        """Tell all entry hosts of something short-lived.
+
+        :param kind: what the notice is about, such as ``leaving``.
+        :param key: what it concerns; a later notice of the same kind and key takes its place.
+        :param value: anything msgpack carries.
+        :param ttl_s: seconds after which it is forgotten.
+        :param urgent: tell all connected peers now and not at the next turn.
+        """
+        stamp = int(self.timers.clock.wall() * 1000)
+        old = self.notices_by_key.get((kind, key))
+        if old is not None:
+            stamp = max(stamp, old.stamp + 1)
+        now = self.timers.clock.monotonic()
+        self.notices_by_key[kind, key] = Notice(stamp, now + ttl_s, value)
+        if urgent:
+            self._tell(self.peers.connected())
+
+    def notice(self, kind: str, key: str) -> Any:
+        """The value of a notice that hasn't lapsed, or None."""
+        found = self.notices_by_key.get((kind, key))
+        if found is None or found.until < self.timers.clock.monotonic():
+            return None
+        return found.value
+
+    def turn(self) -> None:
+        """Tell a few connected peers what is new to them; called every ``peers.gossip_s``."""
+        self.members.check()
+        self._expire()
+        connected = self.peers.connected()
+        self._tell(random.sample(connected, min(self.settings.peers.fanout, len(connected))))
+
+    def _tell(self, member_ids: list[str]) -> None:
+        for member_id in member_ids:
+            link = self.peers.links_by_id[member_id]
+            message = self._news(link)
+            if message.rows or message.deltas or message.notices:
+                self.peers.send(member_id, message)
+
+    def _news(self, link: Link) -> Gossip:
+        rows: list[MemberRow] = []
+        deltas: list[MemberDelta] = []
+        for m in list(self.members.by_id.values()):
+            word = (m.version, int(m.state), m.offset)
+            told = link.known.get(m.incarnation)
+            if told == word or len(rows) + len(deltas) >= MAX_ROWS:
+                continue
+            if told is None and m.id != link.member_id:
+                rows.append(row_of(m))
+            else:
+                deltas.append(MemberDelta(m.incarnation, *word))
+            link.known[m.incarnation] = word
+        return Gossip(rows, deltas, self._notices(link))
+
+    def _notices(self, link: Link) -> list[NoticeRow]:
+        now = self.timers.clock.monotonic()
+        found: list[NoticeRow] = []
+        for key, notice in self.notices_by_key.items():
+            if link.known.get(key) == notice.stamp or len(found) >= MAX_ROWS:
+                continue
+            left = notice.until - now
+            if left > 0:
+                found.append(NoticeRow(*key, notice.stamp, round(left, 1), notice.value))
+                link.known[key] = notice.stamp
+        return found
+
+    def _take(self, sender: Member, message: Gossip) -> None:
+        link = self.peers.links_by_id.get(sender.id)
+        known = link.known if link is not None else {}
+        for row in message.rows:
+            known[row.incarnation] = (row.version, row.state, row.offset)
+            self.members.take_row(row)
+        for delta in message.deltas:
+            known[delta.incarnation] = (delta.version, delta.state, delta.offset)
+            self.members.take_delta(delta)
+        for notice in message.notices:
+            known[notice.kind, notice.key] = notice.stamp
+            self._take_notice(sender, notice)
+
+    def _take_notice(self, sender: Member, row: NoticeRow) -> None:
+        key = (row.kind, row.key)
+        old = self.notices_by_key.get(key)
+        if old is not None and old.stamp >= row.stamp:
+            return
+        if len(self.notices_by_key) >= MAX_NOTICES and key not in self.notices_by_key:
+            return
+        until = self.timers.clock.monotonic() + row.ttl_s
+        self.notices_by_key[key] = Notice(row.stamp, until, row.value)
+        for callback in self._callbacks_by_kind.get(row.kind, []):
+            callback(row.key, row.value, sender)
+
+    def _expire(self) -> None:
+        now = self.timers.clock.monotonic()
+        for key in [k for k, n in self.notices_by_key.items() if n.until < now]:
+            del self.notices_by_key[key]
+
+    def _opened(self, member: Member) -> None:
+        self._tell([member.id])
+
+    def _changed(self, member: Member, old: Member | None) -> None:
+        """Pass on at once that a member leaves or denies a suspicion."""
+        if member.id == self.members.me.id or member.state is MemberState.leaving:
+            self._tell(self.peers.connected())
--- /dev/null
+++ b/mustardgap/links.py
@@ -0,0 +1,122 @@
+"""What is queued for one peer, and the stream it goes out on."""
+
+import asyncio
+from collections import deque
+from typing import Any
+
+from .messages import Item
+from .timers import Clock
+
+MAX_ITEMS_A_FRAME = 500
+
+
+class Stream:
+    """One open gRPC stream, from either end.
+
+    :param call: the gRPC call or context to read from and write to.
+    :param dialer: the id of the member that opened it.
+    """
+
+    def __init__(self, call: Any, *, dialer: str) -> None:
+        self.call = call
+        self.dialer = dialer
+        self.closed = asyncio.Event()
+        self.clock = Clock()
+        self.last_read = self.last_write = self.clock.monotonic()
+
+    def heard(self) -> None:
+        """Note that something was read."""
+        self.last_read = self.clock.monotonic()
+
+    def wrote(self) -> None:
+        """Note that something was written."""
+        self.last_write = self.clock.monotonic()
+
+    def silent_for(self) -> float:
+        """Seconds since something was read."""
+        return self.clock.monotonic() - self.last_read
+
+    def unwritten_for(self) -> float:
+        """Seconds since something was written."""
+        return self.clock.monotonic() - self.last_write
+
+
+class Link:
+    """The queue of messages to one member; it outlives streams.
+
+    :param member_id: the member at the other end.
+    :param clock: the clocks to read.
+    """
+
+    def __init__(self, *, member_id: str, clock: Clock) -> None:
+        self.member_id = member_id
+        self.clock = clock
+        self.items: deque[Item] = deque()
+        self.wake = asyncio.Event()
+        self.stream: Stream | None = None
+        self.known: dict[Any, Any] = {}
+        self.dropped = 0
+        self._used = clock.monotonic()
+        self._failing_since: float | None = None
+
+    def put(self, item: Item, max_queued: int) -> bool:
+        """Queue a message.
+
+        :return: False when the queue is full.
+        """
+        self._used = self.clock.monotonic()
+        if len(self.items) >= max_queued:
+            self.dropped += 1
+            return False
+        self.items.append(item)
+        self.wake.set()
+        return True
+
+    def take(self) -> list[Item]:
+        """Take what goes into the next frame."""
+        count = min(len(self.items), MAX_ITEMS_A_FRAME)
+        return [self.items.popleft() for _ in range(count)]
+
+    def attach(self, stream: Stream, silent_s: float) -> bool:
+        """Put a stream to use, in place of the one before it.
+
+        When both ends dial at once, both keep the stream of the lower id, unless it is silent.
+
+        :return: False when the present stream is kept.
+        """
+        old = self.stream
+        if old is not None:
+            if stream.dialer > old.dialer and old.silent_for() < silent_s:
+                return False
+            old.closed.set()
+        self.stream = stream
+        self.known.clear()
+        self._failing_since = None
+        self.wake.set()
+        return True
+
+    def detach(self, stream: Stream) -> None:
+        """Note that a stream has ended."""
+        stream.closed.set()
+        if self.stream is stream:
+            self.stream = None
+
+    def close(self) -> None:
+        """Close the present stream."""
+        if self.stream is not None:
+            self.detach(self.stream)
+
+    def fail(self) -> None:
+        """Note that no stream could be opened."""
+        if self._failing_since is None:
+            self._failing_since = self.clock.monotonic()
+
+    def failed_for(self) -> float:
+        """Seconds since the first of the present failures."""
+        if self._failing_since is None:
+            return 0.0
+        return self.clock.monotonic() - self._failing_since
+
+    def idle_for(self) -> float:
+        """Seconds since something was queued."""
+        return self.clock.monotonic() - self._used
--- /dev/null
+++ b/mustardgap/members.py
@@ -0,0 +1,309 @@
+"""The entry hosts that are there: who they are, in which state, and who owns a key."""
+
+import random
+import time
+from collections.abc import Callable
+from enum import IntEnum
+from typing import NamedTuple
+
+import xxhash
+
+from .messages import MemberDelta, MemberRow
+from .models import RULES_VERSION
+from .settings import Settings
+from .timers import Timers
+
+
+class MemberState(IntEnum):
+    """The states of a member; of two words of the same version the higher one stands."""
+
+    live = 0
+    suspect = 1
+    leaving = 2
+    dead = 3
+
+
+class Member(NamedTuple):
+    """One run of one entry host; a replaced host has a higher incarnation.
+
+    ``version`` counts the member's own words about itself. ``seen`` is the monotonic time at which
+    this daemon last had word from it directly.
+    """
+
+    host: str
+    incarnation: int
+    peers_address: str
+    operators_address: str
+    data_center: str
+    state: MemberState = MemberState.live
+    offset: int = -1
+    rules: int = RULES_VERSION
+    seen: float = 0.0
+    version: int = 0
+    since: float = 0.0
+
+    @property
+    def id(self) -> str:
+        """Host and incarnation, which together name one run of a daemon."""
+        return f"{self.host}@{self.incarnation:x}"
+
+
+def new_incarnation(after: int = 0) -> int:
+    """A number above those of earlier runs of this host: start time and random bits.
+
+    :param after: an incarnation that must be exceeded, for a host whose clock went back.
+    """
+    start = (time.time_ns() // 1_000_000) << 21 | random.getrandbits(21)
+    return max(start, after + 1 + random.getrandbits(21))
+
+
+def me_from(settings: Settings) -> Member:
+    """This daemon as a member, from its settings."""
+    address = f"[{settings.address}]" if ":" in settings.address else settings.address
+    return Member(
+        host=settings.host,
+        incarnation=new_incarnation(),
+        peers_address=f"{address}:{settings.peers.port}",
+        operators_address=f"{address}:{settings.operators.port}",
+        data_center=settings.data_center,
+    )
+
+
+Callback = Callable[[Member, Member | None], None]
+
+
+class Members:
+    """All members this daemon knows of, by id.
+
+    A member is suspected first and declared dead only when it hasn't denied that for
+    ``peers.dead_s``; death is final for an incarnation.
+
+    :param me: this daemon.
+    :param settings: the daemon's settings.
+    :param timers: the timer service.
+    """
+
+    FORGET_S = 120.0
+
+    def __init__(self, *, me: Member, settings: Settings, timers: Timers) -> None:
+        self.me = me
+        self.settings = settings
+        self.timers = timers
+        self.by_id: dict[str, Member] = {me.id: me}
+        self.listed_hosts: frozenset[str] = frozenset({me.host})
+        self._callbacks: list[Callback] = []
+        self._ranks_by_key: dict[str, list[str]] = {}
+
+    def on_change(self, callback: Callback) -> None:
+        """Call back with a member as it is and as it was when its state changes or it is new."""
+        self._callbacks.append(callback)
+
+    def live(self) -> list[Member]:
+        """The members that may own keys, this daemon among them unless it leaves."""
+        return [m for m in self.by_id.values() if m.state is MemberState.live]
+
+    def peers(self) -> list[Member]:
+        """The other members that aren't dead."""
+        return [
+            m for m in self.by_id.values() if m.state is not MemberState.dead and m.id != self.me.id
+        ]
+
+    def ranked(self, key: str) -> list[str]:
+        """The live members' ids by rendezvous hashing of a key, the owner first."""
+        ranks = self._ranks_by_key.get(key)
+        if ranks is None:
+            if len(self._ranks_by_key) > 10_000:
+                self._ranks_by_key.clear()
+            ranks = sorted((m.id for m in self.live()), key=lambda i: _weight(key, i), reverse=True)
+            self._ranks_by_key[key] = ranks
+        return ranks
+
+    def owner(self, key: str) -> str:
+        """The id of the live member that owns a key; this daemon's own when there is none."""
+        ranks = self.ranked(key)
+        return ranks[0] if ranks else self.me.id
+
+    def by_host(self, host: str) -> Member | None:
+        """The latest incarnation of a host."""
+        found = [m for m in self.by_id.values() if m.host == host]
+        return max(found, key=lambda m: m.incarnation, default=None)
+
+    def electorate(self) -> set[str]:
+        """The hosts of which a majority must follow a home before it lends slots.
+
+        These are the hosts known alive and those that the platform still lists. A member doesn't
+        drop out because it can't be reached: two halves of a parted network would otherwise each
+        count themselves as all there is, and lend the same slots twice.
+        """
+        hosts = set(self.listed_hosts)
+        for m in self.by_id.values():
+            if m.state in (MemberState.live, MemberState.suspect):
+                hosts.add(m.host)
+        for host in list(hosts):
+            latest = self.by_host(host)
+            if latest is not None and latest.state is MemberState.leaving:
+                hosts.discard(host)
+        return hosts
+
+    def say(
+        self,
+        *,
+        offset: int | None = None,
+        state: MemberState | None = None,
+    ) -> None:
+        """Change what this daemon says of itself."""
+        me = self.me
+        if offset is not None and offset != me.offset:
+            me = me._replace(offset=offset)
+        if state is not None and state is not me.state:
+            me = me._replace(state=state, version=me.version + 1)
+        self._put(me)
+
+    def renew(self, after: int = 0) -> None:
+        """Go on under a new incarnation; what was held under the old one is void."""
+        old = self.me
+        incarnation = new_incarnation(max(after, old.incarnation))
+        self.by_id.pop(old.id, None)
+        self.me = old._replace(incarnation=incarnation, version=0, state=MemberState.live)
+        self._put(self.me)
+        self._changed(old._replace(state=MemberState.dead), old)
+
+    def heard(self, member_id: str) -> None:
+        """Note that a member was heard of directly; that ends a suspicion of this daemon's."""
+        m = self.by_id.get(member_id)
+        if m is not None:
+            self.by_id[member_id] = m._replace(seen=self.timers.clock.monotonic())
+
+    def suspect(self, member_id: str) -> None:
+        """Note that a member can't be reached."""
+        m = self.by_id.get(member_id)
+        if m is not None and m.state is MemberState.live and m.id != self.me.id:
+            self._put(m._replace(state=MemberState.suspect))
+
+    def check(self) -> None:
+        """Declare dead what was suspected, or has been leaving, for too long; forget the dead."""
+        now = self.timers.clock.monotonic()
+        for m in list(self.by_id.values()):
+            if m.id == self.me.id:
+                continue
+            age = now - m.since
+            if m.state is not MemberState.dead and age > self._patience_s(m):
+                self._put(m._replace(state=MemberState.dead))
+            elif m.state is MemberState.dead and age > self.FORGET_S:
+                del self.by_id[m.id]
+
+    def _patience_s(self, m: Member) -> float:
+        match m.state:
+            case MemberState.suspect:
+                return self.settings.peers.dead_s
+            case MemberState.leaving:
+                return self.settings.stop_timeout_s
+        return float("inf")
+
+    def take_row(self, row: MemberRow) -> bool:
+        """Take in what a peer says of a member.
+
+        :return: whether it was news.
+        """
+        if row.host == self.me.host:
+            return self._take_own(row.incarnation, row.version, row.state)
+        known = self.by_id.get(f"{row.host}@{row.incarnation:x}")
+        if known is not None:
+            return self.take_delta(
+                MemberDelta(row.incarnation, row.version, row.state, row.offset), known
+            )
+        latest = self.by_host(row.host)
+        if latest is not None and latest.incarnation > row.incarnation:
+            return False
+        if row.state == MemberState.dead:
+            return False
+        self._put(
+            Member(
+                host=row.host,
+                incarnation=row.incarnation,
+                peers_address=row.peers_address,
+                operators_address=row.operators_address,
+                data_center=row.data_center,
+                state=MemberState(row.state),
+                offset=row.offset,
+                rules=row.rules,
+                version=row.version,
+            )
+        )
+        if latest is not None and latest.state is not MemberState.dead:
+            # Two runs of a host never overlap for long: the newer one means that the older ended.
+            self._put(latest._replace(state=MemberState.dead))
+        return True
+
+    def take_delta(self, delta: MemberDelta, known: Member | None = None) -> bool:
+        """Take in a change of a known member.
+
+        :return: whether it was news.
+        """
+        if delta.incarnation == self.me.incarnation:
+            return self._take_own(delta.incarnation, delta.version, delta.state)
+        known = known or self.by_incarnation(delta.incarnation)
+        if known is None:
+            return False
+        m = known._replace(offset=max(known.offset, delta.offset))
+        newer = (delta.version, delta.state) > (known.version, known.state)
+        if known.state is not MemberState.dead and (newer or delta.state == MemberState.dead):
+            m = m._replace(version=delta.version, state=MemberState(delta.state))
+        if m == known:
+            return False
+        self._put(m)
+        return True
+
+    def by_incarnation(self, incarnation: int) -> Member | None:
+        """The member with an incarnation."""
+        return next((m for m in self.by_id.values() if m.incarnation == incarnation), None)
+
+    def _take_own(self, incarnation: int, version: int, state: int) -> bool:
+        if incarnation > self.me.incarnation:
+            # The clock went back between two runs; peers would take this run for the older one.
+            self.renew(incarnation)
+            return True
+        if incarnation < self.me.incarnation or version < self.me.version:
+            return False
+        if state == MemberState.dead:
+            # Peers have let others take over what this run held. Only a new run may go on.
+            self.renew()
+            return True
+        if state == MemberState.suspect:
+            self._put(self.me._replace(version=version + 1))
+            return True
+        return False
+
+    def _put(self, m: Member) -> None:
+        old = self.by_id.get(m.id)
+        if old is None or old.state is not m.state:
+            m = m._replace(since=self.timers.clock.monotonic())
+        self.by_id[m.id] = m
+        if m.id == self.me.id:
+            self.me = m
+        if old is None or old.state is not m.state:
+            self._changed(m, old)
+
+    def _changed(self, m: Member, old: Member | None) -> None:
+        self._ranks_by_key.clear()
+        for callback in self._callbacks:
+            callback(m, old)
+
+
+def row_of(m: Member) -> MemberRow:
+    """A member as gossip carries it."""
+    return MemberRow(
+        m.host,
+        m.incarnation,
+        m.version,
+        int(m.state),
+        m.peers_address,
+        m.operators_address,
+        m.data_center,
+        m.offset,
+        m.rules,
+    )
+
+
+def _weight(key: str, member_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{member_id}".encode())
--- /dev/null
+++ b/mustardgap/peers.py
@@ -0,0 +1,388 @@
+"""The streams between entry hosts: one gRPC stream a pair, reopened when it breaks."""
+
+import asyncio
+import inspect
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import grpc
+import msgspec
+from absl import logging
+
+from . import channels, status_codes
+from .exceptions import MustardgapError
+from .links import Link, Stream
+from .members import Member, Members, MemberState, row_of
+from .messages import (
+    AnyMessage,
+    Failed,
+    Frame,
+    Gossip,
+    Hello,
+    Item,
+    decode,
+    encode,
+)
+from .settings import Settings
+from .timelines import Timeline
+from .timers import Timers
+
+METHOD = "Talk"
+REDIAL_S = 0.2
+MAX_REDIAL_S = 3.0
+DEFER_S = 0.5
+WATCH_S = 0.25
+
+Handler = Callable[[Member, Any], Awaitable[AnyMessage | None] | AnyMessage | None]
+
+
+class PeerError(MustardgapError):
+    """A peer can't be reached, or didn't answer in time."""
+
+    def __init__(self, **kwargs: str) -> None:
+        super().__init__(code=status_codes.PEER_UNAVAILABLE, **kwargs)
+
+
+class Peers:
+    """Carries messages between this daemon and the other entry hosts.
+
+    Streams to ``peers.fanout`` neighbours are kept open; one to any other member is opened when
+    there is something to say and closed when it was idle for ``peers.idle_s``.
+
+    :param members: the members.
+    :param settings: the daemon's settings.
+    :param timers: the timer service.
+    :param timeline: takes the peers' stamps.
+    """
+
+    def __init__(
+        self, *, members: Members, settings: Settings, timers: Timers, timeline: Timeline
+    ) -> None:
+        self.members = members
+        self.settings = settings
+        self.timers = timers
+        self.timeline = timeline
+        self.links_by_id: dict[str, Link] = {}
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._handlers: dict[type, Handler] = {}
+        self._open_callbacks: list[Callable[[Member], None]] = []
+        self._answers: dict[int, tuple[str, asyncio.Future[AnyMessage]]] = {}
+        self._last_request = 0
+        self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
+        self._dials_by_address: dict[str, asyncio.Task[None]] = {}
+        self._seeds: set[str] = set(settings.peers.seeds)
+        self._background: set[asyncio.Future[Any]] = set()
+        timers.on_gap(self._gap)
+
+    def handle(self, type_: type, handler: Handler) -> None:
+        """Have messages of a type handled; what the handler returns answers a call.
+
+        A plain function runs at once and so keeps the order of messages; a coroutine function
+        gets a task of its own.
+        """
+        self._handlers[type_] = handler
+
+    def on_open(self, callback: Callable[[Member], None]) -> None:
+        """Call back when a stream to a member has opened."""
+        self._open_callbacks.append(callback)
+
+    def send(self, member_id: str, message: AnyMessage) -> bool:
+        """Queue a message to a member.
+
+        :return: False when it was dropped, because the queue is full or the member isn't known.
+        """
+        return self._queue(member_id, Item(0, message))
+
+    def broadcast(self, message: AnyMessage) -> None:
+        """Queue a message to every other member."""
+        for m in self.members.peers():
+            self.send(m.id, message)
+
+    async def call(self, member_id: str, message: AnyMessage, *, timeout_s: float = 2.0) -> Any:
+        """Send a message and wait for its answer.
+
+        :param timeout_s: seconds to wait.
+        :raises PeerError: MG5005; the peer may have acted on the message.
+        """
+        self._last_request += 1
+        request = self._last_request
+        future: asyncio.Future[AnyMessage] = asyncio.get_running_loop().create_future()
+        self._answers[request] = (member_id, future)
+        try:
+            if not self._queue(member_id, Item(request, message)):
+                raise PeerError(detail="not a member, or its queue is full", place=member_id)
+            answer = await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            raise PeerError(detail=f"no answer within {timeout_s} s", place=member_id) from None
+        finally:
+            self._answers.pop(request, None)
+        if isinstance(answer, Failed):
+            raise PeerError(detail=answer.detail, place=member_id)
+        return answer
+
+    def seed(self, addresses: set[str], *, listed: bool = False) -> None:
+        """Give addresses at which there may be entry hosts.
+
+        :param listed: they take the place of those listed before.
+        """
+        self._seeds = {*self.settings.peers.seeds, *addresses} if listed else addresses
+
+    def connected(self) -> list[str]:
+        """The ids of the members with an open stream."""
+        return [i for i, link in self.links_by_id.items() if link.stream is not None]
+
+    async def run(self) -> None:
+        """Listen, and keep the streams open, until cancelled."""
+        server = channels.make_server(
+            self.members.me.peers_address, self.settings.peers, {METHOD: self._accept}
+        )
+        await server.start()
+        stop_beat = self.timers.subscribe("peers.beat", self._beat_s(), self._beat)
+        try:
+            while True:
+                self._watch()
+                await asyncio.sleep(WATCH_S)
+        finally:
+            stop_beat()
+            tasks = [*self._tasks_by_id.values(), *self._dials_by_address.values()]
+            for task in tasks:
+                task.cancel()
+            for link in self.links_by_id.values():
+                link.close()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self._tasks_by_id.clear()
+            self._dials_by_address.clear()
+            await server.stop(0.2)
+
+    def _watch(self) -> None:
+        """Start a task for each peer that needs a stream and end those of members that are gone."""
+        wanted = self._wanted()
+        for member_id in wanted - self._tasks_by_id.keys():
+            task = asyncio.create_task(self._keep(member_id), name=f"peer:{member_id}")
+            self._tasks_by_id[member_id] = task
+        for member_id in self._tasks_by_id.keys() - wanted:
+            self._tasks_by_id.pop(member_id).cancel()
+        for member_id, link in list(self.links_by_id.items()):
+            gone = member_id not in self.members.by_id
+            if gone or (member_id not in wanted and link.idle_for() > self.settings.peers.idle_s):
+                link.close()
+                del self.links_by_id[member_id]
+        known = {m.peers_address for m in self.members.by_id.values() if not _dead(m)}
+        for address in (
+            self._seeds - known - {self.members.me.peers_address} - self._dials_by_address.keys()
+        ):
+            task = asyncio.create_task(self._probe(address), name=f"probe:{address}")
+            self._dials_by_address[address] = task
+
+    def _wanted(self) -> set[str]:
+        me = self.members.me.id
+        alive = [m.id for m in self.members.peers()]
+        ranked = [i for i in self.members.ranked(f"peers/{me}") if i != me]
+        wanted = set(ranked[: self.settings.peers.fanout])
+        for member_id in alive:
+            link = self.links_by_id.get(member_id)
+            if link is not None and (link.items or link.idle_for() < self.settings.peers.idle_s):
+                wanted.add(member_id)
+            if self.members.by_id[member_id].state is MemberState.suspect:
+                wanted.add(member_id)
+        return wanted & set(alive)
+
+    async def _keep(self, member_id: str) -> None:
+        """Keep a stream to a member open; the member with the lower id dials first."""
+        backoff = REDIAL_S
+        link = self._link(member_id)
+        while (m := self.members.by_id.get(member_id)) is not None and not _dead(m):
+            if link.stream is not None:
+                await link.stream.closed.wait()
+                backoff = REDIAL_S
+            if self.members.me.id > member_id:
+                await asyncio.sleep(DEFER_S)
+                if link.stream is not None:
+                    continue
+            if not await self._dial(m.peers_address, member_id) and link.stream is None:
+                link.fail()
+                if link.failed_for() > self.settings.peers.suspect_s:
+                    self.members.suspect(member_id)
+            await asyncio.sleep(backoff * random.uniform(0.5, 1.0))
+            backoff = min(backoff * 2, MAX_REDIAL_S)
+
+    async def _probe(self, address: str) -> None:
+        backoff = REDIAL_S
+        while address in self._seeds and not self._reached(address):
+            await self._dial(address, "")
+            await asyncio.sleep(backoff * random.uniform(0.5, 1.0))
+            backoff = min(backoff * 2, MAX_REDIAL_S)
+        self._dials_by_address.pop(address, None)
+
+    def _reached(self, address: str) -> bool:
+        return any(m.peers_address == address and not _dead(m) for m in self.members.by_id.values())
+
+    async def _dial(self, address: str, member_id: str) -> bool:
+        """Open a stream and talk on it until it ends.
+
+        :return: whether it was opened.
+        """
+        channel = channels.open_channel(address, self.settings.peers)
+        try:
+            call = channel.stream_stream(f"/{channels.SERVICE}/{METHOD}")()
+            async with asyncio.timeout(self.settings.peers.connect_timeout_s):
+                await call.write(self._hello())
+                hello = _hello_of(await call.read())
+            return await self._talk(hello, Stream(call, dialer=self.members.me.id), member_id)
+        except (TimeoutError, grpc.RpcError, grpc.aio.UsageError, msgspec.DecodeError) as exc:
+            logging.debug("no stream to %s: %s", address, exc)
+            return False
+        finally:
+            await channel.close()
+
+    async def _accept(self, _requests: Any, context: Any) -> None:
+        try:
+            async with asyncio.timeout(self.settings.peers.connect_timeout_s):
+                hello = _hello_of(await context.read())
+                await context.write(self._hello())
+        except (TimeoutError, msgspec.DecodeError):
+            return
+        m_id = f"{hello.me.host}@{hello.me.incarnation:x}"
+        await self._talk(hello, Stream(context, dialer=m_id), "")
+
+    async def _talk(self, hello: Hello, stream: Stream, expected: str) -> bool:
+        member_id = f"{hello.me.host}@{hello.me.incarnation:x}"
+        self.members.take_row(hello.me)
+        if member_id not in self.members.by_id or member_id == self.members.me.id:
+            return False
+        link = self._link(member_id)
+        if not link.attach(stream, self._beat_s() * 1.5):
+            return True
+        for callback in self._open_callbacks:
+            callback(self.members.by_id[member_id])
+        reader = asyncio.create_task(self._read(member_id, stream), name=f"read:{member_id}")
+        writer = asyncio.create_task(self._write(link, stream), name=f"write:{member_id}")
+        closed = asyncio.create_task(stream.closed.wait())
+        tasks = (reader, writer, closed)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            link.detach(stream)
+        return not expected or expected == member_id
+
+    async def _read(self, member_id: str, stream: Stream) -> None:
+        while True:
+            data = await stream.call.read()
+            if data is grpc.aio.EOF:
+                return
+            self.received_bytes += len(data)
+            frame = decode(data)
+            stream.heard()
+            self.members.heard(member_id)
+            self.timeline.witness(frame.stamp)
+            for item in frame.items:
+                self._take(member_id, item)
+
+    async def _write(self, link: Link, stream: Stream) -> None:
+        while True:
+            await link.wake.wait()
+            link.wake.clear()
+            data = encode(Frame(self.timeline.stamp, link.take()))
+            self.sent_bytes += len(data)
+            stream.wrote()
+            await stream.call.write(data)
+            if link.items:
+                link.wake.set()
+
+    def _take(self, member_id: str, item: Item) -> None:
+        m = self.members.by_id.get(member_id)
+        if m is None or (_dead(m) and not isinstance(item.body, Gossip)):
+            # A member that was declared dead may have woken; it has to find that out first.
+            return
+        if item.request < 0:
+            asked, future = self._answers.get(-item.request, ("", None))
+            if future is not None and asked == member_id and not future.done():
+                future.set_result(item.body)
+            return
+        handler = self._handlers.get(type(item.body))
+        if handler is None:
+            self._answer(member_id, item.request, Failed(f"no {type(item.body).__name__} here"))
+            return
+        try:
+            result = handler(m, item.body)
+        except Exception as exc:
+            logging.exception("message %s failed", type(item.body).__name__)
+            result = Failed(f"{type(exc).__name__}: {exc}")
+        if inspect.isawaitable(result):
+            self._spawn(self._finish(member_id, item.request, result))
+        else:
+            self._answer(member_id, item.request, result)
+
+    async def _finish(self, member_id: str, request: int, result: Awaitable[Any]) -> None:
+        try:
+            answer = await result
+        except Exception as exc:
+            logging.exception("a call of %s failed", member_id)
+            answer = Failed(f"{type(exc).__name__}: {exc}")
+        self._answer(member_id, request, answer)
+
+    def _answer(self, member_id: str, request: int, answer: Any) -> None:
+        if request > 0:
+            self._queue(member_id, Item(-request, answer if answer is not None else Failed("")))
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _queue(self, member_id: str, item: Item) -> bool:
+        if member_id not in self.members.by_id or member_id == self.members.me.id:
+            return False
+        return self._link(member_id).put(item, self.settings.peers.max_queued)
+
+    def _link(self, member_id: str) -> Link:
+        link = self.links_by_id.get(member_id)
+        if link is None:
+            link = self.links_by_id[member_id] = Link(member_id=member_id, clock=self.timers.clock)
+        return link
+
+    def _hello(self) -> bytes:
+        return encode(Frame(self.timeline.stamp, [Item(0, Hello(row_of(self.members.me)))]))
+
+    def _beat_s(self) -> float:
+        return min(self.settings.peers.heartbeat_s, self.settings.peers.suspect_s / 2)
+
+    def _beat(self) -> None:
+        """Close silent streams; send an empty frame on those with nothing else to say.
+
+        A stream whose path was lost stays open for good and swallows what is sent. The peer's
+        heartbeat makes its silence tell, and a new stream takes a new connection.
+        """
+        for link in list(self.links_by_id.values()):
+            stream = link.stream
+            if stream is None:
+                continue
+            if stream.silent_for() > self.settings.peers.suspect_s:
+                logging.info("stream to %s is silent", link.member_id)
+                link.close()
+                self.members.suspect(link.member_id)
+            elif stream.unwritten_for() > self._beat_s() * 0.9:
+                link.wake.set()
+
+    def _gap(self, lost_s: float) -> None:
+        """Close all streams after a pause: what they brought may be out of date."""
+        for link in self.links_by_id.values():
+            link.close()
+
+
+def _dead(m: Member) -> bool:
+    return m.state is MemberState.dead
+
+
+def _hello_of(data: Any) -> Hello:
+    if data is grpc.aio.EOF:
+        raise msgspec.DecodeError("the stream ended before its greeting")
+    items = decode(data).items
+    if not items or not isinstance(items[0].body, Hello):
+        raise msgspec.DecodeError("the stream starts without a greeting")
+    return items[0].body
--- /dev/null
+++ b/mustardgap/presence.py
@@ -0,0 +1,76 @@
+"""Announcing this entry host on the platform's list, and finding others there."""
+
+import asyncio
+
+from absl import logging
+
+from .adapters import Platform
+from .exceptions import MustardgapError
+from .members import MemberState
+from .models import HostEntry
+from .peers import Peers
+
+ANNOUNCE_S = 2.0
+
+
+class Presence:
+    """Keeps this daemon on the platform's lagging list of hosts and reads the others off it.
+
+    The list only says where to look. Who is alive is found out by talking to them.
+
+    :param platform: the platform.
+    :param peers: the streams to the peers; its members are told which hosts are listed.
+    """
+
+    def __init__(self, *, platform: Platform, peers: Peers) -> None:
+        self.platform = platform
+        self.peers = peers
+        self.members = peers.members
+        self.settings = peers.settings
+
+    async def run(self) -> None:
+        """Announce and read, every two seconds, until cancelled."""
+        while True:
+            try:
+                await self.announce()
+                await self.read()
+            except MustardgapError as exc:
+                logging.debug("host list: %s", exc)
+            await asyncio.sleep(ANNOUNCE_S)
+
+    async def announce(self) -> None:
+        """Announce this daemon in its present state."""
+        me = self.members.me
+        leaving = me.state is MemberState.leaving
+        await self.platform.announce(
+            HostEntry(
+                host=me.host,
+                role="entry",
+                state="leaving" if leaving else "live",
+                address=me.peers_address,
+                data_center=me.data_center,
+            )
+        )
+
+    async def read(self) -> None:
+        """Read the list of hosts."""
+        page = await self.platform.hosts()
+        entries = [e for e in page.hosts if e["role"] == "entry" and e["state"] == "live"]
+        self.members.listed_hosts = frozenset(e["host"] for e in entries)
+        own = self.members.me.peers_address
+        self.peers.seed({e["address"] for e in entries if e["address"] != own}, listed=True)
+
+    async def leave(self) -> None:
+        """Tell peers and platform that this daemon takes no more work."""
+        self.members.say(state=MemberState.leaving)
+        try:
+            await self.announce()
+        except MustardgapError as exc:
+            logging.info("could not announce leaving: %s", exc)
+
+    async def withdraw(self) -> None:
+        """Take this daemon off the list."""
+        try:
+            await self.platform.withdraw(self.members.me.host)
+        except MustardgapError as exc:
+            logging.info("could not withdraw from the list: %s", exc)
