--- /dev/null
+++ b/mustardgap/command_options.py
@@ -0,0 +1,137 @@
+"""The options that all commands share, and running a command's calls."""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, TypeVar
+
+import click
+
+from . import status_codes
+from .__version__ import __version__
+from .clients import DEFAULT_ENTRY, Client
+from .exceptions import MustardgapError
+from .outputs import print_json
+from .settings import TlsSettings
+
+T = TypeVar("T")
+
+EPILOG = """\b
+Examples:
+  mustardgap status
+  mustardgap diff config/
+  mustardgap apply config/ --wait
+  mustardgap --entry 10.0.0.1:8081 --entry 10.0.0.2:8081 hosts
+  mustardgap timeline --since 10m --service deposits
+  mustardgap explain code MG3000
+
+Exit statuses are those of the result codes: mustardgap explain code NUMBER.
+"""
+
+
+class Options(NamedTuple):
+    """The options that all commands share."""
+
+    entries: tuple[str, ...]
+    output: str
+    timeout_s: float
+    tls: TlsSettings | None
+
+    @property
+    def json(self) -> bool:
+        """Whether to print JSON."""
+        return self.output == "json"
+
+
+@click.group(epilog=EPILOG, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="mustardgap")
+@click.option(
+    "--entry",
+    "entries",
+    multiple=True,
+    metavar="IP:PORT",
+    help="Operators' port of an entry host; may be given several times, they are tried in turn. "
+    f"Default: $MUSTARDGAP_ENTRY (separated by spaces or commas), else {DEFAULT_ENTRY}.",
+)
+@click.option("--output", type=click.Choice(["text", "json"]), default="text", show_default=True)
+@click.option(
+    "--call-timeout",
+    type=click.FloatRange(0.1, 600),
+    default=15.0,
+    show_default=True,
+    help="Seconds that one call to an entry host may take.",
+)
+@click.option("--tls-certificate", type=click.Path(), envvar="MUSTARDGAP_TLS_CERTIFICATE")
+@click.option("--tls-key", type=click.Path(), envvar="MUSTARDGAP_TLS_KEY")
+@click.option("--tls-authority", type=click.Path(), envvar="MUSTARDGAP_TLS_AUTHORITY")
+@click.pass_context
+def cli(
+    ctx: click.Context,
+    entries: tuple[str, ...],
+    output: str,
+    call_timeout: float,
+    tls_certificate: str | None,
+    tls_key: str | None,
+    tls_authority: str | None,
+) -> None:
+    """Publish capacity profiles, watch them take effect, and run maintenance."""
+    tls = _tls(tls_certificate, tls_key, tls_authority)
+    ctx.obj = Options(_entries(entries), output, call_timeout, tls)
+
+
+def options() -> Options:
+    """The shared options of the command that runs."""
+    found = click.get_current_context().find_object(Options)
+    assert found is not None
+    return found
+
+
+def run(call: Callable[[Client], Awaitable[T]]) -> T:
+    """Run a coroutine function with a client of the command that runs."""
+    shared = options()
+
+    async def with_client() -> T:
+        client = Client(entries=shared.entries, timeout_s=shared.timeout_s, tls=shared.tls)
+        async with client:
+            return await call(client)
+
+    return asyncio.run(with_client())
+
+
+def emit(value: Any, show: Callable[[], None]) -> None:
+    """Print a value as JSON, or call ``show`` to print it as text."""
+    if options().json:
+        print_json(value)
+    else:
+        show()
+
+
+def _entries(given: tuple[str, ...]) -> tuple[str, ...]:
+    named = given or tuple(os.environ.get("MUSTARDGAP_ENTRY", "").replace(",", " ").split())
+    for entry in named:
+        _check_entry(entry)
+    return named or (DEFAULT_ENTRY,)
+
+
+def _check_entry(entry: str) -> None:
+    host, _, port = entry.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise MustardgapError(
+            code=status_codes.USAGE, detail=f"{entry!r} is not IP:PORT", place="--entry"
+        )
+    if not host.isprintable() or set(host) & set("/@?# \\"):
+        raise MustardgapError(
+            code=status_codes.USAGE, detail=f"{entry!r} is not IP:PORT", place="--entry"
+        )
+
+
+def _tls(certificate: str | None, key: str | None, authority: str | None) -> TlsSettings | None:
+    if not (certificate or key or authority):
+        return None
+    if not (certificate and key and authority):
+        raise MustardgapError(
+            code=status_codes.USAGE,
+            detail="--tls-certificate, --tls-key and --tls-authority go together",
+            place="mustardgap",
+        )
+    return TlsSettings(certificate=certificate, key=key, authority=authority)
--- /dev/null
+++ b/mustardgap/commands_views.py
@@ -0,0 +1,232 @@
+"""Commands that only look."""
+
+import re
+import sys
+import time
+from datetime import datetime
+from typing import Any
+
+import click
+
+from . import status_codes, timeline_pages
+from .clients import Client
+from .command_options import cli, emit, options, run
+from .exceptions import MustardgapError
+from .explanations import explain_code
+from .outputs import print_json, print_lines, print_table
+
+_SPAN = re.compile(r"^(\d+(?:\.\d+)?)(s|m|h|d)$")
+_SECONDS_BY_UNIT = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
+
+
+@cli.command()
+def status() -> None:
+    """Show the entry hosts and how current each one is.
+
+    \b
+    Example: mustardgap status
+    """
+    answer = run(lambda client: client.status())
+
+    def show() -> None:
+        ready = "ready" if answer["ready"] else f"not ready ({answer['why_not_ready']})"
+        click.echo(
+            f"{answer['host']} is {ready}, offset {answer['offset']}, "
+            f"current {answer['fresh_s']:.1f} s ago, up {answer['uptime_s']:.0f} s, "
+            f"version {answer['version']}, rules {answer['rules']}"
+        )
+        columns = ["host", "state", "data center", "operators", "offset"]
+        keys = ["host", "state", "data_center", "operators", "offset"]
+        members = sorted(answer["members"], key=lambda member: member["host"])
+        print_table(columns, [[member[key] for key in keys] for member in members])
+        if answer["services"]:
+            _show_services(answer["services"])
+
+    emit(answer, show)
+
+
+@cli.command()
+@click.option("--pool", default=None, help='Only hosts of this pool ("" is the spare pool).')
+@click.option("--phase", default="", help="Only hosts in this phase, such as draining.")
+@click.option("--rack", default="", help="Only hosts of this rack.")
+def hosts(pool: str | None, phase: str, rack: str) -> None:
+    """List the hosts with pool and phase.
+
+    \b
+    Examples:
+      mustardgap hosts --phase draining
+      mustardgap hosts --pool deposits
+    """
+    answer = run(lambda client: client.items("hosts"))
+    answer["items"] = {
+        name: host
+        for name, host in answer["items"].items()
+        if (pool is None or host["pool"] == pool)
+        and (not phase or host["phase"] == phase)
+        and (not rack or host["facts"]["rack"] == rack)
+    }
+    columns = ["host", "pool", "phase", "rack", "data center", "epoch", "reason"]
+    rows = [
+        (
+            name,
+            host["pool"] or "(spare)",
+            host["phase"],
+            host["facts"]["rack"],
+            host["facts"]["data_center"],
+            host["epoch"],
+            host["reason"],
+        )
+        for name, host in sorted(answer["items"].items())
+    ]
+    emit(answer, lambda: print_table(columns, rows))
+
+
+@cli.command()
+def pools() -> None:
+    """List the pools with their hosts in service.
+
+    \b
+    Example: mustardgap pools
+    """
+
+    async def call(client: Client) -> dict[str, Any]:
+        answer = await client.items("pools")
+        found = (await client.items("hosts"))["items"].values()
+        for name, pool in answer["items"].items():
+            phases = [host["phase"] for host in found if host["pool"] == name]
+            pool["hosts"] = len(phases)
+            pool["in_service"] = phases.count("in_service")
+        return answer
+
+    answer = run(call)
+    columns = ["pool", "service", "in service", "hosts", "min", "max", "version"]
+    rows = [
+        (
+            name,
+            pool["service"] or "(jobs)",
+            pool["in_service"],
+            pool["hosts"],
+            pool["min_hosts"],
+            pool["max_hosts"],
+            pool["version"],
+        )
+        for name, pool in sorted(answer["items"].items())
+    ]
+    emit(answer, lambda: print_table(columns, rows))
+
+
+@cli.command()
+def services() -> None:
+    """List the services with their profiles.
+
+    \b
+    Example: mustardgap services
+    """
+    answer = run(lambda client: client.items("services"))
+    rows = [
+        (name, item["profile"], item["team"], item["path"], item["version"])
+        for name, item in sorted(answer["items"].items())
+    ]
+    columns = ["service", "profile", "team", "path", "version"]
+    emit(answer, lambda: print_table(columns, rows))
+
+
+@cli.command()
+def profiles() -> None:
+    """List the profiles that services choose from.
+
+    \b
+    Example: mustardgap profiles
+    """
+    answer = run(lambda client: client.items("profiles"))
+    rows = [
+        (
+            name,
+            item["urgency"],
+            item["room"]["max_hosts"],
+            item["availability"]["min_hosts"],
+            item["availability"]["survive"],
+            ",".join(item["disruption"]["steps"]),
+            item["version"],
+        )
+        for name, item in sorted(answer["items"].items())
+    ]
+    columns = ["profile", "urgency", "max hosts", "min hosts", "survive", "steps", "version"]
+    emit(answer, lambda: print_table(columns, rows))
+
+
+@cli.command()
+@click.argument("kind", type=click.Choice(["host", "pool", "service", "job", "request", "code"]))
+@click.argument("name")
+def explain(kind: str, name: str) -> None:
+    """Say why something is as it is, or what a result code means.
+
+    \b
+    Examples:
+      mustardgap explain host w17
+      mustardgap explain pool deposits
+      mustardgap explain code MG3002
+    """
+    if kind == "code":
+        answer = explain_code(name)
+    else:
+        answer = run(lambda client: client.explain(kind, name))
+    emit(answer, lambda: print_lines(answer["lines"]))
+
+
+@cli.command()
+@click.option("--since", default="1h", show_default=True, help="30s, 10m, 2h, 1d, or a time.")
+@click.option("--service", default="", help="Only events of this service.")
+@click.option("--host", default="", help="Only events of this host.")
+@click.option("--request", default="", help="Only events of this request id.")
+@click.option("--job", default="", help="Only events of this job.")
+@click.option(
+    "--output",
+    "output",
+    type=click.Choice(["text", "json", "html"]),
+    default=None,
+    help="html is one page that needs nothing else.",
+)
+def timeline(
+    since: str, service: str, host: str, request: str, job: str, output: str | None
+) -> None:
+    """Show the events of all entry hosts in one causal order.
+
+    \b
+    Examples:
+      mustardgap timeline --since 10m --service deposits
+      mustardgap timeline --since 2026-12-02T14:00 --output html > timeline.html
+    """
+    wanted = {"service": service, "host": host, "request": request, "job": job}
+    start = _since(since)
+    merged = run(lambda client: client.timeline(since=start, **wanted))
+    output = output or options().output
+    if output == "html":
+        click.echo(timeline_pages.html(merged))
+    elif output == "json":
+        print_json(timeline_pages.as_json(merged))
+    else:
+        print_lines(timeline_pages.lines(merged))
+    for entry in merged.missing:
+        click.echo(f"no answer from {entry}: its events are missing", err=True)
+
+
+def _since(text: str) -> float:
+    match = _SPAN.match(text)
+    if match:
+        return time.time() - float(match[1]) * _SECONDS_BY_UNIT[match[2]]
+    try:
+        return datetime.fromisoformat(text).timestamp()
+    except (ValueError, OverflowError, OSError):
+        raise MustardgapError(
+            code=status_codes.USAGE,
+            detail=f"{text!r} is neither a span such as 10m nor a time such as 2026-12-02T14:00",
+            place="--since",
+        ) from None
+
+
+def _show_services(views: dict[str, Any]) -> None:
+    columns = sorted({column for view in views.values() for column in view})
+    rows = [[name, *(view.get(column) for column in columns)] for name, view in views.items()]
+    print_table(["service", *columns], rows)
+    sys.stdout.flush()
--- /dev/null
+++ b/mustardgap/operator_handlers.py
@@ -0,0 +1,149 @@
+"""What the handlers of the operators' interface share: checks, answers and problems."""
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import msgspec
+from absl import logging
+from tornado.web import HTTPError, RequestHandler
+
+from . import status_codes
+from .exceptions import MustardgapError
+from .outcomes import Accepted, Rejected, Verdict
+from .problems import CONTENT_TYPE, TYPE_PREFIX
+from .status_codes import Code
+
+if TYPE_CHECKING:
+    from .operators import Operators
+
+T = TypeVar("T")
+
+JSON_TYPE = "application/json"
+METHODS = ("GET", "POST", "DELETE")
+
+
+class JsonHandler(RequestHandler):
+    """Answers in JSON, and with problem details when something is wrong."""
+
+    SUPPORTED_METHODS = METHODS  # type: ignore[assignment]
+
+    def initialize(self, operators: "Operators") -> None:
+        """Keep what the handlers read from."""
+        self.operators = operators
+        self.log = operators.log
+
+    def set_default_headers(self) -> None:
+        """Answers are neither cached nor taken for pages."""
+        self.set_header("Cache-Control", "no-store")
+        self.set_header("X-Content-Type-Options", "nosniff")
+        self.clear_header("Server")
+
+    def check_xsrf_cookie(self) -> None:
+        """Nothing here works by cookies; ``prepare`` keeps browsers' forms away."""
+
+    def prepare(self) -> None:
+        """Refuse changes that a page in an operator's browser could send without being asked.
+
+        A form can post to this port from any page an operator looks at, but not with this
+        content type: the browser would ask first, and is never told yes.
+        """
+        content_type = self.request.headers.get("Content-Type", "").partition(";")[0].strip()
+        if self.request.method == "POST" and content_type.lower() != JSON_TYPE:
+            raise MustardgapError(
+                code=status_codes.BAD_REQUEST,
+                detail=f"Content-Type must be {JSON_TYPE}",
+                place=self.request.path,
+            )
+
+    def reply(self, value: Any, status: int = 200) -> None:
+        """Finish with a value as JSON."""
+        self.set_status(status)
+        self.set_header("Content-Type", JSON_TYPE)
+        self.finish(msgspec.json.encode(value))
+
+    def refuse(
+        self, code: Code, *, detail: str = "", place: str = "", status: int = 0, **extra: Any
+    ) -> None:
+        """Finish with problem details; ``status`` goes before the code's own HTTP status."""
+        self.set_status(status or code.http_status)
+        self.set_header("Content-Type", CONTENT_TYPE)
+        self.set_header("X-Result-Code", str(code.number))
+        if code.http_status in (429, 503):
+            self.set_header("Retry-After", "1")
+        body = problem(code, detail=detail, place=place, **extra)
+        self.finish(msgspec.json.encode(body))
+
+    def reply_verdict(self, verdict: Verdict, **extra: Any) -> None:
+        """Finish with what the fold made of a record."""
+        if isinstance(verdict, Accepted):
+            self.reply({"verdict": "accepted", "offset": verdict.offset, **extra})
+            return
+        self.refuse_verdict(verdict)
+
+    def refuse_verdict(self, verdict: Rejected) -> None:
+        """Finish with why the fold turned a record down."""
+        self.refuse(
+            verdict.code,
+            detail=verdict.detail,
+            place=", ".join(verdict.changed),
+            verdict="rejected",
+            offset=verdict.offset,
+            changed=verdict.changed,
+        )
+
+    def decode(self, body_type: type[T]) -> T:
+        """Read and check the body.
+
+        :raises MustardgapError: MG1111 with the key.
+        """
+        try:
+            return msgspec.json.decode(self.request.body, type=body_type)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            detail, _, where = str(exc).partition(" - at `$")
+            raise MustardgapError(
+                code=status_codes.BAD_REQUEST,
+                detail=detail,
+                place=f"{self.request.path}:{where.rstrip('`').lstrip('.')}".rstrip(":"),
+            ) from None
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Turn an exception into problem details."""
+        exc = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(exc, MustardgapError):
+            self.refuse(exc.code, detail=exc.detail, place=exc.place)
+        elif isinstance(exc, HTTPError) and status_code < 500:
+            code = status_codes.NOT_FOUND if status_code == 404 else status_codes.BAD_REQUEST
+            detail = exc.log_message or exc.reason or f"HTTP {status_code}"
+            self.refuse(code, detail=detail, place=self.request.path, status=status_code)
+        else:
+            self.refuse(status_codes.INTERNAL, place=self.request.path)
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log only faults of our own; what a client did wrong is in its answer."""
+        if isinstance(value, MustardgapError | HTTPError):
+            return
+        logging.error("handler failed path=%s", self.request.path, exc_info=(typ, value, tb))
+
+
+class MissingHandler(JsonHandler):
+    """Answers paths that nothing is served under."""
+
+    def prepare(self) -> None:
+        """Refuse any method."""
+        raise MustardgapError(
+            code=status_codes.NOT_FOUND, detail="no such path", place=self.request.path
+        )
+
+
+def problem(code: Code, *, detail: str = "", place: str = "", **extra: Any) -> dict[str, Any]:
+    """Problem details (RFC 9457) for a result code."""
+    return {
+        "type": f"{TYPE_PREFIX}{code.number}",
+        "title": code.title,
+        "status": code.http_status,
+        "detail": detail or code.title,
+        "code": code.number,
+        "name": code.name,
+        "place": place,
+        "advice": code.advice,
+        **extra,
+    }
--- /dev/null
+++ b/mustardgap/operators.py
@@ -0,0 +1,120 @@
+"""The HTTP server for operators, on a port of its own."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from tornado.web import Application
+
+from . import operator_changes, operator_views
+from .certificates import CHECK_S, Certificates
+from .operator_handlers import JsonHandler, MissingHandler
+from .readiness import Readiness
+from .servers import BoundedServer, bind
+from .settings import Settings
+from .timelines import Timeline
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEADER_BYTES = 32 * 1024
+MAX_CONNECTIONS = 200
+HEADER_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 20.0
+WRITE_TIMEOUT_S = 10.0
+
+Explainer = Callable[[str], Any | Awaitable[Any]]
+
+HANDLERS: list[tuple[str, type[JsonHandler]]] = [
+    (r"/live", operator_views.LiveHandler),
+    (r"/ready", operator_views.ReadyHandler),
+    (r"/metrics", operator_views.MetricsHandler),
+    (r"/v1/status", operator_views.StatusHandler),
+    (r"/v1/declarations", operator_views.DeclarationsHandler),
+    (r"/v1/timeline", operator_views.TimelineHandler),
+    (r"/v1/explain/(host|pool|service|job|request|code)/([^/]+)", operator_views.ExplainHandler),
+    (r"/v1/changes", operator_changes.ChangesHandler),
+    (r"/v1/jobs/cancel", operator_changes.CancelHandler),
+    (r"/v1/jobs/([^/]+)", operator_changes.JobHandler),
+    (r"/v1/jobs", operator_changes.JobsHandler),
+    (r"/v1/hosts/([^/]+)/(drain|undrain)", operator_changes.DrainHandler),
+    (r"/v1/waves/([^/]+)/(pause|resume|finish)", operator_changes.WaveStepHandler),
+    (r"/v1/waves", operator_changes.WavesHandler),
+    (r"/v1/(profiles|services|pools|teams|policies|hosts|waves)", operator_views.ItemsHandler),
+    (
+        r"/v1/(profiles|services|pools|teams|policies|hosts|waves)/([^/]+)",
+        operator_views.ItemsHandler,
+    ),
+]
+
+
+class Operators:
+    """Serves the operators' interface of one entry host.
+
+    :param settings: the daemon's settings.
+    :param log: the state stream; what is written goes through it, what is shown is its state.
+    :param members: the entry hosts known.
+    :param timeline: this daemon's events.
+    :param readiness: whether this entry host is ready.
+    :param explainers: by kind, a function (or coroutine function) from a name to the answer.
+    :param services_view: what ``/v1/status`` shows of each service.
+    :param uptime_s: seconds since the daemon's start.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        log: Any,
+        members: Any,
+        timeline: Timeline,
+        readiness: Readiness,
+        explainers: dict[str, Explainer] | None = None,
+        services_view: Callable[[], dict[str, Any]] | None = None,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.members = members
+        self.timeline = timeline
+        self.readiness = readiness
+        self.explainers_by_kind = explainers or {}
+        self.services_view = services_view or dict
+        self.started = timeline.clock.monotonic()
+        self.port = settings.operators.port
+        tls = settings.operators.tls
+        self.certificates = Certificates(settings=tls) if tls else None
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        server = self.listen()
+        try:
+            while True:
+                await asyncio.sleep(CHECK_S)
+                if self.certificates:
+                    self.certificates.reload()
+        finally:
+            server.stop()
+            await asyncio.shield(server.close_all_connections())
+
+    def listen(self) -> BoundedServer:
+        """Open the port.
+
+        :raises MustardgapError: MG2003 when the port can't be had.
+        """
+        application = Application(
+            [(pattern, handler, {"operators": self}) for pattern, handler in HANDLERS],
+            default_handler_class=MissingHandler,
+            default_handler_args={"operators": self},
+            log_function=lambda handler: None,
+        )
+        server = BoundedServer(
+            application,
+            name="operators",
+            max_connections=MAX_CONNECTIONS,
+            certificates=self.certificates,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            max_buffer_size=MAX_BODY_BYTES + MAX_HEADER_BYTES,
+            idle_connection_timeout=HEADER_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
+        )
+        self.port = bind(server, self.settings.operators.port, self.settings.address)
+        return server
--- /dev/null
+++ b/mustardgap/servers.py
@@ -0,0 +1,120 @@
+"""An HTTP server with bounded connections, numbered refusals and certificates that may change."""
+
+import socket
+from contextlib import suppress
+from typing import Any
+
+from absl import logging
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream, UnsatisfiableReadError
+
+from . import metrics, status_codes
+from .certificates import Certificates
+from .exceptions import MustardgapError
+from .outcomes import NotRun
+from .problems import answer
+from .status_codes import Code
+
+_TORNADO_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+
+
+class BoundedServer(HTTPServer):
+    """A server whose memory is bounded by its settings, whatever the other ends send.
+
+    :param application: what serves the requests.
+    :param name: the port's name in metrics.
+    :param max_connections: more connections than this are closed with a refusal.
+    :param certificates: the keys to use, None for plain HTTP.
+    """
+
+    def initialize(  # type: ignore[override]
+        self,
+        application: Any,
+        *,
+        name: str,
+        max_connections: int,
+        certificates: Certificates | None = None,
+        **kwargs: Any,
+    ) -> None:
+        context = certificates.server_context() if certificates else None
+        super().initialize(application, ssl_options=context, **kwargs)
+        self.name = name
+        self.max_connections = max_connections
+        self._malformed = _head(status_codes.BAD_REQUEST)
+        self._too_large = _head(status_codes.TOO_LARGE)
+        self._too_many = _head(status_codes.OVER_BUDGET)
+        if certificates:
+            certificates.on_change(self._use)
+
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        """Serve one connection, or refuse it when there are too many."""
+        if len(self._connections) >= self.max_connections:
+            # Without a bound a flood of connections takes memory and descriptors until the
+            # process can't accept or connect any more; a refused one costs a single write.
+            metrics.refused_connections.add(1, {"port": self.name})
+            stream.write(self._too_many).add_done_callback(lambda _: stream.close())
+            return
+        self._number_refusals(stream)
+        super().handle_stream(stream, address)
+
+    def _use(self, certificates: Certificates) -> None:
+        self.ssl_options = certificates.server_context()
+
+    def _number_refusals(self, stream: IOStream) -> None:
+        # Tornado refuses what isn't HTTP with a bare 400 and closes oversized heads without a
+        # word. Both leave the sender without a result code, so they are replaced on the stream.
+        write, close = stream.write, stream.close
+
+        def numbered_write(data: bytes | memoryview) -> Any:
+            if data == _TORNADO_REFUSAL:
+                metrics.malformed_requests.add(1, {"port": self.name})
+                data = self._malformed
+            return write(data)
+
+        def numbered_close(exc_info: Any = False) -> None:
+            if isinstance(exc_info, UnsatisfiableReadError) and not stream.closed():
+                metrics.malformed_requests.add(1, {"port": self.name})
+                _send_last(stream.socket, self._too_large)
+            close(exc_info)
+
+        stream.write = numbered_write  # type: ignore[method-assign]
+        stream.close = numbered_close  # type: ignore[method-assign]
+
+
+def bind(server: HTTPServer, port: int, address: str) -> int:
+    """Listen on an address.
+
+    :param port: the port, 0 for any free one.
+    :return: the port listened on.
+    :raises MustardgapError: MG2003 when it can't be had.
+    """
+    try:
+        sock = socket.create_server((address, port), backlog=1024, reuse_port=False)
+    except OSError as exc:
+        raise MustardgapError(
+            code=status_codes.ADDRESS_IN_USE,
+            detail=exc.strerror or str(exc),
+            place=f"{address}:{port}",
+        ) from None
+    sock.setblocking(False)
+    server.add_sockets([sock])
+    bound = int(sock.getsockname()[1])
+    logging.info("listening port=%d", bound)
+    return bound
+
+
+def _head(code: Code) -> bytes:
+    resp = answer(NotRun(code=code), request_id="")
+    lines = [f"HTTP/1.1 {resp.status} {code.name}"]
+    lines += [f"{name}: {value}" for name, value in resp.headers if value]
+    lines += [f"Content-Length: {len(resp.body)}", "Connection: close"]
+    return "\r\n".join([*lines, "", ""]).encode() + resp.body
+
+
+def _send_last(sock: socket.socket, data: bytes) -> None:
+    with suppress(OSError):
+        sock.send(data)
+        sock.shutdown(socket.SHUT_WR)
+        # Closing with bytes unread makes the kernel send a reset, which can overtake the refusal.
+        while sock.recv(65536):
+            pass
