Add the way of a request: callers, sessions, upstreams and their outcomes

Cause: the callers' port, a request's session and the connection to an executor are what all the request side stands on; other parts need them to build on. Ruled out: tornado's own HTTP client (it doesn't tell whether a byte went out, nor a cut answer from a whole one); a pool of connections (an idle one may have gone silent; a new one is proven by its handshake and costs a loopback round trip); a web framework on the way (headers and body would be parsed once more).

--- /dev/null
+++ b/mustardgap/callers.py
@@ -0,0 +1,221 @@
+"""The HTTP server for callers."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from http.client import responses
+from typing import Any, cast
+
+from tornado import httputil, iostream, netutil
+from tornado.http1connection import (
+    HTTP1Connection,
+    HTTP1ConnectionParameters,
+    HTTP1ServerConnection,
+)
+
+from . import metrics, problems, status_codes
+from .exceptions import MustardgapError
+from .exchanges import Exchange
+from .outcomes import NotRun
+from .readiness import Readiness
+from .sessions import Sessions
+from .settings import Settings
+from .timelines import Timeline
+from .timers import Clock
+
+PORT = {"port": "callers"}
+# Connections over the limit still get a true refusal, up to this share of the limit.
+SPARE_CONNECTIONS = 0.1
+# What tornado writes when it can't parse a message.
+BARE_400 = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+NO_LIMIT = 1 << 62
+
+
+class _CallerStream(iostream.IOStream):
+    """A caller's connection; ``latest`` is the exchange that it carries."""
+
+    latest: Exchange | None = None
+
+    def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
+        """Write, with an answer of our own in place of tornado's for what it can't parse.
+
+        Tornado's is a bare status line and comes before a delegate sees the request. The caller
+        would get an answer without a result code, or a second one after our refusal.
+        """
+        if data == BARE_400 and self.latest is not None:
+            metrics.malformed_requests.add(1, PORT)
+            data = b"" if self.latest.answered else _malformed_answer(self.latest.request_id)
+        return super().write(data)
+
+
+class Callers(httputil.HTTPServerConnectionDelegate):
+    """Serves callers on the port of the settings; each connection has one task.
+
+    :param settings: the daemon's settings.
+    :param sessions: runs the requests.
+    :param timeline: where starting and stopping is noted.
+    :param readiness: whether this entry host may serve; without it, it always may.
+    :param clock: the clocks to read.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        sessions: Sessions,
+        timeline: Timeline,
+        readiness: Readiness | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.sessions = sessions
+        self.timeline = timeline
+        self.readiness = readiness
+        self.clock = clock or Clock()
+        self.port = settings.callers.port
+        self.draining = False
+        self.refusing = False
+        self._exchanges: set[Exchange] = set()
+        self._ended = asyncio.Event()
+        self._connections: set[HTTP1ServerConnection] = set()
+        self._sockets: list[socket.socket] = []
+        self._stop_accepting: list[Callable[[], None]] = []
+
+    async def run(self) -> None:
+        """Listen until cancelled; connections that are open then are left alone.
+
+        :raises MustardgapError: MG2003, the address is in use.
+        """
+        self.open()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self._stop_listening()
+
+    def open(self) -> None:
+        """Start to listen.
+
+        :raises MustardgapError: MG2003, the address is in use.
+        """
+        address = self.settings.address
+        try:
+            self._sockets = netutil.bind_sockets(self.settings.callers.port, address=address)
+        except OSError as exc:
+            place = f"{address}:{self.settings.callers.port}"
+            raise MustardgapError(
+                code=status_codes.ADDRESS_IN_USE, detail=str(exc), place=place
+            ) from None
+        for sock in self._sockets:
+            self._stop_accepting.append(netutil.add_accept_handler(sock, self._accept))
+        self.port = self._sockets[0].getsockname()[1]
+        self.timeline.add("callers.open", port=self.port)
+
+    async def drain(self) -> None:
+        """Stop without cutting off a request or a connection that is just being used.
+
+        First this host tells the balancer that it isn't ready and goes on serving, closing each
+        connection after its answer, so that requests can go elsewhere. Then it refuses what still
+        comes, truthfully, until all that is in flight has ended.
+        """
+        self.draining = True
+        self.timeline.add("callers.draining", exchanges=len(self._exchanges))
+        stop_s = self.settings.stop_timeout_s
+        deadline = self.clock.monotonic() + stop_s
+        await self.clock.sleep(min(self.settings.callers.linger_s, stop_s / 2))
+        self.refusing = True
+        while self._exchanges and self.clock.monotonic() < deadline:
+            self._ended.clear()
+            await self._wait_ended(deadline - self.clock.monotonic())
+        self._stop_listening()
+        self.close()
+        self.timeline.add("callers.closed")
+
+    def close(self) -> None:
+        """Close the port and all connections at once."""
+        self._stop_listening()
+        for connection in list(self._connections):
+            connection.stream.close()
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests here."""
+        return not self.draining and (self.readiness is None or self.readiness.ready)
+
+    def refusal(self) -> NotRun | None:
+        """Why requests are refused now, None when they aren't."""
+        if self.refusing:
+            return NotRun(code=status_codes.DRAINING)
+        if self.readiness is None or self.readiness.ready or self.readiness.stopping:
+            return None
+        return NotRun(code=status_codes.NOT_CURRENT, detail=self.readiness.reason)
+
+    def begin(self, exchange: Exchange) -> None:
+        """Note an exchange that has begun."""
+        self._exchanges.add(exchange)
+
+    def end(self, exchange: Exchange) -> None:
+        """Forget an exchange that has ended."""
+        self._exchanges.discard(exchange)
+        self._ended.set()
+
+    def start_request(self, server_conn: object, request_conn: httputil.HTTPConnection) -> Exchange:
+        """Make the delegate for the next request of a connection."""
+        connection = cast(HTTP1ServerConnection, server_conn)
+        exchange = Exchange(
+            host=self,
+            connection=cast(HTTP1Connection, request_conn),
+            over_limit=len(self._connections) > self.settings.callers.max_connections,
+        )
+        stream = cast(_CallerStream, connection.stream)
+        if stream.latest is not None:
+            connection.params.header_timeout = self.settings.callers.idle_timeout_s
+        stream.latest = exchange
+        return exchange
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        self._connections.discard(cast(HTTP1ServerConnection, server_conn))
+        metrics.callers_connections.add(-1)
+
+    def _accept(self, sock: socket.socket, address: Any) -> None:
+        callers = self.settings.callers
+        if len(self._connections) >= callers.max_connections * (1 + SPARE_CONNECTIONS):
+            metrics.refused_connections.add(1, PORT)
+            sock.close()
+            return
+        stream = _CallerStream(sock)
+        stream.set_nodelay(True)
+        parameters = HTTP1ConnectionParameters(
+            max_header_size=callers.max_header_bytes,
+            header_timeout=callers.header_timeout_s,
+            # Checked by the exchange, which can give a refusal with a code.
+            max_body_size=NO_LIMIT,
+            body_timeout=callers.max_timeout_s,
+        )
+        connection = HTTP1ServerConnection(stream, parameters)
+        self._connections.add(connection)
+        metrics.callers_connections.add(1)
+        connection.start_serving(self)
+
+    async def _wait_ended(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._ended.wait()
+        except TimeoutError:
+            pass
+
+    def _stop_listening(self) -> None:
+        for stop in self._stop_accepting:
+            stop()
+        self._stop_accepting.clear()
+        for sock in self._sockets:
+            sock.close()
+        self._sockets.clear()
+
+
+def _malformed_answer(request_id: str) -> bytes:
+    outcome = NotRun(code=status_codes.BAD_REQUEST, detail="the request is not valid HTTP/1.1")
+    answer = problems.answer(outcome, request_id=request_id)
+    lines = [f"HTTP/1.1 {answer.status} {responses[answer.status]}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    lines += [f"Content-Length: {len(answer.body)}", "Connection: close", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + answer.body
--- a/mustardgap/exceptions.py
+++ b/mustardgap/exceptions.py
@@ -1,6 +1,7 @@
 """The errors mustardgap raises, all with one base class."""
 
 from . import status_codes
+from .outcomes import NotRun
 from .status_codes import Code
 
 
@@ -56,6 +57,17 @@
     """The fold turned a record down."""
 
 
+class SlotRefused(MustardgapError):
+    """No slot was given; the request certainly wasn't run.
+
+    :param outcome: what the caller is told.
+    """
+
+    def __init__(self, *, outcome: NotRun) -> None:
+        super().__init__(code=outcome.code, detail=outcome.detail)
+        self.outcome = outcome
+
+
 class ChildFailed(MustardgapError):
     """A supervised child kept failing."""
 
--- /dev/null
+++ b/mustardgap/exchanges.py
@@ -0,0 +1,276 @@
+"""One request of a caller on its connection, from the first header to the end of its answer."""
+
+import asyncio
+import socket
+import struct
+import uuid
+from http.client import responses
+from typing import Protocol, cast
+from urllib.parse import urlsplit
+
+from absl import logging
+from tornado import httputil, iostream
+from tornado.http1connection import HTTP1Connection
+
+from . import metrics, problems, status_codes
+from .outcomes import BrokenOff, NotRun, Outcome, Streamed
+from .problems import Answer
+from .sessions import Session, Sessions
+from .settings import Settings
+from .upstreams import Request
+
+READY_PATH = "/-/ready"
+OWN_PATHS = "/-/"
+MAX_REQUEST_ID = 128
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class Host(Protocol):
+    """The server that an exchange belongs to."""
+
+    settings: Settings
+    sessions: Sessions
+    draining: bool
+
+    def is_ready(self) -> bool:
+        """Whether the balancer should send requests here."""
+
+    def refusal(self) -> NotRun | None:
+        """Why requests are refused now, None when they aren't."""
+
+    def begin(self, exchange: "Exchange") -> None:
+        """Note an exchange that has begun."""
+
+    def end(self, exchange: "Exchange") -> None:
+        """Forget an exchange that has ended."""
+
+
+class Exchange(httputil.HTTPMessageDelegate):
+    """One request of a caller and its answer.
+
+    :param host: the server.
+    :param connection: the connection, for the answer.
+    :param over_limit: whether the connection is one too many.
+    """
+
+    def __init__(self, *, host: Host, connection: HTTP1Connection, over_limit: bool) -> None:
+        self.host = host
+        self.request_id = uuid.uuid4().hex
+        self.answered = False
+        self._connection = connection
+        self._over_limit = over_limit
+        self._line = httputil.RequestStartLine("", "", "")
+        self._headers = httputil.HTTPHeaders()
+        self._body: list[bytes] = []
+        self._size = 0
+        self._task: asyncio.Task[None] | None = None
+        self._session: Session | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Check the head; what is refused here is answered before its body is read."""
+        self.host.begin(self)
+        self._line = cast(httputil.RequestStartLine, start_line)
+        self._headers = headers
+        ids = headers.get_list("X-Request-Id")
+        if len(ids) == 1 and 0 < len(ids[0]) <= MAX_REQUEST_ID and ids[0].isascii():
+            self.request_id = ids[0]
+        refusal = self._check()
+        if refusal is not None:
+            self._refuse(refusal)
+
+    def _check(self) -> NotRun | None:
+        detail = _malformed(self._line, self._headers)
+        if detail:
+            metrics.malformed_requests.add(1, {"port": "callers"})
+            return NotRun(code=status_codes.BAD_REQUEST, detail=detail)
+        if int(self._headers.get("Content-Length", "0")) > self._max_body_bytes():
+            return self._too_large()
+        if self._over_limit:
+            detail = "too many connections"
+            return NotRun(code=status_codes.QUEUE_FULL, detail=detail, retry_after=2.0)
+        if self._line.path.startswith(OWN_PATHS):
+            return None
+        return self.host.refusal()
+
+    def _max_body_bytes(self) -> int:
+        return self.host.settings.callers.max_body_bytes
+
+    def _too_large(self) -> NotRun:
+        detail = f"the body is larger than {self._max_body_bytes()} bytes"
+        return NotRun(code=status_codes.TOO_LARGE, detail=detail)
+
+    def _refuse(self, refusal: NotRun) -> None:
+        # The answer goes out now, but the connection is finished only when the rest of the
+        # request has been read, or at the time-out: closed with bytes unread, it would be reset,
+        # and the reset could overtake the answer.
+        self._connection.set_body_timeout(self.host.settings.callers.header_timeout_s)
+        self._write(problems.answer(refusal, request_id=self.request_id), close=True)
+        if self._headers.get("Expect") == "100-continue":
+            self._connection.finish()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Hold a piece of the body, up to the limit."""
+        if self.answered:
+            return
+        self._size += len(chunk)
+        if self._size > self._max_body_bytes():
+            self._body.clear()
+            self._refuse(self._too_large())
+            return
+        self._body.append(chunk)
+
+    def finish(self) -> None:
+        """The request is whole: run it."""
+        if self.answered:
+            self._connection.finish()
+            self._connection.close()
+            self.host.end(self)
+            return
+        self._task = asyncio.create_task(self._run(), name=f"request:{self.request_id}")
+        self._task.add_done_callback(lambda _: self.host.end(self))
+
+    def on_connection_close(self) -> None:
+        """The caller went before its request was whole."""
+        self._body.clear()
+        self.host.end(self)
+
+    async def _run(self) -> None:
+        self._connection.set_close_callback(self._hang_up)
+        try:
+            if self._line.path.startswith(OWN_PATHS):
+                await self._send(self._own_answer())
+            else:
+                await self._answer(await self._handle())
+        except asyncio.CancelledError:
+            self._connection.close()
+        except iostream.StreamClosedError:
+            self._connection.close()
+        except Exception:
+            logging.exception("a request failed")
+            self._reset()
+
+    async def _handle(self) -> Outcome:
+        request = Request(
+            request_id=self.request_id,
+            method=self._line.method,
+            target=_origin_form(self._line.path),
+            headers=self._headers,
+            body=b"".join(self._body),
+        )
+        self._body.clear()
+        self._session = self.host.sessions.open(request, self)
+        return await self._session.run()
+
+    def _hang_up(self) -> None:
+        if self._session is not None:
+            self._session.hang_up()
+
+    def _own_answer(self) -> Answer:
+        headers = [("Content-Type", "text/plain")]
+        if self._line.path != READY_PATH:
+            return Answer(404, headers, b"no such page\n")
+        if self.host.is_ready():
+            return Answer(200, headers, b"ready\n")
+        return Answer(503, headers, b"not ready\n")
+
+    async def _answer(self, outcome: Outcome) -> None:
+        if isinstance(outcome, Streamed):
+            self._finish()
+        elif isinstance(outcome, BrokenOff):
+            self._reset()
+        else:
+            await self._send(problems.answer(outcome, request_id=self.request_id))
+
+    async def _send(self, answer: Answer) -> None:
+        written = self._write(answer, close=self.host.draining)
+        await written
+        self._finish()
+
+    def _finish(self) -> None:
+        closing = self._closing
+        self._connection.finish()
+        if closing:
+            self._connection.close()
+
+    def _write(self, answer: Answer, *, close: bool) -> "asyncio.Future[None]":
+        headers = list(answer.headers)
+        names = {name.lower() for name, _ in headers}
+        if "content-length" not in names and answer.status not in (204, 304):
+            headers.append(("Content-Length", str(len(answer.body))))
+        body = None if self._line.method == "HEAD" else answer.body or None
+        return self._write_head(answer.status, headers, body, close=close)
+
+    def _write_head(
+        self, status: int, pairs: list[tuple[str, str]], body: bytes | None, *, close: bool
+    ) -> "asyncio.Future[None]":
+        self.answered = True
+        self._closing = close
+        headers = httputil.HTTPHeaders()
+        for name, value in pairs:
+            headers.add(name, value)
+        if close:
+            headers["Connection"] = "close"
+        line = httputil.ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        return self._connection.write_headers(line, headers, body)
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin to pass on an answer that is too large to be held."""
+        own = [
+            ("X-Request-Id", self.request_id),
+            ("X-Result-Code", str(status_codes.ANSWERED.number)),
+        ]
+        await self._write_head(status, headers + own, None, close=self.host.draining)
+
+    async def write(self, chunk: bytes) -> None:
+        """Pass on a piece and wait until the caller has taken it."""
+        await self._connection.write(chunk)
+        if self._connection.stream.closed():
+            raise iostream.StreamClosedError()
+
+    def _reset(self) -> None:
+        # Part of an answer has gone out. An orderly close could be taken for its end, by a caller
+        # that reads until the connection closes; a reset can't.
+        sock = self._connection.stream.socket
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        self._connection.close()
+
+
+def _malformed(line: httputil.RequestStartLine, headers: httputil.HTTPHeaders) -> str:
+    """What is wrong with a request's head, "" for nothing.
+
+    Two readings of where a request ends let one request be taken for two on the way (smuggling),
+    so whatever could be read in two ways is refused.
+    """
+    lengths = headers.get_list("Content-Length")
+    codings = headers.get_list("Transfer-Encoding")
+    if len(lengths) > 1 or (lengths and not (lengths[0].isascii() and lengths[0].isdigit())):
+        return "Content-Length must be one number"
+    if lengths and codings:
+        return "both Content-Length and Transfer-Encoding"
+    if len(codings) > 1 or (codings and codings[0].lower() != "chunked"):
+        return "the only Transfer-Encoding taken is chunked"
+    if codings and line.version != "HTTP/1.1":
+        return "chunked needs HTTP/1.1"
+    if len(headers.get_list("Host")) > 1:
+        return "more than one Host"
+    if line.version == "HTTP/1.1" and "Host" not in headers:
+        return "no Host"
+    if len(headers.get_list("Idempotency-Key")) > 1:
+        return "more than one Idempotency-Key"
+    if line.method == "CONNECT" or not line.path.startswith(("/", "http://", "https://", "*")):
+        return "the target is not a path"
+    return ""
+
+
+def _origin_form(target: str) -> str:
+    """A target as a path with its query, also when it came as a whole URL (RFC 9112, 3.2.2)."""
+    if not target.startswith("http"):
+        return target
+    parts = urlsplit(target)
+    path = parts.path or "/"
+    return f"{path}?{parts.query}" if parts.query else path
--- /dev/null
+++ b/mustardgap/sessions.py
@@ -0,0 +1,344 @@
+"""A request from start to end: its service, key, slot and tries, and its one true outcome."""
+
+import asyncio
+import random
+from collections.abc import Collection
+from functools import singledispatch
+from typing import Any, Protocol
+
+from . import keys, metrics, status_codes
+from .exceptions import SlotRefused
+from .executors import Executors, ExecutorView
+from .outcomes import Answered, BrokenOff, NotRun, Outcome, Streamed, Unknown
+from .retries import RetryBudget
+from .routes import Route, Routes
+from .settings import Settings
+from .timelines import Timeline
+from .timers import Clock
+from .upstreams import (
+    CallerGone,
+    Cut,
+    Mismatch,
+    NotSent,
+    PassedOn,
+    Patience,
+    Refused,
+    Request,
+    Reset,
+    Sink,
+    TimedOut,
+    TryResult,
+    Upstreams,
+    Whole,
+)
+
+COME_BACK_S = 2.0
+
+
+class Slot(Protocol):
+    """A slot of an executor, held while a try runs."""
+
+    @property
+    def executor(self) -> ExecutorView:
+        """The executor whose slot it is."""
+
+
+class HasSlots(Protocol):
+    """The sharing of slots."""
+
+    async def acquire(
+        self, service: str, *, deadline: float, urgency: int, exclude: Collection[str]
+    ) -> Slot:
+        """Wait for a slot; raises ``SlotRefused`` with the outcome."""
+
+    def release(self, slot: Any) -> None:
+        """Give a slot back."""
+
+
+class Sessions:
+    """What the sessions of all requests share.
+
+    :param settings: the daemon's settings.
+    :param state: the folded state.
+    :param executors: told how tries went.
+    :param slots: where slots are had.
+    :param keys: claims of Idempotency-Keys.
+    :param upstreams: sends to executors.
+    :param timeline: where unknown outcomes are noted.
+    :param clock: the clocks to read.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        state: Any,
+        executors: Executors,
+        slots: HasSlots,
+        keys: keys.Keys | None = None,
+        upstreams: Upstreams | None = None,
+        timeline: Timeline | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.routes = Routes(state=state)
+        self.executors = executors
+        self.slots = slots
+        self.keys = keys
+        self.upstreams = upstreams or Upstreams(settings=settings, clock=self.clock)
+        self.timeline = timeline or Timeline(member=settings.host)
+        self.budget = RetryBudget(ratio=settings.requests.retry_ratio, clock=self.clock)
+
+    def open(self, request: Request, sink: Sink | None = None) -> "Session":
+        """Make the session of a request.
+
+        :param request: the caller's request, whole.
+        :param sink: takes an answer that is too large to be held.
+        """
+        return Session(parts=self, request=request, sink=sink)
+
+    async def handle(self, request: Request, sink: Sink | None = None) -> Outcome:
+        """Run a request to its outcome."""
+        return await self.open(request, sink).run()
+
+
+class Session:
+    """One request; its time runs from here.
+
+    :param parts: what all sessions share.
+    :param request: the caller's request.
+    :param sink: takes an answer that is too large to be held.
+    """
+
+    def __init__(self, *, parts: Sessions, request: Request, sink: Sink | None) -> None:
+        self.parts = parts
+        self.request = request
+        self.sink = sink
+        self.started = parts.clock.monotonic()
+        self.service = ""
+        self.tries = 0
+        self._idempotent = False
+        self._sent = False
+        self._deadline = self.started
+        self._task: asyncio.Task[Any] | None = None
+        self._unknown: Unknown | None = None
+
+    async def run(self) -> Outcome:
+        """Run the request to its outcome.
+
+        :rtype: Outcome
+        """
+        self._task = asyncio.current_task()
+        outcome = await self._run()
+        self._note(outcome)
+        return outcome
+
+    def hang_up(self) -> None:
+        """The caller has gone: stop waiting for it.
+
+        A non-idempotent request that an executor may have seen goes on, so that its outcome is
+        known when it is asked for again with its key.
+        """
+        if self._task is not None and (self._idempotent or not self._sent):
+            self._task.cancel()
+
+    async def _run(self) -> Outcome:
+        route = self.parts.routes.match(self.request.target)
+        if route is None:
+            return NotRun(code=status_codes.NO_SERVICE, retry_after=COME_BACK_S)
+        self.service = route.service
+        self._idempotent = route.is_idempotent(self.request.method)
+        refusal = self._check(route)
+        if refusal is not None:
+            return refusal
+        metrics.active_requests.add(1, {"service": self.service})
+        try:
+            if self._idempotent or "Idempotency-Key" not in self.request.headers:
+                return await self._try_all(route)
+            return await self._run_once(route)
+        finally:
+            metrics.active_requests.add(-1, {"service": self.service})
+
+    def _check(self, route: Route) -> NotRun | None:
+        limits = route.limits
+        if limits is not None and len(self.request.body) > limits["max_body_bytes"]:
+            detail = f"the body is larger than {limits['max_body_bytes']} bytes"
+            return NotRun(code=status_codes.TOO_LARGE, detail=detail)
+        callers = self.parts.settings.callers
+        timeout_s = limits["timeout_s"] if limits else callers.default_timeout_s
+        asked = self.request.headers.get("X-Request-Timeout")
+        if asked is not None:
+            try:
+                timeout_s = float(asked)
+            except ValueError:
+                timeout_s = float("nan")
+            if not 0 < timeout_s < float("inf"):
+                detail = "X-Request-Timeout is not a number of seconds above 0"
+                return NotRun(code=status_codes.BAD_REQUEST, detail=detail)
+        self._deadline = self.started + min(timeout_s, callers.max_timeout_s)
+        return None
+
+    async def _run_once(self, route: Route) -> Outcome:
+        """Run a request with a key: only when this key hasn't run before."""
+        if self.parts.keys is None:
+            return NotRun(code=status_codes.KEY_UNDECIDED, retry_after=_spread(COME_BACK_S))
+        claim = await self.parts.keys.claim(self.service, self.request, deadline=self._deadline)
+        if not isinstance(claim, keys.Claim):
+            return claim
+        # What is told of the key when this task ends without an outcome, by a cancel or a fault.
+        outcome: Outcome = NotRun(code=status_codes.DEADLINE_BEFORE_RUN)
+        try:
+            outcome = await self._try_all(route)
+            return outcome
+        except BaseException:
+            if self._sent:
+                outcome = Unknown(code=status_codes.UNKNOWN_RESET)
+            raise
+        finally:
+            self.parts.keys.finish(claim, outcome)
+
+    async def _try_all(self, route: Route) -> Outcome:
+        tried: set[str] = set()
+        self.parts.budget.earn(self.service)
+        while True:
+            self.tries += 1
+            try:
+                slot = await self.parts.slots.acquire(
+                    self.service, deadline=self._deadline, urgency=route.urgency, exclude=tried
+                )
+            except SlotRefused as exc:
+                return self._unknown or exc.outcome
+            executor = slot.executor
+            tried.add(executor.executor)
+            try:
+                result = await self._try(executor)
+            finally:
+                self.parts.slots.release(slot)
+            outcome = self._judge(result, executor.executor)
+            if isinstance(outcome, Unknown):
+                self._unknown = outcome
+            if not self._may_repeat(result):
+                return outcome if not isinstance(outcome, NotRun) else self._unknown or outcome
+            metrics.retries.add(1, {"service": self.service})
+
+    async def _try(self, executor: ExecutorView) -> TryResult:
+        started = self.parts.clock.monotonic()
+        result = await self.parts.upstreams.send(
+            self.request,
+            executor,
+            deadline=self._deadline,
+            sink=self.sink,
+            on_sent=self._note_sent,
+            patience=self._patience(),
+        )
+        took_s = self.parts.clock.monotonic() - started
+        self.parts.executors.report(executor.executor, result, took_s)
+        if getattr(result, "leaving", False):
+            self.parts.executors.leaving(executor.executor)
+        return result
+
+    def _patience(self) -> Patience | None:
+        if not self._idempotent or self.tries >= self.parts.settings.requests.max_tries:
+            return None
+        seconds = self.parts.settings.requests.silent_timeout_s
+        return Patience(seconds, lambda: self.parts.budget.spend(self.service))
+
+    def _note_sent(self) -> None:
+        self._sent = True
+
+    def _judge(self, result: TryResult, executor: str) -> Outcome:
+        if isinstance(result, NotSent) and self.parts.clock.monotonic() >= self._deadline:
+            return NotRun(code=status_codes.DEADLINE_BEFORE_RUN, detail=result.detail)
+        return _outcome(result, executor)
+
+    def _may_repeat(self, result: TryResult) -> bool:
+        if self.tries >= self.parts.settings.requests.max_tries:
+            return False
+        if self.parts.clock.monotonic() >= self._deadline:
+            return False
+        if isinstance(result, NotSent):
+            # No executor was given any work, so this can't multiply an overload.
+            return True
+        if isinstance(result, TimedOut):
+            return result.early
+        if isinstance(result, Refused):
+            return self.parts.budget.spend(self.service)
+        if isinstance(result, Reset | Mismatch) or (isinstance(result, Cut) and not result.begun):
+            return self._idempotent and self.parts.budget.spend(self.service)
+        return False
+
+    def _note(self, outcome: Outcome) -> None:
+        code = outcome.code.number
+        metrics.requests.add(1, {"service": self.service, "mustardgap.code": code})
+        took_s = self.parts.clock.monotonic() - self.started
+        metrics.request_duration.record(took_s, {"service": self.service})
+        if isinstance(outcome, Unknown | BrokenOff):
+            self.parts.timeline.add(
+                "request.unknown",
+                cause=f"{outcome.code} {outcome.detail}",
+                request=self.request.request_id,
+                service=self.service,
+                executor=outcome.executor,
+            )
+
+
+def _spread(seconds: float) -> float:
+    """Spread a time to come back, so that those refused together don't come back together."""
+    return random.uniform(0.5, 1.5) * seconds
+
+
+@singledispatch
+def _outcome(result: Any, executor: str) -> Outcome:
+    raise TypeError(f"{type(result).__name__} is not the result of a try")
+
+
+@_outcome.register
+def _(result: NotSent, executor: str) -> Outcome:
+    retry_after = _spread(COME_BACK_S)
+    return NotRun(code=status_codes.NO_EXECUTOR, detail=result.detail, retry_after=retry_after)
+
+
+@_outcome.register
+def _(result: Refused, executor: str) -> Outcome:
+    retry_after = _spread(COME_BACK_S)
+    return NotRun(code=status_codes.EXECUTOR_REFUSED, detail=result.detail, retry_after=retry_after)
+
+
+@_outcome.register
+def _(result: Whole, executor: str) -> Outcome:
+    return Answered(
+        status=result.status, headers=result.headers, body=result.body, executor=executor
+    )
+
+
+@_outcome.register
+def _(result: PassedOn, executor: str) -> Outcome:
+    return Streamed(status=result.status, size=result.size, executor=executor)
+
+
+@_outcome.register
+def _(result: Cut, executor: str) -> Outcome:
+    kind = BrokenOff if result.begun else Unknown
+    return kind(code=status_codes.UNKNOWN_CUT, detail=result.detail, executor=executor)
+
+
+@_outcome.register
+def _(result: Reset, executor: str) -> Outcome:
+    return Unknown(code=status_codes.UNKNOWN_RESET, detail=result.detail, executor=executor)
+
+
+@_outcome.register
+def _(result: TimedOut, executor: str) -> Outcome:
+    kind = BrokenOff if result.begun else Unknown
+    return kind(code=status_codes.UNKNOWN_TIMEOUT, executor=executor)
+
+
+@_outcome.register
+def _(result: Mismatch, executor: str) -> Outcome:
+    return Unknown(code=status_codes.UNKNOWN_MISMATCH, detail=result.detail, executor=executor)
+
+
+@_outcome.register
+def _(result: CallerGone, executor: str) -> Outcome:
+    return BrokenOff(code=status_codes.CALLER_GONE, executor=executor)
