--- /dev/null
+++ b/mustardgap/appends.py
@@ -0,0 +1,202 @@
+"""Writing to the state stream: batches, a budget of appends, and answers that get lost."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Literal
+
+from . import metrics, status_codes
+from .adapters import Platform
+from .exceptions import AnswerLost, MustardgapError, PlatformError
+from .models import Record
+from .outcomes import Verdict
+from .timers import Clock
+
+Purpose = Literal["operators", "actions", "background"]
+
+MAX_BATCH_RECORDS = 200
+MAX_BATCH_BYTES = 512 * 1024
+BACKOFF_S = 0.1
+MAX_BACKOFF_S = 3.0
+# The share of the budget that background work leaves to operators and actions.
+RESERVED = 0.2
+
+
+class Pending:
+    """A record on its way: queued, appended, and folded when ``verdict`` is set."""
+
+    def __init__(self, *, record: Record, size: int, purpose: Purpose) -> None:
+        self.record = record
+        self.size = size
+        self.purpose = purpose
+        self.verdict: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        self.may_be_appended = False
+        self.error = ""
+
+    def failure(self) -> MustardgapError:
+        """The truth about a record whose verdict didn't come in time."""
+        if self.may_be_appended:
+            return AnswerLost(detail=self.error or "appended, but not read back in time")
+        detail = self.error or "no append was tried in time"
+        return PlatformError(code=status_codes.LOG_UNAVAILABLE, detail=detail)
+
+
+class Budget:
+    """A token bucket of appends a second.
+
+    :param per_s: tokens a second; the bucket holds one second's worth.
+    :param clock: the clock to read.
+    """
+
+    def __init__(self, *, per_s: float, clock: Clock) -> None:
+        self.per_s = per_s
+        self.clock = clock
+        self._tokens = per_s
+        self._filled = clock.monotonic()
+
+    def wait_s(self, purpose: Purpose) -> float:
+        """Take a token, or tell the seconds until there is one for this purpose."""
+        now = self.clock.monotonic()
+        self._tokens = min(self.per_s, self._tokens + (now - self._filled) * self.per_s)
+        self._filled = now
+        kept = self.per_s * RESERVED if purpose == "background" else 0.0
+        missing = 1.0 + kept - self._tokens
+        if missing > 0:
+            return missing / self.per_s
+        self._tokens -= 1.0
+        return 0.0
+
+
+class Appender:
+    """Appends records, one append in flight; what waits meanwhile goes into the next batch.
+
+    :param platform: the log.
+    :param stream: the stream's name.
+    :param appends_per_s: the budget of appends.
+    :param timeout_s: seconds to wait for own records to turn up before they are appended again.
+    :param clock: the clocks to read.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        stream: str,
+        appends_per_s: float,
+        timeout_s: float,
+        clock: Clock,
+    ) -> None:
+        self.platform = platform
+        self.stream = stream
+        self.timeout_s = timeout_s
+        self.clock = clock
+        self.budget = Budget(per_s=appends_per_s, clock=clock)
+        self.pending_by_id: dict[str, Pending] = {}
+        self._queues: dict[Purpose, deque[Pending]] = {
+            "operators": deque(),
+            "actions": deque(),
+            "background": deque(),
+        }
+        self._wake = asyncio.Event()
+        self._failures = 0
+
+    def add(self, pending: Pending) -> None:
+        """Queue a record."""
+        self.pending_by_id[pending.record["id"]] = pending
+        self._queues[pending.purpose].append(pending)
+        self._wake.set()
+
+    def drop(self, pending: Pending) -> None:
+        """Give a record up; one that is in flight may still be appended."""
+        self.pending_by_id.pop(pending.record["id"], None)
+        pending.verdict.cancel()
+
+    def resolve(self, record_id: str, verdict: Verdict) -> None:
+        """Tell the waiting writer what the fold decided."""
+        pending = self.pending_by_id.pop(record_id, None)
+        if pending is not None and not pending.verdict.done():
+            pending.verdict.set_result(verdict)
+
+    def resolve_all(self, decided: Callable[[str], Verdict | None]) -> None:
+        """Tell the waiting writers what a state taken over from elsewhere says."""
+        for record_id in list(self.pending_by_id):
+            verdict = decided(record_id)
+            if verdict is not None:
+                self.resolve(record_id, verdict)
+
+    async def run(self) -> None:
+        """Append what is queued until cancelled."""
+        while True:
+            purpose = self._next_purpose()
+            if purpose is None:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            wait_s = self.budget.wait_s(purpose)
+            if wait_s > 0:
+                await self.clock.sleep(wait_s)
+                continue
+            await self._append(self._next_batch())
+
+    def _next_purpose(self) -> Purpose | None:
+        for purpose, queue in self._queues.items():
+            while queue and queue[0].verdict.done():
+                queue.popleft()
+            if queue:
+                return purpose
+        return None
+
+    def _next_batch(self) -> list[Pending]:
+        batch: list[Pending] = []
+        size = 0
+        for queue in self._queues.values():
+            while queue and len(batch) < MAX_BATCH_RECORDS:
+                if batch and size + queue[0].size > MAX_BATCH_BYTES:
+                    return batch
+                pending = queue.popleft()
+                if not pending.verdict.done():
+                    batch.append(pending)
+                    size += pending.size
+        return batch
+
+    async def _append(self, batch: list[Pending]) -> None:
+        """Append a batch; whatever may not have reached the log is queued again.
+
+        A lost answer leaves it open whether the batch stands on the log. Own records are looked
+        for in what is read, for a bounded time; then they are appended again under the same ids.
+        A second copy is dropped by the fold, so at worst it costs its place on the log.
+        """
+        values: list[Any] = [pending.record for pending in batch]
+        started = self.clock.monotonic()
+        # Set before the call: cancelled in the middle of it, the append may yet take effect.
+        before = [pending.may_be_appended for pending in batch]
+        for pending in batch:
+            pending.may_be_appended = True
+        try:
+            await self.platform.append(self.stream, values)
+        except AnswerLost as exc:
+            await self._failed(batch, exc, look_s=self.timeout_s)
+        except PlatformError as exc:
+            for pending, was in zip(batch, before, strict=True):
+                pending.may_be_appended = was
+            await self._failed(batch, exc, look_s=0.0)
+        else:
+            self._failures = 0
+            for pending in batch:
+                metrics.log_appends.add(1, {"purpose": pending.purpose})
+        metrics.log_append_duration.record(self.clock.monotonic() - started)
+
+    async def _failed(self, batch: list[Pending], exc: MustardgapError, *, look_s: float) -> None:
+        metrics.log_errors.add(1, {"call": "append"})
+        for pending in batch:
+            pending.error = exc.detail
+        self._failures += 1
+        limit = min(MAX_BACKOFF_S, BACKOFF_S * 2.0 ** min(self._failures, 10))
+        open_ones = [p.verdict for p in batch if not p.verdict.done()]
+        if look_s and open_ones:
+            await asyncio.wait(open_ones, timeout=look_s)
+        await self.clock.sleep(random.uniform(0, limit))
+        for pending in reversed(batch):
+            if not pending.verdict.done():
+                self._queues[pending.purpose].appendleft(pending)
--- a/mustardgap/budgets.py
+++ b/mustardgap/budgets.py
@@ -167,7 +167,7 @@
         found += _short(f"{budget} against its room", floor, room)
         found += _short(f"{budget} against its pools", floor, places)
         if fleet:
-            found += _short(f"{budget} against the fleet", need, needs.most(profile, need))
+            found += _short(f"{budget} against the fleet", *needs.against_fleet(profile))
     if fleet:
         found += _short("all services and pools together", total, fleet)
     return found
@@ -201,11 +201,15 @@
         # Without an answer, as when no host is registered, one host more is the least it can be.
         return key[0] + 1 if least is None else least
 
-    def most(self, profile: Any, need: int) -> int:
-        """The most hosts that count towards a budget."""
-        availability = profile["availability"]
-        key = (availability["min_hosts"], availability["survive"])
-        if self._least[key] is not None:
-            return self._fleet
-        sizes = self._sizes[key[1]]
-        return min(need - 1, sum(sizes) - max(sizes, default=0))
+    def against_fleet(self, profile: Any) -> tuple[int, int]:
+        """The hosts that must stay with a domain lost, and the most that could."""
+        wanted, survive = profile["availability"]["min_hosts"], profile["availability"]["survive"]
+        if survive == "none":
+            return wanted, self._fleet
+        if survive == "host":
+            return wanted, self._fleet - 1
+        if self._least[wanted, survive] is not None:
+            return wanted, wanted
+        sizes = self._sizes[survive]
+        caps = range(1, max(sizes) + 1)
+        return wanted, max(sum(min(size, cap) for size in sizes) - cap for cap in caps)
--- a/mustardgap/checkpoints.py
+++ b/mustardgap/checkpoints.py
@@ -2,15 +2,27 @@
 
 import base64
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import msgspec
 
 from . import records, status_codes
+from .adapters import Platform
 from .exceptions import RecordRejected
-from .models import RULES_VERSION, Declaration, HostState, JobState, LogRecord, Record, WaveState
+from .models import (
+    RULES_VERSION,
+    Declaration,
+    HostState,
+    JobState,
+    LogRecord,
+    Page,
+    Record,
+    WaveState,
+)
+from .settings import PlatformSettings
 from .states import Decided, State
+from .timers import Clock
 
 FORMAT = 1
 CHUNK_BYTES = 128 * 1024
@@ -176,3 +188,29 @@
     for record_id, offset, code in snapshot.decided:
         state.decided_by_id[record_id] = Decided(offset, code)
     return state
+
+
+class Checkpoints:
+    """Writes and finds the checkpoints of one daemon.
+
+    They stand on a stream of their own, so that a starting daemon finds the newest without
+    reading through the records of the state.
+    """
+
+    def __init__(
+        self, *, platform: Platform, settings: PlatformSettings, clock: Clock, member: str
+    ) -> None:
+        self.platform = platform
+        self.settings = settings
+        self.clock = clock
+        self.member = member
+        self.stream = f"{settings.stream}-checkpoints"
+        self.is_mine: Callable[[str], bool] = lambda key: True
+
+    async def maybe_write(self, state: State, page: Page) -> bool:
+        """Write a checkpoint when one is due and it is this daemon's turn."""
+        return False
+
+    async def load(self) -> Loaded | None:
+        """Find the newest whole checkpoint."""
+        return None
--- a/mustardgap/config_rules.py
+++ b/mustardgap/config_rules.py
@@ -3,41 +3,19 @@
 from typing import Any
 
 from . import status_codes
-from .bodies import convert
 from .budgets import Shortage, shortages
 from .declarations import check_value, reference_errors
 from .exceptions import SettingsError
-from .models import Change, ConfigBody, Declaration, LogRecord
+from .models import Change, ConfigBody, Declaration
 from .outcomes import Rejected
 from .states import State
 
 MAX_CHANGES = 1000
 
 
-def apply(state: State, body: dict[str, Any], record: LogRecord) -> Rejected | None:
-    """Accept or reject a set of changes."""
-    config = convert(body, ConfigBody)
-    if isinstance(config, Rejected):
-        return config
+def check(state: State, config: ConfigBody) -> Rejected | None:
+    """Whether a set of changes is accepted; None when it is."""
     changes = config["changes"]
-    rejected = check(state, changes)
-    if rejected is None:
-        put = [
-            Declaration(change["key"], record.offset, change["value"])
-            for change in changes
-            if change["value"] is not None
-        ]
-        state.put_declarations(put, [c["key"] for c in changes if c["value"] is None])
-    return rejected
-
-
-def check(state: State, changes: list[Change]) -> Rejected | None:
-    """Whether a set of changes would be accepted on this state, as for a dry run.
-
-    :param state: the folded state; it isn't changed.
-    :param changes: the changes.
-    :return: None when it would, else why not.
-    """
     return (
         _stale_error(state, changes)
         or _value_error(changes)
@@ -47,6 +25,17 @@
     )
 
 
+def put(state: State, config: ConfigBody, offset: int) -> None:
+    """Take in an accepted set of changes; the offset is the new version of each."""
+    changed = [
+        Declaration(change["key"], offset, change["value"])
+        for change in config["changes"]
+        if change["value"] is not None
+    ]
+    removed = [change["key"] for change in config["changes"] if change["value"] is None]
+    state.put_declarations(changed, removed)
+
+
 def _stale_error(state: State, changes: list[Change]) -> Rejected | None:
     keys = [change["key"] for change in changes]
     if not keys or len(keys) > MAX_CHANGES or len(set(keys)) < len(keys):
--- a/mustardgap/folds.py
+++ b/mustardgap/folds.py
@@ -4,34 +4,36 @@
 alike without talking.
 """
 
-from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
+
+import msgspec
 
 from . import config_rules, host_rules, job_rules, records, status_codes, wave_rules
 from .exceptions import RecordRejected
-from .models import LogRecord
+from .models import ConfigBody, HostBody, JobBody, LogRecord, Record, WaveBody
 from .outcomes import Accepted, Rejected, Verdict
 from .states import Decided, State
 
-__all__ = ["State", "decided", "fold", "needs_newer_rules"]
+__all__ = ["State", "check", "decided", "fold"]
 
-Rule = Callable[[State, dict[str, Any], LogRecord], Rejected | None]
 
-RULES_BY_KIND: dict[str, Rule] = {
-    "config": config_rules.apply,
-    "host": host_rules.apply,
-    "job": job_rules.apply,
-    "wave": wave_rules.apply,
-}
+class Rule(NamedTuple):
+    """What one kind of record holds, whether it is accepted, and what it then changes.
 
+    A new kind of record, or a changed rule, needs a higher ``RULES_VERSION``.
+    """
 
-def needs_newer_rules(record: LogRecord) -> bool:
-    """Whether a record needs rules that this daemon doesn't know."""
-    try:
-        records.check(record.value)
-    except RecordRejected as exc:
-        return exc.code is status_codes.RULES_TOO_NEW
-    return False
+    body: type
+    check: Any
+    put: Any
+
+
+RULES_BY_KIND: dict[str, Rule] = {
+    "config": Rule(ConfigBody, config_rules.check, config_rules.put),
+    "host": Rule(HostBody, host_rules.check, host_rules.put),
+    "job": Rule(JobBody, job_rules.check, job_rules.put),
+    "wave": Rule(WaveBody, wave_rules.check, wave_rules.put),
+}
 
 
 def fold(state: State, record: LogRecord) -> Verdict:
@@ -58,7 +60,9 @@
     if before is not None:
         detail = f"decided at offset {before.offset}"
         return Rejected(code=status_codes.DUPLICATE_RECORD, detail=detail, offset=record.offset)
-    rejected = _reject(state, value, record)
+    rejected = _old_error(state, value) or _judge(
+        state, value["kind"], value["body"], put_at=record.offset
+    )
     code = status_codes.OK if rejected is None else rejected.code
     state.remember(value["id"], Decided(record.offset, code.number))
     if rejected is None:
@@ -71,6 +75,17 @@
     )
 
 
+def check(state: State, kind: str, body: Any) -> Verdict:
+    """What the fold would decide on a record now; nothing is changed.
+
+    :param state: the folded state.
+    :param kind: the kind of record.
+    :param body: its body.
+    """
+    rejected = _judge(state, kind, body, put_at=None)
+    return Accepted(offset=state.offset) if rejected is None else rejected
+
+
 def decided(state: State, record_id: str) -> Verdict | None:
     """What was decided on a record id, or None when it isn't remembered."""
     before = state.decided_by_id.get(record_id)
@@ -88,11 +103,22 @@
     state.forget_old()
 
 
-def _reject(state: State, value: Any, record: LogRecord) -> Rejected | None:
-    if value["seen"] < state.floor:
-        detail = f"made at offset {value['seen']}, ids are remembered from {state.floor}"
-        return Rejected(code=status_codes.STALE_BASE, detail=detail)
-    rule = RULES_BY_KIND.get(value["kind"])
+def _old_error(state: State, value: Record) -> Rejected | None:
+    if value["seen"] >= state.floor:
+        return None
+    detail = f"made at offset {value['seen']}, ids are remembered from {state.floor}"
+    return Rejected(code=status_codes.STALE_BASE, detail=detail)
+
+
+def _judge(state: State, kind: str, body: Any, *, put_at: int | None) -> Rejected | None:
+    rule = RULES_BY_KIND.get(kind)
     if rule is None:
-        return Rejected(code=status_codes.UNKNOWN_KIND, detail=f"kind {value['kind']}")
-    return rule(state, value["body"], record)
+        return Rejected(code=status_codes.UNKNOWN_KIND, detail=f"kind {kind}")
+    try:
+        step: Any = msgspec.convert(body, rule.body)
+    except msgspec.ValidationError as exc:
+        return Rejected(code=status_codes.RECORD_INVALID, detail=str(exc))
+    rejected: Rejected | None = rule.check(state, step)
+    if rejected is None and put_at is not None:
+        rule.put(state, step, put_at)
+    return rejected
--- a/mustardgap/host_rules.py
+++ b/mustardgap/host_rules.py
@@ -1,12 +1,10 @@
 """The rule for steps of hosts: one record a host, so it is in one pool at any offset."""
 
-from typing import Any
-
 from . import status_codes
-from .bodies import convert, stale, wrong_phase
 from .budgets import may_drain, room_left
-from .models import HostBody, HostState, LogRecord, Phase
+from .models import HostBody, HostState, Phase
 from .outcomes import Rejected
+from .rejections import stale, wrong_phase
 from .states import State
 
 FIRST_PHASES: frozenset[Phase] = frozenset({"in_service", "drained", "failed", "set_aside"})
@@ -22,18 +20,16 @@
 OUT_OF_POOL: frozenset[Phase] = frozenset({"drained", "failed", "set_aside"})
 
 
-def apply(state: State, body: dict[str, Any], record: LogRecord) -> Rejected | None:
-    """Accept or reject one step of a host."""
-    step = convert(body, HostBody)
-    if isinstance(step, Rejected):
-        return step
+def check(state: State, step: HostBody) -> Rejected | None:
+    """Whether a step of a host is accepted; None when it is."""
     host = state.hosts_by_name.get(step["host"])
     rejected = _register_error(step) if host is None else _step_error(state, step, host)
-    if rejected is None:
-        rejected = _join_error(state, step, host)
-    if rejected is None:
-        state.put_host(_next(state, step, host))
-    return rejected
+    return rejected or _join_error(state, step, host)
+
+
+def put(state: State, step: HostBody, offset: int) -> None:
+    """Take in an accepted step of a host."""
+    state.put_host(_next(state, step, state.hosts_by_name.get(step["host"])))
 
 
 def _register_error(step: HostBody) -> Rejected | None:
--- a/mustardgap/job_rules.py
+++ b/mustardgap/job_rules.py
@@ -3,9 +3,9 @@
 from typing import Any
 
 from . import status_codes
-from .bodies import convert, stale, wrong_phase
-from .models import AttemptState, JobBody, JobPhase, JobState, LogRecord
+from .models import AttemptState, JobBody, JobPhase, JobState
 from .outcomes import Rejected
+from .rejections import stale, wrong_phase
 from .states import Held, State, holds_room, thousandths
 
 PHASES_BEFORE: dict[str, tuple[JobPhase, ...]] = {
@@ -28,23 +28,20 @@
 OVER = ("failed", "unknown", "moved")
 
 
-def apply(state: State, body: dict[str, Any], record: LogRecord) -> Rejected | None:
-    """Accept or reject one step of a job."""
-    step = convert(body, JobBody)
-    if isinstance(step, Rejected):
-        return step
+def check(state: State, step: JobBody) -> Rejected | None:
+    """Whether a step of a job is accepted; None when it is."""
     job = state.jobs_by_id.get(step["job"])
     if step["step"] == "submit":
-        rejected = _submit_error(state, step, job)
-        if rejected is None:
-            state.put_job(_submitted(state, step))
-        return rejected
+        return _submit_error(state, step, job)
     if job is None:
         return Rejected(code=status_codes.JOB_UNKNOWN, detail=f"no job {step['job']}")
-    rejected = _step_error(state, step, job)
-    if rejected is None:
-        state.put_job(_next(state, step, job))
-    return rejected
+    return _step_error(state, step, job)
+
+
+def put(state: State, step: JobBody, offset: int) -> None:
+    """Take in an accepted step of a job."""
+    job = state.jobs_by_id.get(step["job"])
+    state.put_job(_submitted(state, step) if job is None else _next(state, step, job))
 
 
 def _submit_error(state: State, step: JobBody, job: JobState | None) -> Rejected | None:
--- /dev/null
+++ b/mustardgap/streams.py
@@ -0,0 +1,301 @@
+"""The state stream: read and folded on every daemon, and written to."""
+
+import asyncio
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from absl import logging
+
+from . import checkpoints, folds, metrics, records, status_codes
+from .adapters import Platform
+from .appends import Appender, Pending, Purpose
+from .exceptions import LogExpired, PlatformError, RecordRejected
+from .models import LogRecord, Page
+from .outcomes import Accepted, Verdict
+from .settings import PlatformSettings
+from .states import State
+from .status_codes import Code
+from .timelines import Timeline
+from .timers import Timers
+
+PAGE_RECORDS = 1000
+RECENT_RECORDS = 2000
+BACKOFF_S = 0.1
+MAX_BACKOFF_S = 3.0
+FOLD_SLICE = 200
+
+FoldCallback = Callable[[LogRecord, Verdict], None]
+
+
+class Log:
+    """Reads the state stream in offset order, folds it, and appends to it.
+
+    :param platform: the platform's log.
+    :param state: the state to fold into; ``state`` is replaced when a snapshot is taken over.
+    :param settings: the section ``platform``.
+    :param timers: the timer service, for its clocks.
+    :param timeline: where changes are noted.
+    :param member: this daemon's name, the writer of its records.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        state: State,
+        settings: PlatformSettings,
+        timers: Timers,
+        timeline: Timeline,
+        member: str,
+    ) -> None:
+        self.platform = platform
+        self.state = state
+        self.settings = settings
+        self.clock = timers.clock
+        self.timeline = timeline
+        self.member = member
+        self.appender = Appender(
+            platform=platform,
+            stream=settings.stream,
+            appends_per_s=settings.appends_per_s,
+            timeout_s=settings.timeout_s,
+            clock=self.clock,
+        )
+        self.checkpoints = checkpoints.Checkpoints(
+            platform=platform, settings=settings, clock=self.clock, member=member
+        )
+        self.why_not_current: Code | None = status_codes.LOG_UNAVAILABLE
+        self._known_at = -math.inf
+        self._callbacks: list[FoldCallback] = []
+        self._restore_callbacks: list[Callable[[], None]] = []
+        self._recent: deque[LogRecord] = deque(maxlen=RECENT_RECORDS)
+        self._failures = 0
+
+    @property
+    def offset(self) -> int:
+        """The offset folded up to; the next record has this offset."""
+        return self.state.offset
+
+    @property
+    def current(self) -> bool:
+        """Whether all that was decided ``fresh_s`` ago is folded here."""
+        return self.why_not_current is None
+
+    def fresh_s(self) -> float:
+        """Seconds since this daemon last knew that it had folded all there was; may be infinite."""
+        return self.clock.monotonic() - self._known_at
+
+    def on_fold(self, callback: FoldCallback) -> None:
+        """Call back with each folded record and its verdict, in offset order."""
+        self._callbacks.append(callback)
+
+    def on_restore(self, callback: Callable[[], None]) -> None:
+        """Call back when a snapshot has replaced ``state``."""
+        self._restore_callbacks.append(callback)
+
+    async def run(self) -> None:
+        """Read, fold and append until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._read_on())
+            group.create_task(self.appender.run())
+
+    async def write(
+        self,
+        kind: str,
+        body: Any,
+        *,
+        timeout_s: float,
+        purpose: Purpose = "actions",
+        record_id: str = "",
+    ) -> Verdict:
+        """Append a record and wait until this daemon has folded it.
+
+        :param kind: the kind of record.
+        :param body: its body.
+        :param timeout_s: seconds to wait.
+        :param purpose: who it is for; operators go first and background work last.
+        :param record_id: an id of the writer's own; one folded before gives its first verdict.
+        :return: the fold's verdict.
+        :raises PlatformError: MG5000, it was certainly not appended.
+        :raises AnswerLost: MG5001, it may be appended and take effect.
+        """
+        record = records.make(
+            kind,
+            body,
+            writer=self.member,
+            seen=self.offset,
+            time=self.clock.wall(),
+            record_id=record_id,
+        )
+        before = folds.decided(self.state, record["id"])
+        if before is not None:
+            return before
+        pending = self.appender.pending_by_id.get(record["id"])
+        if pending is None:
+            size = len(msgspec.json.encode(record))
+            pending = Pending(record=record, size=size, purpose=purpose)
+            self.appender.add(pending)
+        done, _ = await asyncio.wait([pending.verdict], timeout=timeout_s)
+        if done:
+            return pending.verdict.result()
+        failure = pending.failure()
+        self.appender.drop(pending)
+        raise failure
+
+    def check(self, kind: str, body: Any) -> Verdict:
+        """What the fold would decide on a record now; nothing is written."""
+        return folds.check(self.state, kind, body)
+
+    def receive(self, log_records: Iterable[LogRecord]) -> int:
+        """Fold records that a peer has read, so that a daemon cut off from the log stays current.
+
+        Only the next record in offset order is taken; after a gap the rest waits for the log or
+        for a peer to send what is missing.
+
+        :return: how many were folded.
+        """
+        before = self.offset
+        for record in log_records:
+            if record.offset > self.offset or not self._fold(record):
+                break
+        return self.offset - before
+
+    def witness(self, offset: int, age_s: float) -> None:
+        """Take in that a peer had folded all there was, up to an offset, some seconds ago."""
+        if self.offset >= offset and self.why_not_current is not status_codes.RULES_TOO_NEW:
+            self._know(self.clock.monotonic() - age_s)
+
+    def recent(self, start: int, *, limit: int = PAGE_RECORDS) -> list[LogRecord]:
+        """The latest folded records from an offset on, for a peer that misses them.
+
+        :return: nothing when ``start`` is older than what is kept; send a snapshot then.
+        """
+        if not self._recent or start < self._recent[0].offset:
+            return []
+        skipped = start - self._recent[0].offset
+        return [r for n, r in enumerate(self._recent) if skipped <= n < skipped + limit]
+
+    def snapshot(self) -> bytes:
+        """The folded state, coded for a peer."""
+        return checkpoints.encode(self.state)
+
+    def restore(self, data: bytes) -> bool:
+        """Take over a snapshot; one that isn't newer than the own state changes nothing.
+
+        :return: whether it was taken over.
+        :raises RecordRejected: MG3004 or MG3012, it can't be read.
+        """
+        state = checkpoints.decode(data)
+        if state.offset <= self.offset:
+            return False
+        self.state = state
+        self._recent.clear()
+        self.timeline.add("log.restored", offset=state.offset)
+        self.appender.resolve_all(lambda record_id: folds.decided(state, record_id))
+        for callback in self._restore_callbacks:
+            callback()
+        return True
+
+    async def _read_on(self) -> None:
+        while True:
+            started = self.clock.monotonic()
+            try:
+                page = await self._read_page()
+            except LogExpired:
+                if not await self._catch_up():
+                    await self._back_off()
+                continue
+            except PlatformError as exc:
+                metrics.log_errors.add(1, {"call": "read"})
+                if self._failures == 0:
+                    logging.warning("the log can't be read: %s", exc)
+                await self._back_off()
+                continue
+            self._failures = 0
+            await self._take(page, started)
+
+    async def _read_page(self) -> Page:
+        # Half of the bound: an answer without a record is what shows that nothing is missed.
+        wait_s = min(self.settings.long_poll_s, self.settings.stale_after_s / 3)
+        return await self.platform.read(
+            self.settings.stream, self.offset, limit=PAGE_RECORDS, wait_s=wait_s
+        )
+
+    async def _take(self, page: Page, started: float) -> None:
+        if page.end < self.offset:
+            # A log that went back would let old records be decided anew; refuse it.
+            self._not_current(status_codes.LOG_EXPIRED)
+            await self._back_off()
+            return
+        metrics.log_reads.add(len(page.records))
+        for number, record in enumerate(page.records, start=1):
+            if record.offset >= self.offset and not self._fold(record):
+                await self._back_off()
+                return
+            if number % FOLD_SLICE == 0:
+                # Thousands of records at start-up mustn't hold up requests and heartbeats.
+                await asyncio.sleep(0)
+        if self.offset >= page.end:
+            self._know(started)
+        await self.checkpoints.maybe_write(self.state, page)
+
+    async def _catch_up(self) -> bool:
+        """Start from the newest checkpoint, as the log no longer has the next record."""
+        self._not_current(status_codes.LOG_EXPIRED)
+        try:
+            loaded = await self.checkpoints.load()
+            return loaded is not None and self.restore(loaded.data)
+        except PlatformError:
+            return False
+        except RecordRejected as exc:
+            self._not_current(exc.code)
+            return False
+
+    def _fold(self, record: LogRecord) -> bool:
+        """Fold the next record.
+
+        :return: False when it needs newer rules and nothing after it can be folded either.
+        """
+        if record.offset < self.offset:
+            return True
+        verdict = folds.fold(self.state, record)
+        if record.offset == self.offset:
+            self._not_current(status_codes.RULES_TOO_NEW)
+            return False
+        self._recent.append(record)
+        code = status_codes.OK if isinstance(verdict, Accepted) else verdict.code
+        value = record.value if isinstance(record.value, dict) else {}
+        kind = value.get("kind")
+        kind = kind if kind in folds.RULES_BY_KIND else "other"
+        metrics.fold_verdicts.add(1, {"kind": kind, "mustardgap.code": code.number})
+        record_id = str(value.get("id", ""))
+        self.appender.resolve(record_id, folds.decided(self.state, record_id) or verdict)
+        for callback in self._callbacks:
+            try:
+                callback(record, verdict)
+            except Exception:
+                # The record is folded all the same, and the other parts must hear of it.
+                logging.exception("a callback failed at offset %d", record.offset)
+        return True
+
+    def _know(self, at: float) -> None:
+        self._known_at = max(self._known_at, at)
+        if self.why_not_current is not None:
+            self.why_not_current = None
+            self.timeline.add("log.current", offset=self.offset)
+
+    def _not_current(self, code: Code) -> None:
+        if self.why_not_current is not code:
+            self.why_not_current = code
+            self.timeline.add("log.behind", offset=self.offset, cause=code.title)
+            logging.warning("not current at offset %d: %s %s", self.offset, code, code.title)
+
+    async def _back_off(self) -> None:
+        # Full jitter: after an outage the daemons don't all come back in the same instant.
+        limit = min(MAX_BACKOFF_S, BACKOFF_S * 2.0 ** min(self._failures, 10))
+        self._failures += 1
+        await self.clock.sleep(random.uniform(0, limit))
--- a/mustardgap/wave_rules.py
+++ b/mustardgap/wave_rules.py
@@ -1,11 +1,9 @@
 """The rule for steps of maintenance waves."""
 
-from typing import Any
-
 from . import status_codes
-from .bodies import convert, stale, wrong_phase
-from .models import LogRecord, WaveBody, WaveState
+from .models import WaveBody, WaveState
 from .outcomes import Rejected
+from .rejections import stale, wrong_phase
 from .states import State
 
 PHASE_AFTER = {"start": "running", "pause": "paused", "resume": "running", "finish": "finished"}
@@ -16,19 +14,17 @@
 }
 
 
-def apply(state: State, body: dict[str, Any], record: LogRecord) -> Rejected | None:
-    """Accept or reject one step of a wave."""
-    step = convert(body, WaveBody)
-    if isinstance(step, Rejected):
-        return step
+def check(state: State, step: WaveBody) -> Rejected | None:
+    """Whether a step of a wave is accepted; None when it is."""
     wave = state.waves_by_name.get(step["wave"])
     if step["step"] == "start":
-        rejected = _start_error(state, step, wave)
-    else:
-        rejected = _step_error(step, wave)
-    if rejected is None:
-        state.put_wave(_next(state, step, wave))
-    return rejected
+        return _start_error(state, step, wave)
+    return _step_error(step, wave)
+
+
+def put(state: State, step: WaveBody, offset: int) -> None:
+    """Take in an accepted step of a wave."""
+    state.put_wave(_next(state, step, state.waves_by_name.get(step["wave"])))
 
 
 def _start_error(state: State, step: WaveBody, wave: WaveState | None) -> Rejected | None:
