Add the stand-ins for the platform and for executors

Cause: demo, tests and benchmarks need a platform and executors that speak docs/PLATFORM.md over real sockets, with faults that are switched on at run time and a record of what really happened. Ruled out: faults inside the daemon's own code (they would test the fakes, not the way over the wire); one process an executor (36 processes for the smaller example alone).

--- /dev/null
+++ b/standins/links.py
@@ -0,0 +1,44 @@
+"""The platform's way to the executors processes."""
+
+from typing import Any
+
+import msgspec
+from absl import logging
+from tornado.httpclient import HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+DRAIN_TIMEOUT_S = 86_400.0
+MAX_CALLS = 10_000
+
+
+class Links:
+    """Tells executors processes what to start and stop on which worker."""
+
+    def __init__(self) -> None:
+        self.control_by_worker: dict[str, str] = {}
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
+
+    async def step(self, worker: str, step: str, service: str = "") -> dict[str, Any]:
+        """Have a step done for the executor of a worker.
+
+        A worker without executors process, or whose process has ended, has nothing to stop.
+
+        :param step: ``start``, ``drain`` (returns when drained), ``cut``, ``pause`` or ``resume``.
+        :return: ``{"executors": [ExecutorInfo, ...], "cut": n}``.
+        """
+        control = self.control_by_worker.get(worker)
+        if control is None:
+            return {"executors": [], "cut": 0}
+        request = HTTPRequest(
+            f"http://{control}/control/workers/{worker}",
+            method="POST",
+            body=msgspec.json.encode({"step": step, "service": service}),
+            connect_timeout=2.0,
+            request_timeout=DRAIN_TIMEOUT_S,
+        )
+        try:
+            resp = await self._client.fetch(request)
+        except Exception as exc:
+            logging.warning("executors of %s: %s failed: %s", worker, step, exc)
+            return {"executors": [], "cut": 0}
+        return dict(msgspec.json.decode(resp.body))
