Give each run its own block of ports and end a hung feature with its processes

Cause: kernel-picked free ports can be taken by an outgoing connection before their process listens, and a feature killed at its time limit would leave the processes that it had started behind. Ruled out: retrying the start, which hides a real 'address in use' that tests look for. Conclusion: ports lie below the kernel's range, one guarded block a run.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,32 +1,72 @@
 """Starting and ending the separate processes of demo, tests and benchmarks on loopback."""
 
+import functools
+import itertools
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
+from typing import NamedTuple
 from urllib.error import URLError
 from urllib.request import urlopen
 
 ROOT = Path(__file__).resolve().parent.parent
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+PORTS_PER_BLOCK = 99
 
 
 def free_ports(count: int) -> list[int]:
-    """Find TCP ports on loopback that nobody listens on now.
+    """Hand out TCP ports on loopback that nobody listens on now.
+
+    Ports that the kernel picks for a moment can be taken by an outgoing connection, or by another
+    run, before their process listens: a start then fails now and then. So these lie below the
+    kernel's own range, and each run keeps a block of them for itself by listening on its first.
 
     :param count: how many.
     :rtype: list
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    candidates = (next(_block().ports) for _ in range(PORTS_PER_BLOCK))
+    ports = list(itertools.islice(filter(_is_free, candidates), count))
+    if len(ports) < count:
+        raise OSError(f"only {len(ports)} of {count} ports are free")
+    return ports
+
+
+class _Block(NamedTuple):
+    guard: socket.socket
+    ports: Iterator[int]
+
+
+@functools.cache
+def _block() -> _Block:
+    bases = list(range(FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK + 1))
+    random.shuffle(bases)
+    for base in bases:
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", base))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
+        return _Block(guard, itertools.cycle(range(base + 1, base + 1 + PORTS_PER_BLOCK)))
+    raise OSError("all blocks of ports are taken")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class Processes:
@@ -76,6 +116,18 @@
             self.kill(name)
             return -signal.SIGKILL
 
+    def freeze(self, name: str) -> None:
+        """Stop a process from running, without ending it."""
+        self.signal(name, signal.SIGSTOP)
+
+    def wake(self, name: str) -> None:
+        """Let a frozen process run on."""
+        self.signal(name, signal.SIGCONT)
+
+    def running(self) -> list[str]:
+        """The names of the processes that haven't ended."""
+        return [name for name, process in self.by_name.items() if process.poll() is None]
+
     def stop_all(self) -> None:
         """End every process of this run, frozen ones too."""
         for name, process in reversed(self.by_name.items()):
--- a/tools/testing.py
+++ b/tools/testing.py
@@ -131,6 +131,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
+            start_new_session=True,
         )
         output, why = await _wait(process, timeout_s)
         lines = outcomes.read_text(encoding="utf-8").splitlines() if outcomes.exists() else []
@@ -142,9 +143,12 @@
 async def _wait(process: asyncio.subprocess.Process, timeout_s: float) -> tuple[str, str]:
     """Wait for the process; returns its output and how it ended."""
     reader = asyncio.create_task(process.communicate())
-    done, _ = await asyncio.wait({reader}, timeout=timeout_s)
-    if not done:
-        process.send_signal(signal.SIGKILL)
+    try:
+        done, _ = await asyncio.wait({reader}, timeout=timeout_s)
+    finally:
+        if process.returncode is None:
+            # With its group, or the processes that its scenario started would stay behind.
+            os.killpg(process.pid, signal.SIGKILL)
     output, _ = await reader
     why = f"exit status {process.returncode}" if done else f"no end within {timeout_s:.0f} s"
     return output.decode("utf-8", errors="replace"), why if process.returncode else ""
