Add slots: waiting by urgency, fixed shares and least in-flight

Cause: what can't be served now must wait by urgency, bounded by time, and be refused truthfully at once when hopeless. Ruled out: bounding the queue by its length (its time depends on the drain rate), holding a hopeless request to its deadline.

--- /dev/null
+++ b/mustardgap/queues.py
@@ -0,0 +1,186 @@
+"""Waiting for a slot: bounded by time, most urgent first, hopeless requests told at once."""
+
+import asyncio
+import math
+import random
+from collections import deque
+from collections.abc import Iterator
+from typing import Any
+
+from . import metrics, status_codes
+from .exceptions import SlotRefused
+from .outcomes import NotRun
+from .status_codes import Code
+from .timers import Clock
+
+LEAST_URGENT = 9
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+RATE_WINDOW_S = 2.0
+
+
+class Rate:
+    """An exponentially decaying rate of events a second.
+
+    :param clock: the clocks to read.
+    :param window_s: the decay's time constant.
+    """
+
+    def __init__(self, *, clock: Clock, window_s: float = RATE_WINDOW_S) -> None:
+        self.clock = clock
+        self.window_s = window_s
+        self._value = 0.0
+        self._started: float | None = None
+        self._at = 0.0
+
+    def add(self, count: float = 1.0) -> None:
+        """Count events that happen now."""
+        now = self.clock.monotonic()
+        if self._started is None:
+            self._started = now
+        self._decay(now)
+        self._value += count / self.window_s
+
+    def per_s(self) -> float:
+        """Events a second, corrected for the time before the first; 0 when none is known of."""
+        if self._started is None:
+            return 0.0
+        now = self.clock.monotonic()
+        self._decay(now)
+        age = max(now - self._started, 0.05 * self.window_s)
+        return self._value / (1.0 - math.exp(-age / self.window_s))
+
+    def _decay(self, now: float) -> None:
+        self._value *= math.exp(-(now - self._at) / self.window_s) if self._at else 1.0
+        self._at = now
+
+
+class Waiter:
+    """One request that waits for a slot.
+
+    :param urgency: 0 for the most urgent to 9 for the least.
+    :param until: the monotonic time to which it may wait.
+    :param deadline: the monotonic time at which its caller gives up.
+    :param exclude: executors it must not go to.
+    :param since: the monotonic time at which it came.
+    """
+
+    def __init__(
+        self, *, urgency: int, until: float, deadline: float, exclude: frozenset[str], since: float
+    ) -> None:
+        self.urgency = urgency
+        self.until = until
+        self.deadline = deadline
+        self.exclude = exclude
+        self.since = since
+        self.future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+
+
+class WaitQueue:
+    """The requests of one service that wait for a slot at this entry host.
+
+    :param service: the service.
+    :param clock: the clocks to read.
+    :param max_waiting: the most that may wait.
+    """
+
+    def __init__(self, *, service: str, clock: Clock, max_waiting: int) -> None:
+        self.service = service
+        self.clock = clock
+        self.max_waiting = max_waiting
+        self.drain = Rate(clock=clock)
+        self.refusals = Rate(clock=clock, window_s=4.0)
+        self.mean_hold_s = 0.0
+        self._by_urgency: list[deque[Waiter]] = [deque() for _ in range(LEAST_URGENT + 1)]
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[Waiter]:
+        for waiters in self._by_urgency:
+            yield from waiters
+
+    def head(self) -> Waiter | None:
+        """The waiter whose turn is next."""
+        return next(iter(self), None)
+
+    def ahead(self, urgency: int) -> int:
+        """How many would be served before a newcomer of an urgency."""
+        return sum(len(waiters) for waiters in self._by_urgency[: urgency + 1])
+
+    def expected_wait_s(self, ahead: int) -> float:
+        """Seconds until one with so many ahead has its turn, by the recent drain rate."""
+        if ahead <= 0:
+            return 0.0
+        rate = self.drain.per_s()
+        if rate <= 0.0:
+            return 0.0
+        return ahead / rate
+
+    def push(self, waiter: Waiter) -> None:
+        """Let a request wait.
+
+        :raises SlotRefused: MG1100 when its wait would outlast its patience.
+        """
+        ahead = self.ahead(waiter.urgency)
+        if self._hopeless(waiter, ahead):
+            raise self.refused(status_codes.QUEUE_FULL)
+        self._by_urgency[waiter.urgency].append(waiter)
+        self._count += 1
+        metrics.queue_length.add(1, {"service": self.service})
+        self.shed()
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a waiter out, served or not."""
+        try:
+            self._by_urgency[waiter.urgency].remove(waiter)
+        except ValueError:
+            return
+        self._count -= 1
+        metrics.queue_length.add(-1, {"service": self.service})
+
+    def shed(self) -> None:
+        """Refuse from the tail, the least urgent and latest first, those who would wait in vain.
+
+        Whoever is refused now can go elsewhere; held to the deadline it could not.
+        """
+        while self._count:
+            waiter = self._tail()
+            over = self._count > self.max_waiting
+            if not over and not self._hopeless(waiter, self._count - 1):
+                return
+            self.remove(waiter)
+            if not waiter.future.done():
+                waiter.future.set_exception(self.refused(status_codes.SHED))
+
+    def served(self, waited_s: float) -> None:
+        """Count a request that got its slot."""
+        self.drain.add()
+        metrics.queue_wait.record(waited_s, {"service": self.service})
+
+    def held(self, hold_s: float) -> None:
+        """Take in how long a slot was held."""
+        self.mean_hold_s += (hold_s - self.mean_hold_s) * 0.05
+
+    def refused(self, code: Code, detail: str = "") -> SlotRefused:
+        """Make a refusal that says when to come back.
+
+        The time is what the present drain rate needs for all who wait and all who were refused
+        lately, spread by half on either side: were it the same for all, the refused would come
+        back together and be refused again.
+        """
+        self.refusals.add()
+        rate = max(self.drain.per_s(), 0.1)
+        backlog = self._count + self.refusals.per_s() * self.refusals.window_s
+        after = min(max(backlog / rate, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+        outcome = NotRun(code=code, detail=detail, retry_after=after * random.uniform(0.5, 1.5))
+        return SlotRefused(outcome=outcome)
+
+    def _tail(self) -> Waiter:
+        return next(waiters[-1] for waiters in reversed(self._by_urgency) if waiters)
+
+    def _hopeless(self, waiter: Waiter, ahead: int) -> bool:
+        now = self.clock.monotonic()
+        turn = now + self.expected_wait_s(ahead)
+        return turn > waiter.until or turn + self.mean_hold_s > waiter.deadline
--- /dev/null
+++ b/mustardgap/shares.py
@@ -0,0 +1,121 @@
+"""Two simple ways of sharing slots: fixed shares, and least in-flight by choice of two."""
+
+import random
+from collections import Counter
+from typing import Any
+
+from .executors import ExecutorView
+from .gossip import Gossiper
+from .members import Member, Members
+from .messages import SlotId
+from .slots import Slot, Slots
+
+LOAD_TTL_S = 5.0
+
+
+class FixedShares:
+    """Each executor's slots are divided among the live members by rendezvous hashing.
+
+    :param slots: whose requests are served.
+    :param members: the members that share.
+    """
+
+    def __init__(self, *, slots: Slots, members: Members) -> None:
+        self.slots = slots
+        self.members = members
+        self._used: set[SlotId] = set()
+
+    def take(self, service: str, exclude: frozenset[str], deadline: float) -> Slot | None:
+        """Take a free slot of this member's share, on the executor with the most left."""
+        views = [v for v in self.slots.executors.candidates(service) if v.executor not in exclude]
+        random.shuffle(views)
+        free = [(self._free(view), view) for view in views]
+        best, view = max(free, key=lambda f: len(f[0]), default=([], None))
+        if view is None or not best:
+            return None
+        self._used.add(best[0])
+        return Slot(service, best[0], view, self.slots.timers.clock.monotonic(), deadline)
+
+    def give_back(self, slot: Slot) -> None:
+        """Give a slot back."""
+        self._used.discard(slot.id)
+
+    def want(self, service: str) -> None:
+        """Do nothing: a share doesn't depend on who waits."""
+
+    def stalled(self, service: str) -> bool:
+        """Never: a share needs nobody's word."""
+        return False
+
+    def _free(self, view: ExecutorView) -> list[SlotId]:
+        ranked = self.members.ranked(f"slots/{view.executor}")
+        if self.members.me.id not in ranked:
+            return []
+        first = ranked.index(self.members.me.id)
+        own = [SlotId(view.executor, i) for i in range(first, view.slots, len(ranked))]
+        return [slot_id for slot_id in own if slot_id not in self._used]
+
+
+class LeastInFlight:
+    """Each member takes the less busy of two executors, by own and gossiped counts.
+
+    The sum over all members can exceed the slots for as long as the counts are out of date.
+
+    :param slots: whose requests are served.
+    :param gossiper: carries the members' counts.
+    """
+
+    def __init__(self, *, slots: Slots, gossiper: Gossiper) -> None:
+        self.slots = slots
+        self.gossiper = gossiper
+        self.me = gossiper.members.me.id
+        self._own: Counter[str] = Counter()
+        self._by_member: dict[str, dict[str, int]] = {}
+        self._published: dict[str, int] = {}
+        gossiper.on_notice("load", self._take_load)
+        gossiper.members.on_change(self._changed)
+
+    def take(self, service: str, exclude: frozenset[str], deadline: float) -> Slot | None:
+        """Take a slot of the less busy of two executors that seem to have one free."""
+        free = [
+            (self.in_flight(view.executor) / view.slots, view)
+            for view in self.slots.executors.candidates(service)
+            if view.executor not in exclude and self.in_flight(view.executor) < view.slots
+        ]
+        if not free:
+            return None
+        pair = random.sample(free, min(2, len(free)))
+        view = min(pair, key=lambda f: f[0])[1]
+        self._own[view.executor] += 1
+        slot_id = SlotId(view.executor, self._own[view.executor])
+        return Slot(service, slot_id, view, self.slots.timers.clock.monotonic(), deadline)
+
+    def give_back(self, slot: Slot) -> None:
+        """Give a slot back."""
+        self._own[slot.executor.executor] -= 1
+
+    def want(self, service: str) -> None:
+        """Do nothing: counts are gossiped at their own pace."""
+
+    def stalled(self, service: str) -> bool:
+        """Never: counts may be old, but are there."""
+        return False
+
+    def in_flight(self, executor: str) -> int:
+        """Requests in flight at an executor, as far as is known here."""
+        others = sum(counts.get(executor, 0) for counts in self._by_member.values())
+        return self._own[executor] + others
+
+    def publish(self) -> None:
+        """Gossip this member's counts when they have changed."""
+        counts = {executor: n for executor, n in self._own.items() if n}
+        if counts != self._published:
+            self._published = counts
+            self.gossiper.publish("load", self.me, counts, ttl_s=LOAD_TTL_S)
+
+    def _take_load(self, key: str, value: Any, sender: Member) -> None:
+        self._by_member[key] = value
+
+    def _changed(self, member: Member, old: Member | None) -> None:
+        if member.id in self._by_member and member.state.name in ("dead", "suspect"):
+            del self._by_member[member.id]
--- /dev/null
+++ b/mustardgap/slots.py
@@ -0,0 +1,241 @@
+"""Slots of executors, shared with the other entry hosts: waiting for one and giving it back."""
+
+import asyncio
+from collections.abc import Callable, Collection
+from typing import Any, NamedTuple, Protocol
+
+from . import metrics, status_codes
+from .exceptions import SlotRefused
+from .executors import ExecutorView
+from .messages import SlotId
+from .queues import LEAST_URGENT, Waiter, WaitQueue
+from .settings import Settings
+from .timers import Timers
+
+SWEEP_S = 0.1
+SERVE_LOOKAHEAD = 8
+DEFAULT_MAX_WAIT_S = 2.0
+
+
+class Slot(NamedTuple):
+    """A slot of an executor; ``taken`` is monotonic."""
+
+    service: str
+    id: SlotId
+    executor: ExecutorView
+    taken: float
+    deadline: float
+    number: int = 0
+
+
+class Demand(NamedTuple):
+    """What waits for a service's slots at this entry host."""
+
+    waiting: int
+    urgency: int
+    waited_s: float
+    left_s: float
+    exclude: frozenset[str]
+
+
+class HasCandidates(Protocol):
+    """Which executors may be chosen."""
+
+    def candidates(self, service: str) -> list[ExecutorView]:
+        """The executors of a service that may be chosen now."""
+
+
+class Way(Protocol):
+    """A way of sharing an executor's slots among the entry hosts."""
+
+    def take(self, service: str, exclude: frozenset[str], deadline: float) -> Slot | None:
+        """Take a slot that is free for this entry host now."""
+
+    def give_back(self, slot: Slot) -> None:
+        """Give a slot back."""
+
+    def want(self, service: str) -> None:
+        """Note that the queue of a service has changed."""
+
+    def stalled(self, service: str) -> bool:
+        """Whether nothing can be had for now, however long the queue."""
+
+
+class Slots:
+    """Hands out executors' slots; what can't be had now is waited for in urgency's order.
+
+    :param settings: the daemon's settings.
+    :param executors: which executors may be chosen.
+    :param timers: the timer service.
+    :param max_wait_s: a function that gives the longest wait a service's profile allows.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        executors: HasCandidates,
+        timers: Timers,
+        max_wait_s: Callable[[str], float] | None = None,
+    ) -> None:
+        self.settings = settings
+        self.executors = executors
+        self.timers = timers
+        self.max_wait_s = max_wait_s or (lambda service: DEFAULT_MAX_WAIT_S)
+        self.queues_by_service: dict[str, WaitQueue] = {}
+        self.way: Way
+
+    async def acquire(
+        self,
+        service: str,
+        *,
+        deadline: float,
+        urgency: int = 5,
+        exclude: Collection[str] = frozenset(),
+    ) -> Slot:
+        """Wait for a slot.
+
+        :param service: the service.
+        :param deadline: the monotonic time at which the caller gives up.
+        :param urgency: 0 for the most urgent to 9 for the least.
+        :param exclude: executors not to go to, unless there are no others.
+        :return: the slot, to be given back with ``release``.
+        :raises SlotRefused: with the outcome, at once when waiting is hopeless.
+        """
+        now = self.timers.clock.monotonic()
+        queue = self._queue(service)
+        if deadline <= now:
+            raise queue.refused(status_codes.DEADLINE_BEFORE_RUN)
+        exclude = self._exclude(service, exclude, queue)
+        urgency = min(max(urgency, 0), LEAST_URGENT)
+        if not queue.ahead(urgency):
+            slot = self.way.take(service, exclude, deadline)
+            if slot is not None:
+                return self._count(slot, queue, 0.0)
+        if self.way.stalled(service):
+            raise queue.refused(status_codes.NOT_CURRENT, "no lease of slots")
+        waiter = Waiter(
+            urgency=urgency,
+            until=min(deadline, now + self.max_wait_s(service)),
+            deadline=deadline,
+            exclude=exclude,
+            since=now,
+        )
+        queue.push(waiter)
+        self.way.want(service)
+        return await self._wait(queue, waiter)
+
+    def release(self, slot: Slot) -> None:
+        """Give a slot back, once."""
+        queue = self._queue(slot.service)
+        queue.held(self.timers.clock.monotonic() - slot.taken)
+        metrics.slots_used.add(-1, {"service": slot.service})
+        self.way.give_back(slot)
+        self.serve(slot.service)
+
+    def waiting(self, service: str) -> int:
+        """How many requests of a service wait here."""
+        queue = self.queues_by_service.get(service)
+        return len(queue) if queue is not None else 0
+
+    async def run(self) -> None:
+        """Refuse in time those who wait in vain, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            for service, queue in self.queues_by_service.items():
+                self._sweep(service, queue)
+
+    def serve(self, service: str) -> None:
+        """Hand what is free to those who wait."""
+        queue = self.queues_by_service.get(service)
+        if queue is None or not len(queue):
+            return
+        passed_over = 0
+        for waiter in list(queue):
+            slot = self.way.take(service, waiter.exclude, waiter.deadline)
+            if slot is None:
+                passed_over += 1
+                if passed_over >= SERVE_LOOKAHEAD or not waiter.exclude:
+                    break
+                continue
+            queue.remove(waiter)
+            waiter.future.set_result(slot)
+        self.way.want(service)
+
+    def demand(self, service: str) -> Demand:
+        """What waits for a service's slots here."""
+        queue = self.queues_by_service.get(service)
+        head = queue.head() if queue is not None else None
+        if queue is None or head is None:
+            return Demand(0, LEAST_URGENT, 0.0, 0.0, frozenset())
+        now = self.timers.clock.monotonic()
+        waited_s = now - head.since
+        return Demand(len(queue), head.urgency, waited_s, head.deadline - now, head.exclude)
+
+    async def _wait(self, queue: WaitQueue, waiter: Waiter) -> Slot:
+        loop = asyncio.get_running_loop()
+        left_s = waiter.until - self.timers.clock.monotonic()
+        timer = loop.call_later(left_s, self._give_up, queue, waiter)
+        try:
+            slot: Slot = await waiter.future
+        except asyncio.CancelledError:
+            # The slot may have been handed over in the same turn in which the caller went away.
+            if waiter.future.done() and not waiter.future.cancelled():
+                self._take_back(queue, waiter.future)
+            raise
+        finally:
+            timer.cancel()
+            queue.remove(waiter)
+            self.way.want(queue.service)
+        return self._count(slot, queue, self.timers.clock.monotonic() - waiter.since)
+
+    def _take_back(self, queue: WaitQueue, future: asyncio.Future[Any]) -> None:
+        if future.exception() is None:
+            self.way.give_back(future.result())
+            self.serve(queue.service)
+
+    def _give_up(self, queue: WaitQueue, waiter: Waiter) -> None:
+        if waiter.future.done():
+            return
+        queue.remove(waiter)
+        late = self.timers.clock.monotonic() >= waiter.deadline
+        code = status_codes.DEADLINE_BEFORE_RUN if late else status_codes.QUEUE_FULL
+        waiter.future.set_exception(queue.refused(code))
+
+    def _sweep(self, service: str, queue: WaitQueue) -> None:
+        if not len(queue):
+            return
+        if self.way.stalled(service):
+            for waiter in list(queue):
+                queue.remove(waiter)
+                if not waiter.future.done():
+                    refusal = queue.refused(status_codes.NOT_CURRENT, "no lease of slots")
+                    waiter.future.set_exception(refusal)
+        queue.shed()
+        self.serve(service)
+
+    def _exclude(self, service: str, exclude: Collection[str], queue: WaitQueue) -> frozenset[str]:
+        views = self.executors.candidates(service)
+        if not views:
+            raise queue.refused(status_codes.NO_EXECUTOR)
+        if all(view.executor in exclude for view in views):
+            return frozenset()
+        return frozenset(exclude)
+
+    def _count(self, slot: Slot, queue: WaitQueue, waited_s: float) -> Slot:
+        queue.served(waited_s)
+        metrics.slots_used.add(1, {"service": slot.service})
+        return slot
+
+    def _queue(self, service: str) -> WaitQueue:
+        queue = self.queues_by_service.get(service)
+        if queue is None:
+            queue = self.queues_by_service[service] = WaitQueue(
+                service=service,
+                clock=self.timers.clock,
+                max_waiting=self.settings.requests.max_waiting,
+            )
+        return queue
+
+
+Refused = SlotRefused
