Write log lines as key=value pairs at a bounded rate

Cause: lines of many hosts are collected and searched by machine, and a fault that repeats with each request must neither fill a disk nor slow the daemon. Ruled out: absl's own prefix (no fields) and log_every_n at each call (bounds one place, not all). Conclusion: logs.set_up(host=, verbosity=); suppressed lines are counted in mustardgap.log_lines.

--- /dev/null
+++ b/mustardgap/logs.py
@@ -0,0 +1,125 @@
+"""Log lines: absl.logging as ``key=value`` lines on stderr, at a bounded rate.
+
+What happens often is counted in ``metrics``. Lines tell of changes of state and of faults; they
+hold no bodies of requests and no keys.
+"""
+
+import json
+import logging as python_logging
+import os
+import traceback
+from datetime import UTC, datetime
+
+from absl import flags, logging
+
+from . import metrics
+from .timers import Clock
+
+LINES_PER_S = 5.0
+BURST = 200
+MAX_TEXT = 1000
+FRAMES = 5
+
+# Tornado notes each malformed request and grpc each broken stream; both are counted by us.
+QUIET_LOGGERS = ("tornado.access", "tornado.general", "grpc", "asyncio")
+
+
+class LineFormatter(python_logging.Formatter):
+    """Formats a record as one line of ``key=value`` pairs, tracebacks included.
+
+    :param host: the host's name, for where lines of many hosts are collected.
+    """
+
+    def __init__(self, *, host: str) -> None:
+        super().__init__()
+        self.host = host
+
+    def format(self, record: python_logging.LogRecord) -> str:
+        """The line for a record."""
+        time = datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds")
+        pairs = {
+            "time": time.replace("+00:00", "Z"),
+            "level": record.levelname.lower(),
+            "host": self.host,
+            "part": record.module,
+            "text": _quoted(record.getMessage()),
+        }
+        if record.exc_info and record.exc_info[1] is not None:
+            pairs["error"] = _quoted(f"{type(record.exc_info[1]).__name__}: {record.exc_info[1]}")
+            pairs["at"] = _quoted(_frames(record.exc_info[1]))
+        suppressed = getattr(record, "suppressed", 0)
+        if suppressed:
+            pairs["suppressed"] = str(suppressed)
+        return " ".join(f"{key}={value}" for key, value in pairs.items())
+
+
+class RateFilter(python_logging.Filter):
+    """Lets lines through at a bounded rate and counts the others.
+
+    A fault that repeats with each request would fill the disk of whatever collects the lines, and
+    writing them would slow the daemon just when it has trouble. The next line that passes says how
+    many were left out, so that a silence isn't taken for health.
+
+    :param clock: the clocks to read.
+    :param per_s: lines a second in the long run.
+    :param burst: lines at once after a silence.
+    """
+
+    def __init__(
+        self, *, clock: Clock | None = None, per_s: float = LINES_PER_S, burst: int = BURST
+    ) -> None:
+        super().__init__()
+        self.clock = clock or Clock()
+        self.per_s = per_s
+        self.burst = burst
+        self._tokens = float(burst)
+        self._at = self.clock.monotonic()
+        self._suppressed = 0
+
+    def filter(self, record: python_logging.LogRecord) -> bool:
+        """Whether the record is written."""
+        now = self.clock.monotonic()
+        self._tokens = min(self.burst, self._tokens + (now - self._at) * self.per_s)
+        self._at = now
+        if self._tokens < 1:
+            self._suppressed += 1
+            metrics.log_lines.add(1, {"result": "suppressed"})
+            return False
+        self._tokens -= 1
+        record.suppressed = self._suppressed
+        self._suppressed = 0
+        metrics.log_lines.add(1, {"result": "written"})
+        return True
+
+
+def set_up(*, host: str, verbosity: int = 0, clock: Clock | None = None) -> None:
+    """Send the process's log lines to stderr.
+
+    :param host: this host's name.
+    :param verbosity: -3 fatal only, -2 errors, -1 warnings, 0 information, 1 debug.
+    """
+    os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
+    # The settings take the place of absl's own flags, which would be asked for otherwise.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(verbosity)
+    logging.set_stderrthreshold(logging.FATAL)
+    handler = logging.get_absl_handler()
+    handler.setFormatter(LineFormatter(host=host))
+    for earlier in [f for f in handler.filters if isinstance(f, RateFilter)]:
+        handler.removeFilter(earlier)
+    handler.addFilter(RateFilter(clock=clock))
+    for name in QUIET_LOGGERS:
+        python_logging.getLogger(name).setLevel(python_logging.ERROR)
+
+
+def _frames(exc: BaseException) -> str:
+    frames = traceback.extract_tb(exc.__traceback__)[-FRAMES:]
+    return " < ".join(
+        f"{os.path.basename(frame.filename)}:{frame.lineno} {frame.name}"
+        for frame in reversed(frames)
+    )
+
+
+def _quoted(text: str) -> str:
+    return json.dumps(text[:MAX_TEXT], ensure_ascii=False)
