List the faults of the stand-ins and double an executor's answer

Cause: proofs switch faults by name, so their names and fields must stand in one place; a doubled answer on a kept connection, which meets the next request, could not be caused yet. Ruled out: a setting file for faults, since proofs switch them in the middle of a run.

--- a/standins/executors.py
+++ b/standins/executors.py
@@ -25,6 +25,7 @@
         "late",
         "short",
         "wrong_id",
+        "doubled",
         "reset_before_reading",
         "reset_after_reading",
         "reset_after_running",
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -33,11 +33,15 @@
     """The faults that are on.
 
     :param names: the faults this stand-in knows.
+    :param instant: those of them that happen once and needn't be switched off.
     :param seed: the seed of the draws for ``ratio``.
     """
 
-    def __init__(self, *, names: frozenset[str], seed: int = 0) -> None:
-        self.names = names
+    def __init__(
+        self, *, names: frozenset[str], instant: frozenset[str] = frozenset(), seed: int = 0
+    ) -> None:
+        self.names = names | instant
+        self.instant = instant
         self.active: list[Fault] = []
         self._random = random.Random(seed)
         self._callbacks: list[ChangeCallback] = []
@@ -50,7 +54,8 @@
         """
         if fault.fault not in self.names:
             raise ValueError(f"unknown fault {fault.fault}; there are {sorted(self.names)}")
-        self.active.append(fault)
+        if fault.fault not in self.instant:
+            self.active.append(fault)
         self._tell(fault, True)
 
     def clear(self, name: str = "", on: str = "") -> int:
--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -298,7 +298,7 @@
         )
 
     def _fault_changed(self, fault: Fault, is_on: bool) -> None:
-        effects = {"power_off": self._power, "paused": self._pause, "removed": self._remove}
+        effects = {"power_off": self._power, "paused": self._pause, "worker_removed": self._remove}
         effect = effects.get(fault.fault)
         if effect is None:
             return
@@ -322,8 +322,7 @@
         self._spawn(self.links.step(worker.name, "pause" if is_on else "resume"))
 
     def _remove(self, worker: Worker, is_on: bool) -> None:
-        if is_on:
-            self.remove(worker.name)
+        self.remove(worker.name)
 
     def _stop_runner(self, worker: Worker) -> None:
         if worker.runner is not None:
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -27,18 +27,36 @@
         self._true_by_host: dict[str, HostEntry] = {}
         self._announced_by_host: dict[str, float] = {}
         self._shown_by_host: dict[str, HostEntry] = {}
+        self._leaving: set[str] = set()
         self._changes: deque[_Change] = deque()
 
     def announce(self, entry: HostEntry) -> None:
         """Take in a host's announcement of itself."""
         host = entry["host"]
         self._announced_by_host[host] = time.time()
+        if host in self._leaving:
+            entry = {**entry, "state": "leaving"}
         if self._true_by_host.get(host) != entry:
             self._change(host, entry)
 
-    def leave(self, host: str) -> None:
-        """Show a host as leaving, whatever it says of itself until it next announces itself."""
-        if host in self._true_by_host:
+    def announce_worker(self, worker: str, data_center: str) -> None:
+        """Show a worker that leaves on short notice; it stays on the list until withdrawn."""
+        entry: HostEntry = {
+            "host": worker,
+            "role": "worker",
+            "state": "leaving",
+            "address": "",
+            "data_center": data_center,
+        }
+        self._change(worker, entry)
+
+    def force_leaving(self, host: str, is_on: bool) -> None:
+        """Show a host as leaving whatever it says of itself, or stop that."""
+        if is_on:
+            self._leaving.add(host)
+        else:
+            self._leaving.discard(host)
+        if is_on and host in self._true_by_host:
             self._change(host, {**self._true_by_host[host], "state": "leaving"})
 
     def withdraw(self, host: str) -> None:
--- a/standins/platforms.py
+++ b/standins/platforms.py
@@ -23,19 +23,17 @@
 from .truths import Truth
 
 CALL_FAULTS = frozenset({"down", "silent", "slow", "lost", "doubled"})
+INSTANT_FAULTS = frozenset({"expired", "host_removed", "worker_removed"})
 STATE_FAULTS = frozenset(
     {
-        "expired",
         "retention",
         "lag",
-        "host_removed",
         "host_leaving",
         "paused",
         "fails_tasks",
         "power_off",
         "never_returns",
         "never_drains",
-        "removed",
     }
 )
 MAX_LIMIT = 5000
@@ -51,7 +49,9 @@
 
     def __init__(self, *, settings: PlatformSettings, place: str | Path) -> None:
         self.settings = settings
-        self.faults = Faults(names=CALL_FAULTS | STATE_FAULTS, seed=settings.seed)
+        self.faults = Faults(
+            names=CALL_FAULTS | STATE_FAULTS, instant=INSTANT_FAULTS, seed=settings.seed
+        )
         self.truth = Truth()
         self.logs = Logs(
             appends_per_s=settings.log.appends_per_s,
@@ -74,16 +74,25 @@
     def _fault_changed(self, fault: Fault, is_on: bool) -> None:
         self.logs.wake()
         limits, hosts = self.settings.log, self.settings.hosts
-        if fault.fault == "expired" and is_on:
+        if fault.fault == "expired":
             self.logs.expire_all(keep=fault.count or 0)
         elif fault.fault == "retention":
             self.logs.retention_s = fault.seconds if is_on else limits.retention_s
         elif fault.fault == "lag":
             self.hosts.lag_s = fault.seconds if is_on else hosts.lag_s
-        elif fault.fault == "host_removed" and is_on:
+        elif fault.fault == "host_removed":
             self.hosts.withdraw(fault.on)
-        elif fault.fault == "host_leaving" and is_on:
-            self.hosts.leave(fault.on)
+        elif fault.fault == "host_leaving":
+            self._host_leaving(fault.on, is_on)
+
+    def _host_leaving(self, name: str, is_on: bool) -> None:
+        worker = self.fleet.by_name.get(name)
+        if worker is not None and is_on:
+            self.hosts.announce_worker(name, worker.data_center)
+        elif worker is not None:
+            self.hosts.withdraw(name)
+        else:
+            self.hosts.force_leaving(name, is_on)
 
 
 class Call(JsonHandler):
--- a/standins/upstreams.py
+++ b/standins/upstreams.py
@@ -6,24 +6,22 @@
 import os
 import random
 import signal
-import socket
-import struct
 import time
 from typing import Any
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPHeaders, HTTPServerRequest
 from tornado.iostream import IOStream, StreamClosedError
 
 from mustardgap.models import ExecutorInfo
 
+from . import answers
 from .faults import Fault, Faults
 from .runs import Run, Runs
 from .settings import ExecutorsSettings, RunTime
 
 POLL_S = 0.02
-PIECE_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
 BACKLOG = 256
 MAX_AFTER_LEAVING = 10_000
@@ -153,11 +151,11 @@
     def accept(self, stream: IOStream) -> bool:
         """Take a new connection, unless there are too many."""
         if self.faults.take("reset_before_reading", *self.targets):
-            _reset(stream)
+            answers.reset(stream)
             return False
         if len(self._streams) >= self.settings.connections:
             self.counters["connections_refused"] += 1
-            _reset(stream)
+            answers.reset(stream)
             return False
         self._streams.add(stream)
         self._note_most("max_connections", len(self._streams))
@@ -170,7 +168,7 @@
 
     def receive(self, request: HTTPServerRequest) -> None:
         """Take a whole request; one on a silent connection never arrives."""
-        stream = _stream(request)
+        stream = answers.stream_of(request)
         if stream in self._silent:
             return
         self._received_at = time.monotonic()
@@ -190,7 +188,7 @@
     async def _serve(self, request: HTTPServerRequest, stream: IOStream) -> None:
         try:
             if self._take("reset_after_reading"):
-                _reset(stream)
+                answers.reset(stream)
             elif self._take("refusing") or self.leaving_s > self.settings.drain_grace_s:
                 self.counters["refused"] += 1
                 await self._answer(request, stream, 503, {"error": "not run"}, not_run=True)
@@ -204,7 +202,7 @@
         if self._take("kill_after_run"):
             os.kill(os.getpid(), signal.SIGKILL)
         if self._take("reset_after_running"):
-            _reset(stream)
+            answers.reset(stream)
             return
         late = self._take("late")
         if late is not None:
@@ -222,6 +220,7 @@
             try:
                 start = time.time()
                 await self._work(request)
+                await self._awake.wait()
                 run = self._record(request, start)
             finally:
                 self._running -= 1
@@ -236,7 +235,7 @@
         }
 
     async def _work(self, request: HTTPServerRequest) -> None:
-        asked = request.headers.get("X-Run-Time") or _argument(request, "run_s")
+        asked = request.headers.get("X-Run-Time") or answers.argument(request, "run_s")
         run_s = float(asked) if asked else draw(self.settings.run_time, self._random)
         slow = self._take("slow")
         if slow is not None:
@@ -270,24 +269,6 @@
         *,
         not_run: bool = False,
     ) -> None:
-        if stream.closed():
-            return
-        short = self._take("short")
-        if short is not None:
-            _cut_after(stream, short.at_byte)
-        head = msgspec.json.encode(value)
-        size = max(len(head), int(_argument(request, "size") or 0))
-        headers = self._headers(request, not_run)
-        if not _argument(request, "chunked"):
-            headers["Content-Length"] = str(size)
-        connection: Any = request.connection
-        await connection.write_headers(ResponseStartLine("HTTP/1.1", status, ""), headers)
-        if request.method != "HEAD":
-            for piece in pieces(head, size):
-                await connection.write(piece)
-        connection.finish()
-
-    def _headers(self, request: HTTPServerRequest, not_run: bool) -> HTTPHeaders:
         headers = HTTPHeaders({"Content-Type": "application/json"})
         request_id = request.headers.get("X-Request-Id", "")
         headers["X-Request-Id"] = request_id + ("-wrong" if self._take("wrong_id") else "")
@@ -295,7 +276,14 @@
             headers["X-Not-Run"] = "1"
         if self.state != "up":
             headers["X-Leaving"] = "1"
-        return headers
+        short = self._take("short")
+        if short is not None:
+            answers.cut_after(stream, short.at_byte)
+        answer = answers.Answer(status, headers, msgspec.json.encode(value))
+        if self._take("doubled"):
+            await answers.write_twice(request, stream, answer)
+        else:
+            await answers.write(request, answer)
 
     def _take(self, fault: str) -> Fault | None:
         return self.faults.take(fault, *self.targets) if self.faults.active else None
@@ -314,9 +302,9 @@
         if self._server is not None:
             self._server.stop()
         self._server = None
-        for stream in list(self._streams):
+        for stream in self._streams - self._silent:
             if abort:
-                _reset(stream)
+                answers.reset(stream)
             else:
                 stream.close()
 
@@ -345,53 +333,3 @@
         mu = math.log(run_time.mean_s) - run_time.sigma**2 / 2
         return rng.lognormvariate(mu, run_time.sigma)
     return run_time.mean_s
-
-
-def pieces(head: bytes, size: int) -> list[bytes]:
-    """An answer's body: a line of JSON, filled up to a size with a pattern that depends on it.
-
-    :param head: the JSON.
-    :param size: the size of the whole in bytes; shorter than the head is no filling.
-    """
-    room = size - len(head) - 1
-    if room < 0:
-        return [head]
-    pattern = hashlib.sha256(head).hexdigest().encode() * (PIECE_BYTES // 64)
-    filling = [pattern] * (room // PIECE_BYTES) + [pattern[: room % PIECE_BYTES]]
-    return [head + b"\n", *filling]
-
-
-def _argument(request: HTTPServerRequest, name: str) -> str:
-    values = request.query_arguments.get(name)
-    return values[0].decode() if values else ""
-
-
-def _stream(request: HTTPServerRequest) -> IOStream:
-    connection: Any = request.connection
-    return connection.stream
-
-
-def _reset(stream: IOStream) -> None:
-    if stream.closed():
-        return
-    # Closing with a linger time of 0 sends RST, as a crashed or restarted host would.
-    linger = struct.pack("ii", 1, 0)
-    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    stream.close()
-
-
-def _cut_after(stream: IOStream, size: int) -> None:
-    """Let a connection close once it has written some bytes."""
-    write = stream.write
-    left = size
-
-    def cut_write(data: bytes | memoryview) -> Any:
-        nonlocal left
-        part = bytes(data)[:left]
-        left -= len(part)
-        future = write(part)
-        if left == 0:
-            stream.close()
-        return future
-
-    stream.write = cut_write  # type: ignore[method-assign]
