--- /dev/null
+++ b/mustardgap/checkpoint_rules.py
@@ -0,0 +1,20 @@
+"""The rule for announcements of checkpoints."""
+
+from . import status_codes
+from .models import CheckpointBody
+from .outcomes import Rejected
+from .states import State
+
+
+def check(state: State, step: CheckpointBody) -> Rejected | None:
+    """Whether an announcement is accepted; None when it is."""
+    if 0 <= step["offset"] <= state.offset:
+        return None
+    detail = f"a checkpoint at offset {step['offset']} of {state.offset}"
+    return Rejected(code=status_codes.RECORD_INVALID, detail=detail)
+
+
+def put(state: State, step: CheckpointBody, offset: int) -> None:
+    """Take in an announcement; of two that crossed, the newer checkpoint counts."""
+    state.checkpoint_offset = max(state.checkpoint_offset, step["offset"])
+    state.checkpoint_time = state.time
--- a/mustardgap/checkpoints.py
+++ b/mustardgap/checkpoints.py
@@ -1,61 +1,37 @@
-"""Snapshots of the state, and the checkpoints that outlive the log's retention."""
+"""Checkpoints: snapshots on the log, which outlive the retention of the state stream."""
 
+import asyncio
 import base64
-import zlib
+import random
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
+from absl import logging
 
-from . import records, status_codes
+from . import metrics, records, snapshots
 from .adapters import Platform
-from .exceptions import RecordRejected
-from .models import (
-    RULES_VERSION,
-    Declaration,
-    HostState,
-    JobState,
-    LogRecord,
-    Page,
-    Record,
-    WaveState,
-)
+from .exceptions import AnswerLost, LogExpired, PlatformError, RecordRejected
+from .models import CheckpointBody, LogRecord, Record
+from .outcomes import Verdict
 from .settings import PlatformSettings
-from .states import Decided, State
+from .states import State
 from .timers import Clock
 
-FORMAT = 1
 CHUNK_BYTES = 128 * 1024
-MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 MAX_CHUNKS = 256
-
-
-class Snapshot(msgspec.Struct, kw_only=True):
-    """The state as it is coded; indexes are built anew when it is read."""
-
-    format: int
-    rules: int
-    offset: int
-    time: float
-    floor: int
-    sweep: int
-    declarations: list[tuple[str, int, dict[str, Any]]]
-    hosts: list[HostState]
-    jobs: list[JobState]
-    waves: list[WaveState]
-    decided: list[tuple[str, int, int]]
-    ended_jobs: list[str]
-
-
-class Header(msgspec.Struct, kw_only=True):
-    """What is read first, so that a newer daemon's snapshot is refused and not guessed at."""
-
-    format: int
-    rules: int
+PAGE_CHUNKS = 8
+CHECK_S = 1.0
+MIN_GAP_S = 5.0
+# How long the others leave a due checkpoint to the daemon whose turn it is.
+STEP_IN_S = 10.0
+ANNOUNCE_S = 10.0
+# A checkpoint is due again when no more than this share of the kept records comes before it.
+EXPIRING = 0.25
 
 
 class ChunkBody(msgspec.Struct, kw_only=True):
-    """One chunk of a checkpoint, the body of a ``checkpoint`` record."""
+    """One chunk of a checkpoint, the body of a ``chunk`` record."""
 
     snapshot: str
     offset: int
@@ -71,45 +47,18 @@
     data: bytes
 
 
-def encode(state: State) -> bytes:
-    """Code the state as a snapshot."""
-    snapshot = Snapshot(
-        format=FORMAT,
-        rules=RULES_VERSION,
-        offset=state.offset,
-        time=state.time,
-        floor=state.floor,
-        sweep=state.sweep,
-        declarations=[tuple(d) for d in state.declarations_by_key.values()],  # type: ignore[misc]
-        hosts=list(state.hosts_by_name.values()),
-        jobs=list(state.jobs_by_id.values()),
-        waves=list(state.waves_by_name.values()),
-        decided=[(key, *decided) for key, decided in state.decided_by_id.items()],
-        ended_jobs=list(state.ended_jobs),
-    )
-    return zlib.compress(msgspec.msgpack.encode(snapshot), 6)
-
-
-def decode(data: bytes) -> State:
-    """Read a snapshot.
-
-    :param data: what ``encode`` gave.
-    :rtype: State
-    :raises RecordRejected: MG3004 for a newer daemon's, MG3012 for a damaged one.
-    """
-    try:
-        inflater = zlib.decompressobj()
-        raw = inflater.decompress(data, MAX_SNAPSHOT_BYTES)
-        if not inflater.eof:
-            raise RecordRejected(code=status_codes.RECORD_INVALID, detail="cut short or too large")
-        header = msgspec.msgpack.decode(raw, type=Header)
-        if header.format > FORMAT or header.rules > RULES_VERSION:
-            detail = f"a snapshot of rules {header.rules}, this daemon has {RULES_VERSION}"
-            raise RecordRejected(code=status_codes.RULES_TOO_NEW, detail=detail)
-        snapshot = msgspec.msgpack.decode(raw, type=Snapshot)
-    except (zlib.error, msgspec.DecodeError) as exc:
-        raise RecordRejected(code=status_codes.RECORD_INVALID, detail=str(exc)) from None
-    return _state(snapshot)
+class Writer(Protocol):
+    """What checkpoints need of the log they belong to."""
+
+    member: str
+    state: State
+
+    @property
+    def current(self) -> bool:
+        """Whether the state is current."""
+
+    async def write(self, kind: str, body: Any, *, timeout_s: float, purpose: Any) -> Verdict:
+        """Append a record to the state stream."""
 
 
 def chunk_records(data: bytes, *, offset: int, writer: str) -> list[Record]:
@@ -121,21 +70,17 @@
     """
     pieces = [data[at : at + CHUNK_BYTES] for at in range(0, len(data), CHUNK_BYTES)]
     snapshot = records.new_id()
-    return [
-        records.make(
-            "checkpoint",
-            {
-                "snapshot": snapshot,
-                "offset": offset,
-                "chunk": number,
-                "chunks": len(pieces),
-                "data": base64.b85encode(piece).decode("ascii"),
-            },
-            writer=writer,
-            seen=offset,
+    made = []
+    for number, piece in enumerate(pieces):
+        body = ChunkBody(
+            snapshot=snapshot,
+            offset=offset,
+            chunk=number,
+            chunks=len(pieces),
+            data=base64.b85encode(piece).decode("ascii"),
         )
-        for number, piece in enumerate(pieces)
-    ]
+        made.append(records.make("chunk", msgspec.to_builtins(body), writer=writer, seen=offset))
+    return made
 
 
 def latest(chunks: Iterable[LogRecord]) -> Loaded | None:
@@ -161,56 +106,149 @@
     return Loaded(found[0], data)
 
 
-def _chunk(record: LogRecord) -> ChunkBody | None:
-    try:
-        value = records.check(record.value)
-        body = msgspec.convert(value["body"], ChunkBody)
-    except (RecordRejected, msgspec.ValidationError):
-        return None
-    return body if 0 <= body.chunk < body.chunks <= MAX_CHUNKS else None
-
-
-def _state(snapshot: Snapshot) -> State:
-    state = State()
-    state.offset = snapshot.offset
-    state.time = snapshot.time
-    state.floor = snapshot.floor
-    state.sweep = snapshot.sweep
-    state.put_declarations((Declaration(*parts) for parts in snapshot.declarations), [])
-    for host in snapshot.hosts:
-        state.put_host(host)
-    for job in snapshot.jobs:
-        state.put_job(job)
-    state.ended_jobs.clear()
-    state.ended_jobs.extend(snapshot.ended_jobs)
-    for wave in snapshot.waves:
-        state.put_wave(wave)
-    for record_id, offset, code in snapshot.decided:
-        state.decided_by_id[record_id] = Decided(offset, code)
-    return state
-
-
 class Checkpoints:
     """Writes and finds the checkpoints of one daemon.
 
     They stand on a stream of their own, so that a starting daemon finds the newest without
-    reading through the records of the state.
+    reading through the state stream. A small record there tells all daemons of each.
+
+    ``is_mine`` says whether it is this daemon's turn; ``oldest`` is the oldest offset that the
+    state stream was last seen to keep.
+
+    :param platform: the platform's log.
+    :param settings: the section ``platform``.
+    :param clock: the clocks to read.
+    :param log: the log whose state is kept.
     """
 
     def __init__(
-        self, *, platform: Platform, settings: PlatformSettings, clock: Clock, member: str
+        self, *, platform: Platform, settings: PlatformSettings, clock: Clock, log: Writer
     ) -> None:
         self.platform = platform
         self.settings = settings
         self.clock = clock
-        self.member = member
+        self.log = log
         self.stream = f"{settings.stream}-checkpoints"
         self.is_mine: Callable[[str], bool] = lambda key: True
-
-    async def maybe_write(self, state: State, page: Page) -> bool:
-        """Write a checkpoint when one is due and it is this daemon's turn."""
-        return False
+        self.oldest = 0
+        self._due_since: float | None = None
+        self._written_at = -MIN_GAP_S
+
+    async def run(self) -> None:
+        """Write a checkpoint whenever one is due and it is this daemon's turn."""
+        while True:
+            await self.clock.sleep(CHECK_S)
+            if not self._turn():
+                continue
+            try:
+                await self.write()
+            except (PlatformError, AnswerLost) as exc:
+                logging.warning("no checkpoint was written: %s", exc)
+
+    def due(self) -> bool:
+        """Whether the newest checkpoint is too old for what the log keeps.
+
+        Records at the front of the log expire. If the newest checkpoint went with them, or ended
+        before the oldest record kept, a new daemon could not tell what is in force. So one is
+        due well before, and at once after an outage in which all of it has expired; every daemon
+        still has the state in memory then.
+        """
+        state = self.log.state
+        if state.offset == 0:
+            return False
+        if state.offset == state.checkpoint_offset + 1:
+            # Nothing but the announcement itself has come since.
+            return self.oldest >= state.offset or self._age_s() > self.settings.checkpoint_s
+        if self.oldest > 0:
+            kept = state.offset - self.oldest
+            if state.checkpoint_offset < self.oldest + kept * EXPIRING:
+                return True
+        if state.offset - state.checkpoint_offset > self.settings.checkpoint_records:
+            return True
+        return self._age_s() > self.settings.checkpoint_s
+
+    async def write(self) -> int:
+        """Write a checkpoint of the state as it is, and announce it.
+
+        :return: the offset it is folded up to.
+        :raises PlatformError: it was not written.
+        :raises AnswerLost: it may have been written.
+        """
+        self._written_at = self.clock.monotonic()
+        state = self.log.state
+        offset = state.offset
+        packed = snapshots.pack(state)
+        data = await asyncio.to_thread(snapshots.compress, packed)
+        chunks = chunk_records(data, offset=offset, writer=self.log.member)
+        for chunk in chunks:
+            # A chunk each, so that a whole checkpoint never makes one very large append.
+            await self.platform.append(self.stream, [chunk])
+        body = CheckpointBody(offset=offset, chunks=len(chunks))
+        await self.log.write("checkpoint", body, timeout_s=ANNOUNCE_S, purpose="background")
+        metrics.checkpoints.add(1)
+        return offset
 
     async def load(self) -> Loaded | None:
-        """Find the newest whole checkpoint."""
+        """Find the newest whole checkpoint.
+
+        :raises PlatformError: the log can't be read.
+        """
+        try:
+            oldest, end = await self._bounds()
+            window = PAGE_CHUNKS
+            while True:
+                start = max(oldest, end - window)
+                found = latest(await self._read(start, end))
+                if found is not None or start == oldest:
+                    return found
+                window *= 4
+        except LogExpired:
+            # It expired between two reads; the caller tries again.
+            return None
+
+    async def _bounds(self) -> tuple[int, int]:
+        try:
+            page = await self.platform.read(self.stream, 0, limit=1)
+        except LogExpired as exc:
+            page = await self.platform.read(self.stream, exc.oldest, limit=1)
+        return page.oldest, page.end
+
+    async def _read(self, start: int, end: int) -> list[LogRecord]:
+        found: list[LogRecord] = []
+        while start < end:
+            page = await self.platform.read(self.stream, start, limit=PAGE_CHUNKS)
+            if not page.records:
+                break
+            found += page.records
+            start = page.next_offset
+        return found
+
+    def _turn(self) -> bool:
+        now = self.clock.monotonic()
+        if not self.log.current or not self.due():
+            self._due_since = None
+            return False
+        if self._due_since is None:
+            self._due_since = now
+        if now - self._written_at < MIN_GAP_S:
+            return False
+        if self.is_mine("checkpoint"):
+            return True
+        # Whose turn it is may hang or be cut off. Two that step in at once do no harm: both write
+        # the same decided state, and the newest whole checkpoint counts.
+        return now - self._due_since > STEP_IN_S * random.uniform(1, 2)
+
+    def _age_s(self) -> float:
+        if self.log.state.checkpoint_offset < 0:
+            return 0.0
+        # By the local clock, which decides only when to write and never what.
+        return max(0.0, self.clock.wall() - self.log.state.checkpoint_time)
+
+
+def _chunk(record: LogRecord) -> ChunkBody | None:
+    try:
+        value = records.check(record.value)
+        body = msgspec.convert(value["body"], ChunkBody)
+    except (RecordRejected, msgspec.ValidationError):
         return None
+    return body if 0 <= body.chunk < body.chunks <= MAX_CHUNKS else None
--- a/mustardgap/folds.py
+++ b/mustardgap/folds.py
@@ -8,9 +8,17 @@
 
 import msgspec
 
-from . import config_rules, host_rules, job_rules, records, status_codes, wave_rules
+from . import (
+    checkpoint_rules,
+    config_rules,
+    host_rules,
+    job_rules,
+    records,
+    status_codes,
+    wave_rules,
+)
 from .exceptions import RecordRejected
-from .models import ConfigBody, HostBody, JobBody, LogRecord, Record, WaveBody
+from .models import CheckpointBody, ConfigBody, HostBody, JobBody, LogRecord, Record, WaveBody
 from .outcomes import Accepted, Rejected, Verdict
 from .states import Decided, State
 
@@ -32,6 +40,7 @@
     "config": Rule(ConfigBody, config_rules.check, config_rules.put),
     "host": Rule(HostBody, host_rules.check, host_rules.put),
     "job": Rule(JobBody, job_rules.check, job_rules.put),
+    "checkpoint": Rule(CheckpointBody, checkpoint_rules.check, checkpoint_rules.put),
     "wave": Rule(WaveBody, wave_rules.check, wave_rules.put),
 }
 
--- a/mustardgap/models.py
+++ b/mustardgap/models.py
@@ -104,7 +104,7 @@
 
 # Records on the log.
 
-RecordKind = Literal["config", "host", "job", "wave", "checkpoint", "carry"]
+RecordKind = Literal["config", "host", "job", "wave", "checkpoint", "chunk"]
 
 
 class Record(TypedDict):
@@ -167,6 +167,13 @@
     reason: NotRequired[str]
 
 
+class CheckpointBody(TypedDict):
+    """Tells that the state up to an offset stands on the checkpoint stream."""
+
+    offset: int
+    chunks: int
+
+
 class HostFacts(TypedDict):
     """What doesn't change while a host lives."""
 
--- /dev/null
+++ b/mustardgap/snapshots.py
@@ -0,0 +1,113 @@
+"""The state coded as a snapshot, for checkpoints and for peers."""
+
+import zlib
+from typing import Any
+
+import msgspec
+
+from . import status_codes
+from .exceptions import RecordRejected
+from .models import RULES_VERSION, Declaration, HostState, JobState, WaveState
+from .states import Decided, State
+
+FORMAT = 1
+MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
+COMPRESSION = 6
+
+
+class Snapshot(msgspec.Struct, kw_only=True):
+    """The state as it is coded; indexes are built anew when it is read."""
+
+    format: int
+    rules: int
+    offset: int
+    time: float
+    floor: int
+    sweep: int
+    checkpoint: tuple[int, float]
+    declarations: list[tuple[str, int, dict[str, Any]]]
+    hosts: list[HostState]
+    jobs: list[JobState]
+    waves: list[WaveState]
+    decided: list[tuple[str, int, int]]
+    ended_jobs: list[str]
+
+
+class Header(msgspec.Struct, kw_only=True):
+    """What is read first, so that a newer daemon's snapshot is refused and not guessed at."""
+
+    format: int
+    rules: int
+
+
+def encode(state: State) -> bytes:
+    """Code the state as a snapshot."""
+    return compress(pack(state))
+
+
+def compress(packed: bytes) -> bytes:
+    """Compress a packed state; it may run in a thread, as zlib lets others run meanwhile."""
+    return zlib.compress(packed, COMPRESSION)
+
+
+def pack(state: State) -> bytes:
+    """Pack the state as it is now."""
+    snapshot = Snapshot(
+        format=FORMAT,
+        rules=RULES_VERSION,
+        offset=state.offset,
+        time=state.time,
+        floor=state.floor,
+        sweep=state.sweep,
+        checkpoint=(state.checkpoint_offset, state.checkpoint_time),
+        declarations=[tuple(d) for d in state.declarations_by_key.values()],  # type: ignore[misc]
+        hosts=list(state.hosts_by_name.values()),
+        jobs=list(state.jobs_by_id.values()),
+        waves=list(state.waves_by_name.values()),
+        decided=[(key, *decided) for key, decided in state.decided_by_id.items()],
+        ended_jobs=list(state.ended_jobs),
+    )
+    return msgspec.msgpack.encode(snapshot)
+
+
+def decode(data: bytes) -> State:
+    """Read a snapshot.
+
+    :param data: what ``encode`` gave.
+    :rtype: State
+    :raises RecordRejected: MG3004 for a newer daemon's, MG3012 for a damaged one.
+    """
+    try:
+        inflater = zlib.decompressobj()
+        raw = inflater.decompress(data, MAX_SNAPSHOT_BYTES)
+        if not inflater.eof:
+            raise RecordRejected(code=status_codes.RECORD_INVALID, detail="cut short or too large")
+        header = msgspec.msgpack.decode(raw, type=Header)
+        if header.format > FORMAT or header.rules > RULES_VERSION:
+            detail = f"a snapshot of rules {header.rules}, this daemon has {RULES_VERSION}"
+            raise RecordRejected(code=status_codes.RULES_TOO_NEW, detail=detail)
+        snapshot = msgspec.msgpack.decode(raw, type=Snapshot)
+    except (zlib.error, msgspec.DecodeError) as exc:
+        raise RecordRejected(code=status_codes.RECORD_INVALID, detail=str(exc)) from None
+    return _state(snapshot)
+
+
+def _state(snapshot: Snapshot) -> State:
+    state = State()
+    state.offset = snapshot.offset
+    state.time = snapshot.time
+    state.floor = snapshot.floor
+    state.sweep = snapshot.sweep
+    state.checkpoint_offset, state.checkpoint_time = snapshot.checkpoint
+    state.put_declarations((Declaration(*parts) for parts in snapshot.declarations), [])
+    for host in snapshot.hosts:
+        state.put_host(host)
+    for job in snapshot.jobs:
+        state.put_job(job)
+    state.ended_jobs.clear()
+    state.ended_jobs.extend(snapshot.ended_jobs)
+    for wave in snapshot.waves:
+        state.put_wave(wave)
+    for record_id, offset, code in snapshot.decided:
+        state.decided_by_id[record_id] = Decided(offset, code)
+    return state
--- a/mustardgap/states.py
+++ b/mustardgap/states.py
@@ -55,6 +55,8 @@
         self.decided_by_id: dict[str, Decided] = {}
         self.floor = 0
         self.sweep = 0
+        self.checkpoint_offset = -1
+        self.checkpoint_time = 0.0
         self.ended_jobs: deque[str] = deque()
         self.hosts_by_pool: dict[str, set[str]] = {}
         self.pools_by_service: dict[str, list[str]] = {}
@@ -179,6 +181,8 @@
             self.time,
             self.floor,
             self.sweep,
+            self.checkpoint_offset,
+            self.checkpoint_time,
             {key: tuple(d) for key, d in self.declarations_by_key.items()},
             self.hosts_by_name,
             self.jobs_by_id,
--- a/mustardgap/streams.py
+++ b/mustardgap/streams.py
@@ -10,9 +10,10 @@
 import msgspec
 from absl import logging
 
-from . import checkpoints, folds, metrics, records, status_codes
+from . import folds, metrics, records, snapshots, status_codes
 from .adapters import Platform
 from .appends import Appender, Pending, Purpose
+from .checkpoints import Checkpoints
 from .exceptions import LogExpired, PlatformError, RecordRejected
 from .models import LogRecord, Page
 from .outcomes import Accepted, Verdict
@@ -65,8 +66,8 @@
             timeout_s=settings.timeout_s,
             clock=self.clock,
         )
-        self.checkpoints = checkpoints.Checkpoints(
-            platform=platform, settings=settings, clock=self.clock, member=member
+        self.checkpoints = Checkpoints(
+            platform=platform, settings=settings, clock=self.clock, log=self
         )
         self.why_not_current: Code | None = status_codes.LOG_UNAVAILABLE
         self._known_at = -math.inf
@@ -102,6 +103,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._read_on())
             group.create_task(self.appender.run())
+            group.create_task(self.checkpoints.run())
 
     async def write(
         self,
@@ -181,7 +183,7 @@
 
     def snapshot(self) -> bytes:
         """The folded state, coded for a peer."""
-        return checkpoints.encode(self.state)
+        return snapshots.encode(self.state)
 
     def restore(self, data: bytes) -> bool:
         """Take over a snapshot; one that isn't newer than the own state changes nothing.
@@ -189,7 +191,7 @@
         :return: whether it was taken over.
         :raises RecordRejected: MG3004 or MG3012, it can't be read.
         """
-        state = checkpoints.decode(data)
+        state = snapshots.decode(data)
         if state.offset <= self.offset:
             return False
         self.state = state
@@ -201,11 +203,15 @@
         return True
 
     async def _read_on(self) -> None:
+        if self.offset == 0:
+            # The newest checkpoint spares most of the reading; without one the log has it all.
+            await self._catch_up()
         while True:
             started = self.clock.monotonic()
             try:
                 page = await self._read_page()
             except LogExpired:
+                self._not_current(status_codes.LOG_EXPIRED)
                 if not await self._catch_up():
                     await self._back_off()
                 continue
@@ -241,11 +247,10 @@
                 await asyncio.sleep(0)
         if self.offset >= page.end:
             self._know(started)
-        await self.checkpoints.maybe_write(self.state, page)
+        self.checkpoints.oldest = page.oldest
 
     async def _catch_up(self) -> bool:
-        """Start from the newest checkpoint, as the log no longer has the next record."""
-        self._not_current(status_codes.LOG_EXPIRED)
+        """Go on from the newest checkpoint on the log, if it is newer than the own state."""
         try:
             loaded = await self.checkpoints.load()
             return loaded is not None and self.restore(loaded.data)
