Claim Idempotency-Keys on the log, the first in its order holds

Cause: the same key sent through another entry host must not run twice, also while hosts come, go or freeze, and no host of the system's own is set aside for control. Ruled out: an owner by hashing over the members (two hosts that see different members would both own a key); a lease (lapses while its holder is paused); waiting for the append's answer alone (it may be lost, so a claim counts once it is read back). Conclusion: claims, ends and releases are folded by log order; a release makes its claim void in either order, so a claim whose append's answer was lost is taken back truthfully.

--- /dev/null
+++ b/mustardgap/claims.py
@@ -0,0 +1,161 @@
+"""The records of Idempotency-Keys on the log, and the rule by which every entry host reads them.
+
+The first claim of a key in the order of the log holds it. A claim that was released is void, also
+when it turns up later or twice, so that an append whose answer was lost can be taken back.
+"""
+
+from base64 import b64decode, b64encode
+from collections import OrderedDict
+from typing import Any, Literal, NamedTuple
+
+import msgspec
+from xxhash import xxh3_128_hexdigest
+
+from .models import LogRecord
+from .outcomes import Answered, NotRun, Outcome, Streamed
+
+MAX_KEPT_BYTES = 4096
+
+
+class ClaimRecord(msgspec.Struct, kw_only=True, frozen=True, tag="claim", tag_field="kind"):
+    """A member wants to run the request of a key; it ends by ``until``, seconds since the epoch."""
+
+    id: str
+    key: str
+    fingerprint: str
+    member: str
+    until: float
+
+
+class ReleaseRecord(msgspec.Struct, kw_only=True, frozen=True, tag="release", tag_field="kind"):
+    """The request of a claim certainly wasn't run and won't be."""
+
+    id: str
+    key: str
+
+
+class DoneRecord(msgspec.Struct, kw_only=True, frozen=True, tag="done", tag_field="kind"):
+    """The request of a claim ran; ``kept`` tells whether the answer is here."""
+
+    id: str
+    key: str
+    status: int
+    headers: list[tuple[str, str]] = []
+    body: str = ""
+    kept: bool = False
+
+    def answer(self) -> bytes:
+        """The body that was kept."""
+        return b64decode(self.body)
+
+
+class LostRecord(msgspec.Struct, kw_only=True, frozen=True, tag="lost", tag_field="kind"):
+    """The request of a claim may have run, and its answer was lost."""
+
+    id: str
+    key: str
+
+
+EndRecord = ReleaseRecord | DoneRecord | LostRecord
+KeyRecord = ClaimRecord | ReleaseRecord | DoneRecord | LostRecord
+
+EntryState = Literal["running", "done", "lost"]
+
+
+class Entry(NamedTuple):
+    """The claim that holds a key; ``offset`` is that of its end, -1 while it runs."""
+
+    id: str
+    fingerprint: str
+    until: float
+    time: float
+    state: EntryState = "running"
+    offset: int = -1
+
+
+def hash_key(service: str, key: str) -> str:
+    """The hash under which a key of a service stands on the log."""
+    return xxh3_128_hexdigest(f"{service}\0{key}".encode())
+
+
+def make_fingerprint(method: str, target: str, body: bytes) -> str:
+    """What tells two requests apart that carry the same key."""
+    return xxh3_128_hexdigest(f"{method}\0{target}\0".encode() + body)
+
+
+def make_end(claim_id: str, key: str, outcome: Outcome) -> EndRecord:
+    """The record that ends a claim with the outcome of its request."""
+    if isinstance(outcome, NotRun):
+        return ReleaseRecord(id=claim_id, key=key)
+    if isinstance(outcome, Streamed):
+        return DoneRecord(id=claim_id, key=key, status=outcome.status)
+    if not isinstance(outcome, Answered):
+        return LostRecord(id=claim_id, key=key)
+    size = len(outcome.body) + sum(len(n) + len(v) for n, v in outcome.headers)
+    if size > MAX_KEPT_BYTES:
+        return DoneRecord(id=claim_id, key=key, status=outcome.status)
+    return DoneRecord(
+        id=claim_id,
+        key=key,
+        status=outcome.status,
+        headers=outcome.headers,
+        body=b64encode(outcome.body).decode("ascii"),
+        kept=True,
+    )
+
+
+def decode(value: Any) -> KeyRecord | None:
+    """Decode a record of the log, None when it isn't one of a key."""
+    try:
+        return msgspec.convert(value, KeyRecord)  # type: ignore[arg-type]
+    except msgspec.ValidationError:
+        return None
+
+
+class Ledger:
+    """The claims in force, folded in the order of the log.
+
+    What is forgotten goes by the log's own time, so that all entry hosts forget alike.
+
+    :param ttl_s: seconds after which a key is forgotten.
+    """
+
+    def __init__(self, *, ttl_s: float) -> None:
+        self.ttl_s = ttl_s
+        self.by_key: OrderedDict[str, Entry] = OrderedDict()
+        self._released: OrderedDict[str, float] = OrderedDict()
+
+    def fold(self, record: LogRecord) -> KeyRecord | None:
+        """Take a record in.
+
+        :return: the record decoded.
+        """
+        value = decode(record.value)
+        self._expire(record.time - self.ttl_s)
+        if isinstance(value, ClaimRecord):
+            self._claim(value, record.time)
+        elif value is not None:
+            self._end(value, record)
+        return value
+
+    def _claim(self, claim: ClaimRecord, time: float) -> None:
+        if claim.key in self.by_key or claim.id in self._released:
+            return
+        self.by_key[claim.key] = Entry(claim.id, claim.fingerprint, claim.until, time)
+
+    def _end(self, end: EndRecord, record: LogRecord) -> None:
+        entry = self.by_key.get(end.key)
+        holds = entry is not None and entry.id == end.id
+        if isinstance(end, ReleaseRecord):
+            self._released[end.id] = record.time
+            if holds:
+                del self.by_key[end.key]
+        elif holds and entry is not None and entry.state != "done":
+            state: EntryState = "done" if isinstance(end, DoneRecord) else "lost"
+            self.by_key[end.key] = entry._replace(state=state, offset=record.offset)
+
+    def _expire(self, before: float) -> None:
+        while self.by_key and next(iter(self.by_key.values())).time < before:
+            self.by_key.popitem(last=False)
+        while self._released and next(iter(self._released.values())) < before:
+            self._released.popitem(last=False)
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -91,7 +91,7 @@
             return self._too_large()
         if self._over_limit:
             detail = "too many connections"
-            return NotRun(code=status_codes.QUEUE_FULL, detail=detail, retry_after=2.0)
+            return NotRun(code=status_codes.OVER_BUDGET, detail=detail, retry_after=2.0)
         if self._line.path.startswith(OWN_PATHS):
             return None
         return self.host.refusal()
--- a/mustardgap/keys.py
+++ b/mustardgap/keys.py
@@ -1,25 +1,49 @@
 """Claims of Idempotency-Keys on the platform's log: the same key runs once, through any host."""
 
-from typing import Any, NamedTuple
+import asyncio
+import random
+import uuid
+from collections import OrderedDict
+from typing import NamedTuple
 
-from . import status_codes
-from .outcomes import NotRun, Outcome
+from . import claims, metrics, status_codes
+from .claim_logs import ClaimLog, HasLog
+from .claims import ClaimRecord, DoneRecord, Entry, ReleaseRecord
+from .exceptions import LogExpired, PlatformError
+from .outcomes import AlreadyRan, Answered, NotRun, Outcome, Unknown
 from .settings import Settings
+from .status_codes import Code
 from .timers import Clock
 from .upstreams import Request
 
+MAX_KEY_LENGTH = 255
+RECENT_ANSWERS = 1000
+# How far the clocks of entry hosts may differ before a run that goes on is taken for lost.
+SKEW_S = 2.0
+RETRY_AFTER_S = 2.0
+FLUSH_CHECK_S = 0.02
+
 
 class Claim(NamedTuple):
     """The right to run the request of one key."""
 
     id: str
-    service: str
     key: str
 
 
+class _Pending(NamedTuple):
+    """A claim on its way to the log; ``decided`` is whether it was won, None for refused."""
+
+    record: ClaimRecord
+    decided: "asyncio.Future[bool | None]"
+
+
 class Keys:
     """The claims of all entry hosts, as read from the log.
 
+    A claim counts when it has been read back from the log: all that stands before it is known
+    then, so no clock, lease or membership takes part in the decision who runs a request.
+
     :param settings: the daemon's settings.
     :param platform: the log.
     :param member: this entry host's name and incarnation.
@@ -27,19 +51,183 @@
     """
 
     def __init__(
-        self, *, settings: Settings, platform: Any, member: str, clock: Clock | None = None
+        self, *, settings: Settings, platform: HasLog, member: str, clock: Clock | None = None
     ) -> None:
         self.settings = settings
         self.platform = platform
         self.member = member
         self.clock = clock or Clock()
+        self._log = ClaimLog(settings=settings, platform=platform, claimant=self, clock=self.clock)
+        self._pending_by_id: dict[str, _Pending] = {}
+        self._pending_by_key: dict[str, _Pending] = {}
+        self._recent: OrderedDict[str, DoneRecord] = OrderedDict()
 
     async def run(self) -> None:
         """Read and append until cancelled."""
+        await self._log.run()
+
+    async def flush(self, *, timeout_s: float) -> bool:
+        """Wait until all ends of claims stand on the log, for a planned stop.
+
+        :return: whether they do.
+        """
+        deadline = self.clock.monotonic() + timeout_s
+        while not self._log.is_settled() and self.clock.monotonic() < deadline:
+            await self.clock.sleep(FLUSH_CHECK_S)
+        return self._log.is_settled()
 
     async def claim(self, service: str, request: Request, *, deadline: float) -> Claim | Outcome:
-        """Claim the key of a request."""
-        return NotRun(code=status_codes.KEY_UNDECIDED)
+        """Claim the key of a request, or tell what became of it.
+
+        :param service: the service that the request is for.
+        :param request: a request with an Idempotency-Key.
+        :param deadline: the clock's monotonic seconds by which the request must have ended.
+        :return: the claim, when the request may be run now.
+        """
+        text = request.headers["Idempotency-Key"]
+        if not 0 < len(text) <= MAX_KEY_LENGTH:
+            detail = f"an Idempotency-Key has 1 to {MAX_KEY_LENGTH} characters"
+            return NotRun(code=status_codes.BAD_REQUEST, detail=detail)
+        key = claims.hash_key(service, text)
+        fingerprint = claims.make_fingerprint(request.method, request.target, request.body)
+        result = await self._claim(key, fingerprint, deadline)
+        name = "claimed" if isinstance(result, Claim) else result.code.name
+        metrics.keys_claimed.add(1, {"result": name})
+        return result
 
     def finish(self, claim: Claim, outcome: Outcome) -> None:
-        """Note the outcome of a claimed request."""
+        """Put the outcome of a claimed request on the log.
+
+        :param claim: the claim, which ends.
+        :param outcome: what became of the request.
+        """
+        end = claims.make_end(claim.id, claim.key, outcome)
+        if isinstance(end, DoneRecord):
+            self._keep(end)
+        self._log.put(end)
+
+    async def _claim(self, key: str, fingerprint: str, deadline: float) -> Claim | Outcome:
+        entry = self._log.ledger.by_key.get(key)
+        if entry is not None:
+            return await self._settle(key, entry, fingerprint)
+        pending = self._pending_by_key.get(key)
+        if pending is not None:
+            same = pending.record.fingerprint == fingerprint
+            return _not_run(status_codes.KEY_IN_USE if same else status_codes.KEY_REUSED)
+        why = self._why_undecided()
+        if why:
+            return _not_run(status_codes.KEY_UNDECIDED, why)
+        return await self._claim_new(key, fingerprint, deadline)
+
+    def _why_undecided(self) -> str:
+        if len(self._log.ledger.by_key) >= self.settings.requests.max_keys:
+            return "there are too many keys to remember"
+        return self._log.why_unusable()
+
+    async def _claim_new(self, key: str, fingerprint: str, deadline: float) -> Claim | Outcome:
+        left = deadline - self.clock.monotonic()
+        record = ClaimRecord(
+            id=uuid.uuid4().hex,
+            key=key,
+            fingerprint=fingerprint,
+            member=self.member,
+            until=self.clock.wall() + left,
+        )
+        pending = _Pending(record, asyncio.get_running_loop().create_future())
+        self._pending_by_id[record.id] = self._pending_by_key[key] = pending
+        self._log.put(record)
+        try:
+            async with asyncio.timeout(min(left, self.settings.requests.claim_timeout_s)):
+                won = await pending.decided
+        except TimeoutError:
+            self._abandon(record)
+            return _not_run(status_codes.KEY_UNDECIDED, "the claim wasn't read back in time")
+        except asyncio.CancelledError:
+            self._abandon(record)
+            raise
+        finally:
+            del self._pending_by_id[record.id]
+            del self._pending_by_key[key]
+        if won is None:
+            return _not_run(status_codes.KEY_UNDECIDED, "the log took no claim")
+        if won:
+            return Claim(record.id, key)
+        entry = self._log.ledger.by_key.get(key)
+        if entry is None:
+            return _not_run(status_codes.KEY_IN_USE)
+        return await self._settle(key, entry, fingerprint)
+
+    def _abandon(self, record: ClaimRecord) -> None:
+        # The claim may stand on the log already, or may come to stand there later because its
+        # append is still on the way. The caller is told that nothing was run, so nobody may take
+        # the claim for one that runs: a release makes it void in either order.
+        self._log.withdraw(record)
+        self._log.put(ReleaseRecord(id=record.id, key=record.key))
+
+    async def _settle(self, key: str, entry: Entry, fingerprint: str) -> Outcome:
+        """Tell what became of the request that holds a key."""
+        if entry.fingerprint != fingerprint:
+            return _not_run(status_codes.KEY_REUSED)
+        if entry.id in self._recent:
+            return _replay(self._recent[entry.id])
+        if entry.state == "done":
+            return await self._read_answer(entry)
+        left = entry.until + SKEW_S - self.clock.wall()
+        if entry.state == "lost" or left <= 0:
+            return Unknown(code=status_codes.UNKNOWN_KEY)
+        return _not_run(status_codes.KEY_IN_USE, retry_after=min(2.0, left))
+
+    async def _read_answer(self, entry: Entry) -> Outcome:
+        # Answers stay on the log and aren't held here: an hour of them would not fit.
+        try:
+            async with asyncio.timeout(self.settings.requests.claim_timeout_s):
+                page = await self._log.platform.read(self._log.stream, entry.offset, limit=1)
+        except (PlatformError, TimeoutError):
+            detail = "it ran; its answer can't be read now"
+            return _not_run(status_codes.KEY_UNDECIDED, detail)
+        except LogExpired:
+            return AlreadyRan(status=0, detail="it ran; its answer is no longer kept")
+        done = claims.decode(page.records[0].value) if page.records else None
+        if not isinstance(done, DoneRecord) or done.id != entry.id:
+            return AlreadyRan(status=0, detail="it ran; its answer is no longer kept")
+        self._keep(done)
+        return _replay(done)
+
+    def _keep(self, done: DoneRecord) -> None:
+        self._recent[done.id] = done
+        while len(self._recent) > RECENT_ANSWERS:
+            self._recent.popitem(last=False)
+
+    def decide(self, record: ClaimRecord) -> None:
+        """Take in that a claim was read back: the ledger says who holds the key."""
+        pending = self._pending_by_id.get(record.id)
+        if pending is not None and not pending.decided.done():
+            entry = self._log.ledger.by_key.get(record.key)
+            pending.decided.set_result(entry is not None and entry.id == record.id)
+
+    def refuse(self, record: ClaimRecord) -> None:
+        """Take in that a claim certainly doesn't stand on the log."""
+        pending = self._pending_by_id.get(record.id)
+        if pending is not None and not pending.decided.done():
+            pending.decided.set_result(None)
+
+    def waits_for(self, record: ClaimRecord) -> bool:
+        """Whether a request still waits for a claim."""
+        pending = self._pending_by_id.get(record.id)
+        return pending is not None and not pending.decided.done()
+
+
+def _not_run(code: Code, detail: str = "", retry_after: float = RETRY_AFTER_S) -> NotRun:
+    """A refusal with a time to come back that is spread, so that not all come at once."""
+    return NotRun(code=code, detail=detail, retry_after=random.uniform(0.5, 1.5) * retry_after)
+
+
+def _replay(done: DoneRecord) -> Outcome:
+    if not done.kept:
+        return AlreadyRan(status=done.status)
+    return Answered(
+        status=done.status,
+        headers=done.headers,
+        body=done.answer(),
+        code=status_codes.REPLAYED,
+    )
--- a/mustardgap/settings.py
+++ b/mustardgap/settings.py
@@ -152,6 +152,9 @@
     key_ttl_s: Annotated[Seconds, about("Time for which an Idempotency-Key is remembered.")] = (
         3600.0
     )
+    max_keys: Annotated[
+        Count, about("Idempotency-Keys remembered at most; new ones are refused above.")
+    ] = 200_000
     eject_after: Annotated[Count, about("Failures in a row that eject an executor.")] = 5
     eject_s: Annotated[ShortSeconds, about("Time for which an executor is ejected at first.")] = 5.0
     slow_start_s: Annotated[
