--- a/tools/load.py
+++ b/tools/load.py
@@ -19,10 +19,12 @@
 from .balancers import Balancer, Exchange, Unreached
 from .told import Told, judge
 
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 GRACE_S = 3.0
 MAX_RETRY_AFTER_S = 3.0
 MAX_SECONDS = 900.0
 Positive = Annotated[float, Meta(gt=0, le=MAX_SECONDS)]
+Size = Annotated[int, Meta(ge=0, le=16_000_000)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 
 
@@ -36,26 +38,29 @@
 class Kind(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """One kind of request in the mix.
 
-    ``keyed`` sends an Idempotency-Key; ``twice`` is the share sent again at the same time through
-    another entry host, and ``ask_again`` how often a keyed request whose outcome is open, or that
-    was refused, is sent again with its key.
+    ``idempotent`` is None for what the method says by itself. ``keyed`` sends an Idempotency-Key;
+    ``twice`` is the share sent again at the same time through another entry host, and
+    ``ask_again`` how often a keyed request whose outcome is open, or that was refused, is sent
+    again with its key.
     """
 
     service: str
     path: str
     method: str = "GET"
     weight: float = 1.0
-    query: str = ""
-    body_bytes: Annotated[int, Meta(ge=0, le=16_000_000)] = 0
+    body_bytes: Size = 0
+    answer_bytes: Size = 0
     timeout_s: Positive = 5.0
     keyed: bool = False
     twice: Share = 0.0
     ask_again: Annotated[int, Meta(ge=0, le=20)] = 0
+    idempotent: bool | None = None
 
-    @property
-    def idempotent(self) -> bool:
-        """Whether the method alone allows a second run."""
-        return self.method in ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+    def may_run_twice(self) -> bool:
+        """Whether a second run does no harm."""
+        if self.idempotent is not None:
+            return self.idempotent
+        return self.method in IDEMPOTENT_METHODS
 
 
 class Plan(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -165,11 +170,7 @@
     async def _send(self, name: str, index: int, stage: int, due: float, *, number: int) -> Told:
         kind = self.plan.mix[index]
         request_id = f"{name}.{number}"
-        headers = {
-            "X-Request-Id": request_id,
-            "X-Request-Timeout": f"{kind.timeout_s:g}",
-            "X-Load-Id": request_id,
-        }
+        headers = {"X-Request-Id": request_id, "X-Request-Timeout": f"{kind.timeout_s:g}"}
         if kind.keyed:
             headers["Idempotency-Key"] = f'"{name}"'
         sent = time.time()
@@ -177,7 +178,7 @@
         with suppress(Unreached):
             exchange = await self.balancer.send(
                 method=kind.method,
-                path=f"{kind.path}?{kind.query}" if kind.query else kind.path,
+                path=f"{kind.path}?load={name}&size={kind.answer_bytes}",
                 headers=headers,
                 body=self._bodies[index],
                 timeout_s=kind.timeout_s + GRACE_S,
@@ -185,10 +186,11 @@
         latency_s = asyncio.get_running_loop().time() - due
         return judge(
             exchange,
+            body=self._bodies[index],
             id=request_id,
-            key=name if kind.keyed else "",
+            keyed=kind.keyed,
             service=kind.service,
-            idempotent=kind.idempotent,
+            idempotent=kind.may_run_twice(),
             kind=index,
             stage=stage,
             sent=sent,
--- a/tools/told.py
+++ b/tools/told.py
@@ -1,29 +1,41 @@
 """What a caller was told of one request, and summaries of many with HDR histograms."""
 
+import hashlib
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from typing import Any, NamedTuple
+from urllib.parse import parse_qs, urlsplit
 
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from mustardgap.status_codes import REPLAYED
+from standins.answers import pieces
+
 from .balancers import Exchange
 
 MAX_LATENCY_US = 600_000_000
 
 
+class AnswerHead(msgspec.Struct):
+    """The first line of an executor's answer, as far as it is compared."""
+
+    path: str
+    digest: str
+
+
 class Told(msgspec.Struct, array_like=True, kw_only=True):
     """What one caller was told of one request.
 
     ``outcome`` is ``answered``, ``refused`` (said not to have run), ``unknown`` (said that it may
     have run), ``broken`` (the connection broke, so nothing was said), ``silent`` (nothing came in
-    time), ``cut`` (an answer began and broke off), ``mixed`` (an answer to another request) or
-    ``unreached`` (no entry host took the connection). ``replayed`` is set for the kept answer of
-    an earlier request with the same key.
+    time), ``cut`` (an answer began and broke off), ``mixed`` (an answer to another request),
+    ``unreached`` (no entry host took the connection) or ``failed`` (an error without a code).
+    ``replayed`` is set for the kept answer of an earlier request with the same key.
     """
 
     id: str
-    key: str
+    keyed: bool
     service: str
     idempotent: bool
     kind: int
@@ -39,25 +51,35 @@
     replayed: bool = False
     detail: str = ""
 
+    @property
+    def name(self) -> str:
+        """What copies and repeats of one request have in common."""
+        return self.id.rpartition(".")[0]
+
     @property
     def is_open(self) -> bool:
         """Whether the caller should ask again."""
         return self.outcome not in ("answered", "mixed")
 
 
-def judge(exchange: Exchange | None, **facts: Any) -> Told:
-    """Name the outcome of one exchange; ``facts`` are the request's own fields of ``Told``."""
+def judge(exchange: Exchange | None, *, body: bytes, **facts: Any) -> Told:
+    """Name the outcome of one exchange.
+
+    :param exchange: what came back, None when nothing was sent.
+    :param body: the request's body, whose digest the answer must hold.
+    :param facts: the request's own fields of ``Told``.
+    """
     if exchange is None:
         return Told(outcome="unreached", **facts)
     code = _number(exchange.headers.get("X-Result-Code", "").removeprefix("MG"))
     return Told(
-        outcome=_outcome(exchange, facts["id"], code),
+        outcome=_outcome(exchange, facts["id"], code, body),
         entry=exchange.entry,
         status=exchange.status,
         code=code,
         size=exchange.size,
         retry_after=max(0, _number(exchange.headers.get("Retry-After", ""))),
-        replayed=code == 1001,
+        replayed=code == REPLAYED.number,
         detail=exchange.error,
         **facts,
     )
@@ -67,7 +89,7 @@
     return int(text) if text.isdecimal() else -1
 
 
-def _outcome(exchange: Exchange, request_id: str, code: int) -> str:
+def _outcome(exchange: Exchange, request_id: str, code: int, body: bytes) -> str:
     if not exchange.status:
         return "silent" if exchange.error == "timeout" else "broken"
     if not exchange.whole:
@@ -78,14 +100,25 @@
         return "refused"
     if 1200 <= code < 1300:
         return "unknown"
-    return "answered" if _is_own(exchange, request_id) else "mixed"
+    if code < 0 and exchange.status >= 400:
+        return "failed"
+    return _whole_or_mixed(exchange, request_id.rpartition(".")[0], body)
 
 
-def _is_own(exchange: Exchange, request_id: str) -> bool:
-    # A kept answer was made for the earlier request with the same key: its id differs only after
-    # the last dot, which numbers the copies.
-    made_for = exchange.headers.get("X-Load-Id", request_id)
-    return made_for.rpartition(".")[0] == request_id.rpartition(".")[0]
+def _whole_or_mixed(exchange: Exchange, name: str, body: bytes) -> str:
+    """Compare an answer with what an executor makes of this request."""
+    head = exchange.head.partition(b"\n")[0]
+    try:
+        value = msgspec.json.decode(head, type=AnswerHead)
+    except msgspec.MsgspecError:
+        return "mixed"
+    asked = parse_qs(urlsplit(value.path).query)
+    if asked.get("load") != [name] or value.digest != hashlib.sha256(body).hexdigest():
+        return "mixed"
+    digest = hashlib.sha256()
+    for piece in pieces(head, int(asked.get("size", ["0"])[0])):
+        digest.update(piece)
+    return "answered" if digest.hexdigest() == exchange.digest else "cut"
 
 
 class Summary(NamedTuple):
