--- /dev/null
+++ b/mustardgap/candidates.py
@@ -0,0 +1,100 @@
+"""Which host to take next: from the spare pool, or from a group that can do without it."""
+
+import heapq
+from collections.abc import Collection, Iterator
+
+from .models import HostState
+from .placements import Fleet, Group
+from .plans import Draft
+from .states import domain_of
+
+
+class Candidates:
+    """The free hosts in the order in which a group should take them.
+
+    A rack ranks by how few of the group's hosts it and its data center hold, then by how many free
+    hosts it has, so that the racks fill evenly and later groups still find distinct ones. Ranks
+    only fall while hosts are taken, so a rack is ranked again when it comes up.
+
+    :param fleet: the index.
+    :param group: the group that needs hosts.
+    """
+
+    def __init__(self, *, fleet: Fleet, group: Group) -> None:
+        self._fleet = fleet
+        self._group = group
+        self._racks_by_data_center: dict[str, list[tuple[int, int, str]]] = {}
+        for rack, free in fleet.free_ids_by_rack.items():
+            facts = fleet.hosts_by_id[next(iter(free))]["facts"]
+            racks = self._racks_by_data_center.setdefault(facts["data_center"], [])
+            racks.append(self._rank(rack))
+        for racks in self._racks_by_data_center.values():
+            heapq.heapify(racks)
+
+    def take(self) -> HostState | None:
+        """Return the best free host; the caller must assign it before it calls again."""
+        best: tuple[tuple[int, int, int, int], str] | None = None
+        for data_center, racks in self._racks_by_data_center.items():
+            self._refresh(racks)
+            if racks:
+                size, free, rack = racks[0]
+                held = self._group.size_by_data_center[data_center]
+                lost = self._group.requirement.survive == "data_center"
+                rank = ((held if lost else size, size, held, free), rack)
+                best = rank if best is None else min(best, rank)
+        return None if best is None else self._pick(best[1])
+
+    def _refresh(self, racks: list[tuple[int, int, str]]) -> None:
+        while racks:
+            rack = racks[0][-1]
+            if rack not in self._fleet.free_ids_by_rack:
+                heapq.heappop(racks)
+                continue
+            rank = self._rank(rack)
+            if rank == racks[0]:
+                return
+            heapq.heapreplace(racks, rank)
+
+    def _rank(self, rack: str) -> tuple[int, int, str]:
+        return self._group.size_by_rack[rack], -len(self._fleet.free_ids_by_rack[rack]), rack
+
+    def _pick(self, rack: str) -> HostState:
+        pools = self._group.requirement.pools
+        hosts = [self._fleet.hosts_by_id[h] for h in self._fleet.free_ids_by_rack[rack]]
+        return min(hosts, key=lambda h: (h["pool"] not in pools, h["host"]))
+
+
+def surplus_hosts(draft: Draft, group: Group) -> Iterator[HostState]:
+    """The hosts that a group can lose, those in its fullest failure domains first."""
+    fleet = draft.fleet
+    ids = group.top_ids()
+    if group.margin > 0:
+        rest = sorted(h for held in group.ids_by_domain.values() for h in held)
+        ids += [h for h in rest if h not in set(ids)]
+    for host_id in ids:
+        host = fleet.hosts_by_id[host_id]
+        if host_id not in draft.touched and group.can_lose(host):
+            yield host
+
+
+def least_urgent_first(group: Group) -> tuple[int, str]:
+    """Sort groups by falling urgency number."""
+    return -group.requirement.urgency, group.requirement.name
+
+
+def find_donation(draft: Draft, group: Group, held_names: Collection[str] = ()) -> HostState | None:
+    """Find the host that another group can best do without, the least urgent group first."""
+    fleet = draft.fleet
+    donors = [fleet.groups_by_name[n] for n in fleet.over_names if n not in held_names]
+    for donor in sorted(donors, key=least_urgent_first):
+        hosts = surplus_hosts(draft, donor) if donor is not group else iter(())
+        best = min(hosts, key=lambda host: _crowding(group, host), default=None)
+        if best is not None:
+            return best
+    return None
+
+
+def _crowding(group: Group, host: HostState) -> tuple[int, int, str]:
+    domain = domain_of(host["facts"], group.requirement.survive)
+    rack = domain_of(host["facts"], "rack")
+    return len(group.ids_by_domain.get(domain, ())), group.size_by_rack[rack], host["host"]
--- /dev/null
+++ b/mustardgap/placements.py
@@ -0,0 +1,304 @@
+"""Which hosts serve whom, indexed so that one changed host costs a constant effort."""
+
+import heapq
+from collections import Counter
+from collections.abc import Iterable
+
+from .models import HostState
+from .requirements import Declared, Requirement, read_policy, read_requirements
+from .states import domain_of
+
+PLAN_REASON = "plan: "
+SPARE_POOL = ""
+
+
+def is_planned(host: HostState) -> bool:
+    """Whether the planner itself emptied this host, so that it may give it to another pool.
+
+    A host that an operator drained stays out until the operator takes it back.
+    """
+    return host["reason"].startswith(PLAN_REASON) and not host["wave"]
+
+
+class Group:
+    """The hosts in service of one requirement, counted by failure domain.
+
+    :param requirement: the service or job pool.
+    """
+
+    def __init__(self, *, requirement: Requirement) -> None:
+        self.requirement = requirement
+        self.size = 0
+        self.top = 0
+        self.ids_by_domain: dict[str, set[str]] = {}
+        self.size_by_rack: Counter[str] = Counter()
+        self.size_by_data_center: Counter[str] = Counter()
+        self.size_by_pool: Counter[str] = Counter()
+        self.draining_by_pool: Counter[str] = Counter()
+        self.out_ids: set[str] = set()
+        self._domains_by_size: Counter[int] = Counter()
+        self._maintained: list[tuple[float, str]] = []
+        self._maintained_by_id: dict[str, float] = {}
+
+    def add(self, host: HostState) -> None:
+        """Count a host that came into service."""
+        ids = self.ids_by_domain.setdefault(
+            domain_of(host["facts"], self.requirement.survive), set()
+        )
+        ids.add(host["host"])
+        self.size += 1
+        self._resize(len(ids) - 1, len(ids))
+        self._count(host, 1)
+        self._maintained_by_id[host["host"]] = host["maintained"]
+        heapq.heappush(self._maintained, (host["maintained"], host["host"]))
+
+    def remove(self, host: HostState) -> None:
+        """Count a host that left service."""
+        domain = domain_of(host["facts"], self.requirement.survive)
+        ids = self.ids_by_domain[domain]
+        ids.remove(host["host"])
+        self.size -= 1
+        self._resize(len(ids) + 1, len(ids))
+        self._count(host, -1)
+        del self._maintained_by_id[host["host"]]
+        if not ids:
+            del self.ids_by_domain[domain]
+
+    @property
+    def loss(self) -> int:
+        """How many hosts go with the largest failure domain."""
+        if self.requirement.survive == "none":
+            return 0
+        return min(self.size, 1) if self.requirement.survive == "host" else self.top
+
+    @property
+    def margin(self) -> int:
+        """Hosts left over when the largest domain is lost; below 0 the budget doesn't hold."""
+        return self.size - self.loss - self.requirement.min_hosts
+
+    @property
+    def is_short(self) -> bool:
+        """Whether it needs another host."""
+        if self.margin < 0:
+            return True
+        pools = self.requirement.pools
+        return any(self.size_by_pool[name] < pools[name].min_hosts for name in pools)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether a host could leave without breaking the budget, the pools' sizes aside."""
+        if self.size > self.requirement.max_hosts or self.margin > 0:
+            return True
+        return self.margin == 0 and self._is_lopsided
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it holds all the room it may; a draining host holds its room still."""
+        return self.size + self.draining_by_pool.total() >= self.requirement.max_hosts
+
+    def margin_without(self, host: HostState) -> int:
+        """The margin if this host left."""
+        left = self.size - 1
+        if self.requirement.survive == "none":
+            loss = 0
+        elif self.requirement.survive == "host":
+            loss = min(left, 1)
+        else:
+            ids = self.ids_by_domain[domain_of(host["facts"], self.requirement.survive)]
+            alone = len(ids) == self.top and self._domains_by_size[self.top] == 1
+            loss = self.top - 1 if alone else self.top
+        return left - loss - self.requirement.min_hosts
+
+    def margin_with(self, host: HostState) -> int:
+        """The margin if this host came."""
+        if self.requirement.survive in ("none", "host"):
+            return self.margin + (1 if self.size or self.requirement.survive == "none" else 0)
+        ids = self.ids_by_domain.get(domain_of(host["facts"], self.requirement.survive), ())
+        return self.margin + (1 if len(ids) < self.top else 0)
+
+    def can_lose(self, host: HostState) -> bool:
+        """Whether this host may leave service without breaking a budget."""
+        if self.size_by_pool[host["pool"]] <= self.requirement.pools[host["pool"]].min_hosts:
+            return False
+        return self.margin_without(host) >= 0
+
+    def top_ids(self) -> list[str]:
+        """The hosts of the domains that hold the most, in order."""
+        full = [d for d, ids in self.ids_by_domain.items() if len(ids) == self.top]
+        return [host for domain in sorted(full) for host in sorted(self.ids_by_domain[domain])]
+
+    def pool_for_next(self) -> str:
+        """The pool that another host should join."""
+        pools = self.requirement.pools
+        short = [name for name in pools if self.size_by_pool[name] < pools[name].min_hosts]
+        holding = self.size_by_pool + self.draining_by_pool
+        room = [name for name in pools if holding[name] < pools[name].max_hosts]
+        return min(short or room or pools)
+
+    def oldest_maintained(self) -> float | None:
+        """When the host in service that has waited longest was maintained, None without hosts."""
+        while self._maintained:
+            maintained, host_id = self._maintained[0]
+            if self._maintained_by_id.get(host_id) == maintained:
+                return maintained
+            heapq.heappop(self._maintained)
+        return None
+
+    @property
+    def _is_lopsided(self) -> bool:
+        if self.requirement.survive not in ("rack", "data_center"):
+            return False
+        return self.top > 1 and self._domains_by_size[self.top] == 1
+
+    def _resize(self, before: int, after: int) -> None:
+        self._domains_by_size[before] -= 1
+        self._domains_by_size[after] += 1
+        if after > self.top or (before == self.top and not self._domains_by_size[before]):
+            self.top = after
+
+    def _count(self, host: HostState, change: int) -> None:
+        self.size_by_rack[domain_of(host["facts"], "rack")] += change
+        self.size_by_data_center[host["facts"]["data_center"]] += change
+        self.size_by_pool[host["pool"]] += change
+
+
+class Fleet:
+    """All hosts, indexed by what they are used for.
+
+    Reading it from the state costs time in step with the fleet; after that ``put`` costs the same
+    for any size, so that a daemon follows the log instead of starting anew for each plan.
+
+    :param declarations_by_key: the declarations in force.
+    :param hosts: the folded hosts.
+    """
+
+    def __init__(self, *, declarations_by_key: Declared, hosts: Iterable[HostState]) -> None:
+        self.policy = read_policy(declarations_by_key)
+        self.hosts_by_id: dict[str, HostState] = {}
+        self.groups_by_name: dict[str, Group] = {}
+        self.groups_by_pool: dict[str, Group] = {}
+        self.free_ids_by_rack: dict[str, set[str]] = {}
+        self.emptying_ids: set[str] = set()
+        self.emptied_ids: set[str] = set()
+        self.out_ids: set[str] = set()
+        self.stray_ids: set[str] = set()
+        self.short_names: set[str] = set()
+        self.over_names: set[str] = set()
+        self._pools: set[str] = set()
+        self._requirements = read_requirements(declarations_by_key)
+        self._group(declarations_by_key)
+        for host in hosts:
+            self._index(host)
+        self._mark_all()
+
+    def declare(self, declarations_by_key: Declared) -> None:
+        """Take over changed declarations; only a changed requirement costs more than a look."""
+        self.policy = read_policy(declarations_by_key)
+        requirements = read_requirements(declarations_by_key)
+        if requirements == self._requirements:
+            return
+        hosts = list(self.hosts_by_id.values())
+        for host in hosts:
+            self._unindex(host)
+        self._requirements = requirements
+        self._group(declarations_by_key)
+        for host in hosts:
+            self._index(host)
+        self._mark_all()
+
+    @property
+    def free_count(self) -> int:
+        """How many hosts can be assigned at once."""
+        return sum(len(ids) for ids in self.free_ids_by_rack.values())
+
+    def put(self, host: HostState) -> HostState | None:
+        """Take over a host's new state.
+
+        :return: its state before, None for a new host.
+        """
+        before = self.hosts_by_id.get(host["host"])
+        if before is not None:
+            self._unindex(before)
+        self._index(host)
+        for state in (before, host):
+            group = self.groups_by_pool.get(state["pool"]) if state else None
+            if group is not None:
+                self._mark(group)
+        return before
+
+    def drop(self, host_id: str) -> None:
+        """Forget a host."""
+        host = self.hosts_by_id[host_id]
+        self._unindex(host)
+        del self.hosts_by_id[host_id]
+        group = self.groups_by_pool.get(host["pool"])
+        if group is not None:
+            self._mark(group)
+
+    def is_free(self, host: HostState) -> bool:
+        """Whether a host can be assigned at once: in the spare pool, or emptied by a plan."""
+        if host["phase"] == "in_service":
+            return host["pool"] == SPARE_POOL
+        return host["phase"] == "drained" and is_planned(host)
+
+    def _group(self, declarations_by_key: Declared) -> None:
+        self.groups_by_name.clear()
+        self.groups_by_pool.clear()
+        for name, requirement in self._requirements.items():
+            group = Group(requirement=requirement)
+            self.groups_by_name[name] = group
+            self.groups_by_pool.update(dict.fromkeys(requirement.pools, group))
+        self._pools = {k.partition("/")[2] for k in declarations_by_key if k.startswith("pool/")}
+
+    def _index(self, host: HostState) -> None:
+        host_id = host["host"]
+        self.hosts_by_id[host_id] = host
+        group = self.groups_by_pool.get(host["pool"])
+        if self.is_free(host):
+            self.free_ids_by_rack.setdefault(domain_of(host["facts"], "rack"), set()).add(host_id)
+            if host["phase"] == "drained":
+                self.emptied_ids.add(host_id)
+        elif host["phase"] == "in_service":
+            if group is not None:
+                group.add(host)
+            elif host["pool"] not in self._pools:
+                self.stray_ids.add(host_id)
+        elif host["phase"] == "draining":
+            if group is not None:
+                group.draining_by_pool[host["pool"]] += 1
+            if is_planned(host):
+                self.emptying_ids.add(host_id)
+        if host["wave"] and host["phase"] in ("draining", "drained", "rebooting"):
+            self.out_ids.add(host_id)
+            if group is not None:
+                group.out_ids.add(host_id)
+
+    def _unindex(self, host: HostState) -> None:
+        host_id = host["host"]
+        group = self.groups_by_pool.get(host["pool"])
+        if self.is_free(host):
+            rack = domain_of(host["facts"], "rack")
+            self.free_ids_by_rack[rack].remove(host_id)
+            if not self.free_ids_by_rack[rack]:
+                del self.free_ids_by_rack[rack]
+        elif group is not None and host["phase"] == "in_service":
+            group.remove(host)
+        elif group is not None and host["phase"] == "draining":
+            group.draining_by_pool[host["pool"]] -= 1
+        self.emptied_ids.discard(host_id)
+        self.stray_ids.discard(host_id)
+        self.emptying_ids.discard(host_id)
+        self.out_ids.discard(host_id)
+        if group is not None:
+            group.out_ids.discard(host_id)
+
+    def _mark_all(self) -> None:
+        self.short_names.clear()
+        self.over_names.clear()
+        for group in self.groups_by_name.values():
+            self._mark(group)
+
+    def _mark(self, group: Group) -> None:
+        name = group.requirement.name
+        (self.short_names.add if group.is_short else self.short_names.discard)(name)
+        (self.over_names.add if group.is_over else self.over_names.discard)(name)
--- /dev/null
+++ b/mustardgap/plans.py
@@ -0,0 +1,125 @@
+"""What a plan is made of, and the draft in which its steps are tried out."""
+
+from typing import Literal, NamedTuple
+
+from .models import HostState, Phase
+from .placements import PLAN_REASON, SPARE_POOL, Fleet
+
+StepKind = Literal["assign", "drain", "undrain", "reboot", "move", "set_aside"]
+
+
+class Step(NamedTuple):
+    """One step of one host.
+
+    ``pool`` is the pool the host is in after the step; for ``move`` it is the pool that the host is
+    emptied for, which it joins by a later ``assign``. ``gain`` is how many hosts a budget wins.
+    ``wave`` names the wave the host is maintained for. ``base`` is the epoch it was planned on.
+    """
+
+    host: str
+    kind: StepKind
+    pool: str
+    reason: str
+    gain: int
+    wave: str = ""
+    base: int = 0
+
+
+class Plan(NamedTuple):
+    """The steps to take now, in order, and what couldn't be helped.
+
+    ``problems`` says which budgets stay short and why, ``waiting`` why waves stand still, by wave,
+    and ``finished`` names the waves that are done.
+    """
+
+    steps: list[Step]
+    problems: list[str]
+    waiting: dict[str, str]
+    finished: list[str]
+
+
+class Weights(NamedTuple):
+    """What one host of buffer and one move cost the user."""
+
+    buffer: float
+    move: float
+
+
+class Draft:
+    """Steps applied to the fleet's index as they are chosen, and taken back at the end.
+
+    So each choice sees the effect of those before it, and the index still shows what is folded.
+
+    :param fleet: the index.
+    """
+
+    def __init__(self, *, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.steps: list[Step] = []
+        self.problems: list[str] = []
+        self.touched: set[str] = set()
+        self.pending = len(fleet.emptying_ids)
+        self._before: list[HostState] = []
+
+    def assign(self, host: HostState, pool: str, reason: str, gain: int = 0) -> None:
+        """Give a free host to a pool."""
+        same = host["phase"] == "drained" and host["pool"] == pool
+        self._step(host, "undrain" if same else "assign", pool, reason, gain, "in_service")
+
+    def undrain(self, host: HostState, reason: str, gain: int = 0) -> None:
+        """Take a host's drain back."""
+        self._step(host, "undrain", host["pool"], reason, gain, "in_service")
+
+    def drain(self, host: HostState, reason: str, *, wave: str = "", planned: bool = True) -> None:
+        """Empty a host, for a wave or to give it back to the spare pool."""
+        text = PLAN_REASON + reason if planned and not wave else reason
+        self._step(host, "drain", host["pool"], text, 0, "draining", wave)
+
+    def move(self, host: HostState, pool: str, reason: str, gain: int = 0) -> None:
+        """Empty a host for another pool."""
+        self._step(host, "move", pool, PLAN_REASON + reason, gain, "draining")
+
+    def reboot(self, host: HostState, reason: str) -> None:
+        """Reboot an empty host."""
+        self._step(host, "reboot", host["pool"], reason, 0, "rebooting", host["wave"])
+
+    def set_aside(self, host: HostState, reason: str) -> None:
+        """Count on a host no longer."""
+        self._step(host, "set_aside", host["pool"], reason, 0, "set_aside")
+
+    def withhold(self, host: HostState) -> None:
+        """Count on a host no longer in this plan, without a step."""
+        self._put(host, host["pool"], "set_aside", host["reason"], "")
+
+    def undo(self) -> None:
+        """Take all steps back from the index."""
+        while self._before:
+            self.fleet.put(self._before.pop())
+
+    def _step(
+        self,
+        host: HostState,
+        kind: StepKind,
+        pool: str,
+        reason: str,
+        gain: int,
+        phase: Phase,
+        wave: str = "",
+    ) -> None:
+        self.steps.append(Step(host["host"], kind, pool, reason, gain, wave, host["epoch"]))
+        self._put(host, host["pool"] if kind == "move" else pool, phase, reason, wave)
+
+    def _put(self, host: HostState, pool: str, phase: Phase, reason: str, wave: str) -> None:
+        after = host.copy()
+        after["pool"] = pool
+        after["phase"] = phase
+        after["reason"] = reason
+        after["wave"] = wave
+        self.touched.add(host["host"])
+        self._before.append(host)
+        self.fleet.put(after)
+
+
+def is_spare(step: Step) -> bool:
+    """Whether a step brings a host to the spare pool."""
+    return step.kind == "assign" and step.pool == SPARE_POOL
--- /dev/null
+++ b/mustardgap/requirements.py
@@ -0,0 +1,121 @@
+"""What each service and job pool needs, worked out from the declarations alone."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from .models import Declaration, Policy
+
+LEAST_URGENT = 9
+JOB_POOL_URGENCY = LEAST_URGENT + 1
+DEFAULT_DRAIN_S = 600.0
+DEFAULT_POLICY = Policy(
+    maintain_every_s=28 * 86_400.0,
+    reboot_s=600.0,
+    buffer_weight=1.0,
+    move_weight=1.0,
+    spare_hosts=0,
+)
+
+Declared = Mapping[str, Declaration | dict[str, Any]]
+
+
+class PoolRange(NamedTuple):
+    """The fewest and the most hosts of one pool."""
+
+    min_hosts: int
+    max_hosts: int
+
+
+class Requirement(NamedTuple):
+    """What one service, or one job pool, needs.
+
+    ``min_hosts`` must be left when the largest failure domain of kind ``survive`` is lost, and
+    ``max_hosts`` is the most it may hold over all its pools.
+    """
+
+    name: str
+    service: str
+    min_hosts: int
+    survive: str
+    max_hosts: int
+    urgency: int
+    drain_s: float
+    pools: dict[str, PoolRange]
+
+    @property
+    def floor(self) -> int:
+        """The sum of the pools' own least sizes."""
+        return sum(p.min_hosts for p in self.pools.values())
+
+
+def value_of(declaration: Declaration | dict[str, Any]) -> dict[str, Any]:
+    """Return the value of a declaration, or of a plain one that isn't on the log yet."""
+    return declaration.value if isinstance(declaration, Declaration) else declaration
+
+
+def read_requirements(declarations_by_key: Declared) -> dict[str, Requirement]:
+    """Work out the requirements by name: a service's name, or ``pool/NAME`` for a job pool.
+
+    A service without a pool, or whose profile is missing, has none.
+    """
+    pools_by_service: dict[str, dict[str, PoolRange]] = {}
+    by_name: dict[str, Requirement] = {}
+    for key in sorted(declarations_by_key):
+        kind, _, name = key.partition("/")
+        if kind != "pool":
+            continue
+        pool = value_of(declarations_by_key[key])
+        size = PoolRange(pool["min_hosts"], pool["max_hosts"])
+        if pool["service"]:
+            pools_by_service.setdefault(pool["service"], {})[name] = size
+        else:
+            by_name[key] = _of_job_pool(key, name, size)
+    for service, pools in pools_by_service.items():
+        requirement = _of_service(service, pools, declarations_by_key)
+        if requirement is not None:
+            by_name[service] = requirement
+    return by_name
+
+
+def read_policy(declarations_by_key: Declared) -> Policy:
+    """Return the first policy by name, or the default one."""
+    keys = sorted(key for key in declarations_by_key if key.startswith("policy/"))
+    if not keys:
+        return DEFAULT_POLICY
+    return Policy(**value_of(declarations_by_key[keys[0]]))  # type: ignore[typeddict-item]
+
+
+def _of_job_pool(key: str, name: str, size: PoolRange) -> Requirement:
+    return Requirement(
+        name=key,
+        service="",
+        min_hosts=size.min_hosts,
+        survive="none",
+        max_hosts=size.max_hosts,
+        urgency=JOB_POOL_URGENCY,
+        drain_s=DEFAULT_DRAIN_S,
+        pools={name: size},
+    )
+
+
+def _of_service(
+    service: str, pools: dict[str, PoolRange], declarations_by_key: Declared
+) -> Requirement | None:
+    declared = declarations_by_key.get(f"service/{service}")
+    if declared is None:
+        return None
+    chosen = declarations_by_key.get(f"profile/{value_of(declared)['profile']}")
+    if chosen is None:
+        return None
+    profile = value_of(chosen)
+    room = sum(p.max_hosts for p in pools.values())
+    return Requirement(
+        name=service,
+        service=service,
+        min_hosts=profile["availability"]["min_hosts"],
+        survive=profile["availability"]["survive"],
+        max_hosts=min(profile["room"]["max_hosts"], room),
+        urgency=profile["urgency"],
+        drain_s=profile["disruption"]["drain_s"],
+        pools=pools,
+    )
