--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -1,6 +1,7 @@
 """A whole system of separate processes: platform, executors and daemons, with settings files."""
 
 import json
+import signal
 import subprocess
 import sys
 import time
@@ -219,6 +220,11 @@
         )
         return name
 
+    def stop_load(self, name: str) -> Report:
+        """Let a load generator send nothing more and read its report."""
+        self.processes.signal(name, signal.SIGTERM)
+        return self.end_load(name)
+
     def end_load(self, name: str, *, timeout_s: float = 300.0) -> Report:
         """Wait for a load generator's end and read its report."""
         status = self.processes.by_name[name].wait(timeout=timeout_s)
@@ -226,6 +232,13 @@
             raise RuntimeError(f"{name} ended with {status}:\n{self.processes.output(name)}")
         return read_report(self.folder / f"{name}.out")
 
+    def settle(self) -> None:
+        """Wait until no executor has anything left to run."""
+        self.wait("quiet executors", self._is_quiet)
+
+    def _is_quiet(self) -> bool:
+        return not any(e["running"] or e["in_hand"] for e in self.executors_state().values())
+
     def runs(self) -> list[dict[str, Any]]:
         """What all executors really ran; also of executors processes that were killed."""
         found = []
--- a/tools/load.py
+++ b/tools/load.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from collections.abc import Coroutine
 from contextlib import suppress
@@ -101,11 +102,16 @@
         self.told: list[Told] = []
         self.unsent = 0
         self._count = 0
+        self._stopped = asyncio.Event()
         self._random = random.Random(plan.seed)
         self._tasks: set[asyncio.Task[None]] = set()
         self._weights = [kind.weight for kind in plan.mix]
         self._bodies = [self._random.randbytes(kind.body_bytes) for kind in plan.mix]
 
+    def stop(self) -> None:
+        """Send nothing more; ``run`` then waits for the last answers."""
+        self._stopped.set()
+
     async def run(self) -> Report:
         """Send all stages, wait for the last answers and report."""
         started = time.time()
@@ -130,14 +136,15 @@
         loop = asyncio.get_running_loop()
         due = loop.time()
         end = due + stage.seconds
-        while stage.rate:
+        while stage.rate and not self._stopped.is_set():
             due += self._random.expovariate(stage.rate)
             if due >= end:
                 break
             if due > loop.time():
                 await asyncio.sleep(due - loop.time())
             self._arrive(number, due)
-        await asyncio.sleep(max(0.0, end - loop.time()))
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._stopped.wait(), max(0.0, end - loop.time()))
 
     def _arrive(self, stage: int, due: float) -> None:
         if len(self._tasks) >= self.plan.max_in_flight or self._count >= self.plan.max_requests:
@@ -208,6 +215,12 @@
     return msgspec.msgpack.decode(Path(path).read_bytes(), type=Report)
 
 
+async def _run(plan: Plan) -> Report:
+    load = Load(plan=plan)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, load.stop)
+    return await load.run()
+
+
 @click.command()
 @click.option("--plan", "plan_path", required=True, type=click.Path(exists=True))
 @click.option("--out", required=True, type=click.Path(), help="Where the report is written.")
@@ -217,7 +230,7 @@
     total = sum(stage.seconds for stage in plan.stages)
     if total > MAX_SECONDS:
         raise click.BadParameter(f"the stages take {total:g} s, more than {MAX_SECONDS:g}")
-    report = asyncio.run(Load(plan=plan).run())
+    report = asyncio.run(_run(plan))
     Path(out).write_bytes(msgspec.msgpack.encode(report))
     click.echo(f"{len(report.told)} told, {report.unsent} unsent")
 
