Carry out steps of hosts: register, drain, reboot, assign, fail and return

Cause: decisions on the log must take effect on the platform, whichever daemon dies in between. Ruled out: a lease of leadership (it can lapse while its holder is paused); writing steps as a script to run through (a step is decided anew from log and view each time instead). Conclusion: level-triggered steps, operation ids by host, epoch, kind and boot.

--- /dev/null
+++ b/mustardgap/actors.py
@@ -0,0 +1,147 @@
+"""Carries decisions out on the platform: every daemon runs it, and each key has one first actor."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import Any
+
+from absl import logging
+
+from .duties import Duties
+from .host_actors import HostActor
+from .members import Members
+from .models import LogRecord
+from .operations import MAX_ACTIONS, Operations
+from .outcomes import Accepted, Verdict
+from .plan_actors import PlanActor
+from .registrars import Registrar
+from .settings import Settings
+from .streams import Log
+from .timelines import Timeline
+from .timers import Timers
+from .workers import Workers
+
+
+class Actors:
+    """Looks at what has changed, and takes the steps that are this daemon's to take.
+
+    Each step is decided anew from the folded state and the platform's view, so a step that was
+    lost, doubled or left half done by a daemon that died is simply decided again.
+
+    :param platform: the platform's adapter.
+    :param log: the state stream.
+    :param members: the entry hosts.
+    :param workers: the polled view.
+    :param settings: the daemon's settings.
+    :param timers: the timer service.
+    :param timeline: where steps are noted.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Any,
+        log: Log,
+        members: Members,
+        workers: Workers,
+        settings: Settings,
+        timers: Timers,
+        timeline: Timeline,
+    ) -> None:
+        self.settings = settings
+        self.timers = timers
+        self.workers = workers
+        self.log = log
+        self.operations = Operations(
+            platform=platform,
+            log=log,
+            workers=workers,
+            settings=settings,
+            timers=timers,
+            timeline=timeline,
+        )
+        self.duties = Duties(
+            members=members, clock=timers.clock, takeover_s=settings.capacity.takeover_s
+        )
+        operations, duties = self.operations, self.duties
+        self.hosts = HostActor(operations=operations, duties=duties, members=members)
+        self.registrar = Registrar(operations=operations, duties=duties)
+        self.planner = PlanActor(operations=operations, duties=duties)
+        self._under_way: dict[str, asyncio.Task[None]] = {}
+        log.on_fold(self._folded)
+        log.on_restore(self.look_at_all)
+        workers.on_change(self._workers_changed)
+        timers.on_gap(self._drop)
+
+    async def run(self) -> None:
+        """Act until cancelled."""
+        self.look_at_all()
+        unsubscribe = self.timers.subscribe("actors", self.settings.capacity.act_s, self.act)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            unsubscribe()
+            self._drop()
+
+    def act(self) -> None:
+        """Begin the steps that are due and not under way; none on views that are too old."""
+        if not self.operations.may_begin():
+            return
+        records = self.registrar.due()
+        if records:
+            self._begin("registrar", self.registrar.act(records))
+        plan = self.planner.due()
+        if plan is not None:
+            self._begin("planner", self.planner.act(plan))
+        for name, step in self.hosts.due():
+            self._begin(f"host/{name}", self.hosts.act(name, step))
+
+    async def settle(self) -> None:
+        """Wait until the steps under way have ended."""
+        while self._under_way:
+            await asyncio.wait(list(self._under_way.values()))
+
+    def look_at_all(self) -> None:
+        """Look at everything anew."""
+        self.hosts.look_at_all()
+        self.registrar.look_at_all()
+
+    def _begin(self, key: str, action: Awaitable[None]) -> None:
+        if key in self._under_way or len(self._under_way) >= MAX_ACTIONS:
+            action.close()  # type: ignore[attr-defined]
+            return
+        task = asyncio.create_task(self._run(key, action), name=f"act:{key}")
+        self._under_way[key] = task
+
+    async def _run(self, key: str, action: Awaitable[None]) -> None:
+        try:
+            await action
+        except Exception:
+            logging.exception("step of %s failed", key)
+        finally:
+            if self._under_way.get(key) is asyncio.current_task():
+                del self._under_way[key]
+
+    def _drop(self, lost_s: float = 0.0) -> None:
+        """Drop all that is under way and look at everything anew.
+
+        After a freeze the others have gone on: what this daemon was about to do may have been done
+        and undone since. Cancelling stops the steps that wait, and the tickets stop those that
+        run on before the cancellation reaches them.
+        """
+        for task in self._under_way.values():
+            task.cancel()
+        self._under_way.clear()
+        self.duties.clear()
+        self.look_at_all()
+
+    def _folded(self, record: LogRecord, verdict: Verdict) -> None:
+        if not isinstance(verdict, Accepted):
+            return
+        kind, body = record.value["kind"], record.value["body"]
+        if kind == "host":
+            self.hosts.look_at({body["host"]})
+            self.registrar.look_at({body["host"]})
+
+    def _workers_changed(self, workers: set[str]) -> None:
+        self.hosts.look_at(workers)
+        self.registrar.look_at(workers)
--- /dev/null
+++ b/mustardgap/operations.py
@@ -0,0 +1,186 @@
+"""Operations on the platform that survive lost answers, doubled actors and freezes."""
+
+from typing import NamedTuple, Protocol
+
+from . import metrics, status_codes
+from .adapters import Operation, OperationKind
+from .exceptions import AnswerLost, MustardgapError
+from .models import HostState
+from .outcomes import Rejected, Verdict
+from .settings import Settings
+from .streams import Log
+from .timelines import Timeline
+from .timers import Timers
+from .workers import Workers
+
+# An action that takes longer is dropped and decided anew.
+ACTION_S = 10.0
+# The platform's calls and the log's appends that one daemon has under way at once.
+MAX_ACTIONS = 32
+
+
+class Outdated(MustardgapError):
+    """What was decided no longer holds; nothing was done."""
+
+    def __init__(self, *, detail: str) -> None:
+        super().__init__(code=status_codes.STALE_EPOCH, detail=detail)
+
+
+class Ticket(NamedTuple):
+    """Leave to act on the views as they are now, for a short time."""
+
+    generation: int
+    until: float
+
+
+class WorkerCalls(Protocol):
+    """The part of the platform that operates on workers."""
+
+    async def operate(
+        self, worker: str, *, operation: str, kind: OperationKind, epoch: int, pool: str = ""
+    ) -> str:
+        """Start an operation."""
+
+    async def operation(self, operation: str) -> Operation | None:
+        """Ask about an operation."""
+
+
+class Operations:
+    """Writes records and starts operations, each only while its ticket holds.
+
+    :param platform: the platform.
+    :param log: the state stream.
+    :param workers: the polled view.
+    :param settings: the daemon's settings.
+    :param timers: the timer service.
+    :param timeline: where steps are noted.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: WorkerCalls,
+        log: Log,
+        workers: Workers,
+        settings: Settings,
+        timers: Timers,
+        timeline: Timeline,
+    ) -> None:
+        self.platform = platform
+        self.log = log
+        self.workers = workers
+        self.settings = settings
+        self.timers = timers
+        self.timeline = timeline
+        self.generation = 0
+        self._gap_at = float("-inf")
+        self._lost: set[str] = set()
+        timers.on_gap(self._note_gap)
+
+    def may_begin(self) -> bool:
+        """Whether the log and the platform were read lately, and since the last freeze.
+
+        A daemon that was frozen, or is cut off, decides on what others have changed meanwhile:
+        it would take steps that were undone long ago. The epochs would stop most of them; this
+        stops them before they are begun.
+        """
+        self.timers.check_gap()
+        age = max(self.log.fresh_s(), self.workers.age_s())
+        since_gap = self.timers.clock.monotonic() - self._gap_at
+        return age <= self.settings.platform.stale_after_s and age < since_gap
+
+    def begin(self) -> Ticket:
+        """Take a ticket for one action."""
+        return Ticket(self.generation, self.timers.clock.monotonic() + ACTION_S)
+
+    def confirm(self, ticket: Ticket) -> None:
+        """Check a ticket; to be called right before each call that changes something.
+
+        :raises Outdated: the process was frozen since, or the action took too long.
+        """
+        self.timers.check_gap()
+        late = self.timers.clock.monotonic() > ticket.until
+        if late or ticket.generation != self.generation:
+            raise Outdated(detail="the process was frozen, or the action took too long")
+
+    async def write(self, ticket: Ticket, kind: str, body: object) -> Verdict | None:
+        """Write a record that carries its base epoch.
+
+        :return: the verdict, or None when the log has not told it; the next look at the state
+            shows what became of it.
+        """
+        try:
+            self.confirm(ticket)
+            verdict = await self.log.write(
+                kind, body, timeout_s=self.settings.platform.stale_after_s, purpose="actions"
+            )
+        except MustardgapError as exc:
+            count(kind, exc.code.name)
+            return None
+        refused = isinstance(verdict, Rejected)
+        count(kind, verdict.code.name if isinstance(verdict, Rejected) else "accepted")
+        if refused:
+            self.timeline.add(f"{kind}.rejected", offset=verdict.offset, cause=str(verdict))
+        return verdict
+
+    async def operate(
+        self, ticket: Ticket, host: HostState, kind: OperationKind, *, boot: int = 0, pool: str = ""
+    ) -> None:
+        """Start an operation on a worker under its host's epoch.
+
+        The id names host, epoch, kind and boot, so that repeats by any daemon are one operation;
+        after a lost answer the platform is asked before the operation is sent again.
+        """
+        operation = operation_id(host, kind, boot)
+        name, epoch = host["host"], host["epoch"]
+        try:
+            if operation in self._lost and await self.platform.operation(operation) is not None:
+                self._lost.discard(operation)
+                count(kind, "found")
+                return
+            self.confirm(ticket)
+            current = self.log.state.hosts_by_name.get(name)
+            if current is None or current["epoch"] != epoch:
+                raise Outdated(detail=f"{name} has left epoch {epoch}")
+            result = await self.platform.operate(
+                name, operation=operation, kind=kind, epoch=epoch, pool=pool
+            )
+        except AnswerLost as exc:
+            self._lost.add(operation)
+            count(kind, exc.code.name)
+            return
+        except MustardgapError as exc:
+            count(kind, exc.code.name)
+            return
+        self._lost.discard(operation)
+        count(kind, result)
+        self.timeline.add(
+            f"host.{kind}", cause=host["reason"], host=name, epoch=epoch, result=result
+        )
+
+    async def ended(self, host: HostState, kind: OperationKind) -> bool | None:
+        """Whether an operation of this epoch has ended; None when it was never accepted.
+
+        :raises PlatformError: the platform can't be asked.
+        """
+        found = await self.platform.operation(operation_id(host, kind, 0))
+        return None if found is None else found.state != "running"
+
+    def _note_gap(self, lost_s: float) -> None:
+        self.generation += 1
+        self._gap_at = self.timers.clock.monotonic()
+        self.timeline.add("actors.gap", cause=f"the process didn't run for {lost_s:.1f} s")
+
+
+def operation_id(host: HostState, kind: str, boot: int) -> str:
+    """Name an operation; a reboot (boot 0) is one an epoch, whoever asks and however often.
+
+    A drain names the boot as well: a worker that lost its power comes back up, and must be drained
+    again under the same epoch.
+    """
+    return f"{host['host']}:{host['epoch']}:{kind}:{boot}"
+
+
+def count(kind: str, result: str) -> None:
+    """Count one step."""
+    metrics.actor_steps.add(1, {"kind": kind, "result": result})
--- /dev/null
+++ b/mustardgap/registrars.py
@@ -0,0 +1,114 @@
+"""Brings what the platform shows of workers onto the log: new ones, and those that failed."""
+
+import asyncio
+
+from . import status_codes
+from .duties import Duties
+from .host_actors import DOWN_REASON, host_body
+from .models import HostBody, HostFacts, HostState, Phase, WorkerInfo
+from .operations import Operations
+from .outcomes import Rejected
+
+KEY = "registrar"
+BATCH = 200
+# A worker whose pool isn't declared yet, or is full, is tried again after this long.
+RETRY_S = 10.0
+MAY_FAIL: frozenset[Phase] = frozenset({"in_service", "draining", "drained"})
+FIRST_PHASE_BY_STATE: dict[str, Phase] = {"up": "in_service", "drained": "drained"}
+
+
+class Registrar:
+    """Writes host records for workers that are new or were down for too long.
+
+    :param operations: writes records.
+    :param duties: says whose turn it is.
+    """
+
+    def __init__(self, *, operations: Operations, duties: Duties) -> None:
+        self.operations = operations
+        self.duties = duties
+        self._new: set[str] = set()
+        self._down_since: dict[str, float] = {}
+        self._not_before: dict[str, float] = {}
+
+    def look_at(self, workers: set[str]) -> None:
+        """Look at these workers, as something has changed there or on the log."""
+        now = self.operations.timers.clock.monotonic()
+        for name in workers:
+            worker = self.operations.workers.by_id.get(name)
+            host = self.operations.log.state.hosts_by_name.get(name)
+            if host is None and worker is not None and worker["state"] in FIRST_PHASE_BY_STATE:
+                self._new.add(name)
+            else:
+                self._new.discard(name)
+            if host is not None and _is_down(host, worker):
+                self._down_since.setdefault(name, now)
+            else:
+                self._down_since.pop(name, None)
+
+    def look_at_all(self) -> None:
+        """Look at all workers and hosts."""
+        known = self.operations.log.state.hosts_by_name.keys()
+        self.look_at(known | self.operations.workers.by_id.keys())
+
+    def due(self) -> list[HostBody]:
+        """The records that this daemon should write now; a lost rack is one batch."""
+        now = self.operations.timers.clock.monotonic()
+        ready = [name for name in sorted(self._new) if self._not_before.get(name, now) <= now]
+        limit_s = self.operations.settings.capacity.host_failed_s
+        lost = sorted(n for n, since in self._down_since.items() if now - since >= limit_s)
+        names = tuple((lost + ready)[:BATCH])
+        if not names:
+            self.duties.drop(KEY)
+            return []
+        if not self.duties.is_due(KEY, names):
+            return []
+        bodies = [self._failed(name) for name in lost] + [self._registered(n) for n in ready]
+        return [body for body in bodies if body is not None][:BATCH]
+
+    async def act(self, bodies: list[HostBody]) -> None:
+        """Write records together."""
+        self.duties.take(KEY)
+        ticket = self.operations.begin()
+        verdicts = await asyncio.gather(
+            *(self.operations.write(ticket, "host", body) for body in bodies)
+        )
+        now = self.operations.timers.clock.monotonic()
+        for body, verdict in zip(bodies, verdicts, strict=True):
+            refused = isinstance(verdict, Rejected) and verdict.code != status_codes.STALE_BASE
+            if refused:
+                self._not_before[body["host"]] = now + RETRY_S
+            else:
+                self._not_before.pop(body["host"], None)
+        self.look_at({body["host"] for body in bodies})
+
+    def _registered(self, name: str) -> HostBody | None:
+        worker = self.operations.workers.by_id.get(name)
+        phase = None if worker is None else FIRST_PHASE_BY_STATE.get(worker["state"])
+        if worker is None or phase is None:
+            return None
+        return HostBody(
+            host=name,
+            base=worker["epoch"],
+            phase=phase,
+            pool=worker["pool"],
+            reason="registered",
+            facts=HostFacts(
+                rack=worker["rack"],
+                data_center=worker["data_center"],
+                cores=worker["cores"],
+                memory_gb=worker["memory_gb"],
+                accelerators=worker["accelerators"],
+            ),
+        )
+
+    def _failed(self, name: str) -> HostBody | None:
+        host = self.operations.log.state.hosts_by_name.get(name)
+        if host is None:
+            return None
+        reason = f"{DOWN_REASON}{host['phase']}: {host['reason']}"
+        return host_body(host, "failed", host["pool"], reason)
+
+
+def _is_down(host: HostState, worker: WorkerInfo | None) -> bool:
+    return host["phase"] in MAY_FAIL and (worker is None or worker["state"] == "down")
