--- a/mustardgap/states.py
+++ b/mustardgap/states.py
@@ -65,6 +65,10 @@
         self._facts: dict[HostFactsKey, HostFacts] = {}
         self._values_by_kind: dict[str, dict[str, Any]] = {}
 
+    def take_over(self, other: "State") -> None:
+        """Become what another state is, so that every part that holds this one sees it."""
+        vars(self).update(vars(other))
+
     def value(self, kind: str, name: str) -> Any:
         """The value of one declaration, or None."""
         declaration = self.declarations_by_key.get(f"{kind}/{name}")
--- a/mustardgap/streams.py
+++ b/mustardgap/streams.py
@@ -194,7 +194,7 @@
         state = snapshots.decode(data)
         if state.offset <= self.offset:
             return False
-        self.state = state
+        self.state.take_over(state)
         self._recent.clear()
         self.timeline.add("log.restored", offset=state.offset)
         self.appender.resolve_all(lambda record_id: folds.decided(state, record_id))
