--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -41,6 +41,7 @@
     :param executors: settings of the executors processes, beside what is set here.
     :param executor_processes: over how many processes the workers are spread.
     :param platform: settings of the platform, beside its fleet.
+    :param platform_ports: on how many ports it listens, so that faults can strike one daemon.
     :param daemon: settings of all daemons, merged over what is set here.
     """
 
@@ -53,6 +54,7 @@
         executors: dict[str, Any] | None = None,
         executor_processes: int = 1,
         platform: dict[str, Any] | None = None,
+        platform_ports: int = 1,
         daemon: dict[str, Any] | None = None,
     ) -> None:
         self.processes = processes
@@ -63,7 +65,8 @@
         self.daemon_settings = daemon or {}
         self.daemons_by_name: dict[str, Daemon] = {}
         self.controls_by_name: dict[str, Control] = {}
-        self.platform = Control(address=f"127.0.0.1:{free_ports(1)[0]}")
+        self.platform_ports = free_ports(platform_ports)
+        self.platform = Control(address=f"127.0.0.1:{self.platform_ports[0]}")
         self._count = daemons
         self._workers_by_process = self._spread(executor_processes)
         self._loads = 0
@@ -82,11 +85,9 @@
 
     def start_platform(self) -> None:
         """Start the platform and wait for it."""
-        port = _port(self.platform.address)
         path = self._write("platform", {"fleet": self.fleet, **self.platform_settings})
-        self.processes.start(
-            "platform", "standins.platforms", "--port", port, "--settings", str(path)
-        )
+        ports = [word for port in self.platform_ports for word in ("--port", str(port))]
+        self.processes.start("platform", "standins.platforms", *ports, "--settings", str(path))
         wait_http(f"http://{self.platform.address}/workers")
 
     def start_executors(self, name: str) -> None:
