Join the parts into a daemon that starts, serves and stops

Cause: the parts stood alone; the whole path needs one process that builds them as a tree. Ruled out: one global registry of parts, which would hide who needs whom.

--- a/mustardgap/executors.py
+++ b/mustardgap/executors.py
@@ -31,7 +31,7 @@
 class HasHosts(Protocol):
     """The part of the folded state that is read here."""
 
-    hosts_by_id: dict[str, Any]
+    hosts_by_name: dict[str, Any]
     declarations_by_key: dict[str, Any]
 
 
@@ -78,7 +78,7 @@
         """Choose this executor no more: it is about to leave."""
 
     def _serves(self, worker: str, info: WorkerInfo) -> bool:
-        host = self.state.hosts_by_id.get(worker)
+        host = self.state.hosts_by_name.get(worker)
         if host is not None and host["phase"] != "in_service":
             return False
         return info["state"] == "up"
--- /dev/null
+++ b/mustardgap/parts.py
@@ -0,0 +1,178 @@
+"""The parts of one entry host, built and joined."""
+
+from typing import Any
+
+from . import explanations, reasons
+from .actors import Actors
+from .adapters import Platform
+from .brokers import Broker
+from .callers import Callers
+from .executors import Executors
+from .gossip import Gossiper
+from .keys import Keys
+from .members import Members, me_from
+from .operators import Explainer, Operators
+from .peers import Peers
+from .presence import Presence
+from .readiness import Readiness
+from .sessions import Sessions
+from .settings import Settings
+from .shares import FixedShares, LeastInFlight
+from .slots import DEFAULT_MAX_WAIT_S, Slots, Way
+from .states import State
+from .streams import Log
+from .timelines import Timeline
+from .timers import Clock, Timers
+from .workers import Workers
+
+
+class Parts:
+    """Builds the parts of an entry host from its settings.
+
+    :param settings: the checked settings.
+    :param clock: the clocks to read.
+    """
+
+    def __init__(self, *, settings: Settings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.timers = Timers(clock=clock)
+        self.state = State()
+        self.timeline = Timeline(
+            member=settings.host, size=settings.timeline_size, clock=self.timers.clock
+        )
+        self.readiness = Readiness(timeline=self.timeline)
+        self.platform = Platform(
+            address=settings.platform.address, timeout_s=settings.platform.timeout_s
+        )
+        self._build_membership()
+        self._build_decisions()
+        self._build_requests()
+        self.operators = Operators(
+            settings=settings,
+            log=self.log,
+            members=self.members,
+            timeline=self.timeline,
+            readiness=self.readiness,
+            explainers=self._explainers(),
+            services_view=self._services,
+        )
+
+    def open(self) -> None:
+        """Start the subscriptions that need a running loop but no child of their own."""
+        self.timers.subscribe("gossip", self.settings.peers.gossip_s, self.gossiper.turn)
+
+    def close(self) -> None:
+        """Close what the children leave open."""
+        self.callers.close()
+        self.timers.close()
+        self.platform.close()
+
+    def _build_membership(self) -> None:
+        self.members = Members(
+            me=me_from(self.settings), settings=self.settings, timers=self.timers
+        )
+        self.peers = Peers(
+            members=self.members,
+            settings=self.settings,
+            timers=self.timers,
+            timeline=self.timeline,
+        )
+        self.gossiper = Gossiper(peers=self.peers)
+        self.presence = Presence(platform=self.platform, peers=self.peers)
+
+    def _build_decisions(self) -> None:
+        self.log = Log(
+            platform=self.platform,
+            state=self.state,
+            settings=self.settings.platform,
+            timers=self.timers,
+            timeline=self.timeline,
+            member=self.members.me.id,
+        )
+        self.workers = Workers(platform=self.platform, settings=self.settings, timers=self.timers)
+        self.actors = Actors(
+            platform=self.platform,
+            log=self.log,
+            members=self.members,
+            workers=self.workers,
+            settings=self.settings,
+            timers=self.timers,
+            timeline=self.timeline,
+        )
+
+    def _build_requests(self) -> None:
+        clock = self.timers.clock
+        self.executors = Executors(
+            settings=self.settings, state=self.state, workers=self.workers, clock=clock
+        )
+        self.slots = Slots(
+            settings=self.settings,
+            executors=self.executors,
+            timers=self.timers,
+            max_wait_s=self._max_wait_s,
+        )
+        self.slots.way = self._sharing()
+        self.keys = Keys(
+            settings=self.settings,
+            platform=self.platform,
+            member=self.members.me.id,
+            clock=clock,
+        )
+        self.sessions = Sessions(
+            settings=self.settings,
+            state=self.state,
+            executors=self.executors,
+            slots=self.slots,
+            keys=self.keys,
+            timeline=self.timeline,
+            clock=clock,
+        )
+        self.callers = Callers(
+            settings=self.settings,
+            sessions=self.sessions,
+            timeline=self.timeline,
+            readiness=self.readiness,
+            clock=clock,
+        )
+
+    def _sharing(self) -> Way:
+        sharing = self.settings.requests.sharing
+        if sharing == "fixed":
+            return FixedShares(slots=self.slots, members=self.members)
+        if sharing == "least":
+            return LeastInFlight(slots=self.slots, gossiper=self.gossiper)
+        return Broker(
+            slots=self.slots,
+            members=self.members,
+            peers=self.peers,
+            settings=self.settings,
+            timers=self.timers,
+            services=lambda: self.state.declared("service"),
+            max_hold_s=self._max_hold_s,
+        )
+
+    def _max_wait_s(self, service: str) -> float:
+        profile = self.state.profile_of(service)
+        if profile is None or "limits" not in profile:
+            return DEFAULT_MAX_WAIT_S
+        return profile["limits"]["max_wait_s"]
+
+    def _max_hold_s(self, service: str) -> float:
+        return self.settings.callers.max_timeout_s
+
+    def _services(self) -> dict[str, Any]:
+        return {
+            service: {
+                "executors": len(self.executors.candidates(service)),
+                "waiting": self.slots.waiting(service),
+            }
+            for service in self.state.declared("service")
+        }
+
+    def _explainers(self) -> dict[str, Explainer]:
+        return {
+            "code": explanations.explain_code,
+            "host": lambda name: {"lines": reasons.explain(self.state, "host", name)},
+            "pool": lambda name: {"lines": reasons.explain(self.state, "pool", name)},
+            "service": lambda name: {"lines": reasons.explain(self.state, "service", name)},
+        }
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -166,15 +166,17 @@
 
     def wait_live(self, *names: str) -> None:
         """Wait until daemons answer on their operators' port."""
-        for name in names or self.daemons_by_name:
-            daemon = self.daemons_by_name[name]
-            wait_http(f"http://{daemon.operators}/live", timeout_s=READY_TIMEOUT_S)
+        self._wait_daemons("operators", "/live", names)
 
     def wait_ready(self, *names: str) -> None:
         """Wait until the balancer would send requests to daemons."""
-        for name in names or self.daemons_by_name:
-            daemon = self.daemons_by_name[name]
-            wait_http(f"http://{daemon.callers}/-/ready", timeout_s=READY_TIMEOUT_S)
+        self._wait_daemons("callers", "/-/ready", names)
+
+    def _wait_daemons(self, part: str, path: str, names: tuple[str, ...]) -> None:
+        for name in names or tuple(self.daemons_by_name):
+            url = f"http://{getattr(self.daemons_by_name[name], part)}{path}"
+            process = self.processes.by_name[name]
+            wait_http(url, timeout_s=READY_TIMEOUT_S, running=lambda p=process: p.poll() is None)
 
     # Using
 
@@ -190,7 +192,7 @@
         """
         daemons = [self.daemons_by_name[entry]] if entry else list(self.daemons_by_name.values())
         entries = [word for daemon in daemons for word in ("--entry", daemon.operators)]
-        command = [sys.executable, "-m", "mustardgap.commands", *entries, *args]
+        command = [sys.executable, "-m", "mustardgap", *entries, *args]
         done = subprocess.run(
             command, cwd=ROOT, capture_output=True, text=True, timeout=CLI_TIMEOUT_S, check=False
         )
