Add lending of slots over a home and its deputy

Cause: fixed shares wait while others' slots idle, and counts gossiped late let the sum exceed the slots. Ruled out: a home without votes (two halves of a parted network would lend the same slots twice), a home without a deputy's copy (its death would block all it had free for a lease and the longest request).

--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -94,37 +94,44 @@
     detail: str
 
 
-class SlotId(msgspec.Struct, frozen=True, array_like=True):
-    """One slot of one executor."""
-
-    executor: str
-    index: int
+Masks = dict[str, int]
+"""Slots by executor: bit ``i`` stands for slot ``i``."""
 
 
 class Follow(Message, tag=10, frozen=True, array_like=True):
-    """A member's renewal of its lease with a service's home, with all the slots it holds there.
+    """A member's vote for a service's home and renewal of its lease, with the slots it holds.
 
-    ``session`` counts the member's changes of home, ``sent`` is its clock (milliseconds) and comes
-    back in the answer, ``echo`` is the home's clock from its last answer.
+    ``session`` counts the member's changes of home. ``sent`` is its clock in milliseconds, which
+    comes back in the answer; ``echo`` is the home's clock from its last answer, 0 at first.
+    ``term`` and ``voted`` are the term and home it last voted under. ``number`` is the highest
+    grant it has dealt with; earlier ones that come later are ignored.
     """
 
     service: str
     session: int
     sent: int
     echo: int
-    horizon_s: float
-    held: list[SlotId]
-    sequence: int = 0
+    term: int
+    voted: str
+    number: int
+    held: Masks
 
 
 class Followed(Message, tag=11, frozen=True, array_like=True):
-    """The home's answer to ``Follow``; ``leased`` tells whether the lease was renewed."""
+    """The home's answer to ``Follow``.
+
+    ``leased`` tells whether the lease was renewed, ``lending`` whether slots given back now would
+    be lent again, ``number`` which grants must have arrived by now or are lost.
+    """
 
     service: str
     session: int
     sent: int
     clock: int
+    term: int
     leased: bool
+    lending: bool
+    number: int
 
 
 class Unfollow(Message, tag=12, frozen=True, array_like=True):
@@ -135,48 +142,84 @@
 
 
 class Unfollowed(Message, tag=13, frozen=True, array_like=True):
-    """The home counts the member no longer and grants it nothing under this session."""
+    """The home doesn't count the member's vote of this session any more, and lends it nothing."""
 
     service: str
     session: int
 
 
 class Ask(Message, tag=14, frozen=True, array_like=True):
-    """How many slots a member wants now; it replaces what the member asked before."""
+    """How many slots a member lacks now, after grant ``number``; replaces its earlier asks."""
 
     service: str
     session: int
     sequence: int
+    number: int
     count: int
     urgency: int
     waited_ms: int
-    horizon_s: float
     excluded: list[str] = []
 
 
 class Grant(Message, tag=15, frozen=True, array_like=True):
-    """Slots lent to a member, until it gives them back or its lease and horizon have passed."""
+    """Slots lent to a member."""
 
     service: str
     session: int
-    slots: list[SlotId]
-    answered: int
+    number: int
+    slots: Masks
 
 
 class Return(Message, tag=16, frozen=True, array_like=True):
-    """Slots that a member gives back."""
+    """Slots that a member gives back, by the number of the grant that lent them."""
 
     service: str
     session: int
-    slots: list[SlotId]
+    numbered: dict[int, Masks]
 
 
 class Recall(Message, tag=17, frozen=True, array_like=True):
-    """The home wants idle slots back, because others wait."""
+    """Others wait for slots; ``waited_ms`` is how long the one whose turn is next has waited."""
 
     service: str
     session: int
-    count: int
+    urgency: int
+    waited_ms: int
+
+
+class Mirror(Message, tag=18, frozen=True, array_like=True):
+    """A home's whole ledger of a term for its deputy: the slots each member may hold."""
+
+    service: str
+    term: int
+    home: str
+    sequence: int
+    held_by_member: dict[str, Masks]
+
+
+class Lend(Message, tag=19, frozen=True, array_like=True):
+    """A grant on its way over the deputy, which notes it before it passes it on."""
+
+    service: str
+    term: int
+    sequence: int
+    member: str
+    grant: Grant
+
+
+class MirrorLost(Message, tag=20, frozen=True, array_like=True):
+    """The deputy lacks what came before; it needs the whole ledger again."""
+
+    service: str
+    term: int
+
+
+class MirrorAsk(Message, tag=21, frozen=True, array_like=True):
+    """A new home asks for the ledger of a term."""
+
+    service: str
+    term: int
+    home: str
 
 
 AnyMessage = (
@@ -195,6 +238,10 @@
     | Grant
     | Return
     | Recall
+    | Mirror
+    | Lend
+    | MirrorLost
+    | MirrorAsk
 )
 
 
--- a/mustardgap/shares.py
+++ b/mustardgap/shares.py
@@ -7,8 +7,7 @@
 from .executors import ExecutorView
 from .gossip import Gossiper
 from .members import Member, Members
-from .messages import SlotId
-from .slots import Slot, Slots
+from .slots import Slot, SlotId, Slots
 
 LOAD_TTL_S = 5.0
 
--- a/mustardgap/slots.py
+++ b/mustardgap/slots.py
@@ -7,7 +7,6 @@
 from . import metrics, status_codes
 from .exceptions import SlotRefused
 from .executors import ExecutorView
-from .messages import SlotId
 from .queues import LEAST_URGENT, Waiter, WaitQueue
 from .settings import Settings
 from .timers import Timers
@@ -17,15 +16,22 @@
 DEFAULT_MAX_WAIT_S = 2.0
 
 
+class SlotId(NamedTuple):
+    """One slot of one executor."""
+
+    executor: str
+    position: int
+
+
 class Slot(NamedTuple):
-    """A slot of an executor; ``taken`` is monotonic."""
+    """A slot of an executor; it may be used until ``deadline``, which is monotonic."""
 
     service: str
     id: SlotId
     executor: ExecutorView
     taken: float
     deadline: float
-    number: int = 0
+    lent: int = 0
 
 
 class Demand(NamedTuple):
--- /dev/null
+++ b/tools/bench_slots.py
@@ -0,0 +1,274 @@
+"""Ways of sharing slots compared with an ideal shared queue and with a naive random choice.
+
+Entry hosts and executors run in one process on virtual time. The entry hosts run the daemon's own
+code; only the network and the executors are fakes.
+"""
+
+import asyncio
+import json
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple, TypedDict
+
+import click
+from hdrh.histogram import HdrHistogram
+
+from mustardgap.exceptions import SlotRefused
+
+from .fake_fleet import Entry, FakeExecutors, FakeNetwork, Fleet
+from .virtual_time import VirtualClock, VirtualLoop, run
+
+ENTRIES = 8
+MEAN_S = 0.05
+TIMEOUT_S = 4.0
+WARM_UP_S = 6.0
+WAYS = ("ideal", "random", "fixed", "least", "lending")
+
+
+class Size(NamedTuple):
+    """One user's executors, and how far entry hosts are apart."""
+
+    name: str
+    executors: int
+    delay_s: float
+
+
+SIZES = (Size("thekkady", 6, 0.0005), Size("federation", 8, 0.0015))
+
+
+class Case(NamedTuple):
+    """One load: its share of capacity, whether it is heavy-tailed, and whether it is uneven."""
+
+    load: float
+    heavy: bool = False
+    uneven: bool = False
+    burst: bool = False
+
+    @property
+    def name(self) -> str:
+        """A short name for tables."""
+        marks = [w for w in ("heavy", "uneven", "burst") if getattr(self, w)]
+        return " ".join([f"{self.load:g}", *marks])
+
+
+CASES = (
+    Case(0.3),
+    Case(0.7),
+    Case(0.9),
+    Case(0.95),
+    Case(0.9, heavy=True),
+    Case(0.9, uneven=True),
+    Case(1.5),
+)
+
+
+class Row(TypedDict):
+    """One measured row; times are milliseconds, goodput is answers in time a second."""
+
+    size: str
+    case: str
+    way: str
+    mean_ms: float
+    p99_ms: float
+    goodput: float
+    of_ideal: float
+    refused: int
+    most_in_use: int
+    messages_per_request: float
+
+
+class Backend:
+    """Executors of 8 slots that queue what exceeds them."""
+
+    def __init__(self, *, fakes: FakeExecutors, slots: int = 8) -> None:
+        self.fakes = fakes
+        self.slots = slots
+        self._waiting: dict[str, deque[asyncio.Future[None]]] = {}
+
+    async def serve(self, executor: str, hold_s: float) -> float:
+        """Run one request.
+
+        :return: the time at which it started to run.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = self._waiting.setdefault(executor, deque())
+        if self.fakes.running[executor] >= self.slots:
+            future: asyncio.Future[None] = loop.create_future()
+            waiting.append(future)
+            await future
+        else:
+            self.fakes.start(executor)
+        started = loop.time()
+        await asyncio.sleep(hold_s)
+        if waiting:
+            waiting.popleft().set_result(None)
+        else:
+            self.fakes.end(executor)
+        return started
+
+
+class Tally:
+    """What came of the requests of one run."""
+
+    def __init__(self) -> None:
+        self.waits = HdrHistogram(1, 60_000_000, 3)
+        self.total_s = 0.0
+        self.answered = 0
+        self.in_time = 0
+        self.refused = 0
+
+    def add(self, wait_s: float, took_s: float) -> None:
+        """Count an answer."""
+        self.waits.record_value(max(1, int(wait_s * 1e6)))
+        self.total_s += wait_s
+        self.answered += 1
+        self.in_time += took_s <= TIMEOUT_S
+
+
+Serve = Callable[[int, float], "asyncio.Task[None]"]
+
+
+def holds(case: Case, seed: int) -> Callable[[], float]:
+    """The distribution of how long requests run: exponential or log-normal, of the same mean."""
+    rng = random.Random(seed)
+    if not case.heavy:
+        return lambda: rng.expovariate(1 / MEAN_S)
+    sigma = 1.8
+    return lambda: min(rng.lognormvariate(math.log(MEAN_S) - sigma**2 / 2, sigma), 3.0)
+
+
+async def offer(case: Case, slots: int, seconds: float, seed: int, serve: Serve) -> None:
+    """Offer Poisson arrivals to entry hosts until the time is over, then wait for the rest."""
+    rng = random.Random(seed)
+    hold = holds(case, seed + 1)
+    weights = [3, *[1] * (ENTRIES - 1)] if case.uneven else [1] * ENTRIES
+    rate = case.load * slots / MEAN_S
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    at = loop.time()
+    tasks = []
+    while (at := at + rng.expovariate(rate)) < end:
+        await asyncio.sleep(max(at - loop.time(), 0))
+        tasks.append(serve(rng.choices(range(ENTRIES), weights)[0], hold()))
+    await asyncio.gather(*tasks)
+
+
+async def measure(size: Size, case: Case, way: str, seconds: float, seed: int) -> Row:
+    """Run one way under one load."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualLoop)
+    fakes = FakeExecutors(executors=size.executors)
+    backend = Backend(fakes=fakes)
+    network = FakeNetwork(delay_s=lambda: size.delay_s)
+    tally = Tally()
+    entries: list[Entry] = []
+    if way in ("fixed", "least", "lending"):
+        fleet = Fleet(network=network, executors=fakes, way=way, clock=VirtualClock(loop=loop))
+        entries = [fleet.add(f"e{i}") for i in range(ENTRIES)]
+        await asyncio.sleep(WARM_UP_S)
+    network.sent.clear()
+    ideal = asyncio.Semaphore(size.executors * 8)
+    names = [view.executor for view in fakes.candidates("s0")]
+
+    async def by_slots(entry: int, hold_s: float) -> None:
+        came = loop.time()
+        try:
+            slot = await entries[entry].slots.acquire("s0", deadline=came + TIMEOUT_S)
+        except SlotRefused:
+            tally.refused += 1
+            return
+        started = await backend.serve(slot.executor.executor, hold_s)
+        entries[entry].slots.release(slot)
+        tally.add(started - came, loop.time() - came)
+
+    async def by_shared_queue(entry: int, hold_s: float) -> None:
+        came = loop.time()
+        async with ideal:
+            started = loop.time()
+            late = started - came > TIMEOUT_S
+            await asyncio.sleep(0 if late else hold_s)
+        tally.add(started - came, loop.time() - came)
+
+    async def by_random(entry: int, hold_s: float) -> None:
+        came = loop.time()
+        started = await backend.serve(random.choice(names), hold_s)
+        tally.add(started - came, loop.time() - came)
+
+    serve = {"ideal": by_shared_queue, "random": by_random}.get(way, by_slots)
+    random.seed(seed)
+    begun = loop.time()
+    await offer(
+        case, size.executors * 8, seconds, seed, lambda e, h: asyncio.create_task(serve(e, h))
+    )
+    return Row(
+        size=size.name,
+        case=case.name,
+        way=way,
+        mean_ms=round(tally.total_s / max(tally.answered, 1) * 1000, 2),
+        p99_ms=round(tally.waits.get_value_at_percentile(99) / 1000, 1),
+        goodput=round(tally.in_time / (loop.time() - begun), 1),
+        of_ideal=0.0,
+        refused=tally.refused,
+        most_in_use=max(fakes.most.values(), default=0),
+        messages_per_request=round(network.sent.total() / max(tally.answered, 1), 2),
+    )
+
+
+def rows(
+    *,
+    seconds: float = 10.0,
+    seed: int = 1,
+    sizes: tuple[Size, ...] = SIZES,
+    cases: tuple[Case, ...] = CASES,
+    ways: tuple[str, ...] = WAYS,
+) -> list[Row]:
+    """Measure every way at every size and load.
+
+    :param seconds: virtual seconds of load.
+    :param seed: of arrivals and run times, the same for all ways.
+    """
+    found = []
+    for size in sizes:
+        for case in cases:
+            of_case = [run(measure(size, case, way, seconds, seed)) for way in ways]
+            for row in of_case:
+                row["of_ideal"] = round(row["goodput"] / of_case[0]["goodput"], 3)
+            found.extend(of_case)
+    return found
+
+
+@click.command()
+@click.option("--seconds", default=10.0, help="Virtual seconds of load.")
+@click.option("--seed", default=1, help="Of arrivals and run times.")
+@click.option("--size", default="", help="Only this size.")
+@click.option("--case", default="", help="Only this load.")
+@click.option("--ways", default=",".join(WAYS), help="Ways, the first is the measure of the rest.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def main(seconds: float, seed: int, size: str, case: str, ways: str, as_json: bool) -> None:
+    """Print the table of ways."""
+    found = rows(
+        seconds=seconds,
+        seed=seed,
+        sizes=tuple(s for s in SIZES if size in ("", s.name)),
+        cases=tuple(c for c in CASES if case in ("", c.name)),
+        ways=tuple(ways.split(",")),
+    )
+    if as_json:
+        click.echo(json.dumps(found, indent=1))
+        return
+    click.echo(
+        f"{'size':11}{'load':14}{'way':9}{'mean ms':>9}{'p99 ms':>9}{'of ideal':>9}"
+        f"{'refused':>9}{'in use':>7}{'msgs':>7}"
+    )
+    for r in found:
+        click.echo(
+            f"{r['size']:11}{r['case']:14}{r['way']:9}{r['mean_ms']:9.2f}{r['p99_ms']:9.1f}"
+            f"{r['of_ideal']:9.3f}{r['refused']:9}{r['most_in_use']:7}"
+            f"{r['messages_per_request']:7.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/fake_fleet.py
@@ -0,0 +1,259 @@
+"""Entry hosts in one process on a fake network, sharing slots of fake executors that count."""
+
+import asyncio
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from mustardgap.brokers import Broker
+from mustardgap.executors import ExecutorView
+from mustardgap.members import Member, Members, MemberState
+from mustardgap.messages import AnyMessage, Frame, Item, encode
+from mustardgap.settings import Settings
+from mustardgap.shares import FixedShares, LeastInFlight
+from mustardgap.slots import Slot, Slots
+from mustardgap.timers import Clock, Timers
+
+
+class FakeExecutors:
+    """Executors that count what runs on them.
+
+    :param services: how many services.
+    :param executors: how many executors each has.
+    :param slots: how many slots each executor has.
+    """
+
+    def __init__(self, *, services: int = 1, executors: int = 6, slots: int = 8) -> None:
+        self.views_by_service = {
+            f"s{s}": [
+                ExecutorView(f"s{s}x{e}", "127.0.0.1:1", f"w{e}", f"r{e // 4}", slots, 1.0)
+                for e in range(executors)
+            ]
+            for s in range(services)
+        }
+        self.running: Counter[str] = Counter()
+        self.most: Counter[str] = Counter()
+
+    def candidates(self, service: str) -> list[ExecutorView]:
+        """The executors of a service."""
+        return self.views_by_service[service]
+
+    def start(self, executor: str) -> None:
+        """Count a request that starts to run."""
+        self.running[executor] += 1
+        self.most[executor] = max(self.most[executor], self.running[executor])
+
+    def end(self, executor: str) -> None:
+        """Count a request that ended."""
+        self.running[executor] -= 1
+
+
+class FakeNetwork:
+    """Carries messages between fake peers, late, lost or out of order as told.
+
+    :param delay_s: a function that gives each message's delay.
+    :param seed: of what is lost.
+    """
+
+    def __init__(self, *, delay_s: Callable[[], float], seed: int = 0) -> None:
+        self.delay_s = delay_s
+        self.random = random.Random(seed)
+        self.lost_ratio = 0.0
+        self.entries_by_id: dict[str, Entry] = {}
+        self.cut_pairs: set[frozenset[str]] = set()
+        self.sent: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.measure = False
+        self.in_order = True
+        self._last_arrival: dict[tuple[str, str], float] = {}
+
+    def post(self, sender: str, receiver: str, message: AnyMessage) -> None:
+        """Carry a message."""
+        name = type(message).__name__
+        self.sent[name] += 1
+        if self.measure:
+            self.sent_bytes[name] += len(encode(Frame((0, 0), [Item(0, message)])))
+        if frozenset((sender, receiver)) in self.cut_pairs:
+            return
+        if self.random.random() < self.lost_ratio:
+            return
+        loop = asyncio.get_running_loop()
+        when = loop.time() + self.delay_s()
+        if self.in_order:
+            when = max(when, self._last_arrival.get((sender, receiver), 0.0) + 1e-7)
+            self._last_arrival[sender, receiver] = when
+        loop.call_at(when, self._arrive, sender, receiver, message)
+
+    def _arrive(self, sender: str, receiver: str, message: AnyMessage) -> None:
+        entry = self.entries_by_id.get(receiver)
+        if entry is not None:
+            entry.peers.arrive(sender, message)
+
+
+class FakePeers:
+    """One entry host's end of the fake network."""
+
+    def __init__(self, *, network: FakeNetwork, members: Members) -> None:
+        self.network = network
+        self.members = members
+        self.held_back: list[tuple[str, AnyMessage]] | None = None
+        self._handlers: dict[type, Callable[[Member, Any], Any]] = {}
+
+    def send(self, member_id: str, message: AnyMessage) -> bool:
+        """Send a message."""
+        self.network.post(self.members.me.id, member_id, message)
+        return True
+
+    def handle(self, type_: type, handler: Callable[[Member, Any], Any]) -> None:
+        """Have messages of a type handled."""
+        self._handlers[type_] = handler
+
+    def arrive(self, sender: str, message: AnyMessage) -> None:
+        """Handle a message, or keep it while the process is paused."""
+        if self.held_back is not None:
+            self.held_back.append((sender, message))
+            return
+        m = self.members.by_id.get(sender)
+        if m is not None and m.state is not MemberState.dead:
+            self._handlers[type(message)](m, message)
+
+
+class FakeGossip:
+    """Hands notices to every other entry host at a fixed age."""
+
+    def __init__(self, *, fleet: "Fleet", members: Members) -> None:
+        self.fleet = fleet
+        self.members = members
+        self.callbacks: dict[str, Callable[[str, Any, Member], None]] = {}
+
+    def on_notice(self, kind: str, callback: Callable[[str, Any, Member], None]) -> None:
+        """Call back with new notices."""
+        self.callbacks[kind] = callback
+
+    def publish(self, kind: str, key: str, value: Any, *, ttl_s: float) -> None:
+        """Tell all others."""
+        loop = asyncio.get_running_loop()
+        for entry in self.fleet.entries:
+            if entry.members.me.id != self.members.me.id:
+                take = entry.gossip.callbacks[kind]
+                loop.call_later(self.fleet.network.delay_s(), take, key, value, self.members.me)
+
+
+class Entry:
+    """One entry host: its members, slots and way of sharing."""
+
+    def __init__(
+        self, *, fleet: "Fleet", host: str, incarnation: int, way: str, clock: Clock
+    ) -> None:
+        self.fleet = fleet
+        self.alive = True
+        self.timers = Timers(clock=clock)
+        self.settings = fleet.settings(host)
+        me = Member(host, incarnation, "127.0.0.1:1", "127.0.0.1:2", "d")
+        self.members = Members(me=me, settings=self.settings, timers=self.timers)
+        self.peers = FakePeers(network=fleet.network, members=self.members)
+        self.gossip = FakeGossip(fleet=fleet, members=self.members)
+        self.slots = Slots(
+            settings=self.settings,
+            executors=fleet.executors,
+            timers=self.timers,
+            max_wait_s=lambda service: fleet.max_wait_s,
+        )
+        self.tasks = [asyncio.create_task(self.slots.run())]
+        self.slots.way = self.way = self._way(way)
+        self.uses: dict[int, tuple[Slot, asyncio.TimerHandle]] = {}
+
+    def _way(self, way: str) -> Any:
+        if way == "fixed":
+            return FixedShares(slots=self.slots, members=self.members)
+        if way == "least":
+            least = LeastInFlight(slots=self.slots, gossiper=self.gossip)  # type: ignore[arg-type]
+            self.tasks.append(asyncio.create_task(self._publish(least)))
+            return least
+        broker = Broker(
+            slots=self.slots,
+            members=self.members,
+            peers=self.peers,
+            settings=self.settings,
+            timers=self.timers,
+            services=lambda: self.fleet.executors.views_by_service,
+            max_hold_s=lambda service: self.fleet.hold_s,
+        )
+        self.tasks.append(asyncio.create_task(broker.run()))
+        return broker
+
+    async def _publish(self, least: LeastInFlight) -> None:
+        while True:
+            await asyncio.sleep(self.fleet.gossip_s)
+            least.publish()
+
+    def end(self) -> None:
+        """Stop the tasks, as a killed process does."""
+        self.alive = False
+        for task in self.tasks:
+            task.cancel()
+
+
+class Fleet:
+    """Some entry hosts that share slots.
+
+    :param network: what carries their messages.
+    :param executors: the executors they share.
+    :param way: the way of sharing.
+    :param clock: the clock of the loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: FakeNetwork,
+        executors: FakeExecutors,
+        way: str = "lending",
+        clock: Clock,
+        hold_s: float = 10.0,
+        max_wait_s: float = 2.0,
+        gossip_s: float = 0.2,
+    ) -> None:
+        self.network = network
+        self.executors = executors
+        self.way = way
+        self.clock = clock
+        self.hold_s = hold_s
+        self.max_wait_s = max_wait_s
+        self.gossip_s = gossip_s
+        self.entries: list[Entry] = []
+        self.clocks_by_host: dict[str, Clock] = defaultdict(lambda: clock)
+        self._incarnations = 0
+
+    def settings(self, host: str) -> Settings:
+        """The settings of one entry host."""
+        raw = {"host": host, "data_center": "d", "platform": {"address": "127.0.0.1:1"}}
+        return msgspec.convert(raw, Settings)
+
+    def add(self, host: str) -> Entry:
+        """Start an entry host; it and the others learn of each other at once."""
+        self._incarnations += 1
+        entry = Entry(
+            fleet=self,
+            host=host,
+            incarnation=self._incarnations,
+            way=self.way,
+            clock=self.clocks_by_host[host],
+        )
+        self.network.entries_by_id[entry.members.me.id] = entry
+        for other in self.entries:
+            if other.alive:
+                introduce(other, entry)
+                introduce(entry, other)
+        self.entries.append(entry)
+        return entry
+
+
+def introduce(entry: Entry, other: Entry) -> None:
+    """Let one entry host know of another."""
+    m = other.members.me
+    entry.members._put(m._replace(state=MemberState.live))
+    entry.members.listed_hosts |= {m.host}
