Order the time line by the records' times too, and keep a verdict's detail

Cause: stamps travelled between peers only, so with clocks 9 s apart a fold on one entry host was shown before the change was asked for on another; and a writer got 'decided before' in place of its own verdict, without what had changed or which budget. Ruled out: ordering by offset at the merge (events without an offset would still be out of order); the log's own time (a host that is ahead stays ahead of it). Conclusion: a record's time is a hybrid logical time; a duplicate alone is answered from memory.

--- a/mustardgap/streams.py
+++ b/mustardgap/streams.py
@@ -130,7 +130,7 @@
             body,
             writer=self.member,
             seen=self.offset,
-            time=self.clock.wall(),
+            time=self.timeline.send_time(),
             record_id=record_id,
         )
         before = folds.decided(self.state, record["id"])
@@ -274,11 +274,17 @@
         self._recent.append(record)
         code = status_codes.OK if isinstance(verdict, Accepted) else verdict.code
         value = record.value if isinstance(record.value, dict) else {}
+        if isinstance(value.get("time"), float):
+            # By the clocks alone an effect could seem to come before the record that caused it.
+            self.timeline.witness_time(value["time"])
         kind = value.get("kind")
         kind = kind if kind in folds.RULES_BY_KIND else "other"
         metrics.fold_verdicts.add(1, {"kind": kind, "mustardgap.code": code.number})
         record_id = str(value.get("id", ""))
-        self.appender.resolve(record_id, folds.decided(self.state, record_id) or verdict)
+        is_copy = code is status_codes.DUPLICATE_RECORD
+        # The writer of a second copy hears of the first; nobody else may act on it twice.
+        first = folds.decided(self.state, record_id) if is_copy else None
+        self.appender.resolve(record_id, first or verdict)
         for callback in self._callbacks:
             try:
                 callback(record, verdict)
--- a/mustardgap/timelines.py
+++ b/mustardgap/timelines.py
@@ -6,6 +6,8 @@
 
 from .timers import Clock
 
+MAX_AHEAD_S = 3600.0
+
 
 class Event(NamedTuple):
     """One event of one daemon.
@@ -65,6 +67,23 @@
         """Take in a peer's stamp, so that what follows is ordered after it."""
         self._stamp = max(self._stamp, (int(stamp[0]), int(stamp[1])))
 
+    def send_time(self) -> float:
+        """The time to write on a record: later than all that this daemon knows of.
+
+        :return: seconds since the epoch, whole milliseconds.
+        """
+        self._stamp = max((int(self.clock.wall() * 1000), 0), (self._stamp[0] + 1, 0))
+        return self._stamp[0] / 1000
+
+    def witness_time(self, time: float) -> None:
+        """Take in the time of a record, so that what follows it here is ordered after its writing.
+
+        A time that is far ahead comes from a broken clock; taken in, it would put all later events
+        of all daemons there, in the order they happened but useless to read.
+        """
+        if time <= self.clock.wall() + MAX_AHEAD_S:
+            self.witness((round(time * 1000), 0))
+
     def events(self, *, since: float = 0.0, **ids: str) -> list[Event]:
         """List events, the oldest first.
 
