Prove the operators' interface against lost answers, races and skewed clocks

Cause: an operator who is told something untrue does harm with it: a change repeated, a race lost silently, an effect shown before its cause. Ruled out: fixed record ids for jobs and waves (a rejected first try would be answered from memory for ever); their epochs make a second copy harmless and the handler tells it from a new one. Conclusion: drains, waves and cancels sent again find their own effect; FoldEvents notes decisions.

--- /dev/null
+++ b/features/operators.feature
@@ -0,0 +1,40 @@
+Feature: the operators' interface tells the truth and withstands bad input
+  Operators see the system only through this port. What it says must be true while entry hosts and
+  the log fail, and nothing sent to it, by mistake or on purpose, may take the daemon down.
+
+  Scenario: the time line keeps cause before effect although clocks are seconds apart
+    An operator reads the merged time line to find out why something happened. Entry hosts write to
+    the log and fold what the others wrote, with clocks that are up to 9 seconds apart. By their own
+    clocks effects would come before their causes, and the operator would blame the wrong change.
+    Given operators' entry hosts with clocks off by 0, 5 and -4 seconds
+    When operators publish changes through entry hosts in any order
+    Then operators see each change asked for before it is folded anywhere, in the merged time line
+
+  Scenario Outline: a change whose answer is lost takes effect once (<fault>)
+    The tool sends a change; the entry host, or the log, does it and the answer is lost. The tool
+    can't know, and sends the same change through the next entry host. Done twice it would be told
+    that someone else had changed the declarations, or a job would be submitted twice.
+    Given operators' entry hosts with clocks off by 0, 0 and 0 seconds
+    When operators' <fault> loses the answer and <request> is sent
+    Then operators are told that it is accepted, and it stands on the log once
+
+    Examples:
+      | fault              | request      |
+      | log                | a change     |
+      | log                | a job        |
+      | first entry host   | a change     |
+      | first entry host   | a job        |
+
+  Scenario: two operators race
+    Both start from the same version. One change is folded first; the other names a version that is
+    no longer in force. Taking both would silently undo the first operator's change.
+    Given operators' entry hosts with clocks off by 0, 0 and 0 seconds
+    When operators race each other with different values of one declaration
+    Then one operator wins, and the others are told what changed
+
+  Scenario: the log is down
+    Nothing can be accepted. The operator is told so at once enough to act on, and that nothing was
+    written; what is in force can still be read.
+    Given operators' entry hosts with clocks off by 0, 0 and 0 seconds
+    When the operators' log goes down and a change is sent
+    Then operators are told MG5000 and can still read what is in force
--- /dev/null
+++ b/mustardgap/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m mustardgap``."""
+
+from .commands import main
+
+main()
--- a/mustardgap/commands.py
+++ b/mustardgap/commands.py
@@ -48,14 +48,14 @@
     try:
         result = cli.main(args=args, prog_name="mustardgap", standalone_mode=False)
         return result if isinstance(result, int) else 0
-    except click.exceptions.NoArgsIsHelpError as exc:
-        click.echo(exc.format_message())
-        return status_codes.USAGE.exit_status
     except MustardgapError as exc:
         print_error(exc)
         return exc.code.exit_status
     except click.ClickException as exc:
-        print_error(_usage(exc))
+        if type(exc).__name__ == "NoArgsIsHelpError":
+            click.echo(exc.format_message())
+        else:
+            print_error(_usage(exc))
         return status_codes.USAGE.exit_status
     except (click.Abort, KeyboardInterrupt):
         click.echo("interrupted", err=True)
--- a/mustardgap/commands_views.py
+++ b/mustardgap/commands_views.py
@@ -32,7 +32,7 @@
         ready = "ready" if answer["ready"] else f"not ready ({answer['why_not_ready']})"
         click.echo(
             f"{answer['host']} is {ready}, offset {answer['offset']}, "
-            f"current {answer['fresh_s']:.1f} s ago, up {answer['uptime_s']:.0f} s, "
+            f"{_current(answer['fresh_s'])}, up {answer['uptime_s']:.0f} s, "
             f"version {answer['version']}, rules {answer['rules']}"
         )
         columns = ["host", "state", "data center", "operators", "offset"]
@@ -211,6 +211,10 @@
         click.echo(f"no answer from {entry}: its events are missing", err=True)
 
 
+def _current(fresh_s: float | None) -> str:
+    return "never current" if fresh_s is None else f"current {fresh_s:.1f} s ago"
+
+
 def _since(text: str) -> float:
     match = _SPAN.match(text)
     if match:
--- /dev/null
+++ b/mustardgap/fold_events.py
@@ -0,0 +1,59 @@
+"""Events of the time line for what the fold decides."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from .models import LogRecord
+from .outcomes import Accepted, Verdict
+from .streams import Log
+from .timelines import Timeline
+
+
+class FoldEvents:
+    """Notes each decision of the fold on this daemon's time line.
+
+    :param log: the state stream.
+    :param timeline: where the events go.
+    """
+
+    def __init__(self, *, log: Log, timeline: Timeline) -> None:
+        self.log = log
+        self.timeline = timeline
+        log.on_fold(self.note)
+
+    def note(self, record: LogRecord, verdict: Verdict) -> None:
+        """Note a record and its verdict."""
+        kind, body = record.value.get("kind"), record.value.get("body")
+        if not isinstance(kind, str) or not isinstance(body, dict):
+            return
+        if not isinstance(verdict, Accepted):
+            cause = f"{verdict.code} {verdict.code.name}"
+            self.timeline.add(f"{kind}.rejected", offset=record.offset, cause=cause, **_ids(body))
+            return
+        for event, ids in self._accepted(kind, body):
+            cause = str(body.get("reason", ""))
+            self.timeline.add(event, offset=record.offset, cause=cause, **ids)
+
+    def _accepted(self, kind: str, body: dict[str, Any]) -> Iterator[tuple[str, dict[str, str]]]:
+        if kind == "config":
+            for change in body["changes"]:
+                step = "removed" if change["value"] is None else "changed"
+                yield f"config.{step}", _key_ids(change["key"])
+        elif kind == "host":
+            yield f"host.{body['phase']}", {**_ids(body), **self._service(body["pool"])}
+        elif kind in ("job", "wave"):
+            yield f"{kind}.{body['step']}", _ids(body)
+
+    def _service(self, pool: str) -> dict[str, str]:
+        value = self.log.state.value("pool", pool)
+        return {"service": value["service"]} if value and value["service"] else {}
+
+
+def _ids(body: dict[str, Any]) -> dict[str, str]:
+    names = {"host": "host", "job": "job", "wave": "wave", "pool": "pool", "worker": "host"}
+    return {name: str(body[key]) for key, name in names.items() if body.get(key)}
+
+
+def _key_ids(key: str) -> dict[str, str]:
+    kind, _, name = key.partition("/")
+    return {"key": key, kind: name}
--- a/mustardgap/operator_changes.py
+++ b/mustardgap/operator_changes.py
@@ -1,5 +1,6 @@
 """Handlers of the operators' interface that write to the log."""
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -15,6 +16,13 @@
 STEP_TRIES = 5
 MAX_CANCELS = 10_000
 
+_RACED = (status_codes.STALE_BASE, status_codes.WRONG_PHASE)
+_DONE_BY_STEP = {
+    "drain": ("draining", "drained", "rebooting"),
+    "undrain": ("in_service",),
+}
+_PHASES_BY_STEP = {"pause": "paused", "resume": "running", "finish": "finished"}
+
 
 class ChangesBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """A set of changes; ``id`` makes sending it again harmless."""
@@ -65,9 +73,15 @@
 
     async def append(self, kind: str, body: dict[str, Any], record_id: str = "") -> Verdict:
         """Write one record and wait for the fold's verdict."""
-        return await self.log.write(
+        timeline = self.operators.timeline
+        ids = {key: body[key] for key in ("host", "job", "wave") if key in body}
+        if record_id:
+            ids["change"] = record_id
+        timeline.add(f"operators.{kind}", cause=str(body.get("reason", "")), **ids)
+        verdict: Verdict = await self.log.write(
             kind, body, timeout_s=WRITE_TIMEOUT_S, purpose="operators", record_id=record_id
         )
+        return verdict
 
 
 class ChangesHandler(WritingHandler):
@@ -84,8 +98,7 @@
         if body.dry_run:
             self._dry_run(body)
             return
-        record_id = f"change:{body.id}"
-        self.reply_verdict(await self.append("config", {"changes": body.changes}, record_id))
+        self.reply_verdict(await self.append("config", {"changes": body.changes}, body.id))
 
     def _dry_run(self, body: ChangesBody) -> None:
         verdict = self.log.check("config", {"changes": body.changes})
@@ -104,10 +117,10 @@
         body = self.decode(JobBody)
         _check_name(body.id, "id")
         record = {"job": body.id, "base": 0, "step": "submit", "spec": body.spec}
-        verdict = await self.append("job", record, f"job:{body.id}:submit")
+        verdict = await self.append("job", record)
         known: JobState | None = self.log.state.jobs_by_id.get(body.id)
-        if isinstance(verdict, Rejected) and known and known["spec"] == body.spec:
-            verdict = Accepted(offset=self.log.offset)
+        if _is_repeated(verdict, known is not None and known["spec"] == body.spec):
+            verdict = Accepted(offset=self.log.offset - 1)
         self.reply_verdict(verdict, job=body.id)
 
 
@@ -155,8 +168,10 @@
             reason = f"urgent: {reason}"
         phase = "draining" if step == "drain" else "in_service"
 
-        def record() -> dict[str, Any]:
+        def record() -> dict[str, Any] | None:
             host = find(self.log.state.hosts_by_name, "hosts", name)
+            if host["phase"] in _DONE_BY_STEP[step]:
+                return None
             return {
                 "host": name,
                 "base": host["epoch"],
@@ -187,7 +202,10 @@
             "hosts": hosts,
             "reason": body.reason or "operator",
         }
-        verdict = await self.append("wave", record, f"wave:{body.wave}:start")
+        verdict = await self.append("wave", record)
+        known = self.log.state.waves_by_name.get(body.wave)
+        if _is_repeated(verdict, known is not None and known["hosts"] == sorted(set(hosts))):
+            verdict = Accepted(offset=self.log.offset - 1)
         self.reply_verdict(verdict, wave=body.wave, hosts=hosts)
 
     def _hosts(self, body: WaveBody) -> list[str]:
@@ -218,8 +236,10 @@
         """Pause, resume or finish the wave."""
         body = self.decode(StepBody)
 
-        def record() -> dict[str, Any]:
+        def record() -> dict[str, Any] | None:
             wave = find(self.log.state.waves_by_name, "waves", name)
+            if wave["phase"] == _PHASES_BY_STEP[step]:
+                return None
             reason = body.reason or "operator"
             return {"wave": name, "base": wave["epoch"], "step": step, "reason": reason}
 
@@ -229,30 +249,41 @@
 async def cancel(handler: WritingHandler, name: str) -> Verdict:
     """Cancel a job; one that has ended or is cancelled already stays so."""
 
-    def record() -> dict[str, Any]:
+    def record() -> dict[str, Any] | None:
         job = find(handler.log.state.jobs_by_id, "jobs", name)
+        if job["cancelled"] or job["phase"] == "ended":
+            return None
         return {"job": name, "base": job["epoch"], "step": "cancel"}
 
-    job = find(handler.log.state.jobs_by_id, "jobs", name)
-    if job["cancelled"] or job["phase"] == "ended":
-        return Accepted(offset=handler.log.offset)
     return await step_on_latest(handler, "job", record)
 
 
-async def step_on_latest(handler: WritingHandler, kind: str, record: Any) -> Verdict:
+async def step_on_latest(
+    handler: WritingHandler, kind: str, record: Callable[[], dict[str, Any] | None]
+) -> Verdict:
     """Write a step on the latest epoch, again when something else came in between.
 
     An operator's step names no epoch: it is meant for whatever the state is now, and the fold
-    still checks it against the phase.
+    still checks it against the phase. Sent again after a lost answer it finds its own effect.
+
+    :param record: makes the record's body; None when nothing is left to do.
     """
-    verdict: Verdict = await handler.append(kind, record())
-    for _ in range(STEP_TRIES - 1):
-        if not isinstance(verdict, Rejected) or verdict.code is not status_codes.STALE_BASE:
+    verdict: Verdict = Accepted(offset=handler.log.offset - 1)
+    for _ in range(STEP_TRIES):
+        body = record()
+        if body is None:
+            return Accepted(offset=handler.log.offset - 1)
+        verdict = await handler.append(kind, body)
+        if isinstance(verdict, Accepted) or verdict.code not in _RACED:
             break
-        verdict = await handler.append(kind, record())
     return verdict
 
 
+def _is_repeated(verdict: Verdict, same: bool) -> bool:
+    """Whether a rejected first record is the second copy of one that was accepted before."""
+    return isinstance(verdict, Rejected) and verdict.code is status_codes.STALE_BASE and same
+
+
 def _check_name(name: str, place: str) -> None:
     if not name or len(name) > 200 or not name.isprintable() or "/" in name:
         raise MustardgapError(
--- a/mustardgap/operator_views.py
+++ b/mustardgap/operator_views.py
@@ -1,6 +1,7 @@
 """Handlers of the operators' interface that only read."""
 
 import inspect
+import math
 from typing import Any
 
 from . import metrics, status_codes
@@ -141,13 +142,17 @@
         "ready": readiness.ready,
         "why_not_ready": readiness.reason,
         "offset": operators.log.offset,
-        "fresh_s": operators.log.fresh_s(),
+        "fresh_s": _finite(operators.log.fresh_s()),
         "uptime_s": operators.timeline.clock.monotonic() - operators.started,
         "services": operators.services_view(),
         "members": [_member(member) for member in operators.members.by_id.values()],
     }
 
 
+def _finite(seconds: float) -> float | None:
+    return seconds if math.isfinite(seconds) else None
+
+
 def items_body(state: State, collection: str, name: str = "") -> dict[str, Any]:
     """A collection of the folded state, or one item of it, as it is answered."""
     items = collection_items(state, collection)
