Place, pause, start and end jobs, and renew their leases

Cause: jobs accepted on the log must run under leases, urgent ones first, each attempt once. Conclusion: pure decisions in jobs and job_queues, carried out by placers and job_actors.

--- a/mustardgap/actors.py
+++ b/mustardgap/actors.py
@@ -1,17 +1,20 @@
 """Carries decisions out on the platform: every daemon runs it, and each key has one first actor."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 from absl import logging
 
 from .duties import Duties
 from .host_actors import HostActor
+from .job_actors import JobActor
 from .members import Members
-from .models import LogRecord
+from .models import LogRecord, TaskInfo
 from .operations import MAX_ACTIONS, Operations
 from .outcomes import Accepted, Verdict
+from .placers import Placer
 from .plan_actors import PlanActor
 from .registrars import Registrar
 from .settings import Settings
@@ -66,15 +69,19 @@
         self.hosts = HostActor(operations=operations, duties=duties, members=members)
         self.registrar = Registrar(operations=operations, duties=duties)
         self.planner = PlanActor(operations=operations, duties=duties)
+        self.placer = Placer(operations=operations, duties=duties)
+        self.jobs = JobActor(operations=operations, duties=duties, placer=self.placer)
         self._under_way: dict[str, asyncio.Task[None]] = {}
+        self._slots = asyncio.Semaphore(MAX_ACTIONS)
         log.on_fold(self._folded)
-        log.on_restore(self.look_at_all)
-        workers.on_change(self._workers_changed)
+        log.on_restore(self._restart)
+        workers.on_change(self._changed)
+        workers.on_tasks(self._tasks_changed)
         timers.on_gap(self._drop)
 
     async def run(self) -> None:
         """Act until cancelled."""
-        self.look_at_all()
+        self._restart()
         unsubscribe = self.timers.subscribe("actors", self.settings.capacity.act_s, self.act)
         try:
             await asyncio.Event().wait()
@@ -84,16 +91,18 @@
 
     def act(self) -> None:
         """Begin the steps that are due and not under way; none on views that are too old."""
-        if not self.operations.may_begin():
+        may_begin = self.operations.may_begin()
+        for number, batch in enumerate(self.jobs.leases_due()):
+            self._begin(f"renew/{number}", partial(self.jobs.renew, batch))
+        if not may_begin:
             return
-        records = self.registrar.due()
-        if records:
-            self._begin("registrar", self.registrar.act(records))
-        plan = self.planner.due()
-        if plan is not None:
-            self._begin("planner", self.planner.act(plan))
-        for name, step in self.hosts.due():
-            self._begin(f"host/{name}", self.hosts.act(name, step))
+        self._begin_due("registrar", self.registrar)
+        self._begin_due("planner", self.planner)
+        self._begin_due("placer", self.placer)
+        for host, host_step in self.hosts.due():
+            self._begin(f"host/{host}", partial(self.hosts.act, host, host_step))
+        for job, job_step in self.jobs.due():
+            self._begin(f"job/{job}", partial(self.jobs.act, job, job_step))
 
     async def settle(self) -> None:
         """Wait until the steps under way have ended."""
@@ -104,17 +113,29 @@
         """Look at everything anew."""
         self.hosts.look_at_all()
         self.registrar.look_at_all()
+        self.jobs.look_at_all()
+
+    def _restart(self) -> None:
+        """Begin anew on a state that was taken over whole."""
+        self.placer.restart()
+        self.look_at_all()
 
-    def _begin(self, key: str, action: Awaitable[None]) -> None:
-        if key in self._under_way or len(self._under_way) >= MAX_ACTIONS:
-            action.close()  # type: ignore[attr-defined]
+    def _begin_due(self, key: str, part: Any) -> None:
+        if key in self._under_way:
             return
-        task = asyncio.create_task(self._run(key, action), name=f"act:{key}")
-        self._under_way[key] = task
+        decided = part.due()
+        if decided:
+            self._begin(key, partial(part.act, decided))
 
-    async def _run(self, key: str, action: Awaitable[None]) -> None:
+    def _begin(self, key: str, action: Callable[[], Awaitable[None]]) -> None:
+        if key not in self._under_way:
+            task = asyncio.create_task(self._run(key, action), name=f"act:{key}")
+            self._under_way[key] = task
+
+    async def _run(self, key: str, action: Callable[[], Awaitable[None]]) -> None:
         try:
-            await action
+            async with self._slots:
+                await action()
         except Exception:
             logging.exception("step of %s failed", key)
         finally:
@@ -139,9 +160,20 @@
             return
         kind, body = record.value["kind"], record.value["body"]
         if kind == "host":
-            self.hosts.look_at({body["host"]})
-            self.registrar.look_at({body["host"]})
-
-    def _workers_changed(self, workers: set[str]) -> None:
-        self.hosts.look_at(workers)
-        self.registrar.look_at(workers)
+            self._changed({body["host"]})
+        elif kind == "job":
+            self.placer.follow_jobs({body["job"]})
+            self.jobs.look_at({body["job"]})
+        elif kind == "config":
+            self.placer.follow_hosts(set(self.log.state.hosts_by_name))
+
+    def _tasks_changed(self, tasks: list[TaskInfo]) -> None:
+        self.jobs.look_at({task["job"] for task in tasks})
+        for task in tasks:
+            self.placer.learn(task)
+
+    def _changed(self, hosts: set[str]) -> None:
+        self.hosts.look_at(hosts)
+        self.registrar.look_at(hosts)
+        self.placer.follow_hosts(hosts)
+        self.jobs.look_at_hosts(hosts)
--- /dev/null
+++ b/mustardgap/job_queues.py
@@ -0,0 +1,238 @@
+"""Which waiting job goes where, and which gentle jobs make way: pure decisions on the queue."""
+
+import math
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from .rooms import Rooms
+from .usages import Size
+
+# A waiting job counts as one level more urgent after each such time, and after each pause.
+AGE_S = 600.0
+# A job that was taken off its worker this often isn't taken off again for an urgent one.
+MAX_PAUSES = 3
+# A job that has waited this long for room that is nowhere gets a worker kept free for it.
+RESERVE_AFTER_S = 30.0
+RESERVATION_S = 120.0
+MAX_RESERVED = 8
+MAX_PAUSES_AT_ONCE = 64
+
+
+class Waiting(NamedTuple):
+    """A job that waits; ``since`` is when it began to."""
+
+    job: str
+    urgency: int
+    pauses: int
+    since: float
+    size: Size
+    run_s: float
+    avoid: frozenset[str] = frozenset()
+
+    def level(self, now: float) -> int:
+        """Its place in the queue: the urgency, raised by waiting and by having been paused."""
+        return max(0, math.floor(self.urgency - self.pauses - (now - self.since) / AGE_S))
+
+
+class Running(NamedTuple):
+    """A job that holds room; ``may_pause`` says whether it may be taken off its worker."""
+
+    job: str
+    worker: str
+    urgency: int
+    size: Size
+    started: float
+    ends: float
+    may_pause: bool
+    is_leaving: bool
+
+
+class Reservation(NamedTuple):
+    """A worker kept for a job that waits, until ``expires``; it is expected free at ``free_at``."""
+
+    job: str
+    free_at: float
+    expires: float
+
+
+class Place(NamedTuple):
+    """Place a job on a worker."""
+
+    job: str
+    worker: str
+    size: Size
+
+
+class Pause(NamedTuple):
+    """Take a gentle job off its worker for another one."""
+
+    job: str
+    worker: str
+    by: str
+
+
+class Queue:
+    """One pass over the waiting jobs, the most urgent first.
+
+    :param rooms: free room; what is placed is taken from it, and given back by ``undo``.
+    :param running_by_worker: the jobs that hold room on a worker.
+    :param reserved: reservations by worker; changed in place, they outlive the pass.
+    :param may_place: tells whether the fold would accept a placement now.
+    :param now: seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        *,
+        rooms: Rooms,
+        running_by_worker: Callable[[str], list[Running]],
+        reserved: dict[str, Reservation],
+        may_place: Callable[[str, str], bool],
+        now: float,
+    ) -> None:
+        self.rooms = rooms
+        self.running_by_worker = running_by_worker
+        self.reserved = reserved
+        self.may_place = may_place
+        self.now = now
+        self.placed: list[Place] = []
+        self.paused: list[Pause] = []
+        self._blocked: list[Waiting] = []
+        self._helpless: list[Waiting] = []
+        self._gentle: list[str] | None = None
+
+    def decide(self, waiting: Iterable[Waiting]) -> list[Place | Pause]:
+        """Decide for all waiting jobs.
+
+        :param waiting: the jobs, in any order.
+        :return: placements and pauses.
+        """
+        jobs = sorted(waiting, key=lambda w: (w.level(self.now), w.since, w.job))
+        self._drop_reservations({w.job for w in jobs})
+        try:
+            for job in jobs:
+                self._visit(job)
+        finally:
+            for place in self.placed:
+                self.rooms.give(place.job)
+        return [*self.placed, *self.paused]
+
+    def _visit(self, job: Waiting) -> None:
+        if any(b.size.fits(job.size) and b.run_s <= job.run_s for b in self._blocked):
+            # A smaller and shorter job found no room a moment ago, so there is none for this one.
+            worker = None
+        else:
+            worker = self.rooms.fit(job.size, avoid=job.avoid | self._kept_from(job))
+        if worker is not None:
+            if self.may_place(job.job, worker):
+                self._place(job, worker)
+            return
+        if not job.avoid:
+            self._blocked.append(job)
+        if any(r.job == job.job for r in self.reserved.values()):
+            return
+        if not self._make_way(job) and self.now - job.since > RESERVE_AFTER_S:
+            self._reserve(job)
+
+    def _place(self, job: Waiting, worker: str) -> None:
+        self.placed.append(Place(job.job, worker, job.size))
+        self.rooms.take(job.job, worker, job.size)
+        for kept, reservation in list(self.reserved.items()):
+            if reservation.job == job.job:
+                del self.reserved[kept]
+
+    def _kept_from(self, job: Waiting) -> frozenset[str]:
+        """The workers kept for others, but for those that this job would leave in time."""
+        ends = self.now + job.run_s
+        return frozenset(
+            worker
+            for worker, reservation in self.reserved.items()
+            if reservation.job != job.job and ends > reservation.free_at
+        )
+
+    def _drop_reservations(self, waiting: set[str]) -> None:
+        for worker, reservation in list(self.reserved.items()):
+            is_over = reservation.expires < self.now or reservation.job not in waiting
+            if is_over or worker not in self.rooms.capacity_by_worker:
+                del self.reserved[worker]
+
+    def _make_way(self, job: Waiting) -> bool:
+        """Pause gentler jobs on the one worker where that disturbs the least."""
+        if len(self.paused) >= MAX_PAUSES_AT_ONCE:
+            return False
+        if any(h.size.fits(job.size) and h.urgency <= job.urgency for h in self._helpless):
+            return False
+        best: tuple[tuple[int, float], str, list[Running]] | None = None
+        for worker in self._gentle_workers():
+            if worker in job.avoid or worker in self.reserved:
+                continue
+            victims = self._victims(job, worker)
+            if victims is None:
+                continue
+            lost_s = sum(self.now - v.started for v in victims)
+            if best is None or (len(victims), lost_s) < best[0]:
+                best = ((len(victims), lost_s), worker, victims)
+        if best is None and not job.avoid:
+            self._helpless.append(job)
+        if best is None or not self.may_place(job.job, best[1]):
+            return False
+        _, worker, victims = best
+        self.paused += [Pause(v.job, worker, job.job) for v in victims]
+        self.reserved[worker] = Reservation(job.job, self.now, self.now + RESERVATION_S)
+        return True
+
+    def _victims(self, job: Waiting, worker: str) -> list[Running] | None:
+        """The jobs to pause on a worker: the least urgent first, of these the latest started."""
+        free = self.rooms.free_by_worker[worker]
+        running = self.running_by_worker(worker)
+        for leaving in running:
+            if leaving.is_leaving:
+                free = free.plus(leaving.size)
+        chosen: list[Running] = []
+        possible = [r for r in running if r.may_pause and not r.is_leaving]
+        for victim in sorted(possible, key=lambda r: (-r.urgency, -r.started)):
+            if job.size.fits(free):
+                break
+            if victim.urgency <= job.urgency:
+                return None
+            free = free.plus(victim.size)
+            chosen.append(victim)
+        return chosen if job.size.fits(free) else None
+
+    def _gentle_workers(self) -> list[str]:
+        if self._gentle is None:
+            self._gentle = [
+                worker
+                for worker in sorted(self.rooms.free_by_worker)
+                if any(r.may_pause for r in self.running_by_worker(worker))
+            ]
+        return self._gentle
+
+    def _reserve(self, job: Waiting) -> None:
+        """Keep the worker for a job on which its room comes free first.
+
+        Otherwise small jobs would take every bit of room as it comes free, and a large one would
+        wait for ever.
+        """
+        if len(self.reserved) >= MAX_RESERVED:
+            return
+        best: tuple[float, str] | None = None
+        for worker, capacity in self.rooms.capacity_by_worker.items():
+            if worker in self.reserved or worker in job.avoid or not job.size.fits(capacity):
+                continue
+            free_at = self._free_at(job, worker)
+            if best is None or (free_at, worker) < best:
+                best = (free_at, worker)
+        if best is not None and self.may_place(job.job, best[1]):
+            free_at, worker = best
+            self.reserved[worker] = Reservation(job.job, free_at, self.now + RESERVATION_S)
+
+    def _free_at(self, job: Waiting, worker: str) -> float:
+        free = self.rooms.free_by_worker[worker]
+        free_at = self.now
+        for running in sorted(self.running_by_worker(worker), key=lambda r: r.ends):
+            if job.size.fits(free):
+                break
+            free = free.plus(running.size)
+            free_at = max(self.now, running.ends)
+        return free_at
--- /dev/null
+++ b/mustardgap/placers.py
@@ -0,0 +1,328 @@
+"""Keeps the queue of jobs and writes where each one goes, which make way, and which end."""
+
+import asyncio
+from collections import Counter
+from typing import Any, NamedTuple
+
+from . import status_codes
+from .blames import Failures, failures_by_worker, tries_of
+from .duties import Duties
+from .host_actors import host_body
+from .job_queues import MAX_PAUSES, Pause, Place, Queue, Reservation, Running, Waiting
+from .jobs import attempt_of, disruption_of, is_job_pool, pause_step
+from .models import HostFacts, JobBody, JobSpec, JobState, TaskInfo, Usage
+from .operations import Operations
+from .outcomes import Accepted
+from .rooms import Rooms
+from .status_codes import Code
+from .usages import Size, Usages, declared
+
+KEY = "placer"
+# A job is told that it never fits only when the fleet has been known for this long.
+NEVER_FITS_AFTER_S = 10.0
+# How often the queue is looked at when nothing has changed.
+IDLE_S = 2.0
+MAX_WRITES = 100
+
+
+class End(NamedTuple):
+    """End a job that can never run."""
+
+    job: str
+    code: Code
+    why: str
+
+
+class SetAside(NamedTuple):
+    """Set a worker aside that fails everything."""
+
+    worker: str
+    why: str
+
+
+Decision = Place | Pause | End | SetAside
+
+
+class Placer:
+    """Follows jobs and hosts and decides on the queue.
+
+    One daemon decides for all jobs, since urgency and quotas hold over the whole fleet; two that
+    both do are sorted out by the jobs' epochs on the log and the room on the platform.
+
+    :param operations: writes records.
+    :param duties: says whose turn it is.
+    """
+
+    def __init__(self, *, operations: Operations, duties: Duties) -> None:
+        self.operations = operations
+        self.duties = duties
+        self.rooms = Rooms()
+        self.usages = Usages()
+        self.placed_here: dict[str, int] = {}
+        self._waiting_since: dict[str, float] = {}
+        self._reserved: dict[str, Reservation] = {}
+        self._failures: dict[str, Failures] = {}
+        self._capacities: Counter[Size] = Counter()
+        self._capacity_by_host: dict[str, Size] = {}
+        self._is_changed = True
+        self._judge_anew = True
+        self._looked_at = float("-inf")
+
+    @property
+    def state(self) -> Any:
+        """The folded state."""
+        return self.operations.log.state
+
+    def restart(self) -> None:
+        """Follow a new state from its beginning."""
+        self.rooms = Rooms()
+        self._waiting_since.clear()
+        self._capacities.clear()
+        self._capacity_by_host.clear()
+        self._judge_anew = True
+        for job in self.state.jobs_by_id.values():
+            if job["code"] == status_codes.JOB_DONE.number and "usage" in job:
+                self.usages.learn(job["job"], job["spec"], job["usage"])
+        self.follow_jobs(set(self.state.jobs_by_id))
+        self.follow_hosts(set(self.state.hosts_by_name) | set(self.operations.workers.by_id))
+
+    def follow_jobs(self, names: set[str]) -> None:
+        """Take in that these jobs have changed on the log."""
+        self._is_changed = True
+        for name in names:
+            job = self.state.jobs_by_id.get(name)
+            attempt = None if job is None else attempt_of(job)
+            if job is not None and attempt is not None:
+                self.rooms.take(name, attempt["worker"], self._held(job))
+            else:
+                self.rooms.give(name)
+            if job is not None and attempt is None and job["phase"] != "ended":
+                first = job["submitted"] if not job["attempts"] else self._now()
+                self._waiting_since.setdefault(name, first)
+            else:
+                self._waiting_since.pop(name, None)
+            if job is not None and any(a["outcome"] == "failed" for a in job["attempts"]):
+                self._judge_anew = True
+
+    def follow_hosts(self, names: set[str]) -> None:
+        """Take in that these hosts or workers have changed."""
+        self._is_changed = True
+        for name in names:
+            host = self.state.hosts_by_name.get(name)
+            worker = self.operations.workers.by_id.get(name)
+            before = self._capacity_by_host.pop(name, None)
+            if before is not None:
+                self._capacities[before] -= 1
+            if host is None:
+                self.rooms.close(name)
+                continue
+            capacity = self._capacity_by_host[name] = _capacity(host["facts"])
+            self._capacities[capacity] += 1
+            is_ready = worker is not None and worker["state"] == "up"
+            is_ready = is_ready and worker is not None and worker["pool"] == host["pool"]
+            if is_ready and host["phase"] == "in_service" and is_job_pool(self.state, host["pool"]):
+                self.rooms.open(name, capacity)
+            else:
+                self.rooms.close(name)
+
+    def learn(self, task: TaskInfo) -> None:
+        """Learn from what a task that is done has used; its usage comes in late."""
+        job = self.state.jobs_by_id.get(task["job"])
+        if job is not None and task["state"] == "done":
+            self.usages.learn(task["job"], job["spec"], task["usage"])
+
+    def due(self) -> list[Decision]:
+        """The decisions that this daemon should write now."""
+        rank = self.duties.rank(KEY)
+        now = self.operations.timers.clock.monotonic()
+        pace = IDLE_S if rank == 0 and not self._is_changed else 0.0
+        if rank is None or now - self._looked_at < (pace if rank == 0 else IDLE_S):
+            return []
+        self._looked_at, self._is_changed = now, False
+        decisions = self.decide()
+        if not decisions:
+            self.duties.drop(KEY)
+            return []
+        key = tuple((type(d).__name__, *d[:2]) for d in decisions)
+        return decisions[:MAX_WRITES] if self.duties.is_due(KEY, key) else []
+
+    def decide(self) -> list[Decision]:
+        """Decide on all that waits."""
+        if not self._waiting_since and not self._judge_anew:
+            return []
+        if self._judge_anew:
+            self._failures = failures_by_worker(
+                self.state.jobs_by_id.values(), self.state.hosts_by_name
+            )
+            self._judge_anew = False
+        ends, waiting = [], []
+        for name in self._waiting_since:
+            job = self.state.jobs_by_id[name]
+            end = self._end(job)
+            if end is not None:
+                ends.append(end)
+            else:
+                waiting.append(self._waiting(job))
+        queue = Queue(
+            rooms=self.rooms,
+            running_by_worker=self._running_on,
+            reserved=self._reserved,
+            may_place=self._may_place,
+            now=self._now(),
+        )
+        return [*ends, *self._set_asides(), *queue.decide(waiting)]
+
+    async def act(self, decisions: list[Decision]) -> None:
+        """Write decisions together."""
+        self.duties.take(KEY)
+        await asyncio.gather(*(self._write(decision) for decision in decisions))
+        self._is_changed = True
+        # What was decided is done, whatever came of it; the next pass is a new step.
+        self.duties.drop(KEY)
+
+    async def _write(self, decision: Decision) -> None:
+        ticket = self.operations.begin()
+        if isinstance(decision, SetAside):
+            host = self.state.hosts_by_name[decision.worker]
+            body = host_body(host, "set_aside", host["pool"], decision.why)
+            await self.operations.write(ticket, "host", body)
+            self._judge_anew = True
+            return
+        job = self.state.jobs_by_id.get(decision.job)
+        if job is None:
+            return
+        verdict = await self.operations.write(ticket, "job", self._body(decision, job))
+        if isinstance(decision, Place) and isinstance(verdict, Accepted):
+            self.placed_here[decision.job] = job["epoch"] + 1
+
+    def _body(self, decision: Place | Pause | End, job: JobState) -> JobBody:
+        body = JobBody(job=job["job"], base=job["epoch"], step="pause")
+        if isinstance(decision, Place):
+            body["step"] = "place"
+            body["worker"] = decision.worker
+            run_s = self.usages.run_s(job["spec"])
+            body["usage"] = Usage(
+                cores=decision.size.cores, memory_gb=decision.size.memory_gb, run_s=run_s
+            )
+        elif isinstance(decision, End):
+            body["step"] = "end"
+            body["code"] = decision.code.number
+            body["result"] = decision.why
+        return body
+
+    def _may_place(self, name: str, worker: str) -> bool:
+        job = self.state.jobs_by_id[name]
+        body = JobBody(job=name, base=job["epoch"], step="place", worker=worker)
+        return isinstance(self.operations.log.check("job", body), Accepted)
+
+    def _waiting(self, job: JobState) -> Waiting:
+        spec = job["spec"]
+        return Waiting(
+            job=job["job"],
+            urgency=spec["urgency"],
+            pauses=_pauses(job),
+            since=self._waiting_since[job["job"]],
+            size=self._size(spec),
+            run_s=self.usages.run_s(spec),
+            avoid=self._avoid(job),
+        )
+
+    def _size(self, spec: JobSpec) -> Size:
+        """The learned size, or the declared one when no worker is as large as the learned one."""
+        size = self.usages.size(spec)
+        return size if self._capable(size) else declared(spec)
+
+    def _capable(self, size: Size) -> bool:
+        return any(n > 0 and size.fits(capacity) for capacity, n in self._capacities.items())
+
+    def _avoid(self, job: JobState) -> frozenset[str]:
+        """The workers that the job has failed on, and those under suspicion, unless that is all."""
+        limit = 1 if job["spec"]["idempotent"] else 0
+        suspects = {w for w, f in self._failures.items() if f.is_suspect or len(f.jobs) > limit}
+        failed_on = {a["worker"] for a in job["attempts"] if a["outcome"] == "failed"}
+        for avoid in (failed_on | suspects, failed_on):
+            if avoid and self._leaves_any(job, avoid):
+                return frozenset(avoid)
+        return frozenset()
+
+    def _leaves_any(self, job: JobState, avoid: set[str]) -> bool:
+        size = self._size(job["spec"])
+        workers = self.rooms.capacity_by_worker
+        return any(size.fits(capacity) for w, capacity in workers.items() if w not in avoid)
+
+    def _end(self, job: JobState) -> End | None:
+        state, spec = self.state, job["spec"]
+        waited_s = self._now() - self._waiting_since[job["job"]]
+        if waited_s > NEVER_FITS_AFTER_S and self._knows_fleet() and not self._fits_any(spec):
+            size = f"{spec['cores']:g} cores, {spec['memory_gb']:g} GB"
+            why = f"no worker has {size}, {spec['accelerators']} accelerators"
+            return End(job["job"], status_codes.JOB_NEVER_FITS, why)
+        if not job["attempts"]:
+            return None
+        blamed = {worker for worker, f in self._failures.items() if f.is_proven}
+        tries = tries_of(job, state.hosts_by_name, blamed)
+        capable = [w for w, c in self.rooms.capacity_by_worker.items() if declared(spec).fits(c)]
+        if tries.is_spent(self.operations.settings.capacity.max_attempts, capable):
+            why = f"failed on {', '.join(sorted(tries.failed_on)) or 'workers that went down'}"
+            return End(job["job"], status_codes.JOB_FAILED_EVERYWHERE, why)
+        return None
+
+    def _fits_any(self, spec: JobSpec) -> bool:
+        return self._capable(declared(spec)) or self._capable(self.usages.size(spec))
+
+    def _knows_fleet(self) -> bool:
+        """Whether all workers that the platform shows are on the log, and there are some."""
+        workers = self.operations.workers.by_id.keys()
+        return bool(workers) and workers <= self.state.hosts_by_name.keys()
+
+    def _set_asides(self) -> list[SetAside]:
+        found = []
+        for worker, failures in self._failures.items():
+            host = self.state.hosts_by_name.get(worker)
+            if failures.is_proven and host is not None and host["phase"] == "in_service":
+                count = len(failures.jobs)
+                why = f"{count} jobs failed here one after the other, {failures.proofs} of them "
+                decision = SetAside(worker, f"{why}ended well elsewhere")
+                body = host_body(host, "set_aside", host["pool"], decision.why)
+                if isinstance(self.operations.log.check("host", body), Accepted):
+                    found.append(decision)
+        return found
+
+    def _running_on(self, worker: str) -> list[Running]:
+        return [self._running(name, worker) for name in sorted(self.rooms.jobs_on(worker))]
+
+    def _running(self, name: str, worker: str) -> Running:
+        job = self.state.jobs_by_id[name]
+        held = self.rooms.held(name)
+        started = job["attempts"][-1]["started"]
+        step = pause_step(job, disruption_of(self.state, job))
+        may_pause = step is not None and _pauses(job) < MAX_PAUSES and job["phase"] == "running"
+        return Running(
+            job=name,
+            worker=worker,
+            urgency=job["spec"]["urgency"],
+            size=held[1] if held else declared(job["spec"]),
+            started=started,
+            ends=started + job.get("usage", {"run_s": job["spec"]["run_s"]})["run_s"],
+            may_pause=may_pause,
+            is_leaving=job["cancelled"] or (job["phase"] == "paused" and step is not None),
+        )
+
+    def _held(self, job: JobState) -> Size:
+        """The room that an attempt was given: as written with its placing."""
+        usage = job.get("usage")
+        spec = job["spec"]
+        if usage is None:
+            return declared(spec)
+        return Size(usage["cores"], usage["memory_gb"], spec["accelerators"])
+
+    def _now(self) -> float:
+        return self.operations.timers.clock.wall()
+
+
+def _capacity(facts: HostFacts) -> Size:
+    return Size(facts["cores"], facts["memory_gb"], facts["accelerators"])
+
+
+def _pauses(job: JobState) -> int:
+    return sum(attempt["outcome"] == "moved" for attempt in job["attempts"])
--- a/mustardgap/usages.py
+++ b/mustardgap/usages.py
@@ -1,6 +1,5 @@
 """Sizes and run times of jobs as learned from what earlier jobs of the same kind used."""
 
-from collections import deque
 from typing import NamedTuple
 
 from .models import JobSpec, Usage
@@ -66,21 +65,28 @@
     def __init__(self, *, window: int = WINDOW, least_samples: int = LEAST_SAMPLES) -> None:
         self.window = window
         self.least_samples = least_samples
-        self._ratios_by_kind: dict[Kind, deque[tuple[float, float, float]]] = {}
+        self._ratios_by_kind: dict[Kind, dict[str, tuple[float, float, float]]] = {}
         self._quantiles_by_kind: dict[Kind, tuple[float, float, float]] = {}
 
-    def learn(self, spec: JobSpec, usage: Usage) -> None:
-        """Take in what a job that ran to its end has used."""
-        kind = kind_of(spec)
-        ratios = self._ratios_by_kind.setdefault(kind, deque(maxlen=self.window))
-        ratios.append(
-            (
-                _ratio(usage["cores"], spec["cores"]),
-                _ratio(usage["memory_gb"], spec["memory_gb"]),
-                _ratio(usage["run_s"], spec["run_s"]),
-            )
+    def learn(self, name: str, spec: JobSpec, usage: Usage) -> None:
+        """Take in what a job that ran to its end has used.
+
+        :param name: the job's or task's name; usage lags, so the same one comes again with more.
+        :param spec: the job as it was declared.
+        :param usage: what it used.
+        """
+        if usage["cores"] <= 0 or usage["run_s"] <= 0:
+            return
+        ratios = self._ratios_by_kind.setdefault(kind_of(spec), {})
+        ratios.pop(name, None)
+        ratios[name] = (
+            _ratio(usage["cores"], spec["cores"]),
+            _ratio(usage["memory_gb"], spec["memory_gb"]),
+            _ratio(usage["run_s"], spec["run_s"]),
         )
-        self._quantiles_by_kind.pop(kind, None)
+        if len(ratios) > self.window:
+            del ratios[next(iter(ratios))]
+        self._quantiles_by_kind.pop(kind_of(spec), None)
 
     def size(self, spec: JobSpec) -> Size:
         """The room to keep for a job: as declared until enough of its kind have ended."""
@@ -95,10 +101,10 @@
         known = self._quantiles_by_kind.get(kind)
         if known is not None:
             return known
-        ratios = self._ratios_by_kind.get(kind, ())
+        ratios = self._ratios_by_kind.get(kind, {})
         if len(ratios) < self.least_samples:
             return (1.0, 1.0, 1.0)
-        cores, memory, run = (_quantile(column) for column in zip(*ratios, strict=True))
+        cores, memory, run = (_quantile(column) for column in zip(*ratios.values(), strict=True))
         result = (cores, min(memory * MEMORY_MARGIN, MOST_RATIO), run)
         self._quantiles_by_kind[kind] = result
         return result
--- a/mustardgap/workers.py
+++ b/mustardgap/workers.py
@@ -16,6 +16,7 @@
 ENDED_STATES = frozenset({"done", "failed", "stopped", "lapsed"})
 
 OnChange = Callable[[set[str]], None]
+OnTasks = Callable[[list[TaskInfo]], None]
 
 
 class Views(Protocol):
@@ -50,11 +51,16 @@
         self._tasks_read: float | None = None
         self._reachable = True
         self._callbacks: list[OnChange] = []
+        self._task_callbacks: list[OnTasks] = []
 
     def on_change(self, callback: OnChange) -> None:
         """Call back with the ids of the workers that changed, came or went, tasks included."""
         self._callbacks.append(callback)
 
+    def on_tasks(self, callback: OnTasks) -> None:
+        """Call back with the tasks that changed or ended."""
+        self._task_callbacks.append(callback)
+
     def age_s(self) -> float:
         """Seconds since both views were last read; infinite before the first time."""
         if self._workers_read is None or self._tasks_read is None:
@@ -144,12 +150,13 @@
         return changed
 
     def _take_tasks(self, tasks: Iterable[TaskInfo], now: float) -> set[str]:
-        changed = set()
+        changed, news = set(), []
         for info in tasks:
             task, worker = info["task"], info["worker"]
             if self.tasks_by_id.get(task) == info:
                 continue
             self.tasks_by_id[task] = info
+            news.append(info)
             changed.add(worker)
             on_worker = self.task_ids_by_worker.setdefault(worker, set())
             if info["state"] in ENDED_STATES:
@@ -157,6 +164,8 @@
                 self._ended_at.setdefault(task, now)
             else:
                 on_worker.add(task)
+        for callback in self._task_callbacks:
+            callback(news)
         return changed
 
     def _forget(self, tasks: set[str]) -> set[str]:
