Try the stand-ins over real sockets

Cause: all later proofs trust the stand-ins' faults and their record of truth, so these need tests of their own: the log's offsets and retention, fenced and idempotent operations and tasks, leases, and what a caller sees and an executor ran under each fault. Ruled out: calling the handlers in the process; a cut or silent connection only shows on a socket. Conclusion: the faults strike as docs/PLATFORM.md says.

--- /dev/null
+++ b/features/steps/standins_steps.py
@@ -0,0 +1,288 @@
+"""Steps that try the stand-ins over real sockets."""
+
+import http.client
+import json
+import re
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from standins import logs
+from standins.controls import Control, check_body
+from tools.processes import free_ports, wait_http
+
+FLEET = {
+    "services_by_pool": {"a": "x", "b": "y"},
+    "data_centers": [
+        {
+            "data_center": "d",
+            "racks": [
+                {"rack": "r1", "workers": [{"worker": "r1-w1", "pool": "a"}, {"worker": "r1-w2"}]},
+                {"rack": "r2", "workers": [{"worker": "r2-w1", "pool": "a"}, {"worker": "r2-w2"}]},
+            ],
+        }
+    ],
+}
+SILENCE_S = 1.0
+UNTIL_S = 15.0
+SIZE = 200_000
+CUT, SILENT = 0, -1
+
+
+def start(context, name, module, settings):
+    """Start a stand-in with settings and wait until it answers."""
+    path = context.folder / f"{name}.json"
+    path.write_text(json.dumps(settings))
+    (port,) = free_ports(1)
+    context.processes.start(name, module, "--port", str(port), "--settings", str(path))
+    wait_http(f"http://127.0.0.1:{port}/control/faults")
+    return Control(address=f"127.0.0.1:{port}")
+
+
+def start_executors(context, settings):
+    """Start, or start again, the executors process; its runs outlive it."""
+    settings["runs_file"] = str(context.folder / "runs")
+    return start(context, "executors", "standins.executors", settings)
+
+
+def call(address, method, path, body=None, headers=None, timeout_s=SILENCE_S):
+    """Make one call; the status is CUT or SILENT when no whole answer comes."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, path, body or None, headers or {})
+        resp = connection.getresponse()
+        return resp.status, resp.read(), resp.headers
+    except TimeoutError:
+        return SILENT, b"", {}
+    except (http.client.HTTPException, ConnectionError):
+        return CUT, b"", {}
+    finally:
+        connection.close()
+
+
+def matches(found, wanted):
+    """Whether all that is wanted is found; items of a list in that order."""
+    if isinstance(wanted, dict):
+        return isinstance(found, dict) and all(
+            key in found and matches(found[key], value) for key, value in wanted.items()
+        )
+    if isinstance(wanted, list) and wanted:
+        rest = iter(found)
+        return all(any(matches(item, value) for item in rest) for value in wanted)
+    return found == wanted
+
+
+def until(condition):
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + UNTIL_S
+    while not condition():
+        assert time.monotonic() < deadline, "it never came true"
+        time.sleep(0.02)
+
+
+@given("a standins platform with {settings}")
+def _(context, settings):
+    whole = {"fleet": FLEET} | json.loads(settings)
+    context.platform = start(context, "platform", "standins.platforms", whole)
+
+
+@given("a standins executors process with {settings}")
+def _(context, settings):
+    context.settings = json.loads(settings) | {"executors": [{"executor": "u1", "service": "x"}]}
+    context.executors = start_executors(context, context.settings)
+    context.upstream = context.executors.state()["u1"]["address"]
+
+
+@given("a standins executors process of that platform")
+def _(context):
+    context.executors = start_executors(context, {"platform": context.platform.address})
+
+
+@given("the standins fault {fault}")
+def _(context, fault):
+    if json.loads(fault):
+        context.executors.call("POST", "/control/faults", json.loads(fault))
+
+
+@then("standins calls are answered so")
+def _(context):
+    for row in context.table:
+        method = "GET" if row["method"] == "UNTIL" else row["method"]
+        deadline = time.monotonic() + (UNTIL_S if row["method"] == "UNTIL" else 0)
+        while True:
+            status, body, _ = call(context.platform.address, method, row["path"], row["body"])
+            found = json.loads(body) if body else {}
+            if status == int(row["status"]) and matches(found, json.loads(row["answer"])):
+                break
+            assert time.monotonic() < deadline, f"{list(row)} was {status} {found}"
+            time.sleep(0.02)
+
+
+@when("a standins reader waits for offset 0 while a record is appended")
+def _(context):
+    address = context.platform.address
+    with ThreadPoolExecutor() as pool:
+        reader = pool.submit(call, address, "GET", "/log/a?from=0&wait=20", timeout_s=UNTIL_S)
+        reads = {"counters": {"GET LogCall": 1}}
+        until(lambda: matches(context.platform.truth(), reads))
+        call(address, "POST", "/log/a", '{"records": [{"n": 1}]}')
+        context.read = reader.result()
+
+
+@then("the standins reader got {page}")
+def _(context, page):
+    assert matches(json.loads(context.read[1]), json.loads(page)), context.read
+
+
+@then("of 20 standins appends at once some are refused and the log ends after the others")
+def _(context):
+    def append(_):
+        return call(context.platform.address, "POST", "/log/c", '{"records": [{}]}')[0]
+
+    with ThreadPoolExecutor(20) as pool:
+        statuses = list(pool.map(append, range(20)))
+    assert set(statuses) == {200, 503}, statuses
+    assert context.platform.truth()["log"]["streams"]["c"]["end"] == statuses.count(200)
+
+
+@then("standins streams agree with a naive list for any appends, expiries and reads")
+def _(context):
+    step = st.tuples(st.sampled_from(["append", "expire", "read"]), st.integers(0, 9))
+
+    @hypothesis_settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @for_all(st.lists(step, max_size=40))
+    def agree(steps):
+        stream, naive, oldest = logs.Stream(name="s"), [], 0
+        for kind, n in steps:
+            if kind == "append":
+                stream.append([msgspec.Raw(b'{"n":%d}' % i) for i in range(n)])
+                naive += range(n)
+            elif kind == "expire":
+                stream.expire(before=0.0, most=n)
+                oldest = max(oldest, len(naive) - n)
+            elif n < oldest:
+                try:
+                    stream.read(n, 3)
+                    raise AssertionError(f"{n} is older than {oldest}")
+                except logs.LogExpiredError as exc:
+                    assert exc.oldest == oldest
+            else:
+                page = stream.read(n, 3)
+                values = [json.loads(bytes(r.value))["n"] for r in page.records]
+                assert values == naive[n : n + 3]
+                assert page.next == n + len(values)
+
+    with mock.patch.object(logs, "TRIM_SLACK", 2):
+        agree()
+
+
+def request(context, request_id="r1", query=f"size={SIZE}", connection=None):
+    """Send a request to the executor and say what its caller sees."""
+    headers = {"X-Request-Id": request_id}
+    status, body, answered = call(context.upstream, "POST", f"/x?{query}", "order", headers)
+    if status in (CUT, SILENT):
+        return {CUT: "cut", SILENT: "silence"}[status]
+    if answered["X-Request-Id"] != request_id:
+        return "wrong id"
+    if status != 200:
+        return "not run" if answered.get("X-Not-Run") else str(status)
+    assert check_body(body)["request_id"] == request_id
+    return "whole"
+
+
+@when("a standins request is sent")
+def _(context):
+    context.seen = request(context)
+
+
+@then("the standins caller sees {seen} and the request was run {runs:d} times")
+def _(context, seen, runs):
+    assert context.seen == seen, context.seen
+    if context.processes.by_name["executors"].poll() is not None:
+        context.executors = start_executors(context, context.settings)
+    assert context.executors.runs()["count"] == runs, context.executors.runs()
+
+
+@when("5 standins requests that run 0.2 seconds are sent while the executor begins to leave")
+def _(context):
+    with ThreadPoolExecutor(6) as pool:
+        sent = [pool.submit(request, context, f"r{i}", "run_s=0.2") for i in range(5)]
+        until(lambda: context.executors.state()["u1"]["received"] == 5)
+        context.executors.fault("leaving", on="u1")
+        context.seen = [r.result() for r in sent]
+
+
+@then("all standins answers are whole and the executor ran 2 at most at a time")
+def _(context):
+    assert context.seen == ["whole"] * 5, context.seen
+    state = context.executors.state()["u1"]
+    assert (state["max_running"], state["run"]) == (2, 5), state
+
+
+@then("the standins executor no longer listens, and does again when told to start")
+def _(context):
+    until(lambda: context.executors.state()["u1"]["state"] == "drained")
+    assert request(context) == "cut"
+    context.executors.clear("leaving")
+    assert request(context, "r9") == "whole"
+
+
+def send_on(connection, request_id):
+    """Send a request on a connection and read the answer."""
+    connection.request("POST", "/x", "order", {"X-Request-Id": request_id})
+    resp = connection.getresponse()
+    resp.read()
+    return resp.headers["X-Request-Id"]
+
+
+@when("a standins connection has been used and goes silent")
+def _(context):
+    context.connection = http.client.HTTPConnection(context.upstream, timeout=SILENCE_S)
+    assert send_on(context.connection, "r1") == "r1"
+    context.executors.fault("silent")
+
+
+@then("a standins request on it gets no answer and isn't run, and one on a new connection is whole")
+def _(context):
+    try:
+        send_on(context.connection, "r2")
+        raise AssertionError("the silent connection answered")
+    except TimeoutError:
+        pass
+    assert request(context, "r3") == "whole"
+    assert [r["request_id"] for r in context.executors.runs()["runs"]] == ["r1", "r3"]
+
+
+@when("the standins requests {names} are sent on one connection")
+def _(context, names):
+    host, port = context.upstream.split(":")
+    context.seen = b""
+    with socket.create_connection((host, int(port)), timeout=UNTIL_S) as sock:
+        for name in names.split(" and "):
+            sock.sendall(f"GET /x HTTP/1.1\r\nHost: x\r\nX-Request-Id: {name}\r\n\r\n".encode())
+            while f"X-Request-Id: {name}\r\n".encode() not in context.seen:
+                context.seen += sock.recv(65_536)
+
+
+@then("the standins answers on it carry the request ids {names}")
+def _(context, names):
+    assert re.findall(r"X-Request-Id: (\w+)", context.seen.decode()) == names.split()
+
+
+@when("a standins request runs on r1-w1 while it is rebooted")
+def _(context):
+    states = context.executors.state().values()
+    context.upstream = next(s["address"] for s in states if s["service"] == "y")
+    with ThreadPoolExecutor() as pool:
+        sent = pool.submit(request, context, "r1", "run_s=60")
+        until(lambda: any(s["running"] for s in context.executors.state().values()))
+        body = '{"operation": "o9", "kind": "reboot", "epoch": 9}'
+        call(context.platform.address, "POST", "/workers/r1-w1/operations", body)
+        assert sent.result() == "cut"
