--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -175,8 +176,8 @@
     def _wait_daemons(self, part: str, path: str, names: tuple[str, ...]) -> None:
         for name in names or tuple(self.daemons_by_name):
             url = f"http://{getattr(self.daemons_by_name[name], part)}{path}"
-            process = self.processes.by_name[name]
-            wait_http(url, timeout_s=READY_TIMEOUT_S, running=lambda p=process: p.poll() is None)
+            is_running = partial(self.processes.is_running, name)
+            wait_http(url, timeout_s=READY_TIMEOUT_S, running=is_running)
 
     # Using
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import NamedTuple
 from urllib.error import URLError
@@ -124,9 +124,9 @@
         """Let a frozen process run on."""
         self.signal(name, signal.SIGCONT)
 
-    def running(self) -> list[str]:
-        """The names of the processes that haven't ended."""
-        return [name for name, process in self.by_name.items() if process.poll() is None]
+    def is_running(self, name: str) -> bool:
+        """Whether a process hasn't ended."""
+        return self.by_name[name].poll() is None
 
     def stop_all(self) -> None:
         """End every process of this run, frozen ones too."""
@@ -140,10 +140,13 @@
         return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
 
 
-def wait_http(url: str, *, timeout_s: float = 20.0) -> None:
+def wait_http(
+    url: str, *, timeout_s: float = 20.0, running: Callable[[], bool] = lambda: True
+) -> None:
     """Wait until a URL answers 200.
 
-    :raises TimeoutError: it didn't in time.
+    :param running: whether the process that should answer hasn't ended.
+    :raises TimeoutError: it didn't in time, or its process has ended.
     """
     deadline = time.monotonic() + timeout_s
     while True:
@@ -153,6 +156,8 @@
                     return
         except (URLError, OSError):
             pass
+        if not running():
+            raise TimeoutError(f"{url} won't answer: its process has ended")
         if time.monotonic() > deadline:
             raise TimeoutError(f"{url} didn't answer 200 within {timeout_s} s")
         time.sleep(0.05)
