Tell peers how far the log is folded here

Ruled out: a message of its own; gossip carries the member row anyway. Conclusion: the row changes with each folded record; gossip's pace bounds the messages.

--- a/mustardgap/parts.py
+++ b/mustardgap/parts.py
@@ -89,6 +89,8 @@
             timeline=self.timeline,
             member=self.members.me.id,
         )
+        self.log.on_fold(lambda record, verdict: self._say_offset())
+        self.log.on_restore(self._say_offset)
         self.workers = Workers(platform=self.platform, settings=self.settings, timers=self.timers)
         self.actors = Actors(
             platform=self.platform,
@@ -100,6 +102,9 @@
             timeline=self.timeline,
         )
 
+    def _say_offset(self) -> None:
+        self.members.say(offset=self.log.offset)
+
     def _build_requests(self) -> None:
         clock = self.timers.clock
         self.executors = Executors(
