Keep a pass over the queue apart from what it has placed itself

Cause: a pass that placed one job and then looked for jobs to pause failed on the one just placed, and the exception kept the hosts' and jobs' actors from acting in that turn. Ruled out: catching it in the placer alone; each part is guarded now. Conclusion: jobs of the pass are left out where running jobs are listed.

--- a/mustardgap/actors.py
+++ b/mustardgap/actors.py
@@ -12,7 +12,7 @@
 from .job_actors import JobActor
 from .members import Members
 from .models import LogRecord, TaskInfo
-from .operations import MAX_ACTIONS, Operations
+from .operations import MAX_ACTIONS, Operations, count
 from .outcomes import Accepted, Verdict
 from .placers import Placer
 from .plan_actors import PlanActor
@@ -96,13 +96,15 @@
             self._begin(f"renew/{number}", partial(self.jobs.renew, batch))
         if not may_begin:
             return
-        self._begin_due("registrar", self.registrar)
-        self._begin_due("planner", self.planner)
-        self._begin_due("placer", self.placer)
-        for host, host_step in self.hosts.due():
-            self._begin(f"host/{host}", partial(self.hosts.act, host, host_step))
-        for job, job_step in self.jobs.due():
-            self._begin(f"job/{job}", partial(self.jobs.act, job, job_step))
+        parts: dict[str, Any] = {
+            "registrar": self.registrar,
+            "planner": self.planner,
+            "placer": self.placer,
+        }
+        for key, part in parts.items():
+            self._guarded(key, partial(self._begin_due, key, part))
+        for kind, actor in (("host", self.hosts), ("job", self.jobs)):
+            self._guarded(kind, partial(self._begin_each, kind, actor))
 
     async def settle(self) -> None:
         """Wait until the steps under way have ended."""
@@ -127,6 +129,18 @@
         if decided:
             self._begin(key, partial(part.act, decided))
 
+    def _begin_each(self, kind: str, actor: HostActor | JobActor) -> None:
+        for name, step in actor.due():
+            self._begin(f"{kind}/{name}", partial(actor.act, name, step))  # type: ignore[arg-type]
+
+    def _guarded(self, key: str, function: Callable[[], None]) -> None:
+        """Call a function; a fault in one part must not keep the others from acting."""
+        try:
+            function()
+        except Exception:
+            count(key, "internal")
+            logging.exception("deciding on %s failed", key)
+
     def _begin(self, key: str, action: Callable[[], Awaitable[None]]) -> None:
         if key not in self._under_way:
             task = asyncio.create_task(self._run(key, action), name=f"act:{key}")
--- a/mustardgap/jobs.py
+++ b/mustardgap/jobs.py
@@ -117,7 +117,8 @@
 def _after_task(view: JobView, task: TaskInfo) -> JobStep:
     state = task["state"]
     if state == "done":
-        return Write("end", task["detail"], status_codes.JOB_DONE.number, task["usage"])
+        usage = task["usage"] if task["usage"]["cores"] > 0 else None
+        return Write("end", task["detail"], status_codes.JOB_DONE.number, usage)
     if state == "checkpointed":
         return Write("attempt_over", "moved")
     if view.job["cancelled"]:
--- a/mustardgap/placers.py
+++ b/mustardgap/placers.py
@@ -289,7 +289,9 @@
         return found
 
     def _running_on(self, worker: str) -> list[Running]:
-        return [self._running(name, worker) for name in sorted(self.rooms.jobs_on(worker))]
+        # What the pass itself has placed holds room too, but has no attempt to be paused yet.
+        names = sorted(self.rooms.jobs_on(worker) - self._waiting_since.keys())
+        return [self._running(name, worker) for name in names]
 
     def _running(self, name: str, worker: str) -> Running:
         job = self.state.jobs_by_id[name]
