Prove the fold with racing daemons against a naive one

Cause: the fold has to decide alike on every daemon, whatever is late, doubled, lost, expired or replaced. Ruled out: examples by hand only; one machine that knows just the fold's own invariants (the naive fold tries every loss and every spread). Conclusion: accept or reject, state, budgets, pools and versions equal the naive fold's at each step.

--- /dev/null
+++ b/features/support/fold_machine.py
@@ -0,0 +1,357 @@
+"""Daemons that share a log, driven at random by hypothesis and compared with the naive fold."""
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from features.support.naive_folds import NaiveFold
+from mustardgap import records, states
+from mustardgap.models import LogRecord
+from mustardgap.outcomes import Accepted
+from mustardgap.settings import PlatformSettings
+from mustardgap.states import State
+from mustardgap.streams import Log
+from mustardgap.timelines import Timeline
+from mustardgap.timers import Timers
+
+REMEMBERED = 8
+DAEMONS = 3
+RACKS = [("d1", "r1"), ("d1", "r2"), ("d2", "r1")]
+HOSTS = {f"h{n}": RACKS[n % 3] for n in range(9)}
+PHASES = ["in_service", "draining", "drained", "rebooting", "failed", "set_aside"]
+POOLS = ["a", "b", "c", "jobs", ""]
+JOBS = ["j1", "j2", "j3"]
+STEPS = ["submit", "place", "start", "pause", "resume", "attempt_over", "end", "cancel"]
+
+
+def profile(min_hosts, survive, max_hosts=9):
+    """A profile's value."""
+    return {
+        "room": {"max_hosts": max_hosts},
+        "availability": {"min_hosts": min_hosts, "survive": survive},
+        "disruption": {"steps": ["stop"], "warning_s": 1, "drain_s": 1, "idempotent": False},
+        "urgency": 1,
+    }
+
+
+def service(name):
+    """A service's value."""
+    return {"profile": name, "team": "t", "path": f"/{name}"}
+
+
+def pool(name, least=0, most=9):
+    """A pool's value."""
+    return {"service": name, "min_hosts": least, "max_hosts": most}
+
+
+VALUES = {
+    "profile/p": [profile(n, s) for n in (0, 1, 2, 6) for s in ("none", "host", "rack")]
+    + [profile(1, "data_center", 4), {"bogus": 1}, None],
+    "service/p": [service("p"), None],
+    "service/q": [service("q"), service("p"), {**service("p"), "path": "/q"}, None],
+    "profile/q": [profile(1, "rack"), profile(3, "none", 3), None],
+    "pool/a": [pool("p"), pool("p", 2), pool("p", 1, 3), pool("q"), None],
+    "pool/b": [pool("p"), pool("p", 0, 2), None],
+    "pool/c": [pool("q"), pool("q", 1), {"bogus": 1}, None],
+    "pool/jobs": [pool(""), pool("", 1), None],
+    "team/t": [{"max_cores": n, "max_memory_gb": 9, "max_jobs": 2} for n in (2, 3)] + [None],
+}
+START = {
+    "profile/p": profile(1, "rack"),
+    "profile/q": profile(1, "none"),
+    "service/p": service("p"),
+    "service/q": service("q"),
+    "pool/a": pool("p"),
+    "pool/c": pool("q"),
+    "pool/jobs": pool(""),
+    "team/t": {"max_cores": 3, "max_memory_gb": 9, "max_jobs": 2},
+}
+daemon_numbers = st.integers(0, DAEMONS - 1)
+changes = st.lists(
+    st.sampled_from(sorted(VALUES)).flatmap(
+        lambda key: st.tuples(st.just(key), st.sampled_from(VALUES[key]))
+    ),
+    min_size=1,
+    max_size=2,
+    unique_by=lambda change: change[0],
+)
+
+
+def make_log(member):
+    """A log without a platform, fed through ``receive``."""
+    return Log(
+        platform=None,
+        state=State(),
+        settings=PlatformSettings(address="127.0.0.1:1"),
+        timers=Timers(),
+        timeline=Timeline(member=member, size=10),
+        member=member,
+    )
+
+
+def facts_of(host):
+    """A host's facts."""
+    data_center, rack = HOSTS[host]
+    sizes = {"cores": 4.0, "memory_gb": 8.0, "accelerators": 0}
+    return {"rack": rack, "data_center": data_center, **sizes}
+
+
+class FoldMachine(RuleBasedStateMachine):
+    """Operators, planners and actors on daemons that lag, are replaced and get copies."""
+
+    steps = 0
+
+    def __init__(self):
+        super().__init__()
+        states.REMEMBERED_IDS = REMEMBERED
+        self.kept = []
+        self.made = 0
+        self.differences = []
+        self.oldest = 0
+        self.oracle = NaiveFold(remembered=REMEMBERED)
+        self.digest_by_offset = {}
+        self.declared_by_offset = [{}]
+        self.won = set()
+        self.checkpoints = []
+        self.late = []
+        self.daemons = [self._start() for _ in range(DAEMONS)]
+
+    # The log.
+
+    def _append(self, value):
+        record = LogRecord(len(self.kept), 1000.0 + len(self.kept), value)
+        before = {name: dict(host) for name, host in self.oracle.hosts.items()}
+        self.kept.append(record)
+        self.oracle.add(record)
+        self.declared_by_offset.append(dict(self.oracle.values))
+        if self.oracle.verdicts[-1]:
+            self._check_accepted(value["kind"], value["body"], before)
+
+    def _check_accepted(self, kind, body, before):
+        """What must hold whatever the rules say, from the platform's record alone."""
+        if kind == "config":
+            for change in body["changes"]:
+                if change["base"] >= 0:
+                    race = (change["key"], change["base"])
+                    assert race not in self.won, f"two changes won on {race}"
+                    self.won.add(race)
+        if kind != "host" or body["host"] not in before:
+            return
+        host = before[body["host"]]
+        if body["pool"] != host["pool"] and host["pool"]:
+            assert host["phase"] in ("drained", "failed", "set_aside"), f"{host} moved"
+        pool_of = self.oracle.values.get(f"pool/{host['pool']}", {})
+        planned = host["phase"] == "in_service" and body["phase"] in ("draining", "set_aside")
+        if planned and pool_of.get("service"):
+            assert self.oracle.holds(pool_of["service"]), f"{body} breaks a budget"
+
+    def _make(self, number, kind, body):
+        self.made += 1
+        seen = self.daemons[number].offset
+        return records.make(kind, body, writer=f"d{number}", seen=seen, record_id=f"{self.made}")
+
+    def _send(self, number, kind, body, fate):
+        """Append a record; its answer may be lost and it may come late or more than once."""
+        value = self._make(number, kind, body)
+        if fate == "late":
+            self.late.append(value)
+            return
+        self._append(value)
+        if fate == "repeated":
+            self._append(value)
+
+    fates = st.sampled_from(["once", "once", "once", "repeated", "late"])
+
+    # Writers.
+
+    @initialize()
+    def begin(self):
+        body = [{"key": key, "base": -1, "value": value} for key, value in START.items()]
+        self._append(self._make(0, "config", {"changes": body}))
+        for number, host in enumerate(HOSTS):
+            body = {"host": host, "base": 0, "phase": "in_service", "reason": ""}
+            body |= {"pool": POOLS[0 if number < 5 else 2], "facts": facts_of(host)}
+            self._append(self._make(0, "host", body))
+            for daemon in range(DAEMONS):
+                self.fold(daemon, len(self.kept))
+
+    @rule(number=daemon_numbers, pairs=changes, fate=fates)
+    def operate(self, number, pairs, fate):
+        declared = self.daemons[number].state.declarations_by_key
+        body = [
+            {"key": key, "base": declared[key].version if key in declared else -1, "value": value}
+            for key, value in pairs
+        ]
+        self._send(number, "config", {"changes": body}, fate)
+
+    @rule(first=daemon_numbers, second=daemon_numbers, pairs=changes, others=changes)
+    def race(self, first, second, pairs, others):
+        self.operate(first, pairs, "once")
+        self.operate(second, others, "once")
+
+    @rule(
+        number=daemon_numbers,
+        host=st.sampled_from(sorted(HOSTS)),
+        phase=st.sampled_from(PHASES),
+        pool_name=st.sampled_from(POOLS),
+        keeps=st.booleans(),
+        fate=fates,
+    )
+    def step_host(self, number, host, phase, pool_name, keeps, fate):
+        known = self.daemons[number].state.hosts_by_name.get(host)
+        name = known["pool"] if keeps and known else pool_name
+        body = {"host": host, "phase": phase, "pool": name, "reason": "", "facts": facts_of(host)}
+        body["base"] = known["epoch"] if known else 0
+        self._send(number, "host", body, fate)
+
+    @rule(number=daemon_numbers, hosts=st.sets(st.sampled_from(sorted(HOSTS)), max_size=4))
+    def drain_many(self, number, hosts):
+        for host in sorted(hosts):
+            self.step_host(number, host, "draining", "", True, "once")
+
+    @rule(
+        number=daemon_numbers,
+        hosts=st.sets(st.sampled_from(sorted(HOSTS)), min_size=2, max_size=5),
+        name=st.sampled_from(POOLS),
+    )
+    def move_many(self, number, hosts, name):
+        for host in sorted(hosts):
+            for phase, keeps in (("draining", True), ("drained", True), ("in_service", False)):
+                self.step_host(number, host, phase, name, keeps, "once")
+                self.fold(number, len(self.kept))
+
+    @rule(number=daemon_numbers)
+    def declare_and_remove(self, number):
+        made = []
+        for value in (pool("p"), None):
+            self.fold(number, len(self.kept))
+            self.operate(number, [("pool/b", value)], "once")
+            made.append(self.kept[-1].value)
+        self._append(made[0])
+
+    @rule(number=daemon_numbers, rack=st.sampled_from(RACKS))
+    def lose_rack(self, number, rack):
+        for host in (name for name, place in HOSTS.items() if place == rack):
+            self.step_host(number, host, "failed", "", True, "once")
+
+    @rule(
+        number=daemon_numbers,
+        job=st.sampled_from(JOBS),
+        step=st.sampled_from(STEPS),
+        host=st.sampled_from(sorted(HOSTS)),
+        result=st.sampled_from(["failed", "unknown", "moved"]),
+        idempotent=st.booleans(),
+        fate=fates,
+    )
+    def step_job(self, number, job, step, host, result, idempotent, fate):
+        known = self.daemons[number].state.jobs_by_id.get(job)
+        body = {"job": job, "step": step, "base": known["epoch"] if known else 0}
+        sizes = {"cores": 1.5, "memory_gb": 1.0, "accelerators": 0, "run_s": 1.0}
+        spec = {"team": "t", "urgency": 1, "idempotent": idempotent, **sizes}
+        extra = {"submit": {"spec": spec}, "place": {"worker": host}}
+        extra |= {"attempt_over": {"result": result}, "end": {"code": 4006}}
+        self._send(number, "job", body | extra.get(step, {}), fate)
+
+    @rule(number=daemon_numbers, host=st.sampled_from(sorted(HOSTS)), job=st.sampled_from(JOBS))
+    def run_twice(self, number, host, job):
+        for step in ("submit", "place", "attempt_over", "place"):
+            self.step_job(number, job, step, host, "unknown", False, "once")
+            self.fold(number, len(self.kept))
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data(), copies=st.integers(1, 2))
+    def arrive_late(self, data, copies):
+        value = data.draw(st.sampled_from(self.late))
+        for _ in range(copies):
+            self._append(value)
+
+    @rule(data=st.data())
+    def repeat(self, data):
+        self._append(data.draw(st.sampled_from(self.kept)).value)
+
+    # Readers.
+
+    def _start(self):
+        log = make_log("d")
+        log.on_fold(self._check_verdict)
+        return log
+
+    def _check_verdict(self, record, verdict):
+        expected = self.oracle.verdicts[record.offset]
+        if isinstance(verdict, Accepted) != expected:
+            self.differences.append(f"{record}: {verdict}, not {expected}")
+
+    @rule(number=daemon_numbers, count=st.integers(1, 20))
+    def fold(self, number, count):
+        log = self.daemons[number]
+        if log.offset >= self.oldest:
+            log.receive(self.kept[log.offset : log.offset + count])
+
+    @rule(number=daemon_numbers, data=st.data(), count=st.integers(1, 20))
+    def relay(self, number, data, count):
+        start = data.draw(st.integers(self.oldest, len(self.kept)))
+        self.daemons[number].receive(self.kept[start : start + count])
+
+    @rule(number=daemon_numbers)
+    def checkpoint(self, number):
+        self.checkpoints.append(self.daemons[number].snapshot())
+
+    @precondition(lambda self: self.checkpoints)
+    @rule(number=daemon_numbers, data=st.data())
+    def meet_checkpoint(self, number, data):
+        log = self.daemons[number]
+        before, digest = log.offset, log.state.digest()
+        log.restore(data.draw(st.sampled_from(self.checkpoints)))
+        assert log.offset >= before, "a checkpoint took the state back"
+        assert log.offset > before or log.state.digest() == digest
+
+    @rule(number=daemon_numbers)
+    def expire(self, number):
+        self.checkpoints.append(self.daemons[number].snapshot())
+        self.oldest = max(self.oldest, self.daemons[number].offset)
+
+    @rule(number=daemon_numbers, source=daemon_numbers, from_peer=st.booleans())
+    def replace(self, number, source, from_peer):
+        snapshot = self.daemons[source].snapshot()
+        self.daemons[number] = self._start()
+        if from_peer:
+            self.daemons[number].restore(snapshot)
+
+    # What must hold after each step.
+
+    @invariant()
+    def agree(self):
+        FoldMachine.steps += 1
+        assert not self.differences, self.differences[0]
+        for log in self.daemons:
+            digest = self.digest_by_offset.setdefault(log.offset, log.state.digest())
+            assert digest == log.state.digest(), f"two states at offset {log.offset}"
+            values = {key: d.value for key, d in log.state.declarations_by_key.items()}
+            assert values == self.declared_by_offset[log.offset], "not what was accepted"
+            if log.offset == len(self.kept):
+                self._check_end(log.state)
+
+    def _check_end(self, state):
+        hosts = {
+            name: {key: host[key] for key in ("host", "facts", "epoch", "phase", "pool")}
+            for name, host in state.hosts_by_name.items()
+        }
+        assert hosts == self.oracle.hosts, f"{hosts} is not {self.oracle.hosts}"
+        for name, job in state.jobs_by_id.items():
+            tries = [attempt["outcome"] for attempt in job["attempts"]]
+            assert tries == self.oracle.jobs[name]["tries"], f"{name}: {tries}"
+            assert job["phase"] == self.oracle.jobs[name]["phase"], name
+            assert tries.count("running") <= 1, f"{name} runs twice"
+            twice = "unknown" in tries[:-1] and not job["spec"]["idempotent"]
+            assert not twice, f"{name} may have run twice"
+
+    def teardown(self):
+        """All catch up, by checkpoint and the log's tail, and are where a whole fold ends."""
+        whole = make_log("whole")
+        whole.receive(msgspec.json.decode(msgspec.json.encode(self.kept), type=list[LogRecord]))
+        for log in self.daemons:
+            if log.offset < self.oldest:
+                for data in self.checkpoints:
+                    log.restore(data)
+            log.receive(self.kept[log.offset :])
+            assert log.state.digest() == whole.state.digest(), "checkpoint and tail differ"
