Count what is lent, not what is held, against an ask

Cause: slots that a member had given back counted as still lacking, so the home lent them to it again and again. Ruled out: cancelling asks by a message of their own.

--- a/mustardgap/brokers.py
+++ b/mustardgap/brokers.py
@@ -200,9 +200,10 @@
             holding = self._holding(service)
             self._tidy(holding)
             self._follow(holding)
-            # The last ask may have been lost with its stream.
-            holding.asked = -1
-            self.want(service)
+            if holding.asked or self.slots.waiting(service):
+                # The last ask, or what was lent on it, may have been lost with a stream.
+                holding.asked = -1
+                self.want(service)
         for ledger in list(self.ledgers_by_service.values()):
             ledger.tick()
 
@@ -343,8 +344,6 @@
         demand = self.slots.demand(holding.service)
         if demand.waiting == holding.asked or not holding.echo:
             return
-        if not demand.waiting and holding.asked < 0:
-            return
         holding.asked = demand.waiting
         holding.ask_sequence += 1
         excluded = [*demand.exclude, *holding.excluded_until]
--- a/mustardgap/ledgers.py
+++ b/mustardgap/ledgers.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from enum import IntEnum
 from typing import NamedTuple
@@ -64,14 +64,21 @@
         self.number_before = 0
         self.ask: Ask | None = None
         self.asked = 0.0
+        self.lacks = 0
+        self.grants: deque[tuple[int, int]] = deque()
 
-    def lacks(self) -> int:
-        """How many slots it lacks, without those on their way to it."""
-        if self.ask is None:
-            return 0
-        seen = self.ask.number
-        coming = sum(1 for number in self.numbers_by_id.values() if number > seen)
-        return self.ask.count - coming
+    def note_ask(self, ask: Ask, asked: float) -> None:
+        """Take in an ask; grants that it couldn't know of are on their way and count."""
+        while self.grants and self.grants[0][0] <= ask.number:
+            self.grants.popleft()
+        self.ask = ask
+        self.asked = asked
+        self.lacks = ask.count - sum(count for _, count in self.grants)
+
+    def note_grant(self, slot_ids: list[SlotId]) -> None:
+        """Note slots that are lent to it now."""
+        self.number += 1
+        self.grants.append((self.number, len(slot_ids)))
 
 
 class Blocked(NamedTuple):
@@ -394,8 +401,7 @@
             return
         if f.ask is not None and f.ask.sequence >= message.sequence:
             return
-        f.ask = message
-        f.asked = self.clock.monotonic() - message.waited_ms / 1000
+        f.note_ask(message, self.clock.monotonic() - message.waited_ms / 1000)
         self.pump()
 
     def take_return(self, sender: Member, message: Return) -> None:
@@ -425,12 +431,13 @@
             for entry in sorted(wanting):
                 member_id = entry[2]
                 f = self.followers_by_id[member_id]
-                slot_id = self._pick(f, room) if f.lacks() > 0 else None
+                slot_id = self._pick(f, room) if f.lacks > 0 else None
                 if slot_id is None:
-                    unmet = unmet or f.lacks() > 0
+                    unmet = unmet or f.lacks > 0
                     wanting.remove(entry)
                     continue
                 f.numbers_by_id[slot_id] = f.number + 1
+                f.lacks -= 1
                 self._uses[slot_id] += 1
                 granted.setdefault(member_id, []).append(slot_id)
         for member_id, slot_ids in granted.items():
@@ -443,7 +450,7 @@
         return [
             (f.ask.urgency, f.asked, member_id)
             for member_id, f in self.followers_by_id.items()
-            if f.ask is not None and f.lacks() > 0
+            if f.ask is not None and f.lacks > 0
         ]
 
     def _room(self, view: ExecutorView) -> int:
@@ -464,7 +471,7 @@
 
     def _lend(self, member_id: str, slot_ids: list[SlotId]) -> None:
         f = self.followers_by_id[member_id]
-        f.number += 1
+        f.note_grant(slot_ids)
         grant = Grant(self.service, f.session, f.number, masks_of(slot_ids))
         self._sequence += 1
         metrics.slots_lent.add(len(slot_ids))
--- a/tools/bench_slots.py
+++ b/tools/bench_slots.py
@@ -112,19 +112,20 @@
 class Tally:
     """What came of the requests of one run."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, end: float) -> None:
+        self.end = end
         self.waits = HdrHistogram(1, 60_000_000, 3)
         self.total_s = 0.0
         self.answered = 0
         self.in_time = 0
         self.refused = 0
 
-    def add(self, wait_s: float, took_s: float) -> None:
+    def add(self, wait_s: float, took_s: float, now: float) -> None:
         """Count an answer."""
         self.waits.record_value(max(1, int(wait_s * 1e6)))
         self.total_s += wait_s
         self.answered += 1
-        self.in_time += took_s <= TIMEOUT_S
+        self.in_time += took_s <= TIMEOUT_S and now <= self.end
 
 
 Serve = Callable[[int, float], "asyncio.Task[None]"]
@@ -162,13 +163,13 @@
     fakes = FakeExecutors(executors=size.executors)
     backend = Backend(fakes=fakes)
     network = FakeNetwork(delay_s=lambda: size.delay_s)
-    tally = Tally()
     entries: list[Entry] = []
     if way in ("fixed", "least", "lending"):
         fleet = Fleet(network=network, executors=fakes, way=way, clock=VirtualClock(loop=loop))
         entries = [fleet.add(f"e{i}") for i in range(ENTRIES)]
         await asyncio.sleep(WARM_UP_S)
     network.sent.clear()
+    tally = Tally(end=loop.time() + seconds)
     ideal = asyncio.Semaphore(size.executors * 8)
     names = [view.executor for view in fakes.candidates("s0")]
 
@@ -181,7 +182,7 @@
             return
         started = await backend.serve(slot.executor.executor, hold_s)
         entries[entry].slots.release(slot)
-        tally.add(started - came, loop.time() - came)
+        tally.add(started - came, loop.time() - came, loop.time())
 
     async def by_shared_queue(entry: int, hold_s: float) -> None:
         came = loop.time()
@@ -189,16 +190,15 @@
             started = loop.time()
             late = started - came > TIMEOUT_S
             await asyncio.sleep(0 if late else hold_s)
-        tally.add(started - came, loop.time() - came)
+        tally.add(started - came, loop.time() - came, loop.time())
 
     async def by_random(entry: int, hold_s: float) -> None:
         came = loop.time()
         started = await backend.serve(random.choice(names), hold_s)
-        tally.add(started - came, loop.time() - came)
+        tally.add(started - came, loop.time() - came, loop.time())
 
     serve = {"ideal": by_shared_queue, "random": by_random}.get(way, by_slots)
     random.seed(seed)
-    begun = loop.time()
     await offer(
         case, size.executors * 8, seconds, seed, lambda e, h: asyncio.create_task(serve(e, h))
     )
@@ -208,7 +208,7 @@
         way=way,
         mean_ms=round(tally.total_s / max(tally.answered, 1) * 1000, 2),
         p99_ms=round(tally.waits.get_value_at_percentile(99) / 1000, 1),
-        goodput=round(tally.in_time / (loop.time() - begun), 1),
+        goodput=round(tally.in_time / seconds, 1),
         of_ideal=0.0,
         refused=tally.refused,
         most_in_use=max(fakes.most.values(), default=0),
