Keep the appender's queue whole through refusals, retries by two callers and restarts

Cause: a record sent twice under one id through one daemon shared its future, so the first time-out cancelled the other; one refused record would have held up its batch for ever; a log that has lost records was taken for an expired one. Ruled out: a future for each caller (the fold resolves by id); dropping a refused batch whole. Conclusion: waiters are counted, a refused batch is appended one by one, code 5007 for a log that went back.

--- a/mustardgap/appends.py
+++ b/mustardgap/appends.py
@@ -32,6 +32,7 @@
         self.purpose = purpose
         self.verdict: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         self.may_be_appended = False
+        self.waiters = 0
         self.error = ""
 
     def failure(self) -> MustardgapError:
@@ -101,11 +102,15 @@
         self._wake = asyncio.Event()
         self._failures = 0
 
-    def add(self, pending: Pending) -> None:
-        """Queue a record."""
-        self.pending_by_id[pending.record["id"]] = pending
-        self._queues[pending.purpose].append(pending)
-        self._wake.set()
+    def find(self, record: Record, purpose: Purpose, size: int) -> Pending:
+        """The record on its way under this id, queued now if there is none."""
+        pending = self.pending_by_id.get(record["id"])
+        if pending is None:
+            pending = Pending(record=record, size=size, purpose=purpose)
+            self.pending_by_id[record["id"]] = pending
+            self._queues[purpose].append(pending)
+            self._wake.set()
+        return pending
 
     def drop(self, pending: Pending) -> None:
         """Give a record up; one that is in flight may still be appended."""
@@ -180,13 +185,29 @@
         except PlatformError as exc:
             for pending, was in zip(batch, before, strict=True):
                 pending.may_be_appended = was
-            await self._failed(batch, exc, look_s=0.0)
+            if exc.code is status_codes.PLATFORM_REFUSED:
+                await self._refused(batch, exc)
+            else:
+                await self._failed(batch, exc, look_s=0.0)
+        except asyncio.CancelledError:
+            self._queue_again(batch)
+            raise
         else:
             self._failures = 0
             for pending in batch:
                 metrics.log_appends.add(1, {"purpose": pending.purpose})
         metrics.log_append_duration.record(self.clock.monotonic() - started)
 
+    async def _refused(self, batch: list[Pending], exc: PlatformError) -> None:
+        """Append each by itself, so that one the log won't take doesn't hold up the others."""
+        if len(batch) == 1:
+            self.pending_by_id.pop(batch[0].record["id"], None)
+            if not batch[0].verdict.done():
+                batch[0].verdict.set_exception(exc)
+            return
+        for pending in batch:
+            await self._append([pending])
+
     async def _failed(self, batch: list[Pending], exc: MustardgapError, *, look_s: float) -> None:
         metrics.log_errors.add(1, {"call": "append"})
         for pending in batch:
@@ -194,9 +215,14 @@
         self._failures += 1
         limit = min(MAX_BACKOFF_S, BACKOFF_S * 2.0 ** min(self._failures, 10))
         open_ones = [p.verdict for p in batch if not p.verdict.done()]
-        if look_s and open_ones:
-            await asyncio.wait(open_ones, timeout=look_s)
-        await self.clock.sleep(random.uniform(0, limit))
+        try:
+            if look_s and open_ones:
+                await asyncio.wait(open_ones, timeout=look_s)
+            await self.clock.sleep(random.uniform(0, limit))
+        finally:
+            self._queue_again(batch)
+
+    def _queue_again(self, batch: list[Pending]) -> None:
         for pending in reversed(batch):
             if not pending.verdict.done():
                 self._queues[pending.purpose].appendleft(pending)
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -398,6 +398,14 @@
 STALE_EPOCH = _code(
     5006, "stale_epoch", 409, 52, "The platform holds a newer epoch of this operation", ""
 )
+LOG_WENT_BACK = _code(
+    5007,
+    "log_went_back",
+    503,
+    50,
+    "The log ends before what was folded from it already",
+    "Have the platform's log looked at: it has lost records that it had confirmed.",
+)
 
 # 6xxx: the command line.
 USAGE = _code(6000, "usage", 400, 2, "The command line is not valid", "See --help.")
--- a/mustardgap/streams.py
+++ b/mustardgap/streams.py
@@ -5,6 +5,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
+from itertools import islice
 from typing import Any
 
 import msgspec
@@ -12,7 +13,7 @@
 
 from . import folds, metrics, records, snapshots, status_codes
 from .adapters import Platform
-from .appends import Appender, Pending, Purpose
+from .appends import Appender, Purpose
 from .checkpoints import Checkpoints
 from .exceptions import LogExpired, PlatformError, RecordRejected
 from .models import LogRecord, Page
@@ -136,17 +137,18 @@
         before = folds.decided(self.state, record["id"])
         if before is not None:
             return before
-        pending = self.appender.pending_by_id.get(record["id"])
-        if pending is None:
-            size = len(msgspec.json.encode(record))
-            pending = Pending(record=record, size=size, purpose=purpose)
-            self.appender.add(pending)
-        done, _ = await asyncio.wait([pending.verdict], timeout=timeout_s)
-        if done:
-            return pending.verdict.result()
-        failure = pending.failure()
-        self.appender.drop(pending)
-        raise failure
+        size = len(msgspec.json.encode(record))
+        pending = self.appender.find(record, purpose, size)
+        pending.waiters += 1
+        try:
+            done, _ = await asyncio.wait([pending.verdict], timeout=timeout_s)
+        finally:
+            pending.waiters -= 1
+            if pending.waiters == 0 and not pending.verdict.done():
+                self.appender.drop(pending)
+        if not done:
+            raise pending.failure()
+        return pending.verdict.result()
 
     def check(self, kind: str, body: Any) -> Verdict:
         """What the fold would decide on a record now; nothing is written."""
@@ -179,7 +181,7 @@
         if not self._recent or start < self._recent[0].offset:
             return []
         skipped = start - self._recent[0].offset
-        return [r for n, r in enumerate(self._recent) if skipped <= n < skipped + limit]
+        return list(islice(self._recent, skipped, skipped + limit))
 
     def snapshot(self) -> bytes:
         """The folded state, coded for a peer."""
@@ -207,7 +209,7 @@
             # The newest checkpoint spares most of the reading; without one the log has it all.
             await self._catch_up()
         while True:
-            started = self.clock.monotonic()
+            started, start = self.clock.monotonic(), self.offset
             try:
                 page = await self._read_page()
             except LogExpired:
@@ -221,6 +223,9 @@
                     logging.warning("the log can't be read: %s", exc)
                 await self._back_off()
                 continue
+            if page.end < start:
+                await self._went_back()
+                continue
             self._failures = 0
             await self._take(page, started)
 
@@ -232,11 +237,6 @@
         )
 
     async def _take(self, page: Page, started: float) -> None:
-        if page.end < self.offset:
-            # A log that went back would let old records be decided anew; refuse it.
-            self._not_current(status_codes.LOG_EXPIRED)
-            await self._back_off()
-            return
         metrics.log_reads.add(len(page.records))
         for number, record in enumerate(page.records, start=1):
             if record.offset >= self.offset and not self._fold(record):
@@ -249,6 +249,11 @@
             self._know(started)
         self.checkpoints.oldest = page.oldest
 
+    async def _went_back(self) -> None:
+        """Refuse a log that has lost records: its new ones would be decided on other grounds."""
+        self._not_current(status_codes.LOG_WENT_BACK)
+        await self._back_off()
+
     async def _catch_up(self) -> bool:
         """Go on from the newest checkpoint on the log, if it is newer than the own state."""
         try:
