Show a failed worker late, start executors on a free port, refuse bad settings

Cause: a real platform notices a dead worker only after a while, but the stand-in showed it at once, which would flatter the time to recover. An executor whose port had been taken as the near end of another's connection while it was down could never start again. A platform operation that was replaced before its first step stayed "running" for good. Ruled out: holding the port by a bound socket that doesn't listen (a socket can't stop listening without closing); a fixed port range (two runs on one machine would clash).

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -67,6 +67,11 @@
       | POST   | /control/faults               | {"fault": "nonsense"}                                             | 400    | {}                |
       | POST   | /control/faults               | {"fault": "down", "port": 1, "when": 2}                           | 400    | {}                |
 
+  Scenario: Standins cut off the one daemon that calls by a port
+    Given a standins platform with {}
+    When the standins platform is down for those who call by its second port
+    Then standins calls by its ports see 200 and 503
+
   Scenario: Standins host list lags and drops the silent
     Given a standins platform with {"hosts": {"lag_s": 0.2, "expire_s": 1.0}}
     Then standins calls are answered so
@@ -120,6 +125,24 @@
       | GET    | /workers?since=4          |                                                                       | 200    | {"gone": ["r2-w1"]}                                                             |
       | GET    | /control/truth            |                                                                       | 200    | {"operations": {"o0": {"asked": 2, "executed": 1}, "o3": {"asked": 1, "executed": 0}}} |
 
+  Scenario: Standins lose a whole rack and find it again
+    Power fails in a rack. The platform shows its workers as up for a while, then as down; the
+    record of truth has them down, and their tasks ended, from the moment it happened.
+    Given a standins platform with {"workers": {"detect_s": 0.3, "usage_every_s": 0.05}}
+    Then standins calls are answered so
+      | method | path                 | body                                                                                                         | status | answer                                                                                    |
+      | POST   | /workers/r1-w1/tasks | {"task": "t1", "job": "j", "attempt": 1, "epoch": 1, "lease_s": 60, "cores": 1, "memory_gb": 1, "run_s": 60} | 200    | {}                                                                                        |
+      | POST   | /control/faults      | {"fault": "power_off", "on": "r1"}                                                                           | 200    | {}                                                                                        |
+      | GET    | /control/truth       |                                                                                                              | 200    | {"workers": {"r1-w1": [{"state": "up"}, {"state": "down"}], "r2-w1": [{"state": "up"}]}, "jobs": {"j": {"runs": [{"outcome": "failed"}]}}, "cuts": [{"worker": "r1-w1", "kind": "tasks"}]} |
+      | GET    | /workers             |                                                                                                              | 200    | {"workers": [{"worker": "r1-w1", "state": "up"}]}                                         |
+      | UNTIL  | /workers             |                                                                                                              | 200    | {"workers": [{"worker": "r1-w1", "state": "down"}, {"worker": "r1-w2", "state": "down"}]} |
+      | POST   | /workers/r1-w1/tasks | {"task": "t2", "job": "j", "attempt": 2, "epoch": 2, "lease_s": 60, "cores": 1, "memory_gb": 1, "run_s": 60} | 409    | {}                                                                                        |
+      | DELETE | /control/faults      |                                                                                                              | 200    | {}                                                                                        |
+      | UNTIL  | /workers             |                                                                                                              | 200    | {"workers": [{"worker": "r1-w1", "state": "up", "boot": 2}]}                              |
+      | POST   | /control/workers     | {"worker": {"worker": "r1-w1"}, "rack": "r1", "data_center": "d"}                                            | 409    | {}                                                                                        |
+      | POST   | /control/workers     | {"worker": {"worker": "r1-w3", "cores": 8}, "rack": "r1", "data_center": "d"}                                | 200    | {}                                                                                        |
+      | GET    | /workers             |                                                                                                              | 200    | {"workers": [{"worker": "r1-w3", "rack": "r1", "cores": 8}]}                              |
+
   Scenario: Standins run tasks under leases
     Given a standins platform with {"workers": {"usage_every_s": 0.05, "reboot_s": 0.05}}
     Then standins calls are answered so
@@ -226,3 +249,16 @@
     Then standins calls are answered so
       | method | path           | body | status | answer                                                                  |
       | UNTIL  | /control/truth |      | 200    | {"cuts": [{"worker": "r1-w1", "kind": "requests", "count": 1}]}         |
+
+  Scenario Outline: Standins refuse <settings> with one line
+    When the standins <module> is started with <settings>
+    Then it ends with exit status <status> and one standins line with <text>
+
+    Examples:
+      | module    | settings                            | status | text                                    |
+      | platforms | {"fleet": {"data_centers": 3}}      | 20     | MG2002 settings_invalid                 |
+      | platforms | {"fleet": "nowhere.json"}           | 20     | MG2000 settings_unreadable              |
+      | executors | {"slots": 0}                        | 20     | executors.json:slots                    |
+      | executors | {"slot": 8}                         | 20     | unknown field `slot`                    |
+      | executors | {"executors"                        | 20     | MG2001 settings_syntax                  |
+      | executors | {}                                  | 21     | MG2003                                  |
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -36,14 +36,15 @@
 CUT, SILENT = 0, -1
 
 
-def start(context, name, module, settings):
+def start(context, name, module, settings, ports=1):
     """Start a stand-in with settings and wait until it answers."""
     path = context.folder / f"{name}.json"
     path.write_text(json.dumps(settings))
-    (port,) = free_ports(1)
-    context.processes.start(name, module, "--port", str(port), "--settings", str(path))
-    wait_http(f"http://127.0.0.1:{port}/control/faults")
-    return Control(address=f"127.0.0.1:{port}")
+    context.ports = free_ports(ports)
+    listen = [word for port in context.ports for word in ("--port", str(port))]
+    context.processes.start(name, module, *listen, "--settings", str(path))
+    wait_http(f"http://127.0.0.1:{context.ports[0]}/control/faults")
+    return Control(address=f"127.0.0.1:{context.ports[0]}")
 
 
 def start_executors(context, settings):
@@ -90,7 +91,7 @@
 @given("a standins platform with {settings}")
 def _(context, settings):
     whole = {"fleet": FLEET} | json.loads(settings)
-    context.platform = start(context, "platform", "standins.platforms", whole)
+    context.platform = start(context, "platform", "standins.platforms", whole, ports=2)
 
 
 @given("a standins executors process with {settings}")
@@ -125,6 +126,17 @@
             time.sleep(0.02)
 
 
+@when("the standins platform is down for those who call by its second port")
+def _(context):
+    context.platform.fault("down", port=context.ports[1])
+
+
+@then("standins calls by its ports see {first:d} and {second:d}")
+def _(context, first, second):
+    seen = [call(f"127.0.0.1:{port}", "GET", "/log/a")[0] for port in context.ports]
+    assert seen == [first, second], seen
+
+
 @when("a standins reader waits for offset 0 while a record is appended")
 def _(context):
     address = context.platform.address
@@ -286,3 +298,23 @@
         body = '{"operation": "o9", "kind": "reboot", "epoch": 9}'
         call(context.platform.address, "POST", "/workers/r1-w1/operations", body)
         assert sent.result() == "cut"
+
+
+@when("the standins {module} is started with {settings}")
+def _(context, module, settings):
+    path = context.folder / f"{module}.json"
+    path.write_text(settings)
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = str(taken.getsockname()[1])
+        args = ("--port", port, "--settings", str(path))
+        process = context.processes.start(module, f"standins.{module}", *args)
+        context.status = process.wait(timeout=UNTIL_S)
+    context.output = context.processes.output(module)
+
+
+@then("it ends with exit status {status:d} and one standins line with {text}")
+def _(context, status, text):
+    assert context.status == status, (context.status, context.output)
+    assert text in context.output and context.output.count("\n") == 1, context.output
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -25,8 +25,8 @@
     :raises StreamClosedError: the connection has closed.
     """
     connection: Any = request.connection
-    size = max(len(answer.head), int(argument(request, "size") or 0))
-    if not argument(request, "chunked"):
+    size = max(len(answer.head), int(number(request, "size") or 0))
+    if not number(request, "chunked"):
         answer.headers["Content-Length"] = str(size)
     start_line = ResponseStartLine("HTTP/1.1", answer.status, "")
     await connection.write_headers(start_line, answer.headers)
@@ -92,10 +92,16 @@
     stream.close()
 
 
-def argument(request: HTTPServerRequest, name: str) -> str:
-    """An argument of the query, "" when it isn't there."""
-    values = request.query_arguments.get(name)
-    return values[0].decode() if values else ""
+def number(request: HTTPServerRequest, name: str, *, header: str = "") -> float | None:
+    """A number that a request asks for in a header or its query, None when it doesn't.
+
+    What isn't a number is passed over, since a query belongs to the service first.
+    """
+    values = request.query_arguments.get(name, [b""])
+    try:
+        return float(request.headers.get(header) or values[0])
+    except ValueError:
+        return None
 
 
 def stream_of(request: HTTPServerRequest) -> IOStream:
--- a/standins/fleets.py
+++ b/standins/fleets.py
@@ -5,13 +5,12 @@
 
 import msgspec
 
-from mustardgap.models import ExecutorInfo, WorkerInfo
-
 from .faults import Fault, Faults
 from .links import Links
 from .settings import FleetSpec, WorkerSpec, WorkersSettings
 from .tasks import RefusedError, Tasks
 from .truths import Truth
+from .workers import Worker
 
 DRAINABLE = frozenset({"up", "draining", "drained"})
 
@@ -25,63 +24,6 @@
     pool: str = ""
 
 
-class Worker:
-    """One worker.
-
-    :param spec: its line in the fleet file.
-    :param rack: its rack.
-    :param data_center: its data center.
-    :param fleet: the fleet file, for what the line doesn't say.
-    """
-
-    def __init__(self, *, spec: WorkerSpec, rack: str, data_center: str, fleet: FleetSpec) -> None:
-        whole = fleet.worker
-        self.name = spec.worker
-        self.rack = rack
-        self.data_center = data_center
-        self.cores = whole.cores if spec.cores is None else spec.cores
-        self.memory_gb = whole.memory_gb if spec.memory_gb is None else spec.memory_gb
-        self.accelerators = whole.accelerators if spec.accelerators is None else spec.accelerators
-        self.pool = spec.pool
-        self.epoch = 0
-        self.state = "up"
-        self.boot = 1
-        self.executors: list[ExecutorInfo] = []
-        self.version = 0
-        self.encoded = b""
-        self.runner: asyncio.Task[None] | None = None
-
-    @property
-    def targets(self) -> tuple[str, str, str]:
-        """The names by which a fault may concern it."""
-        return self.name, self.rack, self.data_center
-
-    @property
-    def room(self) -> dict[str, float]:
-        """What it has for tasks."""
-        return {
-            "cores": self.cores,
-            "memory_gb": self.memory_gb,
-            "accelerators": self.accelerators,
-        }
-
-    def info(self) -> WorkerInfo:
-        """The worker as the platform shows it."""
-        return {
-            "worker": self.name,
-            "rack": self.rack,
-            "data_center": self.data_center,
-            "cores": self.cores,
-            "memory_gb": self.memory_gb,
-            "accelerators": self.accelerators,
-            "pool": self.pool,
-            "epoch": self.epoch,
-            "state": self.state,  # type: ignore[typeddict-item]
-            "boot": self.boot,
-            "executors": self.executors,
-        }
-
-
 class Fleet:
     """All workers and what is being done to them.
 
@@ -207,9 +149,15 @@
         self.truth.note_worker(name, pool="", epoch=worker.epoch, state="gone", boot=worker.boot)
 
     def add(self, spec: WorkerSpec, *, rack: str, data_center: str) -> None:
-        """Add a worker to the fleet, or one in the place of an older one of the same name."""
+        """Add a worker to the fleet, also under the name of one that is gone.
+
+        :raises RefusedError: there is one of that name.
+        """
+        if spec.worker in self.by_name:
+            raise RefusedError(f"there is a worker {spec.worker}")
         self._gone_by_name.pop(spec.worker, None)
         self._add(Worker(spec=spec, rack=rack, data_center=data_center, fleet=self.spec))
+        self.start_executor(spec.worker)
 
     def _add(self, worker: Worker) -> None:
         self.by_name[worker.name] = worker
@@ -217,23 +165,23 @@
 
     def _run(self, worker: Worker, operation: dict[str, Any], pool: str) -> None:
         self._stop_runner(worker)
-        effects = {"drain": self._drain, "undrain": self._undrain, "reboot": self._reboot}
         self.truth.note_executed(operation["operation"])
+        worker.operation = operation
+        worker.runner = self._spawn(self._execute(worker, operation, pool))
+
+    async def _execute(self, worker: Worker, operation: dict[str, Any], pool: str) -> None:
         if operation["kind"] == "assign":
-            effect = self._assign(worker, operation, pool)
-        else:
-            effect = effects[operation["kind"]](worker, operation)
-        worker.runner = self._spawn(self._finish(operation, effect))
-
-    async def _finish(self, operation: dict[str, Any], effect: Any) -> None:
-        try:
-            await effect
-            operation["state"] = "done"
-        finally:
-            if operation["state"] == "running":
-                operation["state"] = "failed"
-
-    async def _drain(self, worker: Worker, operation: dict[str, Any]) -> None:
+            worker.pool = pool
+        effects = {
+            "drain": self._drain,
+            "undrain": self._start_up,
+            "assign": self._start_up,
+            "reboot": self._reboot,
+        }
+        await effects[operation["kind"]](worker)
+        operation["state"] = "done"
+
+    async def _drain(self, worker: Worker) -> None:
         if worker.state == "drained":
             self._set(worker)
             return
@@ -244,24 +192,18 @@
         worker.executors = []
         self._set(worker, state="drained")
 
-    async def _undrain(self, worker: Worker, operation: dict[str, Any]) -> None:
-        self._set(worker, state="up")
-        await self._start(worker, self.service_of(worker.name))
-
-    async def _reboot(self, worker: Worker, operation: dict[str, Any]) -> None:
+    async def _reboot(self, worker: Worker) -> None:
         self._cut(worker, "worker rebooted")
         self._set(worker, state="rebooting")
         await asyncio.sleep(self.settings.reboot_s)
         await self.faults.gone("never_returns", *worker.targets)
         await self._boot(worker)
 
-    async def _assign(self, worker: Worker, operation: dict[str, Any], pool: str) -> None:
-        worker.pool = pool
-        self._set(worker, state="up")
-        await self._start(worker, self.service_of(worker.name))
-
     async def _boot(self, worker: Worker) -> None:
         worker.boot += 1
+        await self._start_up(worker)
+
+    async def _start_up(self, worker: Worker) -> None:
         self._set(worker, state="up")
         await self._start(worker, self.service_of(worker.name))
 
@@ -284,11 +226,10 @@
 
     def _set(self, worker: Worker, *, state: str = "") -> None:
         worker.state = state or worker.state
-        self.version += 1
-        worker.version = self.version
-        worker.encoded = msgspec.json.encode(worker.info())
-        self._changed_by_name.pop(worker.name, None)
-        self._changed_by_name[worker.name] = worker
+        self._note(worker)
+        self._show(worker)
+
+    def _note(self, worker: Worker) -> None:
         self.truth.note_worker(
             worker.name,
             pool=worker.pool,
@@ -297,6 +238,13 @@
             boot=worker.boot,
         )
 
+    def _show(self, worker: Worker) -> None:
+        self.version += 1
+        worker.version = self.version
+        worker.encoded = msgspec.json.encode(worker.info())
+        self._changed_by_name.pop(worker.name, None)
+        self._changed_by_name[worker.name] = worker
+
     def _fault_changed(self, fault: Fault, is_on: bool) -> None:
         effects = {"power_off": self._power, "paused": self._pause, "worker_removed": self._remove}
         effect = effects.get(fault.fault)
@@ -312,7 +260,13 @@
             worker.runner = self._spawn(self._boot(worker))
         elif worker.state != "down":
             self._cut(worker, "worker down")
-            self._set(worker, state="down")
+            worker.state = "down"
+            self._note(worker)
+            worker.runner = self._spawn(self._show_later(worker))
+
+    async def _show_later(self, worker: Worker) -> None:
+        await asyncio.sleep(self.settings.detect_s)
+        self._show(worker)
 
     def _pause(self, worker: Worker, is_on: bool) -> None:
         if is_on:
@@ -327,7 +281,9 @@
     def _stop_runner(self, worker: Worker) -> None:
         if worker.runner is not None:
             worker.runner.cancel()
-        worker.runner = None
+        if worker.operation is not None and worker.operation["state"] == "running":
+            worker.operation["state"] = "failed"
+        worker.runner = worker.operation = None
 
     def _spawn(self, effect: Any) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.create_task(effect)
--- a/standins/links.py
+++ b/standins/links.py
@@ -15,9 +15,16 @@
     """Tells executors processes what to start and stop on which worker."""
 
     def __init__(self) -> None:
-        self.control_by_worker: dict[str, str] = {}
+        self._control_by_worker: dict[str, str] = {}
+        self._control_of_others = ""
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
 
+    def register(self, control: str, workers: list[str]) -> None:
+        """Take in an executors process; one that names no workers has all that no other has."""
+        if not workers:
+            self._control_of_others = control
+        self._control_by_worker |= dict.fromkeys(workers, control)
+
     async def step(self, worker: str, step: str, service: str = "") -> dict[str, Any]:
         """Have a step done for the executor of a worker.
 
@@ -26,8 +33,8 @@
         :param step: ``start``, ``drain`` (returns when drained), ``cut``, ``pause`` or ``resume``.
         :return: ``{"executors": [ExecutorInfo, ...], "cut": n}``.
         """
-        control = self.control_by_worker.get(worker)
-        if control is None:
+        control = self._control_by_worker.get(worker) or self._control_of_others
+        if not control:
             return {"executors": [], "cut": 0}
         request = HTTPRequest(
             f"http://{control}/control/workers/{worker}",
--- a/standins/settings.py
+++ b/standins/settings.py
@@ -6,8 +6,9 @@
 import msgspec
 from msgspec import Meta
 
-from mustardgap import settings, status_codes
+from mustardgap import status_codes
 from mustardgap.exceptions import SettingsError
+from mustardgap.json_files import read_json
 from mustardgap.settings import Address, Count, Name, Port, Section
 
 Seconds = Annotated[float, Meta(ge=0, le=10_000_000)]
@@ -70,9 +71,10 @@
 
 
 class WorkersSettings(Section, kw_only=True, frozen=True, forbid_unknown_fields=True):
-    """Pace of workers and tasks."""
+    """Pace of workers and tasks; ``detect_s`` is how long a worker that went down is shown up."""
 
     reboot_s: Seconds = 2.0
+    detect_s: Seconds = 1.0
     usage_every_s: Seconds = 2.0
     ended_kept_s: Seconds = 300.0
     throttled_speed: Annotated[float, Meta(gt=0, le=1)] = 0.5
@@ -131,12 +133,15 @@
     :param schema: the type it must be.
     :raises SettingsError: MG2000 to MG2002 with file and key.
     """
-    raw = settings.read_json(path)
+    raw = read_json(path)
     try:
         return msgspec.convert(raw, schema)
     except msgspec.ValidationError as exc:
+        detail, _, where = str(exc).partition(" - at `$")
+        key = where.rstrip("`").lstrip(".")
+        place = f"{path}:{key}" if key else str(path)
         raise SettingsError(
-            code=status_codes.SETTINGS_INVALID, detail=str(exc), place=str(path)
+            code=status_codes.SETTINGS_INVALID, detail=detail, place=place
         ) from None
 
 
--- a/standins/upstreams.py
+++ b/standins/upstreams.py
@@ -13,11 +13,11 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
 
 from mustardgap.models import ExecutorInfo
 
 from . import answers
-from .answers import pieces as pieces
 from .faults import Fault, Faults
 from .runs import Run, Runs
 from .settings import ExecutorsSettings, RunTime
@@ -74,6 +74,7 @@
         self._silent: set[IOStream] = set()
         self._serving: set[asyncio.Task[None]] = set()
         self._running = 0
+        self._has_listened = False
         self._left_at = math.inf
         self._received_at = 0.0
 
@@ -108,9 +109,20 @@
         if self._server is not None:
             return
         self._server = _Server(self)
-        self._server.listen(self.port, "127.0.0.1", backlog=BACKLOG)
-        sockets = self._server._sockets.values()
-        self.port = next(iter(sockets)).getsockname()[1]
+        self.port = self._listen(self._server)
+
+    def _listen(self, server: "_Server") -> int:
+        try:
+            (sock,) = bind_sockets(self.port, "127.0.0.1", backlog=BACKLOG)
+        except OSError:
+            if not self._has_listened:
+                raise
+            # While the executor was down, its port may have become the near end of somebody's
+            # connection: it would never start again. The platform learns the new port.
+            (sock,) = bind_sockets(0, "127.0.0.1", backlog=BACKLOG)
+        server.add_socket(sock)
+        self._has_listened = True
+        return int(sock.getsockname()[1])
 
     async def drain(self) -> None:
         """Finish what was received, then stop listening; returns when drained or taken back."""
@@ -236,8 +248,8 @@
         }
 
     async def _work(self, request: HTTPServerRequest) -> None:
-        asked = request.headers.get("X-Run-Time") or answers.argument(request, "run_s")
-        run_s = float(asked) if asked else draw(self.settings.run_time, self._random)
+        asked_s = answers.number(request, "run_s", header="X-Run-Time")
+        run_s = draw(self.settings.run_time, self._random) if asked_s is None else asked_s
         slow = self._take("slow")
         if slow is not None:
             run_s = run_s * slow.factor + slow.seconds
