--- a/mustardgap/candidates.py
+++ b/mustardgap/candidates.py
@@ -67,16 +67,24 @@
 def surplus_hosts(draft: Draft, group: Group) -> Iterator[HostState]:
     """The hosts that a group can lose, those in its fullest failure domains first."""
     fleet = draft.fleet
+    if not draft.is_settled(group):
+        return
     ids = group.top_ids()
     if group.margin > 0:
-        rest = sorted(h for held in group.ids_by_domain.values() for h in held)
-        ids += [h for h in rest if h not in set(ids)]
+        top = set(ids)
+        ids += [h for h in group.host_ids() if h not in top]
     for host_id in ids:
         host = fleet.hosts_by_id[host_id]
         if host_id not in draft.touched and group.can_lose(host):
             yield host
 
 
+def gains(group: Group, host: HostState) -> bool:
+    """Whether a host would bring a group nearer to its budget."""
+    short = group.requirement.min_hosts and group.margin < 0
+    return group.margin_with(host) > group.margin if short else True
+
+
 def least_urgent_first(group: Group) -> tuple[int, str]:
     """Sort groups by falling urgency number."""
     return -group.requirement.urgency, group.requirement.name
@@ -87,7 +95,9 @@
     fleet = draft.fleet
     donors = [fleet.groups_by_name[n] for n in fleet.over_names if n not in held_names]
     for donor in sorted(donors, key=least_urgent_first):
-        hosts = surplus_hosts(draft, donor) if donor is not group else iter(())
+        if donor is group:
+            continue
+        hosts = (host for host in surplus_hosts(draft, donor) if gains(group, host))
         best = min(hosts, key=lambda host: _crowding(group, host), default=None)
         if best is not None:
             return best
--- a/mustardgap/placements.py
+++ b/mustardgap/placements.py
@@ -122,6 +122,10 @@
             return False
         return self.margin_without(host) >= 0
 
+    def host_ids(self) -> list[str]:
+        """All hosts in service, in order."""
+        return sorted(host for ids in self.ids_by_domain.values() for host in ids)
+
     def top_ids(self) -> list[str]:
         """The hosts of the domains that hold the most, in order."""
         full = [d for d, ids in self.ids_by_domain.items() if len(ids) == self.top]
--- a/mustardgap/planners.py
+++ b/mustardgap/planners.py
@@ -3,12 +3,18 @@
 from collections.abc import Mapping
 from typing import Any
 
-from .candidates import Candidates, find_donation, least_urgent_first, surplus_hosts
+from .candidates import Candidates, find_donation, gains, least_urgent_first, surplus_hosts
 from .placements import SPARE_POOL, Fleet, Group
 from .plans import Draft, Plan, Weights
 from .settings import CapacitySettings
 from .waves import Waves
 
+# Exchanges are tried with this many other services, so that a shortage that can't be mended costs
+# little each time.
+MOST_EXCHANGES = 8
+# A plan holds at most about this many steps, so that a new fleet doesn't keep a daemon busy for a
+# second at a time; the next plans go on from there.
+MOST_STEPS = 200
 NOBODY: Mapping[str, float] = {}
 
 
@@ -68,17 +74,13 @@
         if self._declared:
             fleet.declare(self._state.declarations_by_key)
             self._declared = False
-        draft = Draft(fleet=fleet)
-        policy = fleet.policy
-        weights = weights or Weights(policy["buffer_weight"], policy["move_weight"])
-        waves = Waves(
-            draft=draft, waves=self._state.waves_by_name.values(), now=now, settings=self.settings
-        )
+        draft = Draft(fleet=fleet, now=now, weights=weights)
+        waves = Waves(draft=draft, waves=self._state.waves_by_name.values(), settings=self.settings)
         try:
             empty_leaving(draft, leaving)
             fill_short(draft)
             waves.proceed()
-            release_surplus(draft, weights, waves)
+            release_surplus(draft, waves)
             settle_emptied(draft)
         finally:
             draft.undo()
@@ -129,17 +131,21 @@
     fleet = draft.fleet
     groups = [fleet.groups_by_name[name] for name in fleet.short_names]
     for group in sorted(groups, key=_most_urgent_first):
+        if len(draft.steps) >= MOST_STEPS:
+            return
         _undrain_own(draft, group)
         _assign_free(draft, group)
+        if len(draft.steps) >= MOST_STEPS:
+            return
         missing = _missing(group)
         reserved = min(draft.pending, missing)
         draft.pending -= reserved
         missing -= reserved + _move_surplus(draft, group, missing - reserved)
-        if missing > 0:
+        if missing > 0 and not _exchange(draft, group):
             draft.problems.append(_shortage(group, missing))
 
 
-def release_surplus(draft: Draft, weights: Weights, waves: Waves) -> None:
+def release_surplus(draft: Draft, waves: Waves) -> None:
     """Give hosts that aren't needed back to the spare pool, where all services share them.
 
     It costs a move, so it is done when the spare pool is short, when the service holds more than it
@@ -153,11 +159,11 @@
         name = group.requirement.name
         while group.is_over:
             too_large = group.size > group.requirement.max_hosts
-            wanted = lacking > 0 or weights.buffer > weights.move
+            wanted = lacking > 0 or draft.weights.buffer > draft.weights.move
             if not too_large and (not wanted or name in waves.held_names):
                 break
             host = next(iter(surplus_hosts(draft, group)), None)
-            if host is None or not waves.is_settled(group):
+            if host is None:
                 break
             draft.drain(host, f"{name} has {group.size} hosts, its margin is {group.margin}")
             lacking -= 1
@@ -201,15 +207,22 @@
 
 
 def _assign_free(draft: Draft, group: Group) -> None:
+    """Assign free hosts until the budget holds; those at the end that gain nothing stay free."""
     candidates = Candidates(fleet=draft.fleet, group=group)
-    while group.is_short and not group.is_full:
+    useful = len(draft.steps)
+    best = _missing(group)
+    while group.is_short and not group.is_full and len(draft.steps) < MOST_STEPS:
         host = candidates.take()
         if host is None:
-            return
+            break
         gain = group.margin_with(host) - group.margin
         name = group.requirement.name
         reason = f"{name} has {group.size} hosts and a margin of {group.margin}"
         draft.assign(host, group.pool_for_next(), reason, gain)
+        if _missing(group) < best:
+            best = _missing(group)
+            useful = len(draft.steps)
+    draft.keep(useful)
 
 
 def _move_surplus(draft: Draft, group: Group, missing: int) -> int:
@@ -225,6 +238,28 @@
     return moved
 
 
+def _exchange(draft: Draft, group: Group) -> bool:
+    """Give a free host, of no use to this group, to another one that has a host of use.
+
+    The other one's host is then surplus and comes over by the next plans.
+    """
+    donors = [g for g in draft.fleet.groups_by_name.values() if g is not group]
+    for donor in sorted(donors, key=least_urgent_first)[:MOST_EXCHANGES]:
+        if donor.is_full or donor.is_short:
+            continue
+        free = Candidates(fleet=draft.fleet, group=donor).take()
+        if free is None:
+            return False
+        count = len(draft.steps)
+        name = group.requirement.name
+        draft.assign(free, donor.pool_for_next(), f"so that a host of use can go to {name}")
+        hosts = (draft.fleet.hosts_by_id[h] for h in donor.host_ids())
+        if any(donor.can_lose(host) and gains(group, host) for host in hosts):
+            return True
+        draft.keep(count)
+    return False
+
+
 def _shortage(group: Group, missing: int) -> str:
     need = group.requirement
     if group.is_full:
--- a/mustardgap/plans.py
+++ b/mustardgap/plans.py
@@ -3,7 +3,10 @@
 from typing import Literal, NamedTuple
 
 from .models import HostState, Phase
-from .placements import PLAN_REASON, SPARE_POOL, Fleet
+from .placements import PLAN_REASON, SPARE_POOL, Fleet, Group
+
+# A host that came into service counts for a drain only when it has had this long to start.
+SETTLE_S = 10.0
 
 StepKind = Literal["assign", "drain", "undrain", "reboot", "move", "set_aside"]
 
@@ -51,10 +54,15 @@
     So each choice sees the effect of those before it, and the index still shows what is folded.
 
     :param fleet: the index.
+    :param now: seconds since the epoch.
+    :param weights: what buffer and moves cost.
     """
 
-    def __init__(self, *, fleet: Fleet) -> None:
+    def __init__(self, *, fleet: Fleet, now: float, weights: Weights | None = None) -> None:
+        policy = fleet.policy
         self.fleet = fleet
+        self.now = now
+        self.weights = weights or Weights(policy["buffer_weight"], policy["move_weight"])
         self.steps: list[Step] = []
         self.problems: list[str] = []
         self.touched: set[str] = set()
@@ -91,6 +99,23 @@
         """Count on a host no longer in this plan, without a step."""
         self._put(host, host["pool"], "set_aside", host["reason"], "")
 
+    def is_settled(self, group: Group) -> bool:
+        """Whether the hosts of a group have had the time to start.
+
+        A host is in service on the log before its executors listen. Emptying another one at once
+        would leave the service with fewer hosts than the log says.
+        """
+        hosts = self.fleet.hosts_by_id
+        latest = max((hosts[h]["since"] for h in group.host_ids()), default=0.0)
+        return not 0 <= self.now - latest < SETTLE_S
+
+    def keep(self, count: int) -> None:
+        """Take back all steps but the first ``count``, made since the last host was withheld."""
+        while len(self.steps) > count:
+            step = self.steps.pop()
+            self.touched.discard(step.host)
+            self.fleet.put(self._before.pop())
+
     def undo(self) -> None:
         """Take all steps back from the index."""
         while self._before:
--- a/mustardgap/waves.py
+++ b/mustardgap/waves.py
@@ -24,8 +24,6 @@
 # The pace is such that the whole fleet takes this share of the period, so that a tenth is left for
 # pauses when all hosts come due together.
 ROUND_SHARE = 0.4
-# A host that came into service counts for a drain only when it has had this long to start.
-SETTLE_S = 10.0
 # A host that wouldn't drain is left alone for this share of the period.
 RETRY_SHARE = 1 / 14
 
@@ -35,53 +33,49 @@
 
     :param draft: the plan being drafted.
     :param waves: the waves that operators started.
-    :param now: seconds since the epoch.
     :param settings: how long a host may take to return.
     """
 
     def __init__(
-        self, *, draft: Draft, waves: Iterable[WaveState], now: float, settings: CapacitySettings
+        self, *, draft: Draft, waves: Iterable[WaveState], settings: CapacitySettings
     ) -> None:
         self.waiting: dict[str, str] = {}
         self.finished: list[str] = []
         self.held_names: set[str] = set()
         self._draft = draft
         self._fleet = draft.fleet
-        self._now = now
+        self._now = draft.now
         self._settings = settings
         self._period = draft.fleet.policy["maintain_every_s"]
         self._started = sorted(
             (w for w in waves if w["phase"] != "finished"), key=lambda w: (w["since"], w["wave"])
         )
-        self._due_by_group: dict[str, dict[str, str]] = {}
+        self._started_by_group: dict[str, dict[str, str]] = {}
+        self._standing_names: set[str] = set()
 
     @property
     def lent(self) -> int:
-        """How many stand-ins the services hold that a wave is at work on."""
-        groups = (self._fleet.groups_by_name[n] for n in self.held_names if n != SPARE_POOL)
+        """How many services a wave is at work on, each with a stand-in or a margin of its own."""
+        groups = (self._fleet.groups_by_name[n] for n in self.held_names)
         return sum(1 for group in groups if group.is_over or group.out_ids)
 
     def proceed(self) -> None:
         """Go on with the hosts that are out, then take out the next ones."""
         for host_id in sorted(self._fleet.out_ids - self._draft.touched):
             self._go_on(self._fleet.hosts_by_id[host_id])
-        self._find_due()
-        self.held_names = set(self._due_by_group)
+        for wave in self._started:
+            self._look_through(wave)
+        self._find_overdue()
+        out = {name for name, group in self._fleet.groups_by_name.items() if group.out_ids}
+        due = self._started_by_group.keys() | self._standing_names
+        self.held_names = (out | due) - {SPARE_POOL}
         limit = most_out(self._fleet)
-        for name in sorted(self._due_by_group, key=self._visit_order):
-            if name == SPARE_POOL:
-                self._visit_spares(limit)
-            else:
-                self._visit(self._fleet.groups_by_name[name], limit)
-
-    def is_settled(self, group: Group) -> bool:
-        """Whether the hosts of a group have had the time to start.
-
-        A host is in service on the log before its executors listen. Emptying another one at once
-        would leave the service with fewer hosts than the log says.
-        """
-        latest = max((h["since"] for h in self._hosts(group)), default=0.0)
-        return not 0 <= self._now - latest < SETTLE_S
+        active = len(out - due) + len(self._fleet.emptying_ids)
+        for name in sorted(due - {SPARE_POOL}, key=self._visit_order):
+            if active >= limit:
+                return
+            active += self._visit(self._fleet.groups_by_name[name], limit)
+        self._visit_spares(limit)
 
     def _go_on(self, host: HostState) -> None:
         waited = self._now - host["since"]
@@ -97,40 +91,49 @@
             code = status_codes.HOST_WONT_RETURN
             self._draft.set_aside(host, f"{code}: not back after {waited:.0f} s")
 
-    def _find_due(self) -> None:
-        for wave in self._started:
-            self._find_due_of(wave)
-        start = self._now - self._period * INCLUDE_FROM
-        for name, group in self._fleet.groups_by_name.items():
-            oldest = group.oldest_maintained()
-            if oldest is not None and self._now - oldest > self._period * VISIT_AT:
-                for host in self._hosts(group):
-                    self._add_due(name, host, STANDING_WAVE, start)
-        for ids in self._fleet.free_ids_by_rack.values():
-            for host_id in ids:
-                host = self._fleet.hosts_by_id[host_id]
-                self._add_due(SPARE_POOL, host, STANDING_WAVE, start)
-
-    def _find_due_of(self, wave: WaveState) -> None:
-        left = 0
+    def _look_through(self, wave: WaveState) -> None:
+        hosts_by_id = self._fleet.hosts_by_id
+        is_done = True
         for host_id in wave["hosts"]:
-            host = self._fleet.hosts_by_id.get(host_id)
+            host = hosts_by_id.get(host_id)
             if host is None or host["maintained"] >= wave["since"]:
                 continue
-            group = self._fleet.groups_by_pool.get(host["pool"])
-            name = SPARE_POOL if group is None else group.requirement.name
-            due = self._add_due(name, host, wave["wave"], wave["since"])
-            left += due or host_id in self._fleet.out_ids
-        if not left:
+            if host["wave"] and host_id in self._fleet.out_ids:
+                is_done = False
+            elif host["phase"] == "in_service" and not self._is_stuck(host):
+                is_done = False
+                if wave["phase"] == "running":
+                    group = self._fleet.groups_by_pool.get(host["pool"])
+                    name = SPARE_POOL if group is None else group.requirement.name
+                    self._started_by_group.setdefault(name, {})[host_id] = wave["wave"]
+        if is_done:
             self.finished.append(wave["wave"])
 
-    def _add_due(self, name: str, host: HostState, wave: str, start: float) -> bool:
-        if host["phase"] != "in_service" or host["maintained"] >= start or self._is_stuck(host):
-            return False
-        paused = any(w["wave"] == wave and w["phase"] == "paused" for w in self._started)
-        if not paused and host["host"] not in self._draft.touched:
-            self._due_by_group.setdefault(name, {}).setdefault(host["host"], wave)
-        return True
+    def _find_overdue(self) -> None:
+        for name, group in self._fleet.groups_by_name.items():
+            oldest = group.oldest_maintained()
+            age = 0.0 if oldest is None else self._now - oldest
+            if age > self._period * VISIT_AT:
+                self._standing_names.add(name)
+            if age > self._period:
+                late = f"{(age - self._period) / 3600:.1f} hours"
+                self._draft.problems.append(f"a host of {name} is {late} late for maintenance")
+
+    def _due(self, name: str, hosts: Iterable[HostState]) -> dict[str, str]:
+        """The hosts that may be taken out, and for which wave."""
+        started = self._started_by_group.get(name, {})
+        due: dict[str, str] = {}
+        is_standing = name in self._standing_names
+        last = self._now - self._period * INCLUDE_FROM
+        for host in hosts:
+            host_id = host["host"]
+            if host_id in self._draft.touched:
+                continue
+            if host_id in started:
+                due[host_id] = started[host_id]
+            elif is_standing and host["maintained"] < last and not self._is_stuck(host):
+                due[host_id] = STANDING_WAVE
+        return due
 
     def _is_stuck(self, host: HostState) -> bool:
         if not host["reason"].startswith(str(status_codes.HOST_WONT_DRAIN)):
@@ -138,40 +141,58 @@
         return self._now - host["since"] < self._period * RETRY_SHARE
 
     def _visit_order(self, name: str) -> tuple[bool, bool, float, str]:
-        oldest = min(self._fleet.hosts_by_id[h]["maintained"] for h in self._due_by_group[name])
-        group = self._fleet.groups_by_name.get(name)
-        if group is None:
-            return True, True, oldest, name
-        return not group.out_ids, not group.is_over, oldest, name
-
-    def _visit(self, group: Group, limit: int) -> None:
-        due = self._due_by_group[group.requirement.name]
-        if not self.is_settled(group):
-            self._wait(due, f"{group.requirement.name}: a host has only just come into service")
-            return
-        while due and len(self._fleet.out_ids) < limit:
-            host = self._next_host(group, due)
-            if host is None:
-                break
+        group = self._fleet.groups_by_name[name]
+        return not group.out_ids, not group.is_over, group.oldest_maintained() or 0.0, name
+
+    def _visit(self, group: Group, limit: int) -> bool:
+        """Take out what may go now; return whether the wave is at work on this group."""
+        if not group.is_over and (group.out_ids or self._fleet.short_names):
+            return self._is_busy(group)
+        if not self._draft.is_settled(group):
+            self._wait(group, "a host has only just come into service")
+            return True
+        due = self._due(group.requirement.name, self._hosts(group))
+        if not due:
+            return bool(group.out_ids)
+        host = self._next_host(group, due)
+        if host is None:
+            return bool(group.out_ids) or self._send_stand_in(group, due)
+        while host is not None and len(self._fleet.out_ids) < limit:
             wave = due.pop(host["host"])
             self._draft.drain(host, f"wave {wave}", wave=wave)
-        if due and not group.out_ids and len(self._fleet.out_ids) < limit:
-            self._send_stand_in(group, due)
+            host = self._next_host(group, due)
+        return True
+
+    def _is_busy(self, group: Group) -> bool:
+        if self._fleet.short_names:
+            short = ", ".join(sorted(self._fleet.short_names)[:5])
+            self._wait(group, f"{status_codes.WAVE_PAUSED_MARGIN}: {short} lacks hosts")
+        return bool(group.out_ids)
 
     def _next_host(self, group: Group, due: dict[str, str]) -> HostState | None:
         hosts = (self._fleet.hosts_by_id[h] for h in due if h not in self._draft.touched)
         possible = [host for host in hosts if group.can_lose(host)]
         return min(possible, key=lambda h: (*_place(h), h["maintained"], h["host"]), default=None)
 
-    def _send_stand_in(self, group: Group, due: dict[str, str]) -> None:
-        name = group.requirement.name
+    def _send_stand_in(self, group: Group, due: dict[str, str]) -> bool:
         if self._fleet.short_names:
-            short = ", ".join(sorted(self._fleet.short_names))
-            self._wait(due, f"{status_codes.WAVE_PAUSED_MARGIN}: {short} needs the spare hosts")
-        elif group.is_full:
-            self._wait(due, f"{name} has no margin, and no room for a stand-in")
-        elif not self._assign_stand_in(group, due) and not self._move_stand_in(group):
-            self._wait(due, f"{name} has no margin, and there is no spare host to stand in")
+            # Spare hosts are for the services that a failure has left short.
+            return self._is_busy(group)
+        if group.is_full:
+            self._wait(group, "it has no margin, and no room for a stand-in")
+        elif self._find_stand_in(group, due):
+            return True
+        else:
+            self._wait(group, "it has no margin, and there is no spare host to stand in")
+        return False
+
+    def _find_stand_in(self, group: Group, due: dict[str, str]) -> bool:
+        weights = self._draft.weights
+        # Surplus that is about to be given back costs one move when it goes on to the next service
+        # at once, and two by way of the spare pool. Otherwise a spare host disturbs nobody.
+        if weights.buffer > weights.move and self._move_stand_in(group):
+            return True
+        return self._assign_stand_in(group, due) or self._move_stand_in(group)
 
     def _assign_stand_in(self, group: Group, due: dict[str, str]) -> bool:
         fitting = (self._fleet.hosts_by_id[h] for h in due)
@@ -196,38 +217,46 @@
         if self._draft.pending:
             self._draft.pending -= 1
             return True
+        idle = self._fleet.over_names - self.held_names
         host = find_donation(self._draft, group, self.held_names)
         if host is None:
-            return False
+            return any(not self._draft.is_settled(self._fleet.groups_by_name[n]) for n in idle)
         reason = f"stands in while hosts of {group.requirement.name} are maintained"
         self._draft.move(host, group.pool_for_next(), reason)
         return True
 
     def _visit_spares(self, limit: int) -> None:
-        due = self._due_by_group[SPARE_POOL]
-        busy = len(self._fleet.out_ids) + self.lent
+        started = self._started_by_group.get(SPARE_POOL, {})
+        last = self._now - self._period * VISIT_AT
+        free = (h for ids in self._fleet.free_ids_by_rack.values() for h in ids)
+        hosts = [self._fleet.hosts_by_id[h] for h in free if h not in self._draft.touched]
+        due = [h for h in hosts if h["host"] in started or h["maintained"] < last]
+        due = [h for h in due if h["phase"] == "in_service" and not self._is_stuck(h)]
         # The last spare is the wave's only stand-in: it is done when no service needs it.
-        if busy >= limit or (self._fleet.free_count < 2 and len(self._due_by_group) > 1):
+        is_needed = bool(self.held_names or self._fleet.short_names)
+        if not due or len(self._fleet.out_ids) >= limit or (len(hosts) < 2 and is_needed):
             return
-        host_id = min(due)
-        self._draft.drain(
-            self._fleet.hosts_by_id[host_id], f"wave {due[host_id]}", wave=due[host_id]
-        )
+        host = min(due, key=lambda h: (h["maintained"], h["host"]))
+        wave = started.get(host["host"], STANDING_WAVE)
+        self._draft.drain(host, f"wave {wave}", wave=wave)
 
     def _hosts(self, group: Group) -> list[HostState]:
-        ids = (host_id for held in group.ids_by_domain.values() for host_id in held)
-        return [self._fleet.hosts_by_id[host_id] for host_id in ids]
+        return [self._fleet.hosts_by_id[host_id] for host_id in group.host_ids()]
 
-    def _wait(self, due: dict[str, str], reason: str) -> None:
-        for wave in set(due.values()):
-            self.waiting.setdefault(wave, reason)
+    def _wait(self, group: Group, reason: str) -> None:
+        name = group.requirement.name
+        waves = set(self._started_by_group.get(name, {}).values())
+        if name in self._standing_names:
+            waves.add(STANDING_WAVE)
+        for wave in waves:
+            self.waiting.setdefault(wave, f"{name}: {reason}")
 
 
 def most_out(fleet: Fleet) -> int:
     """How many hosts may be out at once so that a round takes its share of the period."""
     hosts = len(fleet.hosts_by_id)
     groups = fleet.groups_by_name.values()
-    drain_s = max((g.requirement.drain_s for g in groups), default=0.0)
+    drain_s = sum(g.size * g.requirement.drain_s for g in groups) / max(1, hosts)
     cycle_s = fleet.policy["reboot_s"] + drain_s
     return max(1, math.ceil(hosts * cycle_s / (fleet.policy["maintain_every_s"] * ROUND_SHARE)))
 
@@ -241,9 +270,9 @@
     :rtype: list[Step]
     """
     fleet = Fleet(declarations_by_key=state.declarations_by_key, hosts=state.hosts_by_name.values())
-    draft = Draft(fleet=fleet)
+    draft = Draft(fleet=fleet, now=now)
     started = [] if wave is None else [wave]
-    Waves(draft=draft, waves=started, now=now, settings=settings).proceed()
+    Waves(draft=draft, waves=started, settings=settings).proceed()
     return draft.steps
 
 
