--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -71,16 +71,18 @@
     addresses = context.entries.addresses
     context.offsets_by_change = {}
 
+    def publish_one(number):
+        change_id = uuid.uuid4().hex
+        changes = [change(f"team/t{change_id[:8]}", team(1))]
+        entries = [addresses[number]]
+        answer = ask(entries, lambda client: client.apply(changes, change_id=change_id))
+        context.offsets_by_change[change_id] = answer["offset"]
+
     @BOUNDED
     @given_any(st.lists(st.integers(0, 2), min_size=1, max_size=5))
     def publish_through(numbers):
         for number in numbers:
-            change_id = uuid.uuid4().hex
-            changes = [change(f"team/t{change_id[:8]}", team(1))]
-            answer = ask(
-                [addresses[number]], lambda client: client.apply(changes, change_id=change_id)
-            )
-            context.offsets_by_change[change_id] = answer["offset"]
+            publish_one(number)
 
     publish_through()
 
--- a/mustardgap/command_options.py
+++ b/mustardgap/command_options.py
@@ -1,6 +1,7 @@
 """The options that all commands share, and running a command's calls."""
 
 import asyncio
+import math
 import os
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypeVar
@@ -29,6 +30,19 @@
 """
 
 
+class SecondsType(click.FloatRange):
+    """Seconds in a range; "nan" is a float that no range refuses and no wait ends at."""
+
+    name = "number of seconds"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Any:
+        """The number of seconds."""
+        seconds = super().convert(value, param, ctx)
+        if not math.isfinite(seconds):
+            self.fail(f"{value!r} is not a finite number.", param, ctx)
+        return seconds
+
+
 class Options(NamedTuple):
     """The options that all commands share."""
 
@@ -56,7 +70,7 @@
 @click.option("--output", type=click.Choice(["text", "json"]), default="text", show_default=True)
 @click.option(
     "--call-timeout",
-    type=click.FloatRange(0.1, 600),
+    type=SecondsType(0.1, 600),
     default=15.0,
     show_default=True,
     help="Seconds that one call to an entry host may take.",
--- a/mustardgap/commands_apply.py
+++ b/mustardgap/commands_apply.py
@@ -8,7 +8,7 @@
 from . import declarations, settings, status_codes
 from .api import current
 from .clients import Client, MemberOffset, ProblemError
-from .command_options import cli, emit, options, run
+from .command_options import SecondsType, cli, emit, options, run
 from .models import Change, Declaration
 from .outputs import Progress
 
@@ -19,7 +19,7 @@
 @click.option("--wait", is_flag=True, help="End when it is in force on every live entry host.")
 @click.option(
     "--timeout",
-    type=click.FloatRange(0.1, 86_400),
+    type=SecondsType(0.1, 86_400),
     default=60.0,
     show_default=True,
     help="Seconds to wait at most.",
--- a/mustardgap/commands_jobs.py
+++ b/mustardgap/commands_jobs.py
@@ -8,7 +8,7 @@
 
 from . import status_codes
 from .clients import Client
-from .command_options import cli, emit, options, run
+from .command_options import SecondsType, cli, emit, options, run
 from .exceptions import MustardgapError
 from .models import JobSpec
 from .outputs import Progress, print_lines, print_table
@@ -24,7 +24,7 @@
 @click.argument("file", metavar="FILE", type=click.Path())
 @click.option("--id", "job", default="", help="The job's id; made up when missing.")
 @click.option("--wait", is_flag=True, help="End when the job has ended.")
-@click.option("--timeout", type=click.FloatRange(0.1, 86_400), default=600.0, show_default=True)
+@click.option("--timeout", type=SecondsType(0.1, 86_400), default=600.0, show_default=True)
 def submit(file: str, job: str, wait: bool, timeout: float) -> None:
     """Submit the job in FILE (JSON with comments).
 
--- a/mustardgap/commands_views.py
+++ b/mustardgap/commands_views.py
@@ -218,7 +218,7 @@
 def _since(text: str) -> float:
     match = _SPAN.match(text)
     if match:
-        return time.time() - float(match[1]) * _SECONDS_BY_UNIT[match[2]]
+        return max(0.0, time.time() - float(match[1]) * _SECONDS_BY_UNIT[match[2]])
     try:
         return datetime.fromisoformat(text).timestamp()
     except (ValueError, OverflowError, OSError):
--- a/mustardgap/json_files.py
+++ b/mustardgap/json_files.py
@@ -26,8 +26,9 @@
     except (ValueError, RecursionError) as exc:
         detail = " ".join(str(exc).split())[:200] or "nested too deeply"
         raise _error(status_codes.SETTINGS_SYNTAX, detail, path) from None
-    if _is_deeper(value, MAX_DEPTH):
-        raise _error(status_codes.SETTINGS_SYNTAX, "nested too deeply", path)
+    fault = _fault(value, MAX_DEPTH)
+    if fault:
+        raise _error(status_codes.SETTINGS_SYNTAX, fault, path)
     return value
 
 
@@ -45,13 +46,21 @@
         raise _error(status_codes.SETTINGS_UNREADABLE, detail, path) from None
 
 
-def _is_deeper(value: Any, depth: int) -> bool:
+def _fault(value: Any, depth: int) -> str:
+    """What makes a parsed value unfit to go on with; "" for nothing."""
+    if isinstance(value, str):
+        # An escape can name half of a pair, which no encoder takes later.
+        return "" if _is_encodable(value) else "holds half of a surrogate pair"
     if not isinstance(value, dict | list):
-        return False
+        return ""
     if depth == 0:
-        return True
-    children = value.values() if isinstance(value, dict) else value
-    return any(_is_deeper(child, depth - 1) for child in children)
+        return "nested too deeply"
+    children = [*value.keys(), *value.values()] if isinstance(value, dict) else value
+    return next((fault for fault in (_fault(child, depth - 1) for child in children) if fault), "")
+
+
+def _is_encodable(text: str) -> bool:
+    return not any("\ud800" <= character <= "\udfff" for character in text)
 
 
 def _error(code: Code, detail: str, path: str | Path) -> SettingsError:
