Keep an error on one line whatever it quotes

Cause: the text of an error quotes keys of files and answers of hosts; a line break in an unknown key split the line, and escape sequences would steer the terminal. Ruled out: cleaning where errors are printed, since daemon, tool and log each print them. Conclusion: MustardgapError's text is one printable line.

--- a/mustardgap/exceptions.py
+++ b/mustardgap/exceptions.py
@@ -21,7 +21,13 @@
 
     def __str__(self) -> str:
         text = f"{self.code} {self.code.name}: {self.detail or self.code.title}"
-        return f"{text} (at {self.place})" if self.place else text
+        return _one_line(f"{text} (at {self.place})" if self.place else text)
+
+
+def _one_line(text: str) -> str:
+    # Details quote keys of files and answers of hosts; a line break or an escape sequence in them
+    # would make several lines of one error, or steer the terminal that shows it.
+    return "".join(c if c.isprintable() else " " for c in " ".join(text.split()))
 
 
 class SettingsError(MustardgapError):
