--- a/mustardgap/operator_views.py
+++ b/mustardgap/operator_views.py
@@ -96,11 +96,14 @@
     def _since(self) -> float:
         text = self.get_query_argument("since", "0")
         try:
-            return float(text)
+            since = float(text)
         except ValueError:
+            since = math.nan
+        if not math.isfinite(since):
             raise MustardgapError(
-                code=status_codes.BAD_REQUEST, detail="not a number", place="since"
-            ) from None
+                code=status_codes.BAD_REQUEST, detail="not a finite number", place="since"
+            )
+        return since
 
 
 class ExplainHandler(JsonHandler):
--- a/mustardgap/servers.py
+++ b/mustardgap/servers.py
@@ -42,7 +42,7 @@
         self.max_connections = max_connections
         self._malformed = _head(status_codes.BAD_REQUEST)
         self._too_large = _head(status_codes.TOO_LARGE)
-        self._too_many = _head(status_codes.OVER_BUDGET)
+        self._too_many = _head(status_codes.OVER_BUDGET, "too many connections")
         if certificates:
             certificates.on_change(self._use)
 
@@ -103,8 +103,8 @@
     return bound
 
 
-def _head(code: Code) -> bytes:
-    resp = answer(NotRun(code=code), request_id="")
+def _head(code: Code, detail: str = "") -> bytes:
+    resp = answer(NotRun(code=code, detail=detail), request_id="")
     lines = [f"HTTP/1.1 {resp.status} {code.name}"]
     lines += [f"{name}: {value}" for name, value in resp.headers if value]
     lines += [f"Content-Length: {len(resp.body)}", "Connection: close"]
