Prove the log through outages, lost answers, cut-off daemons and retention

Cause: a daemon has to keep its promises while the log is down, hangs, is slow, loses or doubles answers, or has expired. Ruled out: a fake log in the process (the stand-in causes the failures on real connections); taking a lagging page for a log that went back. Conclusion: every writer hears of the one version in force, or truthfully that it may be.

--- /dev/null
+++ b/features/steps/streams_steps.py
@@ -0,0 +1,314 @@
+"""Steps for the log: outages, lost answers, peers, start-up and retention."""
+
+import asyncio
+import time
+from functools import partial
+from unittest import mock
+
+from behave import given, then, when
+
+from features.support.log_worlds import LogWorld, change
+from mustardgap import appends, checkpoints, records
+from mustardgap.exceptions import MustardgapError
+from mustardgap.outcomes import Accepted, Rejected
+
+STREAM = "mustardgap"
+OUTAGE_S = 1.5
+WAIT_S = 60.0
+
+
+def says(log, code):
+    """Whether a log gives this code as the reason why it isn't current."""
+    return log.why_not_current is not None and log.why_not_current.number == code
+
+
+def safeguards_off(context, name):
+    """Take one safeguard off for the rest of the scenario."""
+    patches = {
+        "none": [],
+        "appending again": [mock.patch.object(appends.Appender, "_queue_again")],
+        "checkpoints": [mock.patch.object(checkpoints.Checkpoints, "due", return_value=False)],
+    }
+    for patch in patches[name]:
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+@given("a log with the daemons {names}")
+def start_world(context, names):
+    context.world = LogWorld(processes=context.processes, folder=context.folder)
+    context.add_cleanup(context.world.close)
+    for name in names.split(", "):
+        context.world.start(name)
+    context.world.agree()
+
+
+@given("on the log {count:d} changes")
+def write_changes(context, count):
+    world = context.world
+    writes = [write(context, "A", f"t{n}", timeout_s=30.0) for n in range(count)]
+    verdicts = world.run(gather(writes))
+    assert all(isinstance(verdict, Accepted) for verdict in verdicts), verdicts
+
+
+async def gather(coroutines):
+    """Run coroutines together."""
+    return await asyncio.gather(*coroutines, return_exceptions=True)
+
+
+def write(context, name, key, jobs=1, base=-1, timeout_s=20.0, **more):
+    """One daemon's write of one change."""
+    log = context.world.logs_by_name[name]
+    return log.write(
+        "config", change(key, jobs, base), timeout_s=timeout_s, purpose="operators", **more
+    )
+
+
+def fault_on(context, fault, **fields):
+    """Switch faults on, such as ``lost POST + down GET``."""
+    for part in fault.split(" + "):
+        name, _, method = part.partition(" ")
+        on = f"/log/{STREAM}*"
+        extra = {"seconds": 1.0} if name == "slow" else {}
+        context.world.control.fault(name, on=on, method=method or "*", **extra, **fields)
+
+
+@when("the log is {fault} while {count:d} operators write to {names} without {safeguard}")
+def write_under_fault(context, fault, count, names, safeguard):
+    safeguards_off(context, safeguard)
+    world, daemons = context.world, names.split(" and ")
+    fault_on(context, fault)
+    patience = 20.0 if safeguard == "none" else 6.0
+
+    async def all_writes():
+        writes = [
+            asyncio.create_task(
+                write(context, daemons[n % len(daemons)], f"w{n}", timeout_s=patience)
+            )
+            for n in range(count)
+        ]
+        await asyncio.sleep(OUTAGE_S)
+        world.control.clear()
+        return await asyncio.gather(*writes, return_exceptions=True)
+
+    context.verdicts = world.run(all_writes())
+
+
+@then("the log's writers hear that {result}")
+def check_writes(context, result):
+    accepted = [v for v in context.verdicts if isinstance(v, Accepted)]
+    assert (len(accepted) == len(context.verdicts)) == (result == "all are accepted"), accepted
+    if result != "all are accepted":
+        return
+    context.world.agree()
+    assert len({verdict.offset for verdict in accepted}) == len(accepted)
+    log = next(iter(context.world.logs_by_name.values()))
+    versions = [log.state.declarations_by_key[f"team/w{n}"].version for n in range(len(accepted))]
+    # Each is in force in the version that its writer was told, copies or not.
+    assert versions == [verdict.offset for verdict in context.verdicts]
+    print(f"{len(accepted)} accepted, {context.world.end() - len(accepted)} further records")
+
+
+@when("the log is {fault} and an operator gives a write to {name} {timeout_s:g} seconds")
+def write_too_long(context, fault, name, timeout_s):
+    fault_on(context, fault)
+    (context.failure,) = context.world.run(
+        gather([write(context, name, "w0", timeout_s=timeout_s)])
+    )
+
+
+@then("the log tells the operator {code:d}, and {truth} after the outage")
+def check_told(context, code, truth):
+    failure, world = context.failure, context.world
+    assert isinstance(failure, MustardgapError) and failure.code.number == code, failure
+    end = world.end()
+    world.control.clear()
+    world.agree()
+    log = world.logs_by_name["A"]
+    # A write that was given up mustn't be appended later either.
+    world.run(asyncio.sleep(1.0))
+    assert ("team/w0" in log.state.declarations_by_key) == (truth == "it is in force"), log.offset
+    assert world.end() == end
+
+
+@when("on the log {first} and {second} race for one key {rounds:d} times")
+def race(context, first, second, rounds):
+    world, context.results = context.world, []
+    for number in range(rounds):
+        known = world.logs_by_name[first].state.declarations_by_key.get("team/raced")
+        base = known.version if known else -1
+        pair = [
+            write(context, n, "raced", number * 2 + i, base) for i, n in enumerate((first, second))
+        ]
+        context.results.append(world.run(gather(pair)))
+        world.agree(first, second)
+
+
+@then("the log's race has one winner each time and the other is told what changed")
+def check_race(context):
+    for pair in context.results:
+        (lost,) = [verdict for verdict in pair if isinstance(verdict, Rejected)]
+        assert lost.code.number == 3000 and lost.changed == ["team/raced"], lost
+        assert sum(isinstance(verdict, Accepted) for verdict in pair) == 1
+
+
+@when("the daemon {name} is cut off from the log by {fault}, and {peer} passes on {what}")
+def cut_off(context, name, fault, peer, what):
+    world = context.world
+    cut, source = world.logs_by_name[name], world.logs_by_name[peer]
+    world.control.fault(fault, port=world.ports_by_name[name])
+
+    def relay(record, verdict):
+        if what == "each record" or (what == "every other record" and record.offset % 2):
+            cut.receive([record])
+        if what == "every other record":
+            cut.receive(source.recent(cut.offset))
+        cut.witness(source.offset, 0.0)
+
+    source.on_fold(relay)
+    writes = [write(context, peer, f"w{n}") for n in range(20)]
+    context.verdicts = world.run(gather(writes))
+    context.cut_since = time.monotonic()
+
+
+@then("the cut off daemon {name} has folded what {peer} has and knows that it is {freshness}")
+def check_cut_off(context, name, peer, freshness):
+    world = context.world
+    cut, source = world.logs_by_name[name], world.logs_by_name[peer]
+    if freshness == "fresh":
+        assert cut.state.digest() == source.state.digest()
+        cut.witness(source.offset, source.fresh_s())
+        assert cut.fresh_s() <= source.fresh_s() + 0.1
+    else:
+        world.run(asyncio.sleep(1.0))
+        assert cut.offset < source.offset
+        assert cut.fresh_s() >= time.monotonic() - context.cut_since - 0.1, cut.fresh_s()
+
+
+@when("the log has a whole checkpoint and {what}")
+def write_checkpoint(context, what):
+    world = context.world
+    world.run(world.logs_by_name["A"].checkpoints.write())
+    write_some(context, 5, "later")
+    if what == "its older records expire":
+        world.control.fault("expired", on=STREAM, count=0)
+        # The stand-in expires all streams alike, so the checkpoint is written once more.
+        world.run(world.logs_by_name["A"].checkpoints.write())
+    if what == "another daemon's is half written":
+        log = world.logs_by_name["A"]
+        with mock.patch.object(checkpoints, "CHUNK_BYTES", 64):
+            half = checkpoints.chunk_records(log.snapshot(), offset=log.offset, writer="B")
+        world.run(log.platform.append(f"{STREAM}-checkpoints", half[:2]))
+
+
+def write_some(context, count, prefix):
+    """Write some more changes."""
+    world = context.world
+    verdicts = world.run(gather([write(context, "A", f"{prefix}{n}") for n in range(count)]))
+    assert all(isinstance(verdict, Accepted) for verdict in verdicts), verdicts
+
+
+@when("the daemon {name} starts from {source}")
+def start_from(context, name, source):
+    world = context.world
+    log = world.start(name)
+    if source == "a peer while the log is down":
+        world.control.fault("down", port=world.ports_by_name[name[0]])
+        peer = world.logs_by_name["A"]
+        log.restore(peer.snapshot())
+        log.witness(peer.offset, peer.fresh_s())
+    if source == "neither":
+        world.control.fault("down", port=world.ports_by_name[name[0]])
+        world.run(asyncio.sleep(1.0))
+
+
+@then("the started daemon {name} {result}")
+def check_started(context, name, result):
+    world = context.world
+    log = world.logs_by_name[name]
+    if result == "agrees with A":
+        world.agree("A", name)
+        return
+    code = int(result.rpartition(" ")[2])
+    world.until(partial(says, log, code), f"{code}")
+    assert not log.current
+    assert "stopped" in result or log.fresh_s() > 1e6
+
+
+@when("an outage outlasts the log's retention without {safeguard}")
+def outlast(context, safeguard):
+    safeguards_off(context, safeguard)
+    world = context.world
+    world.control.fault("down", on="/log/*")
+    world.run(asyncio.sleep(OUTAGE_S))
+    world.control.fault("expired", count=0)
+    world.control.clear()
+    if safeguard == "none":
+        world.until(lambda: world.end(f"{STREAM}-checkpoints") > 0, "a checkpoint is written")
+        world.agree()
+
+
+@when("the daemons {names} write checkpoints at once")
+def write_at_once(context, names):
+    logs = [context.world.logs_by_name[name] for name in names.split(" and ")]
+    context.world.run(gather([log.checkpoints.write() for log in logs]))
+    context.world.agree()
+
+
+@when("a record that needs newer rules comes onto the log")
+def write_newer(context):
+    record = {**records.make("config", change("newer"), writer="new"), "rules": 99}
+    log = context.world.logs_by_name["A"]
+    context.before = log.offset
+    older = records.make("config", change("after"), writer="old", seen=log.offset)
+    context.world.run(log.platform.append(STREAM, [record, older]))
+
+
+@then("the log's readers {names} stop before it and say {code:d}")
+def check_stopped(context, names, code):
+    for name in names.split(" and "):
+        log = context.world.logs_by_name[name]
+        context.world.until(partial(says, log, code), f"{code}")
+        log.witness(log.offset, 0.0)
+        assert log.offset == context.before and not log.current
+
+
+@when("the platform loses its log")
+def lose_log(context):
+    world = context.world
+    world.processes.kill("platform")
+    world.start_platform()
+
+
+@when("{count:d} background writes and then an operator's use a budget of {per_s:d} appends")
+def use_budget(context, count, per_s):
+    world = context.world
+    log = world.start("C", appends_per_s=per_s)
+    world.agree("C")
+    before, started = world.control.truth()["log"]["appends"], time.monotonic()
+
+    async def one_by_one():
+        order = []
+
+        async def note(name, purpose):
+            body = change(name)
+            await log.write("config", body, timeout_s=WAIT_S, purpose=purpose)
+            order.append(name)
+
+        with mock.patch.object(appends, "MAX_BATCH_RECORDS", 1):
+            background = [asyncio.create_task(note(f"b{n}", "background")) for n in range(count)]
+            await asyncio.sleep(0.2)
+            await note("operator", "operators")
+            await asyncio.gather(*background)
+        return order
+
+    context.order = world.run(one_by_one())
+    context.spent = world.control.truth()["log"]["appends"] - before
+    context.allowed = per_s * (1 + time.monotonic() - started)
+
+
+@then("the budget of appends holds and the operator's goes ahead")
+def check_budget(context):
+    assert context.spent <= context.allowed, (context.spent, context.allowed)
+    place = context.order.index("operator")
+    assert place < len(context.order) / 2, place
--- /dev/null
+++ b/features/support/log_worlds.py
@@ -0,0 +1,102 @@
+"""Logs of several daemons over the platform's stand-in, each on a port of its own."""
+
+import asyncio
+import json
+import time
+
+from mustardgap.adapters import Platform
+from mustardgap.settings import PlatformSettings
+from mustardgap.states import State
+from mustardgap.streams import Log
+from mustardgap.timelines import Timeline
+from mustardgap.timers import Timers
+from standins.controls import Control
+from tools.processes import free_ports, wait_http
+
+WAIT_S = 30.0
+
+
+class LogWorld:
+    """The platform's process, and daemons' logs that run in this one.
+
+    :param processes: starts the platform.
+    :param folder: where its settings are written.
+    """
+
+    def __init__(self, *, processes, folder):
+        self.processes = processes
+        self.file = folder / "platform.json"
+        self.file.write_text(json.dumps({"fleet": {"data_centers": []}}))
+        self.ports_by_name = dict(zip("ABCD", free_ports(4), strict=True))
+        self.control = Control(address=f"127.0.0.1:{self.ports_by_name['D']}")
+        self.loop = asyncio.new_event_loop()
+        self.logs_by_name = {}
+        self.tasks_by_name = {}
+        self.start_platform()
+
+    def start_platform(self):
+        """Start the platform, with nothing on its log."""
+        ports = [f"--port={port}" for port in self.ports_by_name.values()]
+        self.processes.start("platform", "standins.platforms", *ports, f"--settings={self.file}")
+        wait_http(f"http://{self.control.address}/control/truth")
+
+    def run(self, coroutine):
+        """Run something while all logs run."""
+        return self.loop.run_until_complete(coroutine)
+
+    def start(self, name, **settings):
+        """Start a daemon's log, with an empty state."""
+        known = {"timeout_s": 0.4, "stale_after_s": 3.0, **settings}
+        address = f"127.0.0.1:{self.ports_by_name[name[0]]}"
+        log = self.logs_by_name[name] = Log(
+            platform=Platform(address=address, timeout_s=known["timeout_s"]),
+            state=State(),
+            settings=PlatformSettings(address=address, **known),
+            timers=Timers(),
+            timeline=Timeline(member=name, size=100),
+            member=name,
+        )
+        self.tasks_by_name[name] = self.loop.create_task(log.run())
+        return log
+
+    def stop(self, name):
+        """End a daemon's log."""
+        task = self.tasks_by_name.pop(name)
+        task.cancel()
+        self.run(asyncio.gather(task, return_exceptions=True))
+        self.logs_by_name.pop(name).platform.close()
+
+    def close(self):
+        """End all logs and the loop."""
+        for name in list(self.tasks_by_name):
+            self.stop(name)
+        self.loop.close()
+
+    def until(self, condition, what, timeout_s=WAIT_S):
+        """Wait until a condition holds while all logs run."""
+        deadline = time.monotonic() + timeout_s
+        while not condition():
+            assert time.monotonic() < deadline, f"not within {timeout_s} s: {what}"
+            self.run(asyncio.sleep(0.02))
+
+    def agree(self, *names):
+        """Wait until daemons are current and have equal states."""
+        logs = [self.logs_by_name[name] for name in names or self.logs_by_name]
+        self.until(lambda: all(log.current for log in logs), "all are current")
+        self.until(lambda: {log.offset for log in logs} == {self.end()}, "all have folded all")
+        assert len({log.state.digest() for log in logs}) == 1, "the states differ"
+
+    def end(self, stream="mustardgap"):
+        """The end of a stream, as the platform knows it."""
+        streams = self.control.truth()["log"]["streams"]
+        return streams.get(stream, {"end": 0})["end"]
+
+
+def team(jobs=1):
+    """A team's value."""
+    return {"max_cores": 1.0, "max_memory_gb": 1.0, "max_jobs": jobs}
+
+
+def change(key, jobs=1, base=-1):
+    """The body of a change of one team."""
+    return {"changes": [{"key": f"team/{key}", "base": base, "value": team(jobs)}]}
--- a/mustardgap/streams.py
+++ b/mustardgap/streams.py
@@ -170,8 +170,11 @@
 
     def witness(self, offset: int, age_s: float) -> None:
         """Take in that a peer had folded all there was, up to an offset, some seconds ago."""
-        if self.offset >= offset and self.why_not_current is not status_codes.RULES_TOO_NEW:
-            self._know(self.clock.monotonic() - age_s)
+        at = self.clock.monotonic() - age_s
+        # Neither is mended by a peer: it may know less of rules, or have read the same log.
+        stuck = self.why_not_current in (status_codes.RULES_TOO_NEW, status_codes.LOG_WENT_BACK)
+        if self.offset >= offset and at > self._known_at and not stuck:
+            self._know(at)
 
     def recent(self, start: int, *, limit: int = PAGE_RECORDS) -> list[LogRecord]:
         """The latest folded records from an offset on, for a peer that misses them.
