Keep a wave's start apart from its latest step

Cause: a paused and resumed wave took its resumption for its start, so hosts that it had done already were rebooted a second time. Ruled out: telling done hosts by their records of the wave; a host in service keeps none. Measured: red first: features/waves.feature, "Waves stop and go on at an operator's word", had alloa-r0002-0 rebooted twice; with the field each host of the rack is rebooted once. Conclusion: WaveState has `started`; additive, set by the fold at the first step.

--- a/mustardgap/models.py
+++ b/mustardgap/models.py
@@ -250,7 +250,7 @@
 
 
 class WaveState(TypedDict):
-    """What the fold knows of one wave."""
+    """What the fold knows of one wave; a host maintained since ``started`` is done."""
 
     wave: str
     epoch: int
@@ -258,6 +258,7 @@
     hosts: list[str]
     reason: str
     since: float
+    started: float
 
 
 class Declaration(NamedTuple):
--- a/mustardgap/wave_rules.py
+++ b/mustardgap/wave_rules.py
@@ -60,4 +60,5 @@
         hosts=sorted(set(step.get("hosts", []))) if wave is None else wave["hosts"],
         reason=step.get("reason", ""),
         since=state.time,
+        started=state.time if wave is None else wave["started"],
     )
