--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -19,7 +19,7 @@
 
 from .benches import SERVICE, declared, fleet
 from .clusters import Cluster
-from .processes import Processes
+from .processes import Processes, get_json
 from .rows import Row, at_most
 from .told import histogram, percentile_ms
 
@@ -143,7 +143,7 @@
 def _change(cluster: Cluster, number: int) -> int:
     """Publish one change and return the offset it was accepted at."""
     operators = cluster.daemons_by_name["e1"].operators
-    items = _get(operators, "/v1/declarations")["items"]
+    items = get_json(f"http://{operators}/v1/declarations")["items"]
     key = f"team/{SERVICE}"
     value = {**items[key]["value"], "max_jobs": 1000 + time.monotonic_ns() % 100_000}
     change = {"key": key, "base": items[key]["version"], "value": value}
@@ -158,15 +158,10 @@
 def _wait_in_force(cluster: Cluster, offset: int, since: float) -> float:
     waiting = [daemon.operators for daemon in cluster.daemons_by_name.values()]
     while waiting and time.monotonic() - since < 60:
-        waiting = [a for a in waiting if _get(a, "/v1/status")["offset"] <= offset]
+        waiting = [a for a in waiting if get_json(f"http://{a}/v1/status")["offset"] <= offset]
     return time.monotonic() - since
 
 
-def _get(address: str, path: str) -> Any:
-    with urlopen(f"http://{address}{path}", timeout=10) as resp:
-        return json.load(resp)
-
-
 class NaivePollers:
     """The baseline: as many readers as daemons, each polling the log for itself.
 
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import json
 import os
 import random
 import signal
@@ -11,7 +12,7 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 from urllib.error import URLError
 from urllib.request import urlopen
 
@@ -161,3 +162,12 @@
         if time.monotonic() > deadline:
             raise TimeoutError(f"{url} didn't answer 200 within {timeout_s} s")
         time.sleep(0.05)
+
+
+def get_json(url: str) -> Any:
+    """Get a URL and decode its JSON.
+
+    :raises OSError: there is no answer, or none of success.
+    """
+    with urlopen(url, timeout=10.0) as resp:
+        return json.load(resp)
