Prove the checks of declarations and that the state stays bounded

Cause: a misspelt or impossible declaration has to be refused with its place before it is in force, and nothing on the log may stop the fold. Ruled out: a cap on what the fold reads (schemas bound it); forgetting by the local clock. Conclusion: refusals name file, key, budget and by how much; unknown keys get a hint, as in settings.

--- a/features/folds.feature
+++ b/features/folds.feature
@@ -34,3 +34,18 @@
       | an older snapshot changes nothing               |
       | records of a peer are folded without a gap      |
       | only the log's time counts                      |
+
+  Scenario Outline: the folded state stays bounded with <count> <what>
+    Jobs, waves, hosts and record ids come and go for months. What is kept of them must not grow,
+    or each daemon would pass its memory; and a daemon that started from a checkpoint in between
+    must forget the same, by the log's time, as one that folded it all.
+    When folding <count> <what> with a restart from a checkpoint every 997
+    Then the folded state keeps at most <most> <kept> and both agree
+
+    Examples:
+      | count | what                  | kept  | most |
+      | 20000 | jobs that are ended   | jobs  | 2001 |
+      | 20000 | slow jobs             | jobs  | 361  |
+      | 3000  | waves                 | waves | 51   |
+      | 20000 | hosts that failed     | hosts | 1100 |
+      | 20000 | jobs that are ended   | ids   | 4096 |
--- a/features/steps/folds_steps.py
+++ b/features/steps/folds_steps.py
@@ -1,6 +1,8 @@
 """Steps for the fold: the state machine, with all safeguards and with each one off."""
 
 import os
+from collections import Counter
+from itertools import count, islice
 from unittest import mock
 
 from behave import given, then, when
@@ -8,7 +10,19 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from features.support.fold_machine import FoldMachine
-from mustardgap import config_rules, folds, host_rules, job_rules, snapshots, states, streams
+from mustardgap import (
+    config_rules,
+    folds,
+    host_rules,
+    job_rules,
+    records,
+    snapshots,
+    states,
+    streams,
+)
+from mustardgap.models import LogRecord
+from mustardgap.outcomes import Accepted
+from mustardgap.states import State
 
 REMEMBER = states.State.remember
 LONG = bool(os.environ.get("MUSTARDGAP_LONG"))
@@ -109,3 +123,50 @@
             broken = exc
     assert broken is not None, f"nothing noticed that {name} is off"
     print(f"{name} off: {type(broken).__name__}: {str(broken)[:200]}")
+
+
+FACTS = {"rack": "r", "data_center": "d", "cores": 1.0, "memory_gb": 1.0, "accelerators": 0}
+SPEC = {"team": "t", "urgency": 1, "cores": 1.0, "memory_gb": 1.0, "accelerators": 0, "run_s": 1.0}
+SPEC |= {"idempotent": True}
+HOST = {"base": 0, "pool": "", "reason": ""}
+TEAM = {"max_cores": 1.0, "max_memory_gb": 1.0, "max_jobs": 5}
+STEP_S_BY_NAME = {"slow jobs": 10.0, "hosts that failed": 600.0}
+
+
+def short_lives(what):
+    """Bodies of things that come and go, each with its kind."""
+    yield "config", {"changes": [{"key": "team/t", "base": -1, "value": TEAM}]}
+    yield "host", {**HOST, "host": "h", "phase": "in_service", "facts": FACTS}
+    for number in count():
+        if "jobs" in what:
+            yield "job", {"job": f"j{number}", "base": 0, "step": "submit", "spec": SPEC}
+            yield "job", {"job": f"j{number}", "base": 1, "step": "cancel"}
+        elif what == "waves":
+            yield "wave", {"wave": f"w{number}", "base": 0, "step": "start", "hosts": ["h"]}
+            yield "wave", {"wave": f"w{number}", "base": 1, "step": "finish"}
+        else:
+            yield "host", {**HOST, "host": f"h{number}", "phase": "failed", "facts": FACTS}
+
+
+@when("folding {number:d} {what} with a restart from a checkpoint every {every:d}")
+def fold_short_lives(context, number, what, every):
+    whole, restarted = State(), State()
+    context.most = Counter()
+    for offset, (kind, body) in enumerate(islice(short_lives(what), number)):
+        value = records.make(kind, body, writer="w", seen=offset)
+        record = LogRecord(offset, offset * STEP_S_BY_NAME.get(what, 0.001), value)
+        verdicts = folds.fold(whole, record), folds.fold(restarted, record)
+        assert all(isinstance(verdict, Accepted) for verdict in verdicts), verdicts
+        if offset % every == 0:
+            restarted = snapshots.decode(snapshots.encode(restarted))
+        sizes = {"jobs": whole.jobs_by_id, "waves": whole.waves_by_name}
+        sizes |= {"hosts": whole.hosts_by_name, "ids": whole.decided_by_id}
+        context.most |= Counter({name: len(size) for name, size in sizes.items()})
+    context.states = whole, restarted
+
+
+@then("the folded state keeps at most {most:d} {kept} and both agree")
+def check_bounded(context, most, kept):
+    whole, restarted = context.states
+    assert context.most[kept] <= most, context.most
+    assert whole.digest() == restarted.digest()
--- a/mustardgap/budgets.py
+++ b/mustardgap/budgets.py
@@ -161,13 +161,14 @@
         need = needs.of(profile["availability"])
         floor = max(need, sum(pool["min_hosts"] for pool in pools))
         total += floor
-        budget = f"service/{name} (availability of {profile_key})"
+        lost = profile["availability"]["survive"]
+        budget = f"service/{name}, availability of {profile_key} with {lost} lost"
         room = profile["room"]["max_hosts"]
         places = sum(pool["max_hosts"] for pool in pools)
-        found += _short(f"{budget} against its room", floor, room)
-        found += _short(f"{budget} against its pools", floor, places)
+        found += _short(f"{budget} in its room", floor, room)
+        found += _short(f"{budget} in its pools", floor, places)
         if fleet:
-            found += _short(f"{budget} against the fleet", *needs.against_fleet(profile))
+            found += _short(f"{budget} in the fleet", *needs.against_fleet(profile))
     if fleet:
         found += _short("all services and pools together", total, fleet)
     return found
--- a/mustardgap/declarations.py
+++ b/mustardgap/declarations.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from . import schemas, status_codes
+from . import schemas, setting_checks, status_codes
 from .exceptions import SettingsError
 from .models import Change, Declaration
 from .settings import read_json
@@ -68,6 +68,7 @@
         schemas.check_value(kind, value)
     except msgspec.ValidationError as exc:
         detail, _, where = str(exc).partition(" - at `$")
+        detail = setting_checks.hint(detail, schemas.SCHEMAS_BY_KIND[kind])
         raise _invalid(detail, place + where.rstrip("`")) from None
 
 
