Ask a killed executors process for its runs only once it has ended

Cause: the scenario of kill_after_run asked whether the process had ended, but its connections break a moment before that can be told, so the call for its runs was sometimes reset and the step ended in an error. Ruled out: a fault of the stand-in (the run was in its file each time); a port taken by another process (the reset came from the control port that had answered just before). Conclusion: the step waits for the end whenever the call breaks; the count of runs is checked as strictly as before.

--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -217,7 +217,11 @@
 @then("the standins caller sees {seen} and the request was run {runs:d} times")
 def _(context, seen, runs):
     assert context.seen == seen, context.seen
-    if context.processes.by_name["executors"].poll() is not None:
+    try:
+        context.executors.runs()
+    except OSError:
+        # The caller's connection breaks a moment before a killed process can be told as ended.
+        context.processes.by_name["executors"].wait(timeout=UNTIL_S)
         context.executors = start_executors(context, context.settings)
     assert context.executors.runs()["count"] == runs, context.executors.runs()
 
