Note the fold's decisions on the time line and join the gauges to the parts

Cause: the time line told nothing of what was decided, and each decision would be shown once for every entry host; gauges were defined but read from nothing. Ruled out: one daemon noting for all (its ring may be lost with it); counters in the hot path of peer streams, whose own totals are read at a scrape instead. Conclusion: FoldEvents and observers are joined in parts; explain falls back on the events.

--- a/mustardgap/commands_jobs.py
+++ b/mustardgap/commands_jobs.py
@@ -10,6 +10,7 @@
 from .clients import Client
 from .command_options import SecondsType, cli, emit, options, run
 from .exceptions import MustardgapError
+from .explanations import explain_job
 from .models import JobSpec
 from .outputs import Progress, print_lines, print_table
 from .settings import read_json
@@ -128,14 +129,8 @@
         _show_job(answer["state"])
 
 
-def _show_job(job: dict[str, Any]) -> None:
-    lines = [f"job {job['job']}: {job['phase']}{' (cancelled)' if job['cancelled'] else ''}"]
-    code = status_codes.by_number.get(job["code"])
-    if job["phase"] == "ended" and code:
-        lines.append(f"  {code} {code.name}: {code.title}")
-    for attempt in job["attempts"]:
-        lines.append(f"  attempt {attempt['number']} on {attempt['worker']}: {attempt['outcome']}")
-    print_lines(lines)
+def _show_job(job: Any) -> None:
+    print_lines(explain_job(job))
 
 
 def _row(job: dict[str, Any]) -> tuple[object, ...]:
--- a/mustardgap/commands_views.py
+++ b/mustardgap/commands_views.py
@@ -170,7 +170,7 @@
     if kind == "code":
         answer = explain_code(name)
     else:
-        answer = run(lambda client: client.explain(kind, name))
+        answer = run(lambda client: _explain(client, kind, name))
     emit(answer, lambda: print_lines(answer["lines"]))
 
 
@@ -211,6 +211,20 @@
         click.echo(f"no answer from {entry}: its events are missing", err=True)
 
 
+async def _explain(client: Client, kind: str, name: str) -> dict[str, Any]:
+    if kind != "request":
+        return await client.explain(kind, name)
+    # A request is known to the entry host it came to, which needn't be the one that answers us.
+    merged = await client.timeline(request=name)
+    if not merged.events:
+        raise MustardgapError(
+            code=status_codes.NOT_FOUND,
+            detail=f"no entry host in reach knows of request {name}",
+            place=f"request/{name}",
+        )
+    return {"lines": timeline_pages.lines(merged), **timeline_pages.as_json(merged)}
+
+
 def _current(fresh_s: float | None) -> str:
     return "never current" if fresh_s is None else f"current {fresh_s:.1f} s ago"
 
--- a/mustardgap/explanations.py
+++ b/mustardgap/explanations.py
@@ -1,9 +1,10 @@
-"""What result codes mean, in lines of text."""
+"""What result codes mean and what jobs are doing, in lines of text."""
 
 from typing import Any
 
 from . import status_codes
 from .exceptions import MustardgapError
+from .models import JobState
 from .status_codes import Code
 
 
@@ -21,6 +22,19 @@
     return {"lines": lines, "code": code.number, "name": code.name}
 
 
+def explain_job(job: JobState) -> list[str]:
+    """What a job is doing and why, from its folded state."""
+    lines = [f"job {job['job']} is {job['phase']}{', cancelled' if job['cancelled'] else ''}"]
+    for attempt in job["attempts"]:
+        lines.append(f"attempt {attempt['number']} on {attempt['worker']}: {attempt['outcome']}")
+    code = status_codes.by_number.get(job["code"])
+    if job["phase"] == "ended" and code:
+        lines.append(f"{code} {code.name}: {code.title}")
+    elif job["phase"] == "waiting":
+        lines.append("it waits for room on a worker within its team's quota, the urgent first")
+    return lines
+
+
 def _find(name: str) -> Code:
     number = name.upper().removeprefix("MG")
     for code in status_codes.by_number.values():
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -27,6 +27,7 @@
 
 specs_by_name: dict[str, Spec] = {}
 _callbacks_by_name: dict[str, Callable[[], float]] = {}
+_OBSERVED = ("gauge", "observed counter")
 
 # The registry is our own: the default one adds collectors of the process that we don't document.
 _registry = CollectorRegistry(auto_describe=False)
@@ -47,13 +48,13 @@
 
 
 def observe(name: str, callback: Callable[[], float]) -> None:
-    """Read a gauge from a function at each scrape.
+    """Read a gauge or an observed counter from a function at each scrape.
 
-    :param name: the name of one of this module's gauges.
+    :param name: the name of one of this module's instruments.
     :param callback: a function that returns the value.
-    :raises KeyError: there is no such gauge.
+    :raises KeyError: there is no such instrument.
     """
-    if specs_by_name[name].kind != "gauge":
+    if specs_by_name[name].kind not in _OBSERVED:
         raise KeyError(name)
     _callbacks_by_name[name] = callback
 
@@ -83,12 +84,24 @@
 
 def _gauge(name: str, unit: str, description: str) -> None:
     _note("gauge", name, unit, description, ())
+    _meter.create_observable_gauge(
+        name, callbacks=[_reader_of(name)], unit=unit, description=description
+    )
+
+
+def _observed(name: str, unit: str, description: str) -> None:
+    _note("observed counter", name, unit, description, ())
+    _meter.create_observable_counter(
+        name, callbacks=[_reader_of(name)], unit=unit, description=description
+    )
+
 
+def _reader_of(name: str) -> Callable[[CallbackOptions], Iterable[Observation]]:
     def read(_: CallbackOptions) -> Iterable[Observation]:
         callback = _callbacks_by_name.get(name)
         return [Observation(callback())] if callback else []
 
-    _meter.create_observable_gauge(name, callbacks=[read], unit=unit, description=description)
+    return read
 
 
 # Requests.
@@ -141,10 +154,8 @@
 _gauge("mustardgap.log.age", "s", "Time since this entry host last knew that it was current")
 
 # Peers.
-peer_bytes = _counter("mustardgap.peer.io", "By", "Bytes between peers by message", "direction")
-peer_messages = _counter(
-    "mustardgap.peer.messages", "{message}", "Messages between peers", "direction", "type"
-)
+_observed("mustardgap.peers.sent", "By", "Bytes sent to peers")
+_observed("mustardgap.peers.received", "By", "Bytes received from peers")
 member_changes = _counter(
     "mustardgap.member.changes", "{change}", "Changes of entry hosts' states", "state"
 )
@@ -163,7 +174,7 @@
 _gauge("mustardgap.budget.breaches", "{service}", "Services below their availability budget")
 
 # The daemon.
-restarts = _counter("mustardgap.child.restarts", "{restart}", "Restarts of parts", "child")
+_observed("mustardgap.child.restarts", "{restart}", "Restarts of the daemon's parts")
 gaps = _counter("mustardgap.process.gaps", "{gap}", "Gaps in which the process didn't run")
 log_lines = _counter("mustardgap.log_lines", "{line}", "Lines logged or suppressed", "result")
 _gauge("mustardgap.ready", "1", "1 when this entry host takes requests")
--- a/mustardgap/operator_changes.py
+++ b/mustardgap/operator_changes.py
@@ -74,7 +74,7 @@
     async def append(self, kind: str, body: dict[str, Any], record_id: str = "") -> Verdict:
         """Write one record and wait for the fold's verdict."""
         timeline = self.operators.timeline
-        ids = {key: body[key] for key in ("host", "job", "wave") if key in body}
+        ids: dict[str, Any] = {k: body[k] for k in ("host", "job", "wave") if k in body}
         if record_id:
             ids["change"] = record_id
         timeline.add(f"operators.{kind}", cause=str(body.get("reason", "")), **ids)
--- a/mustardgap/operator_views.py
+++ b/mustardgap/operator_views.py
@@ -4,10 +4,10 @@
 import math
 from typing import Any
 
-from . import metrics, status_codes
+from . import metrics, status_codes, timeline_pages
 from .__version__ import __version__
 from .exceptions import MustardgapError
-from .explanations import explain_code
+from .explanations import explain_code, explain_job
 from .members import Member
 from .models import RULES_VERSION
 from .operator_handlers import JsonHandler
@@ -118,11 +118,15 @@
         answer = explainer(name) if explainer else None
         if inspect.isawaitable(answer):
             answer = await answer
-        if not answer:
-            answer = {"lines": self._events(kind, name)}
-        self.reply(answer if isinstance(answer, dict) else {"lines": list(answer)})
+        answer = answer if isinstance(answer, dict) else {"lines": list(answer or ())}
+        if not answer["lines"]:
+            answer["lines"] = self._events(kind, name)
+        self.reply(answer)
 
     def _events(self, kind: str, name: str) -> list[str]:
+        job = self.log.state.jobs_by_id.get(name) if kind == "job" else None
+        if job:
+            return explain_job(job)
         events = self.operators.timeline.events(since=0.0, **{kind: name})
         if not events:
             raise MustardgapError(
@@ -130,7 +134,7 @@
                 detail=f"nothing is known of {kind} {name} here",
                 place=f"{kind}/{name}",
             )
-        return [f"{event.wall:.3f} {event.kind} {event.cause}".rstrip() for event in events]
+        return [timeline_pages.line(event, event.member) for event in events]
 
 
 def status(operators: Any) -> dict[str, Any]:
--- a/mustardgap/parts.py
+++ b/mustardgap/parts.py
@@ -2,12 +2,13 @@
 
 from typing import Any
 
-from . import explanations, reasons
+from . import explanations, observers, reasons
 from .actors import Actors
 from .adapters import Platform
 from .brokers import Broker
 from .callers import Callers
 from .executors import Executors
+from .fold_events import FoldEvents
 from .gossip import Gossiper
 from .keys import Keys
 from .members import Members, me_from
@@ -47,6 +48,14 @@
         self._build_membership()
         self._build_decisions()
         self._build_requests()
+        FoldEvents(log=self.log, timeline=self.timeline)
+        observers.observe(
+            log=self.log,
+            members=self.members,
+            peers=self.peers,
+            readiness=self.readiness,
+            timers=self.timers,
+        )
         self.operators = Operators(
             settings=settings,
             log=self.log,
--- a/mustardgap/timeline_pages.py
+++ b/mustardgap/timeline_pages.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from datetime import UTC, datetime
 from html import escape
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from .timelines import Event
 
@@ -47,10 +47,19 @@
 </script></body></html>"""
 
 
+class Row(NamedTuple):
+    """An event and the other hosts that noted the same decision of the log."""
+
+    event: Event
+    others: list[str]
+
+
 def lines(merged: "MergedTimeline") -> list[str]:
-    """The events as lines of text, in causal order."""
-    width = max((len(event.member) for event in merged.events), default=0)
-    return [_line(event, width) for event in merged.events]
+    """The events as lines of text, in causal order; what all hosts folded alike is one line."""
+    rows = _rows(merged.events)
+    names = [_names(row) for row in rows]
+    width = max(map(len, names), default=0)
+    return [line(row.event, name.ljust(width)) for row, name in zip(rows, names, strict=True)]
 
 
 def as_json(merged: "MergedTimeline") -> dict[str, Any]:
@@ -62,40 +71,63 @@
 def html(merged: "MergedTimeline") -> str:
     """The events as one page: a lane for each host beside the list, in causal order."""
     lanes = {host: index for index, host in enumerate(merged.hosts)}
-    rows = [_row(event, lanes) for event in merged.events]
+    rows = [_row(row, lanes) for row in _rows(merged.events)]
     missing = f"; no answer from {', '.join(merged.missing)}" if merged.missing else ""
-    summary = f"{len(rows)} events of {len(lanes)} entry hosts in causal order{missing}"
+    summary = f"{len(merged.events)} events of {len(lanes)} entry hosts in causal order{missing}"
     return _PAGE.format(
         row=ROW_PX, summary=escape(summary), hosts=_lane_names(merged.hosts), rows="\n".join(rows)
     )
 
 
-def _line(event: Event, width: int) -> str:
+def _rows(events: Sequence[Event]) -> list[Row]:
+    rows: list[Row] = []
+    rows_by_decision: dict[tuple[object, ...], Row] = {}
+    for event in events:
+        decision = (event.kind, event.offset, event.cause, *sorted(event.ids.items()))
+        found = rows_by_decision.get(decision)
+        if event.offset >= 0 and found and event.member != found.event.member:
+            found.others.append(event.member)
+            continue
+        rows.append(Row(event, []))
+        rows_by_decision[decision] = rows[-1]
+    return rows
+
+
+def _names(row: Row) -> str:
+    return f"{row.event.member}+{len(row.others)}" if row.others else row.event.member
+
+
+def line(event: Event, name: str = "") -> str:
+    """One event as a line of text, with ``name`` for where it was noted."""
     offset = f"@{event.offset}" if event.offset >= 0 else ""
-    parts = [_time(event.wall), event.member.ljust(width), event.kind, offset, _ids(event)]
+    parts = [_time(event.wall), name, event.kind, offset, _ids(event)]
     if event.cause:
         parts.append(f"({event.cause})")
     return " ".join(" ".join(part for part in parts if part).splitlines())
 
 
-def _row(event: Event, lanes: dict[str, int]) -> str:
+def _row(row: Row, lanes: dict[str, int]) -> str:
+    event = row.event
     offset = str(event.offset) if event.offset >= 0 else ""
-    texts = [_time(event.wall), event.member, event.kind, offset]
+    texts = [_time(event.wall), ", ".join([event.member, *row.others]), event.kind, offset]
     cells = "".join(f"<td>{escape(text)}</td>" for text in texts)
+    dots = _dots([lanes.get(name, 0) for name in (event.member, *row.others)], len(lanes))
     return (
-        f"<tr><td>{_dot(lanes.get(event.member, 0), len(lanes))}</td>{cells}"
+        f"<tr><td>{dots}</td>{cells}"
         f'<td class="ids">{escape(_ids(event))}</td><td>{escape(event.cause)}</td></tr>'
     )
 
 
-def _dot(lane: int, count: int) -> str:
+def _dots(marked: list[int], count: int) -> str:
     middle = ROW_PX // 2
     marks = [
         f'<line x1="{x}" y1="0" x2="{x}" y2="{ROW_PX}" stroke="#ddd"/>'
         for x in (_x(index) for index in range(count))
     ]
-    colour = COLOURS[lane % len(COLOURS)]
-    marks.append(f'<circle cx="{_x(lane)}" cy="{middle}" r="5" fill="{colour}"/>')
+    for lane in marked:
+        colour = COLOURS[lane % len(COLOURS)]
+        radius = 5 if lane == marked[0] else 3
+        marks.append(f'<circle cx="{_x(lane)}" cy="{middle}" r="{radius}" fill="{colour}"/>')
     return f'<svg width="{_width(count)}" height="{ROW_PX}">{"".join(marks)}</svg>'
 
 
--- a/mustardgap/timelines.py
+++ b/mustardgap/timelines.py
@@ -64,8 +64,13 @@
         return self._stamp
 
     def witness(self, stamp: tuple[int, int]) -> None:
-        """Take in a peer's stamp, so that what follows is ordered after it."""
-        self._stamp = max(self._stamp, (int(stamp[0]), int(stamp[1])))
+        """Take in a peer's stamp, so that what follows is ordered after it.
+
+        A stamp that is far ahead comes from a broken clock; taken in, it would put all later events
+        of all daemons there, in the order they happened but useless to read.
+        """
+        if stamp[0] <= (self.clock.wall() + MAX_AHEAD_S) * 1000:
+            self._stamp = max(self._stamp, (int(stamp[0]), int(stamp[1])))
 
     def send_time(self) -> float:
         """The time to write on a record: later than all that this daemon knows of.
@@ -76,13 +81,8 @@
         return self._stamp[0] / 1000
 
     def witness_time(self, time: float) -> None:
-        """Take in the time of a record, so that what follows it here is ordered after its writing.
-
-        A time that is far ahead comes from a broken clock; taken in, it would put all later events
-        of all daemons there, in the order they happened but useless to read.
-        """
-        if time <= self.clock.wall() + MAX_AHEAD_S:
-            self.witness((round(time * 1000), 0))
+        """Take in the time of a record, so that what follows here is ordered after it."""
+        self.witness((round(time * 1000), 0))
 
     def events(self, *, since: float = 0.0, **ids: str) -> list[Event]:
         """List events, the oldest first.
