Prove mutual TLS on the operators' port and its reload

Cause: whoever reaches the port could drain hosts; certificates run out on running hosts. Ruled out: passwords in settings (sent in the clear without TLS, and shared); names in certificates (hosts are known by IP number and replaced at any time, so the authority is what is trusted). Conclusion: a refused certificate is told apart from a lost answer: nothing was looked at.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -38,3 +38,21 @@
     Given operators' entry hosts with clocks off by 0, 0 and 0 seconds
     When the operators' log goes down and a change is sent
     Then operators are told MG5000 and can still read what is in force
+
+  Scenario: only holders of a certificate that the authority signed are served
+    The port starts drains and stops jobs, so whoever reaches it on the network must not be enough.
+    Somebody without a certificate, or with one of another authority, gets no answer to a request.
+    Nor does the tool send anything to a host that can't show one, as a host in the middle can't.
+    Given an operators' port with mutual TLS
+    Then operators with a certificate of the authority are served
+    And operators without one, or with one of another authority, are refused before any answer
+    And operators refuse an entry host with a certificate of another authority
+
+  Scenario: certificates are replaced without a restart
+    Certificates run out and are replaced on a running host. A certificate and its key are two files,
+    so a reader may meet one new and one old: it must go on with the old pair until both fit.
+    Given an operators' port with mutual TLS
+    When operators replace the authority, and the certificate but not yet its key
+    Then operators with a certificate of the authority are served
+    When operators replace the key too
+    Then operators with a certificate of the new authority are served, and those of the old refused
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -1,8 +1,12 @@
 """Steps for the operators' interface."""
 
 import asyncio
+import socket
+import ssl
 import uuid
 
+import msgspec
+import trustme
 from behave import given, then, when
 from hypothesis import HealthCheck, settings
 from hypothesis import given as given_any
@@ -12,6 +16,7 @@
 from mustardgap import status_codes
 from mustardgap.clients import Client, ProblemError
 from mustardgap.exceptions import MustardgapError
+from mustardgap.settings import TlsSettings
 
 BOUNDED = settings(
     max_examples=5,
@@ -198,3 +203,115 @@
     assert context.answer.code is status_codes.LOG_UNAVAILABLE, context.answer
     items = ask(context.entries.addresses, lambda c: c.declarations())["items"]
     assert sorted(items) == ["team/ledger"], items
+
+
+def write_keys(authority, folder, name="127.0.0.1", parts=("certificate", "key", "authority")):
+    """Issue a certificate and write its files."""
+    folder.mkdir(exist_ok=True)
+    issued = authority.issue_cert(name)
+    pems = {
+        "certificate": b"".join(pem.bytes() for pem in issued.cert_chain_pems),
+        "key": issued.private_key_pem.bytes(),
+        "authority": authority.cert_pem.bytes(),
+    }
+    for part in parts:
+        (folder / f"{part}.pem").write_bytes(pems[part])
+    paths = {part: str(folder / f"{part}.pem") for part in pems}
+    return TlsSettings(**paths), pems
+
+
+@given("an operators' port with mutual TLS")
+def start_tls(context):
+    context.authority = trustme.CA()
+    context.tls, _ = write_keys(context.authority, context.folder / "server")
+    context.entries = Entries(
+        processes=context.processes,
+        folder=context.folder,
+        operators={"tls": msgspec.structs.asdict(context.tls)},
+    )
+    context.add_cleanup(context.entries.close)
+
+
+def status_with(context, tls):
+    """Ask for the status and return its host, or the error."""
+    try:
+        answer = ask(context.entries.addresses, lambda client: client.status(), tls=tls)
+    except MustardgapError as exc:
+        return exc
+    return answer["host"]
+
+
+def check_turned_away(context, tls):
+    found = status_with(context, tls)
+    assert isinstance(found, MustardgapError), found
+    assert found.code is status_codes.ENTRY_UNAVAILABLE, found
+
+
+@then("operators with a certificate of the authority are served")
+def check_served(context):
+    tls, _ = write_keys(context.authority, context.folder / "client")
+    assert status_with(context, tls) == "entry-0"
+
+
+@then("operators without one, or with one of another authority, are refused before any answer")
+def check_not_served(context):
+    check_turned_away(context, None)
+    other, _ = write_keys(trustme.CA(), context.folder / "other")
+    (context.folder / "other" / "authority.pem").write_bytes(context.authority.cert_pem.bytes())
+    check_turned_away(context, other)
+    host, port = context.entries.addresses[0].split(":")
+    plain = ssl.create_default_context(cafile=context.tls.authority)
+    with socket.create_connection((host, int(port)), timeout=20) as sock:
+        try:
+            with plain.wrap_socket(sock, server_hostname="127.0.0.1") as wrapped:
+                wrapped.sendall(b"GET /v1/status HTTP/1.1\r\nHost: a\r\n\r\n")
+                got = wrapped.recv(100)
+        except OSError:
+            got = b""
+    assert got == b"", got
+    change_sent = ask_change(context, other)
+    assert change_sent.code is status_codes.ENTRY_UNAVAILABLE, change_sent
+
+
+def ask_change(context, tls):
+    try:
+        changes = [change("team/new", team(1))]
+        return ask(context.entries.addresses, lambda client: client.apply(changes), tls=tls)
+    except MustardgapError as exc:
+        return exc
+
+
+@then("operators refuse an entry host with a certificate of another authority")
+def check_server_refused(context):
+    tls, _ = write_keys(context.authority, context.folder / "doubting")
+    (context.folder / "doubting" / "authority.pem").write_bytes(trustme.CA().cert_pem.bytes())
+    check_turned_away(context, tls)
+
+
+@when("operators replace the authority, and the certificate but not yet its key")
+def replace_half(context):
+    context.new_authority = trustme.CA()
+    _, context.pems = write_keys(
+        context.new_authority, context.folder / "server", parts=("certificate", "authority")
+    )
+    assert not reload(context)
+
+
+@when("operators replace the key too")
+def replace_key(context):
+    (context.folder / "server" / "key.pem").write_bytes(context.pems["key"])
+    assert reload(context)
+
+
+def reload(context):
+    """What the daemon does every few seconds."""
+    return context.entries.call(context.entries.by_number[0].operators.certificates.reload)
+
+
+@then("operators with a certificate of the new authority are served, and those of the old refused")
+def check_replaced(context):
+    tls, _ = write_keys(context.new_authority, context.folder / "renewed")
+    assert status_with(context, tls) == "entry-0"
+    old, _ = write_keys(context.authority, context.folder / "old")
+    (context.folder / "old" / "authority.pem").write_bytes(context.new_authority.cert_pem.bytes())
+    check_turned_away(context, old)
--- a/mustardgap/clients.py
+++ b/mustardgap/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import ssl
 import uuid
 from collections.abc import Iterable
 from typing import Any, NamedTuple
@@ -303,6 +304,8 @@
                 raise
             raise Lost(str(exc)) from None
         except (OSError, HTTPClientError) as exc:
+            if isinstance(exc, ssl.SSLError) and _is_turned_away(exc):
+                raise
             raise Lost(str(exc)) from None
         return _decode(entry, resp)
 
@@ -350,6 +353,11 @@
     )
 
 
+def _is_turned_away(exc: ssl.SSLError) -> bool:
+    """Whether one end turned down the other's certificate, so that no request was looked at."""
+    return "CERTIFICATE" in (exc.reason or "") or "UNKNOWN_CA" in (exc.reason or "")
+
+
 def _event(raw: dict[str, Any]) -> Event:
     stamp = raw["stamp"]
     return Event(**{**raw, "stamp": (int(stamp[0]), int(stamp[1]))})
