Let a second drain wait for the first, and bound what a query may ask for

Cause: a drain that replaced one still running got its answer from the executor at once, so the platform showed the worker as drained, without executors, while a request still ran there. A query's size of infinity ended the request's task without an answer. Reading many runs indexed a deque. Ruled out: refusing a second drain; two daemons may well ask for one each. Measured: red first: the worker was drained with its executor still "draining"; then green. Conclusion: a drain answers when the executor is drained, whoever asked first.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -97,6 +97,8 @@
       | GET    | /workers?since=0          |                                                                       | 200    | {"version": 4, "workers": [{"worker": "r1-w1", "pool": "a", "epoch": 0}, {}, {}, {"worker": "r2-w2"}], "gone": []} |
       | POST   | /workers/r1-w1/operations | {"operation": "o0", "kind": "reboot", "epoch": 1}                     | 200    | {"operation": "o0", "result": "accepted"}                                       |
       | POST   | /workers/r1-w1/operations | {"operation": "o0", "kind": "reboot", "epoch": 1}                     | 200    | {"result": "repeated"}                                                          |
+      | POST   | /control/faults           | {"fault": "doubled", "on": "/workers/*", "count": 1}                  | 200    | {}                                                                              |
+      | POST   | /workers/r2-w2/operations | {"operation": "o20", "kind": "undrain", "epoch": 1}                   | 200    | {"result": "repeated"}                                                          |
       | UNTIL  | /operations/o0            |                                                                       | 200    | {"worker": "r1-w1", "kind": "reboot", "epoch": 1, "state": "done"}              |
       | GET    | /workers?since=4          |                                                                       | 200    | {"workers": [{"worker": "r1-w1", "state": "up", "boot": 2}]}                    |
       | POST   | /workers/r1-w1/operations | {"operation": "o1", "kind": "assign", "epoch": 2, "pool": "b"}        | 409    | {}                                                                              |
@@ -123,7 +125,7 @@
       | DELETE | /control/faults           |                                                                       | 200    | {}                                                                              |
       | POST   | /control/faults           | {"fault": "worker_removed", "on": "r2-w1"}                            | 200    | {}                                                                              |
       | GET    | /workers?since=4          |                                                                       | 200    | {"gone": ["r2-w1"]}                                                             |
-      | GET    | /control/truth            |                                                                       | 200    | {"operations": {"o0": {"asked": 2, "executed": 1}, "o3": {"asked": 1, "executed": 0}}} |
+      | GET    | /control/truth            |                                                                       | 200    | {"operations": {"o0": {"asked": 2, "executed": 1}, "o20": {"asked": 2, "executed": 1}, "o3": {"asked": 1, "executed": 0}}} |
 
   Scenario: Standins lose a whole rack and find it again
     Power fails in a rack. The platform shows its workers as up for a while, then as down; the
@@ -245,6 +247,8 @@
       | UNTIL  | /workers?since=0          |                                                                | 200    | {"workers": [{"worker": "r1-w1", "state": "drained", "executors": []}]} |
       | POST   | /workers/r1-w1/operations | {"operation": "o2", "kind": "assign", "epoch": 2, "pool": "b"} | 200    | {}                                                                       |
       | UNTIL  | /workers?since=0          |                                                                | 200    | {"workers": [{"worker": "r1-w1", "executors": [{"service": "y"}]}]} |
+    When a standins request runs on r2-w1 while it is drained twice
+    Then the standins worker was drained only once the request was answered whole
     When a standins request runs on r1-w1 while it is rebooted
     Then standins calls are answered so
       | method | path           | body | status | answer                                                                  |
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -292,16 +292,45 @@
     assert re.findall(r"X-Request-Id: (\w+)", context.seen.decode()) == names.split()
 
 
+def operate(context, worker, operation, kind, epoch):
+    """Start an operation on a worker."""
+    body = json.dumps({"operation": operation, "kind": kind, "epoch": epoch})
+    status, _, _ = call(context.platform.address, "POST", f"/workers/{worker}/operations", body)
+    assert status == 200, status
+
+
+def during_request(context, executor, run_s, action):
+    """Do something while a request runs on an executor; return what its caller sees."""
+    context.upstream = context.executors.state()[executor]["address"]
+    with ThreadPoolExecutor() as pool:
+        sent = pool.submit(request, context, "r1", f"run_s={run_s}")
+        until(lambda: context.executors.state()[executor]["running"])
+        action()
+        return sent.result()
+
+
 @when("a standins request runs on r1-w1 while it is rebooted")
 def _(context):
-    states = context.executors.state().values()
-    context.upstream = next(s["address"] for s in states if s["service"] == "y")
-    with ThreadPoolExecutor() as pool:
-        sent = pool.submit(request, context, "r1", "run_s=60")
-        until(lambda: any(s["running"] for s in context.executors.state().values()))
-        body = '{"operation": "o9", "kind": "reboot", "epoch": 9}'
-        call(context.platform.address, "POST", "/workers/r1-w1/operations", body)
-        assert sent.result() == "cut"
+    seen = during_request(
+        context, "r1-w1.y", 60, lambda: operate(context, "r1-w1", "o9", "reboot", 9)
+    )
+    assert seen == "cut", seen
+
+
+@when("a standins request runs on r2-w1 while it is drained twice")
+def _(context):
+    def drain_twice():
+        operate(context, "r2-w1", "o7", "drain", 1)
+        operate(context, "r2-w1", "o8", "drain", 2)
+        until(lambda: context.platform.call("GET", "/operations/o8")["state"] == "done")
+        context.state = context.executors.state()["r2-w1.x"]["state"]
+
+    context.seen = during_request(context, "r2-w1.x", 0.7, drain_twice)
+
+
+@then("the standins worker was drained only once the request was answered whole")
+def _(context):
+    assert (context.state, context.seen) == ("drained", "whole"), (context.state, context.seen)
 
 
 @when("the standins {module} is started with {settings}")
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -1,6 +1,7 @@
 """Writing an executor's answer to its connection, whole or not."""
 
 import hashlib
+import math
 import socket
 import struct
 from typing import Any, NamedTuple
@@ -9,6 +10,7 @@
 from tornado.iostream import IOStream
 
 PIECE_BYTES = 65_536
+MAX_ANSWER_BYTES = 2**30
 
 
 class Answer(NamedTuple):
@@ -25,7 +27,8 @@
     :raises StreamClosedError: the connection has closed.
     """
     connection: Any = request.connection
-    size = max(len(answer.head), int(number(request, "size") or 0))
+    asked = min(number(request, "size") or 0, MAX_ANSWER_BYTES)
+    size = max(len(answer.head), int(asked))
     if not number(request, "chunked"):
         answer.headers["Content-Length"] = str(size)
     start_line = ResponseStartLine("HTTP/1.1", answer.status, "")
@@ -99,9 +102,10 @@
     """
     values = request.query_arguments.get(name, [b""])
     try:
-        return float(request.headers.get(header) or values[0])
+        value = float(request.headers.get(header) or values[0])
     except ValueError:
         return None
+    return value if math.isfinite(value) else None
 
 
 def stream_of(request: HTTPServerRequest) -> IOStream:
--- a/standins/runs.py
+++ b/standins/runs.py
@@ -2,6 +2,7 @@
 
 import os
 from collections import Counter, deque
+from itertools import islice
 from pathlib import Path
 
 import msgspec
@@ -57,7 +58,7 @@
         """The runs from a sequence number on."""
         oldest = self.count - len(self._runs)
         first = max(0, sequence - oldest)
-        return [self._runs[i] for i in range(first, min(len(self._runs), first + limit))]
+        return list(islice(self._runs, first, first + limit))
 
     def _take(self, run: Run) -> None:
         self.count += 1
--- a/standins/upstreams.py
+++ b/standins/upstreams.py
@@ -126,10 +126,9 @@
 
     async def drain(self) -> None:
         """Finish what was received, then stop listening; returns when drained or taken back."""
-        if self.state != "up":
-            return
-        self.state = "draining"
-        self._left_at = self._received_at = time.monotonic()
+        if self.state == "up":
+            self.state = "draining"
+            self._left_at = self._received_at = time.monotonic()
         while self.state == "draining":
             await asyncio.sleep(POLL_S)
             if self.state == "draining" and self._is_quiet():
