--- a/mustardgap/daemons.py
+++ b/mustardgap/daemons.py
@@ -8,7 +8,7 @@
 import click
 from absl import logging
 
-from . import logs, settings, status_codes
+from . import logs, observers, settings, status_codes
 from .__version__ import __version__
 from .brokers import Broker
 from .exceptions import MustardgapError
@@ -33,6 +33,7 @@
         self.parts = Parts(settings=settings)
         self.readiness = self.parts.readiness
         self._root = Supervisor(name="daemon")
+        observers.observe_restarts(self._root)
         self._stop = asyncio.Event()
 
     async def run(self) -> None:
