--- a/tools/docs.py
+++ b/tools/docs.py
@@ -98,7 +98,7 @@
     lines = ["# Metrics", "", NOTE, ""]
     lines += [
         "OpenTelemetry instruments, scraped as Prometheus text from `GET /metrics` on the",
-        "operators' port. There dots are underscores, counters end in `_total`, units are appended.",
+        "operators' port. There dots are underscores, counters end in `_total`, units follow.",
         "",
     ]
     rows = [
