List executors in a fixed order

Ruled out: ordering in the test alone (who reads a list of candidates expects one order). Conclusion: workers are taken in by name.

--- a/mustardgap/executors.py
+++ b/mustardgap/executors.py
@@ -185,7 +185,7 @@
 
     def _update(self, workers: set[str]) -> None:
         """Take in the workers that changed."""
-        for worker in workers:
+        for worker in sorted(workers):
             self._update_worker(worker)
         self._is_first = False
         self._version += 1
