--- a/mustardgap/logs.py
+++ b/mustardgap/logs.py
@@ -122,4 +122,5 @@
 
 
 def _quoted(text: str) -> str:
-    return json.dumps(text[:MAX_TEXT], ensure_ascii=False)
+    # Escaped down to ASCII: line separators and control characters have no other safe form.
+    return json.dumps(text[:MAX_TEXT])
