--- a/mustardgap/appends.py
+++ b/mustardgap/appends.py
@@ -77,6 +77,7 @@
     :param appends_per_s: the budget of appends.
     :param timeout_s: seconds to wait for own records to turn up before they are appended again.
     :param clock: the clocks to read.
+    :param seen: tells how many records this daemon has folded.
     """
 
     def __init__(
@@ -87,11 +88,13 @@
         appends_per_s: float,
         timeout_s: float,
         clock: Clock,
+        seen: Callable[[], int],
     ) -> None:
         self.platform = platform
         self.stream = stream
         self.timeout_s = timeout_s
         self.clock = clock
+        self.seen = seen
         self.budget = Budget(per_s=appends_per_s, clock=clock)
         self.pending_by_id: dict[str, Pending] = {}
         self._queues: dict[Purpose, deque[Pending]] = {
@@ -177,6 +180,9 @@
         # Set before the call: cancelled in the middle of it, the append may yet take effect.
         before = [pending.may_be_appended for pending in batch]
         for pending in batch:
+            if not pending.may_be_appended:
+                # As late as can be: a record that waited behind thousands would be too old.
+                pending.record["seen"] = self.seen()
             pending.may_be_appended = True
         try:
             await self.platform.append(self.stream, values)
--- a/mustardgap/config_rules.py
+++ b/mustardgap/config_rules.py
@@ -11,6 +11,8 @@
 from .states import State
 
 MAX_CHANGES = 1000
+# The kinds whose values name other declarations.
+NAMING = ("service/", "pool/")
 
 
 def check(state: State, config: ConfigBody) -> Rejected | None:
@@ -65,6 +67,9 @@
 
 
 def _reference_error(state: State, changes: list[Change]) -> Rejected | None:
+    # A new or changed profile, team or policy names nothing, and nothing loses what it names.
+    if all(c["value"] is not None and not c["key"].startswith(NAMING) for c in changes):
+        return None
     for code, key, detail in reference_errors(_after(state, changes)):
         return Rejected(code=code, detail=f"{key}: {detail}")
     return None
@@ -89,7 +94,7 @@
 
     One that is there already, as after a rack failure, must not keep an operator from lessening it.
     """
-    if all(change["key"].startswith(("team/", "policy/")) for change in changes):
+    if not any(_touches_budgets(state, change) for change in changes):
         return None
     after = shortages(state, _after(state, changes))
     if not after:
@@ -102,6 +107,17 @@
     return Rejected(code=status_codes.UNSATISFIABLE, detail=detail)
 
 
+def _touches_budgets(state: State, change: Change) -> bool:
+    """Whether a change can make a shortage; most, such as of a time-out, can't."""
+    kind, _, name = change["key"].partition("/")
+    if kind != "profile":
+        return kind in ("service", "pool")
+    before, after = state.value("profile", name), change["value"]
+    if before is None or after is None:
+        return True
+    return any(before[part] != after[part] for part in ("room", "availability"))
+
+
 def _after(state: State, changes: list[Change]) -> dict[str, Any]:
     values = {key: declaration.value for key, declaration in state.declarations_by_key.items()}
     for change in changes:
--- a/mustardgap/states.py
+++ b/mustardgap/states.py
@@ -101,14 +101,19 @@
 
     def put_declarations(self, declarations: Iterable[Declaration], removed: Iterable[str]) -> None:
         """Take in accepted declarations, and drop the removed keys."""
+        changed = set()
         for declaration in declarations:
             self.declarations_by_key[declaration.key] = declaration
+            changed.add(declaration.key.partition("/")[0])
         for key in removed:
             self.declarations_by_key.pop(key, None)
-        self._values_by_kind.clear()
-        self.pools_by_service = {}
-        for name, pool in self.declared("pool").items():
-            self.pools_by_service.setdefault(pool["service"], []).append(name)
+            changed.add(key.partition("/")[0])
+        for kind in changed:
+            self._values_by_kind.pop(kind, None)
+        if "pool" in changed:
+            self.pools_by_service = {}
+            for name, pool in self.declared("pool").items():
+                self.pools_by_service.setdefault(pool["service"], []).append(name)
 
     def put_host(self, host: HostState) -> None:
         """Take in a host's new state."""
--- a/mustardgap/streams.py
+++ b/mustardgap/streams.py
@@ -28,7 +28,7 @@
 RECENT_RECORDS = 2000
 BACKOFF_S = 0.1
 MAX_BACKOFF_S = 3.0
-FOLD_SLICE = 200
+FOLD_SLICE_S = 0.005
 
 FoldCallback = Callable[[LogRecord, Verdict], None]
 
@@ -66,6 +66,7 @@
             appends_per_s=settings.appends_per_s,
             timeout_s=settings.timeout_s,
             clock=self.clock,
+            seen=lambda: self.offset,
         )
         self.checkpoints = Checkpoints(
             platform=platform, settings=settings, clock=self.clock, log=self
@@ -241,13 +242,15 @@
 
     async def _take(self, page: Page, started: float) -> None:
         metrics.log_reads.add(len(page.records))
-        for number, record in enumerate(page.records, start=1):
+        slice_end = self.clock.monotonic() + FOLD_SLICE_S
+        for record in page.records:
             if record.offset >= self.offset and not self._fold(record):
                 await self._back_off()
                 return
-            if number % FOLD_SLICE == 0:
+            if self.clock.monotonic() > slice_end:
                 # Thousands of records at start-up mustn't hold up requests and heartbeats.
                 await asyncio.sleep(0)
+                slice_end = self.clock.monotonic() + FOLD_SLICE_S
         if self.offset >= page.end:
             self._know(started)
         self.checkpoints.oldest = page.oldest
