Check the example fleets against their users' sizes

Cause: proofs and benchmarks at both users' sizes trust the two fleet files, and the Federation's was not read by any test. Ruled out: making the fleets in code; operators are to read them as they read declarations. Conclusion: three and four data centers, five services of 6 and 8 executors, no service twice in a rack, four workers to a rack.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -280,3 +280,11 @@
       | executors | {"slot": 8}                         | 20     | unknown field `slot`                    |
       | executors | {"executors"                        | 20     | MG2001 settings_syntax                  |
       | executors | {}                                  | 21     | MG2003                                  |
+
+  Scenario Outline: Standins fleet <fleet> is as its users say
+    Then standins fleet <fleet> has <centers> data centers and <executors> executors of each of 5 services, spread over racks of 4 workers of <cores> cores and <memory> GB
+
+    Examples:
+      | fleet      | centers | executors | cores | memory |
+      | thekkady   | 3       | 6         | 32    | 64     |
+      | federation | 4       | 8         | 64    | 256    |
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -5,6 +5,7 @@
 import re
 import socket
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from unittest import mock
 
@@ -16,7 +17,8 @@
 
 from standins import logs
 from standins.controls import Control, check_body
-from tools.processes import free_ports, wait_http
+from standins.settings import FleetSpec, load
+from tools.processes import ROOT, free_ports, wait_http
 
 FLEET = {
     "services_by_pool": {"a": "x", "b": "y"},
@@ -368,3 +370,20 @@
 def _(context, status, text):
     assert context.status == status, (context.status, context.output)
     assert text in context.output and context.output.count("\n") == 1, context.output
+
+
+@then(
+    "standins fleet {name} has {centers:d} data centers and {executors:d} executors of each of "
+    "5 services, spread over racks of 4 workers of {cores:d} cores and {memory:d} GB"
+)
+def _(context, name, centers, executors, cores, memory):
+    fleet = load(ROOT / "standins" / "fleets" / f"{name}.json", FleetSpec)
+    racks = [rack for center in fleet.data_centers for rack in center.racks]
+    pools = Counter(worker.pool for rack in racks for worker in rack.workers)
+    del pools[""]
+    assert len(fleet.data_centers) == centers
+    assert (fleet.worker.cores, fleet.worker.memory_gb) == (cores, memory)
+    assert pools == dict.fromkeys(fleet.services_by_pool, executors) and len(pools) == 5, pools
+    for rack in racks:
+        used = [worker.pool for worker in rack.workers if worker.pool]
+        assert len(rack.workers) == 4 and len(used) == len(set(used)), rack
