Install only what the demo runs on before the demo

Cause: a new user's first command spent 76 of its 114 s installing linters, solver and plots. Ruled out: unpinned installs; leaving out the installation of the project itself. Conclusion: requirements.lock is what runs, requirements-dev.lock what tests and benches need beside.

--- a/Makefile
+++ b/Makefile
@@ -1,33 +1,41 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+PIP := $(BIN)/pip install --quiet --no-compile --disable-pip-version-check
 
-.PHONY: install demo test lint fuzz bench bench-capacity
+.PHONY: install install-dev demo test lint fuzz bench bench-capacity
 
+# The demo is a new user's first command, so it waits only for the libraries that it runs on.
 install: $(VENV)/.installed
 
+install-dev: $(VENV)/.installed-dev
+
 $(VENV)/.installed: pyproject.toml requirements.lock
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --requirement requirements.lock
-	$(BIN)/pip install --quiet --no-deps --editable .
+	$(PIP) --requirement requirements.lock
+	$(PIP) --no-deps --editable .
+	touch $@
+
+$(VENV)/.installed-dev: $(VENV)/.installed requirements-dev.lock
+	$(PIP) --requirement requirements-dev.lock
 	touch $@
 
 demo: install
 	$(BIN)/python -m tools.demo
 
-test: install
-	$(BIN)/python -m tools.testing
+test: install-dev
+	@$(BIN)/python -m tools.testing
 
-lint: install
+lint: install-dev
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check --quiet .
 	$(BIN)/mypy
 
-fuzz: install
+fuzz: install-dev
 	$(BIN)/python -m tools.testing --long
 
-bench: install
+bench: install-dev
 	$(BIN)/python -m tools.bench
 
-bench-capacity: install
+bench-capacity: install-dev
 	$(BIN)/python -m tools.bench_capacity
