--- a/mustardgap/candidates.py
+++ b/mustardgap/candidates.py
@@ -1,13 +1,19 @@
 """Which host to take next: from the spare pool, or from a group that can do without it."""
 
 import heapq
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 from .models import HostState
 from .placements import Fleet, Group
 from .plans import Draft
 from .states import domain_of
 
+# Exchanges are tried with this many other services, so that a shortage that can't be mended costs
+# little each time.
+MOST_EXCHANGES = 8
+
+Wanted = Callable[[HostState], bool]
+
 
 class Candidates:
     """The free hosts in the order in which a group should take them.
@@ -75,14 +81,20 @@
         ids += [h for h in group.host_ids() if h not in top]
     for host_id in ids:
         host = fleet.hosts_by_id[host_id]
-        if host_id not in draft.touched and group.can_lose(host):
+        if host_id in draft.touched or draft.is_stuck(host):
+            continue
+        if group.can_lose(host):
             yield host
 
 
 def gains(group: Group, host: HostState) -> bool:
-    """Whether a host would bring a group nearer to its budget."""
-    short = group.requirement.min_hosts and group.margin < 0
-    return group.margin_with(host) > group.margin if short else True
+    """Whether a host would add to a group's margin, or to a pool that is below its size."""
+    return adds_margin(group, host) or group.margin >= 0
+
+
+def adds_margin(group: Group, host: HostState) -> bool:
+    """Whether a host would add to a group's margin."""
+    return group.margin_with(host) > group.margin
 
 
 def least_urgent_first(group: Group) -> tuple[int, str]:
@@ -90,21 +102,50 @@
     return -group.requirement.urgency, group.requirement.name
 
 
-def find_donation(draft: Draft, group: Group, held_names: Collection[str] = ()) -> HostState | None:
-    """Find the host that another group can best do without, the least urgent group first."""
+def find_donation(
+    draft: Draft, group: Group, wanted: Wanted, held_names: Collection[str] = ()
+) -> HostState | None:
+    """Find the host that another group can best do without, the least urgent group first.
+
+    :param wanted: whether a host is of use to the group.
+    :param held_names: groups that keep their surplus for now.
+    """
     fleet = draft.fleet
     donors = [fleet.groups_by_name[n] for n in fleet.over_names if n not in held_names]
     for donor in sorted(donors, key=least_urgent_first):
         if donor is group:
             continue
-        hosts = (host for host in surplus_hosts(draft, donor) if gains(group, host))
-        best = min(hosts, key=lambda host: _crowding(group, host), default=None)
+        hosts = (host for host in surplus_hosts(draft, donor) if wanted(host))
+        best = min(hosts, key=lambda host: crowding(group, host), default=None)
         if best is not None:
             return best
     return None
 
 
-def _crowding(group: Group, host: HostState) -> tuple[int, int, str]:
+def exchange(draft: Draft, group: Group, wanted: Wanted) -> bool:
+    """Give a free host, of no use to this group, to another one that has a host of use.
+
+    The other one's host is then surplus and comes over by the next plans.
+    """
+    donors = [g for g in draft.fleet.groups_by_name.values() if g is not group]
+    for donor in sorted(donors, key=least_urgent_first)[:MOST_EXCHANGES]:
+        if donor.is_full or donor.is_short:
+            continue
+        free = Candidates(fleet=draft.fleet, group=donor).take()
+        if free is None:
+            return False
+        count = len(draft.steps)
+        name = group.requirement.name
+        draft.assign(free, donor.pool_for_next(), f"so that a host of use can go to {name}")
+        hosts = (draft.fleet.hosts_by_id[h] for h in donor.host_ids())
+        if any(donor.can_lose(host) and wanted(host) for host in hosts):
+            return True
+        draft.keep(count)
+    return False
+
+
+def crowding(group: Group, host: HostState) -> tuple[int, int, str]:
+    """Sort hosts by how many of the group's stand in their domain and rack already."""
     domain = domain_of(host["facts"], group.requirement.survive)
     rack = domain_of(host["facts"], "rack")
     return len(group.ids_by_domain.get(domain, ())), group.size_by_rack[rack], host["host"]
--- a/mustardgap/planners.py
+++ b/mustardgap/planners.py
@@ -1,20 +1,28 @@
 """The planner: which host serves in which pool, by local repair of what is."""
 
 from collections.abc import Mapping
+from functools import partial
 from typing import Any
 
-from .candidates import Candidates, find_donation, gains, least_urgent_first, surplus_hosts
+from .candidates import (
+    Candidates,
+    exchange,
+    find_donation,
+    gains,
+    least_urgent_first,
+    surplus_hosts,
+)
 from .placements import SPARE_POOL, Fleet, Group
 from .plans import Draft, Plan, Weights
 from .settings import CapacitySettings
 from .waves import Waves
 
-# Exchanges are tried with this many other services, so that a shortage that can't be mended costs
-# little each time.
-MOST_EXCHANGES = 8
 # A plan holds at most about this many steps, so that a new fleet doesn't keep a daemon busy for a
 # second at a time; the next plans go on from there.
 MOST_STEPS = 200
+# With this many free hosts for each missing one, no service need go short for another.
+PLENTY = 1.2
+CONSTRAINED = ("data_center", "rack", "host", "none")
 NOBODY: Mapping[str, float] = {}
 
 
@@ -78,6 +86,7 @@
         waves = Waves(draft=draft, waves=self._state.waves_by_name.values(), settings=self.settings)
         try:
             empty_leaving(draft, leaving)
+            give_up_drains(draft)
             fill_short(draft)
             waves.proceed()
             release_surplus(draft, waves)
@@ -122,15 +131,39 @@
             draft.withhold(host)
 
 
+def give_up_drains(draft: Draft) -> None:
+    """Take back the planned drains of hosts that don't become empty.
+
+    Such a host would be waited for without end: it isn't free, and it isn't in service either.
+    """
+    for host_id in sorted(draft.fleet.emptying_ids - draft.touched):
+        host = draft.fleet.hosts_by_id[host_id]
+        if draft.is_overdue(host):
+            draft.pending -= 1
+            draft.give_up_drain(host)
+
+
 def fill_short(draft: Draft) -> None:
-    """Bring hosts to the services that lack them, the most urgent first.
+    """Bring hosts to the services that lack them, when they are scarce the most urgent first.
 
     In turn: a host of their own whose drain can be taken back, the spare pool, a host that is being
     emptied already, and the surplus of the least urgent service.
     """
-    fleet = draft.fleet
-    groups = [fleet.groups_by_name[name] for name in fleet.short_names]
-    for group in sorted(groups, key=_most_urgent_first):
+    groups = [draft.fleet.groups_by_name[name] for name in draft.fleet.short_names]
+    if len(groups) > 1 and _is_plenty(draft, groups):
+        start, pending = len(draft.steps), draft.pending
+        _fill(draft, sorted(groups, key=_most_constrained_first))
+        if not draft.problems:
+            return
+        # Not all get enough after all, so the urgent ones must come first.
+        draft.keep(start)
+        draft.pending = pending
+        draft.problems.clear()
+    _fill(draft, sorted(groups, key=_most_urgent_first))
+
+
+def _fill(draft: Draft, groups: list[Group]) -> None:
+    for group in groups:
         if len(draft.steps) >= MOST_STEPS:
             return
         _undrain_own(draft, group)
@@ -141,25 +174,31 @@
         reserved = min(draft.pending, missing)
         draft.pending -= reserved
         missing -= reserved + _move_surplus(draft, group, missing - reserved)
-        if missing > 0 and not _exchange(draft, group):
+        if missing > 0 and not exchange(draft, group, partial(gains, group)):
             draft.problems.append(_shortage(group, missing))
 
 
+def _is_plenty(draft: Draft, groups: list[Group]) -> bool:
+    wanted = sum(_missing(group) for group in groups)
+    return draft.fleet.free_count >= wanted * PLENTY
+
+
 def release_surplus(draft: Draft, waves: Waves) -> None:
     """Give hosts that aren't needed back to the spare pool, where all services share them.
 
     It costs a move, so it is done when the spare pool is short, when the service holds more than it
     may, or when buffer costs the user more than moves. A service that a wave is at work on keeps
-    its stand-in until all its hosts are done.
+    its stand-in until all its hosts are done; then the next service has it, if one is due.
     """
     fleet = draft.fleet
+    is_dear = draft.weights.buffer > draft.weights.move and not waves.held_names
     lacking = fleet.policy["spare_hosts"] - fleet.free_count - draft.pending - waves.lent
     groups = [fleet.groups_by_name[name] for name in fleet.over_names]
     for group in sorted(groups, key=least_urgent_first):
         name = group.requirement.name
         while group.is_over:
             too_large = group.size > group.requirement.max_hosts
-            wanted = lacking > 0 or draft.weights.buffer > draft.weights.move
+            wanted = lacking > 0 or is_dear
             if not too_large and (not wanted or name in waves.held_names):
                 break
             host = next(iter(surplus_hosts(draft, group)), None)
@@ -179,6 +218,12 @@
         draft.assign(fleet.hosts_by_id[host_id], SPARE_POOL, "no pool needs it")
 
 
+def _most_constrained_first(group: Group) -> tuple[int, int, str]:
+    """The larger its domains, the fewer hosts suit a group; it chooses while there is a choice."""
+    need = group.requirement
+    return CONSTRAINED.index(need.survive), -need.min_hosts, need.name
+
+
 def _most_urgent_first(group: Group) -> tuple[int, str]:
     return group.requirement.urgency, group.requirement.name
 
@@ -229,7 +274,7 @@
     """Empty hosts of other groups for this one; return how many."""
     moved = 0
     while moved < missing and not group.is_full:
-        host = find_donation(draft, group)
+        host = find_donation(draft, group, partial(gains, group))
         if host is None:
             break
         reason = f"{group.requirement.name} lacks {missing - moved} hosts and no spare is left"
@@ -238,28 +283,6 @@
     return moved
 
 
-def _exchange(draft: Draft, group: Group) -> bool:
-    """Give a free host, of no use to this group, to another one that has a host of use.
-
-    The other one's host is then surplus and comes over by the next plans.
-    """
-    donors = [g for g in draft.fleet.groups_by_name.values() if g is not group]
-    for donor in sorted(donors, key=least_urgent_first)[:MOST_EXCHANGES]:
-        if donor.is_full or donor.is_short:
-            continue
-        free = Candidates(fleet=draft.fleet, group=donor).take()
-        if free is None:
-            return False
-        count = len(draft.steps)
-        name = group.requirement.name
-        draft.assign(free, donor.pool_for_next(), f"so that a host of use can go to {name}")
-        hosts = (draft.fleet.hosts_by_id[h] for h in donor.host_ids())
-        if any(donor.can_lose(host) and gains(group, host) for host in hosts):
-            return True
-        draft.keep(count)
-    return False
-
-
 def _shortage(group: Group, missing: int) -> str:
     need = group.requirement
     if group.is_full:
--- a/mustardgap/plans.py
+++ b/mustardgap/plans.py
@@ -2,11 +2,15 @@
 
 from typing import Literal, NamedTuple
 
+from . import status_codes
 from .models import HostState, Phase
 from .placements import PLAN_REASON, SPARE_POOL, Fleet, Group
+from .requirements import DEFAULT_DRAIN_S
 
 # A host that came into service counts for a drain only when it has had this long to start.
 SETTLE_S = 10.0
+# A host that wouldn't drain is left alone for this share of the maintenance period.
+RETRY_SHARE = 1 / 14
 
 StepKind = Literal["assign", "drain", "undrain", "reboot", "move", "set_aside"]
 
@@ -109,6 +113,23 @@
         latest = max((hosts[h]["since"] for h in group.host_ids()), default=0.0)
         return not 0 <= self.now - latest < SETTLE_S
 
+    def is_overdue(self, host: HostState) -> bool:
+        """Whether a draining host has had more time than its service's profile gives."""
+        group = self.fleet.groups_by_pool.get(host["pool"])
+        drain_s = group.requirement.drain_s if group else DEFAULT_DRAIN_S
+        return self.now - host["since"] > drain_s
+
+    def give_up_drain(self, host: HostState) -> None:
+        """Take back the drain of a host that didn't become empty in time."""
+        waited = self.now - host["since"]
+        self.undrain(host, f"{status_codes.HOST_WONT_DRAIN}: not empty after {waited:.0f} s")
+
+    def is_stuck(self, host: HostState) -> bool:
+        """Whether a host that wouldn't drain is still to be left alone."""
+        if not host["reason"].startswith(str(status_codes.HOST_WONT_DRAIN)):
+            return False
+        return self.now - host["since"] < self.fleet.policy["maintain_every_s"] * RETRY_SHARE
+
     def keep(self, count: int) -> None:
         """Take back all steps but the first ``count``, made since the last host was withheld."""
         while len(self.steps) > count:
--- a/mustardgap/reasons.py
+++ b/mustardgap/reasons.py
@@ -6,7 +6,7 @@
 from .placements import Fleet, Group, is_planned
 from .planners import plan
 from .plans import Step
-from .waves import INCLUDE_FROM, VISIT_AT
+from .waves import INCLUDE_SHARE, visit_age
 
 HOUR_S = 3600.0
 
@@ -107,9 +107,10 @@
     text = f"it was last maintained {_hours(age)}, of {period / HOUR_S:.0f} hours allowed"
     if host["wave"]:
         return f"{text}; it is out for wave {host['wave']}"
-    if age > period * INCLUDE_FROM:
-        return f"{text}; it is due when its service is next visited"
-    return f"{text}; it is due in {(period * VISIT_AT - age) / HOUR_S:.1f} hours"
+    due = visit_age(fleet)
+    if age > due * INCLUDE_SHARE:
+        return f"{text}; it is done when its service is next visited"
+    return f"{text}; it is due in {(due - age) / HOUR_S:.1f} hours"
 
 
 def _next_steps(state: Any, now: float, pools: set[str]) -> list[str]:
--- a/mustardgap/waves.py
+++ b/mustardgap/waves.py
@@ -6,26 +6,27 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
+from functools import partial
 from typing import Any
 
 from . import status_codes
-from .candidates import Candidates, find_donation
+from .candidates import Wanted, adds_margin, crowding, exchange, find_donation
 from .models import HostState, WaveState
 from .placements import SPARE_POOL, Fleet, Group
 from .plans import Draft, Step
 from .settings import CapacitySettings
+from .states import domain_of
 
 STANDING_WAVE = "standing"
-# The standing wave turns to a service when its longest untouched host has waited for this share of
-# the period, and then does all of its hosts that have waited for the lesser share.
-VISIT_AT = 0.5
-INCLUDE_FROM = 0.25
-# The pace is such that the whole fleet takes this share of the period, so that a tenth is left for
-# pauses when all hosts come due together.
+# So many hosts are out at once that a round through the whole fleet takes at most this share of the
+# period. A round starts so early that it could take a quarter longer and still leave a tenth.
 ROUND_SHARE = 0.4
-# A host that wouldn't drain is left alone for this share of the period.
-RETRY_SHARE = 1 / 14
+ROUND_SLACK = 1.25
+PERIOD_SLACK = 0.1
+# A visited service has its hosts done together that have waited for this share of the time after
+# which the visit was due, so that it isn't visited for each of them.
+INCLUDE_SHARE = 0.5
 
 
 class Waves:
@@ -47,8 +48,9 @@
         self._now = draft.now
         self._settings = settings
         self._period = draft.fleet.policy["maintain_every_s"]
+        self._visit_age = visit_age(draft.fleet)
         self._started = sorted(
-            (w for w in waves if w["phase"] != "finished"), key=lambda w: (w["since"], w["wave"])
+            (w for w in waves if w["phase"] != "finished"), key=lambda w: (w["started"], w["wave"])
         )
         self._started_by_group: dict[str, dict[str, str]] = {}
         self._standing_names: set[str] = set()
@@ -82,11 +84,8 @@
         if host["phase"] == "drained":
             self._draft.reboot(host, f"wave {host['wave']}")
         elif host["phase"] == "draining":
-            group = self._fleet.groups_by_pool.get(host["pool"])
-            drain_s = group.requirement.drain_s if group else self._settings.return_timeout_s
-            if waited > drain_s:
-                code = status_codes.HOST_WONT_DRAIN
-                self._draft.undrain(host, f"{code}: not empty after {waited:.0f} s")
+            if self._draft.is_overdue(host):
+                self._draft.give_up_drain(host)
         elif waited > max(self._settings.return_timeout_s, self._fleet.policy["reboot_s"]):
             code = status_codes.HOST_WONT_RETURN
             self._draft.set_aside(host, f"{code}: not back after {waited:.0f} s")
@@ -96,11 +95,11 @@
         is_done = True
         for host_id in wave["hosts"]:
             host = hosts_by_id.get(host_id)
-            if host is None or host["maintained"] >= wave["since"]:
+            if host is None or host["maintained"] >= wave["started"]:
                 continue
             if host["wave"] and host_id in self._fleet.out_ids:
                 is_done = False
-            elif host["phase"] == "in_service" and not self._is_stuck(host):
+            elif host["phase"] == "in_service" and not self._draft.is_stuck(host):
                 is_done = False
                 if wave["phase"] == "running":
                     group = self._fleet.groups_by_pool.get(host["pool"])
@@ -113,7 +112,7 @@
         for name, group in self._fleet.groups_by_name.items():
             oldest = group.oldest_maintained()
             age = 0.0 if oldest is None else self._now - oldest
-            if age > self._period * VISIT_AT:
+            if age > self._visit_age:
                 self._standing_names.add(name)
             if age > self._period:
                 late = f"{(age - self._period) / 3600:.1f} hours"
@@ -124,22 +123,17 @@
         started = self._started_by_group.get(name, {})
         due: dict[str, str] = {}
         is_standing = name in self._standing_names
-        last = self._now - self._period * INCLUDE_FROM
+        last = self._now - self._visit_age * INCLUDE_SHARE
         for host in hosts:
             host_id = host["host"]
             if host_id in self._draft.touched:
                 continue
             if host_id in started:
                 due[host_id] = started[host_id]
-            elif is_standing and host["maintained"] < last and not self._is_stuck(host):
+            elif is_standing and host["maintained"] < last and not self._draft.is_stuck(host):
                 due[host_id] = STANDING_WAVE
         return due
 
-    def _is_stuck(self, host: HostState) -> bool:
-        if not host["reason"].startswith(str(status_codes.HOST_WONT_DRAIN)):
-            return False
-        return self._now - host["since"] < self._period * RETRY_SHARE
-
     def _visit_order(self, name: str) -> tuple[bool, bool, float, str]:
         group = self._fleet.groups_by_name[name]
         return not group.out_ids, not group.is_over, group.oldest_maintained() or 0.0, name
@@ -183,42 +177,46 @@
         elif self._find_stand_in(group, due):
             return True
         else:
-            self._wait(group, "it has no margin, and there is no spare host to stand in")
+            self._wait(group, "it has no margin, and no spare host is of use as a stand-in")
+        # Its surplus, if any, is of no use to it now, and may be just what another service needs.
+        self.held_names.discard(group.requirement.name)
         return False
 
     def _find_stand_in(self, group: Group, due: dict[str, str]) -> bool:
+        hosts = (self._fleet.hosts_by_id[host_id] for host_id in due)
+        domains = {domain_of(host["facts"], group.requirement.survive) for host in hosts}
+        kinds = (partial(adds_margin, group), partial(_is_in, domains, group))
+        # A host that was emptied for this already comes before all others.
+        if any(self._assign_stand_in(group, kind, self._fleet.emptied_ids) for kind in kinds):
+            return True
         weights = self._draft.weights
+        ways: list[Callable[[Group, Wanted], bool]] = [self._assign_stand_in, self._move_stand_in]
         # Surplus that is about to be given back costs one move when it goes on to the next service
         # at once, and two by way of the spare pool. Otherwise a spare host disturbs nobody.
-        if weights.buffer > weights.move and self._move_stand_in(group):
+        is_last = self._fleet.free_count <= self._fleet.policy["spare_hosts"]
+        if weights.buffer > weights.move or is_last:
+            ways.reverse()
+        if any(way(group, kind) for kind in kinds for way in ways):
             return True
-        return self._assign_stand_in(group, due) or self._move_stand_in(group)
-
-    def _assign_stand_in(self, group: Group, due: dict[str, str]) -> bool:
-        fitting = (self._fleet.hosts_by_id[h] for h in due)
-        domains = {_place(host)[0] for host in fitting}
-        host = Candidates(fleet=self._fleet, group=group).take()
+        return exchange(self._draft, group, partial(adds_margin, group))
+
+    def _assign_stand_in(
+        self, group: Group, wanted: Wanted, among: Collection[str] | None = None
+    ) -> bool:
+        if among is None:
+            among = [h for ids in self._fleet.free_ids_by_rack.values() for h in ids]
+        hosts = [self._fleet.hosts_by_id[h] for h in among if h not in self._draft.touched]
+        fitting = [host for host in hosts if wanted(host)]
+        host = min(fitting, key=partial(crowding, group), default=None)
         if host is None:
             return False
-        if group.margin_with(host) <= group.margin:
-            host = self._free_host_in(domains) or host
-        reason = f"stands in while {len(due)} hosts of {group.requirement.name} are maintained"
+        reason = f"stands in while hosts of {group.requirement.name} are maintained"
         self._draft.assign(host, group.pool_for_next(), reason)
         return True
 
-    def _free_host_in(self, data_centers: set[str]) -> HostState | None:
-        hosts = (
-            self._fleet.hosts_by_id[h] for ids in self._fleet.free_ids_by_rack.values() for h in ids
-        )
-        fitting = [h for h in hosts if _place(h)[0] in data_centers]
-        return min(fitting, key=lambda h: (*_place(h), h["host"]), default=None)
-
-    def _move_stand_in(self, group: Group) -> bool:
-        if self._draft.pending:
-            self._draft.pending -= 1
-            return True
+    def _move_stand_in(self, group: Group, wanted: Wanted) -> bool:
         idle = self._fleet.over_names - self.held_names
-        host = find_donation(self._draft, group, self.held_names)
+        host = find_donation(self._draft, group, wanted, self.held_names)
         if host is None:
             return any(not self._draft.is_settled(self._fleet.groups_by_name[n]) for n in idle)
         reason = f"stands in while hosts of {group.requirement.name} are maintained"
@@ -227,11 +225,11 @@
 
     def _visit_spares(self, limit: int) -> None:
         started = self._started_by_group.get(SPARE_POOL, {})
-        last = self._now - self._period * VISIT_AT
+        last = self._now - self._visit_age
         free = (h for ids in self._fleet.free_ids_by_rack.values() for h in ids)
         hosts = [self._fleet.hosts_by_id[h] for h in free if h not in self._draft.touched]
         due = [h for h in hosts if h["host"] in started or h["maintained"] < last]
-        due = [h for h in due if h["phase"] == "in_service" and not self._is_stuck(h)]
+        due = [h for h in due if h["phase"] == "in_service" and not self._draft.is_stuck(h)]
         # The last spare is the wave's only stand-in: it is done when no service needs it.
         is_needed = bool(self.held_names or self._fleet.short_names)
         if not due or len(self._fleet.out_ids) >= limit or (len(hosts) < 2 and is_needed):
@@ -254,11 +252,20 @@
 
 def most_out(fleet: Fleet) -> int:
     """How many hosts may be out at once so that a round takes its share of the period."""
-    hosts = len(fleet.hosts_by_id)
+    return max(1, math.ceil(_round_s(fleet) / (fleet.policy["maintain_every_s"] * ROUND_SHARE)))
+
+
+def visit_age(fleet: Fleet) -> float:
+    """How many seconds after its last maintenance a host is due, so that a round ends in time."""
+    round_s = _round_s(fleet) / most_out(fleet)
+    return fleet.policy["maintain_every_s"] * (1 - PERIOD_SLACK) - round_s * ROUND_SLACK
+
+
+def _round_s(fleet: Fleet) -> float:
+    """Seconds that a round would take with one host out at a time."""
     groups = fleet.groups_by_name.values()
-    drain_s = sum(g.size * g.requirement.drain_s for g in groups) / max(1, hosts)
-    cycle_s = fleet.policy["reboot_s"] + drain_s
-    return max(1, math.ceil(hosts * cycle_s / (fleet.policy["maintain_every_s"] * ROUND_SHARE)))
+    drain_s = sum(g.size * g.requirement.drain_s for g in groups)
+    return len(fleet.hosts_by_id) * fleet.policy["reboot_s"] + drain_s
 
 
 def next_steps(
@@ -276,5 +283,10 @@
     return draft.steps
 
 
+def _is_in(domains: set[str], group: Group, host: HostState) -> bool:
+    """Whether a host stands in one of these domains: there it lets others go, one at a time."""
+    return domain_of(host["facts"], group.requirement.survive) in domains
+
+
 def _place(host: HostState) -> tuple[str, str]:
     return host["facts"]["data_center"], host["facts"]["rack"]
