Complete names in the shell and answer sooner while the log is out

Cause: with the log known to be out a change took 10 s an entry host, 30 s for three, to be refused; and a shell completed commands but not the names that they take. Ruled out: refusing without a try (the log may be back before this entry host has noticed). Conclusion: 5 s for a write, 1 s once the log is known to be out; hosts, jobs and waves complete.

--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -170,14 +170,23 @@
         ), path
     for shell in SHELLS:
         assert "_MUSTARDGAP_COMPLETE" in run_command("completion", shell).stdout, shell
-    shown = run_command(
-        env={
-            "_MUSTARDGAP_COMPLETE": "bash_complete",
-            "COMP_WORDS": "mustardgap jo",
-            "COMP_CWORD": "1",
-        }
-    )
-    assert "jobs" in shown.stdout, shown
+    assert "jobs" in completed(context, "jo")
+    assert "audit" in completed(context, "jobs", "status", "au")
+    context.entries.stop(0)
+    assert completed(context, "jobs", "status", "au").strip() == ""
+
+
+def completed(context, *words):
+    """What bash is offered for the last of the words, with the first entry host."""
+    env = {
+        "_MUSTARDGAP_COMPLETE": "bash_complete",
+        "COMP_WORDS": " ".join(("mustardgap", *words)),
+        "COMP_CWORD": str(len(words)),
+        "MUSTARDGAP_ENTRY": context.entries.addresses[0],
+    }
+    result = run_command(env=env)
+    assert result.stderr == "", result
+    return result.stdout
 
 
 def _leaves(path, command):
--- a/mustardgap/command_options.py
+++ b/mustardgap/command_options.py
@@ -1,12 +1,14 @@
 """The options that all commands share, and running a command's calls."""
 
 import asyncio
+import contextlib
 import math
 import os
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, TypeVar
 
 import click
+from click.shell_completion import CompletionItem
 
 from . import status_codes
 from .__version__ import __version__
@@ -17,6 +19,8 @@
 
 T = TypeVar("T")
 
+COMPLETION_TIMEOUT_S = 1.0
+
 EPILOG = """\b
 Examples:
   mustardgap status
@@ -93,6 +97,36 @@
     ctx.obj = Options(_entries(entries), output, call_timeout, tls)
 
 
+class NameType(click.ParamType):
+    """A name of something, which a shell can complete by asking an entry host.
+
+    :param collection: such as ``hosts`` or ``jobs``.
+    """
+
+    name = "name"
+
+    def __init__(self, collection: str) -> None:
+        self.collection = collection
+
+    def shell_complete(
+        self, ctx: click.Context, param: click.Parameter, incomplete: str
+    ) -> list[CompletionItem]:
+        """The names that begin like this."""
+        shared = ctx.find_root().params
+        # Nothing may be printed while a shell completes, whatever goes wrong.
+        with contextlib.suppress(MustardgapError):
+            entries = _entries(tuple(shared.get("entries") or ()))
+            tls = _tls(*(shared.get(f"tls_{part}") for part in ("certificate", "key", "authority")))
+            names = asyncio.run(_names(entries, tls, self.collection))
+            return [CompletionItem(name) for name in names if name.startswith(incomplete)]
+        return []
+
+
+async def _names(entries: tuple[str, ...], tls: TlsSettings | None, collection: str) -> list[str]:
+    async with Client(entries=entries, timeout_s=COMPLETION_TIMEOUT_S, tls=tls) as client:
+        return sorted((await client.items(collection))["items"])
+
+
 def options() -> Options:
     """The shared options of the command that runs."""
     found = click.get_current_context().find_object(Options)
--- a/mustardgap/commands_jobs.py
+++ b/mustardgap/commands_jobs.py
@@ -8,7 +8,7 @@
 
 from . import status_codes
 from .clients import Client
-from .command_options import SecondsType, cli, emit, options, run
+from .command_options import NameType, SecondsType, cli, emit, options, run
 from .exceptions import MustardgapError
 from .explanations import explain_job
 from .models import JobSpec
@@ -52,7 +52,7 @@
 
 
 @jobs.command("status")
-@click.argument("job")
+@click.argument("job", type=NameType("jobs"))
 def job_status(job: str) -> None:
     """Show one job with its attempts.
 
@@ -85,7 +85,7 @@
 
 
 @jobs.command()
-@click.argument("names", metavar="JOB...", nargs=-1, required=True)
+@click.argument("names", metavar="JOB...", nargs=-1, required=True, type=NameType("jobs"))
 def cancel(names: tuple[str, ...]) -> None:
     """Cancel jobs; one that has ended stays as it is.
 
--- a/mustardgap/commands_waves.py
+++ b/mustardgap/commands_waves.py
@@ -6,13 +6,13 @@
 import click
 
 from . import status_codes
-from .command_options import cli, emit, run
+from .command_options import NameType, cli, emit, run
 from .exceptions import MustardgapError
 from .outputs import print_table
 
 
 @cli.command()
-@click.argument("host")
+@click.argument("host", type=NameType("hosts"))
 @click.option("--undrain", is_flag=True, help="Take a drain back.")
 @click.option("--reason", default="", help="Shown in the time line.")
 @click.option("--urgent", is_flag=True, help="The host goes away on short notice.")
@@ -83,7 +83,7 @@
 
 
 @wave.command()
-@click.argument("name", metavar="WAVE")
+@click.argument("name", metavar="WAVE", type=NameType("waves"))
 @click.option("--reason", default="", help="Shown in the time line.")
 def pause(name: str, reason: str) -> None:
     """Take no further hosts out; those that are out go on."""
@@ -91,7 +91,7 @@
 
 
 @wave.command()
-@click.argument("name", metavar="WAVE")
+@click.argument("name", metavar="WAVE", type=NameType("waves"))
 @click.option("--reason", default="", help="Shown in the time line.")
 def resume(name: str, reason: str) -> None:
     """Go on with a paused wave."""
@@ -99,7 +99,7 @@
 
 
 @wave.command()
-@click.argument("name", metavar="WAVE")
+@click.argument("name", metavar="WAVE", type=NameType("waves"))
 @click.option("--reason", default="", help="Shown in the time line.")
 def finish(name: str, reason: str) -> None:
     """End a wave before all its hosts are done."""
@@ -107,7 +107,7 @@
 
 
 @wave.command("status")
-@click.argument("name", metavar="[WAVE]", required=False, default="")
+@click.argument("name", metavar="[WAVE]", required=False, default="", type=NameType("waves"))
 def wave_status(name: str) -> None:
     """Show the waves, or one wave host by host.
 
--- a/mustardgap/operator_changes.py
+++ b/mustardgap/operator_changes.py
@@ -12,7 +12,9 @@
 from .operator_views import find, items_body
 from .outcomes import Accepted, Rejected, Verdict
 
-WRITE_TIMEOUT_S = 10.0
+WRITE_TIMEOUT_S = 5.0
+# With the log known to be out, an operator who waits learns nothing more.
+OUTAGE_TIMEOUT_S = 1.0
 STEP_TRIES = 5
 MAX_CANCELS = 10_000
 
@@ -79,10 +81,15 @@
             ids["change"] = record_id
         timeline.add(f"operators.{kind}", cause=str(body.get("reason", "")), **ids)
         verdict: Verdict = await self.log.write(
-            kind, body, timeout_s=WRITE_TIMEOUT_S, purpose="operators", record_id=record_id
+            kind, body, timeout_s=self._timeout_s(), purpose="operators", record_id=record_id
         )
         return verdict
 
+    def _timeout_s(self) -> float:
+        stale_after_s = self.operators.settings.platform.stale_after_s
+        is_out = self.log.fresh_s() > stale_after_s
+        return OUTAGE_TIMEOUT_S if is_out else WRITE_TIMEOUT_S
+
 
 class ChangesHandler(WritingHandler):
     """Changes of declarations."""
--- a/mustardgap/operators.py
+++ b/mustardgap/operators.py
@@ -19,7 +19,6 @@
 MAX_CONNECTIONS = 200
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
-WRITE_TIMEOUT_S = 10.0
 
 Explainer = Callable[[str], Any | Awaitable[Any]]
 
