Send again what a deputy may have lost; restart the drain rate after idleness

Cause: red first: the state machine found (1) that a Lend lost on its way to the deputy left its slots out of use for a second or more, (2) that the drain rate of an idle queue, near 0, made the first few who had to wait look hopeless. Then green: the deputy names the first Lend it lacks and gets ledger and grants again; the rate starts anew when a queue that was empty fills. Ruled out: refreshing the deputy's whole copy at each tick (bytes).

--- a/mustardgap/brokers.py
+++ b/mustardgap/brokers.py
@@ -196,7 +196,7 @@
 
     def tick(self) -> None:
         """Renew every vote and lease, and return what has been idle too long."""
-        for service in {*self.services(), *self.holdings_by_service}:
+        for service in dict.fromkeys([*self.services(), *self.holdings_by_service]):
             holding = self._holding(service)
             self._tidy(holding)
             self._follow(holding)
--- a/mustardgap/ledgers.py
+++ b/mustardgap/ledgers.py
@@ -65,20 +65,20 @@
         self.ask: Ask | None = None
         self.asked = 0.0
         self.lacks = 0
-        self.grants: deque[tuple[int, int]] = deque()
+        self.grants: deque[Grant] = deque()
 
     def note_ask(self, ask: Ask, asked: float) -> None:
         """Take in an ask; grants that it couldn't know of are on their way and count."""
-        while self.grants and self.grants[0][0] <= ask.number:
-            self.grants.popleft()
+        self.note_number(ask.number)
         self.ask = ask
         self.asked = asked
-        self.lacks = ask.count - sum(count for _, count in self.grants)
+        coming = sum(mask.bit_count() for grant in self.grants for mask in grant.slots.values())
+        self.lacks = ask.count - coming
 
-    def note_grant(self, slot_ids: list[SlotId]) -> None:
-        """Note slots that are lent to it now."""
-        self.number += 1
-        self.grants.append((self.number, len(slot_ids)))
+    def note_number(self, number: int) -> None:
+        """Take in which grants it has dealt with."""
+        while self.grants and self.grants[0].number <= number:
+            self.grants.popleft()
 
 
 class Blocked(NamedTuple):
@@ -137,6 +137,7 @@
         self.blocked_by_member: dict[str, Blocked] = {}
         self.deputy = ""
         self._sequence = 0
+        self._synced = -1
         self._mirrored: dict[str, Masks] | None = None
         self._majority_since = 0.0
         self._majority_until = 0.0
@@ -357,6 +358,7 @@
 
     def _settle(self, f: Follower, message: Follow) -> None:
         """Free what the member doesn't hold of the grants it has dealt with."""
+        f.note_number(message.number)
         for slot_id, number in list(f.numbers_by_id.items()):
             held = message.held.get(slot_id.executor, 0) >> slot_id.position & 1
             if number <= message.number and not held:
@@ -471,15 +473,18 @@
 
     def _lend(self, member_id: str, slot_ids: list[SlotId]) -> None:
         f = self.followers_by_id[member_id]
-        f.note_grant(slot_ids)
+        f.number += 1
         grant = Grant(self.service, f.session, f.number, masks_of(slot_ids))
-        self._sequence += 1
+        f.grants.append(grant)
         metrics.slots_lent.add(len(slot_ids))
+        self._pass_on(member_id, grant)
+
+    def _pass_on(self, member_id: str, grant: Grant) -> None:
         if not self.deputy:
             self.send(member_id, grant)
             return
-        lend = Lend(self.service, self.term, self._sequence, member_id, grant)
-        self.send(self.deputy, lend)
+        self._sequence += 1
+        self.send(self.deputy, Lend(self.service, self.term, self._sequence, member_id, grant))
 
     def _recall(self, now: float) -> None:
         """Tell the members that hold slots that others wait, again until none does."""
@@ -518,7 +523,7 @@
             return
         fits = copy is not None and (copy.term, copy.home) == (message.term, sender.id)
         if copy is None or not fits or message.sequence != copy.sequence + 1:
-            self.send(sender.id, MirrorLost(self.service, message.term))
+            self.send(sender.id, MirrorLost(self.service, message.term, message.sequence))
             return
         copy.sequence = message.sequence
         held = copy.held_by_member.setdefault(message.member, {})
@@ -527,10 +532,19 @@
         self.send(message.member, message.grant)
 
     def take_mirror_lost(self, sender: Member, message: MirrorLost) -> None:
-        """Send the deputy the whole ledger again."""
-        if sender.id == self.deputy and message.term == self.term:
-            self._mirrored = None
-            self._mirror()
+        """Send the deputy the whole ledger again, and then what it may not have passed on.
+
+        A grant that comes twice does no harm: members ignore numbers they have dealt with.
+        """
+        known = sender.id == self.deputy and message.term == self.term
+        if not known or message.sequence <= self._synced or self.phase < Phase.confirming:
+            return
+        self._synced = self._sequence
+        self._mirrored = None
+        self._mirror()
+        for member_id, f in self.followers_by_id.items():
+            for grant in f.grants:
+                self._pass_on(member_id, grant)
 
     def take_mirror_ask(self, sender: Member, message: MirrorAsk) -> None:
         """Hand the copy to a new home, and seal it: it must not miss what is noted later."""
--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -1,5 +1,6 @@
 """What entry hosts say to each other, as tagged msgpack structs, and their codec."""
 
+from math import inf
 from typing import Any
 
 import msgspec
@@ -60,10 +61,15 @@
 
 
 class Records(Message, tag=3, frozen=True, array_like=True):
-    """Records of the log that the peer may lack; ``first`` is the first one's offset."""
+    """Records of the log that the peer may lack; ``first`` is the first one's offset.
+
+    ``end`` is the sender's offset, ``age_s`` the seconds since it last knew that it was current.
+    """
 
     first: int
     records: list[tuple[int, float, dict[str, Any]]]
+    end: int = -1
+    age_s: float = inf
 
 
 class RecordsAsk(Message, tag=4, frozen=True, array_like=True):
@@ -208,10 +214,11 @@
 
 
 class MirrorLost(Message, tag=20, frozen=True, array_like=True):
-    """The deputy lacks what came before; it needs the whole ledger again."""
+    """The deputy lacks what came before ``sequence``; it needs the whole ledger again."""
 
     service: str
     term: int
+    sequence: int
 
 
 class MirrorAsk(Message, tag=21, frozen=True, array_like=True):
--- a/mustardgap/queues.py
+++ b/mustardgap/queues.py
@@ -17,6 +17,8 @@
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 RATE_WINDOW_S = 2.0
+UNKNOWN_S = 0.25
+IDLE_S = 0.5
 
 
 class Rate:
@@ -29,29 +31,32 @@
     def __init__(self, *, clock: Clock, window_s: float = RATE_WINDOW_S) -> None:
         self.clock = clock
         self.window_s = window_s
-        self._value = 0.0
-        self._started: float | None = None
-        self._at = 0.0
+        self._count = 0.0
+        self._started = self._at = clock.monotonic()
 
-    def add(self, count: float = 1.0) -> None:
-        """Count events that happen now."""
-        now = self.clock.monotonic()
-        if self._started is None:
-            self._started = now
-        self._decay(now)
-        self._value += count / self.window_s
+    def restart(self) -> None:
+        """Forget what was counted."""
+        self._count = 0.0
+        self._started = self._at = self.clock.monotonic()
+
+    def add(self) -> None:
+        """Count an event that happens now."""
+        self._decay()
+        self._count += 1.0
+
+    def age_s(self) -> float:
+        """Seconds over which was counted."""
+        return self.clock.monotonic() - self._started
 
     def per_s(self) -> float:
-        """Events a second, corrected for the time before the first; 0 when none is known of."""
-        if self._started is None:
-            return 0.0
-        now = self.clock.monotonic()
-        self._decay(now)
-        age = max(now - self._started, 0.05 * self.window_s)
-        return self._value / (1.0 - math.exp(-age / self.window_s))
+        """Events a second, corrected for the time before the start."""
+        self._decay()
+        age_s = max(self.age_s(), 0.01)
+        return self._count / (self.window_s * (1.0 - math.exp(-age_s / self.window_s)))
 
-    def _decay(self, now: float) -> None:
-        self._value *= math.exp(-(now - self._at) / self.window_s) if self._at else 1.0
+    def _decay(self) -> None:
+        now = self.clock.monotonic()
+        self._count *= math.exp(-(now - self._at) / self.window_s)
         self._at = now
 
 
@@ -93,6 +98,7 @@
         self.mean_hold_s = 0.0
         self._by_urgency: list[deque[Waiter]] = [deque() for _ in range(LEAST_URGENT + 1)]
         self._count = 0
+        self._busy = -IDLE_S
 
     def __len__(self) -> int:
         return self._count
@@ -111,18 +117,20 @@
 
     def expected_wait_s(self, ahead: int) -> float:
         """Seconds until one with so many ahead has its turn, by the recent drain rate."""
-        if ahead <= 0:
+        age_s = self.drain.age_s()
+        if ahead <= 0 or age_s < UNKNOWN_S:
             return 0.0
-        rate = self.drain.per_s()
-        if rate <= 0.0:
-            return 0.0
-        return ahead / rate
+        return ahead / max(self.drain.per_s(), 1.0 / age_s)
 
     def push(self, waiter: Waiter) -> None:
         """Let a request wait.
 
         :raises SlotRefused: MG1100 when its wait would outlast its patience.
         """
+        now = self.clock.monotonic()
+        if not self._count and now > self._busy + IDLE_S:
+            # How few were served while nobody waited says nothing of how many can be.
+            self.drain.restart()
         ahead = self.ahead(waiter.urgency)
         if self._hopeless(waiter, ahead):
             raise self.refused(status_codes.QUEUE_FULL)
@@ -138,6 +146,7 @@
         except ValueError:
             return
         self._count -= 1
+        self._busy = self.clock.monotonic()
         metrics.queue_length.add(-1, {"service": self.service})
 
     def shed(self) -> None:
--- a/tools/fake_fleet.py
+++ b/tools/fake_fleet.py
@@ -14,7 +14,7 @@
 from mustardgap.messages import AnyMessage, Frame, Item, encode
 from mustardgap.settings import Settings
 from mustardgap.shares import FixedShares, LeastInFlight
-from mustardgap.slots import Slot, Slots
+from mustardgap.slots import Slots
 from mustardgap.timers import Clock, Timers
 
 
@@ -103,7 +103,9 @@
         self._handlers: dict[type, Callable[[Member, Any], Any]] = {}
 
     def send(self, member_id: str, message: AnyMessage) -> bool:
-        """Send a message."""
+        """Send a message; a paused process sends nothing."""
+        if self.held_back is not None:
+            return False
         self.network.post(self.members.me.id, member_id, message)
         return True
 
@@ -162,18 +164,23 @@
             timers=self.timers,
             max_wait_s=lambda service: fleet.max_wait_s,
         )
-        self.tasks = [asyncio.create_task(self.slots.run())]
         self.slots.way = self.way = self._way(way)
-        self.uses: dict[int, tuple[Slot, asyncio.TimerHandle]] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        self.run()
+
+    def run(self) -> None:
+        """Start the tasks."""
+        runs = [self.slots.run, self.way.run] if hasattr(self.way, "run") else [self.slots.run]
+        self.tasks = [asyncio.create_task(run()) for run in runs]
+        if isinstance(self.way, LeastInFlight):
+            self.tasks.append(asyncio.create_task(self._publish(self.way)))
 
     def _way(self, way: str) -> Any:
         if way == "fixed":
             return FixedShares(slots=self.slots, members=self.members)
         if way == "least":
-            least = LeastInFlight(slots=self.slots, gossiper=self.gossip)  # type: ignore[arg-type]
-            self.tasks.append(asyncio.create_task(self._publish(least)))
-            return least
-        broker = Broker(
+            return LeastInFlight(slots=self.slots, gossiper=self.gossip)  # type: ignore[arg-type]
+        return Broker(
             slots=self.slots,
             members=self.members,
             peers=self.peers,
@@ -182,14 +189,25 @@
             services=lambda: self.fleet.executors.views_by_service,
             max_hold_s=lambda service: self.fleet.hold_s,
         )
-        self.tasks.append(asyncio.create_task(broker.run()))
-        return broker
 
     async def _publish(self, least: LeastInFlight) -> None:
         while True:
             await asyncio.sleep(self.fleet.gossip_s)
             least.publish()
 
+    def freeze(self) -> None:
+        """Stop running, as a process does that was sent SIGSTOP."""
+        self.peers.held_back = []
+        for task in self.tasks:
+            task.cancel()
+
+    def thaw(self) -> None:
+        """Go on, with the messages that came meanwhile."""
+        held_back, self.peers.held_back = self.peers.held_back or [], None
+        for sender, message in held_back:
+            self.peers.arrive(sender, message)
+        self.run()
+
     def end(self) -> None:
         """Stop the tasks, as a killed process does."""
         self.alive = False
@@ -233,8 +251,11 @@
         raw = {"host": host, "data_center": "d", "platform": {"address": "127.0.0.1:1"}}
         return msgspec.convert(raw, Settings)
 
-    def add(self, host: str) -> Entry:
-        """Start an entry host; it and the others learn of each other at once."""
+    def add(self, host: str, *, introduced: bool = True) -> Entry:
+        """Start an entry host.
+
+        :param introduced: it and the others learn of each other at once.
+        """
         self._incarnations += 1
         entry = Entry(
             fleet=self,
@@ -245,7 +266,7 @@
         )
         self.network.entries_by_id[entry.members.me.id] = entry
         for other in self.entries:
-            if other.alive:
+            if other.alive and introduced:
                 introduce(other, entry)
                 introduce(entry, other)
         self.entries.append(entry)
--- /dev/null
+++ b/tools/slots_machine.py
@@ -0,0 +1,255 @@
+"""A hypothesis state machine: entry hosts share slots while they die, part, freeze and return."""
+
+import asyncio
+import random
+from collections import Counter
+from typing import Any, ClassVar
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from mustardgap.exceptions import SlotRefused
+from mustardgap.members import MemberState
+
+from .fake_fleet import Entry, FakeExecutors, FakeNetwork, Fleet, introduce
+from .virtual_time import VirtualClock, VirtualLoop
+
+SERVICE = "s0"
+HOLD_S = 4.0
+DETECT_S = (0.3, 4.0)
+UNLIST_S = (5.0, 9.0)
+HEAL_S = 45.0
+
+
+class SlotsMachine(RuleBasedStateMachine):
+    """Entry hosts on virtual time, and executors that count what runs on them."""
+
+    entries_count: ClassVar[int] = 8
+    network_kind: ClassVar[str] = "orderly"
+    events: ClassVar[str] = ""
+    way: ClassVar[str] = "lending"
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed: int) -> None:
+        """Start the fleet."""
+        self.random = random.Random(seed)
+        random.seed(seed)
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.orderly = self.network_kind == "orderly"
+        self.executors = FakeExecutors(executors=2)
+        self.network = FakeNetwork(delay_s=self._delay, seed=seed)
+        self.network.in_order = self.network_kind != "reordering"
+        self.frozen: dict[str, Entry] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        self.given = 0
+        self.refused: Counter[str] = Counter()
+        self._run(self._start())
+        if self.network_kind == "lossy":
+            self.network.lost_ratio = 0.05
+
+    def teardown(self) -> None:
+        """End the loop."""
+        if not hasattr(self, "loop"):
+            return
+        for entry in self.fleet.entries:
+            entry.end()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+        self.loop.close()
+
+    @rule(count=st.integers(10, 60), hold_s=st.floats(0.01, 6.0))
+    def ask(self, count: int, hold_s: float) -> None:
+        """Ask for slots at entry hosts."""
+
+        async def ask() -> None:
+            for _ in range(count):
+                entry = self.random.choice(self._awake())
+                hold = self.random.uniform(0.01, hold_s)
+                self.tasks.append(asyncio.create_task(self._use(entry, hold)))
+
+        self._run(ask())
+
+    @rule(seconds=st.sampled_from([0.01, 0.2, 0.7, 1.6, 3.5, 8.0, 15.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self._run(asyncio.sleep(seconds))
+
+    @precondition(lambda self: "killed" in self.events and len(self._awake()) > 2)
+    @rule(data=st.data(), replaced_s=st.floats(0.1, 10.0), same=st.booleans())
+    def kill(self, data: Any, replaced_s: float, same: bool) -> None:
+        """Kill an entry host; another takes its place under the same name or a new one."""
+        entry = data.draw(st.sampled_from(self._awake()))
+        self._run(self._kill(entry, replaced_s, same))
+
+    @precondition(lambda self: "parted" in self.events)
+    @rule(data=st.data())
+    def part(self, data: Any) -> None:
+        """Cut the network in two parts."""
+        alive = [e for e in self.fleet.entries if e.alive]
+        some = data.draw(st.sets(st.sampled_from(alive), min_size=1, max_size=len(alive)))
+        for a in alive:
+            for b in alive:
+                if (a in some) != (b in some):
+                    self.network.cut_pairs.add(frozenset((a.members.me.id, b.members.me.id)))
+                    self._later(DETECT_S, self._suspect_if_cut, a, b)
+
+    @precondition(lambda self: "parted" in self.events and self.network.cut_pairs)
+    @rule()
+    def heal(self) -> None:
+        """Mend the network."""
+        self.network.cut_pairs.clear()
+        for a in self.fleet.entries:
+            for b in self.fleet.entries:
+                self._later((0.1, 1.0), self._meet, a, b)
+
+    @precondition(lambda self: "frozen" in self.events and len(self._awake()) > 1)
+    @rule(data=st.data())
+    def freeze(self, data: Any) -> None:
+        """Stop an entry host's process."""
+        entry = data.draw(st.sampled_from(self._awake()))
+        self.frozen[entry.members.me.id] = entry
+        entry.freeze()
+        for other in self.fleet.entries:
+            self._later((3.0, 5.0), self._suspect_if_frozen, other, entry)
+
+    @precondition(lambda self: self.frozen)
+    @rule()
+    def thaw(self) -> None:
+        """Let frozen processes go on."""
+        for entry in list(self.frozen.values()):
+            self._thaw(entry)
+
+    def finish(self) -> None:
+        """Mend everything and see that every slot can be had."""
+        self.thaw()
+        self.heal()
+        self.network.lost_ratio = 0.0
+        self.network.in_order = self.orderly = True
+        self._run(asyncio.sleep(HEAL_S))
+        assert not any(self.executors.running.values()), self.executors.running
+        self._run(self._use_all())
+
+    async def _start(self) -> None:
+        self.fleet = Fleet(
+            network=self.network,
+            executors=self.executors,
+            way=self.way,
+            clock=VirtualClock(loop=self.loop),
+            hold_s=HOLD_S,
+        )
+        for i in range(self.entries_count):
+            self.fleet.add(f"e{i}")
+        await asyncio.sleep(5)
+
+    async def _use(self, entry: Entry, hold_s: float) -> None:
+        asked = self.loop.time()
+        try:
+            slot = await entry.slots.acquire(SERVICE, deadline=asked + HOLD_S)
+        except SlotRefused as exc:
+            self.refused[exc.outcome.code.name] += 1
+            assert self.loop.time() - asked <= self.fleet.max_wait_s + 0.01
+            return
+        if not entry.alive:
+            return
+        now = self.loop.time()
+        assert entry.members.me.id not in self.frozen
+        self.given += 1
+        executor = slot.executor.executor
+        self.executors.start(executor)
+        running = self.executors.running[executor]
+        assert running <= slot.executor.slots, f"{running} requests run on {executor}"
+        await asyncio.sleep(min(hold_s, slot.deadline - now))
+        # A request runs on at its executor when its entry host has died.
+        self.executors.end(executor)
+        if entry.alive:
+            entry.slots.release(slot)
+
+    async def _use_all(self) -> None:
+        self.refused.clear()
+        total = sum(v.slots for v in self.executors.candidates(SERVICE))
+        for _ in range(total * 2):
+            entry = self.random.choice(self._awake())
+            self.tasks.append(asyncio.create_task(self._use(entry, 3.5)))
+        for _ in range(19):
+            await asyncio.sleep(0.1)
+            if sum(self.executors.running.values()) == total:
+                break
+        assert sum(self.executors.running.values()) == total, (self.executors.running, self.refused)
+        await asyncio.gather(*self.tasks)
+
+    async def _kill(self, entry: Entry, replaced_s: float, same: bool) -> None:
+        entry.end()
+        gone = entry.members.me
+        del self.network.entries_by_id[gone.id]
+        for other in self.fleet.entries:
+            self._later(DETECT_S, other.members.suspect, gone.id)
+            self._later((16.0, 20.0), self._dead, other, gone.id)
+            if not same:
+                self._later(UNLIST_S, self._unlist, other, gone.host)
+        host = gone.host if same else f"{gone.host}x"
+        self.loop.call_later(replaced_s, self._replace, host, gone.id)
+
+    def _replace(self, host: str, gone: str) -> None:
+        known = [e for e in self.fleet.entries if e.alive]
+        entry = self.fleet.add(host, introduced=False)
+        for other in known:
+            self._later((0.05, 3.0), self._meet, other, entry)
+            self._later((0.05, 3.0), self._meet, entry, other)
+            if host == gone.split("@")[0]:
+                self._later((0.05, 3.0), self._dead, other, gone)
+
+    def _meet(self, entry: Entry, other: Entry) -> None:
+        pair = frozenset((entry.members.me.id, other.members.me.id))
+        if entry is other or not (entry.alive and other.alive) or pair in self.network.cut_pairs:
+            return
+        if entry.members.me.id in self.frozen or other.members.me.id in self.frozen:
+            return
+        introduce(entry, other)
+
+    def _dead(self, entry: Entry, member_id: str) -> None:
+        m = entry.members.by_id.get(member_id)
+        if m is not None and m.state is not MemberState.live:
+            entry.members._put(m._replace(state=MemberState.dead))
+
+    def _unlist(self, entry: Entry, host: str) -> None:
+        entry.members.listed_hosts -= {host}
+
+    def _suspect_if_cut(self, entry: Entry, other: Entry) -> None:
+        pair = frozenset((entry.members.me.id, other.members.me.id))
+        if pair in self.network.cut_pairs:
+            entry.members.suspect(other.members.me.id)
+
+    def _suspect_if_frozen(self, entry: Entry, other: Entry) -> None:
+        if other.members.me.id in self.frozen:
+            entry.members.suspect(other.members.me.id)
+
+    def _thaw(self, entry: Entry) -> None:
+        del self.frozen[entry.members.me.id]
+        self._run(self._wake(entry))
+        for other in self.fleet.entries:
+            self._later((0.1, 1.0), self._meet, other, entry)
+
+    async def _wake(self, entry: Entry) -> None:
+        entry.thaw()
+
+    def _awake(self) -> list[Entry]:
+        return [e for e in self.fleet.entries if e.alive and e.members.me.id not in self.frozen]
+
+    def _delay(self) -> float:
+        if self.orderly:
+            return 0.0005
+        if self.random.random() < 0.02:
+            return self.random.uniform(0.1, 2.0)
+        return self.random.uniform(0.0005, 0.01)
+
+    def _later(self, within: tuple[float, float], callback: Any, *args: Any) -> None:
+        self.loop.call_later(self.random.uniform(*within), callback, *args)
+
+    def _run(self, coroutine: Any) -> None:
+        self.loop.run_until_complete(coroutine)
+        for task in [t for t in self.tasks if t.done()]:
+            self.tasks.remove(task)
+            task.result()
