Prove ejection, probes, slow return and leaving with six executors

Cause: an executor that was ejected was never probed while the others had slots to spare, as its share was the smallest; it now gets one full-share probe at a time, of a request that may be repeated. Ruled out: probes of the module's own (a grey executor answers those well); letting any request be the probe (a non-idempotent one would lose its outcome). Conclusion: Executors.begin says whether a request suits an executor; sessions ask it after they have got a slot and take another slot when it doesn't.

--- /dev/null
+++ b/features/executors.feature
@@ -0,0 +1,70 @@
+Feature: sick and leaving executors get no work that others could do
+  Executors die, freeze, answer slowly, fail a part of their requests or leave. What the service's
+  callers lose is bounded, and so is what is taken out of service for it.
+
+  Scenario Outline: of six executors one is <sick>
+    Requests go to all six. The sick one's failures are repeated elsewhere where that is safe, and
+    it is ejected after a few, so that it costs only the non-idempotent requests that it was given.
+
+    When executors get 600 <kind> requests while one of six is <sick>
+    Then executors answered at least <least> of them and the sick one got at most <most> tries
+
+    Examples:
+      | kind           | sick                | least | most |
+      | idempotent     | dead                | 600   | 40   |
+      | non-idempotent | dead                | 600   | 40   |
+      | idempotent     | resetting           | 600   | 40   |
+      | non-idempotent | resetting           | 560   | 40   |
+      | idempotent     | frozen              | 600   | 40   |
+      | idempotent     | failing             | 600   | 40   |
+      | idempotent     | failing 3 of 10     | 600   | 100  |
+      | idempotent     | refusing            | 600   | 40   |
+      | non-idempotent | refusing            | 600   | 40   |
+      | idempotent     | ten times as slow   | 600   | 60   |
+
+  Scenario Outline: of six executors with a budget of <budget>, <count> that are <sick> stay in use
+    Ejecting them all would leave the service with less than its budget, or the signs speak of the
+    requests and not of executors. What can't be ejected gets the smallest share of the work.
+
+    When executors with a budget of <budget> get requests while <count> of six are <sick>
+    Then executors ejected are at most <most>
+
+    Examples:
+      | budget | count | sick      | most |
+      | 1      | 4     | resetting | 3    |
+      | 5      | 4     | resetting | 1    |
+      | 6      | 2     | resetting | 0    |
+      | 1      | 6     | resetting | 3    |
+      | 1      | 6     | failing   | 0    |
+      | 1      | 6     | frozen    | 0    |
+
+  Scenario: an executor that was ejected comes back by a probe and slowly
+    Its time being over, it gets the smallest share, of requests that may be repeated. If it answers,
+    its share grows back; if it fails again, it is out for twice as long.
+
+    When executors have one that is sick, then well
+    Then executors saw it ejected, probing, ejected for longer, probing, returning and well
+    And executors gave it no non-idempotent request before it had answered a probe
+
+  Scenario Outline: an executor that leaves gets nothing new: <source>
+    When executors hear from <source> that one leaves
+    Then executors leave it out at once and give it back when it is up again
+
+    Examples:
+      | source                  |
+      | its answer              |
+      | a peer                  |
+      | the log                 |
+      | the platform's workers  |
+      | the platform's host list |
+
+  Scenario: a rack that fails takes one failure for each of its executors after the second
+    Two workers of a rack can't be reached. The third of that rack is ejected by its first failure,
+    an executor of another rack is not.
+
+    When executors of two workers of a rack can't be reached
+    Then executors elsewhere in that rack are ejected by one failure, and others aren't
+
+  Scenario: drawn signs never eject below the floor, and never one that does as well as the rest
+    When executors' signs are drawn
+    Then executors that stay are never fewer than the floor
--- /dev/null
+++ b/features/steps/executors_steps.py
@@ -0,0 +1,249 @@
+"""Steps for the choice and health of executors."""
+
+import asyncio
+import os
+
+from behave import then, when
+from hypothesis import HealthCheck
+from hypothesis import given as drawn
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+
+from features.steps.requests_steps import Rig
+from features.support.entries import SpreadSlots
+from mustardgap.healths import Sign
+from mustardgap.outliers import Outliers, Patient
+from mustardgap.settings import RequestsSettings
+from mustardgap.timelines import Timeline
+from mustardgap.timers import Clock
+
+LONG = os.environ.get("MUSTARDGAP_LONG") == "1"
+SIX = [f"x{number}" for number in range(1, 7)]
+SICK = {
+    "resetting": {"name": "reset_after_reading"},
+    "failing": {"name": "failing"},
+    "failing 3 of 10": {"name": "failing", "ratio": 0.3},
+    "refusing": {"name": "refusing"},
+    "ten times as slow": {"name": "slow", "factor": 10.0},
+}
+OK, HARD = Sign(False), Sign(True, hard=True)
+GONE = Sign(True, hard=True, unreachable=True)
+
+
+class FakeClock(Clock):
+    """A clock that stands still until it is moved."""
+
+    now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+
+class Six(Rig):
+    """Six executors behind one entry host that spreads its requests."""
+
+    def __init__(self, **options):
+        super().__init__(SIX, slots=SpreadSlots, **options)
+
+    def make_sick(self, sick, names):
+        for name in names:
+            executor = self.upstreams.by_name[name]
+            if sick == "dead":
+                executor.cut()
+            elif sick == "frozen":
+                executor.pause()
+            else:
+                self.fault(on=name, **SICK[sick])
+
+    async def ask_many(self, kind, count, at_once=12, timeout_s=2.0):
+        gate = asyncio.Semaphore(at_once)
+
+        async def one():
+            async with gate:
+                told = await self.ask(kind, query="run_s=0.01", timeout_s=timeout_s)
+            told.check(self.runs(told.path), kind == "idempotent")
+            return told
+
+        return await asyncio.gather(*(one() for _ in range(count)))
+
+
+@when("executors get {count:d} {kind} requests while one of six is {sick}")
+def one_of_six(context, count, kind, sick):
+    async def main():
+        async with Six() as r:
+            r.make_sick(sick, ["x1"])
+            told = await r.ask_many(kind, count)
+            context.answered = sum(t.code == 1000 and t.resp.code == 200 for t in told)
+            context.tries = r.entry.slots.given["x1"]
+
+    asyncio.run(main())
+
+
+@then("executors answered at least {least:d} of them and the sick one got at most {most:d} tries")
+def check_one_of_six(context, least, most):
+    seen = f"answered {context.answered}, tries of the sick one {context.tries}"
+    assert context.answered >= least and context.tries <= most, seen
+
+
+@when("executors with a budget of {budget:d} get requests while {many:d} of six are {sick}")
+def many_of_six(context, budget, many, sick):
+    async def main():
+        async with Six(min_hosts=budget) as r:
+            r.make_sick(sick, SIX[:many])
+            await r.ask_many("idempotent", 300, timeout_s=0.4)
+            patients = r.entry.executors.outliers.by_executor.values()
+            context.ejected = [p.executor for p in patients if p.state == "ejected"]
+            for executor in r.upstreams.by_name.values():
+                executor.resume()
+
+    asyncio.run(main())
+
+
+@then("executors ejected are at most {most:d}")
+def check_ejected(context, most):
+    assert len(context.ejected) <= most, context.ejected
+
+
+@when("executors have one that is sick, then well")
+def sick_then_well(context):
+    async def main():
+        async with Six(requests={"eject_s": 0.3, "slow_start_s": 0.4}) as r:
+            r.make_sick("resetting", ["x1"])
+            outliers = r.entry.executors.outliers
+            async with asyncio.timeout(30):
+                while outliers.by_executor["x1"].ejections < 2:
+                    await r.ask_many("idempotent", 12)
+                runs = len([run for run in r.runs() if run.executor == "x1"])
+                r.upstreams.faults.clear()
+                while outliers.by_executor["x1"].state != "probing":
+                    await r.ask_many("non-idempotent", 12)
+                await r.ask_many("non-idempotent", 48)
+                context.unproven = len([x for x in r.runs() if x.executor == "x1"]) - runs
+                while outliers.by_executor["x1"].state != "well":
+                    await r.ask_many("idempotent", 12)
+            context.kinds = [e.kind for e in outliers.timeline.events(executor="x1")]
+
+    asyncio.run(main())
+
+
+@then("executors saw it ejected, probing, ejected for longer, probing, returning and well")
+def check_return(context):
+    kinds = [kind.removeprefix("executor.") for kind in context.kinds]
+    assert kinds[:3] == ["ejected", "probing", "ejected"], kinds
+    assert kinds[-3:] == ["probing", "returning", "well"], kinds
+
+
+@then("executors gave it no non-idempotent request before it had answered a probe")
+def check_probe(context):
+    assert context.unproven == 0, context.unproven
+
+
+@when("executors hear from {source} that one leaves")
+def hear_leaving(context, source):
+    async def main():
+        async with Six() as r:
+            executors = r.entry.executors
+            views = lambda: [v.executor for v in executors.candidates("quotes")]  # noqa: E731
+            heard = []
+            executors.on_leaving(heard.append)
+            info, hosts = executors.workers.by_id["w-x1"], executors.state.hosts_by_name
+            if source == "its answer":
+                r.fault("leaving", on="x1")
+                await r.ask_many("idempotent", 60)
+                assert heard == ["x1"], heard
+                after = r.upstreams.by_name["x1"].show()["after_leaving"]
+                assert len(after) <= 12, "more than what was under way"
+            elif source == "a peer":
+                executors.leaving("x1", told=True)
+                assert not heard, "told back to the peers"
+            elif source == "the log":
+                hosts["w-x1"] = {"phase": "draining"}
+                executors.state.offset += 1
+            elif source == "the platform's host list":
+                executors.leaving_workers(["w-x1"])
+            else:
+                info["state"] = "draining"
+                executors.workers.callbacks[0]({"w-x1"})
+            context.left = views()
+            hosts["w-x1"] = {"phase": "in_service"}
+            executors.state.offset += 1
+            executors.leaving_workers([])
+            for state in ("rebooting", "up"):
+                info["state"] = state
+                executors.workers.callbacks[0]({"w-x1"})
+            context.back = views()
+
+    asyncio.run(main())
+
+
+@then("executors leave it out at once and give it back when it is up again")
+def check_leaving(context):
+    assert context.left == SIX[1:], context.left
+    assert sorted(context.back) == SIX, context.back
+
+
+def watch(floor=1, racks="aaabbb", on_change=lambda service: None):
+    """Six patients of one service on a clock that stands still."""
+    clock = FakeClock()
+    outliers = Outliers(
+        settings=RequestsSettings(),
+        clock=clock,
+        timeline=Timeline(member="e", clock=clock),
+        floor=lambda service: floor,
+        on_change=on_change,
+    )
+    for name, rack in zip(SIX, racks, strict=True):
+        patient = Patient(executor=name, service="quotes", worker=f"w-{name}", rack=rack)
+        outliers.add(patient, slowly=False)
+    return outliers
+
+
+@when("executors of two workers of a rack can't be reached")
+def rack_fails(context):
+    context.outliers = watch()
+    for name in ("x1", "x2", "x3", "x4"):
+        context.outliers.note(name, GONE, 0.5)
+
+
+@then("executors elsewhere in that rack are ejected by one failure, and others aren't")
+def check_rack(context):
+    states = {name: patient.state for name, patient in context.outliers.by_executor.items()}
+    assert states["x3"] == "ejected" and states["x4"] == "well", states
+
+
+@when("executors' signs are drawn")
+def draw_signs(context):
+    signs = st.sampled_from([OK, OK, OK, HARD, GONE, Sign(True)])
+    steps = st.lists(
+        st.tuples(st.sampled_from(SIX), signs, st.sampled_from([0.01, 0.01, 0.5]),
+                  st.sampled_from([0.0, 0.1, 1.0, 20.0])),
+        max_size=120,
+    )  # fmt: skip
+
+    @profile(
+        max_examples=3000 if LONG else 150,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @drawn(steps, st.integers(0, 6))
+    def example(drawn_steps, floor):
+        outliers = watch(floor)
+        failed = set()
+        for name, sign, took_s, pause_s in drawn_steps:
+            outliers.clock.now += pause_s
+            outliers.note(name, sign, took_s)
+            failed |= {name} if sign.failed or took_s > 0.1 else set()
+            weights = {name: outliers.weight(name) for name in SIX}
+            out = {name for name, weight in weights.items() if weight == 0.0}
+            assert 6 - len(out) >= max(floor, 3), weights
+            assert out <= failed, "ejected without a failure"
+            assert all(0.1 <= w <= 1.0 for n, w in weights.items() if n not in out), weights
+
+    example()
+
+
+@then("executors that stay are never fewer than the floor")
+def check_floor(context):
+    """The drawing step has checked it after each sign."""
--- a/features/support/entries.py
+++ b/features/support/entries.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import random
 import sys
+from collections import Counter
 from types import SimpleNamespace
 
 import msgspec
@@ -76,18 +78,54 @@
         self.held -= 1
 
 
+class SpreadSlots(FirstSlots):
+    """Gives the executor that has the least to do for its weight."""
+
+    def __init__(self, *, executors):
+        super().__init__(executors=executors)
+        self.held_by_executor = Counter()
+        self.given = Counter()
+
+    async def acquire(self, service, *, deadline, urgency, exclude):
+        views = self.executors.candidates(service)
+        if not views:
+            raise SlotRefused(outcome=NotRun(code=status_codes.NO_EXECUTOR))
+        rest = [v for v in views if v.executor not in exclude] or views
+        load = {v.executor: (self.held_by_executor[v.executor] + 1) / v.weight for v in rest}
+        least = [v for v in rest if load[v.executor] == min(load.values())]
+        view = random.choice(least)
+        self.held += 1
+        self.held_by_executor[view.executor] += 1
+        self.given[view.executor] += 1
+        return SimpleNamespace(executor=view)
+
+    def release(self, slot):
+        self.held -= 1
+        self.held_by_executor[slot.executor.executor] -= 1
+
+
 class Entry:
     """The request side of one entry host; ``executors`` are (executor, address, rack) rows."""
 
-    def __init__(self, name, executors, *, platform=NOBODY, callers=None, requests=None):
+    def __init__(
+        self,
+        name,
+        executors,
+        *,
+        platform=NOBODY,
+        callers=None,
+        requests=None,
+        slots=FirstSlots,
+        min_hosts=1,
+    ):
         sections = {"callers": {"port": 0, "linger_s": 0.3, **(callers or {})}}
         sections["requests"] = {"silent_timeout_s": 0.3, **(requests or {})}
         sections["platform"] = {"address": platform}
         fixed = {"host": name, "data_center": "dc", "stop_timeout_s": 5.0}
         self.settings = msgspec.convert({**fixed, **sections}, Settings)
-        state, workers = make_state(), make_workers(executors)
+        state, workers = make_state(min_hosts), make_workers(executors)
         self.executors = Executors(settings=self.settings, state=state, workers=workers)
-        self.slots = FirstSlots(executors=self.executors)
+        self.slots = slots(executors=self.executors)
         self.platform = Platform(address=platform)
         self.keys = Keys(settings=self.settings, platform=self.platform, member=f"{name}/1")
         self.sessions = Sessions(
--- a/mustardgap/executors.py
+++ b/mustardgap/executors.py
@@ -121,10 +121,21 @@
         sign = sign_of(result)
         if sign is not None:
             self.outliers.note(executor, sign, took_s)
+        else:
+            self.outliers.skip(executor)
 
-    def is_probing(self, executor: str) -> bool:
-        """Whether an executor should only get requests that may be repeated."""
-        return self.outliers.is_probing(executor)
+    def begin(self, executor: str, *, idempotent: bool) -> bool:
+        """Ask whether a request may go to an executor whose slot was got.
+
+        :param executor: the executor's id.
+        :param idempotent: whether the request may be repeated.
+        :return: False when another executor should be taken, if there is one.
+        """
+        return self.outliers.begin(executor, idempotent=idempotent)
+
+    def skip(self, executor: str) -> None:
+        """Take in that a try was given up because its caller had gone."""
+        self.outliers.skip(executor)
 
     def leaving(self, executor: str, *, told: bool = False) -> None:
         """Choose this executor no more: it is about to leave.
--- a/mustardgap/outliers.py
+++ b/mustardgap/outliers.py
@@ -56,6 +56,7 @@
         self.state: State = "well"
         self.until = 0.0
         self.ejections = 0
+        self.is_probed = False
         self.unreachable_at = float("-inf")
 
 
@@ -109,6 +110,7 @@
         if patient is None or patient.state == "ejected":
             return
         now = self.clock.monotonic()
+        patient.is_probed = False
         patient.health.note(sign, took_s, now)
         if sign.unreachable:
             patient.unreachable_at = now
@@ -122,6 +124,13 @@
             self._checked[patient.service] = now
             self._check_service(patient.service)
 
+    def skip(self, executor: str) -> None:
+        """Take in a try that says nothing, or that was given up; a probe may be made again."""
+        patient = self.by_executor.get(executor)
+        if patient is not None and patient.is_probed:
+            patient.is_probed = False
+            self.on_change(patient.service)
+
     def weight(self, executor: str) -> float:
         """The share of work an executor gets: 1 for a full one, 0 for none."""
         patient = self.by_executor.get(executor)
@@ -130,20 +139,35 @@
         self._advance(patient)
         if patient.state == "ejected":
             return 0.0
+        if patient.state == "probing":
+            # A full share for the one probe: with less, nothing would come while the others have
+            # slots to spare, and it would be missing when they haven't.
+            return 0.0 if patient.is_probed else 1.0
         if patient.state == "returning":
             done = 1.0 - (patient.until - self.clock.monotonic()) / self.settings.slow_start_s
             return max(MIN_WEIGHT, round(done * WEIGHT_STEPS) / WEIGHT_STEPS)
         return MIN_WEIGHT if patient.state != "well" else 1.0
 
-    def is_probing(self, executor: str) -> bool:
-        """Whether an executor should get idempotent work only: it may still be sick.
+    def begin(self, executor: str, *, idempotent: bool) -> bool:
+        """Ask whether a request may go to an executor now.
 
-        A service may have no idempotent requests at all, so this ends after some time.
+        One that was ejected gets a single request that may be repeated, and nothing more until that
+        is answered. A service may have no such requests at all, so after some time any will do.
+
+        :param executor: the executor's id.
+        :param idempotent: whether the request may be repeated.
         """
         patient = self.by_executor.get(executor)
         if patient is None or patient.state not in ("probing", "sick"):
+            return True
+        suits = idempotent or self.clock.monotonic() >= patient.until
+        if patient.state == "sick":
+            return suits
+        if patient.is_probed or not suits:
             return False
-        return self.clock.monotonic() < patient.until
+        patient.is_probed = True
+        self.on_change(patient.service)
+        return True
 
     def settled(self, service: str) -> bool:
         """Whether no weight of a service changes by time alone."""
@@ -226,6 +250,7 @@
 
     def _move(self, patient: Patient, state: State, for_s: float, *, cause: str) -> None:
         patient.state = state
+        patient.is_probed = False
         patient.until = self.clock.monotonic() + for_s
         logging.info("executor %s is %s: %s", patient.executor, state, cause)
         self.timeline.add(
--- a/mustardgap/sessions.py
+++ b/mustardgap/sessions.py
@@ -217,7 +217,7 @@
         """
         slot = await self._acquire_any(route)
         executor = slot.executor.executor
-        if self._idempotent or not self.parts.executors.is_probing(executor):
+        if self.parts.executors.begin(executor, idempotent=self._idempotent):
             return slot
         self.parts.slots.release(slot)
         return await self._acquire_any(route, executor)
@@ -232,14 +232,18 @@
 
     async def _try(self, executor: ExecutorView) -> TryResult:
         started = self.parts.clock.monotonic()
-        result = await self.parts.upstreams.send(
-            self.request,
-            executor,
-            deadline=self._deadline,
-            sink=self.sink,
-            on_sent=self._note_sent,
-            patience=self._patience(),
-        )
+        try:
+            result = await self.parts.upstreams.send(
+                self.request,
+                executor,
+                deadline=self._deadline,
+                sink=self.sink,
+                on_sent=self._note_sent,
+                patience=self._patience(),
+            )
+        except asyncio.CancelledError:
+            self.parts.executors.skip(executor.executor)
+            raise
         took_s = self.parts.clock.monotonic() - started
         self.parts.executors.report(executor.executor, result, took_s)
         if getattr(result, "leaving", False):
