--- a/mustardgap/presence.py
+++ b/mustardgap/presence.py
@@ -1,6 +1,7 @@
 """Announcing this entry host on the platform's list, and finding others there."""
 
 import asyncio
+from collections.abc import Callable, Collection
 
 from absl import logging
 
@@ -27,6 +28,11 @@
         self.peers = peers
         self.members = peers.members
         self.settings = peers.settings
+        self._callbacks: list[Callable[[Collection[str]], None]] = []
+
+    def on_leaving_workers(self, callback: Callable[[Collection[str]], None]) -> None:
+        """Call back with the workers that the list shows as leaving, whenever it was read."""
+        self._callbacks.append(callback)
 
     async def run(self) -> None:
         """Announce and read, every two seconds, until cancelled."""
@@ -59,6 +65,11 @@
         self.members.listed_hosts = frozenset(e["host"] for e in entries)
         own = self.members.me.peers_address
         self.peers.seed({e["address"] for e in entries if e["address"] != own}, listed=True)
+        workers = {
+            e["host"] for e in page.hosts if (e["role"], e["state"]) == ("worker", "leaving")
+        }
+        for callback in self._callbacks:
+            callback(workers)
 
     async def leave(self) -> None:
         """Tell peers and platform that this daemon takes no more work."""
