--- a/mustardgap/actors.py
+++ b/mustardgap/actors.py
@@ -12,7 +12,7 @@
 from .job_actors import JobActor
 from .members import Members
 from .models import LogRecord, TaskInfo
-from .operations import MAX_ACTIONS, Operations, count
+from .operations import ACTION_S, MAX_ACTIONS, Operations, count
 from .outcomes import Accepted, Verdict
 from .placers import Placer
 from .plan_actors import PlanActor
@@ -72,6 +72,7 @@
         self.placer = Placer(operations=operations, duties=duties)
         self.jobs = JobActor(operations=operations, duties=duties, placer=self.placer)
         self._under_way: dict[str, asyncio.Task[None]] = {}
+        self._is_stopping = False
         self._slots = asyncio.Semaphore(MAX_ACTIONS)
         log.on_fold(self._folded)
         log.on_restore(self._restart)
@@ -94,7 +95,7 @@
         may_begin = self.operations.may_begin()
         for number, batch in enumerate(self.jobs.leases_due()):
             self._begin(f"renew/{number}", partial(self.jobs.renew, batch))
-        if not may_begin:
+        if not may_begin or self._is_stopping:
             return
         parts: dict[str, Any] = {
             "registrar": self.registrar,
@@ -106,10 +107,20 @@
         for kind, actor in (("host", self.hosts), ("job", self.jobs)):
             self._guarded(kind, partial(self._begin_each, kind, actor))
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether steps are under way."""
+        return bool(self._under_way)
+
+    def close(self) -> None:
+        """Give up the steps under way, as when the process ends."""
+        self._drop()
+
     async def settle(self) -> None:
-        """Wait until the steps under way have ended."""
-        while self._under_way:
-            await asyncio.wait(list(self._under_way.values()))
+        """Begin nothing more and wait for the steps under way, as before a planned stop."""
+        self._is_stopping = True
+        if self._under_way:
+            await asyncio.wait(list(self._under_way.values()), timeout=ACTION_S)
 
     def look_at_all(self) -> None:
         """Look at everything anew."""
