Renew the keys of the peers' port without a restart

Cause: a daemon read its peers' keys once; after a renewal every stream opened anew was refused. Ruled out: closing and opening the port (streams in use would break); taking in half a pair, which grpc would offer until the next look. Conclusion: grpc asks for the credentials with each connection, Certificates keeps the old pair until the new one fits.

--- a/mustardgap/channels.py
+++ b/mustardgap/channels.py
@@ -7,6 +7,7 @@
 import grpc
 
 from . import status_codes
+from .certificates import Certificates, Files
 from .exceptions import MustardgapError
 from .messages import MAX_FRAME_BYTES
 from .settings import PeersSettings, TlsSettings
@@ -73,8 +74,21 @@
 
 
 def _server_credentials(tls: TlsSettings) -> grpc.ServerCredentials:
-    authority, key, certificate = _read(tls)
-    return grpc.ssl_server_credentials([(key, certificate)], authority, require_client_auth=True)
+    """Credentials that follow the files; grpc asks for them anew with each connection."""
+    certificates = Certificates(settings=tls)
+
+    def changed() -> grpc.ServerCertificateConfiguration | None:
+        return _configuration(certificates.files) if certificates.reload() else None
+
+    return grpc.dynamic_ssl_server_credentials(
+        _configuration(certificates.files), changed, require_client_authentication=True
+    )
+
+
+def _configuration(files: Files) -> grpc.ServerCertificateConfiguration:
+    return grpc.ssl_server_certificate_configuration(
+        [(files.key, files.certificate)], root_certificates=files.authority
+    )
 
 
 def _channel_credentials(tls: TlsSettings) -> grpc.ChannelCredentials:
