Keep the lines of grpc's core out of the log

Cause: grpc's core wrote lines of its own to stderr that aren't pairs, such as for a port in use. Ruled out: setting it in set_up, which comes after grpc was imported (tried: no effect). Measured: a port in use: one line of the core before, none after; MG2003 is raised as before. Conclusion: logs sets it when it is imported, unless the environment says otherwise.

--- a/mustardgap/logs.py
+++ b/mustardgap/logs.py
@@ -20,6 +20,10 @@
 MAX_TEXT = 1000
 FRAMES = 5
 
+# The lines of grpc's core aren't pairs, and what they tell is raised as errors too. The core reads
+# this once, when it is first imported.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
 # Tornado notes each malformed request and grpc each broken stream; both are counted by us.
 QUIET_LOGGERS = ("tornado.access", "tornado.general", "grpc", "asyncio")
 
@@ -98,7 +102,6 @@
     :param host: this host's name.
     :param verbosity: -3 fatal only, -2 errors, -1 warnings, 0 information, 1 debug.
     """
-    os.environ.setdefault("GRPC_VERBOSITY", "ERROR")
     # The settings take the place of absl's own flags, which would be asked for otherwise.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
