End a large answer's try at its time also when the caller reads no more

Cause: the deadline closed the connection to the executor, but a try that waited for its caller to take a piece went on waiting: a caller whose host had vanished kept the executor's slot. Ruled out: a shorter time-out for each piece (a slow caller is no dead one; the deadline bounds it). Conclusion: the whole exchange stands under the deadline; an answer that is held is given idle_timeout_s to be taken.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -96,6 +96,13 @@
     When requests for 200 MB are read by a slow caller
     Then requests took less than 60 MB more memory
 
+  Scenario: a caller that reads no more holds its slot no longer than its time
+    The caller takes the start of a large answer and then nothing, without closing: its host may
+    have vanished. The executor's slot is free again when the request's time is over.
+
+    When requests' caller stops reading a large answer
+    Then requests' slot is free when the time is over, and the connection is reset
+
   Scenario Outline: what could be read in two ways is refused and the connection closed: <malformed>
     A message whose end two readers see at different places lets one caller's request be taken for
     another's. The caller is told that it wasn't run, with a code, and nothing after it is read.
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -286,6 +286,36 @@
     assert context.grown < size * 1_000_000, context.grown
 
 
+@when("requests' caller stops reading a large answer")
+def stop_reading(context):
+    async def main():
+        async with Rig() as r:
+            connection = asyncio.open_connection("127.0.0.1", r.entry.callers.port, limit=1 << 16)
+            reader, writer = await connection
+            head = "GET /quotes/large?size=200000000 HTTP/1.1\r\nHost: a\r\n"
+            writer.write(f"{head}X-Request-Timeout: 1\r\n\r\n".encode())
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.3)
+            assert r.entry.slots.held == 1
+            await asyncio.sleep(2.0)
+            context.held, context.ended = r.entry.slots.held, "open"
+            try:
+                while await asyncio.wait_for(reader.read(1 << 20), 1.0):
+                    pass
+            except ConnectionResetError:
+                context.ended = "reset"
+            except TimeoutError:
+                pass
+            writer.close()
+
+    asyncio.run(main())
+
+
+@then("requests' slot is free when the time is over, and the connection is reset")
+def check_stop_reading(context):
+    assert context.held == 0 and context.ended == "reset", (context.held, context.ended)
+
+
 @when("requests' caller sends {malformed}")
 def send_malformed(context, malformed):
 
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -147,7 +147,7 @@
                 await self._answer(await self._handle())
         except asyncio.CancelledError:
             self._connection.close()
-        except iostream.StreamClosedError:
+        except (iostream.StreamClosedError, TimeoutError):
             self._connection.close()
         except Exception:
             logging.exception("a request failed")
@@ -186,8 +186,9 @@
             await self._send(problems.answer(outcome, request_id=self.request_id))
 
     async def _send(self, answer: Answer) -> None:
-        written = self._write(answer, close=self.host.draining)
-        await written
+        # A caller that takes no more of its answer would keep its connection and what it holds.
+        async with asyncio.timeout(self.host.settings.callers.idle_timeout_s):
+            await self._write(answer, close=self.host.draining)
         self._finish()
 
     def _finish(self) -> None:
--- a/mustardgap/upstreams.py
+++ b/mustardgap/upstreams.py
@@ -1,5 +1,6 @@
 """One request to one executor over a connection of its own, and what became of it."""
 
+import asyncio
 import socket
 import uuid
 from collections.abc import Callable
@@ -7,7 +8,6 @@
 
 from tornado import httputil, iostream
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.ioloop import IOLoop
 from tornado.tcpclient import TCPClient
 
 from . import headers as header_rules
@@ -19,6 +19,7 @@
 CHUNK_BYTES = 64 * 1024
 STREAM_BUFFER_BYTES = 256 * 1024
 MAX_ANSWER_BYTES = 1 << 40
+TIMEOUT_SLACK_S = 0.01
 
 
 class Request(NamedTuple):
@@ -142,21 +143,25 @@
             held_bytes=self.settings.callers.buffered_answer_bytes,
             sink=sink,
         )
-        timers = [IOLoop.current().call_later(left, answer.time_out)]
+        loop = asyncio.get_running_loop()
+        timers = [loop.call_later(left, answer.time_out)]
         if patience is not None:
-            timers.append(
-                IOLoop.current().call_later(patience.seconds, answer.lose_patience, patience)
-            )
+            timers.append(loop.call_later(patience.seconds, answer.lose_patience, patience))
         try:
-            self._write(connection, request, try_id, left)
-            await connection.read_response(answer)
+            # Closing the stream ends a wait for the executor, but not one for a caller that takes
+            # no more of its answer; that one is ended by the time-out.
+            async with asyncio.timeout(left + TIMEOUT_SLACK_S):
+                self._write(connection, request, try_id, left)
+                await connection.read_response(answer)
         except iostream.StreamClosedError as exc:
             answer.broken(str(exc.real_error or exc))
         except iostream.UnsatisfiableReadError:
             answer.broken("the answer's headers are too large")
+        except TimeoutError:
+            answer.time_out()
         finally:
             for timer in timers:
-                IOLoop.current().remove_timeout(timer)
+                timer.cancel()
         return answer.result or Reset(detail="no answer")
 
     def _write(
