--- a/features/support/log_worlds.py
+++ b/features/support/log_worlds.py
@@ -3,8 +3,14 @@
 import asyncio
 import json
 import time
+from types import SimpleNamespace
+
+import msgspec
 
 from mustardgap.adapters import Platform
+from mustardgap.messages import AnyMessage
+from mustardgap.peers import PeerError
+from mustardgap.relays import Relays
 from mustardgap.settings import PlatformSettings
 from mustardgap.states import State
 from mustardgap.streams import Log
@@ -32,6 +38,8 @@
         self.loop = asyncio.new_event_loop()
         self.logs_by_name = {}
         self.tasks_by_name = {}
+        self.peers_by_name = {}
+        self.relays = []
         self.start_platform()
 
     def start_platform(self):
@@ -59,6 +67,18 @@
         self.tasks_by_name[name] = self.loop.create_task(log.run())
         return log
 
+    def relay(self, name, stale_after_s=0.0):
+        """Let a daemon ask its peers, and answer them."""
+        log = self.logs_by_name[name]
+        relays = Relays(
+            log=log,
+            peers=FakePeers(world=self, name=name),
+            members=FakeMembers(world=self, name=name),
+            stale_after_s=stale_after_s or log.settings.stale_after_s,
+            clock=log.clock,
+        )
+        self.relays.append(self.loop.create_task(relays.run()))
+
     def stop(self, name):
         """End a daemon's log."""
         task = self.tasks_by_name.pop(name)
@@ -68,6 +88,9 @@
 
     def close(self):
         """End all logs and the loop."""
+        for task in self.relays:
+            task.cancel()
+        self.run(asyncio.gather(*self.relays, return_exceptions=True))
         for name in list(self.tasks_by_name):
             self.stop(name)
         self.loop.close()
@@ -92,6 +115,48 @@
         return streams.get(stream, {"end": 0})["end"]
 
 
+class FakePeers:
+    """Calls between the relays of one world, by way of the messages' codec."""
+
+    def __init__(self, *, world, name):
+        self.world = world
+        self.name = name
+        self.handlers = {}
+        self.calls = 0
+        self.mute = False
+        world.peers_by_name[name] = self
+
+    def handle(self, type_, handler):
+        self.handlers[type_] = handler
+
+    async def call(self, member_id, message, *, timeout_s):
+        self.calls += 1
+        other = self.world.peers_by_name[member_id]
+        if other.mute:
+            await asyncio.sleep(timeout_s)
+            raise PeerError(detail="no answer", place=member_id)
+        wire = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=AnyMessage)
+        reply = other.handlers[type(wire)](None, wire)
+        if asyncio.iscoroutine(reply):
+            reply = await reply
+        return msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=AnyMessage)
+
+
+class FakeMembers:
+    """All daemons of a world as live members that tell their offsets."""
+
+    def __init__(self, *, world, name):
+        self.world = world
+        self.me = self._member(name)
+
+    def live(self):
+        return [self._member(name) for name in self.world.logs_by_name]
+
+    def _member(self, name):
+        offset = self.world.logs_by_name[name].offset
+        return SimpleNamespace(id=name, offset=offset)
+
+
 def team(jobs=1):
     """A team's value."""
     return {"max_cores": 1.0, "max_memory_gb": 1.0, "max_jobs": jobs}
--- a/mustardgap/daemons.py
+++ b/mustardgap/daemons.py
@@ -60,6 +60,7 @@
             "log": parts.log.run,
             "presence": parts.presence.run,
             "peers": parts.peers.run,
+            "relays": parts.relays.run,
             "workers": parts.workers.run,
             "keys": parts.keys.run,
             "slots": parts.slots.run,
--- a/mustardgap/folds.py
+++ b/mustardgap/folds.py
@@ -65,6 +65,7 @@
             _advance(state, record)
         return Rejected(code=exc.code, detail=exc.detail, offset=record.offset)
     _advance(state, record)
+    state.rules = max(state.rules, value["rules"])
     before = state.decided_by_id.get(value["id"])
     if before is not None:
         detail = f"decided at offset {before.offset}"
--- a/mustardgap/parts.py
+++ b/mustardgap/parts.py
@@ -7,6 +7,7 @@
 from .adapters import Platform
 from .brokers import Broker
 from .callers import Callers
+from .departures import Departures
 from .executors import Executors
 from .fold_events import FoldEvents
 from .gossip import Gossiper
@@ -16,6 +17,7 @@
 from .peers import Peers
 from .presence import Presence
 from .readiness import Readiness
+from .relays import Relays
 from .sessions import Sessions
 from .settings import Settings
 from .shares import FixedShares, LeastInFlight
@@ -98,6 +100,14 @@
             timeline=self.timeline,
             member=self.members.me.id,
         )
+        self.log.checkpoints.is_mine = lambda key: self.members.owner(key) == self.members.me.id
+        self.relays = Relays(
+            log=self.log,
+            peers=self.peers,
+            members=self.members,
+            stale_after_s=self.settings.platform.stale_after_s,
+            clock=self.timers.clock,
+        )
         self.log.on_fold(lambda record, verdict: self._say_offset())
         self.log.on_restore(self._say_offset)
         self.workers = Workers(platform=self.platform, settings=self.settings, timers=self.timers)
@@ -117,8 +127,14 @@
     def _build_requests(self) -> None:
         clock = self.timers.clock
         self.executors = Executors(
-            settings=self.settings, state=self.state, workers=self.workers, clock=clock
+            settings=self.settings,
+            state=self.state,
+            workers=self.workers,
+            timeline=self.timeline,
+            clock=clock,
         )
+        Departures(executors=self.executors, gossiper=self.gossiper)
+        self.presence.on_leaving_workers(self.executors.leaving_workers)
         self.slots = Slots(
             settings=self.settings,
             executors=self.executors,
--- a/mustardgap/snapshots.py
+++ b/mustardgap/snapshots.py
@@ -34,7 +34,10 @@
 
 
 class Header(msgspec.Struct, kw_only=True):
-    """What is read first, so that a newer daemon's snapshot is refused and not guessed at."""
+    """What is read first: a state that was folded with newer rules is refused, not guessed at.
+
+    A newer daemon's snapshot can be read as long as no record has asked for the newer rules.
+    """
 
     format: int
     rules: int
@@ -54,7 +57,7 @@
     """Pack the state as it is now."""
     snapshot = Snapshot(
         format=FORMAT,
-        rules=RULES_VERSION,
+        rules=state.rules,
         offset=state.offset,
         time=state.time,
         floor=state.floor,
@@ -96,6 +99,7 @@
     state = State()
     state.offset = snapshot.offset
     state.time = snapshot.time
+    state.rules = snapshot.rules
     state.floor = snapshot.floor
     state.sweep = snapshot.sweep
     state.checkpoint_offset, state.checkpoint_time = snapshot.checkpoint
--- a/mustardgap/states.py
+++ b/mustardgap/states.py
@@ -48,6 +48,7 @@
     def __init__(self) -> None:
         self.offset = 0
         self.time = 0.0
+        self.rules = 1
         self.declarations_by_key: dict[str, Declaration] = {}
         self.hosts_by_name: dict[str, HostState] = {}
         self.jobs_by_id: dict[str, JobState] = {}
@@ -188,6 +189,7 @@
         parts = (
             self.offset,
             self.time,
+            self.rules,
             self.floor,
             self.sweep,
             self.checkpoint_offset,
