--- /dev/null
+++ b/mustardgap/calls.py
@@ -0,0 +1,167 @@
+"""Calls to the operators' interface: any entry host will do, and a lost answer is told apart."""
+
+import socket
+import ssl
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
+
+from . import status_codes
+from .certificates import Certificates
+from .exceptions import MustardgapError
+from .settings import TlsSettings
+
+MAX_BODY_BYTES = 256 * 1024 * 1024
+MAX_CALLS = 32
+CONNECT_TIMEOUT_S = 2.0
+
+# An entry host that answers with one of these hasn't done anything, and another one may.
+_ELSEWHERE = {
+    code.number
+    for code in (
+        status_codes.LOG_UNAVAILABLE,
+        status_codes.LOG_ANSWER_LOST,
+        status_codes.PLATFORM_UNAVAILABLE,
+        status_codes.NOT_CURRENT,
+        status_codes.DRAINING,
+        status_codes.OVER_BUDGET,
+    )
+}
+
+
+class ProblemError(MustardgapError):
+    """An entry host answered with a problem.
+
+    :param body: the whole problem, such as ``changed`` of a rejected change.
+    """
+
+    def __init__(self, *, body: dict[str, Any], **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self.body = body
+
+
+class Lost(Exception):
+    """A call to one entry host may have had its effect."""
+
+
+class Calls:
+    """Calls entry hosts in turn until one can answer.
+
+    :param entries: ``ip:port`` of the operators' port of entry hosts.
+    :param timeout_s: seconds one call may take.
+    :param tls: the keys to use, None for plain HTTP.
+    """
+
+    def __init__(
+        self, *, entries: Iterable[str], timeout_s: float, tls: TlsSettings | None = None
+    ) -> None:
+        self.entries = list(entries)
+        self.timeout_s = timeout_s
+        self._ssl = Certificates(settings=tls).client_context() if tls else None
+        self._http = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CALLS, max_body_size=MAX_BODY_BYTES
+        )
+
+    def close(self) -> None:
+        """Drop all open calls."""
+        self._http.close()
+
+    async def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Call the first entry host that can answer.
+
+        :raises ProblemError: an entry host answered with a problem that no other one can mend.
+        :raises MustardgapError: MG6001 when none could be reached, MG5001 when an answer was lost.
+        """
+        failures: list[str] = []
+        lost = False
+        problem: ProblemError | None = None
+        for entry in self.entries:
+            try:
+                return await self.call_one(entry, method, path, body)
+            except ProblemError as exc:
+                if exc.code.number not in _ELSEWHERE:
+                    raise
+                lost = lost or exc.code is status_codes.LOG_ANSWER_LOST
+                problem = exc
+            except Lost as exc:
+                lost = lost or method != "GET"
+                failures.append(f"{entry}: {exc}")
+            except (OSError, HTTPClientError) as exc:
+                failures.append(f"{entry}: {exc}")
+        if lost:
+            raise MustardgapError(
+                code=status_codes.LOG_ANSWER_LOST,
+                detail="no entry host could say whether it took effect",
+                place="; ".join(failures) or path,
+            )
+        if problem:
+            raise problem
+        raise unavailable(failures)
+
+    async def call_one(self, entry: str, method: str, path: str, body: Any = None) -> Any:
+        """Call one entry host.
+
+        :raises ProblemError: it answered with a problem.
+        :raises Lost: the call may have had its effect.
+        :raises OSError: nothing was sent.
+        """
+        request = HTTPRequest(
+            f"{'https' if self._ssl else 'http'}://{entry}{path}",
+            method=method,
+            body=None if body is None else msgspec.json.encode(body),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=min(CONNECT_TIMEOUT_S, self.timeout_s),
+            request_timeout=self.timeout_s,
+            ssl_options=self._ssl,
+            follow_redirects=False,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            resp = await self._http.fetch(request, raise_error=False)
+        except (ConnectionRefusedError, socket.gaierror):
+            raise
+        except HTTPTimeoutError as exc:
+            # Tornado tells a time-out while connecting, when nothing was sent, only by its text.
+            if "connecting" in str(exc) or "queue" in str(exc):
+                raise
+            raise Lost(str(exc)) from None
+        except (OSError, HTTPClientError) as exc:
+            if isinstance(exc, ssl.SSLError) and _is_turned_away(exc):
+                raise
+            raise Lost(str(exc)) from None
+        return _decode(entry, resp)
+
+
+def _is_turned_away(exc: ssl.SSLError) -> bool:
+    """Whether one end turned down the other's certificate, so that no request was looked at."""
+    return "CERTIFICATE" in (exc.reason or "") or "UNKNOWN_CA" in (exc.reason or "")
+
+
+def _decode(entry: str, resp: HTTPResponse) -> Any:
+    try:
+        value = msgspec.json.decode(resp.body)
+    except msgspec.DecodeError:
+        raise Lost(f"HTTP {resp.code} {resp.reason}, not JSON") from None
+    if resp.code < 300:
+        return value
+    known = status_codes.by_number.get(value.get("code", -1)) if isinstance(value, dict) else None
+    if known is None:
+        raise Lost(f"HTTP {resp.code} {resp.reason}")
+    raise ProblemError(
+        code=known,
+        detail=str(value.get("detail", "")),
+        place=str(value.get("place", "")) or entry,
+        body=value,
+    )
+
+
+def unavailable(failures: list[str]) -> MustardgapError:
+    """The error for entry hosts none of which could be reached."""
+    return MustardgapError(
+        code=status_codes.ENTRY_UNAVAILABLE,
+        detail="; ".join(failures) or "no entry host is named",
+        place="--entry",
+    )
--- a/mustardgap/clients.py
+++ b/mustardgap/clients.py
@@ -1,58 +1,25 @@
 """The operators' interface from the client's side."""
 
 import asyncio
-import socket
-import ssl
 import uuid
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode
 
-import msgspec
-from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
-from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
+from tornado.httpclient import HTTPClientError
 
 from . import status_codes
-from .certificates import Certificates
+from .calls import Calls, Lost, ProblemError, unavailable
 from .exceptions import MustardgapError
 from .models import Change, JobSpec
 from .settings import TlsSettings
 from .timelines import Event, merge
 
+__all__ = ["Client", "MemberOffset", "MergedTimeline", "ProblemError"]
+
 DEFAULT_ENTRY = "127.0.0.1:8081"
-MAX_BODY_BYTES = 256 * 1024 * 1024
-MAX_CALLS = 32
-CONNECT_TIMEOUT_S = 2.0
 POLL_S = 0.2
 
-# An entry host that answers with one of these hasn't done anything, and another one may.
-_ELSEWHERE = {
-    code.number
-    for code in (
-        status_codes.LOG_UNAVAILABLE,
-        status_codes.LOG_ANSWER_LOST,
-        status_codes.PLATFORM_UNAVAILABLE,
-        status_codes.NOT_CURRENT,
-        status_codes.DRAINING,
-        status_codes.OVER_BUDGET,
-    )
-}
-
-
-class ProblemError(MustardgapError):
-    """An entry host answered with a problem.
-
-    :param body: the whole problem, such as ``changed`` of a rejected change.
-    """
-
-    def __init__(self, *, body: dict[str, Any], **kwargs: Any) -> None:
-        super().__init__(**kwargs)
-        self.body = body
-
-
-class Lost(Exception):
-    """A call to one entry host may have had its effect."""
-
 
 class MemberOffset(NamedTuple):
     """How many records of the log one entry host has folded, so ``offset`` is the next one's."""
@@ -80,16 +47,11 @@
         timeout_s: float = 15.0,
         tls: TlsSettings | None = None,
     ) -> None:
-        self.entries = list(entries)
-        self.timeout_s = timeout_s
-        self._ssl = Certificates(settings=tls).client_context() if tls else None
-        self._http = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CALLS, max_body_size=MAX_BODY_BYTES
-        )
+        self._calls = Calls(entries=entries, timeout_s=timeout_s, tls=tls)
 
     def close(self) -> None:
         """Drop all open calls."""
-        self._http.close()
+        self._calls.close()
 
     async def __aenter__(self) -> "Client":
         return self
@@ -101,7 +63,7 @@
 
     async def status(self) -> dict[str, Any]:
         """The first entry host that answers, and the members it knows."""
-        return await self.call("GET", "/v1/status")
+        return await self._calls.call("GET", "/v1/status")
 
     async def items(self, collection: str, name: str = "") -> dict[str, Any]:
         """A collection of the folded state, or one item of it.
@@ -110,15 +72,15 @@
         :return: ``{"offset", "items": {name: ...}}``.
         """
         path = f"/v1/{collection}/{quote(name, safe='')}" if name else f"/v1/{collection}"
-        return await self.call("GET", path)
+        return await self._calls.call("GET", path)
 
     async def declarations(self) -> dict[str, Any]:
         """The declarations in force with their versions."""
-        return await self.call("GET", "/v1/declarations")
+        return await self._calls.call("GET", "/v1/declarations")
 
     async def explain(self, kind: str, name: str) -> dict[str, Any]:
         """Why something is as it is, in lines of text."""
-        return await self.call("GET", f"/v1/explain/{kind}/{quote(name, safe='')}")
+        return await self._calls.call("GET", f"/v1/explain/{kind}/{quote(name, safe='')}")
 
     async def timeline(self, *, since: float = 0.0, **ids: str) -> "MergedTimeline":
         """The events of all entry hosts in reach, in one causal order.
@@ -128,7 +90,7 @@
         """
         query = urlencode({"since": since, **{key: value for key, value in ids.items() if value}})
         entries = await self._all_entries()
-        calls = [self._call_one(entry, "GET", f"/v1/timeline?{query}") for entry in entries]
+        calls = [self._calls.call_one(entry, "GET", f"/v1/timeline?{query}") for entry in entries]
         answers = await asyncio.gather(*calls, return_exceptions=True)
         events_by_host: dict[str, list[Event]] = {}
         missing = []
@@ -138,7 +100,7 @@
                 continue
             events_by_host[answer["host"]] = [_event(event) for event in answer["events"]]
         if not events_by_host:
-            raise _unavailable([f"{entry}: no answer" for entry in missing])
+            raise unavailable([f"{entry}: no answer" for entry in missing])
         return MergedTimeline(merge(events_by_host.values()), sorted(events_by_host), missing)
 
     # Changing.
@@ -155,38 +117,38 @@
         :raises ProblemError: it was rejected, with what has ``changed`` in the body.
         """
         body = {"id": change_id or uuid.uuid4().hex, "changes": changes, "dry_run": dry_run}
-        return await self.call("POST", "/v1/changes", body)
+        return await self._calls.call("POST", "/v1/changes", body)
 
     async def submit(self, job: str, spec: JobSpec) -> dict[str, Any]:
         """Submit a job; the same job under the same id is accepted once."""
-        return await self.call("POST", "/v1/jobs", {"id": job, "spec": spec})
+        return await self._calls.call("POST", "/v1/jobs", {"id": job, "spec": spec})
 
     async def cancel(self, jobs: list[str]) -> dict[str, Any]:
         """Cancel jobs.
 
         :return: ``{"offset", "codes": {job: number}}``.
         """
-        return await self.call("POST", "/v1/jobs/cancel", {"jobs": jobs})
+        return await self._calls.call("POST", "/v1/jobs/cancel", {"jobs": jobs})
 
     async def drain(self, host: str, *, reason: str = "", urgent: bool = False) -> dict[str, Any]:
         """Drain a host: no new work, and out of its pool when it is empty."""
         body = {"reason": reason, "urgent": urgent}
-        return await self.call("POST", f"/v1/hosts/{quote(host, safe='')}/drain", body)
+        return await self._calls.call("POST", f"/v1/hosts/{quote(host, safe='')}/drain", body)
 
     async def undrain(self, host: str, *, reason: str = "") -> dict[str, Any]:
         """Take a drain back."""
         path = f"/v1/hosts/{quote(host, safe='')}/undrain"
-        return await self.call("POST", path, {"reason": reason})
+        return await self._calls.call("POST", path, {"reason": reason})
 
     async def start_wave(self, wave: str, **scope: Any) -> dict[str, Any]:
         """Start a maintenance wave over ``hosts``, a ``rack`` or a ``data_center``."""
         wanted = {key: value for key, value in scope.items() if value}
-        return await self.call("POST", "/v1/waves", {"wave": wave, **wanted})
+        return await self._calls.call("POST", "/v1/waves", {"wave": wave, **wanted})
 
     async def step_wave(self, wave: str, step: str, *, reason: str = "") -> dict[str, Any]:
         """Pause, resume or finish a wave."""
         path = f"/v1/waves/{quote(wave, safe='')}/{step}"
-        return await self.call("POST", path, {"reason": reason})
+        return await self._calls.call("POST", path, {"reason": reason})
 
     # Waiting.
 
@@ -248,72 +210,13 @@
                 raise _late(f"job {job} is still {state['phase']}", timeout_s)
             await asyncio.sleep(POLL_S)
 
-    # The calls themselves.
-
-    async def call(self, method: str, path: str, body: Any = None) -> Any:
-        """Call the first entry host that can answer.
-
-        :raises ProblemError: an entry host answered with a problem that no other one can mend.
-        :raises MustardgapError: MG6001 when none could be reached, MG5001 when an answer was lost.
-        """
-        failures: list[str] = []
-        lost = False
-        problem: ProblemError | None = None
-        for entry in self.entries:
-            try:
-                return await self._call_one(entry, method, path, body)
-            except ProblemError as exc:
-                if exc.code.number not in _ELSEWHERE:
-                    raise
-                lost = lost or exc.code is status_codes.LOG_ANSWER_LOST
-                problem = exc
-            except Lost as exc:
-                lost = lost or method != "GET"
-                failures.append(f"{entry}: {exc}")
-            except (OSError, HTTPClientError) as exc:
-                failures.append(f"{entry}: {exc}")
-        if lost:
-            raise MustardgapError(
-                code=status_codes.LOG_ANSWER_LOST,
-                detail="no entry host could say whether it took effect",
-                place="; ".join(failures) or path,
-            )
-        if problem:
-            raise problem
-        raise _unavailable(failures)
-
-    async def _call_one(self, entry: str, method: str, path: str, body: Any = None) -> Any:
-        request = HTTPRequest(
-            f"{'https' if self._ssl else 'http'}://{entry}{path}",
-            method=method,
-            body=None if body is None else msgspec.json.encode(body),
-            headers={"Content-Type": "application/json"},
-            connect_timeout=min(CONNECT_TIMEOUT_S, self.timeout_s),
-            request_timeout=self.timeout_s,
-            ssl_options=self._ssl,
-            follow_redirects=False,
-            allow_nonstandard_methods=True,
-        )
-        try:
-            resp = await self._http.fetch(request, raise_error=False)
-        except (ConnectionRefusedError, socket.gaierror):
-            raise
-        except HTTPTimeoutError as exc:
-            # Tornado tells a time-out while connecting, when nothing was sent, only by its text.
-            if "connecting" in str(exc) or "queue" in str(exc):
-                raise
-            raise Lost(str(exc)) from None
-        except (OSError, HTTPClientError) as exc:
-            if isinstance(exc, ssl.SSLError) and _is_turned_away(exc):
-                raise
-            raise Lost(str(exc)) from None
-        return _decode(entry, resp)
+    # Entry hosts.
 
     async def _own_offset(self, member: dict[str, Any]) -> int:
         if not member["operators"]:
             return -1
         try:
-            status = await self._call_one(member["operators"], "GET", "/v1/status")
+            status = await self._calls.call_one(member["operators"], "GET", "/v1/status")
         except (Lost, OSError, HTTPClientError, MustardgapError):
             return -1
         return int(status["offset"])
@@ -321,7 +224,7 @@
     async def _all_entries(self) -> list[str]:
         status = await self.status()
         members = [m["operators"] for m in status["members"] if m["state"] != "dead"]
-        return list(dict.fromkeys(filter(None, members))) or self.entries
+        return list(dict.fromkeys(filter(None, members))) or self._calls.entries
 
 
 class MergedTimeline(NamedTuple):
@@ -335,29 +238,6 @@
     missing: list[str]
 
 
-def _decode(entry: str, resp: HTTPResponse) -> Any:
-    try:
-        value = msgspec.json.decode(resp.body)
-    except msgspec.DecodeError:
-        raise Lost(f"HTTP {resp.code} {resp.reason}, not JSON") from None
-    if resp.code < 300:
-        return value
-    known = status_codes.by_number.get(value.get("code", -1)) if isinstance(value, dict) else None
-    if known is None:
-        raise Lost(f"HTTP {resp.code} {resp.reason}")
-    raise ProblemError(
-        code=known,
-        detail=str(value.get("detail", "")),
-        place=str(value.get("place", "")) or entry,
-        body=value,
-    )
-
-
-def _is_turned_away(exc: ssl.SSLError) -> bool:
-    """Whether one end turned down the other's certificate, so that no request was looked at."""
-    return "CERTIFICATE" in (exc.reason or "") or "UNKNOWN_CA" in (exc.reason or "")
-
-
 def _event(raw: dict[str, Any]) -> Event:
     stamp = raw["stamp"]
     return Event(**{**raw, "stamp": (int(stamp[0]), int(stamp[1]))})
@@ -366,11 +246,3 @@
 def _late(detail: str, timeout_s: float) -> MustardgapError:
     code = status_codes.WAIT_TIMED_OUT
     return MustardgapError(code=code, detail=detail, place=f"after {timeout_s:g} s")
-
-
-def _unavailable(failures: list[str]) -> MustardgapError:
-    return MustardgapError(
-        code=status_codes.ENTRY_UNAVAILABLE,
-        detail="; ".join(failures) or "no entry host is named",
-        place="--entry",
-    )
--- a/mustardgap/operators.py
+++ b/mustardgap/operators.py
@@ -6,7 +6,7 @@
 
 from tornado.web import Application
 
-from . import operator_changes, operator_views
+from . import operator_changes, operator_steps, operator_views
 from .certificates import CHECK_S, Certificates
 from .operator_handlers import JsonHandler, MissingHandler
 from .readiness import Readiness
@@ -34,9 +34,9 @@
     (r"/v1/jobs/cancel", operator_changes.CancelHandler),
     (r"/v1/jobs/([^/]+)", operator_changes.JobHandler),
     (r"/v1/jobs", operator_changes.JobsHandler),
-    (r"/v1/hosts/([^/]+)/(drain|undrain)", operator_changes.DrainHandler),
-    (r"/v1/waves/([^/]+)/(pause|resume|finish)", operator_changes.WaveStepHandler),
-    (r"/v1/waves", operator_changes.WavesHandler),
+    (r"/v1/hosts/([^/]+)/(drain|undrain)", operator_steps.DrainHandler),
+    (r"/v1/waves/([^/]+)/(pause|resume|finish)", operator_steps.WaveStepHandler),
+    (r"/v1/waves", operator_steps.WavesHandler),
     (r"/v1/(profiles|services|pools|teams|policies|hosts|waves)", operator_views.ItemsHandler),
     (
         r"/v1/(profiles|services|pools|teams|policies|hosts|waves)/([^/]+)",
@@ -55,7 +55,6 @@
     :param readiness: whether this entry host is ready.
     :param explainers: by kind, a function (or coroutine function) from a name to the answer.
     :param services_view: what ``/v1/status`` shows of each service.
-    :param uptime_s: seconds since the daemon's start.
     """
 
     def __init__(
