--- a/mustardgap/operator_writes.py
+++ b/mustardgap/operator_writes.py
@@ -48,13 +48,18 @@
     :param record: makes the record's body; None when nothing is left to do.
     """
     verdict: Verdict = Accepted(offset=handler.log.offset - 1)
+    before: dict[str, Any] | None = None
     for _ in range(STEP_TRIES):
         body = record()
         if body is None:
             return Accepted(offset=handler.log.offset - 1)
+        if body == before:
+            # Nothing came in between, so the same step would be turned down again.
+            break
         verdict = await handler.append(kind, body)
         if isinstance(verdict, Accepted) or verdict.code not in _RACED:
             break
+        before = body
     return verdict
 
 
