Replace all daemons one by one in an outage longer than retention

Ruled out: proving it with the log up only, where a start from the log hides a missing relay. Conclusion: the last of the new daemons publishes the state; one that starts from the log alone has it.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -44,3 +44,14 @@
     And relays of A, B, C unhurried
     When 60 changes are written one by one to A
     Then the relayed daemons have hardly asked each other
+
+  Scenario: all daemons are replaced one by one in an outage that outlasts retention
+    While the log is down, every daemon is replaced by a new one that knows only its peers; when the
+    log is back, all it kept has expired. What was accepted must still be in force, on the new
+    daemons and on one that starts from the log alone, which they have written anew.
+    Given a log with the daemons A, B
+    And on the log 20 changes
+    And relays of A, B
+    When the log goes down and the relayed daemons A, B are replaced by C, D
+    And the log comes back with nothing kept
+    Then a relayed daemon A2 that starts from the log has the 20 changes
--- a/features/steps/relays_steps.py
+++ b/features/steps/relays_steps.py
@@ -95,3 +95,31 @@
     # On a machine that is held up for half a second, a daemon may rightly ask.
     calls = {name: peers.calls for name, peers in context.world.peers_by_name.items()}
     assert sum(calls.values()) <= 6, calls
+
+
+@when("the log goes down and the relayed daemons {old} are replaced by {new}")
+def replace_all(context, old, new):
+    world = context.world
+    world.control.fault("down", on="/log/*")
+    for leaving, coming in zip(old.split(", "), new.split(", "), strict=True):
+        log = world.start(coming)
+        world.relay(coming)
+        world.until(lambda log=log: log.offset == world.end(), "a peer gave the state")
+        world.stop(leaving)
+
+
+@when("the log comes back with nothing kept")
+def come_back(context):
+    world = context.world
+    world.control.fault("expired", count=0)
+    world.control.clear()
+    world.until(lambda: world.end("mustardgap-checkpoints") > 0, "a checkpoint is written")
+    world.agree()
+
+
+@then("a relayed daemon {name} that starts from the log has the {count:d} changes")
+def check_replaced(context, name, count):
+    world = context.world
+    log = world.start(name)
+    world.agree()
+    assert {f"team/t{n}" for n in range(count)} <= log.state.declarations_by_key.keys()
--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -8,8 +8,8 @@
 from behave import given, then, when
 
 from features.support.log_worlds import LogWorld, change
-from mustardgap import appends, checkpoints, records
-from mustardgap.exceptions import MustardgapError
+from mustardgap import appends, checkpoints, records, snapshots
+from mustardgap.exceptions import MustardgapError, RecordRejected
 from mustardgap.outcomes import Accepted, Rejected
 
 STREAM = "mustardgap"
@@ -273,6 +273,20 @@
         assert log.offset == context.before and not log.current
 
 
+@then("the log of {name} turns down a snapshot that was folded with newer rules")
+def check_snapshot(context, name):
+    log = context.world.logs_by_name[name]
+    newer = snapshots.decode(log.snapshot())
+    newer.offset, newer.rules = newer.offset + 2, 99
+    try:
+        log.restore(snapshots.encode(newer))
+    except RecordRejected as exc:
+        assert exc.code.number == 3004
+    else:
+        raise AssertionError("it was taken over")
+    assert log.offset == context.before
+
+
 @when("the platform loses its log")
 def lose_log(context):
     world = context.world
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -118,6 +118,7 @@
     And on the log 5 changes
     When a record that needs newer rules comes onto the log
     Then the log's readers A and B stop before it and say 3004
+    And the log of A turns down a snapshot that was folded with newer rules
 
   Scenario: a log that lost records
     The platform comes back with an empty log. New records would be decided on other grounds than
--- a/features/support/log_worlds.py
+++ b/features/support/log_worlds.py
@@ -83,14 +83,14 @@
         """End a daemon's log."""
         task = self.tasks_by_name.pop(name)
         task.cancel()
-        self.run(asyncio.gather(task, return_exceptions=True))
+        self.run(ended([task]))
         self.logs_by_name.pop(name).platform.close()
 
     def close(self):
         """End all logs and the loop."""
         for task in self.relays:
             task.cancel()
-        self.run(asyncio.gather(*self.relays, return_exceptions=True))
+        self.run(ended(self.relays))
         for name in list(self.tasks_by_name):
             self.stop(name)
         self.loop.close()
@@ -157,6 +157,11 @@
         return SimpleNamespace(id=name, offset=offset)
 
 
+async def ended(tasks):
+    """Wait until cancelled tasks have ended."""
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def team(jobs=1):
     """A team's value."""
     return {"max_cores": 1.0, "max_memory_gb": 1.0, "max_jobs": jobs}
