--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -358,8 +358,10 @@
         await asyncio.sleep(0)
         if fate == "refused":
             raise PlatformError(detail="drawn")
-        if fate == "delayed":
+        if fate in ("delayed", "stuck"):
             self.delayed += values
+            # One that is stuck lands only when its request has been refused.
+            await asyncio.sleep(0.03 if fate == "stuck" else 0)
             raise AnswerLost(detail="drawn")
         for value in values * (2 if fate == "doubled" else 1):
             self._land(value)
@@ -401,7 +403,7 @@
     fast = msgspec.convert(requests, type(settings.requests))
     settings = msgspec.structs.replace(settings, requests=fast)
     fates = st.lists(
-        st.sampled_from(["well", "lost", "delayed", "doubled", "refused"]), max_size=12
+        st.sampled_from(["well", "lost", "delayed", "stuck", "doubled", "refused"]), max_size=12
     )
     steps = st.lists(
         st.tuples(
--- a/mustardgap/claims.py
+++ b/mustardgap/claims.py
@@ -1,7 +1,8 @@
 """The records of Idempotency-Keys on the log, and the rule by which every entry host reads them.
 
-The first claim of a key in the order of the log holds it. A claim that was released is void, also
-when it turns up later or twice, so that an append whose answer was lost can be taken back.
+The first claim of a key in the order of the log holds it. A claim that was released or that found
+the key held is void, also when it turns up later or twice, so that an append whose answer was lost
+can be taken back or repeated.
 """
 
 from base64 import b64decode, b64encode
@@ -123,7 +124,7 @@
     def __init__(self, *, ttl_s: float) -> None:
         self.ttl_s = ttl_s
         self.by_key: OrderedDict[str, Entry] = OrderedDict()
-        self._released: OrderedDict[str, float] = OrderedDict()
+        self._void: OrderedDict[str, float] = OrderedDict()
 
     def fold(self, record: LogRecord) -> KeyRecord | None:
         """Take a record in.
@@ -139,15 +140,21 @@
         return value
 
     def _claim(self, claim: ClaimRecord, time: float) -> None:
-        if claim.key in self.by_key or claim.id in self._released:
+        holder = self.by_key.get(claim.key)
+        if holder is not None:
+            if holder.id != claim.id:
+                # Its caller is refused. A second copy that comes when the key is free again would
+                # hold the key for nobody, and who asks would be told that it may have run.
+                self._void[claim.id] = time
             return
-        self.by_key[claim.key] = Entry(claim.id, claim.fingerprint, claim.until, time)
+        if claim.id not in self._void:
+            self.by_key[claim.key] = Entry(claim.id, claim.fingerprint, claim.until, time)
 
     def _end(self, end: EndRecord, record: LogRecord) -> None:
         entry = self.by_key.get(end.key)
         holds = entry is not None and entry.id == end.id
         if isinstance(end, ReleaseRecord):
-            self._released[end.id] = record.time
+            self._void[end.id] = record.time
             if holds:
                 del self.by_key[end.key]
         elif holds and entry is not None and entry.state != "done":
@@ -157,5 +164,5 @@
     def _expire(self, before: float) -> None:
         while self.by_key and next(iter(self.by_key.values())).time < before:
             self.by_key.popitem(last=False)
-        while self._released and next(iter(self._released.values())) < before:
-            self._released.popitem(last=False)
+        while self._void and next(iter(self._void.values())) < before:
+            self._void.popitem(last=False)
