--- a/features/planners.feature
+++ b/features/planners.feature
@@ -45,6 +45,16 @@
     Then planner the host came from the least urgent service, and was emptied first
     And planner every budget holds with the largest domain lost
 
+  Scenario: Planner takes back a planned drain that doesn't end
+    A host that is to go to a short service never becomes empty. Without a limit both services would
+    wait for it, and the short one's callers would stay without their margin. Its drain is taken
+    back with a code, it is left alone, and another host goes in its place.
+
+    Given planner a fleet without spare hosts where two services have surplus
+    When planner sees a host of the most urgent service fail and the chosen one not drain
+    Then planner the chosen host is in service with MG4012 and another one went
+    And planner every budget holds with the largest domain lost
+
   Scenario: Planner replaces a host that leaves on short notice before it is emptied
     The platform says that a host will go soon. If it were emptied at once, a rack lost in the
     meantime would break the budget; so its replacement joins first, and then it is emptied.
--- a/features/steps/planners_steps.py
+++ b/features/steps/planners_steps.py
@@ -138,11 +138,11 @@
 @given("planner a fleet without spare hosts where two services have surplus")
 def step_surplus(context):
     services = [fleets.ServiceSpec(f"s{n}", 4, "rack", urgency=n) for n in range(3)]
-    spec = fleets.FleetSpec({"a": [3] * 6}, services, spare_hosts=0, move_weight=2.0)
+    spec = fleets.FleetSpec({"a": [3] * 7}, services, spare_hosts=0, move_weight=2.0)
     run = context.run = PlanRun(spec=spec)
     run.settle()
     spare = [h["host"] for h in run.hosts() if not h["pool"]]
-    for host, pool in zip(spare, ["s1", "s2", "s2"], strict=True):
+    for host, pool in zip(spare, ["s1", "s2"] * 3, strict=True):
         run.record(host, "in_service", pool, "given by hand")
     run.settle()
     assert not [h for h in run.hosts() if not h["pool"]]
@@ -158,6 +158,22 @@
     run.settle()
 
 
+@when("planner sees a host of the most urgent service fail and the chosen one not drain")
+def step_chosen_stuck(context):
+    run = context.run
+    run.fail(min(host for host, pool in placement(run).items() if pool == "s0"))
+    context.chosen = run.tick().steps[0].host
+    run.stuck.add(context.chosen)
+    run.settle()
+
+
+@then("planner the chosen host is in service with {code} and another one went")
+def step_another_went(context, code):
+    host = context.run.state.hosts_by_name[context.chosen]
+    assert host["phase"] == "in_service" and host["reason"].startswith(code), host
+    assert Counter(placement(context.run).values())["s0"] == 5
+
+
 @then("planner the host came from the least urgent service, and was emptied first")
 def step_from_least(context):
     moved, joined = context.plans
@@ -239,8 +255,8 @@
 
     check()
     # Tight fleets of a few racks are the hardest; the users' own are met exactly, see above.
-    assert counts["short"] <= 0.04 * counts["all"], counts
-    assert counts["more"] <= 0.01 * counts["hosts"], counts
+    assert counts["short"] <= 0.01 * counts["all"], counts
+    assert counts["more"] <= 0.002 * counts["hosts"], counts
 
 
 @then("planner margins of random fleets equal the naive ones and the fold's")
@@ -371,6 +387,8 @@
 
     def check(run):
         seen.steps += 1
+        joining = {s.host for s in run.plan().steps if s.kind in ("assign", "undrain")}
+        assert not joining & run.leaving.keys(), joining
         assert (run.breaches, run.turned) == ([], []), (run.breaches, run.turned)
 
     history(check)
--- a/features/steps/waves_steps.py
+++ b/features/steps/waves_steps.py
@@ -14,17 +14,7 @@
 def fleet_of(user, spare, domain):
     """A user's fleet of which ``spare`` hosts are left over by the services."""
     spec = USERS[user](survive=domain)
-    hosts = sum(map(sum, spec.racks.values()))
-    unused = hosts - 30 if user == "thekkady" else hosts - 40
-    racks = [(name, size) for name, sizes in spec.racks.items() for size in sizes]
-    by_data_center = {name: list(sizes) for name, sizes in spec.racks.items()}
-    for name, _ in reversed(racks):
-        if unused > spare:
-            by_data_center[name][-1] -= 1
-            unused -= 1
-        if not by_data_center[name][-1]:
-            by_data_center[name].pop()
-    return spec._replace(racks=by_data_center)
+    return fleets.with_spare(spec, 30 if user == "thekkady" else 40, spare)
 
 
 @given("waves a running fleet of {user} with {spare:d} spare hosts that survives a {domain}")
--- a/tools/fleets.py
+++ b/tools/fleets.py
@@ -177,6 +177,19 @@
     return FleetSpec(racks=racks, services=services, spare_hosts=max(1, hosts // 500))
 
 
+def with_spare(spec: FleetSpec, served: int, spare: int) -> FleetSpec:
+    """Cut a fleet down to so many hosts beyond the ``served`` ones, from the ends of its racks."""
+    racks = {name: list(sizes) for name, sizes in spec.racks.items()}
+    excess = sum(map(sum, racks.values())) - served - spare
+    while excess > 0:
+        name = max(racks, key=lambda n: (sum(racks[n]), n))
+        racks[name][-1] -= 1
+        excess -= 1
+        if not racks[name][-1]:
+            racks[name].pop()
+    return spec._replace(racks=racks)
+
+
 def _spread(data_centers: list[str], racks: int, size: int) -> dict[str, list[int]]:
     sizes: dict[str, list[int]] = {name: [] for name in data_centers}
     for number in range(racks):
