End at once when a port is taken or a key can't be read

Cause: the ports are opened by supervised children, whose failures are first taken for passing ones: the daemon restarted them for 10 s and then blamed the platform (MG2004, status 22). A gRPC server that was made but never started also broke the interpreter's shutdown ('Error in sys.excepthook'). Ruled out: opening all ports before the tree starts; a restarted child must open its port again anyway. Conclusion: MG2003 and MG2006 aren't restarted; each names the setting to mend.

--- a/features/steps/certificates_steps.py
+++ b/features/steps/certificates_steps.py
@@ -72,7 +72,8 @@
     context.add_cleanup(lambda: context.loop.call_soon_threadsafe(context.loop.stop))
 
     async def serve():
-        server = channels.make_server(context.address, settings_of(context.keys), {"Echo": echo})
+        keys = settings_of(context.keys)
+        server = await channels.make_server(context.address, keys, {"Echo": echo})
         await server.start()
         return server
 
--- a/mustardgap/callers.py
+++ b/mustardgap/callers.py
@@ -101,9 +101,9 @@
         try:
             self._sockets = netutil.bind_sockets(self.settings.callers.port, address=address)
         except OSError as exc:
-            place = f"{address}:{self.settings.callers.port}"
+            place = f"{address}:{self.settings.callers.port} (callers.port)"
             raise MustardgapError(
-                code=status_codes.ADDRESS_IN_USE, detail=str(exc), place=place
+                code=status_codes.ADDRESS_IN_USE, detail=exc.strerror or "", place=place
             ) from None
         for sock in self._sockets:
             self._stop_accepting.append(netutil.add_accept_handler(sock, self._accept))
--- a/mustardgap/channels.py
+++ b/mustardgap/channels.py
@@ -15,7 +15,7 @@
 SERVICE = "mustardgap.Peers"
 
 
-def make_server(
+async def make_server(
     address: str, settings: PeersSettings, methods: dict[str, Callable[..., Any]]
 ) -> grpc.aio.Server:
     """Make a server that listens on an address; its streams carry bytes.
@@ -25,19 +25,25 @@
     :param methods: the handlers of bidirectional streams by the method's name.
     :raises MustardgapError: MG2003 when the address is in use, MG2006 for bad keys.
     """
+    # First, as a server that has been made must be started and stopped again.
+    credentials = _server_credentials(settings.tls) if settings.tls is not None else None
     server = grpc.aio.server(options=_options(settings))
     handlers = {
         name: grpc.stream_stream_rpc_method_handler(handler) for name, handler in methods.items()
     }
     server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, handlers),))
-    credentials = _server_credentials(settings.tls) if settings.tls is not None else None
     try:
         if credentials is None:
             server.add_insecure_port(address)
         else:
             server.add_secure_port(address, credentials)
     except RuntimeError:
-        raise MustardgapError(code=status_codes.ADDRESS_IN_USE, place=address) from None
+        # A server that was never started can't be stopped, and one that isn't breaks the
+        # interpreter's own shutdown.
+        await server.start()
+        await server.stop(None)
+        place = f"{address} (peers.port)"
+        raise MustardgapError(code=status_codes.ADDRESS_IN_USE, place=place) from None
     return server
 
 
--- a/mustardgap/daemons.py
+++ b/mustardgap/daemons.py
@@ -46,7 +46,7 @@
         for name, run in self._children().items():
             self._root.start_child(name, run)
         try:
-            await self._start()
+            await self._first(self._root.run(), self._start())
             await self._first(self._root.run(), self._stop.wait())
             await self._first(self._root.run(), self._leave())
         finally:
--- a/mustardgap/peers.py
+++ b/mustardgap/peers.py
@@ -135,7 +135,7 @@
 
     async def run(self) -> None:
         """Listen, and keep the streams open, until cancelled."""
-        server = channels.make_server(
+        server = await channels.make_server(
             self.members.me.peers_address, self.settings.peers, {METHOD: self._accept}
         )
         await server.start()
--- a/mustardgap/servers.py
+++ b/mustardgap/servers.py
@@ -81,7 +81,7 @@
         stream.close = numbered_close  # type: ignore[method-assign]
 
 
-def bind(server: HTTPServer, port: int, address: str) -> int:
+def bind(server: BoundedServer, port: int, address: str) -> int:
     """Listen on an address.
 
     :param port: the port, 0 for any free one.
@@ -94,12 +94,12 @@
         raise MustardgapError(
             code=status_codes.ADDRESS_IN_USE,
             detail=exc.strerror or str(exc),
-            place=f"{address}:{port}",
+            place=f"{address}:{port} ({server.name}.port)",
         ) from None
     sock.setblocking(False)
     server.add_sockets([sock])
     bound = int(sock.getsockname()[1])
-    logging.info("listening port=%d", bound)
+    logging.debug("listening port=%d", bound)
     return bound
 
 
--- a/mustardgap/supervisors.py
+++ b/mustardgap/supervisors.py
@@ -7,9 +7,11 @@
 
 from absl import logging
 
-from .exceptions import ChildFailed
+from . import status_codes
+from .exceptions import ChildFailed, MustardgapError
 
 Child = Callable[[], Awaitable[None]]
+FATAL = frozenset({status_codes.ADDRESS_IN_USE, status_codes.TLS_INVALID})
 
 
 class Supervisor:
@@ -58,14 +60,16 @@
         await asyncio.gather(task, return_exceptions=True)
 
     async def run(self) -> None:
-        """Wait until a child keeps failing.
+        """Wait until a child keeps failing, or fails in a way that a restart can't mend.
 
         :raises ChildFailed: MG2005 with the child's name.
+        :raises MustardgapError: MG2003 or MG2006, as the child raised it.
         """
         await asyncio.shield(self._failed)
 
     async def stop(self) -> None:
         """Stop all children, the youngest first."""
+        self._failed.cancel()
         for name in reversed(list(self._tasks_by_name)):
             await self.stop_child(name)
 
@@ -79,19 +83,22 @@
             except asyncio.CancelledError:
                 raise
             except Exception as exc:
+                if isinstance(exc, MustardgapError) and exc.code in FATAL:
+                    self._give_up(name, exc)
+                    return
                 now = time.monotonic()
                 failures.append(now)
                 while failures and now - failures[0] > self.window_s:
                     failures.popleft()
                 logging.exception("%s/%s failed (%d)", self.name, name, len(failures))
                 if len(failures) > self.max_restarts:
-                    self._give_up(name, exc)
+                    detail = f"{type(exc).__name__}: {exc}"
+                    self._give_up(name, ChildFailed(detail=detail, place=f"{self.name}/{name}"))
                     return
             self.restarts += 1
             await asyncio.sleep(self.backoff_s * min(16, 2 ** (len(failures) - 1)))
 
-    def _give_up(self, name: str, exc: Exception) -> None:
+    def _give_up(self, name: str, exc: MustardgapError) -> None:
         self._tasks_by_name.pop(name, None)
         if not self._failed.done():
-            detail = f"{type(exc).__name__}: {exc}"
-            self._failed.set_exception(ChildFailed(detail=detail, place=f"{self.name}/{name}"))
+            self._failed.set_exception(exc)
