--- a/features/planners.feature
+++ b/features/planners.feature
@@ -69,6 +69,15 @@
     When planner sees an operator drain a spare host while another host fails
     Then planner the operator's host is in no pool
 
+  Scenario: Planner fills each pool of a service and stays within its room
+    Given planner a running fleet of thekkady that survives the loss of a rack
+    When planner sees a second pool of listings that wants 2 to 3 hosts, and room for 8
+    Then planner the pools of listings hold 6 and 2 hosts
+    And planner every budget holds with the largest domain lost
+    When planner reads that the second pool of listings may hold none
+    Then planner the pools of listings hold 6 and 0 hosts
+    And planner every budget holds with the largest domain lost
+
   Scenario: Planner comes near the exact answer on small random fleets
     Then planner places random small fleets as the exact answer does, but for a few
 
--- a/mustardgap/placements.py
+++ b/mustardgap/placements.py
@@ -96,6 +96,12 @@
         """Whether it holds all the room it may; a draining host holds its room still."""
         return self.size + self.draining_by_pool.total() >= self.requirement.max_hosts
 
+    @property
+    def crowded_pools(self) -> list[str]:
+        """The pools that hold more hosts than they may."""
+        pools = self.requirement.pools
+        return [name for name in pools if self.size_by_pool[name] > pools[name].max_hosts]
+
     def margin_without(self, host: HostState) -> int:
         """The margin if this host left."""
         left = self.size - 1
@@ -188,6 +194,7 @@
         self.stray_ids: set[str] = set()
         self.short_names: set[str] = set()
         self.over_names: set[str] = set()
+        self.crowded_names: set[str] = set()
         self._pools: set[str] = set()
         self._requirements = read_requirements(declarations_by_key)
         self._group(declarations_by_key)
@@ -299,10 +306,19 @@
     def _mark_all(self) -> None:
         self.short_names.clear()
         self.over_names.clear()
+        self.crowded_names.clear()
         for group in self.groups_by_name.values():
             self._mark(group)
 
     def _mark(self, group: Group) -> None:
         name = group.requirement.name
-        (self.short_names.add if group.is_short else self.short_names.discard)(name)
-        (self.over_names.add if group.is_over else self.over_names.discard)(name)
+        _put_if(self.short_names, name, group.is_short)
+        _put_if(self.over_names, name, group.is_over)
+        _put_if(self.crowded_names, name, bool(group.crowded_pools))
+
+
+def _put_if(names: set[str], name: str, is_member: bool) -> None:
+    if is_member:
+        names.add(name)
+    else:
+        names.discard(name)
--- a/mustardgap/planners.py
+++ b/mustardgap/planners.py
@@ -87,6 +87,7 @@
         try:
             empty_leaving(draft, leaving)
             give_up_drains(draft)
+            shrink_pools(draft)
             fill_short(draft)
             waves.proceed()
             release_surplus(draft, waves)
@@ -143,6 +144,25 @@
             draft.give_up_drain(host)
 
 
+def shrink_pools(draft: Draft) -> None:
+    """Empty hosts of pools that hold more than they may.
+
+    Where the budget has no margin and its service has room, another pool's host comes first.
+    """
+    fleet = draft.fleet
+    for name in sorted(fleet.crowded_names):
+        group = fleet.groups_by_name[name]
+        hosts = [fleet.hosts_by_id[h] for h in group.host_ids() if h not in draft.touched]
+        for host in hosts:
+            pool = host["pool"]
+            if group.size_by_pool[pool] <= group.requirement.pools[pool].max_hosts:
+                continue
+            if group.can_lose(host):
+                draft.drain(host, f"pool {pool} holds more hosts than it may")
+            elif not group.is_full:
+                draft.withhold(host)
+
+
 def fill_short(draft: Draft) -> None:
     """Bring hosts to the services that lack them, when they are scarce the most urgent first.
 
