Wait for every entry host that there is, not only for those known to one

Ruled out: asking the platform's list alone (it lags by seconds, both ways). Conclusion: all entries named are asked, their members and the platform's list are counted together; wave status goes by the wave's start, since a pause moves its last change.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -33,6 +33,18 @@
     When commands publish with a wait of 1 second while one entry host is cut off from the log
     Then commands end with MG6002 naming that entry host, and the change stays accepted
 
+  Scenario Outline: waiting counts every entry host that there is (<which>)
+    An entry host has just started: the one that is asked doesn't know it as a member yet. A wait
+    that counted only the members known there would end too early, and say "everywhere".
+    Given commands' entry hosts
+    When commands publish with a wait of 1 second through one that doesn't know <which> yet
+    Then commands end with MG6002 naming that entry host, and the change stays accepted
+
+    Examples:
+      | which                                   |
+      | an entry host that is named beside it   |
+      | an entry host on the platform's list    |
+
   Scenario Outline: the command line <words> is refused
     When commands are called with <words>
     Then commands end with <code> and one line that says <detail>
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -251,10 +251,30 @@
 
 @when("commands publish with a wait of 1 second while one entry host is cut off from the log")
 def publish_cut_off(context):
+    cut_off(context)
+    context.result = run(context, "apply", town(context), "--wait", "--timeout", "1")
+
+
+def cut_off(context):
+    """Cut the third entry host off from the log."""
     log = context.entries.by_number[2].log
     log.platform.address = f"127.0.0.1:{free_ports(1)[0]}"
     context.entries.control.fault("down", on="/log/*", method="GET", count=3)
-    context.result = run(context, "apply", town(context), "--wait", "--timeout", "1")
+
+
+@when("commands publish with a wait of 1 second through one that doesn't know {which} yet")
+def publish_unknown(context, which):
+    cut_off(context)
+    entries = context.entries.by_number
+    unknown = entries[2].members.me
+    for entry in entries[:2]:
+        entry.members.by_id.pop(unknown.id)
+        if "list" in which:
+            entry.members.listed_hosts = frozenset({unknown.host})
+    named = [entries[0], entries[2]] if "named" in which else entries[:1]
+    context.result = run_command(
+        *("apply", town(context), "--wait", "--timeout", "1"), entries=[e.address for e in named]
+    )
 
 
 @then("commands end with MG6002 naming that entry host, and the change stays accepted")
--- a/mustardgap/clients.py
+++ b/mustardgap/clients.py
@@ -155,14 +155,20 @@
     async def offsets(self) -> list[MemberOffset]:
         """How far each live entry host has folded, asked of each one itself.
 
-        One that can't be reached from here counts with what the others know of it by gossip.
+        One that can't be reached from here counts with what the others know of it by gossip. One
+        that is on the platform's list but that no other knows yet counts as far behind.
         """
-        status = await self.status()
-        members = [m for m in status["members"] if m["state"] in ("live", "suspect")]
-        own = await asyncio.gather(*map(self._own_offset, members))
-        return [
+        statuses = await self._statuses()
+        members = _latest(member for status in statuses for member in status["members"])
+        listed = {host for status in statuses for host in status["listed"]}
+        live = [m for m in members.values() if m["state"] in ("live", "suspect")]
+        own = await asyncio.gather(*map(self._own_offset, live))
+        found = [
             MemberOffset(member["host"], member["state"], max(member["offset"], offset))
-            for member, offset in zip(members, own, strict=True)
+            for member, offset in zip(live, own, strict=True)
+        ]
+        return found + [
+            MemberOffset(host, "listed", -1) for host in sorted(listed - members.keys())
         ]
 
     async def wait_in_force(self, offset: int, *, timeout_s: float, progress: Any = None) -> float:
@@ -212,6 +218,13 @@
 
     # Entry hosts.
 
+    async def _statuses(self) -> list[dict[str, Any]]:
+        """The statuses of all entry hosts that were named; at least one must answer."""
+        calls = [self._calls.call_one(entry, "GET", "/v1/status") for entry in self._calls.entries]
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        statuses = [answer for answer in answers if isinstance(answer, dict)]
+        return statuses or [await self.status()]
+
     async def _own_offset(self, member: dict[str, Any]) -> int:
         if not member["operators"]:
             return -1
@@ -243,6 +256,16 @@
     return Event(**{**raw, "stamp": (int(stamp[0]), int(stamp[1]))})
 
 
+def _latest(members: Iterable[dict[str, Any]]) -> dict[str, dict[str, Any]]:
+    """The latest incarnation of each host, by host, as far as any entry host has seen it."""
+    found: dict[str, dict[str, Any]] = {}
+    for member in members:
+        known = found.get(member["host"], member)
+        if (member["incarnation"], member["offset"]) >= (known["incarnation"], known["offset"]):
+            found[member["host"]] = member
+    return found
+
+
 def _late(detail: str, timeout_s: float) -> MustardgapError:
     code = status_codes.WAIT_TIMED_OUT
     return MustardgapError(code=code, detail=detail, place=f"after {timeout_s:g} s")
--- a/mustardgap/commands_waves.py
+++ b/mustardgap/commands_waves.py
@@ -151,4 +151,4 @@
 
 
 def _done(host: dict[str, Any], wave: dict[str, Any]) -> str:
-    return "yes" if host["maintained"] >= wave["since"] else "no"
+    return "yes" if host["maintained"] >= wave["started"] else "no"
--- a/mustardgap/operator_views.py
+++ b/mustardgap/operator_views.py
@@ -152,6 +152,7 @@
         "fresh_s": _finite(operators.log.fresh_s()),
         "uptime_s": operators.timeline.clock.monotonic() - operators.started,
         "services": operators.services_view(),
+        "listed": sorted(operators.members.listed_hosts),
         "members": [_member(member) for member in operators.members.by_id.values()],
     }
 
