Compare a service's shortage before and after also when it changes its profile

Cause: a service that is short already and chooses another profile, with which it is no shorter, was refused: the shortage was told apart by the profile's name. Ruled out: dropping the profile from the message, which says which budget it is. Measured: red first: the long run of the state machine (MUSTARDGAP_LONG=1, features/folds.feature) met it after about a minute, the naive fold accepted; then green over 52,227 fuzzed steps in 92 s. Features of declarations green. Conclusion: service and limit name a budget; the profile stands in the detail.

--- a/mustardgap/budgets.py
+++ b/mustardgap/budgets.py
@@ -14,11 +14,17 @@
 
 
 class Shortage(NamedTuple):
-    """A budget that can't be met: which, and by how many hosts."""
+    """A budget that can't be met: which, and by how many hosts.
+
+    ``limit`` is what stands against it. Service and limit name the same budget also when the
+    service has chosen another profile.
+    """
 
     budget: str
+    limit: str
     need: int
     have: int
+    detail: str = ""
 
     @property
     def short(self) -> int:
@@ -26,7 +32,8 @@
         return self.need - self.have
 
     def __str__(self) -> str:
-        return f"{self.budget}: needs {self.need} hosts, {self.have} there, {self.short} short"
+        counts = f"needs {self.need} hosts, {self.have} there, {self.short} short"
+        return f"{self.budget}{self.detail} {self.limit}: {counts}"
 
 
 def in_service(state: State, service: str) -> list[HostState]:
@@ -162,22 +169,21 @@
         floor = max(need, sum(pool["min_hosts"] for pool in pools))
         total += floor
         lost = profile["availability"]["survive"]
-        budget = f"service/{name}, availability of {profile_key} with {lost} lost"
-        room = profile["room"]["max_hosts"]
-        places = sum(pool["max_hosts"] for pool in pools)
-        found += _short(f"{budget} in its room", floor, room)
-        found += _short(f"{budget} in its pools", floor, places)
+        detail = f", availability of {profile_key} with {lost} lost"
+        limits = {
+            "in its room": (floor, profile["room"]["max_hosts"]),
+            "in its pools": (floor, sum(pool["max_hosts"] for pool in pools)),
+        }
         if fleet:
-            found += _short(f"{budget} in the fleet", *needs.against_fleet(profile))
-    if fleet:
-        found += _short("all services and pools together", total, fleet)
+            limits["in the fleet"] = needs.against_fleet(profile)
+        for limit, (wanted, have) in limits.items():
+            if wanted > have:
+                found.append(Shortage(key, limit, wanted, have, detail))
+    if fleet and total > fleet:
+        found.append(Shortage("all services and pools together", "in the fleet", total, fleet))
     return found
 
 
-def _short(budget: str, need: int, have: int) -> list[Shortage]:
-    return [Shortage(budget, need, have)] if need > have else []
-
-
 def _pools_by_service(values_by_key: Mapping[str, Any]) -> dict[str, list[Any]]:
     pools: dict[str, list[Any]] = {}
     for key, value in values_by_key.items():
--- a/mustardgap/config_rules.py
+++ b/mustardgap/config_rules.py
@@ -99,8 +99,8 @@
     after = shortages(state, _after(state, changes))
     if not after:
         return None
-    before = {s.budget: s.short for s in shortages(state, _after(state, []))}
-    worse: list[Shortage] = [s for s in after if s.short > before.get(s.budget, 0)]
+    before = {(s.budget, s.limit): s.short for s in shortages(state, _after(state, []))}
+    worse: list[Shortage] = [s for s in after if s.short > before.get((s.budget, s.limit), 0)]
     if not worse:
         return None
     detail = "; ".join(str(shortage) for shortage in worse[:5])
