Fuzz the whole system in real processes under load

Cause: the parts are fuzzed one by one with fakes; faults of several parts at once, in real processes, were only tried one at a time by the features of the system.

--- /dev/null
+++ b/tools/fuzz_worlds.py
@@ -0,0 +1,370 @@
+"""The processes of one fuzzed run, and the steps of a schedule carried out on them."""
+
+import asyncio
+import json
+import random
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from typing import Any, NamedTuple
+from urllib.error import URLError
+
+from mustardgap import clients, status_codes
+from mustardgap.exceptions import MustardgapError
+from standins.controls import Control
+
+from .clusters import Cluster
+from .fuzz_fleet import DAEMONS, FIELDS, VALUES_BY_KEY, declared, fleet, job
+from .fuzz_schedules import Step
+from .processes import Processes
+
+OPERATOR_TIMEOUT_S = 8.0
+MAX_STEPS_AT_ONCE = 24
+OWN_WAY = "e4"
+CONTROL_ERRORS = (URLError, OSError, ValueError, KeyError)
+_SETTINGS = {
+    "capacity": {"host_failed_s": 4.0, "lease_s": 6.0, "return_timeout_s": 20.0},
+    "platform": {"checkpoint_records": 120},
+    "stop_timeout_s": 15.0,
+    "verbosity": 0,
+}
+
+
+class Window(NamedTuple):
+    """A time in which something was broken on purpose; ``on`` is a daemon's name or a pattern."""
+
+    action: str
+    on: str
+    start: float
+    end: float
+
+
+class Attempt(NamedTuple):
+    """One operator's change: what was asked and what the operator was told.
+
+    ``told`` is ``accepted`` (with the record's offset), ``rejected`` for all that says that nothing
+    was changed, or ``unknown``.
+    """
+
+    key: str
+    base: int
+    value: Any
+    told: str
+    offset: int
+    detail: str
+
+
+class World:
+    """One run's processes, and what was done to them.
+
+    :param processes: starts and ends the processes.
+    :param seed: the seed of the stand-ins' own draws.
+    """
+
+    def __init__(self, *, processes: Processes, seed: int) -> None:
+        self.processes = processes
+        self.cluster = Cluster(
+            processes=processes,
+            fleet=fleet(),
+            daemons=0,
+            executor_processes=2,
+            executors={"run_time": {"distribution": "exponential", "mean_s": 0.03}, "seed": seed},
+            platform={
+                "workers": {"reboot_s": 0.5},
+                "hosts": {"lag_s": 1.0, "expire_s": 8.0},
+                "seed": seed,
+            },
+            platform_ports=2,
+            daemon=_SETTINGS,
+        )
+        self.windows: list[Window] = []
+        self.attempts: list[Attempt] = []
+        self.jobs: dict[str, bool] = {}
+        self.waves: list[str] = []
+        self._drained: set[str] = set()
+        self.in_force = 0.0
+        self.notes: list[str] = []
+        self._lock_by_target = {name: threading.Lock() for name in (*DAEMONS, "x1", "x2")}
+        self._count_lock = threading.Lock()
+        self._counted = 0
+
+    # Starting
+
+    def start(self) -> None:
+        """Start everything and put the declarations in force."""
+        self.cluster.start()
+        for name in DAEMONS:
+            self.start_daemon(name)
+        self.cluster.wait_live()
+        folder = self.cluster.folder / "declarations"
+        folder.mkdir(exist_ok=True)
+        (folder / "all.json").write_text(json.dumps(declared()), encoding="utf-8")
+        self.cluster.apply(folder)
+        self.cluster.wait_ready()
+        self.in_force = time.time()
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon; the last one has a way of its own to the platform."""
+        own = {"platform": {"address": f"127.0.0.1:{self.cluster.platform_ports[1]}"}}
+        self.cluster.start_daemon(name, **(own if name == OWN_WAY else {}))
+
+    # Carrying out
+
+    def carry_out(self, schedule: list[Step], seconds: float) -> None:
+        """Carry out all steps at their times, together and overlapping."""
+        started = time.monotonic()
+        with ThreadPoolExecutor(MAX_STEPS_AT_ONCE) as pool:
+            for step in schedule:
+                time.sleep(max(0.0, started + step.at_s - time.monotonic()))
+                pool.submit(self._carry_out, step)
+            time.sleep(max(0.0, started + seconds - time.monotonic()))
+
+    def _carry_out(self, step: Step) -> None:
+        begun = time.time()
+        lock = self._lock_by_target.get(step.on)
+        if lock is not None and not lock.acquire(blocking=False):
+            self._note(step, begun, "left out: busy")
+            return
+        said = "done"
+        try:
+            said = self._act(step) or said
+        except Exception as exc:  # Steps strike a system that is broken: what fails is noted.
+            said = f"{type(exc).__name__}: {exc}"
+        finally:
+            if lock is not None:
+                lock.release()
+            self.windows.append(Window(step.action, step.on, begun, time.time()))
+            self._note(step, begun, said)
+
+    def _act(self, step: Step) -> str | None:
+        action: Callable[[Step], str | None] | None = getattr(self, f"_{step.action}", None)
+        if action is not None:
+            return action(step)
+        if step.action.startswith("calls_"):
+            self._strike(step, step.action.removeprefix("calls_"))
+        else:
+            self._strike_executors(step)
+        return None
+
+    def _note(self, step: Step, begun: float, said: str) -> None:
+        self.notes.append(f"{begun:.2f}-{time.time():.2f} {step.action} {step.on}: {said[:160]}")
+
+    def number(self) -> int:
+        """A number that was never handed out before."""
+        with self._count_lock:
+            self._counted += 1
+            return self._counted
+
+    # Daemons
+
+    def _daemon_kill(self, step: Step) -> None:
+        self.processes.kill(step.on)
+        time.sleep(step.for_s)
+        self.start_daemon(step.on)
+
+    def _daemon_freeze(self, step: Step) -> None:
+        self.processes.freeze(step.on)
+        time.sleep(step.for_s)
+        self.processes.wake(step.on)
+
+    def _daemon_stop(self, step: Step) -> str:
+        status = self.processes.stop(step.on)
+        time.sleep(step.for_s)
+        self.start_daemon(step.on)
+        return f"status {status}"
+
+    # Executors
+
+    def _executors_kill(self, step: Step) -> None:
+        self.processes.kill(step.on)
+        time.sleep(step.for_s)
+        self.cluster.start_executors(step.on)
+
+    def _executors_kill_after_run(self, step: Step) -> None:
+        control = self.cluster.controls_by_name[step.on]
+        control.fault("kill_after_run", count=1)
+        end = time.monotonic() + step.for_s
+        while time.monotonic() < end and self.processes.is_running(step.on):
+            time.sleep(0.05)
+        if self.processes.is_running(step.on):
+            control.clear("kill_after_run")
+        time.sleep(0.3)
+        if not self.processes.is_running(step.on):
+            self.cluster.start_executors(step.on)
+
+    def _executors_freeze(self, step: Step) -> None:
+        self._daemon_freeze(step)
+
+    def _strike_executors(self, step: Step) -> None:
+        fields: dict[str, Any] = {"ratio": step.number}
+        if step.action in ("slow", "late"):
+            fields = {"seconds": step.number}
+        elif step.action == "short":
+            fields = {"at_byte": int(step.number)}
+        elif step.action in ("silent", "leaving"):
+            fields = {}
+        for control in self.cluster.controls_by_name.values():
+            with suppress(*CONTROL_ERRORS):
+                control.fault(step.action, on=step.on, **fields)
+        time.sleep(step.for_s)
+        for control in self.cluster.controls_by_name.values():
+            with suppress(*CONTROL_ERRORS):
+                control.clear(step.action, step.on)
+
+    # The platform
+
+    def _strike(self, step: Step, fault: str, **fields: Any) -> None:
+        if fault in ("down", "lost", "doubled") and step.number:
+            fields["ratio"] = step.number
+        if fault == "slow":
+            fields["seconds"] = step.number
+        if fault in ("lost", "doubled"):
+            fields["method"] = "POST"
+        self.cluster.platform.fault(fault, on=step.on or "*", **fields)
+        time.sleep(step.for_s)
+        self.cluster.platform.clear(fault, step.on or "*")
+
+    def _way_silent(self, step: Step) -> None:
+        self._strike(step, "silent", port=self.cluster.platform_ports[1])
+
+    def _way_down(self, step: Step) -> None:
+        self._strike(step._replace(number=0), "down", port=self.cluster.platform_ports[1])
+
+    def _hosts_lag(self, step: Step) -> None:
+        self._strike(step, "lag", seconds=step.number)
+
+    def _host_removed(self, step: Step) -> None:
+        self.cluster.platform.fault("host_removed", on=step.on)
+
+    def _paused(self, step: Step) -> None:
+        self._strike(step, "paused")
+
+    def _power_off(self, step: Step) -> None:
+        self._strike(step, "power_off")
+
+    def _never_drains(self, step: Step) -> None:
+        self._strike(step, "never_drains")
+
+    def _never_returns(self, step: Step) -> None:
+        self._strike(step, "never_returns")
+
+    def _host_leaving(self, step: Step) -> None:
+        self._strike(step, "host_leaving")
+
+    # Operators
+
+    def call(self, function: Callable[[clients.Client], Any], *daemons: str) -> Any:
+        """Use the operators' interface through some daemons, in turn.
+
+        :param function: from a client to the coroutine of a call.
+        """
+
+        async def run() -> Any:
+            entries = [self.cluster.daemons_by_name[name].operators for name in daemons or DAEMONS]
+            async with clients.Client(entries=entries, timeout_s=OPERATOR_TIMEOUT_S) as client:
+                return await function(client)
+
+        return asyncio.run(run())
+
+    def _wave(self, step: Step) -> str:
+        name = f"wave-{self.number()}"
+        self.call(lambda client: client.start_wave(name, rack=step.on))
+        self.waves.append(name)
+        return name
+
+    def _wave_pause(self, step: Step) -> str:
+        if not self.waves:
+            return "no wave"
+        name = self.waves[-1]
+        self.call(lambda client: client.step_wave(name, "pause"))
+        time.sleep(step.for_s)
+        self.call(lambda client: client.step_wave(name, "resume"))
+        return name
+
+    def _drain(self, step: Step) -> None:
+        self._drained.add(step.on)
+        self.call(lambda client: client.drain(step.on))
+        time.sleep(step.for_s)
+        self.call(lambda client: client.undrain(step.on))
+
+    def _job(self, step: Step) -> str:
+        name = f"job-{self.number()}"
+        self.jobs[name] = idempotent = step.on == "twice"
+        spec: Any = job(idempotent=idempotent, run_s=step.number)
+        self.call(lambda client: client.submit(name, spec))
+        return name
+
+    def _job_cancelled(self, step: Step) -> str:
+        name = self._job(step)
+        time.sleep(step.for_s)
+        self.call(lambda client: client.cancel([name]))
+        return name
+
+    def _race(self, step: Step) -> str:
+        """Two operators read the same version and publish different changes of it."""
+        first, second = random.Random(step.at_s).sample(DAEMONS, 2)
+        current = self.call(lambda c: c.declarations(), first, second)["items"][step.on]
+        now = current["value"][FIELDS[step.on]]
+        choices = [value for value in VALUES_BY_KEY.get(step.on, ()) if value != now]
+        choices = choices or [200 + self.number(), 200 + self.number()]
+        with ThreadPoolExecutor(2) as pool:
+            found = list(
+                pool.map(
+                    lambda pair: self._publish(step.on, current, pair[0], pair[1]),
+                    zip((first, second), choices[:2], strict=True),
+                )
+            )
+        self.attempts += found
+        return ", ".join(f"{a.told} {a.offset}" for a in found)
+
+    def _publish(self, key: str, current: Any, entry: str, number: int) -> Attempt:
+        base = current["version"]
+        value = {**current["value"], FIELDS[key]: number}
+        change: Any = {"key": key, "base": base, "value": value}
+        others = [name for name in DAEMONS if name != entry]
+        try:
+            found = self.call(lambda client: client.apply([change]), entry, *others)
+        except MustardgapError as exc:
+            told = "unknown" if exc.code is status_codes.LOG_ANSWER_LOST else "rejected"
+            return Attempt(key, base, value, told, -1, str(exc)[:80])
+        return Attempt(key, base, value, "accepted", found["offset"], "")
+
+    # Healing
+
+    def heal(self) -> None:
+        """End every fault and let every process run again."""
+        self.cluster.platform.clear()
+        for name in (*DAEMONS, "x1", "x2"):
+            if self.processes.is_running(name):
+                self.processes.wake(name)
+            elif name in DAEMONS:
+                self.start_daemon(name)
+            else:
+                self.cluster.start_executors(name)
+        for control in self.cluster.controls_by_name.values():
+            _clear(control)
+
+    def take_drains_back(self) -> None:
+        """Undrain every host that an operator may have left drained."""
+        for name in sorted(self._drained):
+            with suppress(MustardgapError):
+                self.call(lambda client: client.undrain(name))  # noqa: B023
+
+    @property
+    def executors(self) -> dict[str, dict[str, Any]]:
+        """The state of all executors that can be asked."""
+        found: dict[str, dict[str, Any]] = {}
+        for control in self.cluster.controls_by_name.values():
+            with suppress(*CONTROL_ERRORS):
+                found |= control.state()
+        return found
+
+
+def _clear(control: Control) -> None:
+    for _ in range(50):
+        with suppress(*CONTROL_ERRORS):
+            control.clear()
+            return
+        time.sleep(0.2)
