--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -149,7 +149,10 @@
     change = {"key": key, "base": items[key]["version"], "value": value}
     body = {"id": f"bench-{time.monotonic_ns()}-{number}", "changes": [change], "dry_run": False}
     request = Request(
-        f"http://{operators}/v1/changes", data=json.dumps(body).encode(), method="POST"
+        f"http://{operators}/v1/changes",
+        data=json.dumps(body).encode(),
+        headers={"Content-Type": "application/json"},
+        method="POST",
     )
     with urlopen(request, timeout=30) as resp:
         return int(json.load(resp)["offset"])
