Give what a starting entry host finds its full share at once

Cause: the view of workers is empty when the parts are built, so the first poll's executors were taken for new ones and started slowly: a starting daemon had a tenth of its slots. Ruled out: no slow start for new executors (one that has just come up serves its first requests slowly). The system's scenario of a leaving executor still fails, with refusals of MG1100 that come from waiting for slots. Conclusion: the start lasts until workers have been seen.

--- a/features/executors.feature
+++ b/features/executors.feature
@@ -58,6 +58,13 @@
       | the platform's workers  |
       | the platform's host list |
 
+  Scenario: what a starting entry host finds gets full shares at once, and what comes later doesn't
+    At the start nobody could take the work that executors on a slow start don't get. The view of
+    workers is empty until it has been read for the first time.
+
+    When executors are found at the start, and one more later
+    Then executors found at the start have full shares and the later one the smallest
+
   Scenario: a rack that fails takes one failure for each of its executors after the second
     Two workers of a rack can't be reached. The third of that rack is ejected by its first failure,
     an executor of another rack is not.
--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -10,10 +10,11 @@
 from hypothesis import strategies as st
 
 from features.steps.requests_steps import Rig
-from features.support.entries import SpreadSlots
+from features.support.entries import SpreadSlots, make_state, make_workers
+from mustardgap.executors import Executors
 from mustardgap.healths import Sign
 from mustardgap.outliers import Outliers, Patient
-from mustardgap.settings import RequestsSettings
+from mustardgap.settings import PlatformSettings, RequestsSettings, Settings
 from mustardgap.timelines import Timeline
 from mustardgap.timers import Clock
 
@@ -198,6 +199,23 @@
     return outliers
 
 
+@when("executors are found at the start, and one more later")
+def found(context):
+    rows = [(name, "127.0.0.1:1", "r") for name in SIX]
+    found, workers = make_workers(rows).by_id, make_workers([])
+    settings = Settings(host="e", data_center="d", platform=PlatformSettings(address="127.0.0.1:1"))
+    executors = Executors(settings=settings, state=make_state(), workers=workers)
+    for names in (SIX[:5], SIX[5:]):
+        workers.by_id.update({f"w-{name}": found[f"w-{name}"] for name in names})
+        workers.callbacks[0]({f"w-{name}" for name in names})
+    context.weights = {v.executor: v.weight for v in executors.candidates("quotes")}
+
+
+@then("executors found at the start have full shares and the later one the smallest")
+def check_found(context):
+    assert context.weights == dict.fromkeys(SIX[:5], 1.0) | {"x6": 0.1}, context.weights
+
+
 @when("executors of two workers of a rack can't be reached")
 def rack_fails(context):
     context.outliers = watch()
--- a/mustardgap/executors.py
+++ b/mustardgap/executors.py
@@ -198,7 +198,7 @@
         """Take in the workers that changed."""
         for worker in sorted(workers):
             self._update_worker(worker)
-        self._is_first = False
+        self._is_first = self._is_first and not self.outliers.by_executor
         self._version += 1
 
     def _update_worker(self, worker: str) -> None:
