Refuse what is asked of the operators' port under a name

Cause: a page whose name is made to point to the port after it was loaded counts as the port's own page to the browser, and may send any content type. Conclusion: everything under /v1/ is asked of an IP number; scrapes may use names.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -62,6 +62,10 @@
       | --entry user@1.2.3.4:80 status                     | MG6000 | is not IP:PORT          |
       | --entry 1.2.3.4/x:80 status                        | MG6000 | is not IP:PORT          |
       | --entry :80 status                                 | MG6000 | is not IP:PORT          |
+      | --entry example.com:80 status                      | MG6000 | is not IP:PORT          |
+      | --entry ::1:80 status                              | MG6000 | is not IP:PORT          |
+      | --entry [::1:80 status                             | MG6000 | is not IP:PORT          |
+      | --entry 1.2.3:80 status                            | MG6000 | is not IP:PORT          |
       | --call-timeout 0 status                            | MG6000 | not in the range        |
       | --call-timeout NaN status                          | MG6000 | not a finite number     |
       | --call-timeout soon status                         | MG6000 | not a valid number      |
--- a/features/operator_inputs.feature
+++ b/features/operator_inputs.feature
@@ -114,9 +114,11 @@
 
   Scenario: a page in an operator's browser can't make changes
     A page on another site posts a form, or a script, to the port that the operator's browser can
-    reach. The browser sends a form without asking, but not with this content type.
+    reach. The browser sends a form without asking, but not with this content type. Or the page's
+    name is made to point to the port once the page is loaded, so that it may send anything.
     Given an operators' port
     Then the operators' port refuses changes sent as forms, as text or without a type
+    And the operators' port refuses all that is asked of a host with a name
 
   Scenario: slow senders and floods of connections don't keep operators out
     Somebody opens hundreds of connections and sends a byte now and then. Each one holds memory and
--- a/features/steps/operator_inputs_steps.py
+++ b/features/steps/operator_inputs_steps.py
@@ -37,7 +37,7 @@
     "a head without an end of 40000 bytes": b"GET / HTTP/1.1\r\nX-A: " + b"a" * 40_000,
 }
 SOUND = (
-    b"POST /v1/changes HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n"
+    b"POST /v1/changes HTTP/1.1\r\nHost: 1.2.3.4\r\nContent-Type: application/json\r\n"
     b'Content-Length: 94\r\n\r\n{"id": "a", "dry_run": true, '
     b'"changes": [{"key": "team/t", "base": -1, "value": {"a": 1}}] }\r\n'
 )
@@ -83,7 +83,7 @@
 
 
 def request(method, path, body=None, **headers):
-    lines = [f"{method} {path} HTTP/1.1", "Host: a"]
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {headers.pop('host', '127.0.0.1')}"]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
     if body is not None:
         lines.append(f"Content-Length: {len(body)}")
@@ -149,6 +149,20 @@
     assert not [name for name in answer.headers if name.startswith("access-control")]
 
 
+@then("the operators' port refuses all that is asked of a host with a name")
+def check_names(context):
+    body = json.dumps({"id": "a", "changes": [{"key": "team/t", "base": -1, "value": TEAM}]})
+    for host in ("evil.example", "evil.example:8081", "127.0.0.1.evil.example", "1.2.3"):
+        for data in (
+            request("POST", "/v1/changes", body, host=host, Content_Type="application/json"),
+            request("GET", "/v1/declarations", host=host),
+        ):
+            send(connect(context), data).check(1111)
+        assert send(connect(context), request("GET", "/metrics", host=host)).status == 200
+    for host in ("10.0.0.1:8081", "[::1]:8081", "localhost"):
+        assert send(connect(context), request("GET", "/v1/status", host=host)).status == 200
+
+
 @when("the operators' port gets {count:d} connections that send a byte now and then")
 def flood(context, count):
     context.memory = psutil.Process().memory_info().rss
--- a/mustardgap/command_options.py
+++ b/mustardgap/command_options.py
@@ -15,6 +15,7 @@
 from .clients import DEFAULT_ENTRY, Client
 from .exceptions import MustardgapError
 from .outputs import print_json
+from .setting_checks import is_ip
 from .settings import TlsSettings
 
 T = TypeVar("T")
@@ -163,11 +164,10 @@
 
 def _check_entry(entry: str) -> None:
     host, _, port = entry.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise MustardgapError(
-            code=status_codes.USAGE, detail=f"{entry!r} is not IP:PORT", place="--entry"
-        )
-    if not host.isprintable() or set(host) & set("/@?# \\"):
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    bare = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    is_host = host == "localhost" or (is_ip(bare) and (":" not in bare or bare != host))
+    if not is_port or not is_host:
         raise MustardgapError(
             code=status_codes.USAGE, detail=f"{entry!r} is not IP:PORT", place="--entry"
         )
--- a/mustardgap/operator_handlers.py
+++ b/mustardgap/operator_handlers.py
@@ -4,12 +4,14 @@
 
 import msgspec
 from absl import logging
+from tornado.httputil import split_host_and_port
 from tornado.web import HTTPError, RequestHandler
 
 from . import status_codes
 from .exceptions import MustardgapError
 from .outcomes import Accepted, Rejected, Verdict
 from .problems import CONTENT_TYPE, TYPE_PREFIX
+from .setting_checks import is_ip
 from .status_codes import Code
 
 if TYPE_CHECKING:
@@ -18,6 +20,8 @@
 T = TypeVar("T")
 
 JSON_TYPE = "application/json"
+# Scrapers and balancers may know entry hosts by name, so what they ask for isn't under it.
+OPERATORS_PATH = "/v1/"
 METHODS = ("GET", "POST", "DELETE")
 
 
@@ -41,11 +45,19 @@
         """Nothing here works by cookies; ``prepare`` keeps browsers' forms away."""
 
     def prepare(self) -> None:
-        """Refuse changes that a page in an operator's browser could send without being asked.
+        """Refuse what a page in an operator's browser could send without being asked.
 
-        A form can post to this port from any page an operator looks at, but not with this
-        content type: the browser would ask first, and is never told yes.
+        A form can post to this port from any page an operator looks at, but not with this content
+        type: the browser would ask first, and is never told yes. A page whose name is made to
+        point here after it was loaded may send anything, but it sends that name along as the host,
+        while operators' tools know entry hosts by IP number.
         """
+        if self.request.path.startswith(OPERATORS_PATH) and not _is_number(self.request.host):
+            raise MustardgapError(
+                code=status_codes.BAD_REQUEST,
+                detail="the Host must be an IP number",
+                place=self.request.path,
+            )
         content_type = self.request.headers.get("Content-Type", "").partition(";")[0].strip()
         if self.request.method == "POST" and content_type.lower() != JSON_TYPE:
             raise MustardgapError(
@@ -134,6 +146,11 @@
         )
 
 
+def _is_number(host: str) -> bool:
+    name = split_host_and_port(host)[0].strip("[]")
+    return name == "localhost" or is_ip(name)
+
+
 def problem(code: Code, *, detail: str = "", place: str = "", **extra: Any) -> dict[str, Any]:
     """Problem details (RFC 9457) for a result code."""
     return {
--- a/mustardgap/setting_checks.py
+++ b/mustardgap/setting_checks.py
@@ -80,7 +80,7 @@
 
 
 def _addresses(settings: "Settings") -> Iterator[Clash]:
-    if not _is_ip(settings.address):
+    if not is_ip(settings.address):
         yield Clash("address", f"{settings.address!r} is no IP number")
     if not _is_endpoint(settings.platform.address):
         yield Clash("platform.address", f"{settings.platform.address!r} is not IP:PORT")
@@ -132,7 +132,8 @@
         yield Clash("capacity.act_s", "is more than capacity.takeover_s")
 
 
-def _is_ip(text: str) -> bool:
+def is_ip(text: str) -> bool:
+    """Whether a text is a whole IP number, of either version."""
     try:
         ip_address(text)
     except ValueError:
@@ -146,4 +147,4 @@
         host = host[1:-1]
     elif ":" in host:
         return False
-    return _is_ip(host) and port.isdigit() and 0 < int(port) < 65536
+    return is_ip(host) and port.isdigit() and 0 < int(port) < 65536
