Send elsewhere what met a connection that the loop saw closing

Cause: the look at a new connection just before the first byte took its socket for granted. When an executor resets it and the loop sees that first, the stream is closed, has no socket, and the AttributeError went up to the caller's connection, which broke without an answer. Ruled out: catching AttributeError there, which would hide other faults. Conclusion: nothing was sent, so the request goes to another executor.

--- a/mustardgap/upstreams.py
+++ b/mustardgap/upstreams.py
@@ -193,7 +193,10 @@
 def _is_open(stream: iostream.IOStream) -> bool:
     # An executor that accepts and closes at once, for example while it is being replaced, would
     # cost a non-idempotent request its outcome. Nothing has been written yet, so seeing the end
-    # of the connection here shows that the request wasn't sent.
+    # of the connection here shows that the request wasn't sent. When the loop has seen it first,
+    # the stream is closed already and has no socket to look at.
+    if stream.closed():
+        return False
     try:
         stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
