--- a/features/commands.feature
+++ b/features/commands.feature
@@ -18,6 +18,12 @@
     And commands publish a change made on versions that are no longer in force
     Then commands end with MG3000 and print the field that someone else changed
 
+  Scenario: colours and tables are for terminals alone
+    A script cuts the output into columns; an escape sequence in it would break the script, and a
+    table drawn for eyes would too. On a terminal people get both.
+    Given commands' entry hosts
+    Then commands print colours on a terminal, and none into a pipe or a file
+
   Scenario: an entry host is gone
     The first entry host named is stopped, as any of them may be at any time; the next one serves.
     With all of them gone the operator is told so, by address.
--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -1,8 +1,12 @@
 """Steps for the command line."""
 
+import contextlib
 import json
 import os
+import pty
 import re
+import subprocess
+import sys
 
 import json5
 from behave import given, then, when
@@ -15,7 +19,7 @@
 from features.support.operators import Entries
 from mustardgap import commands, status_codes
 from mustardgap.command_options import cli
-from tools.processes import free_ports
+from tools.processes import ROOT, free_ports
 
 EXAMPLES = 2000 if os.environ.get("MUSTARDGAP_LONG") else 120
 BOUNDED = bounds(
@@ -227,6 +231,34 @@
     assert "max_jobs: 20 -> 99" in context.result.stderr, context.result
 
 
+@then("commands print colours on a terminal, and none into a pipe or a file")
+def check_colours(context):
+    command = [
+        sys.executable,
+        "-m",
+        "mustardgap",
+        "--entry",
+        context.entries.addresses[0],
+        "status",
+    ]
+    env = {**os.environ, "TERM": "xterm-256color", "COLUMNS": "200"}
+    parent, child = pty.openpty()
+    subprocess.run(command, cwd=ROOT, stdout=child, env=env, timeout=60, check=True)
+    os.close(child)
+    shown = b""
+    with contextlib.suppress(OSError):
+        while piece := os.read(parent, 65536):
+            shown += piece
+    os.close(parent)
+    assert b"\x1b[32mlive" in shown, shown
+    piped = subprocess.run(command, cwd=ROOT, capture_output=True, env=env, timeout=60, check=True)
+    assert b"\x1b" not in piped.stdout and b"live " in piped.stdout, piped.stdout
+    path = context.folder / "status.txt"
+    with path.open("wb") as file:
+        subprocess.run(command, cwd=ROOT, stdout=file, env=env, timeout=60, check=True)
+    assert path.read_bytes().splitlines()[1].startswith(b"HOST "), path.read_bytes()
+
+
 @when("commands' first entry host stops")
 def stop_first(context):
     context.entries.stop(0)
