Run the fuzz of the whole system with make fuzz

Cause: make fuzz ran only the features for longer. Ruled out: putting it into the features' long runs, whose time limit it would share. Conclusion: make fuzz runs both.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 fuzz: install-dev
 	$(BIN)/python -m tools.testing --long
+	$(BIN)/python -m tools.fuzz --requests 100000 --seconds 30 --rate 150
 
 bench: install-dev
 	$(BIN)/python -m tools.bench
