Bound the bodies held at once, and prove order and freezing

Cause: 2,000 connections with bodies of 8 MB each could fill the memory of a small host; a refusal in the middle of a body read on for up to two minutes; that a frozen host sends nothing that is over was only tested where another time-out came first. Ruled out: a smaller limit for each body (the sum is what fills the memory). Conclusion: callers.max_held_bytes, refused with MG1113. Steps and rigs are split by what they do.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -127,6 +127,29 @@
       | POST /quotes HTTP/1.1\r\nHost: a\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n | 400 | 1111 |
       | POST /quotes HTTP/1.1\r\nHost: a\r\nContent-Length: <big>\r\n\r\n                              | 413    | 1112 |
 
+  Scenario Outline: an entry host that freezes while it <waits> sends nothing that is over
+    It is stopped for 30 s with a request of 5 s in hand. By then the caller has been told or has
+    gone, and may have done something else about it: what runs now would come as a surprise.
+
+    When requests are in hand while the entry host freezes as it <waits>
+    Then requests are told 1102 by the entry host
+    And requests have 0 run and the slot is free
+
+    Examples:
+      | waits            |
+      | waits for a slot |
+      | connects         |
+
+  Scenario: requests that come in one piece on a connection get their own answers in their order
+    When requests come 20 at once on one connection, the first the slowest
+    Then requests are answered in that order, each its own
+
+  Scenario: bodies that are too large together are refused before they fill the memory
+    Ten callers each send a body that is allowed by itself; the entry host takes what it may hold.
+
+    When requests' callers send ten bodies that are too large together
+    Then requests are told only 1000 and 1113, both at least once
+
   Scenario Outline: a caller hangs up while its <kind> request <state>
     Nobody waits for the answer any more. What hasn't gone out isn't run, and what may be repeated
     isn't waited for; a non-idempotent request that an executor has goes on to its outcome.
--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -9,8 +9,8 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from features.steps.requests_steps import Rig
 from features.support.entries import SpreadSlots, make_state, make_workers
+from features.support.rigs import Rig
 from mustardgap.executors import Executors
 from mustardgap.healths import Sign
 from mustardgap.outliers import Outliers, Patient
--- /dev/null
+++ b/features/steps/key_claims_steps.py
@@ -0,0 +1,161 @@
+"""Steps for drawn interleavings of claims on a drawn log."""
+
+import asyncio
+import contextlib
+import os
+import time
+from collections import Counter
+from unittest import mock
+
+import msgspec
+from behave import then, when
+from hypothesis import HealthCheck
+from hypothesis import given as drawn
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders
+
+from mustardgap import claim_logs, status_codes
+from mustardgap.claims import Ledger
+from mustardgap.exceptions import AnswerLost, PlatformError
+from mustardgap.keys import Claim, Keys
+from mustardgap.models import LogRecord, Page
+from mustardgap.outcomes import Answered, NotRun, Unknown
+from mustardgap.settings import Settings
+from mustardgap.upstreams import Request
+
+LONG = os.environ.get("MUSTARDGAP_LONG") == "1"
+
+
+class DrawnLog:
+    """A log whose appends end as drawn; those that are delayed land before a later append."""
+
+    def __init__(self, fates):
+        self.fates = fates
+        self.records = []
+        self.delayed = []
+        self.landed = asyncio.Event()
+
+    async def append(self, stream, values):
+        fate = self.fates.pop() if self.fates else "well"
+        await asyncio.sleep(0)
+        if fate == "refused":
+            raise PlatformError(detail="drawn")
+        if fate in ("delayed", "stuck"):
+            self.delayed += values
+            # One that is stuck lands only when its request has been refused.
+            await asyncio.sleep(0.03 if fate == "stuck" else 0)
+            raise AnswerLost(detail="drawn")
+        for value in values * (2 if fate == "doubled" else 1):
+            self._land(value)
+        while self.delayed:
+            self._land(self.delayed.pop())
+        if fate == "lost":
+            raise AnswerLost(detail="drawn")
+        return len(self.records) - len(values)
+
+    def _land(self, value):
+        self.records.append(LogRecord(len(self.records), time.time(), value))
+        self.landed.set()
+        self.landed = asyncio.Event()
+
+    def claims_held(self):
+        """The ids of the claims that hold a key, to one who reads the log from its start."""
+        while self.delayed:
+            self._land(self.delayed.pop())
+        ledger = Ledger(ttl_s=3600.0)
+        for record in self.records:
+            ledger.fold(record)
+        return {entry.id for entry in ledger.by_key.values()}
+
+    async def read(self, stream, start, *, limit=500, wait_s=0.0):
+        if start >= len(self.records) and wait_s:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.landed.wait(), wait_s)
+        records = self.records[start : start + limit]
+        return Page(records, start + len(records), 0, len(self.records))
+
+
+@when("keys' claims interleave as drawn")
+def interleave(context):
+    runner, context.results = asyncio.Runner(), Counter()
+    requests = {"claim_timeout_s": 0.02, "claim_appends_per_s": 1_000_000, "key_ttl_s": 3600.0}
+    settings = msgspec.convert(
+        {"host": "e", "data_center": "d", "platform": {"address": "127.0.0.1:1"}}, Settings
+    )
+    fast = msgspec.convert(requests, type(settings.requests))
+    settings = msgspec.structs.replace(settings, requests=fast)
+    fates = st.lists(
+        st.sampled_from(["well", "lost", "delayed", "stuck", "doubled", "refused"]), max_size=12
+    )
+    steps = st.lists(
+        st.tuples(
+            st.integers(0, 2),
+            st.sampled_from(["k1", "k2"]),
+            st.sampled_from(["answered", "not run", "unknown", "killed"]),
+            st.integers(0, 4),
+        ),
+        min_size=2,
+        max_size=10,
+    )
+
+    async def one(drawn_fates, drawn_steps):
+        log = DrawnLog(list(drawn_fates))
+        hosts = [Keys(settings=settings, platform=log, member=f"e{i}") for i in range(3)]
+        tasks = [asyncio.create_task(host.run()) for host in hosts]
+        executed, won = Counter(), set()
+
+        async def send(index, key, outcome, turns):
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            headers = HTTPHeaders({"Idempotency-Key": key})
+            request = Request("r", "POST", "/quotes", headers)
+            deadline = time.monotonic() + 5
+            result = await hosts[index].claim("quotes", request, deadline=deadline)
+            if not isinstance(result, Claim):
+                context.results[result.code.number] += 1
+                return
+            context.results["claimed"] += 1
+            won.add(result.id)
+            if outcome != "not run":
+                executed[key] += 1
+            await asyncio.sleep(0)
+            if outcome == "answered":
+                hosts[index].finish(result, Answered(status=200, headers=[], body=b""))
+            elif outcome == "not run":
+                hosts[index].finish(result, NotRun(code=status_codes.UNKNOWN_RESET))
+            elif outcome == "unknown":
+                hosts[index].finish(result, Unknown(code=status_codes.UNKNOWN_RESET))
+            else:
+                tasks[index].cancel()
+
+        await asyncio.sleep(0.001)
+        await asyncio.gather(*(send(*step) for step in drawn_steps))
+        await asyncio.gather(*(send(i, k, o, 0) for i, k, o, _ in drawn_steps[:3]))
+        await asyncio.gather(*(host.flush(timeout_s=0.1) for host in hosts))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if "killed" not in [outcome for _, _, outcome, _ in drawn_steps]:
+            assert log.claims_held() <= won, (drawn_fates, drawn_steps)
+        assert max(executed.values(), default=0) <= 1, (executed, drawn_fates, drawn_steps)
+
+    @profile(
+        max_examples=5000 if LONG else 200,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @drawn(fates, steps)
+    def example(drawn_fates, drawn_steps):
+        runner.run(one(drawn_fates, drawn_steps))
+
+    with mock.patch.object(claim_logs, "RETRY_S", 0.002), runner:
+        example()
+
+
+@then("keys were executed at most once, and some were refused and some replayed")
+def check_interleaved(context):
+    results = context.results
+    assert results["claimed"] and results[1001] and results[1107] and results[1108], results
--- /dev/null
+++ b/features/steps/requests_wire_steps.py
@@ -0,0 +1,232 @@
+"""Steps for requests and answers as they are on the wire: large, raw, malformed, in one piece."""
+
+import asyncio
+
+import psutil
+from behave import then, when
+
+from features.support.rigs import Rig, read_answer
+from mustardgap.timers import Clock
+from standins.controls import check_body
+
+
+@when("requests for {size:d} bytes are cut after {cut} by an executor, {framing}")
+def cut_large(context, size, cut, framing):
+    async def main():
+        async with Rig() as r:
+            if cut != "nothing":
+                r.fault("short", at_byte=int(cut))
+            reader, writer = await asyncio.open_connection("127.0.0.1", r.entry.callers.port)
+            query = f"size={size}" + ("&chunked=1" if framing == "chunked" else "")
+            version = "1.0" if framing == "until close" else "1.1"
+            query += "&chunked=1" if framing == "until close" else ""
+            writer.write(f"GET /quotes/large?{query} HTTP/{version}\r\nHost: a\r\n\r\n".encode())
+            context.received, context.ended = b"", "open"
+            before = psutil.Process().memory_info().rss
+            try:
+                while not _is_whole(context.received, size, framing):
+                    chunk = await asyncio.wait_for(reader.read(1 << 20), 10)
+                    if not chunk:
+                        context.ended = "closed"
+                        break
+                    context.received += chunk
+            except ConnectionResetError:
+                context.ended = "reset"
+            context.grown = psutil.Process().memory_info().rss - before
+            writer.close()
+            assert r.entry.slots.held == 0 or context.ended == "open"
+
+    asyncio.run(main())
+
+
+def _is_whole(received, size, framing):
+    _, found, body = received.partition(b"\r\n\r\n")
+    if framing == "chunked":
+        return received.endswith(b"\r\n0\r\n\r\n")
+    return framing == "counted" and bool(found) and len(body) >= size
+
+
+@then("requests' answer ended {ended}")
+def check_ended(context, ended):
+    assert context.ended in ended.split("/"), (context.ended, context.received[:300])
+
+
+@when("requests for 200 MB are read by a slow caller")
+def read_slowly(context):
+    async def main():
+        async with Rig() as r:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", r.entry.callers.port, limit=1 << 16
+            )
+            writer.write(b"GET /quotes/large?size=200000000 HTTP/1.1\r\nHost: a\r\n\r\n")
+            process, size, most = psutil.Process(), 0, 0
+            await reader.readuntil(b"\r\n\r\n")
+            before = process.memory_info().rss
+            while size < 200_000_000:
+                size += len(await reader.read(1 << 20))
+                if size < 2_000_000:
+                    await asyncio.sleep(0.05)
+                most = max(most, process.memory_info().rss)
+            context.grown = most - before
+            writer.close()
+
+    asyncio.run(main())
+
+
+@when("requests of kind {kind} meet an executor that answers {raw}")
+def meet_raw(context, kind, raw):
+    async def answer(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        request_id = head.split(b"X-Request-Id: ")[1].split(b"\r\n")[0]
+        writer.write(_unescape(raw).replace(b"<id>", request_id))
+        await writer.drain()
+        writer.close()
+
+    async def main():
+        async with Rig() as r, await asyncio.start_server(answer, "127.0.0.1") as server:
+            port = server.sockets[0].getsockname()[1]
+            workers = r.entry.executors.workers
+            workers.by_id["w-x1"]["executors"][0]["address"] = f"127.0.0.1:{port}"
+            workers.callbacks[0]({"w-x1"})
+            context.told = await r.ask(kind)
+            context.runs = r.runs()
+
+    asyncio.run(main())
+
+
+def _unescape(text):
+    raw = text.encode().replace(b"\\r", b"\r").replace(b"\\n", b"\n").replace(b"\\0", b"\0")
+    return raw.replace(b"<big>", b"9" * 9)
+
+
+@then("requests are told {code:d} by the entry host")
+def check_code(context, code):
+    assert context.told.code == code, (context.told.code, context.told.resp.body)
+
+
+@then("requests took less than {size:d} MB more memory")
+def check_memory(context, size):
+    assert context.grown < size * 1_000_000, context.grown
+
+
+@when("requests' caller stops reading a large answer")
+def stop_reading(context):
+    async def main():
+        async with Rig() as r:
+            connection = asyncio.open_connection("127.0.0.1", r.entry.callers.port, limit=1 << 16)
+            reader, writer = await connection
+            head = "GET /quotes/large?size=200000000 HTTP/1.1\r\nHost: a\r\n"
+            writer.write(f"{head}X-Request-Timeout: 1\r\n\r\n".encode())
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.3)
+            assert r.entry.slots.held == 1
+            await asyncio.sleep(2.0)
+            context.held, context.ended = r.entry.slots.held, "open"
+            try:
+                while await asyncio.wait_for(reader.read(1 << 20), 1.0):
+                    pass
+            except ConnectionResetError:
+                context.ended = "reset"
+            except TimeoutError:
+                pass
+            writer.close()
+
+    asyncio.run(main())
+
+
+@then("requests' slot is free when the time is over, and the connection is reset")
+def check_stop_reading(context):
+    assert context.held == 0 and context.ended == "reset", (context.held, context.ended)
+
+
+@when("requests' caller sends {malformed}")
+def send_malformed(context, malformed):
+
+    async def main():
+        async with Rig(callers={"header_timeout_s": 1.0}) as r:
+            reader, writer = await asyncio.open_connection("127.0.0.1", r.entry.callers.port)
+            writer.write(_unescape(malformed))
+            context.received = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            context.runs = r.runs()
+
+    asyncio.run(main())
+
+
+@then("requests' caller reads {status} with {code} and the end of the connection")
+def check_malformed(context, status, code):
+    assert context.received.startswith(f"HTTP/1.1 {status} ".encode()), context.received
+    assert f"X-Result-Code: {code}\r\n".encode() in context.received, context.received
+    assert context.received.count(b"X-Result-Code") == 1, context.received
+    assert b"Retry-After" in context.received
+    assert not context.runs
+
+
+class JumpingClock(Clock):
+    """A clock that jumps when its process wakes."""
+
+    lost_s = 0.0
+
+    def monotonic(self):
+        return super().monotonic() + self.lost_s
+
+
+@when("requests are in hand while the entry host freezes as it {waits}")
+def freeze(context, waits):
+    async def main():
+        clock = JumpingClock()
+        async with Rig(clock=clock) as r:
+            place = r.entry.slots if waits == "waits for a slot" else r.entry.sessions.upstreams
+            name = "acquire" if waits == "waits for a slot" else "_connect"
+            through = getattr(place, name)
+
+            async def frozen(*args, **kwargs):
+                result = await through(*args, **kwargs)
+                clock.lost_s = 30.0
+                return result
+
+            setattr(place, name, frozen)
+            context.told, context.held = await r.ask(), r.entry.slots.held
+            context.runs = r.runs()
+
+    asyncio.run(main())
+
+
+@when("requests come {count:d} at once on one connection, the first the slowest")
+def send_pipelined(context, count):
+    async def main():
+        async with Rig() as r:
+            reader, writer = await asyncio.open_connection("127.0.0.1", r.entry.callers.port)
+            paths = [f"/quotes/{n}?run_s={(count - n) / 200}" for n in range(count)]
+            heads = [f"GET {p} HTTP/1.1\r\nHost: a\r\nX-Request-Id: {p}\r\n\r\n" for p in paths]
+            writer.write("".join(heads).encode())
+            context.received = [(path, await read_answer(reader)) for path in paths]
+            writer.close()
+
+    asyncio.run(main())
+
+
+@then("requests are answered in that order, each its own")
+def check_pipelined(context):
+    for path, answer in context.received:
+        assert f"X-Request-Id: {path}\r\n".encode() in answer, (path, answer)
+        assert check_body(answer.partition(b"\r\n\r\n")[2])["path"] == path
+
+
+@when("requests' callers send ten bodies that are too large together")
+def send_large(context):
+    async def main():
+        async with Rig(callers={"max_held_bytes": 200_000}) as r:
+            r.entry.slots.open.clear()
+            tasks = [asyncio.create_task(r.ask(body=b"x" * 90_000)) for _ in range(10)]
+            await asyncio.sleep(0.3)
+            r.entry.slots.open.set()
+            context.codes = {(await task).code for task in tasks}
+            assert r.entry.callers.held_bytes == 0, r.entry.callers.held_bytes
+
+    asyncio.run(main())
+
+
+@then("requests are told only 1000 and 1113, both at least once")
+def check_large(context):
+    assert context.codes == {1000, 1113}, context.codes
--- a/features/support/entries.py
+++ b/features/support/entries.py
@@ -117,6 +117,7 @@
         requests=None,
         slots=FirstSlots,
         min_hosts=1,
+        clock=None,
     ):
         sections = {"callers": {"port": 0, "linger_s": 0.3, **(callers or {})}}
         sections["requests"] = {"silent_timeout_s": 0.3, **(requests or {})}
@@ -134,6 +135,7 @@
             executors=self.executors,
             slots=self.slots,
             keys=self.keys,
+            clock=clock,
         )
         timeline = Timeline(member=name)
         self.callers = Callers(settings=self.settings, sessions=self.sessions, timeline=timeline)
--- a/mustardgap/callers.py
+++ b/mustardgap/callers.py
@@ -75,6 +75,7 @@
         self.port = settings.callers.port
         self.draining = False
         self.refusing = False
+        self.held_bytes = 0
         self._exchanges: set[Exchange] = set()
         self._ended = asyncio.Event()
         self._connections: set[HTTP1ServerConnection] = set()
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -31,6 +31,7 @@
     settings: Settings
     sessions: Sessions
     draining: bool
+    held_bytes: int
 
     def is_ready(self) -> bool:
         """Whether the balancer should send requests here."""
@@ -63,6 +64,7 @@
         self._headers = httputil.HTTPHeaders()
         self._body: list[bytes] = []
         self._size = 0
+        self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._session: Session | None = None
 
@@ -107,7 +109,9 @@
         # The answer goes out now, but the connection is finished only when the rest of the
         # request has been read, or at the time-out: closed with bytes unread, it would be reset,
         # and the reset could overtake the answer.
-        self._connection.set_body_timeout(self.host.settings.callers.header_timeout_s)
+        self._drop_body()
+        timeout_s = self.host.settings.callers.header_timeout_s
+        self._timer = asyncio.get_running_loop().call_later(timeout_s, self._connection.close)
         self._write(problems.answer(refusal, request_id=self.request_id), close=True)
         if self._headers.get("Expect") == "100-continue":
             self._connection.finish()
@@ -116,28 +120,40 @@
         """Hold a piece of the body, up to the limit."""
         if self.answered:
             return
+        self._body.append(chunk)
         self._size += len(chunk)
+        self.host.held_bytes += len(chunk)
         if self._size > self._max_body_bytes():
-            self._body.clear()
             self._refuse(self._too_large())
-            return
-        self._body.append(chunk)
+        elif self.host.held_bytes > self.host.settings.callers.max_held_bytes:
+            detail = "the requests being received are too large together"
+            self._refuse(NotRun(code=status_codes.OVER_BUDGET, detail=detail, retry_after=2.0))
 
     def finish(self) -> None:
         """The request is whole: run it."""
         if self.answered:
             self._connection.finish()
             self._connection.close()
-            self.host.end(self)
+            self._end()
             return
         self._task = asyncio.create_task(self._run(), name=f"request:{self.request_id}")
-        self._task.add_done_callback(lambda _: self.host.end(self))
+        self._task.add_done_callback(lambda _: self._end())
 
     def on_connection_close(self) -> None:
         """The caller went before its request was whole."""
-        self._body.clear()
+        self._end()
+
+    def _end(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._drop_body()
         self.host.end(self)
 
+    def _drop_body(self) -> None:
+        self._body.clear()
+        self.host.held_bytes -= self._size
+        self._size = 0
+
     async def _run(self) -> None:
         self._connection.set_close_callback(self._hang_up)
         try:
