Keep a burst of records from being too old when it is appended

Cause: a wave of cancellations queues thousands of records; appended faster than they were read back, the last of them named an offset older than the remembered ids and were turned down. Ruled out: remembering more ids (65 KB of each checkpoint already); retrying under a new id, which breaks an operator's own id. Measured: red first: 1,500 writes at once with 300 remembered ids weren't all accepted, neither with seen taken when made (kept as a row) nor at the first append without the bound; then green. Conclusion: seen is taken at the first append and a writer runs at most 256 records ahead of its reader.

--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -8,11 +8,12 @@
 from behave import given, then, when
 
 from features.support.log_worlds import LogWorld, change
-from mustardgap import appends, checkpoints, records, snapshots
-from mustardgap.exceptions import MustardgapError, RecordRejected
+from mustardgap import appends, checkpoints, records, snapshots, states, status_codes
+from mustardgap.exceptions import MustardgapError, PlatformError, RecordRejected
 from mustardgap.outcomes import Accepted, Rejected
 
 STREAM = "mustardgap"
+PENDING = appends.Pending
 OUTAGE_S = 1.5
 WAIT_S = 60.0
 
@@ -326,3 +327,45 @@
     assert context.spent <= context.allowed, (context.spent, context.allowed)
     place = context.order.index("operator")
     assert place < len(context.order) / 2, place
+
+
+def made_before(**fields):
+    """A record that counts as appended before."""
+    pending = PENDING(**fields)
+    pending.may_be_appended = True
+    return pending
+
+
+@when("on the log {count:d} changes are made at one moment with seen taken {moment}")
+def write_wave(context, count, moment):
+    patch = mock.patch.object(states, "REMEMBERED_IDS", 300)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    if moment == "when they are made":
+        # A record that may be appended already keeps the number it was made with.
+        patch = mock.patch.object(appends, "Pending", made_before)
+        patch.start()
+        context.add_cleanup(patch.stop)
+    writes = [write(context, "A", f"w{n}", timeout_s=60.0) for n in range(count)]
+    context.verdicts = context.world.run(gather(writes))
+
+
+@when("the log refuses 1 of {count:d} changes written at once")
+def write_refused(context, count):
+    platform = context.world.logs_by_name["A"].platform
+    append = platform.append
+
+    async def refuse(stream, values):
+        if any(value["body"]["changes"][0]["key"] == "team/w3" for value in values):
+            raise PlatformError(code=status_codes.PLATFORM_REFUSED, detail="refused")
+        return await append(stream, values)
+
+    with mock.patch.object(platform, "append", refuse):
+        writes = [write(context, "A", f"w{n}") for n in range(count)]
+        context.verdicts = context.world.run(gather(writes))
+
+
+@then("the log's writers of the other {count:d} are told accepted and one MG5003")
+def check_refused(context, count):
+    assert sum(isinstance(verdict, Accepted) for verdict in context.verdicts) == count
+    assert context.verdicts[3].code.number == 5003, context.verdicts[3]
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -134,3 +134,23 @@
     Given a log with the daemons A
     When 60 background writes and then an operator's use a budget of 20 appends
     Then the budget of appends holds and the operator's goes ahead
+
+  Scenario Outline: thousands of records made at one moment, with seen taken <when>
+    A wave of cancellations queues more records than the fold remembers ids. Each record tells how
+    many its writer had folded; told when it is made, the last of them would be turned down as too
+    old although nobody ever appended them before.
+    Given a log with the daemons A, B
+    When on the log 1500 changes are made at one moment with seen taken <when>
+    Then the log's writers hear that <result>
+
+    Examples:
+      | when                  | result               |
+      | at the first append   | all are accepted     |
+      | when they are made    | not all are accepted |
+
+  Scenario: one record of a batch that the log refuses
+    The log refuses a whole append for one record that it won't take. Its writer must be told, and
+    the others, who only shared the batch, must not wait or fail with it.
+    Given a log with the daemons A
+    When the log refuses 1 of 20 changes written at once
+    Then the log's writers of the other 19 are told accepted and one MG5003
--- a/mustardgap/appends.py
+++ b/mustardgap/appends.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any, Literal
 
-from . import metrics, status_codes
+from . import metrics, states, status_codes
 from .adapters import Platform
 from .exceptions import AnswerLost, MustardgapError, PlatformError
 from .models import Record
@@ -19,6 +19,7 @@
 MAX_BATCH_BYTES = 512 * 1024
 BACKOFF_S = 0.1
 MAX_BACKOFF_S = 3.0
+AHEAD_CHECK_S = 0.02
 # The share of the budget that background work leaves to operators and actions.
 RESERVED = 0.2
 
@@ -104,6 +105,7 @@
         }
         self._wake = asyncio.Event()
         self._failures = 0
+        self._end = 0
 
     def find(self, record: Record, purpose: Purpose, size: int) -> Pending:
         """The record on its way under this id, queued now if there is none."""
@@ -141,12 +143,21 @@
                 self._wake.clear()
                 await self._wake.wait()
                 continue
-            wait_s = self.budget.wait_s(purpose)
+            wait_s = AHEAD_CHECK_S if self._is_ahead() else self.budget.wait_s(purpose)
             if wait_s > 0:
                 await self.clock.sleep(wait_s)
                 continue
             await self._append(self._next_batch())
 
+    def _is_ahead(self) -> bool:
+        """Whether too much of what was appended here isn't folded yet.
+
+        A burst of thousands of records would else run ahead of the reader by more than the fold
+        remembers ids, and its last records would be turned down as too old. A sixteenth and a
+        batch for each of eight daemons is less than all that is remembered.
+        """
+        return self._end - self.seen() > states.REMEMBERED_IDS // 16
+
     def _next_purpose(self) -> Purpose | None:
         for purpose, queue in self._queues.items():
             while queue and queue[0].verdict.done():
@@ -185,7 +196,7 @@
                 pending.record["seen"] = self.seen()
             pending.may_be_appended = True
         try:
-            await self.platform.append(self.stream, values)
+            first = await self.platform.append(self.stream, values)
         except AnswerLost as exc:
             await self._failed(batch, exc, look_s=self.timeout_s)
         except PlatformError as exc:
@@ -200,6 +211,7 @@
             raise
         else:
             self._failures = 0
+            self._end = first + len(batch)
             for pending in batch:
                 metrics.log_appends.add(1, {"purpose": pending.purpose})
         metrics.log_append_duration.record(self.clock.monotonic() - started)
