Judge refusals by when the run began, and show each promise of the fuzz broken

Cause: a refusal that was asked again and answered counted as true whatever the run's time was, and the fuzz's own checks had no tests. Ruled out: joining runs with copies by the executors' request ids, which entry hosts make up. Conclusion: a run must have begun after a copy was sent that wasn't refused.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -21,3 +21,30 @@
     failed instead, and the caller's own connection broke without an answer.
     When the fuzz lets a single write meet a reset before its first byte
     Then the fuzz's caller is told 1000 after 1 run
+
+  Scenario Outline: the fuzz's judge on <what>: <faults>
+    The fuzz is worth what its judge finds, so each promise it adds to the oracle's is broken once.
+    When the fuzz's judge looks at <what>
+    Then the fuzz's judge finds <faults>
+
+    Examples:
+      | what                                            | faults                 |
+      | a run after the copy that was answered was sent | nothing                |
+      | a run before any copy but a refused one         | untrue refusal         |
+      | a connection that a killed daemon broke         | nothing                |
+      | a connection that a stopping daemon broke       | broken                 |
+      | a silent daemon that was frozen                 | nothing                |
+      | a silent daemon that ran                        | silent                 |
+      | a large answer that ended as cut                | nothing                |
+      | a small answer that ended as cut                | cut                    |
+      | a drain that leaves as many hosts as it must    | nothing                |
+      | a drain that leaves too few hosts               | budget breach          |
+      | a drain just after a host was lost              | nothing                |
+      | a drain long after a host was lost              | budget breach          |
+      | a job that may not run twice and went on        | nothing                |
+      | a job that may not run twice and did            | job run twice          |
+      | a change that was accepted and is in force      | nothing                |
+      | a change that was accepted and is not in force  | reverted configuration |
+      | a change that was rejected and is in force      | reverted configuration |
+      | two changes of one version that were accepted   | reverted configuration |
+      | a daemon that went back to an older version     | reverted configuration |
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -6,7 +6,9 @@
 
 from features.steps.requests_steps import Rig
 from standins import answers
-from tools import fuzz, fuzz_schedules
+from tools import fuzz, fuzz_checks, fuzz_fleet, fuzz_schedules
+from tools.fuzz_worlds import Attempt, Window
+from tools.told import Told
 
 
 @when("the fuzz runs seed {seed:d} for {seconds:g} seconds at {rate:g} requests a second")
@@ -61,3 +63,100 @@
         return stream
 
     client.connect = connect_and_look
+
+
+# The judge: what was told, run or recorded in each case, and what it is told by.
+
+
+def _told(outcome, *, number=0, kind=0, sent=10.0, code=1000):
+    facts = {"keyed": True, "idempotent": False, "service": "alpha", "stage": 0, "detail": "broken"}
+    return Told(
+        id=f"n.{number}", outcome=outcome, kind=kind, sent=sent, latency_s=1.0, code=code, **facts
+    )
+
+
+def _judge_told(*copies, run_at=None, window=""):
+    runs = [] if run_at is None else [{"path": "/x?load=n", "executor": "x", "start": run_at}]
+    windows = fuzz_checks.Windows([Window(window, "e1", 9.0, 12.0)] if window else [], {"": "e1"})
+    return fuzz_checks.check_told(copies, runs, windows)
+
+
+def _judge_drain(*events):
+    first = [(0.0, worker, "up") for worker in "abc"]
+    histories = {worker: [] for worker in "abc"}
+    for time, worker, state in [*first, *events]:
+        histories[worker].append({"time": time, "pool": "alpha", "state": state})
+    windows = fuzz_checks.Windows([], {})
+    return fuzz_checks.check_planned({"workers": histories}, windows, since=1.0)
+
+
+def _judge_job(*outcomes):
+    runs = [{"start": i, "worker": "a", "outcome": text} for i, text in enumerate(outcomes)]
+    truth = {"jobs": {"j": {"runs": runs, "overlapping": 0}}}
+    return fuzz_checks.check_jobs(truth, {"j": False})
+
+
+def _judge_changes(shown, *attempts):
+    tried = [Attempt("team/a", 3, value, told, at, "") for value, told, at in attempts]
+    items = {"team/a": {"version": shown[0], "value": shown[1]}}
+    return fuzz_checks.check_configuration(tried, {"e1": items})
+
+
+_LARGE = next(i for i, kind in enumerate(fuzz_fleet.mix()) if kind.answer_bytes)
+_REFUSED = _told("refused", code=1107)
+_FOUND = {
+    "a run after the copy that was answered was sent": lambda: _judge_told(
+        _REFUSED, _told("answered", number=1, sent=20.0), run_at=20.5
+    ),
+    "a run before any copy but a refused one": lambda: _judge_told(
+        _REFUSED, _told("answered", number=1, sent=20.0), run_at=10.5
+    ),
+    "a connection that a killed daemon broke": lambda: _judge_told(
+        _told("broken"), window="daemon_kill"
+    ),
+    "a connection that a stopping daemon broke": lambda: _judge_told(
+        _told("broken"), window="daemon_stop"
+    ),
+    "a silent daemon that was frozen": lambda: _judge_told(_told("silent"), window="daemon_freeze"),
+    "a silent daemon that ran": lambda: _judge_told(_told("silent"), window="daemon_kill"),
+    "a large answer that ended as cut": lambda: _judge_told(_told("cut", kind=_LARGE)),
+    "a small answer that ended as cut": lambda: _judge_told(_told("cut")),
+    "a drain that leaves as many hosts as it must": lambda: _judge_drain((2.0, "a", "draining")),
+    "a drain that leaves too few hosts": lambda: _judge_drain(
+        (2.0, "a", "draining"), (3.0, "b", "draining")
+    ),
+    "a drain just after a host was lost": lambda: _judge_drain(
+        (2.0, "a", "down"), (3.0, "b", "draining")
+    ),
+    "a drain long after a host was lost": lambda: _judge_drain(
+        (2.0, "a", "down"), (30.0, "b", "draining")
+    ),
+    "a job that may not run twice and went on": lambda: _judge_job("checkpointed", "done"),
+    "a job that may not run twice and did": lambda: _judge_job("lost", "done"),
+    "a change that was accepted and is in force": lambda: _judge_changes(
+        (7, 1), (1, "accepted", 7), (2, "rejected", -1)
+    ),
+    "a change that was accepted and is not in force": lambda: _judge_changes(
+        (3, 0), (1, "accepted", 7)
+    ),
+    "a change that was rejected and is in force": lambda: _judge_changes(
+        (7, 2), (2, "rejected", -1)
+    ),
+    "two changes of one version that were accepted": lambda: _judge_changes(
+        (8, 2), (1, "accepted", 7), (2, "accepted", 8)
+    ),
+    "a daemon that went back to an older version": lambda: fuzz_checks.check_versions(
+        {"team/a": 7}, {"team/a": 3}, "e1"
+    ),
+}
+
+
+@when("the fuzz's judge looks at {what}")
+def judge(context, what):
+    context.faults = _FOUND[what]()
+
+
+@then("the fuzz's judge finds {faults}")
+def check_found(context, faults):
+    found = {fault.promise for fault in context.faults}
+    assert found == (set() if faults == "nothing" else {faults}), context.faults
--- a/tools/fuzz_checks.py
+++ b/tools/fuzz_checks.py
@@ -1,12 +1,22 @@
 """Judges a fuzzed run from what callers and operators were told and the stand-ins' own record."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 from .fuzz_fleet import BUFFERED_BYTES, LEAST_BY_POOL, mix
 from .fuzz_worlds import Attempt, Window
-from .oracle import SERVING, Fault, check_cuts, check_pools, check_requests
+from .oracle import (
+    OPEN_OUTCOMES,
+    RAN_ELSEWHERE,
+    SERVING,
+    Fault,
+    check_cuts,
+    check_pools,
+    check_requests,
+    runs_by_name,
+)
 from .told import Told
 
 # How long daemons may take to know of a host that was lost while they can talk to the platform: the
@@ -78,7 +88,7 @@
 
 
 def check_told(
-    told: Sequence[Told], runs: Iterable[Mapping[str, Any]], windows: Windows
+    told: Sequence[Told], runs: Sequence[Mapping[str, Any]], windows: Windows
 ) -> list[Fault]:
     """Check what callers were told.
 
@@ -92,7 +102,28 @@
         for one in told
         if one.outcome in ("broken", "unreached") and one.id not in excused
     ]
-    return found
+    return found + check_refusals(told, runs)
+
+
+def check_refusals(told: Iterable[Told], runs: Iterable[Mapping[str, Any]]) -> list[Fault]:
+    """Find requests that ran although only copies that were refused had been sent by then.
+
+    A refusal that is asked again and answered then isn't shown to be true by the answer: the run
+    must have begun after a copy was sent that wasn't refused.
+    """
+    copies_by_name: defaultdict[str, list[Told]] = defaultdict(list)
+    for one in told:
+        copies_by_name[one.name].append(one)
+    faults = []
+    for name, found in runs_by_name(runs).items():
+        copies = copies_by_name[name]
+        first = min((c.sent for c in copies if c.outcome in OPEN_OUTCOMES), default=math.inf)
+        early = [run for run in found if run["start"] < first]
+        refused = [c for c in copies if c.outcome == "refused" and c.code not in RAN_ELSEWHERE]
+        if early and refused and first < math.inf:
+            text = f"MG{refused[0].code}, but it ran before another copy was sent"
+            faults.append(Fault("untrue refusal", name, text))
+    return faults
 
 
 # The platform's record
