Take the rig from where it has moved

Cause: the rig of the request side has moved to features/support. Measured: the scenario that uses it passes. Conclusion: nothing else changes.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from features.steps.requests_steps import Rig
+from features.support.rigs import Rig
 from standins import answers
 from tools import fuzz, fuzz_checks, fuzz_fleet, fuzz_schedules
 from tools.fuzz_worlds import Attempt, Window
