Settle a home's term as a ballot: promise first, then accept

Cause: red first: the state machine (lossy, 8 entries: a partition just as a deputy changed) had 11 requests run on one executor: a home that lost its majority halfway through a new term and the home after it used the same number, and the first one's old copy of the ledger passed for the newer. Then green: terms are promised by a majority before one is accepted, differ by member, and only accepted ones are lent in. Ruled out: terms from the wall clock (they rest on clocks being in step); one more round only on collisions (they can't be seen).

--- a/mustardgap/brokers.py
+++ b/mustardgap/brokers.py
@@ -141,6 +141,11 @@
         since = max(self._holding(service).leased_until, self._started)
         return now > since + patience_s
 
+    def is_settled(self) -> bool:
+        """Whether this member has a lease on the slots of each service."""
+        now = self.clock.monotonic()
+        return all(self._holding(service).leased_until > now for service in self.services())
+
     # The clockwork.
 
     async def run(self) -> None:
@@ -196,8 +201,8 @@
             holding.session,
             self._now_ms(),
             echo,
-            holding.term,
-            holding.voted,
+            holding.promised,
+            holding.accepted,
             holding.number,
             holding.masks(),
         )
@@ -240,9 +245,10 @@
         holding.echo = max(holding.echo, message.clock)
         holding.number = max(holding.number, message.number)
         holding.lending = message.lending
-        renewed = message.term > holding.term
-        if renewed:
-            holding.term, holding.voted = message.term, holding.home
+        noted = (holding.promised, holding.accepted)
+        holding.promised = max(holding.promised, message.term)
+        if message.accept and message.term == holding.promised:
+            holding.accepted = message.term
         if message.leased:
             until = message.sent / 1000 + self.lease_s
             started = holding.leased_until < self.clock.monotonic()
@@ -250,7 +256,7 @@
             if started:
                 self.slots.serve(holding.service)
                 self.want(holding.service)
-        if first or renewed:
+        if first or noted != (holding.promised, holding.accepted):
             self._follow(holding)
 
     def take_unfollowed(self, sender: Member, message: Unfollowed) -> None:
@@ -428,9 +434,9 @@
     def _void(self) -> None:
         """Start anew under a new incarnation."""
         self._started = self.clock.monotonic()
-        terms = {s: (h.term, h.voted) for s, h in self.holdings_by_service.items()}
+        terms = {s: (h.promised, h.accepted) for s, h in self.holdings_by_service.items()}
         self.holdings_by_service.clear()
         self.homes_by_service.clear()
-        for service, (term, voted) in terms.items():
+        for service, (promised, accepted) in terms.items():
             holding = self._holding(service)
-            holding.term, holding.voted = term, voted
+            holding.promised, holding.accepted = promised, accepted
--- a/mustardgap/copies.py
+++ b/mustardgap/copies.py
@@ -28,9 +28,9 @@
         self.send = send
         self.copy: Copy | None = None
 
-    def of_term(self, term: int) -> Copy | None:
-        """The copy of a term; only it holds all that was lent in that term and before."""
-        return self.copy if self.copy is not None and self.copy.term == term else None
+    def since(self, term: int) -> Copy | None:
+        """The copy, if it is of a term or a later one and so holds all that was lent in it."""
+        return self.copy if self.copy is not None and self.copy.term >= term else None
 
     def save(self, term: int, home: str, sequence: int, rows: dict[str, Masks]) -> None:
         """Keep a ledger of this member's own, which lends no more."""
@@ -64,7 +64,7 @@
     def take_mirror_ask(self, sender: str, message: MirrorAsk) -> None:
         """Hand the copy to a new home, and seal it: it must not miss what is noted later."""
         copy = self.copy
-        if copy is None or copy.term != message.term:
+        if copy is None or copy.term < message.term:
             return
         copy.sealed = True
         mirror = Mirror(self.service, copy.term, copy.home, copy.sequence, copy.held_by_member)
--- a/mustardgap/holdings.py
+++ b/mustardgap/holdings.py
@@ -26,8 +26,8 @@
         self.service = service
         self.home = ""
         self.session = 0
-        self.term = 0
-        self.voted = ""
+        self.promised = 0
+        self.accepted = 0
         self.echo = 0
         self.number = 0
         self.leased_until = 0.0
--- a/mustardgap/homes.py
+++ b/mustardgap/homes.py
@@ -34,6 +34,8 @@
 from .timers import Clock
 
 RECALL_EVERY_S = 0.02
+ASK_EVERY_S = 0.2
+TERM_BITS = 20
 VOTE_SHARE = 2 / 3
 """A vote's share of the lease: more than two renewals long, and shorter than the lease, so that a
 new home is found before the members' leases from the old one end."""
@@ -81,6 +83,8 @@
         self.send = send
         self.phase = Phase.none
         self.term = 0
+        self._adopted_term = 0
+        self._complete = False
         self.copies = Copies(service=service, send=send)
         self.deputy = ""
         self._sequence = 0
@@ -90,6 +94,7 @@
         self._majority_until = 0.0
         self._last_recall = 0.0
         self._recalling = False
+        self._asked = 0.0
 
     # Votes and terms.
 
@@ -103,7 +108,7 @@
                 self.send(sender.id, Unfollowed(self.service, message.session))
                 return
             f = self.ledger.register(sender.id, message)
-            if self.phase is not Phase.collecting:
+            if self._complete:
                 self.ledger.unblock(sender.id)
         elif message.session < f.session or message.sent <= f.sent:
             return
@@ -111,7 +116,7 @@
             self.ledger.settle(f, message)
         f.sent = message.sent
         f.heard = now
-        f.term, f.voted = message.term, message.voted
+        f.promised, f.accepted = message.promised, message.accepted
         if message.echo:
             f.vote_until = max(f.vote_until, message.echo / 1000 + self.vote_s)
         self._advance(now)
@@ -141,8 +146,6 @@
             self._reset(now)
         self.ledger.expire(now)
         self._advance(now)
-        if self.phase is Phase.collecting:
-            self._ask_copies()
         self._mirror()
         self.pump()
 
@@ -184,46 +187,78 @@
             return
         self._majority_until = until
         if self.phase is Phase.none:
-            self.phase = Phase.collecting
             self._majority_since = now
-            self._ask_copies()
-        rival = max(
-            (f.term for f in self.ledger.followers_by_id.values() if f.voted != self._me()),
-            default=0,
-        )
-        if self.phase > Phase.collecting and rival >= self.term:
-            self.phase = Phase.collecting
-            self._majority_since = now
-        if self.phase is Phase.collecting:
-            self._try_adopt(now)
+            self._prepare()
+        if any(f.promised > self.term for f in self.ledger.followers_by_id.values()):
+            self._prepare()
         if self.phase is Phase.steady and self.deputy != self._choose_deputy():
-            self._start_term(self.term + 1)
-        if self.phase is Phase.confirming and self._confirmed(now):
+            self._prepare()
+        if self.phase is Phase.collecting and self._noted(lambda f: f.promised, now):
+            self._try_adopt(now)
+        if self.phase is Phase.confirming and self._noted(lambda f: f.accepted, now):
             self.phase = Phase.steady
             self._answer_all()
 
+    def _prepare(self) -> None:
+        """Choose a term above all that are known and have it promised.
+
+        Terms are settled as ballots are in Paxos: a majority promises to accept no lower term and
+        says which it accepted last, then accepts this one; only then is anything lent in it. So no
+        term can come into force later than a higher one, and a copy of the ledger is known by its
+        term to be complete. The low bits make the terms of two members differ.
+        """
+        promised = [f.promised for f in self.ledger.followers_by_id.values()]
+        known = max([self.term, *promised])
+        low = self.members.me.incarnation % (1 << TERM_BITS)
+        self.term = ((known >> TERM_BITS) + 1) << TERM_BITS | low
+        self.phase = Phase.collecting
+        self._answer_all()
+
+    def _noted(self, term_of: Callable[[Follower], int], now: float) -> bool:
+        """Whether a majority that votes for this home has noted its term."""
+        hosts = self.members.electorate()
+        noted = {
+            self.members.by_id[i].host
+            for i, f in self.ledger.followers_by_id.items()
+            if i in self.members.by_id and f.vote_until > now and term_of(f) == self.term
+        }
+        return len(noted & hosts) * 2 > len(hosts)
+
     def _try_adopt(self, now: float) -> None:
         """Take over once it is known what may be in use, by whomever."""
-        last = self._last_term()
-        voters = {i for i, f in self.ledger.followers_by_id.items() if f.vote_until > now}
-        copy = self.copies.of_term(last) if last else None
+        if not self._complete and not self._know_all(now):
+            return
+        self._complete = True
+        self._adopted_term = self.term
+        self.phase = Phase.confirming
+        self.deputy = self._choose_deputy()
+        self._mirrored = None
+        self._mirror()
+        self._answer_all()
+
+    def _know_all(self, now: float) -> bool:
+        followers = self.ledger.followers_by_id
+        voters = {i for i, f in followers.items() if f.vote_until > now}
+        last = self._last_accepted()
+        copy = self.copies.since(last) if last else None
         if copy is not None:
             copy.sealed = True
             for member_id, held in copy.held_by_member.items():
                 self.ledger.block_masks(member_id, held, now)
         elif not self._all_reported(voters) and now < self._majority_since + self.ledger.lapse_s:
-            return
-        for member_id, f in list(self.ledger.followers_by_id.items()):
+            self._ask_copies()
+            return False
+        for member_id, f in list(followers.items()):
             if member_id in voters:
                 self.ledger.unblock(member_id)
             else:
                 # It may have gone to another home since it reported; it has to report anew.
                 self.ledger.drop(member_id, f)
                 self.send(member_id, Unfollowed(self.service, f.session))
-        self._start_term(last + 1)
+        return True
 
-    def _last_term(self) -> int:
-        return max([self.term, *(f.term for f in self.ledger.followers_by_id.values())])
+    def _last_accepted(self) -> int:
+        return max((f.accepted for f in self.ledger.followers_by_id.values()), default=0)
 
     def _all_reported(self, voters: set[str]) -> bool:
         """Whether no member is known that could use a slot unbeknown to this ledger."""
@@ -232,47 +267,25 @@
         unmet = self.members.electorate() - hosts
         return not unmet and known <= voters
 
-    def _start_term(self, term: int) -> None:
-        """Tell the followers a new term; nothing is lent before a majority has noted it.
-
-        A copy of the ledger is known by its term. Were a deputy replaced within a term, the old
-        one's copy would look as good as the new one's and lack what was lent since.
-        """
-        self.term = term
-        self.phase = Phase.confirming
-        self.deputy = self._choose_deputy()
-        self._mirrored = None
-        self._mirror()
-        self._answer_all()
-
-    def _confirmed(self, now: float) -> bool:
-        noted = {
-            i
-            for i, f in self.ledger.followers_by_id.items()
-            if f.term == self.term and f.voted == self._me()
-        }
-        hosts = self.members.electorate()
-        known = self.members.by_id
-        return len({known[i].host for i in noted if i in known} & hosts) * 2 > len(hosts)
-
     def _reset(self, now: float) -> None:
         """Be home no longer; what is known stays as a copy for the next."""
-        if self.phase > Phase.collecting:
-            self.copies.save(self.term, self._me(), self._sequence, self.ledger.rows())
+        if self._complete:
+            self.copies.save(self._adopted_term, self._me(), self._sequence, self.ledger.rows())
+        self._complete = False
         for member_id, f in self.ledger.followers_by_id.items():
             self.send(member_id, Unfollowed(self.service, f.session))
         self.phase = Phase.none
         self.ledger.clear()
 
     def _answer(self, member_id: str, f: Follower) -> None:
-        home = self.phase > Phase.collecting
         followed = Followed(
             self.service,
             f.session,
             f.sent,
             int(self.clock.monotonic() * 1000),
-            self.term if home else 0,
-            home,
+            self.term if self.phase is not Phase.none else 0,
+            self.phase > Phase.collecting,
+            self._complete,
             self.phase is Phase.steady,
             f.number_before,
         )
@@ -283,8 +296,6 @@
         for member_id, f in self.ledger.followers_by_id.items():
             self._answer(member_id, f)
 
-    # Followers and what they hold.
-
     # Lending.
 
     def take_ask(self, sender: Member, message: Ask) -> None:
@@ -389,7 +400,7 @@
     def take_mirror_ask(self, sender: Member, message: MirrorAsk) -> None:
         """Hand the copy to a new home."""
         self._check(self.clock.monotonic())
-        if self.phase <= Phase.collecting:
+        if not self._complete:
             self.copies.take_mirror_ask(sender.id, message)
 
     def take_mirror_lost(self, sender: Member, message: MirrorLost) -> None:
@@ -417,9 +428,12 @@
         self.send(self.deputy, Mirror(self.service, self.term, self._me(), self._sequence, rows))
 
     def _ask_copies(self) -> None:
-        last = self._last_term()
+        now = self.clock.monotonic()
+        if now < self._asked + ASK_EVERY_S:
+            return
+        self._asked = now
         for m in self.members.peers():
-            self.send(m.id, MirrorAsk(self.service, last, self._me()))
+            self.send(m.id, MirrorAsk(self.service, self._last_accepted()))
 
     def _choose_deputy(self) -> str:
         ranked = self.members.ranked(f"slots/{self.service}")
--- a/mustardgap/ledgers.py
+++ b/mustardgap/ledgers.py
@@ -22,8 +22,8 @@
         self.sent = 0
         self.heard = 0.0
         self.vote_until = 0.0
-        self.term = 0
-        self.voted = ""
+        self.promised = 0
+        self.accepted = 0
         self.number = 0
         self.number_before = 0
         self.ask: Ask | None = None
--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -109,16 +109,16 @@
 
     ``session`` counts the member's changes of home. ``sent`` is its clock in milliseconds, which
     comes back in the answer; ``echo`` is the home's clock from its last answer, 0 at first.
-    ``term`` and ``voted`` are the term and home it last voted under. ``number`` is the highest
-    grant it has dealt with; earlier ones that come later are ignored.
+    ``promised`` is the highest term it has heard of and ``accepted`` the highest it has accepted.
+    ``number`` is the highest grant it has dealt with; earlier ones that come later are ignored.
     """
 
     service: str
     session: int
     sent: int
     echo: int
-    term: int
-    voted: str
+    promised: int
+    accepted: int
     number: int
     held: Masks
 
@@ -126,8 +126,9 @@
 class Followed(Message, tag=11, frozen=True, array_like=True):
     """The home's answer to ``Follow``.
 
-    ``leased`` tells whether the lease was renewed, ``lending`` whether slots given back now would
-    be lent again, ``number`` which grants must have arrived by now or are lost.
+    ``accept`` asks to accept the term, and not only to promise to accept no lower one. ``leased``
+    tells whether the lease was renewed, ``lending`` whether slots given back now would be lent
+    again, ``number`` which grants must have arrived by now or are lost.
     """
 
     service: str
@@ -135,6 +136,7 @@
     sent: int
     clock: int
     term: int
+    accept: bool
     leased: bool
     lending: bool
     number: int
@@ -222,11 +224,10 @@
 
 
 class MirrorAsk(Message, tag=21, frozen=True, array_like=True):
-    """A new home asks for the ledger of a term."""
+    """A new home asks for a ledger of a term or of a later one."""
 
     service: str
     term: int
-    home: str
 
 
 AnyMessage = (
