Prove that ends of claims are appended again, and check held bytes against one body

Cause: trials with one safeguard off each left two green: ends of claims that weren't repeated, and settings under which no body of the allowed size could ever be held. Ruled out: nothing; the scenario asks through the other entry host, which has the log alone. Conclusion: a claim only counts as the probe of a log that is down when it is down.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -83,6 +83,7 @@
       | a lost answer                     | 1204 |
       | a refusal by the executors        | 1000 |
       | a caller that hung up             | 1001 |
+      | an end that the log refused       | 1001 |
       | another body                      | 1109 |
       | a forgotten key                   | 1000 |
 
--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -40,6 +40,7 @@
     "a lost answer": {"fault": "reset_after_running"},
     "a refusal by the executors": {"fault": "refusing"},
     "a caller that hung up": {"query": "run_s=0.5"},
+    "an end that the log refused": {"query": "run_s=0.4"},
     "another body": {},
     "a forgotten key": {},
 }
@@ -201,7 +202,13 @@
             writer.close()
             await asyncio.sleep(0.5)
         else:
-            await k.send(query=context.query)
+            sending = asyncio.create_task(k.send(query=context.query))
+            if fate == "an end that the log refused":
+                await asyncio.sleep(0.2)
+                k.log_faults("down")
+            await sending
+            await asyncio.sleep(0.2)
+            k.log_faults("well")
         k.upstreams.faults.clear()
         if fate == "a forgotten key":
             await forget(k)
--- a/mustardgap/claim_logs.py
+++ b/mustardgap/claim_logs.py
@@ -108,9 +108,12 @@
         """Why a new claim would be in vain now, "" when it may be tried."""
         if not self._readable:
             return "the log can't be read now"
+        if self._appendable:
+            return ""
         now = self.clock.monotonic()
-        if not self._appendable and now < self._probe_at:
+        if now < self._probe_at:
             return "the log takes no records now"
+        # One claim in a while finds out whether it does again.
         self._probe_at = now + RETRY_S
         return ""
 
--- a/mustardgap/setting_checks.py
+++ b/mustardgap/setting_checks.py
@@ -104,6 +104,8 @@
         yield Clash("callers.default_timeout_s", "is more than callers.max_timeout_s")
     if callers.buffered_answer_bytes > callers.max_body_bytes:
         yield Clash("callers.buffered_answer_bytes", "is more than callers.max_body_bytes")
+    if callers.max_held_bytes < callers.max_body_bytes:
+        yield Clash("callers.max_held_bytes", "is less than callers.max_body_bytes")
     if requests.connect_timeout_s >= callers.max_timeout_s:
         yield Clash("requests.connect_timeout_s", "isn't less than callers.max_timeout_s")
     if requests.key_ttl_s < callers.max_timeout_s:
