--- a/features/steps/actors_steps.py
+++ b/features/steps/actors_steps.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 from hypothesis.stateful import run_state_machine_as_test
 
-from features.support.actor_machine import SETTINGS, WORKERS, ActorMachine, declare
+from features.support.actor_machine import SETTINGS, ActorMachine
 from features.support.actor_steps import HOST, call, owner, until, write_host
-from features.support.actor_worlds import World
+from tools.actor_worlds import WORKERS, World, declare
 from tools.clusters import Cluster
 
 FLEET = {
--- a/features/steps/workers_steps.py
+++ b/features/steps/workers_steps.py
@@ -6,12 +6,12 @@
 import msgspec
 from behave import given, then, when
 
-from features.support.actor_worlds import HandClock
 from mustardgap.adapters import TasksPage, WorkersPage
 from mustardgap.exceptions import PlatformError
 from mustardgap.settings import Settings
 from mustardgap.timers import Timers
 from mustardgap.workers import KEEP_ENDED_S, Workers
+from tools.actor_platforms import HandClock
 
 
 class Pages:
--- a/features/support/actor_machine.py
+++ b/features/support/actor_machine.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from .actor_worlds import World
+from tools.actor_worlds import WORKERS, World, declare
 
 IS_LONG = bool(os.environ.get("MUSTARDGAP_LONG"))
 SETTINGS = settings(
@@ -17,45 +17,13 @@
     database=None,
     deadline=None,
 )
-WORKERS = [
-    (f"r{r}-w{i}", f"r{r}", "a" if i == 0 else "batch" if i < 3 else "")
-    for r in range(3)
-    for i in range(4)
-]
 NAMES = [name for name, _, _ in WORKERS]
 DAEMONS = ["d1", "d2"]
-STEPS = ["throttle", "checkpoint"]
 HEALED_S = 200
 LATE_S = 5.0
 MAX_OPEN = 12
 
 
-def profile(steps, urgency=3):
-    """A profile with these steps of disruption."""
-    disruption = {"steps": steps, "warning_s": 1.0, "drain_s": 15.0, "idempotent": True}
-    availability = {"min_hosts": 1, "survive": "rack"}
-    room = {"max_hosts": 4}
-    return {
-        "room": room,
-        "availability": availability,
-        "disruption": disruption,
-        "urgency": urgency,
-    }
-
-
-def declare(world, quota=500):
-    """Publish what the tests' services and jobs need."""
-    return world.declare(
-        team__t={"max_cores": quota, "max_memory_gb": quota, "max_jobs": quota},
-        profile__gentle=profile(STEPS),
-        profile__stoppable=profile(["stop"]),
-        profile__hard=profile([]),
-        service__x={"profile": "hard", "team": "t", "path": "/x"},
-        pool__a={"service": "x", "min_hosts": 1, "max_hosts": 4},
-        pool__batch={"service": "", "min_hosts": 1, "max_hosts": 9},
-    )
-
-
 class ActorMachine(RuleBasedStateMachine):
     """Anything may happen to platform, log and daemons; nothing may be done twice or cut off."""
 
@@ -226,7 +194,7 @@
     def unfinished(self):
         """Jobs and hosts that haven't come to rest."""
         state, workers = self.world.journal.state, self.world.platform.workers_by_id
-        left = [j for j in state.jobs_by_id.values() if j["phase"] != "ended"]
+        left: list = [j for j in state.jobs_by_id.values() if j["phase"] != "ended"]
         for name, host in state.hosts_by_name.items():
             serves = workers[name]["state"] == "up" and workers[name]["pool"] == host["pool"]
             if host["phase"] in ("failed", "rebooting", "draining"):
--- a/tools/bench_jobs.py
+++ b/tools/bench_jobs.py
@@ -11,12 +11,12 @@
 from collections.abc import Iterable
 from typing import Any
 
-from features.support.actor_machine import declare, profile
-from features.support.actor_worlds import Daemon, FakePlatform, World
 from mustardgap import placers
 from mustardgap.adapters import TasksPage, WorkersPage
 from mustardgap.job_queues import Place, Queue, Waiting
 from mustardgap.usages import Usages
+from tools.actor_platforms import FakePlatform
+from tools.actor_worlds import Daemon, World, declare, profile
 from tools.rows import Row, at_most
 
 CORES = 32
