--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -17,7 +17,7 @@
 from mustardgap.adapters import Platform
 from mustardgap.exceptions import MustardgapError
 
-from .benches import SERVICE, declared, fleet
+from .benches import SERVICE, declared, fleet, write_declarations
 from .clusters import Cluster
 from .processes import Processes, get_json
 from .rows import Row, at_most
@@ -44,10 +44,7 @@
         try:
             cluster = Cluster(processes=processes, fleet=fleet(), daemons=daemons, **kwargs)
             cluster.start()
-            path = cluster.folder / "declarations"
-            path.mkdir()
-            (path / "all.json").write_text(json.dumps(declared()), encoding="utf-8")
-            cluster.apply(path)
+            cluster.apply(write_declarations(cluster, declared()))
             cluster.wait_ready()
             yield cluster
         finally:
@@ -131,7 +128,7 @@
     mine = []
     accepted: list[tuple[int, float]] = []
     for number in range(changes):
-        offset = _change(cluster, number)
+        offset = publish_change(cluster, number)
         at = time.monotonic()
         accepted.append((offset, at))
         mine.append(_wait_in_force(cluster, offset, at))
@@ -140,10 +137,10 @@
     return mine, theirs
 
 
-def _change(cluster: Cluster, number: int) -> int:
+def publish_change(cluster: Cluster, number: int) -> int:
     """Publish one change and return the offset it was accepted at."""
     operators = cluster.daemons_by_name["e1"].operators
-    items = get_json(f"http://{operators}/v1/declarations")["items"]
+    items = cluster.get("e1", "/v1/declarations")["items"]
     key = f"team/{SERVICE}"
     value = {**items[key]["value"], "max_jobs": 1000 + time.monotonic_ns() % 100_000}
     change = {"key": key, "base": items[key]["version"], "value": value}
--- a/tools/benches.py
+++ b/tools/benches.py
@@ -4,6 +4,7 @@
 import tempfile
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 from typing import Any
 
 from .clusters import Cluster
@@ -70,6 +71,14 @@
     }
 
 
+def write_declarations(cluster: Cluster, values: dict[str, Any]) -> Path:
+    """Write declarations into a folder of the cluster's."""
+    folder = cluster.folder / "declarations"
+    folder.mkdir(exist_ok=True)
+    (folder / "all.json").write_text(json.dumps(values), encoding="utf-8")
+    return folder
+
+
 class Bench:
     """A cluster with its service in force, and naive proxies over the same executors."""
 
@@ -82,10 +91,7 @@
         """Start everything, naive proxies too, and wait until it takes requests."""
         cluster = self.cluster
         cluster.start()
-        folder = cluster.folder / "declarations"
-        folder.mkdir()
-        (folder / "all.json").write_text(json.dumps(declared()), encoding="utf-8")
-        cluster.apply(folder)
+        cluster.apply(write_declarations(cluster, declared()))
         cluster.wait_ready()
         self.start_naive(len(cluster.daemons_by_name))
 
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -16,7 +16,7 @@
 from standins.controls import Control
 
 from .load import Plan, Report, read_report
-from .processes import ROOT, Processes, free_ports, wait_http
+from .processes import ROOT, Processes, free_ports, get_json, wait_http
 
 FLEETS = ROOT / "standins" / "fleets"
 CLI_TIMEOUT_S = 150.0
@@ -206,6 +206,10 @@
         """Run the command-line tool and decode its JSON."""
         return json.loads(self.cli("--output", "json", *args, entry=entry).stdout)
 
+    def get(self, name: str, path: str) -> Any:
+        """Get a view of a daemon's on its operators' port."""
+        return get_json(f"http://{self.daemons_by_name[name].operators}{path}")
+
     def apply(self, folder: str | Path, *, entry: str = "") -> str:
         """Publish declarations and wait until they are in force everywhere."""
         return self.cli("apply", str(folder), "--wait", entry=entry).stdout
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -19,7 +19,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
-PORTS_PER_BLOCK = 99
+PORTS_PER_BLOCK = 399
 
 
 def free_ports(count: int) -> list[int]:
