Let only a later term's home seal a deputy's copy

Cause: red first: the state machine (reordering, 5 entries) found that an old request for a copy, delayed, sealed the present deputy's copy for good; nothing was lent any more. Then green: the request names the asker's own term, and only copies of lower terms answer and are sealed. Ruled out: unsealing after a time.

--- a/mustardgap/copies.py
+++ b/mustardgap/copies.py
@@ -64,7 +64,7 @@
     def take_mirror_ask(self, sender: str, message: MirrorAsk) -> None:
         """Hand the copy to a new home, and seal it: it must not miss what is noted later."""
         copy = self.copy
-        if copy is None or copy.term < message.term:
+        if copy is None or not message.term <= copy.term < message.below:
             return
         copy.sealed = True
         mirror = Mirror(self.service, copy.term, copy.home, copy.sequence, copy.held_by_member)
--- a/mustardgap/homes.py
+++ b/mustardgap/homes.py
@@ -429,11 +429,12 @@
 
     def _ask_copies(self) -> None:
         now = self.clock.monotonic()
-        if now < self._asked + ASK_EVERY_S:
+        last = self._last_accepted()
+        if not last or now < self._asked + ASK_EVERY_S:
             return
         self._asked = now
         for m in self.members.peers():
-            self.send(m.id, MirrorAsk(self.service, self._last_accepted()))
+            self.send(m.id, MirrorAsk(self.service, last, self.term))
 
     def _choose_deputy(self) -> str:
         ranked = self.members.ranked(f"slots/{self.service}")
--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -224,10 +224,11 @@
 
 
 class MirrorAsk(Message, tag=21, frozen=True, array_like=True):
-    """A new home asks for a ledger of a term or of a later one."""
+    """A new home in term ``below`` asks for a ledger of a term or of a later one below its own."""
 
     service: str
     term: int
+    below: int
 
 
 AnyMessage = (
