Blame no executor for a pause of the entry host's own process

Ruled out: subtracting the pause from each try: what became of the rest of its time isn't known; clearing all health at a gap, which would forget executors that are really sick. Conclusion: tries that began before a gap say nothing.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -48,3 +48,10 @@
       | a change that was rejected and is in force      | reverted configuration |
       | two changes of one version that were accepted   | reverted configuration |
       | a daemon that went back to an older version     | reverted configuration |
+
+  Scenario: an entry host that was frozen holds its own pause against no executor
+    Thirty reads are at x1 when the entry host's process stops for three seconds. When it wakes each
+    seems to have taken three seconds, against milliseconds elsewhere. Healthy executors were ejected
+    for that, and their slots stood idle just when the host had to catch up.
+    When the fuzz freezes an entry host with 30 reads at one of two executors
+    Then the fuzz's entry host counts both executors as well
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -1,10 +1,14 @@
 """Steps for the fuzz of the whole system and for single faults that it found."""
 
 import asyncio
+import time
+from types import SimpleNamespace
 
 from behave import then, when
 
+from features.support.entries import FirstSlots
 from features.support.rigs import Rig
+from mustardgap.timers import Timers
 from standins import answers
 from tools import fuzz, fuzz_checks, fuzz_fleet, fuzz_schedules
 from tools.fuzz_worlds import Attempt, Window
@@ -84,8 +88,8 @@
 def _judge_drain(*events):
     first = [(0.0, worker, "up") for worker in "abc"]
     histories = {worker: [] for worker in "abc"}
-    for time, worker, state in [*first, *events]:
-        histories[worker].append({"time": time, "pool": "alpha", "state": state})
+    for at, worker, state in [*first, *events]:
+        histories[worker].append({"time": at, "pool": "alpha", "state": state})
     windows = fuzz_checks.Windows([], {})
     return fuzz_checks.check_planned({"workers": histories}, windows, since=1.0)
 
@@ -160,3 +164,44 @@
 def check_found(context, faults):
     found = {fault.promise for fault in context.faults}
     assert found == (set() if faults == "nothing" else {faults}), context.faults
+
+
+# A frozen entry host.
+
+
+class _PickedSlots(FirstSlots):
+    """Gives the executor that the test picks."""
+
+    pick = "x2"
+
+    async def acquire(self, service, **kwargs):
+        await super().acquire(service, **kwargs)
+        views = self.executors.candidates(service)
+        return SimpleNamespace(executor=next(v for v in views if v.executor == self.pick))
+
+
+@when("the fuzz freezes an entry host with {count:d} reads at one of two executors")
+def freeze_entry(context, count):
+    async def main():
+        timers = Timers()
+        async with Rig(slots=_PickedSlots, requests={"silent_timeout_s": 10.0}) as r:
+            timers.on_gap(r.entry.executors.woke)
+            watch = asyncio.create_task(timers.run())
+            for _ in range(count):
+                await r.ask("idempotent")
+            r.entry.slots.pick = "x1"
+            asks = [r.ask("idempotent", query="run_s=0.2") for _ in range(count)]
+            reads = asyncio.gather(*asks)
+            await asyncio.sleep(0.1)
+            time.sleep(3.0)  # noqa: ASYNC251
+            await reads
+            watch.cancel()
+            patients = r.entry.executors.outliers.by_executor
+            context.states = {name: patient.state for name, patient in patients.items()}
+
+    asyncio.run(main())
+
+
+@then("the fuzz's entry host counts both executors as well")
+def check_states(context):
+    assert context.states == {"x1": "well", "x2": "well"}, context.states
--- a/mustardgap/executors.py
+++ b/mustardgap/executors.py
@@ -91,6 +91,7 @@
         self._leaving_workers: frozenset[str] = frozenset()
         self._callbacks: list[Callable[[str], None]] = []
         self._is_first = True
+        self._woke = float("-inf")
         self._update(set(workers.by_id))
         workers.on_change(self._update)
 
@@ -119,11 +120,19 @@
         :param took_s: seconds it took.
         """
         sign = sign_of(result)
-        if sign is not None:
+        # A frozen process finds, when it wakes, that its tries took too long or missed their time.
+        # Blamed for that, healthy executors would be ejected just when there is much to catch up.
+        # What began before the pause says nothing, and later tries will.
+        paused = self.clock.monotonic() - took_s <= self._woke
+        if sign is not None and not paused:
             self.outliers.note(executor, sign, took_s)
         else:
             self.outliers.skip(executor)
 
+    def woke(self, lost_s: float) -> None:
+        """Take in that this process was paused for some seconds."""
+        self._woke = self.clock.monotonic()
+
     def begin(self, executor: str, *, idempotent: bool) -> bool:
         """Ask whether a request may go to an executor whose slot was got.
 
--- a/mustardgap/parts.py
+++ b/mustardgap/parts.py
@@ -133,6 +133,7 @@
             timeline=self.timeline,
             clock=clock,
         )
+        self.timers.on_gap(self.executors.woke)
         Departures(executors=self.executors, gossiper=self.gossiper)
         self.presence.on_leaving_workers(self.executors.leaving_workers)
         self.slots = Slots(
