Prove that connections over the limit are refused truly

Cause: the limit of callers' connections had no proof. Ruled out: nothing. Measured: ten connections where two are allowed: two answered, one told MG1113, seven closed.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -150,6 +150,10 @@
     When requests' callers send ten bodies that are too large together
     Then requests are told only 1000 and 1113, both at least once
 
+  Scenario: connections over the limit are told so, and far over it closed
+    When requests come on ten connections where two are allowed
+    Then requests are told 1000, 1000, 1113 and the other connections end
+
   Scenario Outline: a caller hangs up while its <kind> request <state>
     Nobody waits for the answer any more. What hasn't gone out isn't run, and what may be repeated
     isn't waited for; a non-idempotent request that an executor has goes on to its outcome.
--- a/features/steps/requests_wire_steps.py
+++ b/features/steps/requests_wire_steps.py
@@ -230,3 +230,29 @@
 @then("requests are told only 1000 and 1113, both at least once")
 def check_large(context):
     assert context.codes == {1000, 1113}, context.codes
+
+
+@when("requests come on ten connections where two are allowed")
+def crowd(context):
+    async def main():
+        async with Rig(callers={"max_connections": 2}) as r:
+            port = r.entry.callers.port
+            streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(10)]
+            for _, writer in streams:
+                writer.write(b"GET /quotes/1 HTTP/1.1\r\nHost: a\r\n\r\n")
+            context.heads = [await _read_head(reader) for reader, _ in streams]
+
+    asyncio.run(main())
+
+
+async def _read_head(reader):
+    try:
+        return await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+    except (asyncio.IncompleteReadError, ConnectionResetError):
+        return b""
+
+
+@then("requests are told 1000, 1000, 1113 and the other connections end")
+def check_crowd(context):
+    codes = [head.partition(b"X-Result-Code: ")[2][:4] for head in context.heads]
+    assert codes == [b"1000", b"1000", b"1113"] + [b""] * 7, codes
