Take in no worker before the first pool is declared

Cause: workers labelled with pools that nobody had declared couldn't be taken in, but spare ones could. The first apply, when it came some seconds after the start, was checked against the spare ones alone and refused with MG3006 for good (needs 7 hosts, 2 there). Ruled out: taking workers of undeclared pools in, which changes the fold's rule; leaving the fleet out of the check for new pools, which would accept profiles that can't be satisfied. Conclusion: declaring pools one by one can still meet the same refusal; that is left.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -55,3 +55,10 @@
     for that, and their slots stood idle just when the host had to catch up.
     When the fuzz freezes an entry host with 30 reads at one of two executors
     Then the fuzz's entry host counts both executors as well
+
+  Scenario: the first declarations come long after the start
+    Workers are labelled with pools that nobody has declared, so the log takes in the spare ones
+    alone. The first apply was then checked against these few and refused for good: the others could
+    only be taken in once their pools were declared.
+    When the fuzz's operator applies the first declarations 6 seconds after the start
+    Then the fuzz's daemons have all hosts in their pools
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -11,7 +11,8 @@
 from mustardgap.timers import Timers
 from standins import answers
 from tools import fuzz, fuzz_checks, fuzz_fleet, fuzz_schedules
-from tools.fuzz_worlds import Attempt, Window
+from tools.fuzz_worlds import Attempt, Window, World
+from tools.processes import get_json
 from tools.told import Told
 
 
@@ -205,3 +206,23 @@
 @then("the fuzz's entry host counts both executors as well")
 def check_states(context):
     assert context.states == {"x1": "well", "x2": "well"}, context.states
+
+
+# The first declarations.
+
+
+@when("the fuzz's operator applies the first declarations {seconds:g} seconds after the start")
+def apply_late(context, seconds):
+    context.world = World(processes=context.processes, seed=1)
+    context.world.start(apply_after_s=seconds)
+
+
+@then("the fuzz's daemons have all hosts in their pools")
+def check_hosts(context):
+    address = context.world.cluster.daemons_by_name["e1"].operators
+
+    def pools():
+        hosts = get_json(f"http://{address}/v1/hosts")["items"]
+        return {name: host["pool"] for name, host in hosts.items()}
+
+    context.world.cluster.wait("all hosts", lambda: len(pools()) == len(fuzz_fleet.WORKERS))
--- a/mustardgap/registrars.py
+++ b/mustardgap/registrars.py
@@ -54,7 +54,7 @@
     def due(self) -> list[HostBody]:
         """The records that this daemon should write now; a lost rack is one batch."""
         now = self.operations.timers.clock.monotonic()
-        ready = [name for name in sorted(self._new) if self._not_before.get(name, now) <= now]
+        ready = [name for name in sorted(self._new) if self._may_register(name, now)]
         limit_s = self.operations.settings.capacity.host_failed_s
         lost = sorted(n for n, since in self._down_since.items() if now - since >= limit_s)
         names = tuple((lost + ready)[:BATCH])
@@ -82,6 +82,13 @@
                 self._not_before.pop(body["host"], None)
         self.look_at({body["host"] for body in bodies})
 
+    def _may_register(self, name: str, now: float) -> bool:
+        # Before the first pool is declared only spare workers could be taken in. The budgets of the
+        # first declarations would be checked against these few and refused for good, because the
+        # others can't be taken in before their pools are declared.
+        declared = self.operations.log.state.declared("pool")
+        return bool(declared) and self._not_before.get(name, now) <= now
+
     def _registered(self, name: str) -> HostBody | None:
         worker = self.operations.workers.by_id.get(name)
         phase = None if worker is None else FIRST_PHASE_BY_STATE.get(worker["state"])
--- a/tools/fuzz_worlds.py
+++ b/tools/fuzz_worlds.py
@@ -95,12 +95,16 @@
 
     # Starting
 
-    def start(self) -> None:
-        """Start everything and put the declarations in force."""
+    def start(self, *, apply_after_s: float = 0.0) -> None:
+        """Start everything and put the declarations in force.
+
+        :param apply_after_s: seconds from the daemons' start to the first declarations.
+        """
         self.cluster.start()
         for name in DAEMONS:
             self.start_daemon(name)
         self.cluster.wait_live()
+        time.sleep(apply_after_s)
         folder = self.cluster.folder / "declarations"
         folder.mkdir(exist_ok=True)
         (folder / "all.json").write_text(json.dumps(declared()), encoding="utf-8")
