Don't send callers away while the first slots are on their way

Cause: a queue that had just formed (a daemon started, a home changed, a service is new) took the time before the first grant for its drain rate, 1 in 0.3 s, and refused whoever had 7 ahead with MG1100 and a Retry-After of up to 82 s, while the slots came a moment later. Ruled out: a longer window alone, which also blunts the answer in real overload; refusing nothing, since hopeless requests must be told at once. Conclusion: the drain rate counts from the first grant; a starting daemon is ready once it has a lease of each service's slots, or after 5 s.

--- a/mustardgap/daemons.py
+++ b/mustardgap/daemons.py
@@ -20,6 +20,7 @@
 
 READINESS_S = 0.25
 STARTING_S = 10.0
+SETTLING_S = 5.0
 
 
 class Daemon:
@@ -90,8 +91,23 @@
                     place=place,
                 )
             await clock.sleep(READINESS_S / 5)
+        await self._settle()
         self.readiness.clear("daemon")
 
+    async def _settle(self) -> None:
+        """Wait until the services' slots can be had here, but not for long.
+
+        The balancer would otherwise send requests that wait a second for the first lease. With no
+        home in reach this entry host must become ready all the same, and refuse what it can't run.
+        """
+        clock = self.parts.timers.clock
+        deadline = clock.monotonic() + SETTLING_S
+        way = self.parts.slots.way
+        while isinstance(way, Broker) and not way.is_settled():
+            if clock.monotonic() > deadline or self._stop.is_set():
+                return
+            await clock.sleep(READINESS_S / 5)
+
     async def _first(self, *waits: Awaitable[object]) -> None:
         tasks = [asyncio.ensure_future(wait) for wait in waits]
         try:
--- a/mustardgap/queues.py
+++ b/mustardgap/queues.py
@@ -31,17 +31,20 @@
     def __init__(self, *, clock: Clock, window_s: float = RATE_WINDOW_S) -> None:
         self.clock = clock
         self.window_s = window_s
+        self.counted = 0
         self._count = 0.0
         self._started = self._at = clock.monotonic()
 
     def restart(self) -> None:
         """Forget what was counted."""
+        self.counted = 0
         self._count = 0.0
         self._started = self._at = self.clock.monotonic()
 
     def add(self) -> None:
         """Count an event that happens now."""
         self._decay()
+        self.counted += 1
         self._count += 1.0
 
     def age_s(self) -> float:
@@ -117,10 +120,9 @@
 
     def expected_wait_s(self, ahead: int) -> float:
         """Seconds until one with so many ahead has its turn, by the recent drain rate."""
-        age_s = self.drain.age_s()
-        if ahead <= 0 or age_s < UNKNOWN_S:
+        if ahead <= 0 or not self._knows_rate():
             return 0.0
-        return ahead / max(self.drain.per_s(), 1.0 / age_s)
+        return ahead / max(self.drain.per_s(), 1.0 / self.drain.age_s())
 
     def push(self, waiter: Waiter) -> None:
         """Let a request wait.
@@ -164,7 +166,9 @@
                 waiter.future.set_exception(self.refused(status_codes.SHED))
 
     def served(self, waited_s: float) -> None:
-        """Count a request that got its slot."""
+        """Count a request that got its slot; the time before the first one says nothing."""
+        if not self.drain.counted:
+            self.drain.restart()
         self.drain.add()
         metrics.queue_wait.record(waited_s, {"service": self.service})
 
@@ -180,12 +184,23 @@
         back together and be refused again.
         """
         self.refusals.add()
-        rate = max(self.drain.per_s(), 0.1)
+        rate = max(self.drain.per_s(), 0.1) if self._knows_rate() else math.inf
         backlog = self._count + self.refusals.per_s() * self.refusals.window_s
         after = min(max(backlog / rate, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
         outcome = NotRun(code=code, detail=detail, retry_after=after * random.uniform(0.5, 1.5))
         return SlotRefused(outcome=outcome)
 
+    def _knows_rate(self) -> bool:
+        """Whether the drain rate says anything yet.
+
+        Right after a start, or when a service is new, the slots are still on their way: none
+        served in a second doesn't mean that none will be, and callers were sent away for a minute
+        by a host that could serve them a moment later. Until something was served, and a moment
+        longer, they just wait, which the profile bounds.
+        """
+        age_s = self.drain.age_s()
+        return age_s >= (UNKNOWN_S if self.drain.counted else RATE_WINDOW_S)
+
     def _tail(self) -> Waiter:
         return next(waiters[-1] for waiters in reversed(self._by_urgency) if waiters)
 
