Count result codes in the fuzz's verdicts

Cause: the share of refusals differs much between seeds (6 to 53 %) and its reasons weren't shown. Ruled out: a promise on the share, which depends on the faults drawn. Conclusion: shown for each seed.

--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -34,6 +34,7 @@
     schedule: list[Step]
     requests: int
     by_outcome: Counter[str]
+    by_code: Counter[str]
     runs: int
     faults: list[Fault]
     notes: list[str]
@@ -71,6 +72,7 @@
         schedule=schedule,
         requests=len(run.told),
         by_outcome=Counter(one.outcome for one in run.told),
+        by_code=Counter(f"MG{one.code}" for one in run.told if one.code >= 0),
         runs=run.runs,
         faults=run.faults,
         notes=run.world.notes,
@@ -83,7 +85,8 @@
     outcomes = ", ".join(f"{n} {outcome}" for outcome, n in sorted(verdict.by_outcome.items()))
     found = [
         f"seed {verdict.seed}: {verdict.requests} requests ({outcomes}), {verdict.runs} runs, "
-        f"{len(verdict.schedule)} steps"
+        f"{len(verdict.schedule)} steps",
+        "  " + ", ".join(f"{n} {code}" for code, n in sorted(verdict.by_code.items())),
     ]
     found += [f"  {promise}: {verdict.of(promise)}" for promise in PROMISES]
     found += [f"    {f.promise}: {f.name}: {f.detail}" for f in verdict.faults[:30]]
@@ -117,6 +120,7 @@
         "steps": len(verdict.schedule),
         "requests": verdict.requests,
         "by_outcome": dict(verdict.by_outcome),
+        "by_code": dict(verdict.by_code),
         "runs": verdict.runs,
         "breaches": {p: verdict.of(p) for p in PROMISES if verdict.of(p)},
         "faults": [list(fault) for fault in verdict.faults[:30]],
