--- a/tools/bench_gossip.py
+++ b/tools/bench_gossip.py
@@ -32,6 +32,7 @@
 CHANGE_EVERY_S = 5.4
 FRAME_OVERHEAD_BYTES = 5 + 9 + 52
 ACK_BYTES = 52
+PORTS = 60
 TARGET_BYTES = 3000
 
 
@@ -46,12 +47,13 @@
 class Node:
     """One member with its streams and gossip."""
 
-    def __init__(self, *, host: str, port: int, seed: int) -> None:
+    def __init__(self, *, host: str, address: str, port: int, seed: str) -> None:
         raw = {
             "host": host,
+            "address": address,
             "data_center": "d1",
             "platform": {"address": "127.0.0.1:1"},
-            "peers": {"port": port, "seeds": [f"127.0.0.1:{seed}"]},
+            "peers": {"port": port, "seeds": [seed]},
         }
         settings = msgspec.convert(raw, Settings)
         self.timers = Timers()
@@ -76,8 +78,17 @@
 
     :return: the traffic, and the naive way's bytes a second.
     """
-    ports = free_ports(count)
-    nodes = [Node(host=f"entry{i}", port=port, seed=ports[0]) for i, port in enumerate(ports)]
+    ports = free_ports(min(count, PORTS))
+    seed = f"127.0.0.1:{ports[0]}"
+    nodes = [
+        Node(
+            host=f"entry{i}",
+            address=f"127.0.0.{1 + i // PORTS}",
+            port=ports[i % PORTS],
+            seed=seed,
+        )
+        for i in range(count)
+    ]
     try:
         await _settle(nodes, count)
         sent = sum(n.peers.sent_bytes for n in nodes)
