--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -3,6 +3,9 @@
 Each run starts a platform, two executors processes and four daemons, carries out a schedule of
 faults and operators' actions, heals everything, and judges what callers and operators were told
 by the stand-ins' own record.
+
+Hypothesis draws other steps for the same seed when the code's constants have changed, so results
+and failed runs keep their steps, to be run again with ``--steps``.
 """
 
 import json
@@ -25,6 +28,7 @@
 
 RESULTS = ROOT / "results" / "fuzz.json"
 SETTING_UP = "not serving"
+STEPS_FILE = "steps.json"
 
 
 class Verdict(NamedTuple):
@@ -65,7 +69,10 @@
         run.faults.append(Fault(SETTING_UP, "system", f"{type(exc).__name__}: {exc}"))
     finally:
         processes.stop_all()
-    if not run.faults and not keep:
+    if run.faults or keep:
+        steps = json.dumps(fuzz_schedules.encode(schedule))
+        (processes.folder / STEPS_FILE).write_text(steps, encoding="utf-8")
+    else:
         shutil.rmtree(folder, ignore_errors=True)
     return Verdict(
         seed=seed,
@@ -91,7 +98,7 @@
     found += [f"  {promise}: {verdict.of(promise)}" for promise in PROMISES]
     found += [f"    {f.promise}: {f.name}: {f.detail}" for f in verdict.faults[:30]]
     if verdict.faults:
-        found.append(f"  output and logs are in {verdict.folder}")
+        found.append(f"  logs, and {STEPS_FILE} for --steps, are in {verdict.folder}")
     return found
 
 
@@ -117,7 +124,7 @@
 def _as_json(verdict: Verdict) -> dict[str, Any]:
     return {
         "seed": verdict.seed,
-        "steps": len(verdict.schedule),
+        "schedule": fuzz_schedules.encode(verdict.schedule),
         "requests": verdict.requests,
         "by_outcome": dict(verdict.by_outcome),
         "by_code": dict(verdict.by_code),
