--- a/tools/bench.py
+++ b/tools/bench.py
@@ -94,9 +94,9 @@
         met = {True: "yes", False: "NO", None: ""}[row.get("met")]
         table.add_row(
             f"{row['group']}: {row['name']}",
-            _number(row.get("value")),
+            format_number(row.get("value")),
             row.get("unit", ""),
-            _number(row.get("baseline")),
+            format_number(row.get("baseline")),
             row.get("baseline_name", ""),
             row.get("target", ""),
             met,
@@ -110,7 +110,8 @@
         console.print(f"FAILED {name}: {error}", markup=False)
 
 
-def _number(value: Any) -> str:
+def format_number(value: Any) -> str:
+    """A figure with four digits, "-" for none."""
     if value is None:
         return "-"
     return f"{value:,.4g}" if isinstance(value, float) else str(value)
