Bound a pass over the queue of jobs

Cause: with 2,000 jobs waiting on 8,900 full workers one pass took 60 s and held up the daemon. Ruled out: a thread for the placer (it reads the folded state); comparing all workers less often. Conclusion: 16 workers compared a job, 1,000 looked at a pass, a rest of ten times the pass; leases are shared out by 256 keys.

--- a/mustardgap/job_actors.py
+++ b/mustardgap/job_actors.py
@@ -1,5 +1,6 @@
 """Starts, steps and ends the tasks of jobs as the log says, and renews their leases."""
 
+import zlib
 from functools import singledispatchmethod
 from typing import Any
 
@@ -26,6 +27,8 @@
 
 RENEW_SHARE = 1 / 3
 RENEW_BATCH = 500
+# Leases are shared out by this many keys: ranking the members for each job would cost more.
+LEASE_KEYS = 256
 REFUSED = frozenset({status_codes.PLATFORM_REFUSED, status_codes.NOT_FOUND})
 
 
@@ -98,9 +101,10 @@
         for name in sorted(self.placer.rooms.jobs()):
             job = self.state.jobs_by_id[name]
             view = self._view(job)
-            # Looked at from time to time, as a lease that runs out changes nothing that is polled.
-            self._look_at.add(name)
-            if view.task is not None and keeps_lease(view) and self._renews(job, view.task):
+            if view.task is None or not keeps_lease(view) or view.now > view.task["lease_until"]:
+                # Looked at from time to time, as a lease that runs out changes nothing polled.
+                self._look_at.add(name)
+            elif self._renews(job, view.task):
                 epochs_by_task[view.task["task"]] = job["epoch"]
         items = list(epochs_by_task.items())
         return [dict(items[i : i + RENEW_BATCH]) for i in range(0, len(items), RENEW_BATCH)]
@@ -214,7 +218,7 @@
 
     def _renews(self, job: JobState, task: TaskInfo) -> bool:
         """The owner always renews; the next ones do when the lease has come closer to its end."""
-        rank = self.duties.rank(f"job/{job['job']}")
+        rank = self.duties.rank(f"lease/{zlib.crc32(job['job'].encode()) % LEASE_KEYS}")
         if rank is None:
             return False
         settings = self.operations.settings.capacity
--- a/mustardgap/job_queues.py
+++ b/mustardgap/job_queues.py
@@ -1,7 +1,7 @@
 """Which waiting job goes where, and which gentle jobs make way: pure decisions on the queue."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from .rooms import Rooms
@@ -16,7 +16,11 @@
 RESERVE_AFTER_S = 30.0
 RESERVATION_S = 120.0
 MAX_RESERVED = 8
-MAX_PAUSES_AT_ONCE = 64
+MAX_PAUSES_AT_ONCE = 32
+# Of the workers on which gentle jobs could make way, so many are compared for one job, and so many
+# are looked at in one pass; the next pass begins at other ones.
+MAX_COMPARED = 16
+MAX_LOOKED_AT = 1000
 
 
 class Waiting(NamedTuple):
@@ -106,7 +110,8 @@
         self._visited: set[str] = set()
         self._blocked: list[Waiting] = []
         self._helpless: list[Waiting] = []
-        self._gentle: list[str] | None = None
+        self._running_by_worker: dict[str, list[Running]] = {}
+        self._looks_left = MAX_LOOKED_AT
 
     def decide(self, waiting: Iterable[Waiting]) -> list[Place | Pause]:
         """Decide for all waiting jobs.
@@ -174,21 +179,25 @@
 
     def _make_way(self, job: Waiting) -> bool:
         """Pause gentler jobs on the one worker where that disturbs the least."""
-        if len(self.paused) >= MAX_PAUSES_AT_ONCE:
+        if len(self.paused) >= MAX_PAUSES_AT_ONCE or self._looks_left <= 0:
             return False
         if any(h.size.fits(job.size) and h.urgency <= job.urgency for h in self._helpless):
             return False
         best: tuple[tuple[int, float], str, list[Running]] | None = None
-        for worker in self._gentle_workers():
+        compared = 0
+        for worker in self._workers_by_turn():
             if worker in job.avoid or worker in self.reserved:
                 continue
             victims = self._victims(job, worker)
-            if victims is None:
+            if not victims:
                 continue
+            compared += 1
+            if compared > MAX_COMPARED:
+                break
             lost_s = sum(self.now - v.started for v in victims)
             if best is None or (len(victims), lost_s) < best[0]:
                 best = ((len(victims), lost_s), worker, victims)
-        if best is None and not job.avoid:
+        if best is None and not job.avoid and self._looks_left > 0:
             self._helpless.append(job)
         if best is None or not self.may_place(job.job, best[1]):
             return False
@@ -200,7 +209,7 @@
     def _victims(self, job: Waiting, worker: str) -> list[Running] | None:
         """The jobs to pause on a worker: the least urgent first, of these the latest started."""
         free = self.rooms.free_by_worker[worker]
-        running = self.running_by_worker(worker)
+        running = self._running_on(worker)
         for leaving in running:
             if leaving.is_leaving:
                 free = free.plus(leaving.size)
@@ -215,14 +224,21 @@
             chosen.append(victim)
         return chosen if job.size.fits(free) else None
 
-    def _gentle_workers(self) -> list[str]:
-        if self._gentle is None:
-            self._gentle = [
-                worker
-                for worker in sorted(self.rooms.free_by_worker)
-                if any(r.may_pause for r in self.running_by_worker(worker))
-            ]
-        return self._gentle
+    def _workers_by_turn(self) -> Iterator[str]:
+        """The workers, beginning at another one in each pass, while looks are left."""
+        workers = list(self.rooms.free_by_worker)
+        first = int(self.now * 997) % max(1, len(workers))
+        for worker in [*workers[first:], *workers[:first]]:
+            if self._looks_left <= 0:
+                return
+            self._looks_left -= 1
+            yield worker
+
+    def _running_on(self, worker: str) -> list[Running]:
+        running = self._running_by_worker.get(worker)
+        if running is None:
+            running = self._running_by_worker[worker] = self.running_by_worker(worker)
+        return running
 
     def _reserve(self, job: Waiting) -> None:
         """Keep the worker for a job on which its room comes free first.
@@ -233,7 +249,8 @@
         if len(self.reserved) >= MAX_RESERVED:
             return
         best: tuple[float, str] | None = None
-        for worker, capacity in self.rooms.capacity_by_worker.items():
+        for worker in self._workers_by_turn():
+            capacity = self.rooms.capacity_by_worker[worker]
             if worker in self.reserved or worker in job.avoid or not job.size.fits(capacity):
                 continue
             free_at = self._free_at(job, worker)
@@ -246,7 +263,7 @@
     def _free_at(self, job: Waiting, worker: str) -> float:
         free = self.rooms.free_by_worker[worker]
         free_at = self.now
-        for running in sorted(self.running_by_worker(worker), key=lambda r: r.ends):
+        for running in sorted(self._running_on(worker), key=lambda r: r.ends):
             if job.size.fits(free):
                 break
             free = free.plus(running.size)
--- a/mustardgap/placers.py
+++ b/mustardgap/placers.py
@@ -1,6 +1,7 @@
 """Keeps the queue of jobs and writes where each one goes, which make way, and which end."""
 
 import asyncio
+import time
 from collections import Counter
 from typing import Any, NamedTuple
 
@@ -23,6 +24,8 @@
 # How often the queue is looked at when nothing has changed.
 IDLE_S = 2.0
 MAX_WRITES = 100
+# A long pass is followed by a rest so many times as long, so that requests aren't held up.
+REST_FACTOR = 10.0
 
 
 class End(NamedTuple):
@@ -67,6 +70,7 @@
         self._is_changed = True
         self._judge_anew = True
         self._looked_at = float("-inf")
+        self._rest_s = 0.0
 
     @property
     def state(self) -> Any:
@@ -135,11 +139,13 @@
         """The decisions that this daemon should write now."""
         rank = self.duties.rank(KEY)
         now = self.operations.timers.clock.monotonic()
-        pace = IDLE_S if rank == 0 and not self._is_changed else 0.0
+        pace = IDLE_S if rank == 0 and not self._is_changed else self._rest_s
         if rank is None or now - self._looked_at < (pace if rank == 0 else IDLE_S):
             return []
         self._looked_at, self._is_changed = now, False
+        began = time.perf_counter()
         decisions = self.decide()
+        self._rest_s = (time.perf_counter() - began) * REST_FACTOR
         if not decisions:
             self.duties.drop(KEY)
             return []
@@ -268,7 +274,10 @@
             return None
         blamed = {worker for worker, f in self._failures.items() if f.is_proven}
         tries = tries_of(job, state.hosts_by_name, blamed)
-        capable = [w for w, c in self.rooms.capacity_by_worker.items() if declared(spec).fits(c)]
+        # Only a job that has failed often enough is worth a look at all workers.
+        is_close = tries.failed >= self.operations.settings.capacity.max_attempts
+        rooms = self.rooms.capacity_by_worker if is_close else {}
+        capable = [w for w, capacity in rooms.items() if declared(spec).fits(capacity)]
         if tries.is_spent(self.operations.settings.capacity.max_attempts, capable):
             why = f"failed on {', '.join(sorted(tries.failed_on)) or 'workers that went down'}"
             return End(job["job"], status_codes.JOB_FAILED_EVERYWHERE, why)
