Tell the planner which hosts leave on short notice

Cause: the planner could replace a host that leaves, but no daemon told it. plan_actors.due called plan() without leaving=, so a worker shown as leaving on the platform's host list served on until it was taken away, and its replacement came only after it had failed. Ruled out: the notice as a record on the log (the list is read by every daemon anyway, and a step is turned down by its base epoch when two daemons see the list differently); the time at which the host goes (the list doesn't tell it, so the reason gives the time it was first listed). Conclusion: Presence tells Actors.leaving_workers, which keeps the first time seen of each. Such a drain isn't a planned one, so a host that stays after all is taken back by an operator.

--- a/features/actors.feature
+++ b/features/actors.feature
@@ -85,6 +85,20 @@
     When actors move hosts from batch to the service while jobs are placed there
     Then actors have started every job on a host of batch, and each job has run once
 
+  Scenario: The host list shows a host as leaving on short notice
+    Requests would find too few executors once it is gone. The service has no margin when the
+    notice comes. The replacement must be in service before the host is emptied; a planner that
+    isn't told leaves it where it is until the platform takes it away.
+
+    Given actors of two daemons on a fake platform
+    When actors hear that r0-w0 is leaving while its service has no margin
+    Then actors have brought its replacement into service before they emptied it
+
+  Scenario: The host list of the platform stand-in shows r1-w1 as leaving
+    Given actors in two daemon processes on the platform stand-in
+    When actors processes read on the host list that r1-w1 is leaving
+    Then actors processes have emptied it alone
+
   Scenario: Random faults against two daemons
     Given actors of two daemons as a state machine
     Then actors never run, reboot or cut anything twice over its fixed seeds
--- /dev/null
+++ b/features/steps/actors_hosts_steps.py
@@ -0,0 +1,56 @@
+"""Steps about hosts that come, leave on short notice, or come back to a place that was filled."""
+
+import asyncio
+
+from behave import then, when
+
+from features.support.actor_steps import call, until
+
+LEAVING = "r0-w0"
+
+
+def host_records(world):
+    """The accepted host records so far, in order."""
+    records = [world.journal.read(n).value for n in range(len(world.journal.values))]
+    return [r["body"] for r in records if r["kind"] == "host"]
+
+
+@when("actors hear that r0-w0 is leaving while its service has no margin")
+def step_leaving(context):
+    world = context.world
+
+    async def run():
+        world.platform.power("r2-w0", False)
+        await until(world, lambda: world.host("r2-w0")["phase"] == "failed")
+        await world.pass_time(6)
+        context.before = len(host_records(world))
+        for daemon in world.daemons_by_name.values():
+            daemon.actors.leaving_workers({LEAVING})
+        await until(world, lambda: world.platform.workers_by_id[LEAVING]["state"] == "drained", 60)
+
+    asyncio.run(run())
+
+
+@then("actors have brought its replacement into service before they emptied it")
+def step_replaced(context):
+    steps = [(r["phase"], r["pool"]) for r in host_records(context.world)[context.before :]]
+    assert steps[:2] == [("in_service", "a"), ("draining", "a")], steps
+    assert context.world.host(LEAVING)["phase"] in ("draining", "drained")
+
+
+@when("actors processes read on the host list that r1-w1 is leaving")
+def step_processes_leaving(context):
+    context.cluster.platform.fault("host_leaving", on="r1-w1")
+
+    def is_emptied():
+        return call(context, "GET", "/v1/hosts")["items"]["r1-w1"]["phase"] == "drained"
+
+    context.cluster.wait("the leaving host to be emptied", is_emptied, timeout_s=60)
+
+
+@then("actors processes have emptied it alone")
+def step_processes_emptied(context):
+    truth = context.cluster.platform.truth()
+    drained = {o["worker"] for o in truth["operations"].values() if o["kind"] == "drain"}
+    assert drained == {"r1-w1"}, truth["operations"]
+    assert not truth["cuts"], truth["cuts"]
--- a/mustardgap/actors.py
+++ b/mustardgap/actors.py
@@ -1,7 +1,7 @@
 """Carries decisions out on the platform: every daemon runs it, and each key has one first actor."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from functools import partial
 from typing import Any
 
@@ -107,6 +107,10 @@
         for kind, actor in (("host", self.hosts), ("job", self.jobs)):
             self._guarded(kind, partial(self._begin_each, kind, actor))
 
+    def leaving_workers(self, workers: Collection[str]) -> None:
+        """Have these workers replaced and emptied: the platform's list shows them as leaving."""
+        self.planner.leaving_workers(workers)
+
     @property
     def is_busy(self) -> bool:
         """Whether steps are under way."""
--- a/mustardgap/parts.py
+++ b/mustardgap/parts.py
@@ -136,6 +136,7 @@
         self.timers.on_gap(self.executors.woke)
         Departures(executors=self.executors, gossiper=self.gossiper)
         self.presence.on_leaving_workers(self.executors.leaving_workers)
+        self.presence.on_leaving_workers(self.actors.leaving_workers)
         self.slots = Slots(
             settings=self.settings,
             executors=self.executors,
--- a/mustardgap/plan_actors.py
+++ b/mustardgap/plan_actors.py
@@ -1,6 +1,7 @@
 """Turns the planner's steps into records, and tries again later what the fold turned down."""
 
 import asyncio
+from collections.abc import Collection
 from typing import Any
 
 from . import metrics, status_codes
@@ -42,11 +43,17 @@
         self.waiting: dict[str, str] = {}
         self.problems: list[str] = []
         self.planner = self._new_planner()
+        self._leaving: dict[str, float] = {}
         self._planned_at = float("-inf")
         self._not_before: dict[tuple[str, int, str], tuple[float, float]] = {}
         operations.log.on_fold(self._follow)
         operations.log.on_restore(self._restart)
 
+    def leaving_workers(self, workers: Collection[str]) -> None:
+        """Take in which workers the platform's list shows as leaving on short notice."""
+        now = self.operations.timers.clock.wall()
+        self._leaving = {name: self._leaving.get(name, now) for name in workers}
+
     def due(self) -> Plan | None:
         """A plan with steps for this daemon to write now."""
         now = self.operations.timers.clock.monotonic()
@@ -54,7 +61,8 @@
         if rank is None or now - self._planned_at < self.operations.settings.capacity.plan_s:
             return None
         self._planned_at = now
-        plan = self.planner.plan(now=self.operations.timers.clock.wall())
+        wall = self.operations.timers.clock.wall()
+        plan = self.planner.plan(now=wall, leaving=self._leaving)
         metrics.plan_duration.record(self.operations.timers.clock.monotonic() - now)
         plan = plan._replace(steps=[s for s in plan.steps if self._may_try(s, now)][:MAX_STEPS])
         self._note(plan)
--- a/mustardgap/planners.py
+++ b/mustardgap/planners.py
@@ -75,7 +75,7 @@
 
         :param now: seconds since the epoch.
         :param weights: what buffer and moves cost; those of the policy when None.
-        :param leaving: hosts that the platform will take away, and when.
+        :param leaving: hosts that leave on short notice, and when that was first seen.
         :rtype: Plan
         """
         fleet = self._fleet
@@ -127,7 +127,9 @@
             continue
         group = draft.fleet.groups_by_pool.get(host["pool"])
         if group is None or group.can_lose(host):
-            draft.drain(host, f"leaves at {leaving[host_id]:.0f}", planned=False)
+            draft.drain(
+                host, f"leaves on short notice, listed since {leaving[host_id]:.0f}", planned=False
+            )
         else:
             draft.withhold(host)
 
