Keep a host that finds its place filled after its reboot

Cause: only a host that came back from `failed` was handled when its pool was full or gone by then (MG3011, MG3003 and the like of _enter). One that came back from `rebooting` was refused each time until its time to return was over, and a sound host was set aside as MG4013. Ruled out: leaving its pool in the same step (the fold lets a rebooting host leave no pool); keeping the place for it while it reboots (the fold counts no rebooting host as holding room, and a stand-in must be able to join). Conclusion: the planner finds it free and may use it in any pool.

--- a/features/actors.feature
+++ b/features/actors.feature
@@ -99,6 +99,15 @@
     When actors processes read on the host list that r1-w1 is leaving
     Then actors processes have emptied it alone
 
+  Scenario: A host comes back from its reboot and finds its place filled
+    A sound host would be given up as one that never returned. Its service has got all the hosts
+    that it may hold while it was away, so the fold turns its way back into service down, each time.
+    It becomes a free host: drained in the same pool, of no wave, for the planner to use elsewhere.
+
+    Given actors of two daemons on a fake platform
+    When actors maintain r1-w0 and its place in the pool is filled meanwhile
+    Then actors have kept r1-w0 as a free host and the wave has ended
+
   Scenario: Random faults against two daemons
     Given actors of two daemons as a state machine
     Then actors never run, reboot or cut anything twice over its fixed seeds
--- a/features/steps/actors_hosts_steps.py
+++ b/features/steps/actors_hosts_steps.py
@@ -4,9 +4,10 @@
 
 from behave import then, when
 
-from features.support.actor_steps import call, until
+from features.support.actor_steps import call, until, write_host
 
 LEAVING = "r0-w0"
+AWAY = "r1-w0"
 
 
 def host_records(world):
@@ -38,6 +39,34 @@
     assert context.world.host(LEAVING)["phase"] in ("draining", "drained")
 
 
+@when("actors maintain r1-w0 and its place in the pool is filled meanwhile")
+def step_filled(context):
+    world = context.world
+
+    async def run():
+        world.journal.write("wave", {"wave": "w", "base": 0, "step": "start", "hosts": [AWAY]})
+        await until(world, lambda: world.platform.workers_by_id[AWAY]["state"] == "drained")
+        world.platform.stuck.add(AWAY)
+        await until(world, lambda: world.host(AWAY)["phase"] == "rebooting")
+        for name in ("r0-w3", "r1-w3"):
+            write_host(world, "in_service", name, pool="a")
+        world.platform.stuck.clear()
+        await world.pass_time(90)
+
+    asyncio.run(run())
+
+
+@then("actors have kept r1-w0 as a free host and the wave has ended")
+def step_free(context):
+    world = context.world
+    host = world.host(AWAY)
+    assert (host["phase"], host["pool"], host["wave"]) == ("in_service", "", ""), host
+    freed = [r for r in host_records(world) if r["host"] == AWAY and r["phase"] == "drained"][-1]
+    assert freed["reason"].startswith("plan: "), freed
+    assert world.journal.state.waves_by_name["w"]["phase"] == "finished"
+    assert set(world.platform.reboots.values()) == {1}, world.platform.reboots
+
+
 @when("actors processes read on the host list that r1-w1 is leaving")
 def step_processes_leaving(context):
     context.cluster.platform.fault("host_leaving", on="r1-w1")
--- a/mustardgap/host_actors.py
+++ b/mustardgap/host_actors.py
@@ -205,9 +205,14 @@
         body = host_body(host, step.phase, step.pool, step.reason)
         verdict = await self.operations.write(ticket, "host", body)
         filled = (status_codes.ROOM_EXCEEDED, status_codes.REFERENCE_MISSING)
-        if isinstance(verdict, Rejected) and verdict.code in filled and host["phase"] == "failed":
-            # While it was down its place was filled, or its pool taken away.
-            body = host_body(host, "drained", "", f"{PLAN_REASON}its place was filled")
+        if not isinstance(verdict, Rejected) or verdict.code not in filled:
+            return
+        if host["phase"] in ("failed", "rebooting"):
+            # While it was away its place was filled, or its pool taken away. Without this it would
+            # be refused until it counts as one that never returned; as a free host it is of use.
+            pool = "" if host["phase"] == "failed" else host["pool"]
+            body = host_body(host, "drained", pool, f"{PLAN_REASON}its place was filled")
+            body["wave"] = ""
             await self.operations.write(ticket, "host", body)
 
     def _folded_by_all(self, host: HostState) -> bool:
