Use a worker that was drained when it was first seen

Cause: such a worker was registered as `drained` with the reason "registered". The planner takes a drained host without its own reason for one that an operator wants out, so it was never used. Ruled out: registering it as in service (in its own pool that would bring it back without the planner's leave, against a full pool); another reason for hosts in service as well (operators read it there, and no rule does). Conclusion: its reason is `plan: registered`, so it is free at once; an operator drains it as ever.

--- a/features/actors.feature
+++ b/features/actors.feature
@@ -108,6 +108,20 @@
     When actors maintain r1-w0 and its place in the pool is filled meanwhile
     Then actors have kept r1-w0 as a free host and the wave has ended
 
+  Scenario Outline: A worker that is <state> in pool "<pool>" is seen for the first time
+    A short service would wait while a sound host stands unused: nobody has asked to keep it out, and
+    still it was taken for a host that an operator has drained.
+
+    Given actors of two daemons on a fake platform
+    When actors see a new worker that is <state> in pool "<pool>"
+    Then actors have given it to the service when that lacks a host
+
+    Examples:
+      | state   | pool  |
+      | drained |       |
+      | drained | batch |
+      | up      |       |
+
   Scenario: Random faults against two daemons
     Given actors of two daemons as a state machine
     Then actors never run, reboot or cut anything twice over its fixed seeds
--- a/features/steps/actors_hosts_steps.py
+++ b/features/steps/actors_hosts_steps.py
@@ -8,6 +8,7 @@
 
 LEAVING = "r0-w0"
 AWAY = "r1-w0"
+NEW = "r9-w9"
 
 
 def host_records(world):
@@ -67,6 +68,31 @@
     assert set(world.platform.reboots.values()) == {1}, world.platform.reboots
 
 
+@when('actors see a new worker that is {state} in pool "{pool}"')
+@when('actors see a new worker that is {state} in pool ""')
+def step_new(context, state, pool=""):
+    world = context.world
+
+    async def run():
+        for name in ("r0-w3", "r1-w3", "r2-w3"):
+            write_host(world, "set_aside", name)
+        worker = {**world.platform.workers_by_id["r0-w3"], "worker": NEW, "rack": "r9"}
+        world.platform.workers_by_id[NEW] = {**worker, "state": state, "pool": pool}
+        await until(world, lambda: NEW in world.journal.state.hosts_by_name)
+        for name in ("r1-w0", "r2-w0"):
+            world.platform.power(name, False)
+        await world.pass_time(40)
+
+    asyncio.run(run())
+
+
+@then("actors have given it to the service when that lacks a host")
+def step_used(context):
+    host, worker = context.world.host(NEW), context.world.platform.workers_by_id[NEW]
+    assert (host["phase"], host["pool"]) == ("in_service", "a"), host
+    assert (worker["state"], worker["pool"]) == ("up", "a"), worker
+
+
 @when("actors processes read on the host list that r1-w1 is leaving")
 def step_processes_leaving(context):
     context.cluster.platform.fault("host_leaving", on="r1-w1")
--- a/mustardgap/registrars.py
+++ b/mustardgap/registrars.py
@@ -8,6 +8,7 @@
 from .models import HostBody, HostFacts, HostState, Phase, WorkerInfo
 from .operations import Operations
 from .outcomes import Rejected
+from .placements import PLAN_REASON
 
 KEY = "registrar"
 BATCH = 200
@@ -15,6 +16,12 @@
 RETRY_S = 10.0
 MAY_FAIL: frozenset[Phase] = frozenset({"in_service", "draining", "drained"})
 FIRST_PHASE_BY_STATE: dict[str, Phase] = {"up": "in_service", "drained": "drained"}
+# Nobody has asked on the log to keep a new worker out. One that is drained would look like a host
+# that an operator has drained, and be left out for good; with a reason of the planner's it is free.
+REASON_BY_PHASE: dict[Phase, str] = {
+    "in_service": "registered",
+    "drained": f"{PLAN_REASON}registered",
+}
 
 
 class Registrar:
@@ -99,7 +106,7 @@
             base=worker["epoch"],
             phase=phase,
             pool=worker["pool"],
-            reason="registered",
+            reason=REASON_BY_PHASE[phase],
             facts=HostFacts(
                 rack=worker["rack"],
                 data_center=worker["data_center"],
