Count a daemon that ends by itself as a breach

Cause: the promise 'process ended' was listed and never looked at: a daemon that had crashed was started again by healing, and nothing said so. Ruled out: polling the processes throughout, which would race with the steps that end them. Conclusion: checked before each step on a daemon and when all steps are over.

--- a/tools/fuzz_runs.py
+++ b/tools/fuzz_runs.py
@@ -248,6 +248,7 @@
         self.runs = len(runs)
         executors = self.world.executors
         shown = {name: self._items("declarations", name) for name in DAEMONS}
+        self.faults += [Fault("process ended", text, "by itself") for text in self.world.ended]
         self.faults += check_told(self.told, runs, windows)
         self.faults += check_truth(truth, executors, windows, since=self.world.in_force)
         self.faults += check_jobs(truth, self.world.jobs)
--- a/tools/fuzz_worlds.py
+++ b/tools/fuzz_worlds.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import signal
 import threading
 import time
 from collections.abc import Callable
@@ -86,6 +87,7 @@
         self.attempts: list[Attempt] = []
         self.jobs: dict[str, bool] = {}
         self.waves: list[str] = []
+        self.ended: list[str] = []
         self._drained: set[str] = set()
         self.in_force = 0.0
         self.notes: list[str] = []
@@ -166,18 +168,31 @@
 
     # Daemons
 
+    def _check_runs(self, name: str) -> None:
+        if not self.processes.is_running(name):
+            self.ended.append(f"{name} with {self.processes.by_name[name].poll()}")
+
     def _daemon_kill(self, step: Step) -> None:
+        self._check_runs(step.on)
         self.processes.kill(step.on)
         time.sleep(step.for_s)
         self.start_daemon(step.on)
 
     def _daemon_freeze(self, step: Step) -> None:
+        self._check_runs(step.on)
+        self._freeze(step)
+
+    def _freeze(self, step: Step) -> None:
         self.processes.freeze(step.on)
         time.sleep(step.for_s)
         self.processes.wake(step.on)
 
     def _daemon_stop(self, step: Step) -> str:
+        self._check_runs(step.on)
         status = self.processes.stop(step.on)
+        # One that has just been started may not have come to the point of taking the signal.
+        if status not in (0, -signal.SIGTERM):
+            self.ended.append(f"{step.on} with {status} when it was asked to stop")
         time.sleep(step.for_s)
         self.start_daemon(step.on)
         return f"status {status}"
@@ -202,7 +217,7 @@
             self.cluster.start_executors(step.on)
 
     def _executors_freeze(self, step: Step) -> None:
-        self._daemon_freeze(step)
+        self._freeze(step)
 
     def _strike_executors(self, step: Step) -> None:
         fields: dict[str, Any] = {"ratio": step.number}
@@ -344,8 +359,13 @@
     # Healing
 
     def heal(self) -> None:
-        """End every fault and let every process run again."""
+        """End every fault and let every process run again.
+
+        No step is under way, so a daemon that doesn't run has ended by itself.
+        """
         self.cluster.platform.clear()
+        for name in DAEMONS:
+            self._check_runs(name)
         for name in (*DAEMONS, "x1", "x2"):
             if self.processes.is_running(name):
                 self.processes.wake(name)
