Log only ejections and returns of executors, not each slow start

Cause: every change of an executor's state wrote a line. Each executor that comes up starts slowly and wrote two, so that at 8,900 workers the few lines of sick ones would be lost in a flood. Ruled out: a lower level for the rest (the verbosity is one for all parts); a line for a sick one that stays at the floor, or for a probe (the timeline and the counter of ejections have them). Measured: red first: six slow starts and one ejection with its return wrote 16 lines; then green: 2 lines, `ejected` and `returning`, and the timeline has all six changes of the sick one. executors.feature whole: 26 scenarios passed. Conclusion: lines tell of what an operator may want to look into, the timeline of every change.

--- a/features/executors.feature
+++ b/features/executors.feature
@@ -72,6 +72,13 @@
     When executors of two workers of a rack can't be reached
     Then executors elsewhere in that rack are ejected by one failure, and others aren't
 
+  Scenario: slow starts write no line to the log, ejections and returns do
+    The few lines that matter would be lost among thousands: in a fleet every executor that comes up
+    starts slowly, and each wrote two lines. The timeline still has every change of state.
+
+    When executors start slowly, and one of them is ejected and returns
+    Then executors wrote one line for the ejection and one for the return, and all to the timeline
+
   Scenario: drawn signs never eject below the floor, and never one that does as well as the rest
     When executors' signs are drawn
     Then executors that stay are never fewer than the floor
--- a/mustardgap/outliers.py
+++ b/mustardgap/outliers.py
@@ -249,10 +249,13 @@
             patient.ejections = max(0, patient.ejections - 1)
 
     def _move(self, patient: Patient, state: State, for_s: float, *, cause: str) -> None:
+        is_back = patient.state == "probing" and state == "returning"
         patient.state = state
         patient.is_probed = False
         patient.until = self.clock.monotonic() + for_s
-        logging.info("executor %s is %s: %s", patient.executor, state, cause)
+        if state == "ejected" or is_back:
+            # All that comes up starts slowly: a line for each start would drown these.
+            logging.info("executor %s is %s: %s", patient.executor, state, cause)
         self.timeline.add(
             f"executor.{state}",
             cause=cause,
