Look only at the own leases, and at those that are late

Cause: every `lease_s / 3` each daemon built the view of every running job to find the tenth that are its own to renew. Ruled out: looking at other daemons' jobs only when the members change (an owner that is alive but can't reach the platform, or hasn't folded the newest jobs, would let them lapse); one sample a key (an owner whose log is behind renews the older jobs of a key only); a heap of ends (each renewal pushes a job's end on, so that every entry would be popped and pushed again). Measured: red first: both of two daemons looked at all 24 jobs; then green: no job is looked at by both, and where one daemon's renewals never arrive the other one renews all, none lapses. Conclusion: an index by key and by the second in which a lease ends, kept up by records and polls. Left: the platform shows each renewal as a change of its task and worker, so hosts and jobs are still looked at again for each; that is in the polled view, not here.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -96,6 +96,20 @@
     Given jobs and workers of random sizes
     Then jobs that are first are placed where there is room, whatever is kept for later ones
 
+  Scenario Outline: Leases of many jobs are renewed while <trouble>
+    A fleet's running jobs would keep each daemon busy all the time, or lapse. Every daemon looked
+    through all of them for the few that are its own; now it looks at those, and at the leases that
+    come close to their end because their owner, though alive, doesn't renew them.
+
+    Given jobs on a fake platform with two daemons
+    When jobs run on all workers while <trouble>
+    Then jobs have run once each, and daemons looked at <looks> for leases
+
+    Examples:
+      | trouble                             | looks                |
+      | both daemons renew their share      | their own jobs alone |
+      | one daemon's renewals never arrive  | all that are late    |
+
   Scenario: Jobs on separate processes
     Two daemons run jobs that must not run twice on the platform stand-in, while answers of starts
     are lost and one daemon is killed. The platform's record shows one run each.
--- a/mustardgap/actors.py
+++ b/mustardgap/actors.py
@@ -135,6 +135,7 @@
     def _restart(self) -> None:
         """Begin anew on a state that was taken over whole."""
         self.placer.restart()
+        self.jobs.restart()
         self.look_at_all()
 
     def _begin_due(self, key: str, part: Any) -> None:
@@ -192,11 +193,13 @@
             self._changed({body["host"]})
         elif kind == "job":
             self.placer.follow_jobs({body["job"]})
+            self.jobs.follow({body["job"]})
             self.jobs.look_at({body["job"]})
         elif kind == "config":
             self.placer.follow_hosts(set(self.log.state.hosts_by_name))
 
     def _tasks_changed(self, tasks: list[TaskInfo]) -> None:
+        self.jobs.follow_tasks(tasks)
         self.jobs.look_at({task["job"] for task in tasks})
         for task in tasks:
             self.placer.learn(task)
--- a/mustardgap/job_actors.py
+++ b/mustardgap/job_actors.py
@@ -1,6 +1,6 @@
 """Starts, steps and ends the tasks of jobs as the log says, and renews their leases."""
 
-import zlib
+from collections.abc import Iterable
 from functools import singledispatchmethod
 from typing import Any
 
@@ -8,6 +8,7 @@
 from .duties import Duties
 from .exceptions import AnswerLost, MustardgapError, PlatformError
 from .jobs import (
+    LIVE_STATES,
     JobStep,
     JobView,
     Start,
@@ -20,6 +21,7 @@
     next_step,
     task_id,
 )
+from .leases import LEASE_KEYS, Leases, key_of
 from .models import JobBody, JobSpec, JobState, TaskInfo
 from .operations import Operations, Ticket, count
 from .outcomes import Accepted
@@ -27,8 +29,6 @@
 
 RENEW_SHARE = 1 / 3
 RENEW_BATCH = 500
-# Leases are shared out by this many keys: ranking the members for each job would cost more.
-LEASE_KEYS = 256
 REFUSED = frozenset({status_codes.PLATFORM_REFUSED, status_codes.NOT_FOUND})
 
 
@@ -45,6 +45,7 @@
         self.duties = duties
         self.placer = placer
         self.platform: Any = operations.platform
+        self.leases = Leases()
         self._look_at: set[str] = set()
         self._epoch_seen: dict[str, tuple[int, float]] = {}
         self._renewed_at = float("-inf")
@@ -54,6 +55,29 @@
         """The folded state."""
         return self.operations.log.state
 
+    def restart(self) -> None:
+        """Follow a new state from its beginning."""
+        self.leases = Leases()
+        self.follow(self.placer.rooms.jobs())
+
+    def follow(self, jobs: set[str]) -> None:
+        """Take in that these jobs have changed on the log."""
+        for name in jobs:
+            job = self.state.jobs_by_id.get(name)
+            if job is None or attempt_of(job) is None:
+                self.leases.drop(name)
+            else:
+                task = self.operations.workers.tasks_by_id.get(task_id(job))
+                self.leases.put(name, None if task is None else _lease_until(task))
+
+    def follow_tasks(self, tasks: Iterable[TaskInfo]) -> None:
+        """Take in that these tasks have changed on the platform."""
+        for task in tasks:
+            job = self.state.jobs_by_id.get(task["job"])
+            attempt = None if job is None else attempt_of(job)
+            if attempt is not None and attempt["number"] == task["attempt"]:
+                self.leases.put(task["job"], _lease_until(task))
+
     def look_at(self, jobs: set[str]) -> None:
         """Look at these jobs again, as something has changed there."""
         self._look_at |= jobs
@@ -98,7 +122,7 @@
             return []
         self._renewed_at = now
         epochs_by_task = {}
-        for name in sorted(self.placer.rooms.jobs()):
+        for name in sorted(self._lease_candidates()):
             job = self.state.jobs_by_id[name]
             view = self._view(job)
             if view.task is None or not keeps_lease(view) or view.now > view.task["lease_until"]:
@@ -109,6 +133,20 @@
         items = list(epochs_by_task.items())
         return [dict(items[i : i + RENEW_BATCH]) for i in range(0, len(items), RENEW_BATCH)]
 
+    def _lease_candidates(self) -> set[str]:
+        """The jobs of this daemon's keys, and those whose owner may be late."""
+        settings = self.operations.settings.capacity
+        late_s = max(settings.lease_s * (1 - RENEW_SHARE) - settings.takeover_s, self._least_s())
+        names = self.leases.ending_by(self.operations.timers.clock.wall() + late_s)
+        for key in range(LEASE_KEYS):
+            if self.duties.rank(f"lease/{key}") == 0:
+                names |= self.leases.of_key(key)
+        return names
+
+    def _least_s(self) -> float:
+        """With no more than this left of a lease every daemon renews it, whoever owns it."""
+        return self.operations.settings.capacity.lease_s / 4
+
     async def renew(self, epochs_by_task: dict[str, int]) -> None:
         """Renew the leases of many tasks in one call.
 
@@ -218,14 +256,14 @@
 
     def _renews(self, job: JobState, task: TaskInfo) -> bool:
         """The owner always renews; the next ones do when the lease has come closer to its end."""
-        rank = self.duties.rank(f"lease/{zlib.crc32(job['job'].encode()) % LEASE_KEYS}")
+        rank = self.duties.rank(f"lease/{key_of(job['job'])}")
         if rank is None:
             return False
         settings = self.operations.settings.capacity
         left_s = task["lease_until"] - self.operations.timers.clock.wall()
         late_s = rank * settings.takeover_s
-        least_s = settings.lease_s / 4
-        return rank == 0 or left_s < max(settings.lease_s * (1 - RENEW_SHARE) - late_s, least_s)
+        limit_s = max(settings.lease_s * (1 - RENEW_SHARE) - late_s, self._least_s())
+        return rank == 0 or left_s < limit_s
 
     def _settle(self, name: str) -> None:
         self._look_at.discard(name)
@@ -234,6 +272,10 @@
         self.placer.placed_here.pop(name, None)
 
 
+def _lease_until(task: TaskInfo) -> float | None:
+    return task["lease_until"] if task["state"] in LIVE_STATES else None
+
+
 def _given_spec(job: JobState) -> JobSpec:
     """The job as the platform is told of it: with the room that its placing gave it."""
     spec, usage = job["spec"], job.get("usage")
