Stop what runs on although its job has ended on the log

Cause: a start that was held up can take effect after its job was cancelled and ended. Nobody looked at tasks of jobs that have ended, so it ran on, in room that the log gives to others, until its lease lapsed. Ruled out: stopping the task of a job that is done (a view that is a poll behind still shows it as running, so each good end would cost a needless call); going on once the lease is over or while the worker is down (the worker stops it by itself when it runs, and the calls would only fail). Conclusion: a job that ended otherwise than done has its last attempt's task stopped by the daemon whose turn the job is, under the epoch of its end. A later repeat of the start finds its id taken. A task of an attempt before the last isn't looked for; its lease runs out.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -43,6 +43,15 @@
     When jobs are cancelled, 200 at once
     Then jobs have all ended with 4003 within 10 s and no task runs
 
+  Scenario: A start that was held up takes effect when its job has ended as cancelled
+    The task would run beside whatever takes its room on the log, for as long as its lease. The call
+    is late by more than the window for starts, the cancelled job was ended meanwhile, and nobody
+    looked at the tasks of jobs that have ended. A start that is later still is a repeat by its id.
+
+    Given jobs on a fake platform with two daemons
+    When jobs are cancelled while their start is held up, and it arrives after their end
+    Then jobs have ended with 4003 and the platform was told to stop what runs
+
   Scenario: A worker that fails everything is set aside
     Good jobs end with an error that isn't theirs. Each job that comes to the worker fails there and
     ends well elsewhere. The worker is set aside, and its failures don't count against the jobs;
--- a/mustardgap/job_actors.py
+++ b/mustardgap/job_actors.py
@@ -19,6 +19,7 @@
     is_job_pool,
     keeps_lease,
     next_step,
+    stray_step,
     task_id,
 )
 from .leases import LEASE_KEYS, Leases, key_of
@@ -96,10 +97,10 @@
         found = []
         for name in sorted(self._look_at):
             job = self.state.jobs_by_id.get(name)
-            if job is None or attempt_of(job) is None:
+            step = None if job is None else self._wanted(job)
+            if job is None or (attempt_of(job) is None and step is None):
                 self._settle(name)
                 continue
-            step = next_step(self._view(job))
             if step is not None and self.duties.is_due(f"job/{name}", (job["epoch"], step)):
                 found.append((name, step))
             if step is None and job["phase"] == "running" and not job["cancelled"]:
@@ -110,10 +111,22 @@
     async def act(self, name: str, step: JobStep) -> None:
         """Take one step of a job."""
         job = self.state.jobs_by_id.get(name)
-        if job is not None and attempt_of(job) is not None:
+        if job is None or not job["attempts"]:
+            return
+        if attempt_of(job) is not None or step == StepTask("stop"):
             self.duties.take(f"job/{name}")
             await self._take(step, job, self.operations.begin())
 
+    def _wanted(self, job: JobState) -> JobStep | None:
+        if attempt_of(job) is not None:
+            return next_step(self._view(job))
+        if job["phase"] != "ended" or not job["attempts"]:
+            return None
+        workers = self.operations.workers
+        task, worker = workers.tasks_by_id.get(task_id(job)), job["attempts"][-1]["worker"]
+        now = self.operations.timers.clock.wall()
+        return stray_step(job, task, workers.by_id.get(worker), now)
+
     def leases_due(self) -> list[dict[str, int]]:
         """The leases that this daemon should renew now, in batches: the job's epoch by task."""
         now = self.operations.timers.clock.monotonic()
--- a/mustardgap/jobs.py
+++ b/mustardgap/jobs.py
@@ -98,6 +98,22 @@
     return _with_task(view, view.task)
 
 
+def stray_step(
+    job: JobState, task: TaskInfo | None, worker: WorkerInfo | None, now: float
+) -> StepTask | None:
+    """Decide on what still runs although its job has ended on the log; None for nothing.
+
+    A start that was held up can take effect after the job was cancelled. Once
+    its lease is over the worker stops the task by itself. The task of a job that is done may be
+    shown as running for a moment and is left alone.
+    """
+    if task is None or task["state"] not in LIVE_STATES or not is_up(worker):
+        return None
+    if job["phase"] != "ended" or job["code"] == status_codes.JOB_DONE.number:
+        return None
+    return StepTask("stop") if now <= task["lease_until"] else None
+
+
 def _without_task(view: JobView, attempt: AttemptState) -> JobStep | None:
     age_s = view.now - attempt["started"]
     is_seen_late = view.read_at > attempt["started"] + START_WINDOW_S + SETTLE_S
