Part the operators of a fuzzed run from its processes

Ruled out: parting the daemons' steps off, which need the same locks as the executors'. Conclusion: no step does anything else than before.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -12,8 +12,9 @@
 from mustardgap.timers import Timers
 from standins import answers
 from tools import fuzz, fuzz_checks, fuzz_fleet, fuzz_schedules
+from tools.fuzz_operators import Attempt
 from tools.fuzz_schedules import Step
-from tools.fuzz_worlds import Attempt, Window, World
+from tools.fuzz_worlds import Window, World
 from tools.processes import get_json
 from tools.told import Told
 
--- a/tools/fuzz_checks.py
+++ b/tools/fuzz_checks.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from .fuzz_fleet import BUFFERED_BYTES, LEAST_BY_POOL, mix
-from .fuzz_worlds import Attempt, Window
+from .fuzz_operators import Attempt
+from .fuzz_worlds import Window
 from .oracle import (
     OPEN_OUTCOMES,
     RAN_ELSEWHERE,
--- a/tools/fuzz_runs.py
+++ b/tools/fuzz_runs.py
@@ -114,7 +114,7 @@
         self.world.heal()
         self._wait("ready daemons", self._are_ready, READY_S, "not serving")
         self._wait("executors", self._have_executors, READY_S, "not serving")
-        self.world.take_drains_back()
+        self.world.operators.take_drains_back()
         self._wait("end of all waves and jobs", self._is_settled, SETTLE_S, "not ended")
 
     def _wait(self, what: str, met: Callable[[], str], timeout_s: float, promise: str) -> None:
@@ -251,8 +251,8 @@
         self.faults += [Fault("process ended", text, "by itself") for text in self.world.ended]
         self.faults += check_told(self.told, runs, windows)
         self.faults += check_truth(truth, executors, windows, since=self.world.in_force)
-        self.faults += check_jobs(truth, self.world.jobs)
-        self.faults += check_configuration(self.world.attempts, shown)
+        self.faults += check_jobs(truth, self.world.operators.jobs)
+        self.faults += check_configuration(self.world.operators.attempts, shown)
 
 
 def most_at_once(runs: Iterable[Mapping[str, Any]], mark: str) -> dict[str, int]:
