Let a team's gentle work make way when its quota is full

Cause: room was made on workers only. A team whose quota was full of its own gentle jobs had its urgent job wait until some of them were done, though there were free workers. Measured: red first: an urgent job of 3 cores in a full quota of 4 started after 33 s, when the others were done, with room elsewhere and without; then green: within 8 s, after 3 pauses, none of another team, and with a profile without steps it waits as before. Conclusion: the fewest of the team's jobs that its urgent one may pause, by the profile's steps, and gentler ones keep off the quota until it is placed.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -76,6 +76,21 @@
       | stop                | no         | later      | one   |
       | nothing             | yes        | later      | one   |
 
+  Scenario Outline: A team's quota is full of its own gentle work with <steps> when an urgent job comes
+    The urgent job would wait for hours beside free workers. The quota lets nothing more be placed;
+    as their profile allows, the fewest of the team's own gentle jobs make way, and none of another
+    team. What has made way isn't placed again before the urgent job, into the quota it has freed.
+
+    Given jobs on a fake platform with two daemons
+    When jobs of a team fill its quota with <steps>, with <rest>, and an urgent one comes
+    Then jobs that are urgent start <when>, and <paused> of that team's alone were paused
+
+    Examples:
+      | steps               | rest                   | when       | paused |
+      | throttle,checkpoint | room elsewhere         | within 8 s | 3      |
+      | throttle,checkpoint | all other workers full | within 8 s | 3      |
+      | nothing             | room elsewhere         | later      | 0      |
+
   Scenario: Long gentle work ends under a steady load of urgent work
     The reconciliation must finish. Urgent jobs ask for all the room there is, all the time. After
     each pause a job runs twice as long before the next, and waiting raises its place in the queue.
--- a/mustardgap/job_queues.py
+++ b/mustardgap/job_queues.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from .rooms import Rooms
 from .usages import Size
@@ -33,6 +33,7 @@
     size: Size
     run_s: float
     avoid: frozenset[str] = frozenset()
+    team: str = ""
 
     def level(self, now: float) -> int:
         """Its place in the queue: the urgency, raised by waiting and by having been paused."""
@@ -81,6 +82,16 @@
     by: str
 
 
+class TeamQuotas(Protocol):
+    """The part of the quotas that a pass asks."""
+
+    def keeps_from(self, job: Waiting) -> bool:
+        """Whether a job must leave its team's quota to a more urgent one."""
+
+    def victims(self, job: Waiting, chosen: Iterable[str]) -> list[Running] | None:
+        """Choose which of a team's jobs to pause for its quota."""
+
+
 class Queue:
     """One pass over the waiting jobs, the most urgent first.
 
@@ -89,6 +100,7 @@
     :param reserved: reservations by worker; changed in place, they outlive the pass.
     :param may_place: tells whether the fold would accept a placement now.
     :param now: seconds since the epoch.
+    :param quotas: which of a team's jobs make way for its quota; nothing does when None.
     """
 
     def __init__(
@@ -99,8 +111,10 @@
         reserved: dict[str, Reservation],
         may_place: Callable[[str, str], bool],
         now: float,
+        quotas: TeamQuotas | None = None,
     ) -> None:
         self.rooms = rooms
+        self.quotas = quotas
         self.running_by_worker = running_by_worker
         self.reserved = reserved
         self.may_place = may_place
@@ -131,6 +145,8 @@
 
     def _visit(self, job: Waiting) -> None:
         self._visited.add(job.job)
+        if self.quotas is not None and self.quotas.keeps_from(job):
+            return
         has_worker = any(r.job == job.job for r in self.reserved.values())
         worker = None
         # Where a smaller and shorter job found no room a moment ago, there is none for this one,
@@ -140,7 +156,12 @@
         if worker is not None:
             if self.may_place(job.job, worker):
                 self._place(job, worker)
+            else:
+                self._pause(job, self._quota_victims(job, []) or [])
             return
+        if has_worker:
+            # Asked for what it keeps from gentler jobs while those that make way are leaving.
+            self._quota_victims(job, [])
         if not job.avoid:
             self._blocked.append(job)
         if not has_worker and not self._make_way(job) and self.now - job.since > RESERVE_AFTER_S:
@@ -199,13 +220,28 @@
                 best = ((len(victims), lost_s), worker, victims)
         if best is None and not job.avoid and self._looks_left > 0:
             self._helpless.append(job)
-        if best is None or not self.may_place(job.job, best[1]):
+        if best is None:
             return False
         _, worker, victims = best
-        self.paused += [Pause(v.job, worker, job.job) for v in victims]
+        if not self.may_place(job.job, worker):
+            others = self._quota_victims(job, victims)
+            if others is None:
+                return False
+            victims = [*victims, *others]
+        self._pause(job, victims)
         self.reserved[worker] = Reservation(job.job, self.now, self.now + RESERVATION_S)
         return True
 
+    def _quota_victims(self, job: Waiting, chosen: list[Running]) -> list[Running] | None:
+        """The jobs to pause for the team's quota, beside those chosen; None when it won't do."""
+        if self.quotas is None or len(self.paused) >= MAX_PAUSES_AT_ONCE:
+            return None
+        names = [*(pause.job for pause in self.paused), *(v.job for v in chosen)]
+        return self.quotas.victims(job, names)
+
+    def _pause(self, job: Waiting, victims: list[Running]) -> None:
+        self.paused += [Pause(victim.job, victim.worker, job.job) for victim in victims]
+
     def _victims(self, job: Waiting, worker: str) -> list[Running] | None:
         """The jobs to pause on a worker: the least urgent first, of these the latest started."""
         free = self.rooms.free_by_worker[worker]
--- a/mustardgap/placers.py
+++ b/mustardgap/placers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import Any, NamedTuple
 
 from . import status_codes
@@ -14,6 +14,7 @@
 from .models import HostFacts, JobBody, JobSpec, JobState, TaskInfo, Usage
 from .operations import Operations
 from .outcomes import Accepted
+from .quotas import Quotas
 from .rooms import Rooms
 from .status_codes import Code
 from .usages import Size, Usages, declared
@@ -63,6 +64,7 @@
         self.usages = Usages()
         self.placed_here: dict[str, int] = {}
         self._waiting_since: dict[str, float] = {}
+        self._jobs_by_team: defaultdict[str, set[str]] = defaultdict(set)
         self._reserved: dict[str, Reservation] = {}
         self._failures: dict[str, Failures] = {}
         self._capacities: Counter[Size] = Counter()
@@ -81,6 +83,7 @@
         """Follow a new state from its beginning."""
         self.rooms = Rooms()
         self._waiting_since.clear()
+        self._jobs_by_team.clear()
         self._capacities.clear()
         self._capacity_by_host.clear()
         self._judge_anew = True
@@ -98,8 +101,11 @@
             attempt = None if job is None else attempt_of(job)
             if job is not None and attempt is not None:
                 self.rooms.take(name, attempt["worker"], self._held(job))
+                self._jobs_by_team[job["spec"]["team"]].add(name)
             else:
                 self.rooms.give(name)
+                if job is not None:
+                    self._jobs_by_team[job["spec"]["team"]].discard(name)
             if job is not None and attempt is None and job["phase"] != "ended":
                 first = job["submitted"] if not job["attempts"] else self._now()
                 self._waiting_since.setdefault(name, first)
@@ -175,6 +181,7 @@
             reserved=self._reserved,
             may_place=self._may_place,
             now=self._now(),
+            quotas=Quotas(state=self.state, running_of_team=self._running_of_team),
         )
         return [*ends, *self._set_asides(), *queue.decide(waiting)]
 
@@ -231,6 +238,7 @@
             size=self._size(spec),
             run_s=self.usages.run_s(spec),
             avoid=self._avoid(job),
+            team=spec["team"],
         )
 
     def _size(self, spec: JobSpec) -> Size:
@@ -309,6 +317,11 @@
         names = sorted(self.rooms.jobs_on(worker) - self._waiting_since.keys())
         return [self._running(name, worker) for name in names]
 
+    def _running_of_team(self, team: str) -> list[Running]:
+        names = sorted(self._jobs_by_team[team])
+        workers = {name: self.state.jobs_by_id[name]["attempts"][-1]["worker"] for name in names}
+        return [self._running(name, worker) for name, worker in workers.items()]
+
     def _running(self, name: str, worker: str) -> Running:
         job = self.state.jobs_by_id[name]
         held = self.rooms.held(name)
