Don't count executors that can't be reached as tries

Cause: when half of the executors vanished at once, a read that had met one reset could meet two more refused connections, used up its three tries and was told 'unknown', while the other half was idle. Ruled out: the budget of retries (a try that reached nobody costs none), and more tries for all. Conclusion: up to 4 executors that aren't reached don't count; tries that sent something stay at 3.

--- a/mustardgap/sessions.py
+++ b/mustardgap/sessions.py
@@ -19,6 +19,8 @@
 from .tries import NotSent, TryResult
 from .upstreams import Request, Upstreams
 
+MAX_UNREACHED = 4
+
 
 class Slot(Protocol):
     """A slot of an executor, held while a try runs."""
@@ -103,6 +105,7 @@
         self.started = parts.clock.monotonic()
         self.service = ""
         self.tries = 0
+        self._unreached = 0
         self._idempotent = False
         self._sent = False
         self._deadline = self.started
@@ -197,11 +200,11 @@
                 return self._fallback or exc.outcome
             executor = slot.executor.executor
             self._tried.add(executor)
-            self.tries += 1
             try:
                 result = await self._try(slot.executor)
             finally:
                 self.parts.slots.release(slot)
+            self._count(result)
             outcome = self._judge(result, executor)
             if not self._may_repeat(result):
                 return self._fallback or outcome if isinstance(outcome, NotRun) else outcome
@@ -251,7 +254,7 @@
         return result
 
     def _patience(self) -> Patience | None:
-        if not self._idempotent or self.tries >= self.parts.settings.requests.max_tries:
+        if not self._idempotent or self.tries + 1 >= self.parts.settings.requests.max_tries:
             return None
         seconds = self.parts.settings.requests.silent_timeout_s
         return Patience(seconds, lambda: self.parts.budget.spend(self.service))
@@ -264,8 +267,17 @@
             return NotRun(code=status_codes.DEADLINE_BEFORE_RUN, detail=result.detail)
         return judgements.outcome_of(result, executor)
 
+    def _count(self, result: TryResult) -> None:
+        # When half of the executors vanish at once, the next two may well be gone too. Counted as
+        # tries, these would use up those of a request that the other half could still answer.
+        if isinstance(result, NotSent):
+            self._unreached += 1
+        else:
+            self.tries += 1
+
     def _may_repeat(self, result: TryResult) -> bool:
-        if self.tries >= self.parts.settings.requests.max_tries or self._is_over():
+        max_tries = self.parts.settings.requests.max_tries
+        if self.tries >= max_tries or self._unreached >= MAX_UNREACHED or self._is_over():
             return False
         price = judgements.again(result, idempotent=self._idempotent)
         if price is Again.BUDGET:
