--- a/features/support/naive_folds.py
+++ b/features/support/naive_folds.py
@@ -1,6 +1,6 @@
 """The fold once more, obviously right and slow: no indexes, each budget by trying every loss."""
 
-from itertools import product
+from itertools import pairwise, product
 
 DOMAIN_KEYS = {
     "host": lambda host: host["host"],
@@ -159,7 +159,7 @@
         states = {"join": "joined", "leave": "left", "gone": "gone"}
         unclean = [
             step["offset"]
-            for before, step in zip(steps, steps[1:], strict=False)
+            for before, step in pairwise(steps)
             if before["step"] == "join" and step["step"] != "leave"
         ]
         last = steps[-1]
--- a/tools/slots_machine.py
+++ b/tools/slots_machine.py
@@ -147,7 +147,7 @@
             self._later((3.0, 5.0), self._suspect_if_frozen, other, entry)
 
     @precondition(lambda self: "frozen" in self.events and len(self._awake()) > 2)
-    @rule(data=st.data(), seconds=st.sampled_from([2.0, 9.0]))
+    @rule(data=st.data(), seconds=st.sampled_from([2.0, 9.0, 25.0]))
     def sleep_through(self, data: Any, seconds: float) -> None:
         """Stop an entry host that has idle slots, let others use all they can, wake it."""
         self.press(1.0, 0.05)
@@ -156,7 +156,7 @@
         self.thaw()
 
     @precondition(lambda self: "parted" in self.events and len(self._awake()) > 2)
-    @rule(data=st.data(), seconds=st.sampled_from([6.0, 14.0]))
+    @rule(data=st.data(), seconds=st.sampled_from([6.0, 14.0, 25.0]))
     def part_and_heal(self, data: Any, seconds: float) -> None:
         """Part the network, use all that can be had on both sides, mend it."""
         self.press(1.0, 0.5)
