Bound what an owner remembers of borrowers that were let go

Cause: one row a run of a borrower stayed for good. Ruled out: forgetting them with the members; a late message could then open an old session again. Conclusion: the latest thousand are kept.

--- a/mustardgap/ledgers.py
+++ b/mustardgap/ledgers.py
@@ -6,6 +6,8 @@
 from .messages import Ask, Grant, Hold, Masks, Return
 from .slots import SlotId
 
+MAX_LET_GO = 1000
+
 
 class Borrower:
     """A member that asks this owner, and the slots it may hold, by the number of their grant.
@@ -101,6 +103,8 @@
                 del self.borrowers_by_id[member_id]
                 self.let_go[member_id] = b.session
                 self.lent.difference_update(b.numbers_by_id)
+        for member_id in list(self.let_go)[:-MAX_LET_GO]:
+            del self.let_go[member_id]
 
     def askers(self) -> list[tuple[int, float, str]]:
         """Who lacks slots: urgency, since when, id."""
