--- /dev/null
+++ b/mustardgap/usages.py
@@ -0,0 +1,116 @@
+"""Sizes and run times of jobs as learned from what earlier jobs of the same kind used."""
+
+from collections import deque
+from typing import NamedTuple
+
+from .models import JobSpec, Usage
+
+WINDOW = 100
+LEAST_SAMPLES = 8
+QUANTILE = 0.9
+MEMORY_MARGIN = 1.1
+LEAST_RATIO = 0.1
+MOST_RATIO = 4.0
+
+
+class Kind(NamedTuple):
+    """Jobs that are expected to misstate their sizes alike: one team's jobs of one profile."""
+
+    team: str
+    profile: str
+
+
+class Size(NamedTuple):
+    """Room on a worker; memory in GB."""
+
+    cores: float
+    memory_gb: float
+    accelerators: int
+
+    def fits(self, room: "Size") -> bool:
+        """Tell whether this size fits into the room."""
+        return (
+            self.cores <= room.cores + 1e-9
+            and self.memory_gb <= room.memory_gb + 1e-9
+            and self.accelerators <= room.accelerators
+        )
+
+    def plus(self, other: "Size", times: int = 1) -> "Size":
+        """Add another size, or take it off with ``times=-1``."""
+        return Size(
+            self.cores + times * other.cores,
+            self.memory_gb + times * other.memory_gb,
+            self.accelerators + times * other.accelerators,
+        )
+
+
+def kind_of(spec: JobSpec) -> Kind:
+    """Name the kind of a job."""
+    return Kind(spec["team"], spec.get("profile", ""))
+
+
+def declared(spec: JobSpec) -> Size:
+    """The size that a job was submitted with."""
+    return Size(spec["cores"], spec["memory_gb"], spec["accelerators"])
+
+
+class Usages:
+    """Corrects declared sizes by a high quantile of used over declared, for each kind of job.
+
+    The quantile is exact over the last ``WINDOW`` jobs: a mean would let half of them run out of
+    memory, and an exponentially weighted estimate was no better for a change of habit (see
+    docs/DESIGN-jobs.md). Memory gets a margin on top, since a task that outgrows it dies, while
+    one that outgrows its cores is only slower.
+    """
+
+    def __init__(self, *, window: int = WINDOW, least_samples: int = LEAST_SAMPLES) -> None:
+        self.window = window
+        self.least_samples = least_samples
+        self._ratios_by_kind: dict[Kind, deque[tuple[float, float, float]]] = {}
+        self._quantiles_by_kind: dict[Kind, tuple[float, float, float]] = {}
+
+    def learn(self, spec: JobSpec, usage: Usage) -> None:
+        """Take in what a job that ran to its end has used."""
+        kind = kind_of(spec)
+        ratios = self._ratios_by_kind.setdefault(kind, deque(maxlen=self.window))
+        ratios.append(
+            (
+                _ratio(usage["cores"], spec["cores"]),
+                _ratio(usage["memory_gb"], spec["memory_gb"]),
+                _ratio(usage["run_s"], spec["run_s"]),
+            )
+        )
+        self._quantiles_by_kind.pop(kind, None)
+
+    def size(self, spec: JobSpec) -> Size:
+        """The room to keep for a job: as declared until enough of its kind have ended."""
+        cores, memory, _ = self._quantiles(kind_of(spec))
+        return Size(spec["cores"] * cores, spec["memory_gb"] * memory, spec["accelerators"])
+
+    def run_s(self, spec: JobSpec) -> float:
+        """The seconds that a job is expected to run at most, nine times in ten."""
+        return spec["run_s"] * self._quantiles(kind_of(spec))[2]
+
+    def _quantiles(self, kind: Kind) -> tuple[float, float, float]:
+        known = self._quantiles_by_kind.get(kind)
+        if known is not None:
+            return known
+        ratios = self._ratios_by_kind.get(kind, ())
+        if len(ratios) < self.least_samples:
+            return (1.0, 1.0, 1.0)
+        cores, memory, run = (_quantile(column) for column in zip(*ratios, strict=True))
+        result = (cores, min(memory * MEMORY_MARGIN, MOST_RATIO), run)
+        self._quantiles_by_kind[kind] = result
+        return result
+
+
+def _quantile(values: tuple[float, ...]) -> float:
+    return sorted(values)[min(int(len(values) * QUANTILE), len(values) - 1)]
+
+
+def _ratio(used: float, stated: float) -> float:
+    # A usage report that is missing reads as 0 and a broken one as anything: neither may shrink
+    # the room of a kind to nothing or blow it up beyond every worker.
+    if stated <= 0 or used <= 0:
+        return 1.0
+    return min(max(used / stated, LEAST_RATIO), MOST_RATIO)
