--- a/mustardgap/brokers.py
+++ b/mustardgap/brokers.py
@@ -1,17 +1,19 @@
 """Lending, the entry host's side: the slots it holds, its lease and what it asks the homes for.
 
 Each service has one home among the members, by rendezvous hashing, which lends the slots of the
-service's executors (``ledgers.py``). docs/DESIGN-peers.md tells the whole protocol and why the sum
+service's executors (``homes.py``). docs/DESIGN-peers.md tells the whole protocol and why the sum
 over all entry hosts stays within an executor's slots.
 """
 
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 from .executors import ExecutorView
-from .ledgers import Ledger, ids_of, masks_of
+from .holdings import Hold, Holding
+from .homes import Home
+from .ledgers import ids_of, masks_of
 from .members import Member, Members, MemberState
 from .messages import (
     AnyMessage,
@@ -20,7 +22,6 @@
     Followed,
     Grant,
     Lend,
-    Masks,
     Mirror,
     MirrorAsk,
     MirrorLost,
@@ -49,51 +50,6 @@
         """Have messages of a type handled."""
 
 
-class Hold(NamedTuple):
-    """A slot this member holds; ``used`` is the use's number, 0 while idle since ``since``."""
-
-    number: int
-    used: int
-    since: float
-    until: float
-
-
-class Holding:
-    """What this member holds of one service, and its relation to the service's home.
-
-    :param service: the service.
-    """
-
-    def __init__(self, *, service: str) -> None:
-        self.service = service
-        self.home = ""
-        self.session = 0
-        self.term = 0
-        self.voted = ""
-        self.echo = 0
-        self.number = 0
-        self.leased_until = 0.0
-        self.promised_until = 0.0
-        self.lending = False
-        self.holds_by_id: dict[SlotId, Hold] = {}
-        self.ask_sequence = 0
-        self.asked = 0
-        self.asking = False
-        self.turning = False
-        self.recall: tuple[int, float] = (99, 0.0)
-        self.recalled_until = 0.0
-        self.excluded_until: dict[str, float] = {}
-
-    def idle(self) -> list[SlotId]:
-        """The slots not in use, the latest idle first."""
-        idle = [(hold.since, i) for i, hold in self.holds_by_id.items() if not hold.used]
-        return [slot_id for _, slot_id in sorted(idle, reverse=True)]
-
-    def masks(self) -> Masks:
-        """The slots held, by executor."""
-        return masks_of(self.holds_by_id)
-
-
 class Broker:
     """The lending way of sharing slots.
 
@@ -127,7 +83,7 @@
         self.lease_s = settings.requests.lease_s
         self.vote_s = self.lease_s / 2
         self.holdings_by_service: dict[str, Holding] = {}
-        self.ledgers_by_service: dict[str, Ledger] = {}
+        self.homes_by_service: dict[str, Home] = {}
         self._uses = 0
         self._sessions = 0
         self._started = self.clock.monotonic()
@@ -204,8 +160,8 @@
                 # The last ask, or what was lent on it, may have been lost with a stream.
                 holding.asked = -1
                 self.want(service)
-        for ledger in list(self.ledgers_by_service.values()):
-            ledger.tick()
+        for home in list(self.homes_by_service.values()):
+            home.tick()
 
     def _tidy(self, holding: Holding) -> None:
         now = self.clock.monotonic()
@@ -404,11 +360,11 @@
             holding = self.holdings_by_service[service] = Holding(service=service)
         return holding
 
-    def ledger(self, service: str) -> Ledger:
-        """This member's ledger of a service, kept as its home or for its home."""
-        ledger = self.ledgers_by_service.get(service)
-        if ledger is None:
-            ledger = self.ledgers_by_service[service] = Ledger(
+    def home(self, service: str) -> Home:
+        """This member's part as home of a service, or as deputy of its home."""
+        home = self.homes_by_service.get(service)
+        if home is None:
+            home = self.homes_by_service[service] = Home(
                 service=service,
                 members=self.members,
                 clock=self.clock,
@@ -417,7 +373,7 @@
                 candidates=lambda: self.slots.executors.candidates(service),
                 send=self._send,
             )
-        return ledger
+        return home
 
     def _hold_s(self, service: str) -> float:
         return self.max_hold_s(service)
@@ -437,22 +393,22 @@
             handler(me, message)
 
     def _handlers(self) -> dict[type, Callable[[Member, Any], Any]]:
-        def to(method: Callable[[Ledger, Member, Any], None]) -> Callable[[Member, Any], None]:
-            return lambda sender, message: method(self.ledger(message.service), sender, message)
+        def to(method: Callable[[Home, Member, Any], None]) -> Callable[[Member, Any], None]:
+            return lambda sender, message: method(self.home(message.service), sender, message)
 
         return {
             Followed: self.take_followed,
             Unfollowed: self.take_unfollowed,
             Grant: self.take_grant,
             Recall: self.take_recall,
-            Follow: to(Ledger.take_follow),
-            Unfollow: to(Ledger.take_unfollow),
-            Ask: to(Ledger.take_ask),
-            Return: to(Ledger.take_return),
-            Mirror: to(Ledger.take_mirror),
-            Lend: to(Ledger.take_lend),
-            MirrorLost: to(Ledger.take_mirror_lost),
-            MirrorAsk: to(Ledger.take_mirror_ask),
+            Follow: to(Home.take_follow),
+            Unfollow: to(Home.take_unfollow),
+            Ask: to(Home.take_ask),
+            Return: to(Home.take_return),
+            Mirror: to(Home.take_mirror),
+            Lend: to(Home.take_lend),
+            MirrorLost: to(Home.take_mirror_lost),
+            MirrorAsk: to(Home.take_mirror_ask),
         }
 
     def _changed(self, member: Member, old: Member | None) -> None:
@@ -474,7 +430,7 @@
         self._started = self.clock.monotonic()
         terms = {s: (h.term, h.voted) for s, h in self.holdings_by_service.items()}
         self.holdings_by_service.clear()
-        self.ledgers_by_service.clear()
+        self.homes_by_service.clear()
         for service, (term, voted) in terms.items():
             holding = self._holding(service)
             holding.term, holding.voted = term, voted
--- /dev/null
+++ b/mustardgap/holdings.py
@@ -0,0 +1,52 @@
+"""Lending, the entry host's side: what it holds of one service, and how it stands with the home."""
+
+from typing import NamedTuple
+
+from .ledgers import masks_of
+from .messages import Masks
+from .slots import SlotId
+
+
+class Hold(NamedTuple):
+    """A slot this member holds; ``used`` is the use's number, 0 while idle since ``since``."""
+
+    number: int
+    used: int
+    since: float
+    until: float
+
+
+class Holding:
+    """What this member holds of one service, and its relation to the service's home.
+
+    :param service: the service.
+    """
+
+    def __init__(self, *, service: str) -> None:
+        self.service = service
+        self.home = ""
+        self.session = 0
+        self.term = 0
+        self.voted = ""
+        self.echo = 0
+        self.number = 0
+        self.leased_until = 0.0
+        self.promised_until = 0.0
+        self.lending = False
+        self.holds_by_id: dict[SlotId, Hold] = {}
+        self.ask_sequence = 0
+        self.asked = 0
+        self.asking = False
+        self.turning = False
+        self.recall: tuple[int, float] = (99, 0.0)
+        self.recalled_until = 0.0
+        self.excluded_until: dict[str, float] = {}
+
+    def idle(self) -> list[SlotId]:
+        """The slots not in use, the latest idle first."""
+        idle = [(hold.since, i) for i, hold in self.holds_by_id.items() if not hold.used]
+        return [slot_id for _, slot_id in sorted(idle, reverse=True)]
+
+    def masks(self) -> Masks:
+        """The slots held, by executor."""
+        return masks_of(self.holds_by_id)
--- a/mustardgap/ledgers.py
+++ b/mustardgap/ledgers.py
@@ -1,48 +1,12 @@
-"""Lending, the home's side: which member holds which slots of one service.
+"""Lending: which member holds which slots of one service, as its home has it noted."""
 
-A member is a service's home while a majority of the entry hosts vote for it. Every home has a term
-of its own, higher than those before. All that it lends passes through a deputy, which notes it
-first, so that the next home finds a copy of the ledger when this one is gone.
-"""
-
-import asyncio
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
-from enum import IntEnum
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from . import metrics
 from .executors import ExecutorView
-from .members import Member, Members, MemberState
-from .messages import (
-    AnyMessage,
-    Ask,
-    Follow,
-    Followed,
-    Grant,
-    Lend,
-    Masks,
-    Mirror,
-    MirrorAsk,
-    MirrorLost,
-    Recall,
-    Return,
-    Unfollow,
-    Unfollowed,
-)
+from .messages import Ask, Follow, Grant, Masks, Return
 from .slots import SlotId
-from .timers import Clock
-
-RECALL_EVERY_S = 0.02
-
-
-class Phase(IntEnum):
-    """How far this member is on the way to lending; only a steady home lends."""
-
-    none = 0
-    collecting = 1
-    confirming = 2
-    steady = 3
 
 
 class Follower:
@@ -88,283 +52,38 @@
     until: float
 
 
-class Copy:
-    """A copy of a home's ledger in one term; a sealed one takes in nothing more."""
-
-    def __init__(self, *, mirror: Mirror) -> None:
-        self.term = mirror.term
-        self.home = mirror.home
-        self.sequence = mirror.sequence
-        self.held_by_member = {member: dict(m) for member, m in mirror.held_by_member.items()}
-        self.sealed = False
-
-
 class Ledger:
-    """One service's ledger at its home, or the copy of it at another member.
-
-    :param service: the service.
-    :param members: the members that share.
-    :param clock: the clocks to read.
-    :param lease_s: how long a member may start requests after its last renewal.
-    :param hold_s: the longest a request holds a slot.
-    :param candidates: lists the executors that may be chosen.
-    :param send: queues a message to a member, this one included.
+    """The members that follow a home, and what they and others may hold.
+
+    :param lapse_s: seconds after a member's last word when it surely uses no slot any more.
     """
 
-    def __init__(
-        self,
-        *,
-        service: str,
-        members: Members,
-        clock: Clock,
-        lease_s: float,
-        hold_s: float,
-        candidates: Callable[[], list[ExecutorView]],
-        send: Callable[[str, AnyMessage], None],
-    ) -> None:
-        self.service = service
-        self.members = members
-        self.clock = clock
-        self.lease_s = lease_s
-        self.vote_s = lease_s / 2
-        self.lapse_s = lease_s + hold_s
-        self.candidates = candidates
-        self.send = send
-        self.phase = Phase.none
-        self.term = 0
-        self.copy: Copy | None = None
+    def __init__(self, *, lapse_s: float) -> None:
+        self.lapse_s = lapse_s
         self.followers_by_id: dict[str, Follower] = {}
         self.blocked_by_member: dict[str, Blocked] = {}
-        self.deputy = ""
-        self._sequence = 0
-        self._synced = -1
-        self._mirrored: dict[str, Masks] | None = None
-        self._majority_since = 0.0
-        self._majority_until = 0.0
-        self._let_go: dict[str, int] = {}
+        self.let_go: dict[str, int] = {}
         self._uses: Counter[SlotId] = Counter()
-        self._last_recall = 0.0
-        self._recalling = False
-
-    # Votes and terms.
-
-    def take_follow(self, sender: Member, message: Follow) -> None:
-        """Take in a member's vote, renew its lease and settle what it holds."""
-        now = self.clock.monotonic()
-        self._check(now)
-        f = self.followers_by_id.get(sender.id)
-        if f is None or message.session > f.session:
-            if message.session <= self._let_go.get(sender.id, 0) or self._leaving():
-                self.send(sender.id, Unfollowed(self.service, message.session))
-                return
-            f = self._register(sender.id, message)
-        elif message.session < f.session or message.sent <= f.sent:
-            return
-        else:
-            self._settle(f, message)
-        f.sent = message.sent
-        f.heard = now
-        f.term, f.voted = message.term, message.voted
-        if message.echo:
-            f.vote_until = max(f.vote_until, message.echo / 1000 + self.vote_s)
-        self._advance(now)
-        if sender.id in self.followers_by_id:
-            self._answer(sender.id, f)
-        self.pump()
-
-    def take_unfollow(self, sender: Member, message: Unfollow) -> None:
-        """Let a member go; what it holds stays blocked until it reports to the next home."""
-        now = self.clock.monotonic()
-        self._check(now)
-        f = self.followers_by_id.get(sender.id)
-        if f is None or f.session <= message.session:
-            self._let_go[sender.id] = max(message.session, self._let_go.get(sender.id, 0))
-            if f is not None:
-                self._block(sender.id, f, now)
-                self._advance(now)
-        self.send(sender.id, Unfollowed(self.service, message.session))
-
-    def tick(self) -> None:
-        """Forget what lapsed, keep the deputy's copy small, ask again for what was lost."""
-        now = self.clock.monotonic()
-        self._check(now)
-        if self._leaving():
-            self._reset(now)
-        for member_id, f in list(self.followers_by_id.items()):
-            if now > f.heard + self.lapse_s:
-                self._drop(member_id, f)
-        for member_id, blocked in list(self.blocked_by_member.items()):
-            if now > blocked.until:
-                self._unblock(member_id)
-        self._advance(now)
-        if self.phase is Phase.collecting:
-            self._ask_copies()
-        self._mirror()
-        self.pump()
-
-    def _check(self, now: float) -> None:
-        """Start over when the majority was lost at any moment since the last look.
-
-        A home that was paused, or parted from the others, may have been replaced in between. By
-        its own clock it sees that its votes ran out before it does anything else.
-        """
-        if self.phase is Phase.none:
-            return
-        if now >= self._majority_until:
-            self._reset(now)
-            return
-        self._majority_until = self._majority(now)
-        if now >= self._majority_until:
-            self._reset(now)
-
-    def _majority(self, now: float) -> float:
-        """Until when a majority of the entry hosts has promised to follow no other home."""
-        hosts = self.members.electorate()
-        until_by_host: dict[str, float] = {}
-        for member_id, f in self.followers_by_id.items():
-            m = self.members.by_id.get(member_id)
-            if m is not None and m.host in hosts and m.state is not MemberState.dead:
-                until_by_host[m.host] = max(f.vote_until, until_by_host.get(m.host, 0.0))
-        votes = sorted(until_by_host.values(), reverse=True)
-        needed = len(hosts) // 2 + 1
-        return votes[needed - 1] if len(votes) >= needed else 0.0
-
-    def _advance(self, now: float) -> None:
-        until = self._majority(now)
-        if until <= now:
-            if self.phase is not Phase.none:
-                self._reset(now)
-            return
-        self._majority_until = until
-        if self.phase is Phase.none:
-            self.phase = Phase.collecting
-            self._majority_since = now
-            self._ask_copies()
-        rival = max(
-            (f.term for f in self.followers_by_id.values() if f.voted != self._me()), default=0
-        )
-        if self.phase > Phase.collecting and rival >= self.term:
-            self.phase = Phase.collecting
-            self._majority_since = now
-        if self.phase is Phase.collecting:
-            self._try_adopt(now)
-        if self.phase is Phase.steady and self.deputy != self._choose_deputy():
-            self._start_term(self.term + 1)
-        if self.phase is Phase.confirming and self._confirmed(now):
-            self.phase = Phase.steady
-            self._answer_all()
-
-    def _try_adopt(self, now: float) -> None:
-        """Take over once it is known what may be in use, by whomever."""
-        last = self._last_term()
-        voters = {i for i, f in self.followers_by_id.items() if f.vote_until > now}
-        if self.copy is not None and self.copy.term == last and last:
-            self.copy.sealed = True
-            for member_id, held in self.copy.held_by_member.items():
-                self._block_masks(member_id, held, now)
-        elif not self._all_reported(voters) and now < self._majority_since + self.lapse_s:
-            return
-        for member_id, f in list(self.followers_by_id.items()):
-            if member_id in voters:
-                self._unblock(member_id)
-            else:
-                # It may have gone to another home since it reported; it has to report anew.
-                self._drop(member_id, f)
-                self.send(member_id, Unfollowed(self.service, f.session))
-        self._start_term(last + 1)
-
-    def _last_term(self) -> int:
-        return max([self.term, *(f.term for f in self.followers_by_id.values())])
-
-    def _all_reported(self, voters: set[str]) -> bool:
-        """Whether no member is known that could use a slot unbeknown to this ledger."""
-        known = {m.id for m in self.members.by_id.values()}
-        hosts = {m.host for m in self.members.by_id.values()}
-        unmet = self.members.electorate() - hosts
-        return not unmet and known <= voters
-
-    def _start_term(self, term: int) -> None:
-        """Tell the followers a new term; nothing is lent before a majority has noted it.
-
-        A copy of the ledger is known by its term. Were a deputy replaced within a term, the old
-        one's copy would look as good as the new one's and lack what was lent since.
-        """
-        self.term = term
-        self.phase = Phase.confirming
-        self.deputy = self._choose_deputy()
-        self._mirrored = None
-        self._mirror()
-        self._answer_all()
-
-    def _confirmed(self, now: float) -> bool:
-        noted = {
-            i
-            for i, f in self.followers_by_id.items()
-            if f.term == self.term and f.voted == self._me()
-        }
-        hosts = self.members.electorate()
-        known = self.members.by_id
-        return len({known[i].host for i in noted if i in known} & hosts) * 2 > len(hosts)
-
-    def _reset(self, now: float) -> None:
-        """Be home no longer; what is known stays as a copy for the next."""
-        if self.phase > Phase.collecting:
-            self._save_copy()
-        for member_id, f in self.followers_by_id.items():
-            self._let_go[member_id] = max(f.session, self._let_go.get(member_id, 0))
-            self.send(member_id, Unfollowed(self.service, f.session))
-        self.phase = Phase.none
-        self.followers_by_id.clear()
-        self.blocked_by_member.clear()
-        self._uses.clear()
-
-    def _save_copy(self) -> None:
-        mirror = Mirror(self.service, self.term, self._me(), self._sequence, self._rows())
-        self.copy = Copy(mirror=mirror)
-        self.copy.sealed = True
-
-    def _answer(self, member_id: str, f: Follower) -> None:
-        home = self.phase > Phase.collecting
-        followed = Followed(
-            self.service,
-            f.session,
-            f.sent,
-            int(self.clock.monotonic() * 1000),
-            self.term if home else 0,
-            home,
-            self.phase is Phase.steady,
-            f.number_before,
-        )
-        f.number_before = f.number
-        self.send(member_id, followed)
-
-    def _answer_all(self) -> None:
-        for member_id, f in self.followers_by_id.items():
-            self._answer(member_id, f)
-
-    # Followers and what they hold.
 
-    def _register(self, member_id: str, message: Follow) -> Follower:
+    def register(self, member_id: str, message: Follow) -> Follower:
+        """Take a member in under a new session, with what it reports."""
         old = self.followers_by_id.get(member_id)
         if old is not None:
-            self._let_go[member_id] = max(old.session, self._let_go.get(member_id, 0))
-            self._drop(member_id, old)
-        if self.phase is not Phase.collecting:
-            self._unblock(member_id)
+            self.drop(member_id, old)
         f = Follower(session=message.session, held=message.held)
         self._uses.update(f.numbers_by_id.keys())
         self.followers_by_id[member_id] = f
         return f
 
-    def _settle(self, f: Follower, message: Follow) -> None:
+    def settle(self, f: Follower, message: Follow) -> None:
         """Free what the member doesn't hold of the grants it has dealt with."""
         f.note_number(message.number)
         for slot_id, number in list(f.numbers_by_id.items()):
             held = message.held.get(slot_id.executor, 0) >> slot_id.position & 1
             if number <= message.number and not held:
-                self._free(f, slot_id)
+                self.free(f, slot_id)
 
-    def _free(self, f: Follower, slot_id: SlotId) -> None:
+    def free(self, f: Follower, slot_id: SlotId) -> None:
         del f.numbers_by_id[slot_id]
         self._unuse(slot_id)
 
@@ -373,81 +92,63 @@
         if self._uses[slot_id] <= 0:
             del self._uses[slot_id]
 
-    def _drop(self, member_id: str, f: Follower) -> None:
+    def drop(self, member_id: str, f: Follower) -> None:
         del self.followers_by_id[member_id]
-        self._let_go[member_id] = max(f.session, self._let_go.get(member_id, 0))
+        self.let_go[member_id] = max(f.session, self.let_go.get(member_id, 0))
         for slot_id in f.numbers_by_id:
             self._unuse(slot_id)
 
-    def _block(self, member_id: str, f: Follower, now: float) -> None:
+    def block(self, member_id: str, f: Follower, now: float) -> None:
         held = masks_of(f.numbers_by_id)
-        self._drop(member_id, f)
-        self._block_masks(member_id, held, now)
+        self.drop(member_id, f)
+        self.block_masks(member_id, held, now)
 
-    def _block_masks(self, member_id: str, held: Masks, now: float) -> None:
-        self._unblock(member_id)
+    def block_masks(self, member_id: str, held: Masks, now: float) -> None:
+        self.unblock(member_id)
         self.blocked_by_member[member_id] = Blocked(held, now + self.lapse_s)
         self._uses.update(ids_of(held))
 
-    def _unblock(self, member_id: str) -> None:
+    def unblock(self, member_id: str) -> None:
         blocked = self.blocked_by_member.pop(member_id, None)
         for slot_id in ids_of(blocked.held) if blocked is not None else []:
             self._unuse(slot_id)
 
-    # Lending.
-
-    def take_ask(self, sender: Member, message: Ask) -> None:
-        """Note how many slots a member lacks, and lend what is free."""
-        f = self.followers_by_id.get(sender.id)
-        if f is None or f.session != message.session:
-            return
-        if f.ask is not None and f.ask.sequence >= message.sequence:
-            return
-        f.note_ask(message, self.clock.monotonic() - message.waited_ms / 1000)
-        self.pump()
-
-    def take_return(self, sender: Member, message: Return) -> None:
-        """Free slots that a member gives back."""
-        f = self.followers_by_id.get(sender.id)
-        if f is None or f.session != message.session:
-            return
+    def rows(self) -> dict[str, Masks]:
+        rows = {i: masks_of(f.numbers_by_id) for i, f in self.followers_by_id.items()}
+        rows |= {i: blocked.held for i, blocked in self.blocked_by_member.items()}
+        return {member_id: held for member_id, held in rows.items() if held}
+
+    def lend(self, f: Follower, slot_id: SlotId) -> None:
+        """Note a slot for a member's next grant."""
+        f.numbers_by_id[slot_id] = f.number + 1
+        f.lacks -= 1
+        self._uses[slot_id] += 1
+
+    def take_return(self, f: Follower, message: Return) -> None:
+        """Free what a member gives back, by the number of the grant that lent it."""
         for number, masks in message.numbered.items():
             for slot_id in ids_of(masks):
                 if f.numbers_by_id.get(slot_id) == number:
-                    self._free(f, slot_id)
-        self.pump()
-
-    def pump(self) -> None:
-        """Lend free slots to those who lack them, the most urgent and longest waiting first."""
-        now = self.clock.monotonic()
-        self._check(now)
-        if self.phase is not Phase.steady:
-            return
-        wanting = self._askers()
-        if not wanting:
-            return
-        room = {view: self._room(view) for view in self.candidates()}
-        granted: dict[str, list[SlotId]] = {}
-        unmet = False
-        while wanting:
-            for entry in sorted(wanting):
-                member_id = entry[2]
-                f = self.followers_by_id[member_id]
-                slot_id = self._pick(f, room) if f.lacks > 0 else None
-                if slot_id is None:
-                    unmet = unmet or f.lacks > 0
-                    wanting.remove(entry)
-                    continue
-                f.numbers_by_id[slot_id] = f.number + 1
-                f.lacks -= 1
-                self._uses[slot_id] += 1
-                granted.setdefault(member_id, []).append(slot_id)
-        for member_id, slot_ids in granted.items():
-            self._lend(member_id, slot_ids)
-        if unmet:
-            self._recall(now)
-
-    def _askers(self) -> list[tuple[int, float, str]]:
+                    self.free(f, slot_id)
+
+    def expire(self, now: float) -> None:
+        """Free what silent members held, once they surely use it no more."""
+        for member_id, f in list(self.followers_by_id.items()):
+            if now > f.heard + self.lapse_s:
+                self.drop(member_id, f)
+        for member_id, blocked in list(self.blocked_by_member.items()):
+            if now > blocked.until:
+                self.unblock(member_id)
+
+    def clear(self) -> None:
+        """Let all members go."""
+        for member_id, f in self.followers_by_id.items():
+            self.let_go[member_id] = max(f.session, self.let_go.get(member_id, 0))
+        self.followers_by_id.clear()
+        self.blocked_by_member.clear()
+        self._uses.clear()
+
+    def askers(self) -> list[tuple[int, float, str]]:
         """Who lacks slots: urgency, since when, id."""
         return [
             (f.ask.urgency, f.asked, member_id)
@@ -455,135 +156,15 @@
             if f.ask is not None and f.lacks > 0
         ]
 
-    def _room(self, view: ExecutorView) -> int:
+    def room(self, view: ExecutorView) -> int:
+        """How many more slots of an executor may be lent; fewer while it starts slowly."""
         used = sum(1 for i in range(view.slots) if SlotId(view.executor, i) in self._uses)
         return max(1, round(view.slots * view.weight)) - used
 
-    def _pick(self, f: Follower, room: dict[ExecutorView, int]) -> SlotId | None:
-        """The free slot of the executor with the most room, and take it off the room."""
-        excluded = f.ask.excluded if f.ask is not None else []
-        views = [view for view, free in room.items() if free > 0 and view.executor not in excluded]
-        if not views:
-            return None
-        view = max(views, key=lambda v: room[v] / v.slots)
+    def free_slot(self, view: ExecutorView) -> SlotId | None:
+        """A slot of an executor that nobody may hold."""
         ids = (SlotId(view.executor, i) for i in range(view.slots))
-        slot_id = next((i for i in ids if i not in self._uses), None)
-        room[view] = room[view] - 1 if slot_id is not None else 0
-        return slot_id
-
-    def _lend(self, member_id: str, slot_ids: list[SlotId]) -> None:
-        f = self.followers_by_id[member_id]
-        f.number += 1
-        grant = Grant(self.service, f.session, f.number, masks_of(slot_ids))
-        f.grants.append(grant)
-        metrics.slots_lent.add(len(slot_ids))
-        self._pass_on(member_id, grant)
-
-    def _pass_on(self, member_id: str, grant: Grant) -> None:
-        if not self.deputy:
-            self.send(member_id, grant)
-            return
-        self._sequence += 1
-        self.send(self.deputy, Lend(self.service, self.term, self._sequence, member_id, grant))
-
-    def _recall(self, now: float) -> None:
-        """Tell the members that hold slots that others wait, again until none does."""
-        if not self._recalling:
-            self._recalling = True
-            asyncio.get_running_loop().call_later(RECALL_EVERY_S, self._recall_again)
-        if now - self._last_recall < RECALL_EVERY_S:
-            return
-        self._last_recall = now
-        first = min(self._askers())
-        waited_ms = int((now - first[1]) * 1000)
-        for member_id, f in self.followers_by_id.items():
-            if f.numbers_by_id and member_id != first[2]:
-                self.send(member_id, Recall(self.service, f.session, first[0], waited_ms))
-
-    def _recall_again(self) -> None:
-        self._recalling = False
-        self.pump()
-
-    # The deputy's copy.
-
-    def take_mirror(self, sender: Member, message: Mirror) -> None:
-        """Keep a copy of a home's ledger."""
-        old = self.copy
-        if old is not None and (old.term, old.sequence) > (message.term, message.sequence):
-            return
-        if old is not None and old.term == message.term and old.sealed:
-            return
-        self.copy = Copy(mirror=message)
-        self._advance(self.clock.monotonic())
-
-    def take_lend(self, sender: Member, message: Lend) -> None:
-        """Note a grant, then pass it on."""
-        copy = self.copy
-        if copy is not None and copy.sealed and copy.term >= message.term:
-            return
-        fits = copy is not None and (copy.term, copy.home) == (message.term, sender.id)
-        if copy is None or not fits or message.sequence != copy.sequence + 1:
-            self.send(sender.id, MirrorLost(self.service, message.term, message.sequence))
-            return
-        copy.sequence = message.sequence
-        held = copy.held_by_member.setdefault(message.member, {})
-        for executor, mask in message.grant.slots.items():
-            held[executor] = held.get(executor, 0) | mask
-        self.send(message.member, message.grant)
-
-    def take_mirror_lost(self, sender: Member, message: MirrorLost) -> None:
-        """Send the deputy the whole ledger again, and then what it may not have passed on.
-
-        A grant that comes twice does no harm: members ignore numbers they have dealt with.
-        """
-        known = sender.id == self.deputy and message.term == self.term
-        if not known or message.sequence <= self._synced or self.phase < Phase.confirming:
-            return
-        self._synced = self._sequence
-        self._mirrored = None
-        self._mirror()
-        for member_id, f in self.followers_by_id.items():
-            for grant in f.grants:
-                self._pass_on(member_id, grant)
-
-    def take_mirror_ask(self, sender: Member, message: MirrorAsk) -> None:
-        """Hand the copy to a new home, and seal it: it must not miss what is noted later."""
-        self._check(self.clock.monotonic())
-        copy = self.copy
-        if copy is None or copy.term != message.term or self.phase > Phase.collecting:
-            return
-        copy.sealed = True
-        mirror = Mirror(self.service, copy.term, copy.home, copy.sequence, copy.held_by_member)
-        self.send(sender.id, mirror)
-
-    def _mirror(self) -> None:
-        if self.phase < Phase.confirming or not self.deputy:
-            return
-        rows = self._rows()
-        if rows == self._mirrored:
-            return
-        self._mirrored = rows
-        self.send(self.deputy, Mirror(self.service, self.term, self._me(), self._sequence, rows))
-
-    def _rows(self) -> dict[str, Masks]:
-        rows = {i: masks_of(f.numbers_by_id) for i, f in self.followers_by_id.items()}
-        rows |= {i: blocked.held for i, blocked in self.blocked_by_member.items()}
-        return {member_id: held for member_id, held in rows.items() if held}
-
-    def _ask_copies(self) -> None:
-        last = self._last_term()
-        for m in self.members.peers():
-            self.send(m.id, MirrorAsk(self.service, last, self._me()))
-
-    def _choose_deputy(self) -> str:
-        ranked = self.members.ranked(f"slots/{self.service}")
-        return next((i for i in ranked if i != self._me()), "")
-
-    def _leaving(self) -> bool:
-        return self.members.me.state is not MemberState.live
-
-    def _me(self) -> str:
-        return self.members.me.id
+        return next((i for i in ids if i not in self._uses), None)
 
 
 def masks_of(slot_ids: Iterable[SlotId]) -> Masks:
