--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -68,8 +68,8 @@
       | nothing             | yes        | later      | one   |
 
   Scenario: Long gentle work ends under a steady load of urgent work
-    The reconciliation must finish. Urgent jobs ask for all the room there is, all the time. A job
-    that was paused three times isn't paused again, and waiting raises its place in the queue.
+    The reconciliation must finish. Urgent jobs ask for all the room there is, all the time. After
+    each pause a job runs twice as long before the next, and waiting raises its place in the queue.
 
     Given jobs on a fake platform with two daemons
     When jobs that are urgent come faster than they can run, beside a long gentle one
@@ -89,6 +89,13 @@
     Given jobs and workers of random sizes
     Then jobs are never placed beyond a worker's room, and none waits where it would have fitted first
 
+  Scenario: Workers are kept for jobs that wait behind the first
+    All work would stand still while all workers are free. Each is kept for a job further back,
+    which waits for the first, which finds none. Only a job before it may hold one up.
+
+    Given jobs and workers of random sizes
+    Then jobs that are first are placed where there is room, whatever is kept for later ones
+
   Scenario: Jobs on separate processes
     Two daemons run jobs that must not run twice on the platform stand-in, while answers of starts
     are lost and one daemon is killed. The platform's record shows one run each.
--- a/features/steps/jobs_steps.py
+++ b/features/steps/jobs_steps.py
@@ -12,7 +12,7 @@
 from features.support.actor_steps import call, owner, until, write_host
 from features.support.actor_worlds import World
 from mustardgap.exceptions import PlatformError
-from mustardgap.job_queues import Place, Queue, Waiting
+from mustardgap.job_queues import Place, Queue, Reservation, Waiting
 from mustardgap.rooms import Rooms
 from mustardgap.usages import Size, Usages
 
@@ -264,7 +264,7 @@
     async def run():
         world.submit("long", urgency=9, run_s=300.0, cores=4.0)
         await world.pass_time(4)
-        for turn in range(400):
+        for turn in range(1200):
             for n in range(2):
                 world.submit(f"u{turn}-{n}", urgency=0, cores=4.0, run_s=9.0, profile="hard")
             await world.pass_time(3, step=1.0)
@@ -354,6 +354,30 @@
     check()
 
 
+@then("jobs that are first are placed where there is room, whatever is kept for later ones")
+def step_first(context):
+    @hypothesis_settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @for_all(jobs=JOBS, capacities=CAPACITIES, kept=st.lists(st.integers(0, 11), max_size=4))
+    def check(jobs, capacities, kept):
+        rooms = context.rooms()
+        for n, capacity in enumerate(capacities):
+            rooms.open(f"w{n}", capacity)
+        waiting = [Waiting(f"j{n:02}", u, 0, 0.0, size, 1.0) for n, (u, size) in enumerate(jobs)]
+        queue = Queue(
+            rooms=rooms,
+            running_by_worker=lambda worker: [],
+            reserved={f"w{n}": Reservation(f"j{k:02}", 0.0, 9e9) for n, k in enumerate(kept)},
+            may_place=lambda job, worker: True,
+            now=0.0,
+        )
+        placed = {p.job for p in queue.decide(waiting) if isinstance(p, Place)}
+        first = min(waiting, key=lambda w: (w.urgency, w.job), default=None)
+        if first is not None and any(first.size.fits(room) for room in capacities):
+            assert first.job in placed, (first, queue.reserved)
+
+    check()
+
+
 @when("jobs run on processes with lost answers, a kill and a cancellation")
 def step_processes(context):
     cluster = context.cluster
--- a/features/support/actor_machine.py
+++ b/features/support/actor_machine.py
@@ -43,10 +43,10 @@
     }
 
 
-def declare(world):
+def declare(world, quota=500):
     """Publish what the tests' services and jobs need."""
     return world.declare(
-        team__t={"max_cores": 100, "max_memory_gb": 100, "max_jobs": 500},
+        team__t={"max_cores": quota, "max_memory_gb": quota, "max_jobs": quota},
         profile__gentle=profile(STEPS),
         profile__stoppable=profile(["stop"]),
         profile__hard=profile([]),
--- a/mustardgap/job_queues.py
+++ b/mustardgap/job_queues.py
@@ -8,9 +8,10 @@
 from .usages import Size
 
 # A waiting job counts as one level more urgent after each such time, and after each pause.
-AGE_S = 600.0
-# A job that was taken off its worker this often isn't taken off again for an urgent one.
-MAX_PAUSES = 3
+AGE_S = 120.0
+# A job that was taken off its worker once runs at least this long before it is taken off again, and
+# twice as long after each further time: so it ends, and still makes way most of the time.
+FIRST_RUN_S = 60.0
 # A job that has waited this long for room that is nowhere gets a worker kept free for it.
 RESERVE_AFTER_S = 30.0
 RESERVATION_S = 120.0
@@ -34,6 +35,11 @@
         return max(0, math.floor(self.urgency - self.pauses - (now - self.since) / AGE_S))
 
 
+def least_run_s(pauses: int) -> float:
+    """How long a job runs before it may be taken off its worker for the next time."""
+    return FIRST_RUN_S * 2.0 ** (min(pauses, 30) - 1) if pauses else 0.0
+
+
 class Running(NamedTuple):
     """A job that holds room; ``may_pause`` says whether it may be taken off its worker."""
 
@@ -97,6 +103,7 @@
         self.now = now
         self.placed: list[Place] = []
         self.paused: list[Pause] = []
+        self._visited: set[str] = set()
         self._blocked: list[Waiting] = []
         self._helpless: list[Waiting] = []
         self._gentle: list[str] | None = None
@@ -118,10 +125,12 @@
         return [*self.placed, *self.paused]
 
     def _visit(self, job: Waiting) -> None:
-        if any(b.size.fits(job.size) and b.run_s <= job.run_s for b in self._blocked):
-            # A smaller and shorter job found no room a moment ago, so there is none for this one.
-            worker = None
-        else:
+        self._visited.add(job.job)
+        has_worker = any(r.job == job.job for r in self.reserved.values())
+        worker = None
+        # Where a smaller and shorter job found no room a moment ago, there is none for this one,
+        # unless a worker is kept for it.
+        if has_worker or not self._is_hopeless(job):
             worker = self.rooms.fit(job.size, avoid=job.avoid | self._kept_from(job))
         if worker is not None:
             if self.may_place(job.job, worker):
@@ -129,11 +138,12 @@
             return
         if not job.avoid:
             self._blocked.append(job)
-        if any(r.job == job.job for r in self.reserved.values()):
-            return
-        if not self._make_way(job) and self.now - job.since > RESERVE_AFTER_S:
+        if not has_worker and not self._make_way(job) and self.now - job.since > RESERVE_AFTER_S:
             self._reserve(job)
 
+    def _is_hopeless(self, job: Waiting) -> bool:
+        return any(b.size.fits(job.size) and b.run_s <= job.run_s for b in self._blocked)
+
     def _place(self, job: Waiting, worker: str) -> None:
         self.placed.append(Place(job.job, worker, job.size))
         self.rooms.take(job.job, worker, job.size)
@@ -142,12 +152,18 @@
                 del self.reserved[kept]
 
     def _kept_from(self, job: Waiting) -> frozenset[str]:
-        """The workers kept for others, but for those that this job would leave in time."""
+        """The workers kept for jobs before this one, but for those it would leave in time.
+
+        What is kept for a job further back in the queue is no reason for this one to wait: else
+        all workers could stand empty, each kept for a job that waits for its turn.
+        """
         ends = self.now + job.run_s
         return frozenset(
             worker
             for worker, reservation in self.reserved.items()
-            if reservation.job != job.job and ends > reservation.free_at
+            if reservation.job in self._visited
+            and reservation.job != job.job
+            and ends > reservation.free_at
         )
 
     def _drop_reservations(self, waiting: set[str]) -> None:
--- a/mustardgap/placers.py
+++ b/mustardgap/placers.py
@@ -8,7 +8,7 @@
 from .blames import Failures, failures_by_worker, tries_of
 from .duties import Duties
 from .host_actors import host_body
-from .job_queues import MAX_PAUSES, Pause, Place, Queue, Reservation, Running, Waiting
+from .job_queues import Pause, Place, Queue, Reservation, Running, Waiting, least_run_s
 from .jobs import attempt_of, disruption_of, is_job_pool, pause_step
 from .models import HostFacts, JobBody, JobSpec, JobState, TaskInfo, Usage
 from .operations import Operations
@@ -305,7 +305,8 @@
         held = self.rooms.held(name)
         started = job["attempts"][-1]["started"]
         step = pause_step(job, disruption_of(self.state, job))
-        may_pause = step is not None and _pauses(job) < MAX_PAUSES and job["phase"] == "running"
+        has_run = self._now() - started >= least_run_s(_pauses(job))
+        may_pause = step is not None and has_run and job["phase"] == "running"
         return Running(
             job=name,
             worker=worker,
--- a/mustardgap/usages.py
+++ b/mustardgap/usages.py
@@ -7,7 +7,7 @@
 WINDOW = 100
 LEAST_SAMPLES = 8
 QUANTILE = 0.9
-MEMORY_MARGIN = 1.1
+MEMORY_QUANTILE = 0.95
 LEAST_RATIO = 0.1
 MOST_RATIO = 4.0
 
@@ -57,9 +57,9 @@
     """Corrects declared sizes by a high quantile of used over declared, for each kind of job.
 
     The quantile is exact over the last ``WINDOW`` jobs: a mean would let half of them run out of
-    memory, and an exponentially weighted estimate was no better for a change of habit (see
-    docs/DESIGN-jobs.md). Memory gets a margin on top, since a task that outgrows it dies, while
-    one that outgrows its cores is only slower.
+    memory. Memory gets a higher one, since a task that outgrows it dies, while one that outgrows
+    its cores is only slower. There is no margin on top: where a platform reports as used what was
+    given, a margin would be added to itself with each job.
     """
 
     def __init__(self, *, window: int = WINDOW, least_samples: int = LEAST_SAMPLES) -> None:
@@ -104,14 +104,18 @@
         ratios = self._ratios_by_kind.get(kind, {})
         if len(ratios) < self.least_samples:
             return (1.0, 1.0, 1.0)
-        cores, memory, run = (_quantile(column) for column in zip(*ratios.values(), strict=True))
-        result = (cores, min(memory * MEMORY_MARGIN, MOST_RATIO), run)
+        cores, memory, run = zip(*ratios.values(), strict=True)
+        result = (
+            _quantile(cores, QUANTILE),
+            _quantile(memory, MEMORY_QUANTILE),
+            _quantile(run, QUANTILE),
+        )
         self._quantiles_by_kind[kind] = result
         return result
 
 
-def _quantile(values: tuple[float, ...]) -> float:
-    return sorted(values)[min(int(len(values) * QUANTILE), len(values) - 1)]
+def _quantile(values: tuple[float, ...], share: float) -> float:
+    return sorted(values)[min(int(len(values) * share), len(values) - 1)]
 
 
 def _ratio(used: float, stated: float) -> float:
