--- a/features/slots.feature
+++ b/features/slots.feature
@@ -18,6 +18,8 @@
       | 5       | reordering | are killed, replaced, parted and frozen   |
       | 8       | lossy      | are killed, replaced, parted and frozen   |
       | 3       | reordering | are parted and frozen                     |
+      | 6       | lossy      | are killed and replaced and lose the log  |
+      | 5       | reordering | are killed, parted, frozen, lose the log  |
 
   Scenario Outline: slots that can't be had are refused at once and truthfully
     # A caller that is going to be refused anyway loses the time in which it could have gone elsewhere.
--- a/features/support/fold_machine.py
+++ b/features/support/fold_machine.py
@@ -258,6 +258,19 @@
             self.step_job(number, job, step, host, "unknown", False, "once")
             self.fold(number, len(self.kept))
 
+    @rule(
+        number=daemon_numbers,
+        host=st.sampled_from(["e1", "e2"]),
+        step=st.sampled_from(["join", "join", "leave", "gone"]),
+        later=st.integers(0, 1),
+        fate=fates,
+    )
+    def step_entry(self, number, host, step, later, fate):
+        known = self.daemons[number].state.entries_by_host.get(host)
+        base, run = (known["epoch"], known["incarnation"]) if known else (0, 1)
+        body = {"host": host, "base": base, "incarnation": run + later, "step": step}
+        self._send(number, "entry", body, fate)
+
     @precondition(lambda self: self.late)
     @rule(data=st.data(), copies=st.integers(1, 2))
     def arrive_late(self, data, copies):
@@ -337,6 +350,9 @@
             for name, host in state.hosts_by_name.items()
         }
         assert hosts == self.oracle.hosts, f"{hosts} is not {self.oracle.hosts}"
+        for name, entry in state.entries_by_host.items():
+            seen = {key: value for key, value in entry.items() if key != "time"}
+            assert seen == self.oracle.entry(name), f"{entry} is not {self.oracle.entry(name)}"
         for name, job in state.jobs_by_id.items():
             tries = [attempt["outcome"] for attempt in job["attempts"]]
             assert tries == self.oracle.jobs[name]["tries"], f"{name}: {tries}"
--- a/features/support/naive_folds.py
+++ b/features/support/naive_folds.py
@@ -33,6 +33,7 @@
         self.remembered = remembered
         self.values, self.versions = {}, {}
         self.hosts, self.jobs = {}, {}
+        self.entries = {}
         self.firsts = []
         self.verdicts = []
 
@@ -136,6 +137,41 @@
         )
         return room and len(others) < pool["max_hosts"]
 
+    # Entry hosts: every accepted step, in order.
+
+    def _entry(self, body, offset):
+        steps = self.entries.setdefault(body["host"], [])
+        if body["base"] != len(steps):
+            return False
+        runs = [step["incarnation"] for step in steps]
+        if body["step"] == "join":
+            accepted = not runs or body["incarnation"] > max(runs)
+        else:
+            last = steps[-1] if steps else {"step": "", "incarnation": 0}
+            accepted = (last["step"], last["incarnation"]) == ("join", body["incarnation"])
+        if accepted:
+            steps.append({**body, "offset": offset})
+        return accepted
+
+    def entry(self, host):
+        """What a host's steps come to."""
+        steps = self.entries[host]
+        states = {"join": "joined", "leave": "left", "gone": "gone"}
+        unclean = [
+            step["offset"]
+            for before, step in zip(steps, steps[1:], strict=False)
+            if before["step"] == "join" and step["step"] != "leave"
+        ]
+        last = steps[-1]
+        return {
+            "host": host,
+            "incarnation": last["incarnation"],
+            "epoch": len(steps),
+            "state": states[last["step"]],
+            "offset": last["offset"],
+            "unclean": max(unclean, default=-1),
+        }
+
     # Declarations.
 
     def _config(self, body, offset):
--- a/features/support/peer_process.py
+++ b/features/support/peer_process.py
@@ -11,22 +11,26 @@
 import random
 import sys
 import time
+from pathlib import Path
 from typing import Any
 
 import msgspec
 from tornado.web import Application, RequestHandler
 
+from mustardgap import records
 from mustardgap.brokers import Broker
 from mustardgap.exceptions import MustardgapError
 from mustardgap.executors import ExecutorView
 from mustardgap.gossip import Gossiper
 from mustardgap.members import Members, me_from
 from mustardgap.messages import RecordsAsk
+from mustardgap.models import LogRecord
 from mustardgap.peers import Peers
 from mustardgap.settings import Settings
 from mustardgap.slots import Slots
 from mustardgap.timelines import Timeline
 from mustardgap.timers import Timers
+from tools.fake_logs import LISTED_S, FakeLog, FakeReader
 
 SERVICE = "s0"
 HOLD_S = 2.0
@@ -40,6 +44,43 @@
         return [ExecutorView(f"x{i}", "127.0.0.1:1", f"w{i}", "r", 8, 1.0) for i in range(2)]
 
 
+class FileLog(FakeLog):
+    """The platform's log and host list as files that all processes share.
+
+    :param path: the log's file; each host touches one of its own beside it.
+    """
+
+    def __init__(self, *, path: str) -> None:
+        self.path = Path(path)
+        self._file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+        super().__init__()
+
+    @property
+    def records(self) -> list[LogRecord]:  # type: ignore[override]
+        """All records."""
+        lines = self.path.read_text().splitlines()
+        return [LogRecord(offset, *json.loads(line)) for offset, line in enumerate(lines)]
+
+    @records.setter
+    def records(self, value: list[LogRecord]) -> None:
+        """Keep what is in the file."""
+
+    def append(self, body: Any, *, writer: str) -> None:
+        """Append an entry record."""
+        value = records.make("entry", body, writer=writer, seen=len(self.records))
+        os.write(self._file, f"{json.dumps([time.time(), value])}\n".encode())
+
+    def note(self, host: str) -> None:
+        """Note that a host is there."""
+        self.path.with_name(f"{host}.seen").touch()
+
+    def listed(self) -> frozenset[str]:
+        """The hosts that were there of late."""
+        after = time.time() - LISTED_S
+        seen = self.path.parent.glob("*.seen")
+        return frozenset(path.stem for path in seen if path.stat().st_mtime > after)
+
+
 class Parts:
     """The parts of the process."""
 
@@ -58,15 +99,21 @@
         )
         self.gossiper = Gossiper(peers=self.peers)
         self.slots = Slots(settings=settings, executors=FixedExecutors(), timers=self.timers)
+        self.reader = FakeReader(
+            log=FileLog(path=f"{log}-entries"), members=self.members, clock=self.timers.clock
+        )
         self.broker = Broker(
             slots=self.slots,
             members=self.members,
             peers=self.peers,
             settings=settings,
             timers=self.timers,
+            state=self.reader.state,
             services=lambda: [SERVICE],
             max_hold_s=lambda service: HOLD_S,
+            may_use=self.reader.may_use,
         )
+        self.reader.way = self.broker
         self.slots.way = self.broker
         self.peers.handle(RecordsAsk, lambda member, message: RecordsAsk(message.first + 1))
         self.given = self.refused = 0
@@ -74,7 +121,8 @@
     async def run(self) -> None:
         """Run all parts."""
         self.timers.subscribe("gossip", self.settings.peers.gossip_s, self.gossiper.turn)
-        runs = (self.timers.run, self.peers.run, self.slots.run, self.broker.run)
+        runs = [self.timers.run, self.peers.run, self.slots.run, self.broker.run]
+        runs += [self.reader.read_on, self.reader.act_on]
         await asyncio.gather(*(run() for run in runs))
 
     def state(self) -> dict[str, Any]:
--- a/mustardgap/brokers.py
+++ b/mustardgap/brokers.py
@@ -1,8 +1,7 @@
-"""Lending, the entry host's side: the slots it holds, its lease and what it asks the homes for.
+"""Lending between owners: own slots are used at once, others' are borrowed while requests wait.
 
-Each service has one home among the members, by rendezvous hashing, which lends the slots of the
-service's executors (``homes.py``). docs/DESIGN-peers.md tells the whole protocol and why the sum
-over all entry hosts stays within an executor's slots.
+Who owns a slot is a pure function of the folded state (``ownership.py``). docs/DESIGN-peers.md
+tells why the sum over all entry hosts stays within an executor's slots.
 """
 
 import asyncio
@@ -11,33 +10,32 @@
 from typing import Any, Protocol
 
 from .executors import ExecutorView
-from .holdings import Hold, Holding
-from .homes import VOTE_SHARE, Home
+from .holdings import Holding, Loan
 from .ledgers import ids_of, masks_of
+from .lenders import FAIR_WAIT_S, Lender
 from .members import Member, Members, MemberState
 from .messages import (
     AnyMessage,
     Ask,
-    Follow,
-    Followed,
     Grant,
-    Lend,
-    Mirror,
-    MirrorAsk,
-    MirrorLost,
+    Held,
+    Hold,
     Recall,
     Return,
-    Unfollow,
-    Unfollowed,
+    Settle,
+    Settled,
 )
+from .ownership import Ownership
 from .settings import Settings
 from .slots import Slot, SlotId, Slots
+from .states import State
 from .timers import Timers
 
-TICKS_A_LEASE = 4
+TICKS_A_LEASE = 6
 RECALL_S = 0.1
-FAIR_WAIT_S = 0.025
-EXCLUDED_S = 1.0
+SETTLE_S = 0.3
+ASK_AGAIN_S = 0.2
+STALLED_S = 5.0
 
 
 class HasPeers(Protocol):
@@ -58,8 +56,10 @@
     :param peers: the streams to them.
     :param settings: the daemon's settings.
     :param timers: the timer service.
-    :param services: lists the services whose homes this member votes for.
+    :param state: the folded state, which names the owners.
+    :param services: lists the services that there are.
     :param max_hold_s: the longest a request of a service may hold a slot.
+    :param may_use: whether this daemon has known since a monotonic time which state is in force.
     """
 
     def __init__(
@@ -70,260 +70,329 @@
         peers: HasPeers,
         settings: Settings,
         timers: Timers,
+        state: State,
         services: Callable[[], Iterable[str]],
-        max_hold_s: Callable[[str], float] | None = None,
+        max_hold_s: Callable[[str], float],
+        may_use: Callable[[float], bool],
     ) -> None:
         self.slots = slots
         self.members = members
         self.peers = peers
         self.settings = settings
         self.clock = timers.clock
+        self.state = state
         self.services = services
-        self.max_hold_s = max_hold_s or (lambda service: settings.callers.default_timeout_s)
+        self.max_hold_s = max_hold_s
+        self.may_use = may_use
         self.lease_s = settings.requests.lease_s
-        self.vote_s = self.lease_s * VOTE_SHARE
-        self.holdings_by_service: dict[str, Holding] = {}
-        self.homes_by_service: dict[str, Home] = {}
+        self.stale_s = settings.platform.stale_after_s
+        self.ownership = Ownership(
+            state=state,
+            host=members.me.host,
+            incarnation=lambda: members.me.incarnation,
+            clock=self.clock,
+        )
+        self.lenders_by_service: dict[str, Lender] = {}
+        self.holdings: dict[tuple[str, str], Holding] = {}
+        self._sources_by_use: dict[int, Holding | None] = {}
         self._uses = 0
-        self._sessions = 0
-        self._started = self.clock.monotonic()
-        self._handlers_by_type = self._handlers()
+        self._asking: set[str] = set()
+        self._settled_at = 0.0
+        self._waiting: list[tuple[str, Settle]] = []
+        self._started = self._usable_at = self._beat = self._awake = self.clock.monotonic()
         members.on_change(self._changed)
         timers.on_gap(self._gap)
-        for type_, handler in self._handlers_by_type.items():
-            peers.handle(type_, handler)
+        self._handle()
 
     # What ``Slots`` calls.
 
     def take(self, service: str, exclude: frozenset[str], deadline: float) -> Slot | None:
-        """Take a slot that this member holds idle, while its lease lasts."""
-        holding = self._holding(service)
+        """Take an own slot that is idle, or one that was lent here, while its lease lasts."""
         now = self.clock.monotonic()
-        if now >= holding.leased_until:
-            return None
-        idle = holding.idle()
-        if not idle:
+        if not self._may_start(now):
             return None
+        self._usable_at = now
+        until = min(deadline, now + self.max_hold_s(service))
+        lender = self.lender(service)
+        idle = [(i, view) for i, view in lender.idle() if view.executor not in exclude]
+        if idle:
+            slot_id, view = random.choice(idle)
+            lender.used.add(slot_id)
+            return self._use(service, slot_id, view, until, None)
         views = {view.executor: view for view in self.slots.executors.candidates(service)}
-        for slot_id in idle:
-            view = views.get(slot_id.executor)
-            if view is None:
-                self._refuse(holding, slot_id)
-            elif view.executor not in exclude:
-                return self._use(holding, slot_id, view, min(deadline, now + self._hold_s(service)))
+        for holding in self._holdings(service):
+            if now >= holding.leased_until:
+                continue
+            for slot_id in holding.idle():
+                found = views.get(slot_id.executor)
+                if found is None:
+                    self._return(holding, [slot_id])
+                elif found.executor not in exclude:
+                    return self._use(service, slot_id, found, until, holding)
         return None
 
     def give_back(self, slot: Slot) -> None:
-        """Give a slot back; it stays with this member unless others have waited longer."""
-        holding = self._holding(slot.service)
-        hold = holding.holds_by_id.get(slot.id)
-        if hold is None or hold.used != slot.lent:
+        """Give a slot back; it goes to whoever is more urgent or has waited longer."""
+        if slot.lent not in self._sources_by_use:
+            return
+        holding = self._sources_by_use.pop(slot.lent)
+        if holding is None:
+            lender = self.lender(slot.service)
+            lender.used.discard(slot.id)
+            lender.pump()
+            return
+        loan = holding.loans_by_id.get(slot.id)
+        if loan is None or loan.used != slot.lent:
             return
         now = self.clock.monotonic()
-        holding.holds_by_id[slot.id] = hold._replace(used=0, since=now)
+        holding.loans_by_id[slot.id] = loan._replace(used=0, since=now)
         if now >= holding.leased_until:
-            # The lease lapsed meanwhile: the home may have lent the slot to another by now.
-            del holding.holds_by_id[slot.id]
-        elif self._recalled(holding, now):
+            # The owner may have taken it back by now; the next renewal tells it so.
+            del holding.loans_by_id[slot.id]
+        elif slot.id in holding.unwanted or self._recalled(holding, now):
             self._return(holding, [slot.id])
 
     def want(self, service: str) -> None:
-        """Ask the home for as many slots as requests wait, once a turn of the loop."""
-        holding = self._holding(service)
-        if not holding.asking:
-            holding.asking = True
-            asyncio.get_running_loop().call_soon(self._ask, holding)
+        """Ask the owners for as many slots as requests wait, once a turn of the loop."""
+        if service not in self._asking:
+            self._asking.add(service)
+            asyncio.get_running_loop().call_soon(self._ask, service)
 
     def stalled(self, service: str) -> bool:
-        """Whether this member has had no lease for so long that waiting is no use."""
+        """Whether nothing could be used for so long that waiting is no use."""
         now = self.clock.monotonic()
-        patience_s = self.lease_s + self.vote_s
-        since = max(self._holding(service).leased_until, self._started)
-        return now > since + patience_s
+        if not self._may_start(now):
+            return now > max(self._usable_at, self._started) + STALLED_S
+        if self.lender(service).ownership.usable:
+            return False
+        heard = [holding.heard for holding in self._holdings(service)]
+        return now > max([self._started, *heard]) + STALLED_S
 
     def is_settled(self) -> bool:
-        """Whether this member has a lease on the slots of each service."""
-        now = self.clock.monotonic()
-        return all(self._holding(service).leased_until > now for service in self.services())
+        """Whether this member has its share, or others who may lend it theirs."""
+        if not self._may_start(self.clock.monotonic()):
+            return False
+        if not self.ownership.is_joined():
+            return bool(self.ownership.others())
+        return not self.ownership.unheard()
 
     # The clockwork.
 
     async def run(self) -> None:
-        """Renew votes and leases, return what is idle, until cancelled."""
-        self._started = self.clock.monotonic()
+        """Renew leases, settle what came into this host's hands, until cancelled."""
+        self._started = self._usable_at = self.clock.monotonic()
+        self._look()
         while True:
             self.tick()
             await asyncio.sleep(self.lease_s / TICKS_A_LEASE * random.uniform(0.9, 1.0))
 
     def tick(self) -> None:
-        """Renew every vote and lease, and return what has been idle too long."""
-        for service in dict.fromkeys([*self.services(), *self.holdings_by_service]):
-            holding = self._holding(service)
-            self._tidy(holding)
-            self._follow(holding)
-            if holding.asked or self.slots.waiting(service):
-                # The last ask, or what was lent on it, may have been lost with a stream.
-                holding.asked = -1
-                self.want(service)
-        for home in list(self.homes_by_service.values()):
-            home.tick()
-
-    def _tidy(self, holding: Holding) -> None:
-        now = self.clock.monotonic()
-        lapsed = now >= holding.leased_until
-        for slot_id, hold in list(holding.holds_by_id.items()):
-            over = now >= hold.until if hold.used else lapsed
-            if over:
-                # A member that was paused for longer than its lease wakes here or in ``take``; what
-                # it held idle may be with others, and its requests' deadlines have passed.
-                del holding.holds_by_id[slot_id]
-        if holding.lending and not self.slots.waiting(holding.service):
-            old = now - self.settings.requests.cache_s
-            idle = [i for i, h in holding.holds_by_id.items() if not h.used and h.since < old]
-            self._return(holding, idle)
-        holding.excluded_until = {e: u for e, u in holding.excluded_until.items() if u > now}
-
-    def _follow(self, holding: Holding) -> None:
+        """Renew every lease, return what has been idle too long, ask for what is pending."""
         now = self.clock.monotonic()
-        owner = self.members.owner(f"slots/{holding.service}")
-        if holding.home != owner:
-            if holding.home and now < holding.promised_until:
-                self._send(holding.home, Unfollow(holding.service, holding.session))
-                self._follow_at(holding, holding.promised_until)
-                return
-            self._turn_to(holding, owner)
-        # An earlier run on this host may have voted for another home just before it ended.
-        echo = holding.echo if now >= self._started + self.vote_s else 0
-        if echo:
-            holding.promised_until = now + self.vote_s
-        follow = Follow(
-            holding.service,
-            holding.session,
-            self._now_ms(),
-            echo,
-            holding.promised,
-            holding.accepted,
-            holding.number,
-            holding.masks(),
-        )
-        self._send(holding.home, follow)
-
-    def _follow_at(self, holding: Holding, when: float) -> None:
-        if not holding.turning:
-            holding.turning = True
-            wait_s = max(when - self.clock.monotonic(), 0.0) + 0.001
-            asyncio.get_running_loop().call_later(wait_s, self._follow_now, holding)
-
-    def _follow_now(self, holding: Holding) -> None:
-        holding.turning = False
-        if self.holdings_by_service.get(holding.service) is holding:
-            self._follow(holding)
-
-    def _turn_to(self, holding: Holding, home: str) -> None:
-        """Go over to another home: no start on any slot before it has taken this member in."""
-        self._sessions += 1
-        holding.home = home
-        holding.session = self._sessions
-        holding.echo = holding.number = holding.asked = 0
-        holding.leased_until = min(holding.leased_until, self.clock.monotonic())
-        holding.recalled_until = 0.0
-        now = self.clock.monotonic()
-        for slot_id, hold in list(holding.holds_by_id.items()):
-            if hold.used and now >= hold.until:
-                del holding.holds_by_id[slot_id]
-            else:
-                holding.holds_by_id[slot_id] = hold._replace(number=0)
-
-    # Messages from a home.
-
-    def take_followed(self, sender: Member, message: Followed) -> None:
-        """Take in the home's answer."""
-        holding = self._current(sender, message.service, message.session)
-        if holding is None:
+        self._may_start(now)
+        self._beat = now
+        for service in dict.fromkeys([*self.services(), *self.lenders_by_service]):
+            self.lender(service).tick()
+            if self.slots.waiting(service):
+                self.want(service)
+                self.slots.serve(service)
+        for key, holding in list(self.holdings.items()):
+            m = self.members.by_id.get(holding.owner)
+            self._tidy(holding, now)
+            if holding.loans_by_id or holding.ask_until > now:
+                self._renew(holding)
+            elif m is None or m.state is MemberState.dead:
+                del self.holdings[key]
+        if now - self._settled_at >= SETTLE_S * 0.9:
+            self._settle(now)
+
+    def folded(self) -> None:
+        """Take in what the log decided on the entry hosts."""
+        if self.ownership.refresh():
+            self._look()
+        self._answer_waiting()
+
+    def restored(self) -> None:
+        """Take in a state that was taken over whole."""
+        self.ownership.refresh(whole=True)
+        self._look()
+        self._answer_waiting()
+
+    def stop_lending(self) -> None:
+        """Lend no more and collect what is lent, before this entry host leaves."""
+        for lender in self.lenders_by_service.values():
+            lender.lends = False
+            lender.pump()
+
+    def stop_owning(self) -> None:
+        """Start nothing on own slots any more; the record that gives them up is on its way."""
+        self.ownership.is_leaving = True
+
+    def is_clear(self) -> bool:
+        """Whether this entry host uses, holds and lends nothing."""
+        lent = any(lender.busy() for lender in self.lenders_by_service.values())
+        return not lent and not any(h.loans_by_id for h in self.holdings.values())
+
+    # Owning.
+
+    def _look(self) -> None:
+        self._settle(self.clock.monotonic())
+        for service in self.services():
+            self.slots.serve(service)
+
+    def _settle(self, now: float) -> None:
+        """Ask the other owners what they still use, while something is pending here."""
+        own = self.ownership
+        if not own.is_joined():
             return
-        first = not holding.echo
-        holding.echo = max(holding.echo, message.clock)
-        holding.number = max(holding.number, message.number)
-        holding.lending = message.lending
-        noted = (holding.promised, holding.accepted)
-        holding.promised = max(holding.promised, message.term)
-        if message.accept and message.term == holding.promised:
-            holding.accepted = message.term
-        if message.leased:
-            until = message.sent / 1000 + self.lease_s
-            started = holding.leased_until < self.clock.monotonic()
-            holding.leased_until = max(holding.leased_until, until)
-            if started:
-                self.slots.serve(holding.service)
-                self.want(holding.service)
-        if first or noted != (holding.promised, holding.accepted):
-            self._follow(holding)
-
-    def take_unfollowed(self, sender: Member, message: Unfollowed) -> None:
-        """Take in that the home counts this member no longer."""
-        holding = self._current(sender, message.service, message.session)
-        if holding is None:
+        if not own.unheard() and not any(self.lender(s).pending() for s in self.services()):
+            return
+        self._settled_at = now
+        for member_id in own.others():
+            self.peers.send(member_id, Settle(own.offset))
+
+    def take_settle(self, sender: Member, message: Settle) -> None:
+        """Tell an owner what is in use here, once this daemon has folded as far as it has."""
+        if self.state.offset <= message.offset:
+            self._waiting.append((sender.id, message))
+            return
+        busy: set[SlotId] = set()
+        for lender in self.lenders_by_service.values():
+            busy |= lender.busy()
+        age_ms = int(self.ownership.age_s() * 1000)
+        self.peers.send(sender.id, Settled(self.state.offset, masks_of(busy), age_ms))
+
+    def take_settled(self, sender: Member, message: Settled) -> None:
+        """Take in what another owner still uses or lends."""
+        if sender.id not in self.ownership.others():
             return
-        holding.promised_until = 0.0
-        holding.home = ""
-        holding.leased_until = min(holding.leased_until, self.clock.monotonic())
-        if self.members.owner(f"slots/{holding.service}") != sender.id:
-            self._follow(holding)
+        self.ownership.take_settled(sender.host, message)
+        for service in self.services():
+            if self.slots.waiting(service):
+                self.slots.serve(service)
+            self.lender(service).pump()
+
+    def _answer_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for member_id, message in waiting:
+            m = self.members.by_id.get(member_id)
+            if m is not None:
+                self.take_settle(m, message)
+
+    def _may_start(self, now: float) -> bool:
+        """Whether this daemon knows that nobody has taken over its share.
+
+        A process that was stopped finds its clocks far on when it wakes. What it knew before says
+        nothing; only word that came since does.
+        """
+        if now - self._beat > self.lease_s:
+            self._awake = self._beat = now
+        return self.may_use(self._awake)
+
+    # Borrowing.
 
     def take_grant(self, sender: Member, message: Grant) -> None:
         """Take in slots that were lent, unless they come too late."""
-        holding = self._holding(message.service)
-        if message.session != holding.session or message.number <= holding.number:
+        holding = self._current(sender, message)
+        if holding is None or message.number <= holding.number:
             return
         holding.number = message.number
         now = self.clock.monotonic()
+        self._lease(holding, message.sent)
         for slot_id in ids_of(message.slots):
-            hold = holding.holds_by_id.get(slot_id, Hold(0, 0, now, 0.0))
-            holding.holds_by_id[slot_id] = hold._replace(number=message.number)
+            loan = holding.loans_by_id.get(slot_id, Loan(0, 0, now, 0.0))
+            holding.loans_by_id[slot_id] = loan._replace(number=message.number)
+            holding.unwanted.discard(slot_id)
             holding.asked = max(holding.asked - 1, 0)
-        self.slots.serve(message.service)
-        self._spare(holding)
+        self.slots.serve(holding.service)
+        if not self.slots.waiting(holding.service):
+            # Several owners may have lent at once what was asked of each.
+            self._return(holding, [i for i in ids_of(message.slots) if i in holding.idle()])
+
+    def take_held(self, sender: Member, message: Held) -> None:
+        """Take in an owner's answer to a renewal."""
+        holding = self._current(sender, message)
+        if holding is None:
+            return
+        if not message.leased:
+            holding.start_session()
+            self.want(holding.service)
+            return
+        self._lease(holding, message.sent)
+        holding.number = max(holding.number, message.number)
+        lost = set(ids_of(message.drop)) & holding.loans_by_id.keys()
+        holding.unwanted |= lost
+        self._return(holding, [i for i in lost if not holding.loans_by_id[i].used])
 
     def take_recall(self, sender: Member, message: Recall) -> None:
         """Return what is idle, because others wait."""
-        holding = self._current(sender, message.service, message.session)
+        holding = self._current(sender, message)
         if holding is None:
             return
         now = self.clock.monotonic()
         holding.recall = (message.urgency, now - message.waited_ms / 1000)
         holding.recalled_until = now + RECALL_S
-        self._spare(holding)
-
-    def _spare(self, holding: Holding) -> None:
-        now = self.clock.monotonic()
-        if now < holding.recalled_until and not self.slots.waiting(holding.service):
+        if not self.slots.waiting(holding.service):
             self._return(holding, holding.idle())
 
-    # Helpers.
+    def _lease(self, holding: Holding, sent: int) -> None:
+        holding.heard = self.clock.monotonic()
+        holding.leased_until = max(holding.leased_until, sent / 1000 + self.lease_s)
 
-    def _ask(self, holding: Holding) -> None:
-        holding.asking = False
-        demand = self.slots.demand(holding.service)
-        if demand.waiting == holding.asked or not holding.echo:
-            return
-        holding.asked = demand.waiting
-        holding.ask_sequence += 1
-        excluded = [*demand.exclude, *holding.excluded_until]
-        ask = Ask(
-            holding.service,
-            holding.session,
-            holding.ask_sequence,
-            holding.number,
-            demand.waiting,
-            demand.urgency,
-            int(demand.waited_s * 1000),
-            excluded,
+    def _renew(self, holding: Holding) -> None:
+        hold = Hold(
+            holding.service, holding.session, self._now_ms(), holding.number, holding.masks()
         )
-        self._send(holding.home, ask)
+        self.peers.send(holding.owner, hold)
+
+    def _tidy(self, holding: Holding, now: float) -> None:
+        for slot_id, loan in list(holding.loans_by_id.items()):
+            if now >= loan.until if loan.used else now >= holding.leased_until:
+                del holding.loans_by_id[slot_id]
+        if not self.slots.waiting(holding.service):
+            old = now - self.settings.requests.cache_s
+            loans = holding.loans_by_id.items()
+            self._return(holding, [i for i, loan in loans if not loan.used and loan.since < old])
+
+    def _ask(self, service: str) -> None:
+        self._asking.discard(service)
+        demand = self.slots.demand(service)
+        now = self.clock.monotonic()
+        if demand.waiting:
+            for owner in self._owners(service):
+                self._holding(service, owner)
+        self.lender(service).pump()
+        for holding in self._holdings(service):
+            again = demand.waiting and now > holding.ask_until - self.lease_s + ASK_AGAIN_S
+            if demand.waiting == holding.asked and not again:
+                continue
+            holding.asked = demand.waiting
+            holding.ask_sequence += 1
+            holding.ask_until = now + self.lease_s
+            ask = Ask(
+                service,
+                holding.session,
+                self._now_ms(),
+                holding.ask_sequence,
+                holding.number,
+                demand.waiting,
+                demand.urgency,
+                int(demand.waited_s * 1000),
+                [*demand.exclude],
+            )
+            self.peers.send(holding.owner, ask)
+
+    def _owners(self, service: str) -> list[str]:
+        """The ids of the other owners of a service's slots that are in reach."""
+        own, by_id = self.ownership, self.members.by_id
+        views = self.slots.executors.candidates(service)
+        hosts = {own.owner(SlotId(v.executor, i)) for v in views for i in range(v.slots)}
+        ids = [f"{host}@{own.joined[host]:x}" for host in sorted(hosts - {own.host, ""})]
+        return [i for i in ids if i in by_id and by_id[i].state is MemberState.live]
 
     def _recalled(self, holding: Holding, now: float) -> bool:
         """Whether a slot that was just freed is due to another member."""
-        if now >= holding.recalled_until or not holding.lending:
+        if now >= holding.recalled_until:
             return False
         demand = self.slots.demand(holding.service)
         if not demand.waiting:
@@ -334,109 +403,104 @@
         # A slot on its way to another entry host stands idle, so a small lead isn't worth a trip.
         return demand.waited_s + FAIR_WAIT_S < now - since
 
-    def _use(self, holding: Holding, slot_id: SlotId, view: ExecutorView, until: float) -> Slot:
-        self._uses += 1
-        now = self.clock.monotonic()
-        hold = holding.holds_by_id[slot_id]
-        holding.holds_by_id[slot_id] = hold._replace(used=self._uses, since=now, until=until)
-        return Slot(holding.service, slot_id, view, now, until, self._uses)
-
-    def _refuse(self, holding: Holding, slot_id: SlotId) -> None:
-        """Return a slot of an executor that isn't to be chosen here."""
-        holding.excluded_until[slot_id.executor] = self.clock.monotonic() + EXCLUDED_S
-        self._return(holding, [slot_id])
-
     def _return(self, holding: Holding, slot_ids: list[SlotId]) -> None:
         numbered: dict[int, list[SlotId]] = {}
         for slot_id in slot_ids:
-            hold = holding.holds_by_id.pop(slot_id)
-            numbered.setdefault(hold.number, []).append(slot_id)
+            loan = holding.loans_by_id.pop(slot_id)
+            holding.unwanted.discard(slot_id)
+            numbered.setdefault(loan.number, []).append(slot_id)
         if numbered:
             masks = {number: masks_of(ids) for number, ids in numbered.items()}
-            self._send(holding.home, Return(holding.service, holding.session, masks))
+            self.peers.send(holding.owner, Return(holding.service, holding.session, masks))
 
-    def _current(self, sender: Member, service: str, session: int) -> Holding | None:
-        holding = self._holding(service)
-        same = holding.session == session and holding.home == sender.id
-        return holding if same else None
+    # Helpers.
 
-    def _holding(self, service: str) -> Holding:
-        holding = self.holdings_by_service.get(service)
-        if holding is None:
-            holding = self.holdings_by_service[service] = Holding(service=service)
-        return holding
-
-    def home(self, service: str) -> Home:
-        """This member's part as home of a service, or as deputy of its home."""
-        home = self.homes_by_service.get(service)
-        if home is None:
-            home = self.homes_by_service[service] = Home(
+    def lender(self, service: str) -> Lender:
+        """The owner's side of a service."""
+        lender = self.lenders_by_service.get(service)
+        if lender is None:
+            lender = self.lenders_by_service[service] = Lender(
                 service=service,
-                members=self.members,
+                ownership=self.ownership,
                 clock=self.clock,
                 lease_s=self.lease_s,
-                hold_s=self._hold_s(service),
+                stale_s=self.stale_s,
+                hold_s=lambda: self.max_hold_s(service),
                 candidates=lambda: self.slots.executors.candidates(service),
+                demand=lambda: self.slots.demand(service),
+                may_use=lambda: self._may_start(self.clock.monotonic()),
                 send=self._send,
             )
-        return home
+        return lender
 
-    def _hold_s(self, service: str) -> float:
-        return self.max_hold_s(service)
+    def _use(
+        self,
+        service: str,
+        slot_id: SlotId,
+        view: ExecutorView,
+        until: float,
+        holding: Holding | None,
+    ) -> Slot:
+        self._uses += 1
+        now = self.clock.monotonic()
+        self._sources_by_use[self._uses] = holding
+        if holding is not None:
+            loan = holding.loans_by_id[slot_id]
+            holding.loans_by_id[slot_id] = loan._replace(used=self._uses, since=now, until=until)
+        return Slot(service, slot_id, view, now, until, self._uses)
+
+    def _holding(self, service: str, owner: str) -> Holding:
+        key = (service, owner)
+        if key not in self.holdings:
+            self.holdings[key] = Holding(service=service, owner=owner)
+        return self.holdings[key]
+
+    def _holdings(self, service: str) -> list[Holding]:
+        return [holding for (of, _), holding in self.holdings.items() if of == service]
+
+    def _current(self, sender: Member, message: Any) -> Holding | None:
+        holding = self.holdings.get((message.service, sender.id))
+        same = holding is not None and holding.session == message.session
+        return holding if same else None
 
     def _now_ms(self) -> int:
         return int(self.clock.monotonic() * 1000)
 
     def _send(self, member_id: str, message: AnyMessage) -> None:
-        if member_id != self.members.me.id:
-            self.peers.send(member_id, message)
-            return
-        handler = self._handlers_by_type[type(message)]
-        asyncio.get_running_loop().call_soon(self._deliver, handler, self.members.me, message)
+        self.peers.send(member_id, message)
 
-    def _deliver(self, handler: Callable[[Member, Any], Any], me: Member, message: Any) -> None:
-        if me.id == self.members.me.id:
-            handler(me, message)
+    def _handle(self) -> None:
+        def to(method: Callable[[Lender, Member, Any], None]) -> Callable[[Member, Any], None]:
+            return lambda sender, message: method(self.lender(message.service), sender, message)
 
-    def _handlers(self) -> dict[type, Callable[[Member, Any], Any]]:
-        def to(method: Callable[[Home, Member, Any], None]) -> Callable[[Member, Any], None]:
-            return lambda sender, message: method(self.home(message.service), sender, message)
-
-        return {
-            Followed: self.take_followed,
-            Unfollowed: self.take_unfollowed,
+        handlers: dict[type, Callable[[Member, Any], Any]] = {
+            Settle: self.take_settle,
+            Settled: self.take_settled,
             Grant: self.take_grant,
+            Held: self.take_held,
             Recall: self.take_recall,
-            Follow: to(Home.take_follow),
-            Unfollow: to(Home.take_unfollow),
-            Ask: to(Home.take_ask),
-            Return: to(Home.take_return),
-            Mirror: to(Home.take_mirror),
-            Lend: to(Home.take_lend),
-            MirrorLost: to(Home.take_mirror_lost),
-            MirrorAsk: to(Home.take_mirror_ask),
+            Hold: to(Lender.take_hold),
+            Ask: to(Lender.take_ask),
+            Return: to(Lender.take_return),
         }
+        for type_, handler in handlers.items():
+            self.peers.handle(type_, handler)
 
     def _changed(self, member: Member, old: Member | None) -> None:
-        if old is not None and old.state is member.state:
-            return
         if member.host == self.members.me.host and member.state is MemberState.dead:
             self._void()
-        for holding in self.holdings_by_service.values():
-            if holding.home != self.members.owner(f"slots/{holding.service}"):
-                self._follow(holding)
 
     def _gap(self, lost_s: float) -> None:
         """Drop what lapsed while this process was paused, before anything else is done."""
-        for holding in self.holdings_by_service.values():
-            self._tidy(holding)
+        now = self.clock.monotonic()
+        self._may_start(now)
+        for holding in self.holdings.values():
+            self._tidy(holding, now)
 
     def _void(self) -> None:
-        """Start anew under a new incarnation."""
-        self._started = self.clock.monotonic()
-        terms = {s: (h.promised, h.accepted) for s, h in self.holdings_by_service.items()}
-        self.holdings_by_service.clear()
-        self.homes_by_service.clear()
-        for service, (promised, accepted) in terms.items():
-            holding = self._holding(service)
-            holding.promised, holding.accepted = promised, accepted
+        """Start anew under a new incarnation, which owns nothing yet and has borrowed nothing."""
+        self._started = self._usable_at = self.clock.monotonic()
+        self.ownership.restart()
+        self.holdings.clear()
+        for lender in self.lenders_by_service.values():
+            lender.restart()
--- a/mustardgap/daemons.py
+++ b/mustardgap/daemons.py
@@ -70,6 +70,7 @@
             "callers": parts.callers.run,
         }
         if isinstance(parts.slots.way, Broker):
+            children["enrolment"] = parts.enrolment.run
             children["broker"] = parts.slots.way.run
         return children
 
@@ -125,6 +126,8 @@
         parts.timeline.add("daemon.stopping")
         await parts.presence.leave()
         await parts.callers.drain()
+        way, stop_s = parts.slots.way, self.settings.stop_timeout_s
+        await parts.enrolment.leave(way, timeout_s=stop_s / 4)
         await parts.keys.flush(timeout_s=self.settings.stop_timeout_s / 4)
         await parts.actors.settle()
         await parts.presence.withdraw()
--- /dev/null
+++ b/mustardgap/entries.py
@@ -0,0 +1,77 @@
+"""The membership of entry hosts on the log: which record this daemon should write now."""
+
+from .duties import Duties
+from .members import Members, MemberState
+from .models import EntryBody, EntryState
+from .states import State
+
+
+class Entries:
+    """Joins this daemon, and finds which others are gone.
+
+    :param state: the folded state.
+    :param members: the entry hosts as this daemon sees them.
+    :param duties: whose turn it is.
+    """
+
+    def __init__(self, *, state: State, members: Members, duties: Duties) -> None:
+        self.state = state
+        self.members = members
+        self.duties = duties
+        self.may_join = True
+
+    def due(self) -> list[EntryBody]:
+        """The records that are this daemon's to write now."""
+        me = self.members.me
+        own = self.state.entries_by_host.get(me.host)
+        if not self.is_joined():
+            if not self.may_join or me.state is not MemberState.live:
+                return []
+            return [_step(own, me.host, me.incarnation, "join")]
+        return [self._gone(entry) for entry in self._lost() if self._is_due(entry)]
+
+    def leave(self) -> EntryBody | None:
+        """The record by which this daemon leaves, None when it isn't joined."""
+        self.may_join = False
+        me = self.members.me
+        own = self.state.entries_by_host.get(me.host)
+        return _step(own, me.host, me.incarnation, "leave") if self.is_joined() else None
+
+    def is_joined(self) -> bool:
+        """Whether this run is joined."""
+        me = self.members.me
+        own = self.state.entries_by_host.get(me.host)
+        return own is not None and (own["state"], own["incarnation"]) == ("joined", me.incarnation)
+
+    def _lost(self) -> list[EntryState]:
+        """The joined that are dead as seen from here, and that the platform lists no longer.
+
+        A host that is cut off with a few others sees all the rest dead; it writes nothing, because
+        it sees no majority live. That is a guard only: a wrong record costs a share, not the sum.
+        """
+        members = self.members
+        joined = [e for e in self.state.entries_by_host.values() if e["state"] == "joined"]
+        live = {(m.host, m.incarnation) for m in members.live()}
+        seen = sum((e["host"], e["incarnation"]) in live for e in joined)
+        if 2 * seen <= len(joined) or not members.listed_hosts:
+            return []
+        return [e for e in joined if e["host"] not in members.listed_hosts and self._is_dead(e)]
+
+    def _is_dead(self, entry: EntryState) -> bool:
+        m = self.members.by_id.get(f"{entry['host']}@{entry['incarnation']:x}")
+        return m is None or m.state is MemberState.dead
+
+    def _is_due(self, entry: EntryState) -> bool:
+        key = f"entry/{entry['host']}"
+        if not self.duties.is_due(key, entry["epoch"]):
+            return False
+        self.duties.take(key)
+        return True
+
+    def _gone(self, entry: EntryState) -> EntryBody:
+        return _step(entry, entry["host"], entry["incarnation"], "gone")
+
+
+def _step(entry: EntryState | None, host: str, incarnation: int, step: str) -> EntryBody:
+    base = entry["epoch"] if entry is not None else 0
+    return EntryBody(host=host, base=base, incarnation=incarnation, step=step)  # type: ignore[typeddict-item]
--- a/mustardgap/fold_events.py
+++ b/mustardgap/fold_events.py
@@ -41,7 +41,7 @@
                 yield f"config.{step}", _key_ids(change["key"])
         elif kind == "host":
             yield f"host.{body['phase']}", {**_ids(body), **self._service(body["pool"])}
-        elif kind in ("job", "wave"):
+        elif kind in ("job", "wave", "entry"):
             yield f"{kind}.{body['step']}", _ids(body)
 
     def _service(self, pool: str) -> dict[str, str]:
--- a/mustardgap/folds.py
+++ b/mustardgap/folds.py
@@ -11,6 +11,7 @@
 from . import (
     checkpoint_rules,
     config_rules,
+    entry_rules,
     host_rules,
     job_rules,
     records,
@@ -18,7 +19,16 @@
     wave_rules,
 )
 from .exceptions import RecordRejected
-from .models import CheckpointBody, ConfigBody, HostBody, JobBody, LogRecord, Record, WaveBody
+from .models import (
+    CheckpointBody,
+    ConfigBody,
+    EntryBody,
+    HostBody,
+    JobBody,
+    LogRecord,
+    Record,
+    WaveBody,
+)
 from .outcomes import Accepted, Rejected, Verdict
 from .states import Decided, State
 
@@ -41,6 +51,7 @@
     "host": Rule(HostBody, host_rules.check, host_rules.put),
     "job": Rule(JobBody, job_rules.check, job_rules.put),
     "checkpoint": Rule(CheckpointBody, checkpoint_rules.check, checkpoint_rules.put),
+    "entry": Rule(EntryBody, entry_rules.check, entry_rules.put),
     "wave": Rule(WaveBody, wave_rules.check, wave_rules.put),
 }
 
--- a/mustardgap/holdings.py
+++ b/mustardgap/holdings.py
@@ -1,4 +1,4 @@
-"""Lending, the entry host's side: what it holds of one service, and how it stands with the home."""
+"""Lending, the borrower's side: what it holds of one service of one owner."""
 
 from typing import NamedTuple
 
@@ -7,8 +7,8 @@
 from .slots import SlotId
 
 
-class Hold(NamedTuple):
-    """A slot this member holds; ``used`` is the use's number, 0 while idle since ``since``."""
+class Loan(NamedTuple):
+    """A slot that was lent here; ``used`` is the use's number, 0 while idle since ``since``."""
 
     number: int
     used: int
@@ -17,36 +17,41 @@
 
 
 class Holding:
-    """What this member holds of one service, and its relation to the service's home.
+    """What this member holds of one service of one owner.
 
     :param service: the service.
+    :param owner: the owner's id.
     """
 
-    def __init__(self, *, service: str) -> None:
+    def __init__(self, *, service: str, owner: str) -> None:
         self.service = service
-        self.home = ""
-        self.session = 0
-        self.promised = 0
-        self.accepted = 0
-        self.echo = 0
+        self.owner = owner
+        self.session = 1
         self.number = 0
         self.leased_until = 0.0
-        self.promised_until = 0.0
-        self.lending = False
-        self.holds_by_id: dict[SlotId, Hold] = {}
+        self.heard = 0.0
+        self.loans_by_id: dict[SlotId, Loan] = {}
+        self.unwanted: set[SlotId] = set()
         self.ask_sequence = 0
         self.asked = 0
-        self.asking = False
-        self.turning = False
+        self.ask_until = 0.0
         self.recall: tuple[int, float] = (99, 0.0)
         self.recalled_until = 0.0
-        self.excluded_until: dict[str, float] = {}
 
     def idle(self) -> list[SlotId]:
         """The slots not in use, the latest idle first."""
-        idle = [(hold.since, i) for i, hold in self.holds_by_id.items() if not hold.used]
+        idle = [(loan.since, i) for i, loan in self.loans_by_id.items() if not loan.used]
         return [slot_id for _, slot_id in sorted(idle, reverse=True)]
 
     def masks(self) -> Masks:
         """The slots held, by executor."""
-        return masks_of(self.holds_by_id)
+        return masks_of(self.loans_by_id)
+
+    def start_session(self) -> None:
+        """Begin anew with the owner, which has taken back all that was lent."""
+        self.session += 1
+        self.number = self.asked = 0
+        self.leased_until = 0.0
+        self.recalled_until = 0.0
+        self.loans_by_id.clear()
+        self.unwanted.clear()
--- a/mustardgap/members.py
+++ b/mustardgap/members.py
@@ -163,12 +163,16 @@
     def renew(self, after: int = 0) -> None:
         """Go on under a new incarnation; what was held under the old one is void."""
         old = self.me
-        incarnation = new_incarnation(max(after, old.incarnation))
+        incarnation = self.next_incarnation(max(after, old.incarnation))
         self.by_id.pop(old.id, None)
         self.me = old._replace(incarnation=incarnation, version=0, state=MemberState.live)
         self._put(self.me)
         self._changed(old._replace(state=MemberState.dead), old)
 
+    def next_incarnation(self, after: int) -> int:
+        """A number above that of any run of this host."""
+        return new_incarnation(after)
+
     def heard(self, member_id: str) -> None:
         """Note that a member was heard of directly; that ends a suspicion of this daemon's."""
         m = self.by_id.get(member_id)
--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -104,56 +104,51 @@
 """Slots by executor: bit ``i`` stands for slot ``i``."""
 
 
-class Follow(Message, tag=10, frozen=True, array_like=True):
-    """A member's vote for a service's home and renewal of its lease, with the slots it holds.
+class Settle(Message, tag=10, frozen=True, array_like=True):
+    """Who owns slots anew since a record at ``offset`` asks which of them are still in use."""
 
-    ``session`` counts the member's changes of home. ``sent`` is its clock in milliseconds, which
-    comes back in the answer; ``echo`` is the home's clock from its last answer, 0 at first.
-    ``promised`` is the highest term it has heard of and ``accepted`` the highest it has accepted.
-    ``number`` is the highest grant it has dealt with; earlier ones that come later are ignored.
+    offset: int
+
+
+class Settled(Message, tag=11, frozen=True, array_like=True):
+    """The slots that the sender uses or has lent, at a moment when it had folded to ``offset``.
+
+    ``age_ms`` is how long ago it folded the last record that ended a run without a leave.
     """
 
-    service: str
-    session: int
-    sent: int
-    echo: int
-    promised: int
-    accepted: int
-    number: int
-    held: Masks
+    offset: int
+    busy: Masks
+    age_ms: int
 
 
-class Followed(Message, tag=11, frozen=True, array_like=True):
-    """The home's answer to ``Follow``.
+class Hold(Message, tag=12, frozen=True, array_like=True):
+    """A borrower's renewal of its lease, with all the slots it has of the owner.
 
-    ``accept`` asks to accept the term, and not only to promise to accept no lower one. ``leased``
-    tells whether the lease was renewed, ``lending`` whether slots given back now would be lent
-    again, ``number`` which grants must have arrived by now or are lost.
+    ``session`` counts the borrower's new starts. ``sent`` is its clock in milliseconds, which comes
+    back in the answer. ``number`` is the highest grant it has dealt with; earlier ones that come
+    later are ignored.
     """
 
     service: str
     session: int
     sent: int
-    clock: int
-    term: int
-    accept: bool
-    leased: bool
-    lending: bool
     number: int
+    held: Masks
 
 
-class Unfollow(Message, tag=12, frozen=True, array_like=True):
-    """A member's request to be let go, because another member is the service's home by now."""
-
-    service: str
-    session: int
-
+class Held(Message, tag=13, frozen=True, array_like=True):
+    """The owner's answer to ``Hold``.
 
-class Unfollowed(Message, tag=13, frozen=True, array_like=True):
-    """The home doesn't count the member's vote of this session any more, and lends it nothing."""
+    Without ``leased`` the session is over. ``number`` tells which grants must have arrived by now
+    or are lost, ``drop`` which slots the sender owns no longer.
+    """
 
     service: str
     session: int
+    sent: int
+    leased: bool
+    number: int
+    drop: Masks
 
 
 class Ask(Message, tag=14, frozen=True, array_like=True):
@@ -161,6 +156,7 @@
 
     service: str
     session: int
+    sent: int
     sequence: int
     number: int
     count: int
@@ -170,10 +166,11 @@
 
 
 class Grant(Message, tag=15, frozen=True, array_like=True):
-    """Slots lent to a member."""
+    """Slots lent to a member; ``sent`` is from its latest message, which this one answers."""
 
     service: str
     session: int
+    sent: int
     number: int
     slots: Masks
 
@@ -195,42 +192,6 @@
     waited_ms: int
 
 
-class Mirror(Message, tag=18, frozen=True, array_like=True):
-    """A home's whole ledger of a term for its deputy: the slots each member may hold."""
-
-    service: str
-    term: int
-    home: str
-    sequence: int
-    held_by_member: dict[str, Masks]
-
-
-class Lend(Message, tag=19, frozen=True, array_like=True):
-    """A grant on its way over the deputy, which notes it before it passes it on."""
-
-    service: str
-    term: int
-    sequence: int
-    member: str
-    grant: Grant
-
-
-class MirrorLost(Message, tag=20, frozen=True, array_like=True):
-    """The deputy lacks what came before ``sequence``; it needs the whole ledger again."""
-
-    service: str
-    term: int
-    sequence: int
-
-
-class MirrorAsk(Message, tag=21, frozen=True, array_like=True):
-    """A new home in term ``below`` asks for a ledger of a term or of a later one below its own."""
-
-    service: str
-    term: int
-    below: int
-
-
 AnyMessage = (
     Hello
     | Gossip
@@ -239,18 +200,14 @@
     | SnapshotAsk
     | Snapshot
     | Failed
-    | Follow
-    | Followed
-    | Unfollow
-    | Unfollowed
+    | Settle
+    | Settled
+    | Hold
+    | Held
     | Ask
     | Grant
     | Return
     | Recall
-    | Mirror
-    | Lend
-    | MirrorLost
-    | MirrorAsk
 )
 
 
--- a/mustardgap/parts.py
+++ b/mustardgap/parts.py
@@ -8,6 +8,7 @@
 from .brokers import Broker
 from .callers import Callers
 from .departures import Departures
+from .enrolments import Enrolment
 from .executors import Executors
 from .fold_events import FoldEvents
 from .gossip import Gossiper
@@ -16,7 +17,7 @@
 from .operators import Explainer, Operators
 from .peers import Peers
 from .presence import Presence
-from .readiness import Readiness
+from .readiness import Readiness, knows
 from .relays import Relays
 from .sessions import Sessions
 from .settings import Settings
@@ -39,6 +40,7 @@
     def __init__(self, *, settings: Settings, clock: Clock | None = None) -> None:
         self.settings = settings
         self.timers = Timers(clock=clock)
+        self._holds_by_service: dict[str, float] = {}
         self.state = State()
         self.timeline = Timeline(
             member=settings.host, size=settings.timeline_size, clock=self.timers.clock
@@ -143,6 +145,10 @@
             max_wait_s=self._max_wait_s,
         )
         self.slots.way = self._sharing()
+        self.enrolment = Enrolment(
+            log=self.log, members=self.members, settings=self.settings, timers=self.timers
+        )
+        self.enrolment.follow(self.slots.way)
         self.keys = Keys(
             settings=self.settings,
             platform=self.platform,
@@ -178,8 +184,21 @@
             peers=self.peers,
             settings=self.settings,
             timers=self.timers,
+            state=self.state,
             services=lambda: self.state.declared("service"),
             max_hold_s=self._max_hold_s,
+            may_use=self._may_use,
+        )
+
+    def _may_use(self, since: float) -> bool:
+        """Whether this daemon has known since a moment which state is in force."""
+        now = self.timers.clock.monotonic()
+        return self.log.current and knows(
+            known_at=now - self.log.fresh_s(),
+            now=now,
+            since=since,
+            stale_after_s=self.settings.platform.stale_after_s,
+            members=self.members,
         )
 
     def _max_wait_s(self, service: str) -> float:
@@ -189,7 +208,14 @@
         return profile["limits"]["max_wait_s"]
 
     def _max_hold_s(self, service: str) -> float:
-        return self.settings.callers.max_timeout_s
+        """The longest that a request holds a slot; a limit that was cut counts on in this run."""
+        profile = self.state.profile_of(service)
+        most = self.settings.callers.max_timeout_s
+        limit = most
+        if profile is not None and "limits" in profile:
+            limit = min(profile["limits"]["timeout_s"], most)
+        self._holds_by_service[service] = max(limit, self._holds_by_service.get(service, 0.0))
+        return self._holds_by_service[service]
 
     def _services(self) -> dict[str, Any]:
         return {
--- a/mustardgap/readiness.py
+++ b/mustardgap/readiness.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 
+from .members import Members
 from .timelines import Timeline
 
 
@@ -60,6 +61,35 @@
             callback(self.ready)
 
 
+def knows(
+    *, known_at: float, now: float, since: float, stale_after_s: float, members: Members
+) -> bool:
+    """Whether this entry host has known since a moment which state is in force.
+
+    It may then use its share of the slots: nobody can have taken it over unbeknown. The rule is
+    that of ``current``, but nothing counts that was known or heard before the moment, because a
+    process that was stopped wakes with what was true when it fell asleep.
+
+    :param known_at: when it, or a peer in reach, last had read up to the log's end.
+    :param now: the monotonic time.
+    :param since: the monotonic time at which it last woke from a pause.
+    :param stale_after_s: the bound on the age of that.
+    :param members: the members, and when each was last heard.
+    """
+    if known_at >= since:
+        age_s = now - known_at
+    else:
+        age_s = math.inf if known_at == -math.inf else stale_after_s + now - known_at
+    known = members.electorate()
+    # In a large fleet most are heard of by gossip only; silent ones are suspected by then.
+    long_awake = now - since >= members.settings.peers.suspect_s
+    heard = {m.host for m in members.live() if long_awake or m.seen >= since}
+    heard.add(members.me.host)
+    return current(
+        age_s=age_s, stale_after_s=stale_after_s, reachable=len(known & heard), known=len(known)
+    )
+
+
 def current(*, age_s: float, stale_after_s: float, reachable: int, known: int) -> bool:
     """Whether this entry host can know which configuration is in force.
 
--- a/mustardgap/sessions.py
+++ b/mustardgap/sessions.py
@@ -154,6 +154,8 @@
             return NotRun(code=status_codes.TOO_LARGE, detail=detail)
         callers = self.parts.settings.callers
         timeout_s = limits["timeout_s"] if limits else callers.default_timeout_s
+        # Slots of an entry host that is gone come back after the longest that a request may run.
+        most_s = limits["timeout_s"] if limits else callers.max_timeout_s
         asked = self.request.headers.get("X-Request-Timeout")
         if asked is not None:
             try:
@@ -163,7 +165,7 @@
             if not 0 < timeout_s < float("inf"):
                 detail = "X-Request-Timeout is not a number of seconds above 0"
                 return NotRun(code=status_codes.BAD_REQUEST, detail=detail)
-        self._deadline = self.started + min(timeout_s, callers.max_timeout_s)
+        self._deadline = self.started + min(timeout_s, most_s, callers.max_timeout_s)
         return None
 
     async def _run_once(self, route: Route) -> Outcome:
--- a/mustardgap/snapshots.py
+++ b/mustardgap/snapshots.py
@@ -7,7 +7,7 @@
 
 from . import status_codes
 from .exceptions import RecordRejected
-from .models import RULES_VERSION, Declaration, HostState, JobState, WaveState
+from .models import RULES_VERSION, Declaration, EntryState, HostState, JobState, WaveState
 from .states import Decided, State
 
 FORMAT = 1
@@ -31,6 +31,7 @@
     waves: list[WaveState]
     decided: list[tuple[str, int, int]]
     ended_jobs: list[str]
+    entries: list[EntryState] = []
 
 
 class Header(msgspec.Struct, kw_only=True):
@@ -69,6 +70,7 @@
         waves=list(state.waves_by_name.values()),
         decided=[(key, *decided) for key, decided in state.decided_by_id.items()],
         ended_jobs=list(state.ended_jobs),
+        entries=list(state.entries_by_host.values()),
     )
     return msgspec.msgpack.encode(snapshot)
 
@@ -112,6 +114,8 @@
     state.ended_jobs.extend(snapshot.ended_jobs)
     for wave in snapshot.waves:
         state.put_wave(wave)
+    for entry in snapshot.entries:
+        state.entries_by_host[entry["host"]] = entry
     for record_id, offset, code in snapshot.decided:
         state.decided_by_id[record_id] = Decided(offset, code)
     return state
--- a/mustardgap/states.py
+++ b/mustardgap/states.py
@@ -7,13 +7,14 @@
 import msgspec
 import xxhash
 
-from .models import Declaration, HostFacts, HostState, JobState, Profile, WaveState
+from .models import Declaration, EntryState, HostFacts, HostState, JobState, Profile, WaveState
 
 REMEMBERED_IDS = 4096
 ENDED_JOBS = 2000
 ENDED_S = 3600.0
 FINISHED_WAVES = 50
 FORGET_FAILED_S = 7 * 86_400.0
+FORGET_ENTRY_S = 86_400.0
 SWEEP_S = 3600.0
 
 HEALTHY = frozenset({"in_service", "draining", "drained", "rebooting"})
@@ -53,6 +54,7 @@
         self.hosts_by_name: dict[str, HostState] = {}
         self.jobs_by_id: dict[str, JobState] = {}
         self.waves_by_name: dict[str, WaveState] = {}
+        self.entries_by_host: dict[str, EntryState] = {}
         self.decided_by_id: dict[str, Decided] = {}
         self.floor = 0
         self.sweep = 0
@@ -183,6 +185,11 @@
         ]
         for name in long_failed:
             self.drop_host(name)
+        self.entries_by_host = {
+            name: entry
+            for name, entry in self.entries_by_host.items()
+            if entry["state"] == "joined" or entry["time"] + FORGET_ENTRY_S >= self.time
+        }
 
     def digest(self) -> str:
         """A short hash that is equal for equal states."""
@@ -198,6 +205,7 @@
             self.hosts_by_name,
             self.jobs_by_id,
             self.waves_by_name,
+            self.entries_by_host,
             list(self.decided_by_id.items()),
             list(self.ended_jobs),
         )
--- a/tools/fake_fleet.py
+++ b/tools/fake_fleet.py
@@ -17,6 +17,8 @@
 from mustardgap.slots import Slots
 from mustardgap.timers import Clock, Timers
 
+from .fake_logs import FakeLog, FakeReader
+
 
 class FakeExecutors:
     """Executors that count what runs on them.
@@ -70,13 +72,17 @@
         self.in_order = True
         self._last_arrival: dict[tuple[str, str], float] = {}
 
+    def is_cut(self, one: str, other: str) -> bool:
+        """Whether the path between two hosts is cut."""
+        return frozenset((one.split("@")[0], other.split("@")[0])) in self.cut_pairs
+
     def post(self, sender: str, receiver: str, message: AnyMessage) -> None:
         """Carry a message."""
         name = type(message).__name__
         self.sent[name] += 1
         if self.measure:
             self.sent_bytes[name] += len(encode(Frame((0, 0), [Item(0, message)])))
-        if frozenset((sender, receiver)) in self.cut_pairs:
+        if self.is_cut(sender, receiver):
             return
         if self.random.random() < self.lost_ratio:
             return
@@ -93,6 +99,14 @@
             entry.peers.arrive(sender, message)
 
 
+class FakeMembers(Members):
+    """Members whose new incarnations are the same in each run of a test."""
+
+    def next_incarnation(self, after: int) -> int:
+        """The next number."""
+        return after + 1000
+
+
 class FakePeers:
     """One entry host's end of the fake network."""
 
@@ -120,6 +134,7 @@
             return
         m = self.members.by_id.get(sender)
         if m is not None and m.state is not MemberState.dead:
+            self.members.heard(sender)
             self._handlers[type(message)](m, message)
 
 
@@ -156,9 +171,10 @@
         self.timers = Timers(clock=clock)
         self.settings = fleet.settings(host)
         me = Member(host, incarnation, "127.0.0.1:1", "127.0.0.1:2", "d")
-        self.members = Members(me=me, settings=self.settings, timers=self.timers)
+        self.members = FakeMembers(me=me, settings=self.settings, timers=self.timers)
         self.members.listed_hosts = frozenset({host})
         self.peers = FakePeers(network=fleet.network, members=self.members)
+        self.reader = FakeReader(log=fleet.log, members=self.members, clock=clock)
         self.gossip = FakeGossip(fleet=fleet, members=self.members)
         self.slots = Slots(
             settings=self.settings,
@@ -174,6 +190,9 @@
         """Start the tasks."""
         runs = [self.slots.run, self.way.run] if hasattr(self.way, "run") else [self.slots.run]
         self.tasks = [asyncio.create_task(run()) for run in runs]
+        if isinstance(self.way, Broker):
+            runs = [self.reader.read_on, self.reader.act_on]
+            self.tasks += [asyncio.create_task(run()) for run in runs]
         if isinstance(self.way, LeastInFlight):
             self.tasks.append(asyncio.create_task(self._publish(self.way)))
 
@@ -182,15 +201,28 @@
             return FixedShares(slots=self.slots, members=self.members)
         if way == "least":
             return LeastInFlight(slots=self.slots, gossiper=self.gossip)  # type: ignore[arg-type]
-        return Broker(
+        broker = Broker(
             slots=self.slots,
             members=self.members,
             peers=self.peers,
             settings=self.settings,
             timers=self.timers,
+            state=self.reader.state,
             services=lambda: self.fleet.executors.views_by_service,
             max_hold_s=lambda service: self.fleet.hold_s,
+            may_use=self.reader.may_use,
         )
+        self.reader.way = broker
+        self.reader.peers = self._readers_in_reach
+        return broker
+
+    def _readers_in_reach(self) -> list[FakeReader]:
+        me, network = self.members.me.id, self.fleet.network
+        return [
+            e.reader
+            for e in self.fleet.entries
+            if e.alive and e.peers.held_back is None and not network.is_cut(me, e.members.me.id)
+        ]
 
     async def _publish(self, least: LeastInFlight) -> None:
         while True:
@@ -246,12 +278,17 @@
         self.max_wait_s = max_wait_s
         self.gossip_s = gossip_s
         self.entries: list[Entry] = []
+        self.log = FakeLog()
         self.clocks_by_host: dict[str, Clock] = defaultdict(lambda: clock)
-        self._incarnations = 0
 
     def settings(self, host: str) -> Settings:
         """The settings of one entry host."""
-        raw = {"host": host, "data_center": "d", "platform": {"address": "127.0.0.1:1"}}
+        raw: dict[str, Any] = {
+            "host": host,
+            "data_center": "d",
+            "platform": {"address": "127.0.0.1:1"},
+        }
+        raw["peers"] = {"suspect_s": 1.5, "dead_s": 3.0}
         return msgspec.convert(raw, Settings)
 
     def add(self, host: str, *, introduced: bool = True) -> Entry:
@@ -259,11 +296,11 @@
 
         :param introduced: it and the others learn of each other at once.
         """
-        self._incarnations += 1
+        known = [e.members.me.incarnation for e in self.entries]
         entry = Entry(
             fleet=self,
             host=host,
-            incarnation=self._incarnations,
+            incarnation=max(known, default=0) + 1,
             way=self.way,
             clock=self.clocks_by_host[host],
         )
--- a/tools/slots_machine.py
+++ b/tools/slots_machine.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from mustardgap.exceptions import SlotRefused
-from mustardgap.members import MemberState
+from mustardgap.members import Member, MemberState
 
 from .fake_fleet import Entry, FakeExecutors, FakeNetwork, Fleet, introduce
 from .virtual_time import VirtualClock, VirtualLoop
@@ -17,7 +17,6 @@
 SERVICE = "s0"
 HOLD_S = 4.0
 DETECT_S = (0.3, 4.0)
-UNLIST_S = (5.0, 9.0)
 HEAL_S = 45.0
 
 
@@ -102,13 +101,16 @@
     @precondition(lambda self: "parted" in self.events)
     @rule(data=st.data())
     def part(self, data: Any) -> None:
-        """Cut the network in two parts."""
+        """Cut the network in two parts, of which one may have lost the log as well."""
         alive = [e for e in self.fleet.entries if e.alive]
         some = data.draw(st.sets(st.sampled_from(alive), min_size=1, max_size=len(alive)))
+        rest = [e for e in alive if e not in some]
+        off = self.random.choice([[], rest, list(some)])
+        self.log.cut_hosts.update(e.members.me.host for e in off)
         for a in alive:
             for b in alive:
                 if (a in some) != (b in some):
-                    self.network.cut_pairs.add(frozenset((a.members.me.id, b.members.me.id)))
+                    self.network.cut_pairs.add(frozenset((a.members.me.host, b.members.me.host)))
                     self._later(DETECT_S, self._suspect_if_cut, a, b)
 
     @precondition(lambda self: "parted" in self.events and self.network.cut_pairs)
@@ -116,10 +118,24 @@
     def heal(self) -> None:
         """Mend the network."""
         self.network.cut_pairs.clear()
+        self.log.cut_hosts.clear()
         for a in self.fleet.entries:
             for b in self.fleet.entries:
                 self._later((0.1, 1.0), self._meet, a, b)
 
+    @precondition(lambda self: "log" in self.events)
+    @rule(seconds=st.sampled_from([1.0, 3.0, 14.0]), hold_s=st.sampled_from([0.05, 4.0]))
+    def lose_log(self, seconds: float, hold_s: float) -> None:
+        """Let the log be out for all while slots are asked for."""
+        self.log.down = True
+        self.press(seconds, hold_s)
+
+    @precondition(lambda self: "log" in self.events)
+    @rule()
+    def find_log(self) -> None:
+        """Let the log come back."""
+        self.log.down = False
+
     @precondition(lambda self: "frozen" in self.events and len(self._awake()) > 1)
     @rule(data=st.data())
     def freeze(self, data: Any) -> None:
@@ -160,6 +176,7 @@
         """Mend everything and see that every slot can be had."""
         self.thaw()
         self.heal()
+        self.log.down = False
         self.network.lost_ratio = 0.0
         self.network.in_order = self.orderly = True
         self._run(asyncio.sleep(HEAL_S))
@@ -174,8 +191,9 @@
             clock=VirtualClock(loop=self.loop),
             hold_s=HOLD_S,
         )
+        self.log = self.fleet.log
         for i in range(self.entries_count):
-            self.fleet.add(f"e{i}")
+            self._follow(self.fleet.add(f"e{i}"))
         await asyncio.sleep(5)
 
     async def _use(self, entry: Entry, hold_s: float) -> None:
@@ -225,14 +243,13 @@
         for other in self.fleet.entries:
             self._later(DETECT_S, other.members.suspect, gone.id)
             self._later((16.0, 20.0), self._dead, other, gone.id)
-            if not same:
-                self._later(UNLIST_S, self._unlist, other, gone.host)
         host = gone.host if same else f"{gone.host}x"
         self.loop.call_later(replaced_s, self._replace, host, gone.id)
 
     def _replace(self, host: str, gone: str) -> None:
         known = [e for e in self.fleet.entries if e.alive]
         entry = self.fleet.add(host, introduced=False)
+        self._follow(entry)
         for other in known:
             self._later((0.05, 3.0), self._meet, other, entry)
             self._later((0.05, 3.0), self._meet, entry, other)
@@ -240,8 +257,8 @@
                 self._later((0.05, 3.0), self._dead, other, gone)
 
     def _meet(self, entry: Entry, other: Entry) -> None:
-        pair = frozenset((entry.members.me.id, other.members.me.id))
-        if entry is other or not (entry.alive and other.alive) or pair in self.network.cut_pairs:
+        cut = self.network.is_cut(entry.members.me.id, other.members.me.id)
+        if entry is other or cut or not (entry.alive and other.alive):
             return
         if entry.members.me.id in self.frozen or other.members.me.id in self.frozen:
             return
@@ -252,12 +269,21 @@
         if m is not None and m.state is not MemberState.live:
             entry.members._put(m._replace(state=MemberState.dead))
 
-    def _unlist(self, entry: Entry, host: str) -> None:
-        entry.members.listed_hosts -= {host}
+    def _follow(self, entry: Entry) -> None:
+        """Have an entry host known under its new incarnation when it starts anew."""
+
+        def changed(m: Member, old: Member | None) -> None:
+            if m.host != entry.members.me.host or m.state is not MemberState.dead:
+                return
+            self.network.entries_by_id.pop(m.id, None)
+            self.network.entries_by_id[entry.members.me.id] = entry
+            for other in self.fleet.entries:
+                self._later((0.05, 3.0), self._meet, other, entry)
+
+        entry.members.on_change(changed)
 
     def _suspect_if_cut(self, entry: Entry, other: Entry) -> None:
-        pair = frozenset((entry.members.me.id, other.members.me.id))
-        if pair in self.network.cut_pairs:
+        if self.network.is_cut(entry.members.me.id, other.members.me.id):
             entry.members.suspect(other.members.me.id)
 
     def _suspect_if_frozen(self, entry: Entry, other: Entry) -> None:
