--- /dev/null
+++ b/mustardgap/boards.py
@@ -0,0 +1,235 @@
+"""What operators and executors publish, followed on the platform's store."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from .events import EventLog
+from .ports import Boards, Entries, Expired, NoAnswer, Refused
+from .timers import Clock
+from .workloads import Configuration, ExecutorEntry, Wave
+
+# The store answers as soon as there is a record; an idle wait costs one call in this time.
+OPERATOR_WAIT_S = 15.0
+# Executors write some 30 records a second; a waiting read would come back for each. Read at this
+# period, a leaving executor is known well within the 2 s it goes on serving.
+EXECUTORS_PERIOD_S = 0.4
+EXECUTORS_WAIT_S = 2.0
+RETRY_S = 0.2
+# A daemon that can't read the store for this long asks its peers for the configuration.
+ASK_PEERS_S = 0.6
+ASK_PERIOD_S = 0.5
+# Entries that expired while the store was away come back within 2 s of its return.
+RETURN_S = 2.3
+
+
+class OperatorRecords(NamedTuple):
+    """Decoded records of the operator; those that didn't decode are named with the reason."""
+
+    configuration: Configuration | None
+    waves: list[Wave]
+    invalid: list[str]
+
+
+class OperatorBoard:
+    """Follows the operator's configuration and waves.
+
+    :param boards: reads the store.
+    :param decode: decodes records by their keys.
+    :param ask_peer: asks some peer for the configuration that it has, with its raw form.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        boards: Boards,
+        decode: Callable[[dict[str, bytes | None]], OperatorRecords],
+        ask_peer: Callable[[], Awaitable[dict[str, bytes | None]]],
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.configuration: Configuration | None = None
+        self.waves_by_number: dict[int, Wave] = {}
+        self.raw_by_key: dict[str, bytes | None] = {}
+        self._boards = boards
+        self._decode = decode
+        self._ask_peer = ask_peer
+        self._clock = clock
+        self._events = events
+        self._offset: int | None = None
+        self._read_at = clock.monotonic()
+        self._failing = False
+        self._subscribers: list[Callable[[], None]] = []
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+        self._subscribers.append(callback)
+
+    async def run(self) -> None:
+        """Follow the records until cancelled."""
+        while True:
+            wait_s = 0.0 if self._failing else OPERATOR_WAIT_S
+            outcome = await self._boards.read_operator(offset=self._offset, wait_s=wait_s)
+            if isinstance(outcome, Entries):
+                self._read(outcome)
+            elif isinstance(outcome, Expired):
+                self._offset = None
+            else:
+                self._failed(outcome)
+                await self._clock.sleep(RETRY_S)
+
+    async def ask(self) -> None:
+        """While the store can't be read, take the configuration from peers; until cancelled."""
+        while True:
+            await self._clock.sleep(ASK_PERIOD_S)
+            away_s = self._clock.monotonic() - self._read_at
+            if (self._failing and away_s > ASK_PEERS_S) or self.configuration is None:
+                self.take(await self._ask_peer(), source="peer")
+
+    def take(self, values: dict[str, bytes | None], *, source: str) -> None:
+        """Take in records; an older configuration than the one in force changes nothing."""
+        records = self._decode(values)
+        for why in records.invalid:
+            self._events.note("operator.invalid", vital=True, why=why, source=source)
+        new = records.configuration
+        old = self.configuration
+        changed = bool(records.waves)
+        if new is not None and (old is None or new.version > old.version):
+            self._events.note(
+                "config.applied",
+                vital=True,
+                version=new.version,
+                before=old.version if old else None,
+                queues=len(new.queues_by_name),
+                source=source,
+            )
+            self.configuration = new
+            changed = True
+        for wave in records.waves:
+            if self.waves_by_number.get(wave.number) != wave:
+                self._events.note(
+                    "wave.known", vital=True, wave=wave.number, machines=len(wave.machines)
+                )
+            self.waves_by_number[wave.number] = wave
+        if changed:
+            self.raw_by_key.update(values)
+            for callback in self._subscribers:
+                callback()
+
+    def _read(self, entries: Entries) -> None:
+        self._offset = entries.end
+        self._read_at = self._clock.monotonic()
+        if self._failing:
+            self._failing = False
+            self._events.note("operator.regained", vital=True, offset=entries.end)
+        if entries.values_by_key:
+            self.take(entries.values_by_key, source="store")
+
+    def _failed(self, outcome: Refused | NoAnswer) -> None:
+        if not self._failing:
+            self._failing = True
+            self._events.note("operator.lost", vital=True, why=outcome.detail)
+
+
+class ExecutorBoard:
+    """Follows the executors' entries while this daemon owns anything.
+
+    :param boards: reads the store.
+    :param decode: decodes one entry.
+    :param needed: whether the entries are needed here.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        boards: Boards,
+        decode: Callable[[str, bytes], ExecutorEntry | None],
+        needed: Callable[[], bool],
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.entries_by_id: dict[str, ExecutorEntry] = {}
+        self.known = asyncio.Event()
+        self._boards = boards
+        self._decode = decode
+        self._needed = needed
+        self._clock = clock
+        self._events = events
+        self._offset: int | None = None
+        self._failing = False
+        self._returned_at = float("-inf")
+        self._missing_by_id: dict[str, float] = {}
+        self._subscribers: list[Callable[[], None]] = []
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+        self._subscribers.append(callback)
+
+    async def run(self) -> None:
+        """Follow the entries until cancelled."""
+        while True:
+            if not self._needed():
+                await self._clock.sleep(RETRY_S / 2)
+                continue
+            outcome = await self._boards.read_executors(
+                offset=self._offset, wait_s=EXECUTORS_WAIT_S
+            )
+            if isinstance(outcome, Entries):
+                self._read(outcome)
+                await self._clock.sleep(EXECUTORS_PERIOD_S)
+            elif isinstance(outcome, Expired):
+                self._offset = None
+            else:
+                self._failed(outcome)
+                await self._clock.sleep(RETRY_S)
+
+    def _read(self, entries: Entries) -> None:
+        whole = self._offset is None
+        self._offset = entries.end
+        now = self._clock.monotonic()
+        if self._failing:
+            self._failing = False
+            self._returned_at = now
+            self._events.note("executors.regained", vital=True, entries=len(self.entries_by_id))
+        before = dict(self.entries_by_id)
+        for executor, raw in entries.values_by_key.items():
+            self._take(executor, raw, now)
+        if whole:
+            for executor in self.entries_by_id.keys() - entries.values_by_key.keys():
+                self._missing_by_id.setdefault(executor, now)
+        self._drop_missing(now)
+        self.known.set()
+        if self.entries_by_id != before:
+            for callback in self._subscribers:
+                callback()
+
+    def _take(self, executor: str, raw: bytes | None, now: float) -> None:
+        if not raw:
+            if executor in self.entries_by_id:
+                self._missing_by_id.setdefault(executor, now)
+            return
+        entry = self._decode(executor, raw)
+        if entry is None:
+            self._events.note("executor.invalid", vital=True, executor=executor)
+            return
+        self.entries_by_id[executor] = entry
+        self._missing_by_id.pop(executor, None)
+
+    def _drop_missing(self, now: float) -> None:
+        # Executors write nothing while the store is away, and their entries expire although they
+        # work on; taking them for gone would leave a healthy pool unused.
+        if now < self._returned_at + RETURN_S:
+            return
+        for executor in list(self._missing_by_id):
+            del self._missing_by_id[executor]
+            self.entries_by_id.pop(executor, None)
+            self._events.note("executor.unlisted", executor=executor)
+
+    def _failed(self, outcome: Refused | NoAnswer) -> None:
+        if not self._failing:
+            self._failing = True
+            self._events.note("executors.lost", vital=True, why=outcome.detail)
--- /dev/null
+++ b/mustardgap/evacuations.py
@@ -0,0 +1,73 @@
+"""Moves lasting tasks off executors that leave, within what their steps may miss."""
+
+from typing import TYPE_CHECKING
+
+from .executor_links import ExecutorLink, Run, RunPhase
+from .job_states import Task
+from .placing import choose, usable
+
+if TYPE_CHECKING:
+    from .dispatchers import Dispatcher
+
+# At work, a lasting task reports this share.
+AT_WORK_PERCENT = 100
+# A run that would end within this time is left to end on an executor that is being emptied.
+FINISH_S = 3.0
+
+
+class Evacuations:
+    """Empties executors that the fleet's owner wants, or that drain.
+
+    :param dispatcher: the owner of the tasks.
+    """
+
+    def __init__(self, *, dispatcher: "Dispatcher") -> None:
+        self.planned: frozenset[str] = frozenset()
+        self._dispatcher = dispatcher
+
+    def look(self, now: float) -> None:
+        """Stop what may be stopped now on executors that leave."""
+        for link in list(self._dispatcher.links_by_executor.values()):
+            if not (link.closing or link.entry.draining) or not link.up:
+                continue
+            for run in list(link.runs_by_key.values()):
+                if run.phase is RunPhase.RUNNING and self._may_stop(link, run, now):
+                    link.end(run, "draining" if link.entry.draining else "evacuated")
+
+    def _may_stop(self, link: ExecutorLink, run: Run, now: float) -> bool:
+        step = run.task.step
+        if not step.lasting:
+            left_s = step.estimate_s * (1 - run.percent / 100)
+            return step.checkpointing and left_s > FINISH_S
+        siblings = self._dispatcher.job_of(run.task.task_id).siblings(run.task)
+        if not link.entry.draining and not _may_miss_one(run.task, siblings):
+            return False
+        return self._has_room_elsewhere(run.task, siblings, now)
+
+    def _has_room_elsewhere(self, task: Task, siblings: list[Task], now: float) -> bool:
+        job = self._dispatcher.job_of(task.task_id)
+        links = [
+            link
+            for link in self._dispatcher.links_by_executor.values()
+            if usable(link, task.step, job.service, now)
+        ]
+        return choose(task, siblings, links, self.planned) is not None
+
+
+def _may_miss_one(task: Task, siblings: list[Task]) -> bool:
+    """Whether one more task of the step may be away, counting those that are for any cause."""
+    others_away = sum(1 for other in siblings if other is not task and not at_work(other))
+    allowed = task.step.may_miss
+    # Without a promise they are moved one at a time all the same.
+    return others_away < (allowed if allowed is not None else 1)
+
+
+def at_work(task: Task) -> bool:
+    """Whether a lasting task serves its users now, as far as is known."""
+    run = task.run
+    return (
+        run is not None
+        and run.phase is RunPhase.RUNNING
+        and run.percent >= AT_WORK_PERCENT
+        and run.link.up
+    )
--- /dev/null
+++ b/mustardgap/executor_links.py
@@ -0,0 +1,490 @@
+"""One owner's link to one executor: leases, starts, stops, and what the executor reports."""
+
+import asyncio
+import enum
+from typing import Any, Protocol
+
+from .events import EventLog
+from .executor_clocks import ExecutorClock
+from .job_states import Task
+from .ports import (
+    Executors,
+    Fenced,
+    NoAnswer,
+    OtherIncarnation,
+    Refused,
+    Started,
+    StartRefused,
+    Stopped,
+)
+from .shard_logs import Ticket
+from .timers import Clock
+from .workloads import EndRow, ExecutorEntry, Report, Room, RunRow
+
+# How long what runs goes on without hearing from its owner. It outlasts a takeover (some 2 s), and
+# what ran on a crashed executor is started elsewhere after little more than this.
+LEASE_S = 3.5
+# A start that is carried out later than this is turned down by the executor; orders that executors
+# hold back arrive 2 s late or more.
+START_S = 1.5
+START_TRIES = 3
+# How long a look waits for an end. A connection that went silent is noticed after this and the
+# slack of the call, well before the lease lapses.
+HOLD_WAIT_S = 1.0
+# The pause between looks at an executor that doesn't answer, and between repeated orders.
+RETRY_S = 0.15
+# How long a look's successor waits for the ends to be durable, so that it can acknowledge them.
+ACKNOWLEDGE_S = 0.25
+# An executor lists this many ends at once at the most.
+MAX_LISTED_ENDS = 500
+
+
+class RunPhase(enum.Enum):
+    """Where a run stands, as its owner knows it."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """One run of a task on an executor.
+
+    :param task: the task.
+    :param number: numbers the task's runs; rises.
+    :param link: the link to its executor.
+    :param now: steady seconds.
+    """
+
+    __slots__ = (
+        "confirmed_at",
+        "link",
+        "load",
+        "moved_at",
+        "number",
+        "pace",
+        "percent",
+        "phase",
+        "started_at",
+        "task",
+        "why_stopped",
+    )
+
+    def __init__(self, *, task: Task, number: int, link: "ExecutorLink", now: float) -> None:
+        self.task = task
+        self.number = number
+        self.link = link
+        self.phase = RunPhase.STARTING
+        self.started_at = now
+        # When the executor was known to have it, or to have been told never to start it: a look
+        # that was sent later and doesn't list it shows that it isn't there.
+        self.confirmed_at: float | None = None
+        self.percent = 0
+        self.moved_at = now
+        self.load = 0
+        self.pace = 100
+        self.why_stopped = ""
+
+
+class LinkOwner(Protocol):
+    """What a link tells its owner."""
+
+    def on_end(self, link: "ExecutorLink", end: EndRow, run: Run | None) -> Ticket | None:
+        """A run has ended; the ticket, if any, must be durable before it is acknowledged."""
+
+    def on_unknown_row(self, link: "ExecutorLink", row: RunRow) -> Run | None:
+        """A run is there that wasn't started by this owner; it is stopped unless adopted."""
+
+    def on_lost(self, link: "ExecutorLink", run: Run, why: str) -> None:
+        """A run is certainly not there any more, and no end of it will come."""
+
+    def on_refused(self, link: "ExecutorLink", run: Run, why: str) -> None:
+        """A start was turned down."""
+
+    def on_report(self, link: "ExecutorLink") -> None:
+        """The executor has answered, and the link is up to date."""
+
+    def on_lapsed(self, link: "ExecutorLink") -> None:
+        """The executor was silent until all leases have lapsed."""
+
+    def on_gone(self, link: "ExecutorLink") -> None:
+        """The executor is gone for good."""
+
+    def on_fenced(self, link: "ExecutorLink") -> None:
+        """The executor obeys a later owner."""
+
+    def authority_s(self) -> float:
+        """For how many more seconds leases may be given."""
+
+
+class ExecutorLink:
+    """Keeps one executor's lease, and its reports up to date.
+
+    :param entry: the executor.
+    :param fence: the owner's fencing token.
+    :param port: sends orders.
+    :param owner: is told what happens.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    :param lapse_at: steady time at which leases of former owners have surely lapsed.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: ExecutorEntry,
+        fence: int,
+        port: Executors,
+        owner: LinkOwner,
+        clock: Clock,
+        events: EventLog,
+        lapse_at: float,
+    ) -> None:
+        self.entry = entry
+        self.fence = fence
+        self.up = False
+        self.audited = False
+        self.lapsed = False
+        self.listed = True
+        self.missing_since: float | None = None
+        # Set while the fleet's owner empties the machine.
+        self.closing = False
+        self.durable: Ticket | None = None
+        self.runs_by_key: dict[tuple[Any, int], Run] = {}
+        self.used = Room()
+        self.pause_until = 0.0
+        self.failures_in_a_row = 0
+        self.failed_jobs: set[str] = set()
+        self.slow_marks = 0
+        self._port = port
+        self._owner = owner
+        self._clock = clock
+        self._events = events
+        self._executor_clock = ExecutorClock()
+        self._lapse_at = lapse_at
+        self._silent = False
+        self._acknowledged = 0
+        self._seen_end = 0
+        self._unacknowledged: list[tuple[int, Ticket | None]] = []
+        self._strays: set[tuple[Any, int]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def free(self) -> Room:
+        """What is left of the executor's capacity."""
+        return self.entry.capacity.minus(self.used)
+
+    def add(self, run: Run) -> None:
+        """Count a run against the capacity."""
+        self.runs_by_key[run.task.task_id, run.number] = run
+        self.used = self.used.plus(run.task.step.room)
+
+    def remove(self, run: Run) -> None:
+        """Give a run's part of the capacity back."""
+        if self.runs_by_key.pop((run.task.task_id, run.number), None) is not None:
+            self.used = self.used.minus(run.task.step.room)
+
+    def begin(self, run: Run, *, payload: str, ticket: str) -> None:
+        """Start a run; what becomes of it is told to the owner."""
+        self.add(run)
+        self._spawn(self._start(run, payload, ticket))
+
+    def end(self, run: Run, why: str) -> None:
+        """Stop a run; its end is told to the owner."""
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        run.why_stopped = why
+        self._events.note(
+            "run.stop",
+            job=run.task.task_id.job,
+            task=run.task.task_id,
+            run=run.number,
+            executor=self.entry.executor,
+            why=why,
+        )
+        self._spawn(self._stop(run.task.task_id, run.number, run))
+
+    def pace(self, run: Run, percent: int) -> None:
+        """Let a run work at a share of its speed."""
+        run.pace = percent
+        self._spawn(self._pace(run, percent))
+
+    def close(self) -> None:
+        """End all orders that are under way."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def run(self) -> None:
+        """Hold the lease and take in reports until the executor is gone, or cancelled."""
+        while True:
+            outcome = await self._look()
+            if isinstance(outcome, Fenced):
+                self._owner.on_fenced(self)
+                return
+            if isinstance(outcome, OtherIncarnation):
+                self._owner.on_gone(self)
+                return
+            if not isinstance(outcome, Report):
+                self._miss(outcome)
+                await self._clock.sleep(RETRY_S)
+
+    async def _look(self) -> Report | Fenced | OtherIncarnation | Refused | NoAnswer:
+        now = self._clock.monotonic()
+        await self._acknowledge()
+        until = self._until(now)
+        behind = bool(self._unacknowledged)
+        wait_s = 0.0 if until is None or behind or not self.audited else HOLD_WAIT_S
+        sent_at = self._clock.monotonic()
+        outcome = await self._port.hold(
+            self.entry,
+            fence=self.fence,
+            acknowledged=self._acknowledged,
+            until_ms=until,
+            wait_s=wait_s,
+        )
+        if isinstance(outcome, Report):
+            self._take_in(outcome, sent_at)
+            if behind:
+                # The store takes no ends just now; they stay with the executor until it does.
+                await self._clock.sleep(RETRY_S)
+        return outcome
+
+    def _until(self, now: float) -> int | None:
+        """The lease to ask for.
+
+        A look that gets no answer may arrive late and still extend the lease. If each repetition
+        asked for more, the lease of an executor that answers nothing would never surely lapse and
+        what it ran could never be started elsewhere; so repetitions ask for nothing.
+        """
+        lease_s = min(LEASE_S, self._owner.authority_s())
+        if self._silent or lease_s <= 0:
+            return None
+        until = self._executor_clock.until(lease_s, now=now)
+        if until is not None:
+            self._executor_clock.granted(until)
+        return until
+
+    async def _acknowledge(self) -> None:
+        waiting = [t.outcome for _, t in self._unacknowledged if t and not t.outcome.done()]
+        if waiting:
+            await asyncio.wait(waiting, timeout=ACKNOWLEDGE_S)
+        while self._unacknowledged:
+            number, ticket = self._unacknowledged[0]
+            if ticket is not None and not ticket.durable:
+                return
+            self._acknowledged = number
+            self._unacknowledged.pop(0)
+
+    def _take_in(self, report: Report, sent_at: float) -> None:
+        now = self._clock.monotonic()
+        self._executor_clock.observe(report.clock_ms, now=now)
+        if self._silent or not self.audited:
+            self._events.note(
+                "executor.up",
+                executor=self.entry.executor,
+                service=self.entry.service,
+                fence=self.fence,
+                running=len(report.running),
+                ended=len(report.ended),
+            )
+        was_silent = self._silent
+        self._silent = False
+        self.lapsed = False
+        for end in report.ended:
+            self._take_end(end)
+        listed = {(row.task, row.run) for row in report.running}
+        for row in report.running:
+            self._take_row(row, now)
+        if len(report.ended) < MAX_LISTED_ENDS:
+            self._drop_missing(listed, sent_at)
+        self.up = True
+        self.audited = True
+        if was_silent:
+            self.slow_marks = 0
+        self._owner.on_report(self)
+
+    def _take_end(self, end: EndRow) -> None:
+        if end.number <= self._seen_end:
+            return
+        self._seen_end = end.number
+        run = self.runs_by_key.get((end.task, end.run))
+        if run is not None:
+            self.remove(run)
+        self._strays.discard((end.task, end.run))
+        ticket = self._owner.on_end(self, end, run)
+        self._unacknowledged.append((end.number, ticket))
+
+    def _take_row(self, row: RunRow, now: float) -> None:
+        key = (row.task, row.run)
+        run = self.runs_by_key.get(key)
+        if run is None:
+            run = self._owner.on_unknown_row(self, row)
+            if run is None:
+                self._stop_stray(key)
+                return
+            run.confirmed_at = now
+            run.phase = RunPhase.RUNNING
+            self.add(run)
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at = now
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.moved_at = now
+        if row.checkpoint:
+            run.task.checkpoint = row.checkpoint
+        run.load = row.load
+
+    def _drop_missing(self, listed: set[tuple[Any, int]], sent_at: float) -> None:
+        for key, run in list(self.runs_by_key.items()):
+            if key in listed or run.confirmed_at is None or run.confirmed_at >= sent_at:
+                continue
+            self.remove(run)
+            self._owner.on_lost(self, run, "not listed")
+
+    def _stop_stray(self, key: tuple[Any, int]) -> None:
+        if key in self._strays:
+            return
+        self._strays.add(key)
+        task_id, number = key
+        self._events.note(
+            "run.stray",
+            vital=True,
+            job=task_id.job,
+            task=task_id,
+            run=number,
+            executor=self.entry.executor,
+        )
+        self._spawn(self._stop(task_id, number, None))
+
+    def _miss(self, outcome: Refused | NoAnswer) -> None:
+        now = self._clock.monotonic()
+        if not self._silent:
+            self._silent = True
+            self.up = False
+            self._events.note(
+                "executor.lost",
+                vital=True,
+                executor=self.entry.executor,
+                service=self.entry.service,
+                why=outcome.detail,
+                runs=len(self.runs_by_key),
+            )
+        lapsed_at = self._executor_clock.lapsed_at() if self.audited else self._lapse_at
+        if lapsed_at is None or now < lapsed_at or self.lapsed:
+            return
+        self.lapsed = True
+        self._events.note(
+            "executor.lapsed",
+            vital=True,
+            executor=self.entry.executor,
+            runs=len(self.runs_by_key),
+        )
+        for run in list(self.runs_by_key.values()):
+            self.remove(run)
+            self._owner.on_lost(self, run, "lease lapsed")
+        self._owner.on_lapsed(self)
+
+    async def _start(self, run: Run, payload: str, ticket: str) -> None:
+        task = run.task
+        for _ in range(START_TRIES):
+            if run.phase is not RunPhase.STARTING:
+                return
+            until = self._executor_clock.until(START_S, now=self._clock.monotonic())
+            assert until is not None
+            self._executor_clock.granted(until)
+            outcome = await self._port.start(
+                self.entry,
+                task=task.task_id,
+                run=run.number,
+                payload=payload,
+                until_ms=until,
+                fence=self.fence,
+                checkpoint=task.checkpoint,
+                ticket=ticket,
+            )
+            if isinstance(outcome, Started):
+                self._confirm(run)
+                return
+            if isinstance(outcome, StartRefused | Refused):
+                self._refuse(run, outcome)
+                return
+            if isinstance(outcome, Fenced):
+                self._owner.on_fenced(self)
+                return
+            if isinstance(outcome, OtherIncarnation):
+                self._owner.on_gone(self)
+                return
+            self._events.note(
+                "run.unanswered",
+                vital=True,
+                job=task.task_id.job,
+                task=task.task_id,
+                run=run.number,
+                executor=self.entry.executor,
+                why=outcome.detail,
+            )
+        # Nobody can tell whether it runs. A stop that is answered settles it: either the end is
+        # listed, or the start is turned down when it arrives.
+        self.end(run, "start unanswered")
+
+    def _confirm(self, run: Run) -> None:
+        if (run.task.task_id, run.number) not in self.runs_by_key:
+            return
+        run.confirmed_at = self._clock.monotonic()
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+
+    def _refuse(self, run: Run, outcome: StartRefused | Refused) -> None:
+        why = outcome.reason if isinstance(outcome, StartRefused) else outcome.detail
+        if isinstance(outcome, StartRefused) and outcome.clock_ms is not None:
+            self._executor_clock.observe(outcome.clock_ms, now=self._clock.monotonic())
+        if (run.task.task_id, run.number) in self.runs_by_key:
+            self.remove(run)
+            self._owner.on_refused(self, run, why)
+
+    async def _stop(self, task_id: Any, number: int, run: Run | None) -> None:
+        while run is None or (task_id, number) in self.runs_by_key:
+            outcome = await self._port.stop(self.entry, task=task_id, run=number, fence=self.fence)
+            if isinstance(outcome, Stopped):
+                if run is not None and run.confirmed_at is None:
+                    run.confirmed_at = self._clock.monotonic()
+                self._strays.discard((task_id, number))
+                return
+            if isinstance(outcome, Fenced):
+                self._owner.on_fenced(self)
+                return
+            if isinstance(outcome, OtherIncarnation):
+                self._owner.on_gone(self)
+                return
+            if isinstance(outcome, Refused):
+                self._events.note(
+                    "run.stop_refused",
+                    vital=True,
+                    task=task_id,
+                    run=number,
+                    executor=self.entry.executor,
+                    why=outcome.detail,
+                )
+            if run is None and self.lapsed:
+                return
+            await self._clock.sleep(RETRY_S)
+
+    async def _pace(self, run: Run, percent: int) -> None:
+        outcome = await self._port.pace(
+            self.entry, task=run.task.task_id, run=run.number, percent=percent, fence=self.fence
+        )
+        if not isinstance(outcome, Stopped) and run.pace == percent:
+            # Not known to be in force: the next look at the run's speed orders it again.
+            run.pace = -1
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._events.note("order.failed", vital=True, why=repr(task.exception()))
--- /dev/null
+++ b/mustardgap/http_pools.py
@@ -0,0 +1,185 @@
+"""HTTP/1.1 calls over kept connections, bounded in time."""
+
+import asyncio
+import time
+from collections import defaultdict, deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from tornado import httputil, iostream
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.tcpclient import TCPClient
+
+from .ports import NoAnswer
+from .resolvers import NumericResolver
+
+# Servers close connections that idle for some 15 s; one that is kept for less is seldom met just
+# as it is being closed.
+IDLE_S = 8.0
+# A connection that has to be opened may take this share of a call's time, at least this long.
+CONNECT_S = 1.0
+MAX_KEPT = 8
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class _Kept:
+    """An idle connection and since when it idles."""
+
+    def __init__(self, stream: iostream.IOStream, since: float) -> None:
+        self.stream = stream
+        self.since = since
+
+
+class _Collector(httputil.HTTPMessageDelegate):
+    """Collects one answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: httputil.HTTPHeaders = httputil.HTTPHeaders()
+        self.chunks: list[bytes] = []
+        self.whole = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        self.status = start_line.code
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.whole = True
+
+
+class HttpPool:
+    """Sends requests over kept connections; one connection carries one request at a time.
+
+    A call that gets no answer in time closes its connection: a late answer must not meet the next
+    request, and a connection that went silent would fail each call after it.
+    """
+
+    def __init__(self) -> None:
+        self._client = TCPClient(resolver=NumericResolver())
+        self._kept_by_address: dict[str, deque[_Kept]] = defaultdict(deque)
+        self._parameters = HTTP1ConnectionParameters(
+            no_keep_alive=False, max_body_size=MAX_BODY_BYTES, max_header_size=65_536
+        )
+        self.calls = 0
+        self.opened = 0
+
+    async def call(
+        self,
+        *,
+        address: str,
+        method: str,
+        target: str,
+        timeout_s: float,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> HttpAnswer | NoAnswer:
+        """Send one request and wait for its whole answer.
+
+        :param address: ``ip:port``.
+        :param target: path with query.
+        :param timeout_s: seconds for connecting, sending and the answer.
+        :return: the answer, or ``NoAnswer`` with whether a byte may have gone out.
+        """
+        self.calls += 1
+        collector = _Collector()
+        stream: iostream.IOStream | None = None
+        sent = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                stream = self._take(address) or await self._open(address, timeout_s)
+                stream.set_close_callback(None)
+                connection = HTTP1Connection(stream, True, self._parameters)
+                sent = True
+                self._write(connection, address, method, target, body, headers)
+                await connection.read_response(collector)
+        except TimeoutError:
+            return _lost(stream, sent, "no answer in time")
+        except (OSError, iostream.StreamClosedError, httputil.HTTPInputError) as exc:
+            return _lost(stream, sent, f"{type(exc).__name__}: {exc}")
+        except asyncio.CancelledError:
+            if stream is not None:
+                stream.close()
+            raise
+        if not collector.whole:
+            return _lost(stream, sent, "the connection ended before the answer did")
+        self._keep(address, stream)
+        return HttpAnswer(
+            status=collector.status, headers=collector.headers, body=b"".join(collector.chunks)
+        )
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for kept in self._kept_by_address.values():
+            for one in kept:
+                one.stream.close()
+        self._kept_by_address.clear()
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address, for example when one of them went silent."""
+        for kept in self._kept_by_address.pop(address, ()):
+            kept.stream.close()
+
+    def _take(self, address: str) -> iostream.IOStream | None:
+        kept = self._kept_by_address[address]
+        oldest = time.monotonic() - IDLE_S
+        while kept:
+            one = kept.pop()
+            if one.since >= oldest and not one.stream.closed():
+                return one.stream
+            one.stream.close()
+        return None
+
+    def _keep(self, address: str, stream: iostream.IOStream) -> None:
+        kept = self._kept_by_address[address]
+        if stream.closed() or len(kept) >= MAX_KEPT:
+            stream.close()
+            return
+        kept.append(_Kept(stream, time.monotonic()))
+
+    async def _open(self, address: str, timeout_s: float) -> iostream.IOStream:
+        host, _, port = address.rpartition(":")
+        self.opened += 1
+        stream = await self._client.connect(host, int(port), timeout=min(CONNECT_S, timeout_s))
+        stream.set_nodelay(True)
+        return stream
+
+    def _write(
+        self,
+        connection: HTTP1Connection,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+    ) -> None:
+        fields = httputil.HTTPHeaders(dict(headers or {}))
+        fields["Host"] = address
+        if body is not None:
+            fields["Content-Length"] = str(len(body))
+            fields.setdefault("Content-Type", "application/json")
+        line = httputil.RequestStartLine(method, target, "HTTP/1.1")
+        connection.write_headers(line, fields, body or None)
+        connection.finish()
+
+
+def _lost(stream: iostream.IOStream | None, sent: bool, detail: str) -> NoAnswer:
+    if stream is not None:
+        stream.close()
+    return NoAnswer(sent=sent, detail=detail)
--- /dev/null
+++ b/mustardgap/job_gateways.py
@@ -0,0 +1,166 @@
+"""The way of a caller's request to the owner of its queue, here or on another daemon."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from . import job_replies, metrics, status_codes
+from .boards import OperatorBoard
+from .dispatchers import Dispatcher
+from .events import EventLog
+from .job_replies import JobReply
+from .peer_calls import PeerClient, PeerServer, PeerUnreachable
+from .shard_owners import ShardOwners, shard_of
+from .timers import Clock
+from .workloads import JobSpec, Queue
+
+# An owner answers within a few milliseconds, or once the store has answered it.
+CALL_S = 1.5
+# An owner that is frozen or cut off answers nothing; a caller who only asks is told so soon.
+ASK_S = 0.6
+TRIES = 2
+
+
+class JobGateway:
+    """Answers the callers of the job interface.
+
+    :param owners: who owns which shard.
+    :param operator: the configuration.
+    :param peers: calls other daemons.
+    :param shards: how many shards there are.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        owners: ShardOwners,
+        operator: OperatorBoard,
+        peers: PeerClient,
+        shards: int,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self._owners = owners
+        self._operator = operator
+        self._peers = peers
+        self._shards = shards
+        self._clock = clock
+        self._events = events
+        self._refreshed_at = float("-inf")
+
+    def queue_for(self, host: str, path: str) -> Queue | JobReply:
+        """The queue that a request means, or the answer when there is none."""
+        configuration = self._operator.configuration
+        if configuration is None:
+            return job_replies.NO_CONFIGURATION
+        return configuration.queue_for(host, path) or job_replies.UNKNOWN_QUEUE
+
+    async def submit(self, *, queue: Queue, job_id: str, spec: JobSpec) -> JobReply:
+        """Hand a job in."""
+        values = [job_id, queue, spec]
+        return await self._ask("submit", queue, values, CALL_S, job_id=job_id)
+
+    async def cancel(self, *, queue: Queue, job_id: str) -> JobReply:
+        """Cancel a job."""
+        return await self._ask("cancel", queue, [job_id], CALL_S, job_id=job_id)
+
+    async def state(self, *, queue: Queue, job_id: str) -> JobReply:
+        """Ask for a job's state."""
+        return await self._ask("state", queue, [job_id], ASK_S, job_id=job_id)
+
+    async def pending(self, *, queue: Queue) -> JobReply:
+        """Ask how many jobs of a queue haven't begun."""
+        return await self._ask("pending", queue, [queue.name], ASK_S, job_id="")
+
+    def serve(self, server: PeerServer) -> None:
+        """Answer the calls of other daemons for shards that this one owns."""
+        for name in ("submit", "cancel", "state", "pending"):
+            server.handle(name, self._handler(name))
+
+    def _handler(self, name: str) -> Callable[[Any], Any]:
+        async def handle(values: list[Any]) -> list[Any]:
+            shard, arguments = values
+            return (await self._local(shard, name, arguments)).encode()
+
+        return handle
+
+    async def _ask(
+        self, name: str, queue: Queue, values: list[Any], timeout_s: float, *, job_id: str
+    ) -> JobReply:
+        shard = shard_of(queue.service, self._shards)
+        began = self._clock.monotonic()
+        tried = 0
+        while True:
+            tried += 1
+            reply = await self._once(shard, name, values, timeout_s)
+            if reply.code is not status_codes.OWNER_UNAVAILABLE or tried >= TRIES:
+                break
+            await self._refresh()
+        metrics.job_calls.add(1, {"call": name, "code": reply.code.number})
+        if reply.code.http_status >= 400 and reply.code is not status_codes.JOB_UNKNOWN:
+            self._events.note(
+                f"{name}.answered",
+                vital=True,
+                job=job_id,
+                queue=queue.name,
+                shard=shard,
+                owner=self._owners.members_by_shard.get(shard),
+                owners_generation=self._owners.generation,
+                code=str(reply.code),
+                status=reply.code.http_status,
+                why=reply.detail,
+                tries=tried,
+                took_s=self._clock.monotonic() - began,
+            )
+        elif name in ("submit", "cancel"):
+            self._events.note(
+                f"{name}.answered",
+                job=job_id,
+                queue=queue.name,
+                shard=shard,
+                code=str(reply.code),
+                took_s=self._clock.monotonic() - began,
+            )
+        return reply
+
+    async def _once(self, shard: int, name: str, values: list[Any], timeout_s: float) -> JobReply:
+        if shard in self._owners.owned_by_shard:
+            return await self._local(shard, name, msgspec.to_builtins(values))
+        address = self._owners.address_of(shard)
+        if address is None:
+            return job_replies.not_owner("nobody owns the queue yet")
+        try:
+            answer = await self._peers.call(address, name, [shard, values], timeout_s=timeout_s)
+        except PeerUnreachable as exc:
+            # An unanswered question can be repeated; an unanswered change may have been made.
+            if exc.sent and name in ("submit", "cancel"):
+                return job_replies.UNSETTLED._replace(detail=str(exc))
+            return job_replies.not_owner(str(exc))
+        return job_replies.decode(answer)
+
+    async def _local(self, shard: int, name: str, values: list[Any]) -> JobReply:
+        owned = self._owners.owned_by_shard.get(shard)
+        if not isinstance(owned, Dispatcher) or owned.ended.is_set():
+            return job_replies.not_owner("this daemon doesn't own the queue")
+        if name == "submit":
+            job_id, queue, spec = values
+            return await owned.submit(
+                job_id=job_id,
+                queue=msgspec.convert(queue, Queue),
+                spec=msgspec.convert(spec, JobSpec),
+            )
+        if name == "cancel":
+            return await owned.cancel(values[0])
+        if name == "state":
+            return owned.state(values[0])
+        return owned.pending(values[0])
+
+    async def _refresh(self) -> None:
+        # Many requests may find an owner gone at once; one reading serves all of them.
+        now = self._clock.monotonic()
+        if now - self._refreshed_at > 0.2:
+            self._refreshed_at = now
+            await self._owners.refresh()
--- /dev/null
+++ b/mustardgap/job_states.py
@@ -0,0 +1,289 @@
+"""One job's state at the owner of its shard: tasks, their runs and ends, and how the job ends."""
+
+import enum
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .workloads import EndKind, JobId, JobSpec, Queue, Step, TaskId
+
+if TYPE_CHECKING:
+    from .executor_links import Run
+
+
+class JobPhase(enum.IntEnum):
+    """Where a job stands; all but LIVE are final."""
+
+    LIVE = 0
+    COMPLETED = 1
+    FAILED = 2
+    CANCELLED = 3
+
+
+class Task:
+    """One task; at most one of its runs is active, unless its step allows copies.
+
+    :param task_id: the task's id.
+    :param step: what it needs.
+    """
+
+    __slots__ = (
+        "avoided",
+        "checkpoint",
+        "done",
+        "failures",
+        "inherited",
+        "lost_at",
+        "run",
+        "step",
+        "task_id",
+    )
+
+    def __init__(self, *, task_id: TaskId, step: Step) -> None:
+        self.task_id = task_id
+        self.step = step
+        self.done = False
+        self.failures = 0
+        self.checkpoint = ""
+        self.run: Run | None = None
+        # A former owner may have started it on an executor that hasn't been heard since.
+        self.inherited = False
+        # Executors on which it failed or stood still; others are tried first.
+        self.avoided: set[str] = set()
+        self.lost_at: float | None = None
+
+    @property
+    def waits(self) -> bool:
+        """Whether it has to be started, once its step's turn has come."""
+        return not self.done and self.run is None and not self.inherited
+
+
+class Progress(msgspec.Struct, omit_defaults=True):
+    """The durable part of a job's progress; tasks are named by ``occurrence.step``."""
+
+    phase: int = 0
+    ended_at: float = 0.0
+    done: dict[str, str] = {}
+    failures: dict[str, dict[int, int]] = {}
+    checkpoints: dict[str, dict[int, str]] = {}
+
+
+class StoredJob(msgspec.Struct):
+    """The durable form of an accepted job."""
+
+    queue: str
+    service: str
+    accepted_at: float
+    spec: JobSpec
+
+
+class Job:
+    """An accepted job.
+
+    :param job_id: the id that its caller chose.
+    :param stored: what was accepted.
+    """
+
+    def __init__(self, *, job_id: JobId, stored: StoredJob) -> None:
+        self.job_id = job_id
+        self.queue_name = stored.queue
+        self.service = stored.service
+        self.accepted_at = stored.accepted_at
+        self.spec = stored.spec
+        self.phase = JobPhase.LIVE
+        self.ended_at = 0.0
+        # The final phase is shown only once it is durable: a new owner could otherwise run again
+        # what the caller was told had ended.
+        self.shown_phase = JobPhase.LIVE
+        self.begun = False
+        # The whole chain of work that is left when nothing has been done, in seconds.
+        self.chain_s = _chain(stored.spec.steps)
+        self.work_cpu_s = sum(s.width * s.cpu / 1000 * s.estimate_s for s in stored.spec.steps)
+        self._occurrences: dict[int, list[list[Task]]] = {}
+        if not stored.spec.repeats:
+            self.open_occurrence(0)
+
+    @property
+    def lasting(self) -> bool:
+        """Whether it has tasks that run until it is cancelled."""
+        return any(step.lasting for step in self.spec.steps)
+
+    def due_at(self, occurrence: int) -> float:
+        """When an occurrence may begin, in seconds since the epoch."""
+        if not self.spec.repeats:
+            return self.accepted_at
+        return self.spec.first_at_s + occurrence * self.spec.interval_s
+
+    def open_due(self, wall: float) -> float | None:
+        """Open the occurrences that are due.
+
+        :param wall: seconds since the epoch.
+        :return: when the next one is due, None if there is none.
+        """
+        for occurrence in range(self.spec.repeats):
+            if occurrence in self._occurrences:
+                continue
+            if self.due_at(occurrence) > wall:
+                return self.due_at(occurrence)
+            self.open_occurrence(occurrence)
+        return None
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Make the tasks of one occurrence."""
+        if occurrence in self._occurrences:
+            return
+        self._occurrences[occurrence] = [
+            [
+                Task(task_id=TaskId(self.job_id, occurrence, number, index), step=step)
+                for index in range(step.width)
+            ]
+            for number, step in enumerate(self.spec.steps)
+        ]
+
+    def task(self, task_id: TaskId) -> Task | None:
+        """The task with an id, None if the job has none such."""
+        steps = self._occurrences.get(task_id.occurrence)
+        if steps is None and 0 <= task_id.occurrence < self.spec.repeats:
+            self.open_occurrence(task_id.occurrence)
+            steps = self._occurrences[task_id.occurrence]
+        if steps is None or not 0 <= task_id.step < len(steps):
+            return None
+        tasks = steps[task_id.step]
+        return tasks[task_id.number] if 0 <= task_id.number < len(tasks) else None
+
+    def tasks(self) -> Iterator[Task]:
+        """All tasks of the occurrences that are open."""
+        for steps in self._occurrences.values():
+            for tasks in steps:
+                yield from tasks
+
+    def siblings(self, task: Task) -> list[Task]:
+        """The tasks of the same step and occurrence, the task itself included."""
+        return self._occurrences[task.task_id.occurrence][task.task_id.step]
+
+    def steps_in_turn(self) -> Iterator[list[Task]]:
+        """The steps whose earlier steps are done, as lists of their tasks."""
+        for steps in self._occurrences.values():
+            for number, step in enumerate(self.spec.steps):
+                if all(all(t.done for t in steps[earlier]) for earlier in step.depends_on):
+                    yield steps[number]
+
+    def remaining(self) -> tuple[float, float]:
+        """What is left of the work.
+
+        :return: seconds of the longest chain, and core-seconds.
+        """
+        chain = 0.0
+        work = 0.0
+        for steps in self._occurrences.values():
+            ends: list[float] = []
+            for number, step in enumerate(self.spec.steps):
+                left = sum(1 for task in steps[number] if not task.done)
+                before = max((ends[earlier] for earlier in step.depends_on), default=0.0)
+                ends.append(before + (step.estimate_s if left else 0.0))
+                work += left * step.cpu / 1000 * step.estimate_s
+            chain = max(chain, *ends)
+        return chain, work
+
+    def all_done(self) -> bool:
+        """Whether every task of every occurrence has ended as done."""
+        if self.lasting:
+            return False
+        expected = max(self.spec.repeats, 1)
+        return len(self._occurrences) == expected and all(t.done for t in self.tasks())
+
+    def progress(self) -> bytes:
+        """The durable form of what has been reached."""
+        progress = Progress(phase=int(self.phase), ended_at=self.ended_at)
+        if self.phase is not JobPhase.LIVE:
+            return msgspec.msgpack.encode(progress)
+        for occurrence, steps in self._occurrences.items():
+            for number, tasks in enumerate(steps):
+                name = f"{occurrence}.{number}"
+                bits = sum(1 << t.task_id.number for t in tasks if t.done)
+                if bits:
+                    progress.done[name] = f"{bits:x}"
+                failures = {t.task_id.number: t.failures for t in tasks if t.failures}
+                if failures:
+                    progress.failures[name] = failures
+                saved = {
+                    t.task_id.number: t.checkpoint for t in tasks if t.checkpoint and not t.done
+                }
+                if saved:
+                    progress.checkpoints[name] = saved
+        return msgspec.msgpack.encode(progress)
+
+    def restore(self, raw: bytes) -> None:
+        """Take in the durable form of what a former owner had reached."""
+        progress = msgspec.msgpack.decode(raw, type=Progress)
+        self.phase = self.shown_phase = JobPhase(progress.phase)
+        self.ended_at = progress.ended_at
+        for name, bits in progress.done.items():
+            number = int(bits, 16)
+            for task in self._named(name):
+                task.done = bool(number >> task.task_id.number & 1)
+                self.begun = self.begun or task.done
+        for name, failures in progress.failures.items():
+            for task in self._named(name):
+                task.failures = failures.get(task.task_id.number, 0)
+                self.begun = self.begun or task.failures > 0
+        for name, saved in progress.checkpoints.items():
+            for task in self._named(name):
+                task.checkpoint = saved.get(task.task_id.number, "")
+
+    def end(self, phase: JobPhase, wall: float) -> None:
+        """End the job."""
+        self.phase = phase
+        self.ended_at = wall
+
+    def _named(self, name: str) -> list[Task]:
+        occurrence, step = (int(part) for part in name.split("."))
+        self.open_occurrence(occurrence)
+        return self._occurrences[occurrence][step]
+
+
+def note_end(job: Job, task: Task, how: EndKind, checkpoint: str) -> bool:
+    """Take in how the run of a task ended.
+
+    A gang ends as one: a member's end counts for all.
+
+    :param checkpoint: the executor's last checkpoint of it, empty if there is none.
+    :return: whether the durable progress changed.
+    """
+    members = job.siblings(task) if task.step.gang else [task]
+    if checkpoint:
+        for member in members:
+            member.checkpoint = checkpoint
+    if how is EndKind.DONE and not task.step.lasting:
+        for member in members:
+            member.done = True
+        return True
+    if how is EndKind.FAILED and not task.step.lasting:
+        for member in members:
+            member.failures += 1
+        return True
+    return False
+
+
+def exhausted(task: Task, queue: Queue | None) -> bool:
+    """Whether a task has failed as often as its queue allows."""
+    return queue is not None and not task.step.lasting and task.failures >= queue.max_attempts
+
+
+def encode_job(stored: StoredJob) -> bytes:
+    """The durable form of an accepted job."""
+    return msgspec.msgpack.encode(stored)
+
+
+def decode_job(job_id: JobId, raw: bytes) -> Job:
+    """A job from its durable form."""
+    return Job(job_id=job_id, stored=msgspec.msgpack.decode(raw, type=StoredJob))
+
+
+def _chain(steps: tuple[Step, ...]) -> float:
+    ends: list[float] = []
+    for step in steps:
+        before = max((ends[earlier] for earlier in step.depends_on), default=0.0)
+        ends.append(before + step.estimate_s)
+    return max(ends, default=0.0)
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -214,5 +214,11 @@
 # The daemon.
 _observed("mustardgap.child.restarts", "{restart}", "Restarts of the daemon's parts")
 gaps = _counter("mustardgap.process.gaps", "{gap}", "Gaps in which the process didn't run")
+job_calls = _counter(
+    "mustardgap.job_calls", "{call}", "Calls of the job interface by outcome", "call", "code"
+)
+lost_answers = _counter(
+    "mustardgap.lost_answers", "{answer}", "Answers whose caller had left", "error"
+)
 log_lines = _counter("mustardgap.log_lines", "{line}", "Lines logged or suppressed", "result")
 _gauge("mustardgap.ready", "1", "1 when this entry host takes requests")
--- /dev/null
+++ b/mustardgap/placing.py
@@ -0,0 +1,165 @@
+"""Which waiting task goes next, and on which executor."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from .executor_links import ExecutorLink
+from .job_states import Job, Task
+from .workloads import Queue, Room, Step
+
+# Up to this many times its objective a job earns a little; after that only its promise counts.
+LATE_FACTOR = 3.0
+
+
+class Urgency(NamedTuple):
+    """Orders jobs; the smallest goes first."""
+
+    standing: int
+    priority: int
+    work: float
+    accepted_at: float
+
+
+LASTING, IN_TIME, LATE, HOPELESS = range(4)
+
+
+def urgency(job: Job, queue: Queue | None, wall: float) -> Urgency:
+    """How urgent a job is: lasting ones, then those in time by least remaining work, then late.
+
+    A job that can't be in time any more takes no room from one that can. Among those in time the
+    least remaining work first ends most jobs within their objective.
+
+    :param wall: seconds since the epoch.
+    """
+    if queue is None:
+        return Urgency(HOPELESS, 0, 0.0, job.accepted_at)
+    if job.lasting:
+        return Urgency(LASTING, queue.priority, 0.0, job.accepted_at)
+    chain, work = job.remaining()
+    objective = queue.stretch * job.chain_s + queue.objective_s
+    ends_at = wall + chain
+    if ends_at <= job.accepted_at + objective:
+        return Urgency(IN_TIME, queue.priority, work, job.accepted_at)
+    if ends_at <= job.accepted_at + LATE_FACTOR * objective:
+        return Urgency(LATE, queue.priority, work, job.accepted_at)
+    return Urgency(HOPELESS, queue.priority, work, job.accepted_at)
+
+
+def usable(link: ExecutorLink, step: Step, service: str, now: float) -> bool:
+    """Whether an executor may get new runs of a step at all."""
+    return (
+        link.up
+        and link.listed
+        and not link.closing
+        and not link.entry.draining
+        and link.durable is not None
+        and link.durable.durable
+        and link.entry.service == service
+        and now >= link.pause_until
+        and (not step.requires or step.requires in link.entry.labels)
+    )
+
+
+def choose(
+    task: Task, siblings: Sequence[Task], links: Iterable[ExecutorLink], planned: frozenset[str]
+) -> ExecutorLink | None:
+    """Choose an executor for one task, None when none has room.
+
+    :param siblings: the tasks of the same step, for its bound of tasks on one executor.
+    :param links: executors that may be used for it.
+    :param planned: executors that will be taken away soon.
+    """
+    step = task.step
+    placed = Counter(t.run.link.entry.executor for t in siblings if t.run is not None)
+    fitting = [
+        link
+        for link in links
+        if link.free.holds(step.room)
+        and (not step.anti_affinity or placed[link.entry.executor] < step.anti_affinity)
+        and _trusted(link, task)
+    ]
+    if not fitting:
+        return None
+    return min(fitting, key=lambda link: _preference(link, task, planned))
+
+
+def _trusted(link: ExecutorLink, task: Task) -> bool:
+    # An executor whose last run failed may fail all that it starts. It gets one run at a time, of a
+    # task that can still afford a failure, until one succeeds; so a sick one costs a job at most
+    # one of its attempts, and a healthy one that met a bad job is back after one success.
+    if not link.failures_in_a_row:
+        return True
+    return not link.runs_by_key and not task.failures
+
+
+def _preference(
+    link: ExecutorLink, task: Task, planned: frozenset[str]
+) -> tuple[bool, bool, bool, bool, bool, int]:
+    step = task.step
+    leaves_soon = link.entry.executor in planned
+    hosts_lasting = any(run.task.step.lasting for run in link.runs_by_key.values())
+    return (
+        link.entry.executor in task.avoided,
+        link.slow_marks > 0,
+        # Short tasks may as well run where lasting ones can't stay.
+        leaves_soon if step.lasting else not leaves_soon and bool(planned),
+        bool(step.data_rack) and link.entry.rack != step.data_rack,
+        # Lasting tasks share few machines, so that the others can leave the pool.
+        step.lasting and not hosts_lasting,
+        # The fullest machine that fits: the emptiest ones can leave the pool.
+        link.free.cpu,
+    )
+
+
+def choose_gang(tasks: Sequence[Task], links: Sequence[ExecutorLink]) -> list[ExecutorLink] | None:
+    """Choose executors for all tasks of a gang, None when there is no room for all.
+
+    :return: one link a task, in the order of the tasks.
+    """
+    step = tasks[0].step
+    racks = sorted({link.entry.rack for link in links})
+    groups = [[link for link in links if link.entry.rack == rack] for rack in racks]
+    if step.data_rack:
+        groups.sort(key=lambda group: group[0].entry.rack != step.data_rack)
+    if not step.same_rack or len(groups) > 1:
+        groups.append(list(links))
+    for group in groups:
+        chosen = _fill(tasks, group)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _fill(tasks: Sequence[Task], links: Sequence[ExecutorLink]) -> list[ExecutorLink] | None:
+    step = tasks[0].step
+    free = {link.entry.executor: link.free for link in links}
+    counts: Counter[str] = Counter()
+    chosen: list[ExecutorLink] = []
+    for _ in tasks:
+        fitting = [
+            link
+            for link in links
+            if free[link.entry.executor].holds(step.room)
+            and (not step.anti_affinity or counts[link.entry.executor] < step.anti_affinity)
+            and not link.failures_in_a_row
+        ]
+        if not fitting:
+            return None
+        link = min(fitting, key=lambda link: free[link.entry.executor].cpu)
+        free[link.entry.executor] = free[link.entry.executor].minus(step.room)
+        counts[link.entry.executor] += 1
+        chosen.append(link)
+    return chosen
+
+
+def biggest_free(links: Iterable[ExecutorLink]) -> Room:
+    """The largest free amount of each resource on any one executor; a quick bound."""
+    free = [link.free for link in links]
+    if not free:
+        return Room(-1, -1, -1)
+    return Room(
+        max(room.cpu for room in free),
+        max(room.memory_mb for room in free),
+        max(room.gpus for room in free),
+    )
--- /dev/null
+++ b/mustardgap/platform/__main__.py
@@ -0,0 +1,5 @@
+"""Runs a daemon on the platform."""
+
+from .daemon import main
+
+main()
--- /dev/null
+++ b/mustardgap/platform/daemon.py
@@ -0,0 +1,239 @@
+"""Builds a daemon on the platform from the product's parts, runs it and stops it."""
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+from .. import logs
+from ..boards import ExecutorBoard, OperatorBoard, OperatorRecords
+from ..dispatchers import Bounds, Dispatcher
+from ..events import EventLog
+from ..exceptions import MustardgapError
+from ..http_pools import HttpPool
+from ..job_gateways import JobGateway
+from ..peer_calls import PeerClient, PeerServer, PeerUnreachable
+from ..shard_owners import Owned, ShardOwners, shard_of
+from ..supervisors import Supervisor
+from ..timers import Clock
+from ..workloads import Configuration, ExecutorEntry, Wave
+from . import decoding
+from .executor_client import ExecutorClient
+from .front import Front
+from .machine_client import MachineClient
+from .process_settings import ProcessSettings, load
+from .store_client import StoreClient
+
+SETTINGS_VARIABLE = "MUSTARDGAP_CONFIG"
+CONFIGURATION_KEY = "config"
+WAVE_PREFIX = "wave/"
+PEER_S = 0.4
+# After a stop is asked for, connections are still sent here until the balancer has missed two
+# checks, a second apart; they are served until the rest of the grace is needed for leaving.
+LINGER_S = 2.6
+CLOSE_S = 1.0
+
+
+class PlatformDaemon:
+    """One process on the platform.
+
+    :param settings: what the platform tells this process.
+    """
+
+    def __init__(self, *, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.clock = Clock()
+        self.events = EventLog(host=settings.host, clock=self.clock, descriptor=1)
+        pool = HttpPool()
+        self.store = StoreClient(pool=pool, address=settings.store)
+        self.executors = ExecutorClient(pool=pool)
+        self.machines = MachineClient(pool=pool, address=settings.machines)
+        self.peers = PeerClient()
+        self.peer_server = PeerServer(events=self.events)
+        self.operator = OperatorBoard(
+            boards=self.store,
+            decode=decode_operator,
+            ask_peer=self._ask_configuration,
+            clock=self.clock,
+            events=self.events,
+        )
+        self.board = ExecutorBoard(
+            boards=self.store,
+            decode=decode_entry,
+            needed=lambda: bool(self.owners.owned_by_shard),
+            clock=self.clock,
+            events=self.events,
+        )
+        incarnation = f"{random.SystemRandom().getrandbits(48):012x}"
+        self.owners = ShardOwners(
+            store=self.store,
+            member=f"{settings.ip}:{settings.peer_port}/{settings.host}/{incarnation}",
+            make=self._make,
+            clock=self.clock,
+            events=self.events,
+        )
+        self.gateway = JobGateway(
+            owners=self.owners,
+            operator=self.operator,
+            peers=self.peers,
+            shards=settings.shards,
+            clock=self.clock,
+            events=self.events,
+        )
+        self.front = Front(gateway=self.gateway, ready=self._is_ready)
+        self._stopping = asyncio.Event()
+        self.operator.on_change(self._update)
+        self.board.on_change(self._update)
+
+    async def run(self) -> None:
+        """Serve until told to stop, then leave gracefully."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self.gateway.serve(self.peer_server)
+        self.peer_server.handle("configuration", self._tell_configuration)
+        self._listen()
+        await self.peer_server.start(f"{self.settings.ip}:{self.settings.peer_port}")
+        self.events.note("daemon.start", vital=True, pid=os.getpid(), member=self.owners.member)
+        root = Supervisor(name="daemon")
+        root.start_child("operator", self.operator.run)
+        root.start_child("ask", self.operator.ask)
+        root.start_child("board", self.board.run)
+        root.start_child("owners", self.owners.run)
+        try:
+            await self._first(root)
+            await self._leave()
+        finally:
+            await root.stop()
+            self.events.note("daemon.stop", vital=True)
+
+    async def _first(self, root: Supervisor) -> None:
+        failing = asyncio.ensure_future(root.run())
+        stopping = asyncio.ensure_future(self._stopping.wait())
+        done, _ = await asyncio.wait([failing, stopping], return_when=asyncio.FIRST_COMPLETED)
+        for task in (failing, stopping):
+            if task not in done:
+                task.cancel()
+        if failing in done:
+            failing.result()
+
+    def _listen(self) -> None:
+        settings = self.settings
+        if settings.front:
+            self.front.listen(settings.front, self.front.jobs)
+        if settings.ready:
+            self.front.listen(settings.ready, self.front.readiness)
+        self.front.listen(f"{settings.ip}:{settings.metrics_port}", self.front.metrics)
+
+    async def _leave(self) -> None:
+        self.events.note("daemon.stopping", vital=True, shards=sorted(self.owners.owned_by_shard))
+        await self.owners.leave()
+        await self.clock.sleep(LINGER_S)
+        self.front.closing = True
+        await self.clock.sleep(CLOSE_S)
+        await self.front.stop()
+        await self.peer_server.stop()
+
+    def _reload(self) -> None:
+        # What may change in the file while the process runs are its seeds; all else is learned
+        # from the store. A file that doesn't read leaves the present settings in force.
+        try:
+            self.settings = load(Path(os.environ[SETTINGS_VARIABLE]))
+        except MustardgapError as exc:
+            self.events.note("daemon.reload", vital=True, applied=False, why=str(exc))
+            return
+        self.events.note("daemon.reload", vital=True, applied=True)
+
+    def _is_ready(self) -> bool:
+        return self.operator.configuration is not None and not self._stopping.is_set()
+
+    def _make(self, shard: int, epoch: int) -> Owned:
+        promises = self.settings.promises
+        dispatcher = Dispatcher(
+            shard=shard,
+            epoch=epoch,
+            store=self.store,
+            executors=self.executors,
+            clock=self.clock,
+            events=self.events,
+            bounds=Bounds(promises.status_kept_s, promises.stop_timeout_s, promises.drain_s),
+            fresh_s=self.owners.fresh_s,
+            settled=self.owners.settled,
+        )
+        self._update_one(dispatcher)
+        return dispatcher
+
+    def _update(self) -> None:
+        for owned in self.owners.owned_by_shard.values():
+            if isinstance(owned, Dispatcher):
+                self._update_one(owned)
+
+    def _update_one(self, dispatcher: Dispatcher) -> None:
+        configuration = self.operator.configuration
+        names = configuration.services_by_name if configuration else {}
+        dispatcher.update(
+            configuration=configuration,
+            entries_by_id=self.board.entries_by_id,
+            services=frozenset(
+                name for name in names if shard_of(name, self.settings.shards) == dispatcher.shard
+            ),
+        )
+
+    async def _tell_configuration(self, values: object) -> dict[str, bytes | None]:
+        return self.operator.raw_by_key
+
+    async def _ask_configuration(self) -> dict[str, bytes | None]:
+        addresses = {member.partition("/")[0] for member in self.owners.members_by_shard.values()}
+        addresses |= {f"{ip}:{self.settings.peer_port}" for ip in self.settings.seed_ips}
+        addresses.discard(f"{self.settings.ip}:{self.settings.peer_port}")
+        if not addresses:
+            return {}
+        address = random.choice(sorted(addresses))
+        try:
+            values = await self.peers.call(address, "configuration", None, timeout_s=PEER_S)
+        except PeerUnreachable as exc:
+            self.events.note("peer.unreachable", peer=address, why=str(exc))
+            return {}
+        return dict(values)
+
+
+def decode_operator(values: dict[str, bytes | None]) -> OperatorRecords:
+    """Decode records of the operator."""
+    configuration: Configuration | None = None
+    waves: list[Wave] = []
+    invalid: list[str] = []
+    for key, raw in values.items():
+        if not raw:
+            continue
+        try:
+            if key == CONFIGURATION_KEY:
+                configuration = decoding.configuration(raw)
+            elif key.startswith(WAVE_PREFIX):
+                waves.append(decoding.wave(raw))
+        except decoding.InvalidBody as exc:
+            invalid.append(f"{key}: {exc}")
+    return OperatorRecords(configuration, waves, invalid)
+
+
+def decode_entry(executor: str, raw: bytes) -> ExecutorEntry | None:
+    """Decode an executor's entry, None if it can't be."""
+    try:
+        return decoding.executor_entry(executor, raw)
+    except decoding.InvalidBody:
+        return None
+
+
+def main() -> None:
+    """Run a daemon by the settings file that the environment names."""
+    try:
+        settings = load(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    except MustardgapError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(exc.code.exit_status)
+    logs.set_up(host=settings.host)
+    gc.freeze()
+    asyncio.run(PlatformDaemon(settings=settings).run())
--- /dev/null
+++ b/mustardgap/platform/decoding.py
@@ -0,0 +1,331 @@
+"""Bodies and records of the platform, decoded once into the product's types and back."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from ..workloads import (
+    AdvicePolicy,
+    Configuration,
+    EndKind,
+    EndRow,
+    ExecutorEntry,
+    JobSpec,
+    Limits,
+    Machine,
+    Queue,
+    Report,
+    Room,
+    RunRow,
+    Service,
+    Step,
+    TaskId,
+    Wave,
+)
+
+MAX_PAYLOAD_BYTES = 4_000
+MAX_TASKS = 10_000
+
+_END_KINDS = {kind.name.lower(): kind for kind in EndKind}
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: float = msgspec.field(default=0, name="decideMs")
+    period_ms: float = msgspec.field(default=0, name="periodMs")
+    valid_ms: float = msgspec.field(default=0, name="validMs")
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    service: str
+    path_prefix: str = msgspec.field(name="pathPrefix")
+    timeout_ms: float = msgspec.field(default=3000, name="timeoutMs")
+    slo_ms: float = msgspec.field(default=1000, name="sloMs")
+    priority: int = 0
+    max_attempts: int = msgspec.field(default=1, name="maxAttempts")
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = msgspec.field(default="/healthz", name="healthPath")
+    max_conns: int = msgspec.field(default=64, name="maxConns")
+    rejects_overload: bool = msgspec.field(default=False, name="rejectsOverload")
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct):
+    header: int = msgspec.field(default=16_384, name="maxHeaderBytes")
+    body: int = msgspec.field(default=262_144, name="maxBodyBytes")
+    header_ms: float = msgspec.field(default=3_000, name="headerTimeoutMs")
+    idle_ms: float = msgspec.field(default=15_000, name="idleTimeoutMs")
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Step(msgspec.Struct):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = msgspec.field(default=0, name="memMb")
+    gpu: int = 0
+    estimate_ms: float = msgspec.field(default=0, name="estimateMs")
+    depends_on: list[int] = msgspec.field(default_factory=list, name="dependsOn")
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = msgspec.field(default=False, name="sameRack")
+    requires: str = ""
+    data_rack: str = msgspec.field(default="", name="dataRack")
+    anti_affinity: int = msgspec.field(default=0, name="antiAffinity")
+    speculative: bool = False
+    long_running: bool = msgspec.field(default=False, name="longRunning")
+    image: str = ""
+    target_ms: float = msgspec.field(default=0, name="targetMs")
+    fills: bool = False
+    may_miss: int | None = msgspec.field(default=None, name="mayMiss")
+
+
+class _Job(msgspec.Struct):
+    steps: list[_Step]
+    spec: str = ""
+    repeats: int = 0
+    first_ms: float = msgspec.field(default=0, name="firstMs")
+    interval_ms: float = msgspec.field(default=0, name="intervalMs")
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = msgspec.field(default=0, name="memMb")
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str = ""
+    state: str = "ready"
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    # The executor's kind comes first, its rack last.
+    labels: list[str] = []
+    machine: str = ""
+    remaining_ms: float | None = msgspec.field(default=None, name="remainingMs")
+
+
+class _MachineRow(msgspec.Struct):
+    machine: str
+    pool: str = ""
+    state: str = ""
+    zone: str = ""
+    labels: list[str] = []
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    id: str | None = None
+
+
+class _MachinePage(msgspec.Struct):
+    machines: list[_MachineRow]
+    next_token: str | None = msgspec.field(default=None, name="nextToken")
+
+
+class _Wave(msgspec.Struct):
+    wave: int
+    machines: list[str]
+    finish_by_s: float = msgspec.field(default=0, name="finishByS")
+    max_count: int = msgspec.field(default=1, name="maxCount")
+
+
+class _Report(msgspec.Struct):
+    clock_ms: int = msgspec.field(default=0, name="clockMs")
+    running: list[tuple[Any, ...]] = []
+    ended: list[tuple[Any, ...]] = []
+
+
+class InvalidBody(ValueError):
+    """A body that isn't what the platform's page says; the text tells why."""
+
+
+def configuration(raw: bytes) -> Configuration:
+    """Decode the operator's configuration."""
+    fields = _decode(raw, _Config)
+    return Configuration(
+        version=fields.version,
+        queues_by_name={route.name: _queue(route) for route in fields.routes},
+        services_by_name={
+            service.name: Service(
+                name=service.name,
+                health_path=service.health_path,
+                max_connections=service.max_conns,
+                guards_capacity=service.rejects_overload,
+                standby=service.standby,
+            )
+            for service in fields.services
+        },
+        limits=Limits(
+            header_bytes=fields.limits.header,
+            body_bytes=fields.limits.body,
+            header_timeout_s=fields.limits.header_ms / 1000,
+            idle_timeout_s=fields.limits.idle_ms / 1000,
+        ),
+    )
+
+
+def _queue(route: _Route) -> Queue:
+    advice = None
+    if route.advice is not None:
+        advice = AdvicePolicy(
+            decide_s=route.advice.decide_ms / 1000,
+            per_executor_s=route.advice.period_ms / 1000,
+            valid_s=route.advice.valid_ms / 1000,
+        )
+    return Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.slo_ms / 1000,
+        priority=route.priority,
+        max_attempts=max(route.max_attempts, 1),
+        stretch=route.stretch,
+        advice=advice,
+    )
+
+
+def job(raw: bytes) -> JobSpec:
+    """Decode a job that a caller hands in.
+
+    :raises InvalidBody: what is wrong with it.
+    """
+    fields = _decode(raw, _Job)
+    if len(fields.spec.encode()) > MAX_PAYLOAD_BYTES:
+        raise InvalidBody("the payload is too long")
+    if not fields.steps:
+        raise InvalidBody("a job needs a step")
+    if sum(step.count for step in fields.steps) > MAX_TASKS:
+        raise InvalidBody("the job has too many tasks")
+    for number, step in enumerate(fields.steps):
+        if step.count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
+            raise InvalidBody(f"step {number} has a size that can't be")
+        if any(not 0 <= earlier < number for earlier in step.depends_on):
+            raise InvalidBody(f"step {number} depends on a step that isn't before it")
+    return JobSpec(
+        payload=fields.spec,
+        steps=tuple(_step(step) for step in fields.steps),
+        repeats=fields.repeats,
+        first_at_s=fields.first_ms / 1000,
+        interval_s=fields.interval_ms / 1000,
+    )
+
+
+def _step(fields: _Step) -> Step:
+    return Step(
+        width=fields.count,
+        cpu=fields.cpu,
+        memory_mb=fields.mem_mb,
+        gpus=fields.gpu,
+        estimate_s=fields.estimate_ms / 1000,
+        depends_on=tuple(fields.depends_on),
+        checkpointing=fields.checkpointing,
+        gang=fields.gang,
+        same_rack=fields.same_rack,
+        requires=fields.requires,
+        data_rack=fields.data_rack,
+        anti_affinity=fields.anti_affinity,
+        speculative=fields.speculative,
+        lasting=fields.long_running,
+        image=fields.image,
+        target_ms=int(fields.target_ms),
+        filling=fields.fills,
+        may_miss=fields.may_miss,
+    )
+
+
+def executor_entry(executor: str, raw: bytes) -> ExecutorEntry:
+    """Decode what an executor says of itself."""
+    fields = _decode(raw, _Entry)
+    return ExecutorEntry(
+        executor=executor,
+        service=fields.service,
+        address=fields.addr,
+        data_centre=fields.zone,
+        draining=fields.state != "ready",
+        capacity=_room(fields.capacity),
+        labels=tuple(fields.labels),
+        rack=fields.labels[-1] if fields.labels else "",
+        machine=fields.machine,
+        remaining_s=None if fields.remaining_ms is None else fields.remaining_ms / 1000,
+    )
+
+
+def wave(raw: bytes) -> Wave:
+    """Decode a wave of maintenance."""
+    fields = _decode(raw, _Wave)
+    return Wave(fields.wave, tuple(fields.machines), fields.finish_by_s, fields.max_count)
+
+
+def machine_page(raw: bytes) -> tuple[list[Machine], str | None]:
+    """Decode one page of machines, with the token of the next one."""
+    page = _decode(raw, _MachinePage)
+    machines = [
+        Machine(
+            machine=row.machine,
+            pool=row.pool,
+            state=row.state,
+            data_centre=row.zone,
+            labels=tuple(row.labels),
+            capacity=_room(row.capacity),
+            executor=row.id or "",
+        )
+        for row in page.machines
+    ]
+    return machines, page.next_token
+
+
+def report(raw: bytes) -> Report:
+    """Decode what an executor answers when it is asked what it runs."""
+    fields = _decode(raw, _Report)
+    running = tuple(
+        RunRow(task_id(row[0]), row[1], row[2], row[3], int(row[4]) if len(row) > 4 else 0)
+        for row in fields.running
+    )
+    ended = tuple(
+        EndRow(row[0], task_id(row[1]), row[2], _END_KINDS[row[3]], row[4]) for row in fields.ended
+    )
+    return Report(fields.clock_ms, running, ended)
+
+
+def task_id(name: str) -> TaskId:
+    """Decode a task's name."""
+    job_id, occurrence, step, index = name.split(".")
+    return TaskId(job_id, int(occurrence), int(step), int(index))
+
+
+def task_name(task: TaskId) -> str:
+    """A task's name on the wire."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.number}"
+
+
+def fields_of(raw: bytes) -> Mapping[str, Any]:
+    """A JSON object's fields, none if it isn't one."""
+    try:
+        value = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def _room(fields: _Capacity) -> Room:
+    return Room(fields.cpu, fields.mem_mb, fields.gpu)
+
+
+def _decode(raw: bytes, kind: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(raw, type=kind, strict=False)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise InvalidBody(str(exc)) from None
--- /dev/null
+++ b/mustardgap/platform/front.py
@@ -0,0 +1,145 @@
+"""The platform's HTTP interface for callers, its readiness check, and the metrics page."""
+
+import asyncio
+import re
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+
+from .. import job_replies, metrics, status_codes
+from ..job_gateways import JobGateway
+from ..job_replies import JobReply
+from ..workloads import Queue
+from .decoding import InvalidBody, job
+
+READY_PATH = "/mustardgap/ready"
+METRICS_PATH = "/metrics"
+MAX_BODY_BYTES = 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+IDLE_S = 60.0
+
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+_METHOD_NOT_ALLOWED = 405
+
+Answer = tuple[int, bytes, dict[str, str]]
+
+
+class Front:
+    """Answers callers over HTTP.
+
+    :param gateway: knows what to answer.
+    :param ready: whether the balancer may send connections here.
+    """
+
+    def __init__(self, *, gateway: JobGateway, ready: Callable[[], bool]) -> None:
+        self.closing = False
+        self._gateway = gateway
+        self._ready = ready
+        self._servers: list[HTTPServer] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen(self, address: str, answer: Callable[..., Awaitable[Answer]]) -> None:
+        """Serve an address with one of this object's ways to answer."""
+        ip, _, port = address.rpartition(":")
+
+        def handle(request: httputil.HTTPServerRequest) -> None:
+            task = asyncio.ensure_future(self._handle(request, answer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+        server = HTTPServer(
+            handle,
+            idle_connection_timeout=IDLE_S,
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+        )
+        server.listen(int(port), ip)
+        self._servers.append(server)
+
+    async def stop(self) -> None:
+        """Take no new connections, and end those that are open."""
+        for server in self._servers:
+            server.stop()
+        if self._tasks:
+            await asyncio.wait(list(self._tasks), timeout=1.0)
+        for server in self._servers:
+            await server.close_all_connections()
+
+    async def jobs(self, request: httputil.HTTPServerRequest) -> Answer:
+        """Answer a caller of the job interface."""
+        if request.path == READY_PATH:
+            return await self.readiness(request)
+        host = request.host_name
+        found = self._gateway.queue_for(host, request.path)
+        if isinstance(found, JobReply):
+            return _encoded(found)
+        name = request.path[len(found.path_prefix) :]
+        if request.method == "GET" and not name:
+            return _encoded(await self._gateway.pending(queue=found))
+        if not _JOB_ID.fullmatch(name):
+            detail = "an id has 16 hexadecimal digits"
+            return _encoded(JobReply(status_codes.JOB_INVALID, detail=detail))
+        return await self._job(request, found, name)
+
+    async def _job(self, request: httputil.HTTPServerRequest, queue: Queue, job_id: str) -> Answer:
+        if request.method == "GET":
+            return _encoded(await self._gateway.state(queue=queue, job_id=job_id))
+        if request.method == "DELETE":
+            return _encoded(await self._gateway.cancel(queue=queue, job_id=job_id))
+        if request.method != "POST":
+            return _METHOD_NOT_ALLOWED, b"", {"Allow": "GET, POST, DELETE"}
+        try:
+            spec = job(request.body)
+        except InvalidBody as exc:
+            return _encoded(JobReply(status_codes.JOB_INVALID, detail=str(exc)))
+        return _encoded(await self._gateway.submit(queue=queue, job_id=job_id, spec=spec))
+
+    async def readiness(self, request: httputil.HTTPServerRequest) -> Answer:
+        """Answer the balancer."""
+        return (200 if self._ready() else 503), b"", {}
+
+    async def metrics(self, request: httputil.HTTPServerRequest) -> Answer:
+        """Answer a scrape of the metrics."""
+        if request.path != METRICS_PATH:
+            return 404, b"", {}
+        return 200, metrics.render(), {"Content-Type": metrics.CONTENT_TYPE}
+
+    async def _handle(
+        self,
+        request: httputil.HTTPServerRequest,
+        answer: Callable[..., Awaitable[Answer]],
+    ) -> None:
+        status, body, fields = await answer(request)
+        headers = httputil.HTTPHeaders(fields)
+        headers["Content-Length"] = str(len(body))
+        if self.closing:
+            headers["Connection"] = "close"
+        connection = request.connection
+        if connection is None:
+            return
+        reason = httputil.responses.get(status, "Unknown")
+        line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        try:
+            connection.write_headers(line, headers, body or None)
+            connection.finish()
+        except Exception as exc:
+            # The caller has left; there is nobody to answer.
+            metrics.lost_answers.add(1, {"error": type(exc).__name__})
+
+
+def _encoded(reply: JobReply) -> Answer:
+    status = reply.code.http_status
+    fields: dict[str, str | int] = {}
+    if reply.state:
+        fields["state"] = reply.state
+    if reply.pending is not None:
+        fields["pending"] = reply.pending
+    headers = {"Content-Type": "application/json", "X-Result-Code": str(reply.code)}
+    if status >= 400:
+        fields["code"] = str(reply.code)
+        fields["detail"] = reply.detail or reply.code.title
+    if status in (503, 504):
+        headers["Retry-After"] = str(job_replies.RETRY_AFTER_S)
+    return status, msgspec.json.encode(fields), headers
--- /dev/null
+++ b/mustardgap/platform/machine_client.py
@@ -0,0 +1,123 @@
+"""The platform's machines, and the service that advises on executors."""
+
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..http_pools import HttpAnswer, HttpPool
+from ..ports import Done, Fenced, Granted, NoAnswer, Refused
+from ..workloads import ExecutorId, Machine, TaskId
+from .decoding import fields_of, machine_page
+
+# Both services answer in milliseconds on a calm day and some 50 times slower on a bad one.
+CALL_S = 1.0
+# The most executors that one call for advice may name.
+MAX_ADVISED = 100
+
+
+class MachineClient:
+    """Lists, moves and maintains machines.
+
+    :param pool: the process's connections.
+    :param address: the machine service's ``ip:port``.
+    """
+
+    def __init__(self, *, pool: HttpPool, address: str) -> None:
+        self._pool = pool
+        self._address = address
+
+    async def machines(self) -> list[Machine] | Refused | NoAnswer:
+        """List all machines, page by page."""
+        machines: list[Machine] = []
+        token: str | None = None
+        while True:
+            query = "?" + urlencode({"pageToken": token}) if token else ""
+            answer = await self._pool.call(
+                address=self._address,
+                method="GET",
+                target=f"/mustardgap/machines{query}",
+                timeout_s=CALL_S,
+            )
+            if isinstance(answer, NoAnswer):
+                return answer
+            if answer.status != 200:
+                return Refused(detail=str(answer.status))
+            page, token = machine_page(answer.body)
+            machines.extend(page)
+            if not token:
+                return machines
+
+    async def move(
+        self, *, machine: str, pool: str, holder: str, fence: int
+    ) -> Done | Fenced | Refused | NoAnswer:
+        """Give a machine to another pool."""
+        return await self._order("machine-move", {"machine": machine, "pool": pool}, holder, fence)
+
+    async def maintain(
+        self, *, machine: str, wave: int, holder: str, fence: int
+    ) -> Done | Fenced | Refused | NoAnswer:
+        """Take a machine down for its maintenance."""
+        body = {"machine": machine, "wave": wave}
+        return await self._order("machine-upkeep", body, holder, fence)
+
+    async def _order(
+        self, verb: str, body: dict[str, Any], holder: str, fence: int
+    ) -> Done | Fenced | Refused | NoAnswer:
+        answer = await self._pool.call(
+            address=self._address,
+            method="POST",
+            target=f"/mustardgap/{verb}",
+            body=msgspec.json.encode(body),
+            headers={
+                "X-Mustardgap-Duty-Holder": holder,
+                "X-Mustardgap-Fencing-Token": str(fence),
+            },
+            timeout_s=CALL_S,
+        )
+        if isinstance(answer, NoAnswer):
+            self._pool.forget(self._address)
+            return answer
+        if answer.status == 200:
+            return Done()
+        reason = fields_of(answer.body).get("reason")
+        if reason == "fence":
+            return Fenced(detail="the machine knows a higher fencing token")
+        return Refused(detail=f"{answer.status} {reason or ''}".strip())
+
+
+class AdviceClient:
+    """Asks which executors may run a step.
+
+    :param pool: the process's connections.
+    :param address: the advice service's ``ip:port``.
+    """
+
+    def __init__(self, *, pool: HttpPool, address: str) -> None:
+        self._pool = pool
+        self._address = address
+
+    async def advise(
+        self, *, step: TaskId, executors: Sequence[ExecutorId]
+    ) -> Granted | Refused | NoAnswer:
+        """Ask for tickets for one step on some executors."""
+        body = {
+            "step": f"{step.job}.{step.occurrence}.{step.step}",
+            "workers": list(executors[:MAX_ADVISED]),
+        }
+        answer = await self._pool.call(
+            address=self._address,
+            method="POST",
+            target="/mustardgap/advise",
+            body=msgspec.json.encode(body),
+            # The service takes its time for each executor named and handles calls in turn.
+            timeout_s=CALL_S * 3,
+        )
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        if answer.status != 200:
+            return Refused(detail=str(answer.status))
+        fields = fields_of(answer.body)
+        tickets = {row[0]: row[1] for row in fields.get("granted", [])}
+        return Granted(tickets_by_executor=tickets, valid_s=fields.get("validMs", 0) / 1000)
--- /dev/null
+++ b/mustardgap/platform/store_client.py
@@ -0,0 +1,251 @@
+"""The platform's keyed log, as the product's ``Store`` and ``Boards``."""
+
+import base64
+import struct
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..http_pools import HttpAnswer, HttpPool
+from ..ports import (
+    Appended,
+    Done,
+    Entries,
+    Expired,
+    Fenced,
+    Joined,
+    NoAnswer,
+    Record,
+    Refused,
+    WrongSequence,
+)
+from .decoding import fields_of
+
+JOBS = "keyed.mustardgap-jobs"
+OPERATOR = "keyed.op"
+EXECUTORS = "keyed.servers"
+STATUS = "keyed.status"
+GROUP = "mustardgap-owners"
+PRODUCER = "mustardgap-owner"
+
+# An answer takes 4 ms on a calm day and some 250 ms when the store is slow by the factor of 60
+# that was seen; a lost answer holds up the calls behind it for no longer than this.
+CALL_S = 0.8
+# A renewal has to be repeated well within the time for which it holds.
+JOIN_S = 0.6
+# What a long poll may take beyond the time it was asked to wait.
+POLL_SLACK_S = 1.0
+READ_KB = 1024
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+
+
+class StoreClient:
+    """The platform's store.
+
+    :param pool: the process's connections.
+    :param address: the store's ``ip:port``.
+    """
+
+    def __init__(self, *, pool: HttpPool, address: str) -> None:
+        self._pool = pool
+        self._address = address
+
+    async def fence(self, *, shard: int, epoch: int) -> Appended | Fenced | Refused | NoAnswer:
+        """Raise a shard's epoch; the call is an append without records."""
+        outcome = await self._append(JOBS, shard, b"", {"producer": PRODUCER, "epoch": epoch})
+        assert not isinstance(outcome, WrongSequence)
+        return outcome
+
+    async def append(
+        self, *, shard: int, epoch: int, sequence: int, records: Sequence[Record]
+    ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
+        """Append records under an epoch."""
+        query = {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
+        body = b"".join(_keyed(record) for record in records)
+        return await self._append(JOBS, shard, body, query)
+
+    async def newest(self, *, shard: int) -> Entries | Refused | NoAnswer:
+        """Read the newest record of each key of a shard."""
+        return await self._newest(JOBS, shard)
+
+    async def join(
+        self, *, member: str, generation: int, ttl_s: float
+    ) -> Joined | Refused | NoAnswer:
+        """Join the owners' group, or stay in it."""
+        body = {
+            "group": GROUP,
+            "member": member,
+            "topics": [JOBS],
+            "ttlMs": int(ttl_s * 1000),
+            "generation": generation,
+        }
+        fields = await self._post("/mustardgap/log-join", body, JOIN_S)
+        if isinstance(fields, Refused | NoAnswer):
+            return fields
+        shards = frozenset(row[1] for row in fields["parts"] if row[0] == JOBS)
+        return Joined(generation=fields["generation"], shards=shards)
+
+    async def leave(self, *, member: str) -> Done | Refused | NoAnswer:
+        """Leave the owners' group."""
+        body = {"group": GROUP, "member": member}
+        fields = await self._post("/mustardgap/log-leave", body, JOIN_S)
+        return fields if isinstance(fields, Refused | NoAnswer) else Done()
+
+    async def owners(self) -> dict[int, str] | Refused | NoAnswer:
+        """The member that holds each shard."""
+        query = urlencode({"group": GROUP})
+        answer = await self._call("GET", f"/mustardgap/log-owners?{query}", None, CALL_S)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        if answer.status != 200:
+            return _refused(answer)
+        value = msgspec.json.decode(answer.body)
+        rows = value if isinstance(value, list) else next(iter(_lists(value)), [])
+        return {row[1]: row[2] for row in rows if row[0] == JOBS and row[2]}
+
+    async def read_operator(
+        self, *, offset: int | None, wait_s: float
+    ) -> Entries | Expired | Refused | NoAnswer:
+        """Read what the operator wrote."""
+        return await self._read(OPERATOR, offset, wait_s)
+
+    async def read_executors(
+        self, *, offset: int | None, wait_s: float
+    ) -> Entries | Expired | Refused | NoAnswer:
+        """Read what executors wrote."""
+        return await self._read(EXECUTORS, offset, wait_s)
+
+    async def write_status(self, *, wave: int, completed: bool) -> Appended | Refused | NoAnswer:
+        """Write how far a wave is."""
+        value = msgspec.json.encode(
+            {"wave": wave, "state": "completed" if completed else "running"}
+        )
+        outcome = await self._append(STATUS, 0, _keyed(Record(f"wave/{wave}", value)), {})
+        if isinstance(outcome, Fenced | WrongSequence):
+            return Refused(detail="the status topic knows no epochs")
+        return outcome
+
+    async def _read(
+        self, topic: str, offset: int | None, wait_s: float
+    ) -> Entries | Expired | Refused | NoAnswer:
+        if offset is None:
+            return await self._newest(topic, 0)
+        query = urlencode(
+            {
+                "topic": topic,
+                "part": 0,
+                "from": offset,
+                "waitMs": int(wait_s * 1000),
+                "maxKb": READ_KB,
+            }
+        )
+        timeout = wait_s + POLL_SLACK_S
+        answer = await self._call("GET", f"/mustardgap/log-read?{query}", None, timeout)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        if answer.status == 410:
+            return Expired()
+        if answer.status != 200:
+            return _refused(answer)
+        return _records(answer.body, offset)
+
+    async def _newest(self, topic: str, shard: int) -> Entries | Refused | NoAnswer:
+        values: dict[str, bytes | None] = {}
+        end: int | None = None
+        after = ""
+        while True:
+            query = {"topic": topic, "part": shard}
+            if after:
+                # The page calls the key that the next page starts after by this field's name.
+                query["dependsOn"] = after
+            target = f"/mustardgap/log-newest?{urlencode(query)}"
+            answer = await self._call("GET", target, None, CALL_S)
+            if not isinstance(answer, HttpAnswer):
+                return answer
+            if answer.status == 404:
+                return Entries(values_by_key={}, end=0)
+            if answer.status != 200:
+                return _refused(answer)
+            page = fields_of(answer.body)
+            for item in page["items"]:
+                values[item["key"]] = base64.b64decode(item["value"])
+                after = item["key"]
+            # Pages are read one after another: what was written meanwhile is read again from the
+            # end that the first one gave.
+            end = page["end"] if end is None else end
+            if not page.get("hasMore"):
+                return Entries(values_by_key=values, end=end)
+
+    async def _append(
+        self, topic: str, shard: int, body: bytes, query: Mapping[str, object]
+    ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
+        target = "/mustardgap/log-append?" + urlencode({"topic": topic, "part": shard, **query})
+        answer = await self._call("POST", target, body, CALL_S)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        fields = fields_of(answer.body)
+        if answer.status == 200:
+            return Appended(end=fields.get("end", 0))
+        if answer.status == 409 and fields.get("reason") == "fenced":
+            return Fenced(detail="a higher epoch writes this shard")
+        if answer.status == 409:
+            expected = [value for key, value in fields.items() if isinstance(value, int)]
+            return WrongSequence(expected=expected[0] if expected else -1)
+        return _refused(answer)
+
+    async def _post(
+        self, path: str, body: dict[str, Any], timeout_s: float
+    ) -> dict[str, Any] | Refused | NoAnswer:
+        answer = await self._call("POST", path, msgspec.json.encode(body), timeout_s)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        if answer.status != 200:
+            return _refused(answer)
+        return dict(fields_of(answer.body))
+
+    async def _call(
+        self, method: str, target: str, body: bytes | None, timeout_s: float
+    ) -> HttpAnswer | NoAnswer:
+        answer = await self._pool.call(
+            address=self._address, method=method, target=target, body=body, timeout_s=timeout_s
+        )
+        if isinstance(answer, NoAnswer):
+            # After a lost answer the idle connections may be as silent as the one that was used.
+            self._pool.forget(self._address)
+        return answer
+
+
+def _keyed(record: Record) -> bytes:
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + record.value
+    return _LENGTH.pack(len(content)) + content
+
+
+def _records(raw: bytes, offset: int) -> Entries:
+    """Split the answer of a read: the end, the first kept offset, then records with lengths."""
+    values: dict[str, bytes | None] = {}
+    place = _OFFSETS.size
+    count = 0
+    while place + _LENGTH.size <= len(raw):
+        (length,) = _LENGTH.unpack_from(raw, place)
+        place += _LENGTH.size
+        content = raw[place : place + length]
+        place += length
+        count += 1
+        key_end = 1 + content[0]
+        key = content[1:key_end].decode()
+        values.pop(key, None)
+        values[key] = content[key_end:] or None
+    return Entries(values_by_key=values, end=offset + count)
+
+
+def _lists(fields: dict[str, Any]) -> list[list[Any]]:
+    return [value for value in fields.values() if isinstance(value, list)]
+
+
+def _refused(answer: HttpAnswer) -> Refused:
+    return Refused(detail=f"{answer.status} {answer.body[:200].decode(errors='replace')}")
--- /dev/null
+++ b/mustardgap/shard_owners.py
@@ -0,0 +1,195 @@
+"""Which shards this daemon owns, and who owns the others, as the store's group deals them out."""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+from typing import Protocol
+
+from .events import EventLog
+from .ports import Joined, NoAnswer, Refused, Store
+from .timers import Clock
+
+# A daemon that dies is replaced after this. It is some four renewals, and a slow store's answer
+# takes a quarter of a second, so a slow store alone replaces nobody.
+TTL_S = 1.8
+RENEW_S = 0.45
+RETRY_S = 0.1
+
+
+class Owned(Protocol):
+    """What is run for a shard while it is owned."""
+
+    ended: asyncio.Event
+
+    async def run(self) -> None:
+        """Take the shard over and serve it."""
+
+
+class ShardOwners:
+    """Keeps this daemon in the group of owners, and runs what it owns.
+
+    :param store: the platform's store.
+    :param member: this daemon's name in the group: its peers' address and its incarnation.
+    :param make: makes what is run for a shard at an epoch.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        member: str,
+        make: Callable[[int, int], Owned],
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.member = member
+        self.generation = 0
+        self.owned_by_shard: dict[int, Owned] = {}
+        self.members_by_shard: dict[int, str] = {}
+        self._store = store
+        self._make = make
+        self._clock = clock
+        self._events = events
+        self._epoch_by_shard: dict[int, int] = {}
+        self._tasks_by_shard: dict[int, asyncio.Task[None]] = {}
+        self._confirmed_at: float | None = None
+        self._failing = False
+        self._owners_of = 0
+        self._leaving = False
+
+    def fresh_s(self) -> float:
+        """Seconds since the store last confirmed the membership; counted from the request."""
+        if self._confirmed_at is None:
+            return float("inf")
+        return self._clock.monotonic() - self._confirmed_at
+
+    def settled(self) -> bool:
+        """Whether nobody else can have been given this daemon's shards yet."""
+        return self.fresh_s() < TTL_S and not self._leaving
+
+    def address_of(self, shard: int) -> str | None:
+        """Where the peers of a shard's owner call it, None while nobody is known."""
+        member = self.members_by_shard.get(shard)
+        return member.partition("/")[0] if member else None
+
+    async def run(self) -> None:
+        """Renew the membership until cancelled."""
+        while not self._leaving:
+            if await self._renew():
+                await self._clock.sleep(RENEW_S)
+            else:
+                await self._clock.sleep(RETRY_S)
+
+    async def leave(self) -> None:
+        """Stop owning, and let others take over at once."""
+        self._leaving = True
+        for shard in list(self.owned_by_shard):
+            await self._give_up(shard, "leaving")
+        await self._store.leave(member=self.member)
+        self._events.note("group.left", vital=True, member=self.member)
+
+    async def _renew(self) -> bool:
+        sent_at = self._clock.monotonic()
+        outcome = await self._store.join(
+            member=self.member, generation=self.generation, ttl_s=TTL_S
+        )
+        if self._leaving:
+            return True
+        if not isinstance(outcome, Joined):
+            self._failed(outcome)
+            return False
+        if self._failing:
+            self._failing = False
+            self._events.note("group.regained", vital=True, generation=outcome.generation)
+        quiet_s = self.fresh_s()
+        self._confirmed_at = sent_at
+        await self._take_in(outcome, quiet_s)
+        if self._owners_of != self.generation:
+            await self._read_owners()
+        return True
+
+    async def _take_in(self, joined: Joined, quiet_s: float) -> None:
+        changed = joined.generation != self.generation
+        if changed and quiet_s >= TTL_S:
+            # Others may have owned the shards meanwhile, and have accepted jobs that aren't known
+            # here: their callers would be told that no such job exists. Each is read anew.
+            for shard in list(self.owned_by_shard):
+                await self._give_up(shard, "membership lapsed")
+        for shard in [s for s in self.owned_by_shard if s not in joined.shards]:
+            await self._give_up(shard, "dealt to another")
+        # What isn't listed any more has been given up above, before the next renewal names this
+        # generation: only then does the store deal it to another.
+        self.generation = joined.generation
+        for shard in joined.shards:
+            owned = self.owned_by_shard.get(shard)
+            if owned is not None and owned.ended.is_set():
+                await self._give_up(shard, "ended")
+                # The epoch was fenced off, so another owner was there in between; ours is newer
+                # only once the group's generation is.
+                if joined.generation <= self._epoch_by_shard[shard]:
+                    continue
+                owned = None
+            if owned is None and joined.generation > self._epoch_by_shard.get(shard, 0):
+                self._begin(shard, joined.generation)
+        if changed:
+            self._events.note(
+                "group.generation",
+                generation=joined.generation,
+                shards=sorted(joined.shards),
+            )
+
+    def _begin(self, shard: int, epoch: int) -> None:
+        owned = self._make(shard, epoch)
+        self._epoch_by_shard[shard] = epoch
+        self.owned_by_shard[shard] = owned
+        self.members_by_shard[shard] = self.member
+        self._tasks_by_shard[shard] = asyncio.create_task(owned.run(), name=f"shard:{shard}")
+        self._events.note("shard.gained", vital=True, shard=shard, epoch=epoch)
+
+    async def _give_up(self, shard: int, why: str) -> None:
+        self.owned_by_shard.pop(shard)
+        if self.members_by_shard.get(shard) == self.member:
+            del self.members_by_shard[shard]
+        task = self._tasks_by_shard.pop(shard)
+        task.cancel()
+        await asyncio.wait([task])
+        if not task.cancelled() and task.exception() is not None:
+            self._events.note("shard.failed", vital=True, shard=shard, why=repr(task.exception()))
+        self._events.note(
+            "shard.lost", vital=True, shard=shard, epoch=self._epoch_by_shard[shard], why=why
+        )
+
+    async def _read_owners(self) -> None:
+        generation = self.generation
+        outcome = await self._store.owners()
+        if isinstance(outcome, Refused | NoAnswer):
+            return
+        self.members_by_shard = dict(outcome)
+        for shard in self.owned_by_shard:
+            self.members_by_shard[shard] = self.member
+        self._owners_of = generation
+
+    async def refresh(self) -> None:
+        """Read anew who owns what, for example after an owner couldn't be reached."""
+        await self._read_owners()
+
+    def _failed(self, outcome: Refused | NoAnswer) -> None:
+        if not self._failing:
+            self._failing = True
+            self._events.note(
+                "group.lost", vital=True, why=outcome.detail, generation=self.generation
+            )
+
+
+def shard_of(service: str, shards: int) -> int:
+    """The shard that holds a service's jobs; shard 0 is the fleet's.
+
+    :param service: the service's name.
+    :param shards: how many shards there are.
+    """
+    if shards < 2:
+        return 0
+    digest = hashlib.blake2b(service.encode(), digest_size=8).digest()
+    return 1 + int.from_bytes(digest) % (shards - 1)
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -367,6 +367,46 @@
     "A host didn't come back from its reboot in time",
     "Have it repaired; its place is filled meanwhile.",
 )
+JOB_ACCEPTED = _code(4020, "job_accepted", 200, 0, "The job is stored and will be run", "")
+JOB_CANCELLED = _code(4021, "job_cancelled", 200, 0, "The job is cancelled, or had ended", "")
+JOB_STATE = _code(4022, "job_state", 200, 0, "The state of a job or queue", "")
+JOB_UNKNOWN = _code(4023, "job_unknown", 410, 45, "No such job exists", "")
+QUEUE_UNKNOWN = _code(
+    4024, "queue_unknown", 404, 45, "No queue takes this host and path", "Check the configuration."
+)
+JOB_INVALID = _code(4025, "job_invalid", 400, 46, "Not run: the body isn't a job", "Mend the body.")
+CONFIGURATION_MISSING = _code(
+    4026,
+    "configuration_missing",
+    503,
+    47,
+    "Not run: no configuration has been read yet",
+    "Send again after the time in Retry-After.",
+)
+OWNER_UNAVAILABLE = _code(
+    4027,
+    "owner_unavailable",
+    503,
+    47,
+    "Not run: the queue's owner could not be reached",
+    "Send again after the time in Retry-After.",
+)
+STORE_UNAVAILABLE = _code(
+    4028,
+    "store_unavailable",
+    503,
+    47,
+    "Not run: the store takes no records",
+    "Send again after the time in Retry-After.",
+)
+JOB_UNSETTLED = _code(
+    4029,
+    "job_unsettled",
+    504,
+    48,
+    "May have been accepted: the store or the owner didn't answer in time",
+    "Send again with the same id; it stays one job.",
+)
 
 # 5xxx: the platform and the peers.
 LOG_UNAVAILABLE = _code(
--- /dev/null
+++ b/mustardgap/suspicions.py
@@ -0,0 +1,106 @@
+"""Executors that fail, refuse, stall or are slow: seen from how their runs end and move."""
+
+from collections.abc import Iterable
+
+from .events import EventLog
+from .executor_links import ExecutorLink, Run
+from .job_states import Task
+from .timers import Clock
+from .workloads import EndKind
+
+# A run whose share done hasn't grown for this long, over several looks of at most 1 s, stands
+# still. A task of usual length grows by a hundredth every 10 ms.
+STALL_S = 2.2
+# A stalled run's estimate may be off; a hundredth of the estimated time passes in this many of it.
+STALL_OF_ESTIMATE = 0.08
+# An executor on which so many runs stood still gets nothing for a while.
+STALLS = 2
+PAUSE_S = 8.0
+# An executor that refused a start for want of room knows of runs that we don't; one that says it
+# is unhealthy has done nothing. Both are tried again after this.
+REFUSED_S = 0.3
+# Failures of so many different jobs without a success between them are the executor's fault.
+FAILED_JOBS = 3
+# A run that moves at less than this share of its estimated speed is on a slow executor, once it
+# has run for SLOW_AFTER_S. Estimates are off by a fifth or so.
+SLOW_SHARE = 0.4
+SLOW_AFTER_S = 1.0
+SLOW_PAUSE_S = 4.0
+
+
+class Suspicions:
+    """Marks executors that don't do their work.
+
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(self, *, clock: Clock, events: EventLog) -> None:
+        self._clock = clock
+        self._events = events
+
+    def on_end(self, link: ExecutorLink, task: Task, how: EndKind, run: Run | None) -> None:
+        """Take in how a run ended on an executor."""
+        if how is EndKind.DONE:
+            link.failures_in_a_row = 0
+            link.failed_jobs.clear()
+            if run is not None and not self._was_slow(run):
+                link.slow_marks = 0
+            return
+        if how is not EndKind.FAILED:
+            return
+        task.avoided.add(link.entry.executor)
+        if task.step.lasting:
+            # Lasting tasks may fail at any time; that says little of the executor.
+            return
+        link.failures_in_a_row += 1
+        link.failed_jobs.add(task.task_id.job)
+        if len(link.failed_jobs) >= FAILED_JOBS:
+            self._pause(link, PAUSE_S, "fails what it starts")
+
+    def on_refused(self, link: ExecutorLink, why: str) -> None:
+        """Take in a start that was turned down."""
+        link.pause_until = max(link.pause_until, self._clock.monotonic() + REFUSED_S)
+
+    def look(self, runs: Iterable[Run], now: float) -> None:
+        """Stop runs that stand still, and mark executors that are slow."""
+        for run in runs:
+            step = run.task.step
+            if step.lasting or step.filling or run.pace < 100 or not run.link.up:
+                continue
+            if now - run.moved_at > STALL_S + STALL_OF_ESTIMATE * step.estimate_s:
+                self._stalled(run)
+            elif self._is_slow(run, now) and not run.link.slow_marks:
+                run.link.slow_marks = 1
+                self._pause(run.link, SLOW_PAUSE_S, "slow")
+
+    def _stalled(self, run: Run) -> None:
+        link = run.link
+        link.slow_marks += 1
+        run.task.avoided.add(link.entry.executor)
+        link.end(run, "stands still")
+        if link.slow_marks >= STALLS:
+            self._pause(link, PAUSE_S, "runs stand still")
+
+    def _is_slow(self, run: Run, now: float) -> bool:
+        ran_s = run.moved_at - run.started_at
+        if ran_s < SLOW_AFTER_S or run.task.checkpoint or not run.task.step.estimate_s:
+            return False
+        return run.percent / 100 * run.task.step.estimate_s < SLOW_SHARE * ran_s
+
+    def _was_slow(self, run: Run) -> bool:
+        ran_s = self._clock.monotonic() - run.started_at
+        if ran_s < SLOW_AFTER_S or run.task.checkpoint:
+            return False
+        return run.task.step.estimate_s < SLOW_SHARE * ran_s
+
+    def _pause(self, link: ExecutorLink, pause_s: float, why: str) -> None:
+        link.pause_until = max(link.pause_until, self._clock.monotonic() + pause_s)
+        self._events.note(
+            "executor.paused",
+            vital=True,
+            executor=link.entry.executor,
+            why=why,
+            pause_s=pause_s,
+            failures=link.failures_in_a_row,
+        )
--- a/mustardgap/upstreams.py
+++ b/mustardgap/upstreams.py
@@ -4,15 +4,15 @@
 import socket
 import uuid
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 from tornado import httputil, iostream
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.netutil import Resolver
 from tornado.tcpclient import TCPClient
 
 from . import headers as header_rules
 from .answers import Answer, Patience, Sink
+from .resolvers import NumericResolver
 from .settings import Settings
 from .timers import Clock
 from .tries import NotSent, Reset, TryResult
@@ -59,7 +59,7 @@
     def __init__(self, *, settings: Settings, clock: Clock | None = None) -> None:
         self.settings = settings
         self.clock = clock or Clock()
-        self._client = TCPClient(resolver=_NumericResolver())
+        self._client = TCPClient(resolver=NumericResolver())
         self._parameters = HTTP1ConnectionParameters(
             no_keep_alive=True,
             chunk_size=CHUNK_BYTES,
@@ -179,17 +179,6 @@
         connection.finish()
 
 
-class _NumericResolver(Resolver):
-    """Takes IP numbers as they are; the default would ask a thread for each connection."""
-
-    async def resolve(
-        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
-    ) -> list[tuple[int, Any]]:
-        """Make the address of an IP number and port."""
-        kind = socket.AF_INET6 if ":" in host else socket.AF_INET
-        return [(kind, (host, port))]
-
-
 def _is_open(stream: iostream.IOStream) -> bool:
     # An executor that accepts and closes at once, for example while it is being replaced, would
     # cost a non-idempotent request its outcome. Nothing has been written yet, so seeing the end
--- /dev/null
+++ b/mustardgap/workloads.py
@@ -0,0 +1,226 @@
+"""What dispatching speaks of: queues, services, jobs, executors, runs and their ends."""
+
+import enum
+from typing import NamedTuple
+
+JobId = str
+ExecutorId = str
+MachineId = str
+
+
+class AdvicePolicy(NamedTuple):
+    """How long the advice service takes to say which executors may run a step of a queue."""
+
+    decide_s: float
+    per_executor_s: float
+    valid_s: float
+
+
+class Queue(NamedTuple):
+    """One queue of jobs, as the operator's configuration declares it.
+
+    ``priority`` 0 is the most urgent. ``stretch`` times a job's longest chain of work, plus
+    ``objective_s``, is the time within which a job earns its whole worth.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_s: float
+    objective_s: float
+    priority: int
+    max_attempts: int
+    stretch: float
+    advice: AdvicePolicy | None = None
+
+
+class Service(NamedTuple):
+    """A pool of executors; the machines of a standby pool are off and cost nothing."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    guards_capacity: bool
+    standby: bool
+
+
+class Limits(NamedTuple):
+    """Bounds on what callers may send."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Configuration(NamedTuple):
+    """The operator's configuration in full; the highest ``version`` is in force."""
+
+    version: int
+    queues_by_name: dict[str, Queue]
+    services_by_name: dict[str, Service]
+    limits: Limits = Limits()
+
+    def queue_for(self, host: str, path: str) -> Queue | None:
+        """The queue whose prefix is the longest one that the path begins with.
+
+        :param host: the request's host, without a port.
+        :param path: the request's path.
+        """
+        fitting = [
+            queue
+            for queue in self.queues_by_name.values()
+            if queue.host == host and path.startswith(queue.path_prefix)
+        ]
+        return max(fitting, key=lambda queue: len(queue.path_prefix), default=None)
+
+
+class Room(NamedTuple):
+    """An amount of an executor's resources; processor time in thousandths of a core."""
+
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def plus(self, other: "Room") -> "Room":
+        """Both amounts together."""
+        return Room(self.cpu + other.cpu, self.memory_mb + other.memory_mb, self.gpus + other.gpus)
+
+    def minus(self, other: "Room") -> "Room":
+        """What is left after taking the other amount."""
+        return Room(self.cpu - other.cpu, self.memory_mb - other.memory_mb, self.gpus - other.gpus)
+
+    def holds(self, other: "Room") -> bool:
+        """Whether the other amount fits into this one."""
+        return (
+            self.cpu >= other.cpu and self.memory_mb >= other.memory_mb and self.gpus >= other.gpus
+        )
+
+
+class Step(NamedTuple):
+    """The equal tasks, ``width`` of them, that one step of a job consists of.
+
+    ``estimate_s`` is the submitter's rough guess of a task's duration. ``anti_affinity`` bounds the
+    tasks of the step on one executor, 0 for no bound. A ``filling`` step uses processor time that
+    others leave over, so its ``cpu`` isn't counted. ``may_miss`` bounds how many tasks of a lasting
+    step we may take away at once; None for no promise.
+    """
+
+    width: int
+    cpu: int
+    memory_mb: int
+    gpus: int
+    estimate_s: float
+    depends_on: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: int = 0
+    filling: bool = False
+    may_miss: int | None = None
+
+    @property
+    def room(self) -> Room:
+        """What one task takes of an executor's capacity."""
+        return Room(0 if self.filling else self.cpu, self.memory_mb, self.gpus)
+
+
+class JobSpec(NamedTuple):
+    """What a caller asked for; its steps run ``repeats`` times when that is over 0."""
+
+    payload: str
+    steps: tuple[Step, ...]
+    repeats: int = 0
+    first_at_s: float = 0.0
+    interval_s: float = 0.0
+
+
+class TaskId(NamedTuple):
+    """One task of a job; ``occurrence`` counts the repetitions from 0."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    number: int
+
+
+class ExecutorEntry(NamedTuple):
+    """What an executor says of itself in the platform's list of executors."""
+
+    executor: ExecutorId
+    service: str
+    address: str
+    data_centre: str
+    draining: bool
+    capacity: Room
+    labels: tuple[str, ...] = ()
+    rack: str = ""
+    machine: MachineId = ""
+    remaining_s: float | None = None
+
+
+class EndKind(enum.IntEnum):
+    """How a run ended on its executor."""
+
+    DONE = 0
+    FAILED = 1
+    STOPPED = 2
+    LAPSED = 3
+    BROKEN = 4
+    ALONE = 5
+
+
+class RunRow(NamedTuple):
+    """One run that an executor reports as present; ``load`` is a tail in ms for serving tasks."""
+
+    task: TaskId
+    run: int
+    checkpoint: str
+    percent: int
+    load: int = 0
+
+
+class EndRow(NamedTuple):
+    """One end that an executor reports until it is acknowledged."""
+
+    number: int
+    task: TaskId
+    run: int
+    how: EndKind
+    checkpoint: str
+
+
+class Report(NamedTuple):
+    """What one executor runs and what has ended there, at a time of its own clock."""
+
+    clock_ms: int
+    running: tuple[RunRow, ...]
+    ended: tuple[EndRow, ...]
+
+
+class Machine(NamedTuple):
+    """One machine of the fleet, and the executor that is its present life."""
+
+    machine: MachineId
+    pool: str
+    state: str
+    data_centre: str
+    labels: tuple[str, ...]
+    capacity: Room
+    executor: ExecutorId
+
+
+class Wave(NamedTuple):
+    """A set of machines that the operator wants maintained in time."""
+
+    number: int
+    machines: tuple[MachineId, ...]
+    finish_by_s: float
+    at_once: int
