Move machines with the demand and carry out waves by one owner of the fleet

Change: the owner of shard 0 asks the pools' owners every 0.2 s, closes a machine, orders it away once its pool says that it is empty, and notes what a wave has had. Pools keep their size until rises are foreseen from those seen.

--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -23,6 +23,7 @@
 )
 from .pacing import Pacing
 from .placing import choose, choose_gang, urgency, usable
+from .pool_views import PoolRequest, PoolView, view
 from .ports import Entries, Executors, Store
 from .shard_logs import ShardLog, Stored, Ticket
 from .suspicions import Suspicions
@@ -54,6 +55,9 @@
 KEEP_SLACK_S = 30.0
 REAP_S = 5.0
 LOAD_RETRY_S = 0.2
+# What the fleet's owner wants closed stays closed for so long without a word of it; a successor
+# needs some 6 s to go on, and an order without an answer may arrive meanwhile.
+FLEET_S = 6.0
 
 JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY = "j/", "p/", "e/"
 
@@ -120,6 +124,7 @@
         self._entries_by_id: dict[str, ExecutorEntry] = {}
         self._services: frozenset[str] = frozenset()
         self._reaped_at = 0.0
+        self._fleet_at = float("-inf")
 
     # What callers ask.
 
@@ -463,7 +468,7 @@
 
     def _settle(self, job: Job, task: Task) -> bool:
         """End the job if this end of a task decides it."""
-        if exhausted(task, self._queue(job)):
+        if exhausted(task, self.queue_of(job)):
             self._finish(job, JobPhase.FAILED, f"task {task.task_id} failed too often")
             return True
         if job.all_done():
@@ -545,7 +550,7 @@
             return
         now, wall = self._clock.monotonic(), self._clock.wall()
         waiting = [job for job in self.jobs_by_id.values() if job.phase is JobPhase.LIVE]
-        waiting.sort(key=lambda job: urgency(job, self._queue(job), wall))
+        waiting.sort(key=lambda job: urgency(job, self.queue_of(job), wall))
         for job in waiting:
             for tasks in job.steps_in_turn():
                 self._place_step(job, tasks, now)
@@ -600,11 +605,33 @@
         self._run_count += 1
         return self.epoch * RUNS_AN_EPOCH + self._run_count
 
-    def _queue(self, job: Job) -> Queue | None:
+    def queue_of(self, job: Job) -> Queue | None:
+        """The queue that a job was handed in to, None if it isn't configured any more."""
         if self.configuration is None:
             return None
         return self.configuration.queues_by_name.get(job.queue_name)
 
+    # The fleet.
+
+    def pool_view(self, request: PoolRequest) -> PoolView | None:
+        """Sum up a pool for the fleet's owner, and empty what it wants; None if not sure of it."""
+        if not self.loaded or self._unheard or not self._settled():
+            return None
+        self._fleet_at = self._clock.monotonic()
+        closing = frozenset(request.closing)
+        self.evacuations.planned = frozenset(request.planned)
+        for executor, link in self.links_by_executor.items():
+            if link.entry.service == request.service:
+                link.closing = executor in closing
+        return view(self, request.service, self._clock.wall())
+
+    def _forget_fleet(self, now: float) -> None:
+        # A fleet's owner that is gone would leave machines closed for good.
+        if now - self._fleet_at < FLEET_S:
+            return
+        for link in self.links_by_executor.values():
+            link.closing = False
+
     # Time.
 
     async def _tick(self) -> None:
@@ -616,6 +643,7 @@
                     job.open_due(wall)
             self.suspicions.look(self.running(), now)
             self.pacing.look(self.links_by_executor.values(), now)
+            self._forget_fleet(now)
             self.evacuations.look(now)
             if now - self._reaped_at > REAP_S:
                 self._reaped_at = now
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -156,6 +156,7 @@
         self.failures_in_a_row = 0
         self.failed_jobs: set[str] = set()
         self.slow_marks = 0
+        self.slow_jobs: set[str] = set()
         self._port = port
         self._owner = owner
         self._clock = clock
--- /dev/null
+++ b/mustardgap/fleet_managers.py
@@ -0,0 +1,544 @@
+"""The fleet's owner: moves machines between pools as demand turns, and carries out maintenance."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import NamedTuple
+
+import msgspec
+
+from .boards import OperatorBoard
+from .events import EventLog
+from .pool_demands import Balance, Forecast, PoolDemand
+from .pool_views import ExecutorView, PoolRequest, PoolView
+from .ports import Boards, Done, Entries, Fenced, Machines, NoAnswer, Refused, Store
+from .shard_logs import ShardLog
+from .timers import Clock
+from .turns import Turns
+from .workloads import Configuration, Machine, Service, Wave
+
+# How often pools are asked and decisions taken. Demand turns within a second or two; a round is a
+# call a pool.
+ROUND_S = 0.2
+# How often machines are listed; orders that were carried out show in it.
+LIST_S = 0.5
+# A pool's word that an executor is empty holds for so long.
+WORD_S = 0.5
+# A takeover waits for as long as the platform asks between the orders of two holders, and this.
+TAKEOVER_SLACK_S = 0.3
+# A machine is back this long after its move or maintenance should have ended, or is looked for in
+# the list of machines.
+BACK_SLACK_S = 0.3
+# A closed machine that can't be emptied in this time is opened again, as another may be easier.
+CLOSING_S = 6.0
+REOPEN_PAUSE_S = 1.0
+# The share of a pool's machines that may be closed for maintenance at once while it has work.
+CLOSED_SHARE = 0.34
+# Beside the move itself, a machine that is brought for a rise needs this long to be found, listed
+# and held.
+LEAD_SLACK_S = 0.9
+# A rise that is expected may come this much late before its machines are let go again.
+RISE_SLACK_S = 1.0
+# A machine is let go before an expected rise if it would idle for longer than two moves cost: at
+# 0.094 a second and 0.11 a move that is 2.4 s.
+WORTH_S = 2.4
+WAVE_KEY = "w/"
+UP = "up"
+
+
+class Closing(NamedTuple):
+    """A machine that is being emptied, and for what; ``wave`` or ``pool`` is set."""
+
+    executor: str
+    source: str
+    since: float
+    wave: int | None
+    pool: str | None
+
+
+class Away(NamedTuple):
+    """A machine that was ordered away: the executor that it had, and when it should be back."""
+
+    executor: str
+    pool: str
+    back_at: float
+    wave: int | None
+
+
+class Times(NamedTuple):
+    """What orders take on this deployment, in seconds."""
+
+    move_s: float
+    maintenance_s: float
+    lease_s: float
+
+
+AskPool = Callable[[PoolRequest], Awaitable[PoolView | None]]
+
+
+class FleetManager:
+    """Owns the fleet's shard: the only one that orders machines about.
+
+    :param shard: the fleet's shard.
+    :param epoch: its ownership; the fencing token of orders.
+    :param host: this daemon's host, the holder that orders name.
+    :param store: the durable log.
+    :param boards: where the operator reads how far a wave is.
+    :param machines: orders to machines.
+    :param operator: the configuration and the waves.
+    :param ask: asks the owner of a pool.
+    :param settled: whether nobody else can own the shard.
+    :param times: what orders take.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        epoch: int,
+        host: str,
+        store: Store,
+        boards: Boards,
+        machines: Machines,
+        operator: OperatorBoard,
+        ask: AskPool,
+        settled: Callable[[], bool],
+        times: Times,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.ended = asyncio.Event()
+        self.machines_by_id: dict[str, Machine] = {}
+        self.views_by_service: dict[str, PoolView] = {}
+        self.closing_by_machine: dict[str, Closing] = {}
+        self.away_by_machine: dict[str, Away] = {}
+        self.done_by_wave: dict[int, set[str]] = {}
+        self.log = ShardLog(store=store, shard=shard, epoch=epoch, clock=clock, events=events)
+        self._epoch = epoch
+        self._host = host
+        self._store = store
+        self._boards = boards
+        self._machines = machines
+        self._operator = operator
+        self._ask = ask
+        self._settled = settled
+        self._times = times
+        self._clock = clock
+        self._events = events
+        self._shard = shard
+        self._listed_at = float("-inf")
+        self._viewed_at_by_service: dict[str, float] = {}
+        self._demands_by_service: dict[str, PoolDemand] = {}
+        self._not_before_by_machine: dict[str, float] = {}
+        self._known_at_by_wave: dict[int, float] = {}
+        self._told_by_wave: dict[int, bool] = {}
+        self._orders: dict[str, asyncio.Task[None]] = {}
+        self._turns = Turns()
+        self._fenced = False
+
+    async def run(self) -> None:
+        """Take the shard over, and order machines about until fenced off or cancelled."""
+        writing: asyncio.Task[None] | None = None
+        try:
+            if not await self.log.open() or not await self._load():
+                return
+            writing = asyncio.create_task(self.log.run())
+            # Orders for one machine by two holders within this time would contradict each other.
+            await self._clock.sleep(self._times.lease_s + TAKEOVER_SLACK_S)
+            while not self._fenced and not self.log.fenced:
+                await self._round()
+                await self._clock.sleep(ROUND_S)
+        finally:
+            self.ended.set()
+            self.log.close()
+            for task in (*self._orders.values(), writing):
+                if task is not None:
+                    task.cancel()
+
+    async def _load(self) -> bool:
+        while True:
+            entries = await self._store.newest(shard=self._shard)
+            if isinstance(entries, Entries):
+                break
+            await self._clock.sleep(ROUND_S)
+        for key, value in entries.values_by_key.items():
+            if key.startswith(WAVE_KEY) and value:
+                number = int(key.removeprefix(WAVE_KEY))
+                self.done_by_wave[number] = set(msgspec.msgpack.decode(value))
+        return True
+
+    async def _round(self) -> None:
+        configuration = self._operator.configuration
+        if configuration is None or not self._settled():
+            return
+        if self._clock.monotonic() - self._listed_at >= LIST_S:
+            await self._list()
+        await self._look_at_pools(configuration)
+        self._note_returns()
+        self._drop_stale_closings()
+        self._carry_out_closed()
+        self._plan_waves(configuration)
+        self._plan_moves(configuration)
+        await self._tell_waves()
+
+    # What is known.
+
+    async def _list(self) -> None:
+        outcome = await self._machines.machines()
+        if isinstance(outcome, Refused | NoAnswer):
+            self._events.note("machines.unlisted", why=outcome.detail)
+            return
+        self._listed_at = self._clock.monotonic()
+        self.machines_by_id = {machine.machine: machine for machine in outcome}
+
+    async def _look_at_pools(self, configuration: Configuration) -> None:
+        services = [s for s in configuration.services_by_name.values() if not s.standby]
+        await asyncio.gather(*(self._look_at(service) for service in services))
+
+    async def _look_at(self, service: Service) -> None:
+        closing = [c.executor for c in self.closing_by_machine.values()]
+        request = PoolRequest(service.name, closing, self._planned())
+        view = await self._ask(request)
+        if view is None:
+            return
+        now = self._clock.monotonic()
+        self.views_by_service[service.name] = view
+        self._viewed_at_by_service[service.name] = now
+        demand = self._demands_by_service.setdefault(service.name, PoolDemand())
+        demand.note(view, now)
+        self._turns.note(service.name, demand.machines(view), now)
+
+    def _planned(self) -> list[str]:
+        """Executors of machines that a wave will take away."""
+        executors = []
+        for wave in self._open_waves():
+            for name in self._remaining(wave):
+                machine = self.machines_by_id.get(name)
+                if machine is not None and machine.executor:
+                    executors.append(machine.executor)
+        return executors
+
+    def _note_returns(self) -> None:
+        now = self._clock.monotonic()
+        for name, away in list(self.away_by_machine.items()):
+            machine = self.machines_by_id.get(name)
+            listed_since = self._listed_at > away.back_at
+            if now < away.back_at or not listed_since:
+                continue
+            if machine is None or _is_back(machine, away):
+                del self.away_by_machine[name]
+
+    # Closing and ordering.
+
+    def _close(self, machine: Machine, *, wave: int | None = None, pool: str | None = None) -> None:
+        self.closing_by_machine[machine.machine] = Closing(
+            machine.executor, machine.pool, self._clock.monotonic(), wave, pool
+        )
+        self._events.note(
+            "machine.close",
+            machine=machine.machine,
+            executor=machine.executor,
+            pool=machine.pool,
+            wave=wave,
+            to=pool,
+        )
+
+    def _drop_stale_closings(self) -> None:
+        now = self._clock.monotonic()
+        for name, closing in list(self.closing_by_machine.items()):
+            machine = self.machines_by_id.get(name)
+            gone = machine is None or machine.executor != closing.executor
+            late = now - closing.since > CLOSING_S and closing.wave is None
+            if name in self._orders or not (gone or late):
+                continue
+            del self.closing_by_machine[name]
+            self._not_before_by_machine[name] = now + REOPEN_PAUSE_S
+            self._events.note(
+                "machine.reopen", machine=name, why="gone" if gone else "not empty in time"
+            )
+
+    def _carry_out_closed(self) -> None:
+        now = self._clock.monotonic()
+        for name, closing in list(self.closing_by_machine.items()):
+            if name in self._orders:
+                continue
+            viewed_at = self._viewed_at_by_service.get(closing.source, float("-inf"))
+            if viewed_at <= closing.since or now - viewed_at > WORD_S:
+                continue
+            view = _executor(self.views_by_service[closing.source], closing.executor)
+            if view is None or not view.settled or view.short_runs or view.lasting_runs:
+                continue
+            self._order(name, closing)
+
+    def _order(self, name: str, closing: Closing) -> None:
+        task = asyncio.create_task(self._carry_out(name, closing))
+        self._orders[name] = task
+        task.add_done_callback(lambda _: self._orders.pop(name, None))
+
+    async def _carry_out(self, name: str, closing: Closing) -> None:
+        """Order a machine away until the outcome is known; orders are idempotent."""
+        takes_s = self._times.move_s if closing.wave is None else self._times.maintenance_s
+        while not self._fenced:
+            # From the first try on, as it may be carried out although its answer is lost.
+            self.away_by_machine[name] = Away(
+                closing.executor,
+                closing.pool or closing.source,
+                self._clock.monotonic() + takes_s + BACK_SLACK_S,
+                closing.wave,
+            )
+            outcome = await self._send(name, closing)
+            self._events.note(
+                "machine.ordered",
+                vital=not isinstance(outcome, Done),
+                machine=name,
+                executor=closing.executor,
+                pool=closing.source,
+                wave=closing.wave,
+                to=closing.pool,
+                fence=self._epoch,
+                outcome=type(outcome).__name__,
+                why=getattr(outcome, "detail", None),
+            )
+            if isinstance(outcome, NoAnswer) or (
+                isinstance(outcome, Refused) and outcome.detail.startswith("429")
+            ):
+                await self._clock.sleep(ROUND_S)
+                continue
+            self._ordered(name, closing, outcome)
+            return
+
+    async def _send(self, name: str, closing: Closing) -> Done | Fenced | Refused | NoAnswer:
+        if closing.wave is not None:
+            return await self._machines.maintain(
+                machine=name, wave=closing.wave, holder=self._host, fence=self._epoch
+            )
+        assert closing.pool is not None
+        return await self._machines.move(
+            machine=name, pool=closing.pool, holder=self._host, fence=self._epoch
+        )
+
+    def _ordered(self, name: str, closing: Closing, outcome: Done | Fenced | Refused) -> None:
+        self.closing_by_machine.pop(name, None)
+        if isinstance(outcome, Fenced):
+            # Another owner orders machines about by now; to go on would contradict it.
+            self._fenced = True
+            return
+        if isinstance(outcome, Refused):
+            self.away_by_machine.pop(name, None)
+            self._not_before_by_machine[name] = self._clock.monotonic() + REOPEN_PAUSE_S
+            if outcome.detail.endswith("wave") and closing.wave is not None:
+                self._note_done(closing.wave, name)
+            return
+        if closing.wave is not None:
+            self._note_done(closing.wave, name)
+
+    # Waves.
+
+    def _open_waves(self) -> Iterable[Wave]:
+        return [
+            wave
+            for _, wave in sorted(self._operator.waves_by_number.items())
+            if self._remaining(wave)
+        ]
+
+    def _remaining(self, wave: Wave) -> list[str]:
+        done = self.done_by_wave.get(wave.number, set())
+        return [name for name in wave.machines if name not in done]
+
+    def _note_done(self, number: int, name: str) -> None:
+        done = self.done_by_wave.setdefault(number, set())
+        done.add(name)
+        self.log.put(f"{WAVE_KEY}{number}", msgspec.msgpack.encode(sorted(done)))
+
+    def _plan_waves(self, configuration: Configuration) -> None:
+        now = self._clock.monotonic()
+        for wave in self._open_waves():
+            self._known_at_by_wave.setdefault(wave.number, now)
+            busy = sum(1 for c in self.closing_by_machine.values() if c.wave == wave.number)
+            busy += sum(
+                1
+                for name, away in self.away_by_machine.items()
+                if away.wave == wave.number and name not in self.closing_by_machine
+            )
+            candidates = [
+                self.machines_by_id[name]
+                for name in self._remaining(wave)
+                if self._free_to_close(name, now)
+            ]
+            candidates.sort(key=lambda machine: self._wave_order(machine, configuration))
+            for machine in candidates[: max(wave.at_once - busy, 0)]:
+                if self._is_standby(machine.pool, configuration):
+                    self._order_idle(machine, wave=wave.number)
+                elif self._may_close(machine):
+                    self._close(machine, wave=wave.number)
+
+    def _free_to_close(self, name: str, now: float) -> bool:
+        machine = self.machines_by_id.get(name)
+        return (
+            machine is not None
+            and machine.state == UP
+            and name not in self.closing_by_machine
+            and name not in self.away_by_machine
+            and name not in self._orders
+            and now >= self._not_before_by_machine.get(name, 0.0)
+        )
+
+    def _wave_order(self, machine: Machine, configuration: Configuration) -> tuple[int, int, int]:
+        if self._is_standby(machine.pool, configuration):
+            return 0, 0, 0
+        view = self.views_by_service.get(machine.pool)
+        executor = _executor(view, machine.executor) if view else None
+        if view is None or executor is None:
+            return 2, 0, 0
+        return 1, executor.lasting_runs, view.waiting_cpu + executor.used_cpu
+
+    def _may_close(self, machine: Machine) -> bool:
+        view = self.views_by_service.get(machine.pool)
+        if view is None or _executor(view, machine.executor) is None:
+            return False
+        closed = sum(1 for c in self.closing_by_machine.values() if c.source == machine.pool)
+        closed += sum(1 for a in self.away_by_machine.values() if a.pool == machine.pool)
+        size = len(view.executors)
+        idle = size - closed - 1 > self._demands_by_service[machine.pool].machines(view)
+        return idle or closed < max(1, int(size * CLOSED_SHARE))
+
+    async def _tell_waves(self) -> None:
+        for wave in list(self._operator.waves_by_number.values()):
+            completed = not self._remaining(wave) and not any(
+                away.wave == wave.number for away in self.away_by_machine.values()
+            )
+            if self._told_by_wave.get(wave.number) is completed:
+                continue
+            if completed and not self.log.durable:
+                continue
+            outcome = await self._boards.write_status(wave=wave.number, completed=completed)
+            if isinstance(outcome, Refused | NoAnswer):
+                continue
+            self._told_by_wave[wave.number] = completed
+            self._events.note(
+                "wave.told",
+                vital=True,
+                wave=wave.number,
+                completed=completed,
+                left=len(self._remaining(wave)),
+            )
+
+    # Moves.
+
+    def _plan_moves(self, configuration: Configuration) -> None:
+        now = self._clock.monotonic()
+        standby = [s.name for s in configuration.services_by_name.values() if s.standby]
+        if not standby:
+            return
+        short: dict[str, int] = {}
+        surplus: list[tuple[str, list[Machine]]] = []
+        for service, view in self.views_by_service.items():
+            if now - self._viewed_at_by_service[service] > WORD_S:
+                continue
+            balance = self._balance(service, view, now)
+            if balance.missing:
+                short[service] = balance.missing
+            elif balance.spare:
+                surplus.append((service, self._spare_machines(service, view, balance.spare, now)))
+        idle = [
+            machine
+            for name, machine in sorted(self.machines_by_id.items())
+            if machine.pool in standby and self._free_to_close(name, now)
+        ]
+        for service, count in sorted(short.items(), key=lambda item: -item[1]):
+            for _ in range(count):
+                if idle:
+                    self._order_idle(idle.pop(), pool=service)
+                else:
+                    self._take_spare(surplus, service)
+        for _, machines in surplus:
+            for machine in machines:
+                self._close(machine, pool=standby[0])
+
+    def _balance(self, service: str, view: PoolView, now: float) -> Balance:
+        ordered = [
+            away
+            for name, away in self.away_by_machine.items()
+            if away.pool == service and name not in self.closing_by_machine
+        ]
+        closings = self.closing_by_machine.values()
+        coming = len(ordered) + sum(1 for closing in closings if closing.pool == service)
+        leaving = sum(1 for closing in closings if closing.source == service)
+        next_at = self._turns.next_at(service, len(self.views_by_service), now)
+        quiet = soon = False
+        if next_at is not None and not self._turns.is_risen(service):
+            # Brought so early, a machine is there when the rise begins.
+            lead_s = self._times.move_s + LEAD_SLACK_S
+            soon = abs(next_at - lead_s / 2 - now) <= lead_s / 2 + RISE_SLACK_S
+            quiet = next_at - lead_s - now > WORTH_S
+        elif next_at is not None:
+            quiet = True
+        forecast = Forecast(quiet=quiet, soon=soon, peak=self._turns.peak(service))
+        demand = self._demands_by_service[service]
+        balance = demand.balance(view, forecast, coming=coming - leaving)
+        if balance.missing or balance.spare:
+            self._events.note(
+                "pool.balance",
+                service=service,
+                demand_machines=demand.machines(view),
+                executors=len(view.executors),
+                coming=coming,
+                leaving=leaving,
+                missing=balance.missing,
+                spare=balance.spare,
+                next_rise_s=next_at - now if next_at is not None else None,
+                risen=self._turns.is_risen(service),
+            )
+        return balance
+
+    def _take_spare(self, surplus: list[tuple[str, list[Machine]]], service: str) -> None:
+        for _, machines in surplus:
+            if machines:
+                self._close(machines.pop(0), pool=service)
+                return
+
+    def _spare_machines(
+        self, service: str, view: PoolView, count: int, now: float
+    ) -> list[Machine]:
+        """The machines that are easiest to do without: without lasting tasks, and idle."""
+        executors = {e.executor: e for e in view.executors}
+        machines = [
+            machine
+            for name, machine in self.machines_by_id.items()
+            if machine.pool == service
+            and machine.executor in executors
+            and self._free_to_close(name, now)
+            and not executors[machine.executor].lasting_runs
+        ]
+        due = {name for wave in self._open_waves() for name in self._remaining(wave)}
+        machines.sort(
+            key=lambda machine: (
+                executors[machine.executor].used_cpu,
+                machine.machine not in due,
+            )
+        )
+        return machines[:count]
+
+    def _order_idle(
+        self, machine: Machine, *, wave: int | None = None, pool: str | None = None
+    ) -> None:
+        """Order a machine of a standby pool, on which nothing runs."""
+        closing = Closing(machine.executor, machine.pool, self._clock.monotonic(), wave, pool)
+        self.closing_by_machine[machine.machine] = closing
+        self._order(machine.machine, closing)
+
+    def _is_standby(self, pool: str, configuration: Configuration) -> bool:
+        service = configuration.services_by_name.get(pool)
+        return service is not None and service.standby
+
+
+def _is_back(machine: Machine, away: Away) -> bool:
+    # The list lags behind: one that shows the machine's earlier life is no proof. The machines of
+    # a standby pool have no executor in any life.
+    another_life = machine.executor != away.executor or not away.executor
+    return machine.state == UP and machine.pool == away.pool and another_life
+
+
+def _executor(view: PoolView, executor: str) -> ExecutorView | None:
+    return next((e for e in view.executors if e.executor == executor), None)
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -5,12 +5,13 @@
 
 import msgspec
 
-from . import job_replies, metrics, status_codes
+from . import job_replies, metrics, pool_views, status_codes
 from .boards import OperatorBoard
 from .dispatchers import Dispatcher
 from .events import EventLog
 from .job_replies import JobReply
 from .peer_calls import PeerClient, PeerServer, PeerUnreachable
+from .pool_views import PoolRequest, PoolView
 from .shard_owners import ShardOwners, shard_of
 from .timers import Clock
 from .workloads import JobSpec, Queue
@@ -19,6 +20,8 @@
 CALL_S = 1.5
 # An owner that is frozen or cut off answers nothing; a caller who only asks is told so soon.
 ASK_S = 0.6
+# A pool's view serves one round of the fleet's owner.
+POOL_S = 0.4
 TRIES = 2
 
 
@@ -75,10 +78,37 @@
         """Ask how many jobs of a queue haven't begun."""
         return await self._ask("pending", queue, [queue.name], ASK_S, job_id="")
 
+    async def pool(self, request: PoolRequest) -> PoolView | None:
+        """Ask the owner of a service's queues for its pool, None if it can't be reached."""
+        shard = shard_of(request.service, self._shards)
+        if shard in self._owners.owned_by_shard:
+            return self._pool(shard, request)
+        address = self._owners.address_of(shard)
+        if address is None:
+            return None
+        try:
+            answer = await self._peers.call(address, "pool", [shard, request], timeout_s=POOL_S)
+        except PeerUnreachable as exc:
+            self._events.note("pool.unreachable", service=request.service, why=str(exc))
+            await self._refresh()
+            return None
+        return pool_views.decode(answer) if answer is not None else None
+
+    def _pool(self, shard: int, request: PoolRequest) -> PoolView | None:
+        owned = self._owners.owned_by_shard.get(shard)
+        if not isinstance(owned, Dispatcher) or owned.ended.is_set():
+            return None
+        return owned.pool_view(request)
+
+    async def _answer_pool(self, values: list[Any]) -> PoolView | None:
+        shard, request = values
+        return self._pool(shard, msgspec.convert(request, PoolRequest))
+
     def serve(self, server: PeerServer) -> None:
         """Answer the calls of other daemons for shards that this one owns."""
         for name in ("submit", "cancel", "state", "pending"):
             server.handle(name, self._handler(name))
+        server.handle("pool", self._answer_pool)
 
     def _handler(self, name: str) -> Callable[[Any], Any]:
         async def handle(values: list[Any]) -> list[Any]:
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -13,10 +13,11 @@
 from ..dispatchers import Bounds, Dispatcher
 from ..events import EventLog
 from ..exceptions import MustardgapError
+from ..fleet_managers import FleetManager, Times
 from ..http_pools import HttpPool
 from ..job_gateways import JobGateway
 from ..peer_calls import PeerClient, PeerServer, PeerUnreachable
-from ..shard_owners import Owned, ShardOwners, shard_of
+from ..shard_owners import FLEET_SHARD, Owned, ShardOwners, shard_of
 from ..supervisors import Supervisor
 from ..timers import Clock
 from ..workloads import Configuration, ExecutorEntry, Wave
@@ -153,6 +154,21 @@
 
     def _make(self, shard: int, epoch: int) -> Owned:
         promises = self.settings.promises
+        if shard == FLEET_SHARD:
+            return FleetManager(
+                shard=shard,
+                epoch=epoch,
+                host=self.settings.host,
+                store=self.store,
+                boards=self.store,
+                machines=self.machines,
+                operator=self.operator,
+                ask=self.gateway.pool,
+                settled=self.owners.settled,
+                times=Times(promises.move_s, promises.maintenance_s, promises.duty_lease_s),
+                clock=self.clock,
+                events=self.events,
+            )
         dispatcher = Dispatcher(
             shard=shard,
             epoch=epoch,
--- /dev/null
+++ b/mustardgap/pool_demands.py
@@ -0,0 +1,95 @@
+"""How many machines a pool needs, from how its demand went in the last seconds."""
+
+import math
+from collections import deque
+from typing import NamedTuple
+
+from .pool_views import PoolView
+
+# A machine is worth bringing for work that lasts longer than a passing peak; the demand is
+# smoothed over this time before machines are asked for.
+RISE_S = 0.3
+# Machines are let go when the demand of all this time could do without them. Each goes back and
+# forth for little more than it costs to keep it a second or two.
+FALL_S = 0.6
+# The share of a machine that placing fills on average.
+FILL_SHARE = 0.9
+# Room that is kept free beside the demand, as a share of one machine, for what comes next.
+RESERVE_SHARE = 0.5
+
+
+class Forecast(NamedTuple):
+    """What is expected of a pool.
+
+    ``quiet`` tells that no rise is expected while a machine could be brought back, ``soon`` that
+    one is expected within that time, and ``peak`` the machines that the last rises took.
+    """
+
+    quiet: bool
+    soon: bool
+    peak: float
+
+
+class Balance(NamedTuple):
+    """How many machines a pool lacks, and how many it can spare."""
+
+    missing: int
+    spare: int
+
+
+class PoolDemand:
+    """Follows one pool's demand, in thousandths of a core."""
+
+    def __init__(self) -> None:
+        self.smooth = 0.0
+        self._noted_at: float | None = None
+        self._recent: deque[tuple[float, int]] = deque()
+        # A pool is left at the size that it was given until its demand can be foreseen.
+        self._given = 0
+
+    def note(self, view: PoolView, now: float) -> None:
+        """Take in a view of the pool.
+
+        :param now: steady seconds.
+        """
+        need = view.lasting_cpu + view.running_cpu + view.waiting_cpu
+        if self._noted_at is None:
+            self.smooth = need
+        else:
+            share = 1 - math.exp(-(now - self._noted_at) / RISE_S)
+            self.smooth += (need - self.smooth) * share
+        self._noted_at = now
+        self._recent.append((now, need))
+        while self._recent and self._recent[0][0] < now - FALL_S:
+            self._recent.popleft()
+        if not self._given:
+            self._given = len(view.executors)
+
+    def machines(self, view: PoolView) -> float:
+        """The smoothed demand in machines."""
+        return self.smooth / (_machine_cpu(view) * FILL_SHARE)
+
+    def balance(self, view: PoolView, forecast: Forecast, *, coming: int) -> Balance:
+        """Compare what the pool has with what it needs.
+
+        :param coming: machines that are on their way to the pool.
+        """
+        present = [e for e in view.executors if e.settled and not e.draining]
+        machine_cpu = _machine_cpu(view)
+        size = len(present) + coming
+        needed = math.ceil(self.machines(view))
+        if forecast.soon:
+            needed = max(needed, math.ceil(forecast.peak))
+        if needed > size:
+            return Balance(needed - size, 0)
+        peak = max((need for _, need in self._recent), default=0)
+        kept = math.ceil((peak + RESERVE_SHARE * machine_cpu) / (machine_cpu * FILL_SHARE))
+        kept = max(kept, needed, 1)
+        if not forecast.quiet:
+            kept = max(kept, self._given)
+        return Balance(0, max(size - kept, 0))
+
+
+def _machine_cpu(view: PoolView) -> float:
+    sizes = [e.capacity_cpu for e in view.executors if e.capacity_cpu]
+    return sum(sizes) / len(sizes) if sizes else 1.0
--- /dev/null
+++ b/mustardgap/pool_views.py
@@ -0,0 +1,97 @@
+"""What the owner of a service's queues tells the fleet's owner of the service's pool."""
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+
+from .placing import HOPELESS, urgency
+from .workloads import ExecutorId
+
+if TYPE_CHECKING:
+    from .dispatchers import Dispatcher
+
+# Waiting tasks count as if they had to be worked off within this time: about what a move takes
+# less than, so that a pool grows only for what its own machines can't end sooner.
+HORIZON_S = 0.8
+
+
+class ExecutorView(NamedTuple):
+    """One executor of a pool; ``settled`` tells that its report is of this moment."""
+
+    executor: ExecutorId
+    capacity_cpu: int
+    used_cpu: int
+    short_runs: int
+    lasting_runs: int
+    settled: bool
+    draining: bool
+
+
+class PoolView(NamedTuple):
+    """A pool's demand, in thousandths of a core, and its executors."""
+
+    service: str
+    lasting_cpu: int
+    running_cpu: int
+    waiting_cpu: int
+    executors: list[ExecutorView]
+
+
+class PoolRequest(NamedTuple):
+    """What the fleet's owner wants emptied, and what it will want soon."""
+
+    service: str
+    closing: list[ExecutorId]
+    planned: list[ExecutorId]
+
+
+def view(dispatcher: "Dispatcher", service: str, wall: float) -> PoolView:
+    """Sum up a pool.
+
+    :param wall: seconds since the epoch.
+    """
+    lasting = running = waiting = 0
+    for job in dispatcher.jobs_by_id.values():
+        if job.service != service or job.phase:
+            continue
+        hopeless = urgency(job, dispatcher.queue_of(job), wall).standing == HOPELESS
+        for tasks in job.steps_in_turn():
+            step = tasks[0].step
+            if step.filling:
+                continue
+            running_tasks = sum(1 for task in tasks if task.run is not None)
+            waiting_tasks = sum(1 for task in tasks if task.waits)
+            if step.lasting:
+                lasting += step.cpu * (running_tasks + waiting_tasks)
+                continue
+            running += step.cpu * running_tasks
+            if not hopeless:
+                share = min(1.0, step.estimate_s / HORIZON_S)
+                waiting += int(step.cpu * waiting_tasks * share)
+    return PoolView(service, lasting, running, waiting, _executors(dispatcher, service))
+
+
+def _executors(dispatcher: "Dispatcher", service: str) -> list[ExecutorView]:
+    views = []
+    for link in dispatcher.links_by_executor.values():
+        if link.entry.service != service:
+            continue
+        runs = list(link.runs_by_key.values())
+        lasting = sum(1 for run in runs if run.task.step.lasting)
+        views.append(
+            ExecutorView(
+                executor=link.entry.executor,
+                capacity_cpu=link.entry.capacity.cpu,
+                used_cpu=link.used.cpu,
+                short_runs=len(runs) - lasting,
+                lasting_runs=lasting,
+                settled=link.up and link.listed and link.audited,
+                draining=link.entry.draining,
+            )
+        )
+    return views
+
+
+def decode(values: Any) -> PoolView:
+    """A view from its plain values."""
+    return msgspec.convert(values, PoolView)
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -74,6 +74,12 @@
         self._waiting_by_key: dict[str, _Waiting] = {}
         self._wake = asyncio.Event()
         self._sequence = 0
+        self._sending = False
+
+    @property
+    def durable(self) -> bool:
+        """Whether all that was put is stored."""
+        return not self._waiting_by_key and not self._sending and not self.fenced
 
     def put(self, key: str, value: bytes) -> Ticket:
         """Have a record stored; a later one of the same key may take its place before it is sent.
@@ -152,11 +158,14 @@
         tickets = [ticket for waiting in batch.values() for ticket in waiting.tickets]
         for ticket in tickets:
             ticket.sent = True
+        self._sending = True
         try:
             stored = await self._append(records)
         except asyncio.CancelledError:
             _resolve_all(tickets, Stored.UNKNOWN)
             raise
+        finally:
+            self._sending = False
         _resolve_all(tickets, stored)
         if stored is not Stored.YES:
             self.close()
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -14,6 +14,7 @@
 TTL_S = 1.8
 RENEW_S = 0.45
 RETRY_S = 0.1
+FLEET_SHARD = 0
 
 
 class Owned(Protocol):
@@ -190,6 +191,6 @@
     :param shards: how many shards there are.
     """
     if shards < 2:
-        return 0
+        return FLEET_SHARD
     digest = hashlib.blake2b(service.encode(), digest_size=8).digest()
     return 1 + int.from_bytes(digest) % (shards - 1)
--- a/mustardgap/suspicions.py
+++ b/mustardgap/suspicions.py
@@ -26,6 +26,7 @@
 SLOW_SHARE = 0.4
 SLOW_AFTER_S = 1.0
 SLOW_PAUSE_S = 4.0
+SLOW_JOBS = 2
 
 
 class Suspicions:
@@ -46,6 +47,7 @@
             link.failed_jobs.clear()
             if run is not None and not self._was_slow(run):
                 link.slow_marks = 0
+                link.slow_jobs.clear()
             return
         if how is not EndKind.FAILED:
             return
@@ -70,9 +72,8 @@
                 continue
             if now - run.moved_at > STALL_S + STALL_OF_ESTIMATE * step.estimate_s:
                 self._stalled(run)
-            elif self._is_slow(run, now) and not run.link.slow_marks:
-                run.link.slow_marks = 1
-                self._pause(run.link, SLOW_PAUSE_S, "slow")
+            elif self._is_slow(run):
+                self._slow(run)
 
     def _stalled(self, run: Run) -> None:
         link = run.link
@@ -82,7 +83,17 @@
         if link.slow_marks >= STALLS:
             self._pause(link, PAUSE_S, "runs stand still")
 
-    def _is_slow(self, run: Run, now: float) -> bool:
+    def _slow(self, run: Run) -> None:
+        # One job may be slow by its own estimate; several are slow by their executor.
+        link = run.link
+        link.slow_jobs.add(run.task.task_id.job)
+        if len(link.slow_jobs) < SLOW_JOBS:
+            return
+        link.slow_jobs.clear()
+        link.slow_marks = max(link.slow_marks, 1)
+        self._pause(link, SLOW_PAUSE_S, "slow")
+
+    def _is_slow(self, run: Run) -> bool:
         ran_s = run.moved_at - run.started_at
         if ran_s < SLOW_AFTER_S or run.task.checkpoint or not run.task.step.estimate_s:
             return False
--- /dev/null
+++ b/mustardgap/turns.py
@@ -0,0 +1,83 @@
+"""Foresees when a pool's demand rises again, where demand rises by turns."""
+
+from statistics import median
+from typing import NamedTuple
+
+# A turn begins when a pool's smoothed demand passes this share of the most that it ever was, and
+# ends when it falls below the lower one.
+BEGIN_SHARE = 0.45
+END_SHARE = 0.25
+# Demand below this many machines is no turn: there is nothing to bring or to let go.
+LEAST_MACHINES = 1.5
+# Turns of different pools that begin within this time are one rise of all demand.
+TOGETHER_S = 0.5
+
+
+class Turn(NamedTuple):
+    """A rise of one pool's demand."""
+
+    service: str
+    began_at: float
+
+
+class Turns:
+    """Learns from the rises seen so far how far apart they are, and in which order.
+
+    A pool whose rises recur is expected after its last interval. Before it has risen twice, pools
+    are taken to rise one after another, each once before the first does again; so the first
+    forecast is there after two rises of any pools. Until then nothing is foretold.
+    """
+
+    def __init__(self) -> None:
+        self._turns: list[Turn] = []
+        self._peak_by_service: dict[str, float] = {}
+        self._risen: set[str] = set()
+
+    def note(self, service: str, machines: float, now: float) -> None:
+        """Take in a pool's smoothed demand.
+
+        :param machines: the demand in machines.
+        :param now: steady seconds.
+        """
+        peak = max(self._peak_by_service.get(service, 0.0), machines)
+        self._peak_by_service[service] = peak
+        if service in self._risen:
+            if machines < END_SHARE * peak:
+                self._risen.discard(service)
+        elif machines >= max(BEGIN_SHARE * peak, LEAST_MACHINES):
+            self._risen.add(service)
+            self._turns.append(Turn(service, now))
+
+    def is_risen(self, service: str) -> bool:
+        """Whether a pool is in its turn."""
+        return service in self._risen
+
+    def peak(self, service: str) -> float:
+        """The most machines that a pool's demand ever was."""
+        return self._peak_by_service.get(service, 0.0)
+
+    def next_at(self, service: str, services: int, now: float) -> float | None:
+        """When a pool's next turn is expected, None if that can't be told.
+
+        :param services: how many pools there are.
+        :param now: steady seconds.
+        """
+        own = [turn.began_at for turn in self._turns if turn.service == service]
+        if not own:
+            return None
+        interval = own[-1] - own[-2] if len(own) > 1 else self._round_s(services)
+        if interval is None or interval <= 0:
+            return None
+        expected = own[-1] + interval
+        # A turn that didn't come is given half a round more, then the next one is expected.
+        while expected + interval / 2 < now:
+            expected += interval
+        return expected
+
+    def _round_s(self, services: int) -> float | None:
+        gaps = [
+            after.began_at - before.began_at
+            for before, after in zip(self._turns, self._turns[1:], strict=False)
+            if after.service != before.service and after.began_at - before.began_at > TOGETHER_S
+        ]
+        return median(gaps) * services if gaps else None
