--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -125,6 +125,8 @@
         self._services: frozenset[str] = frozenset()
         self._reaped_at = 0.0
         self._fleet_at = float("-inf")
+        # Their entries stay on the list of executors for some seconds.
+        self._departed: set[str] = set()
 
     # What callers ask.
 
@@ -321,7 +323,7 @@
         for entry in self._entries_by_id.values():
             link = self.links_by_executor.get(entry.executor)
             if link is None:
-                if entry.service in self._services:
+                if entry.service in self._services and entry.executor not in self._departed:
                     self._open_link(entry, inherited=False)
                 continue
             if entry.draining and not link.entry.draining:
@@ -620,6 +622,10 @@
         self._fleet_at = self._clock.monotonic()
         closing = frozenset(request.closing)
         self.evacuations.planned = frozenset(request.planned)
+        for executor in request.gone:
+            if executor in self.links_by_executor:
+                self._drop_link(self.links_by_executor[executor], "ordered away")
+            self._departed.add(executor)
         for executor, link in self.links_by_executor.items():
             if link.entry.service == request.service:
                 link.closing = executor in closing
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -135,6 +135,8 @@
         self._told_by_wave: dict[int, bool] = {}
         self._orders: dict[str, asyncio.Task[None]] = {}
         self._turns = Turns()
+        # Executors whose lives ended by our orders, with their pools, until these have been told.
+        self._gone: dict[str, str] = {}
         self._fenced = False
 
     async def run(self) -> None:
@@ -198,10 +200,13 @@
 
     async def _look_at(self, service: Service) -> None:
         closing = [c.executor for c in self.closing_by_machine.values()]
-        request = PoolRequest(service.name, closing, self._planned())
+        gone = [e for e, pool in self._gone.items() if pool == service.name]
+        request = PoolRequest(service.name, closing, self._planned(), gone)
         view = await self._ask(request)
         if view is None:
             return
+        for executor in gone:
+            self._gone.pop(executor, None)
         now = self._clock.monotonic()
         self.views_by_service[service.name] = view
         self._viewed_at_by_service[service.name] = now
@@ -330,6 +335,8 @@
             if outcome.detail.endswith("wave") and closing.wave is not None:
                 self._note_done(closing.wave, name)
             return
+        if closing.executor:
+            self._gone[closing.executor] = closing.source
         if closing.wave is not None:
             self._note_done(closing.wave, name)
 
@@ -432,15 +439,18 @@
         if not standby:
             return
         short: dict[str, int] = {}
-        surplus: list[tuple[str, list[Machine]]] = []
+        surplus: list[Machine] = []
+        lendable: list[Machine] = []
         for service, view in self.views_by_service.items():
             if now - self._viewed_at_by_service[service] > WORD_S:
                 continue
             balance = self._balance(service, view, now)
             if balance.missing:
                 short[service] = balance.missing
-            elif balance.spare:
-                surplus.append((service, self._spare_machines(service, view, balance.spare, now)))
+            elif balance.lendable:
+                machines = self._spare_machines(service, view, balance.lendable, now)
+                surplus.extend(machines[: balance.spare])
+                lendable.extend(machines[balance.spare :])
         idle = [
             machine
             for name, machine in sorted(self.machines_by_id.items())
@@ -450,11 +460,11 @@
             for _ in range(count):
                 if idle:
                     self._order_idle(idle.pop(), pool=service)
-                else:
-                    self._take_spare(surplus, service)
-        for _, machines in surplus:
-            for machine in machines:
-                self._close(machine, pool=standby[0])
+                elif surplus or lendable:
+                    machines = surplus or lendable
+                    self._close(machines.pop(0), pool=service)
+        for machine in surplus:
+            self._close(machine, pool=standby[0])
 
     def _balance(self, service: str, view: PoolView, now: float) -> Balance:
         ordered = [
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -31,10 +31,11 @@
 
 
 class Balance(NamedTuple):
-    """How many machines a pool lacks, and how many it can spare."""
+    """How many machines a pool lacks, can spare, and could lend to one that lacks some."""
 
     missing: int
     spare: int
+    lendable: int = 0
 
 
 class PoolDemand:
@@ -79,15 +80,16 @@
         size = len(present) + coming
         needed = math.ceil(self.machines(view))
         if forecast.soon:
-            needed = max(needed, math.ceil(forecast.peak))
+            needed = max(needed, math.ceil(forecast.peak) or self._given)
         if needed > size:
-            return Balance(needed - size, 0)
+            return Balance(needed - size, 0, 0)
         peak = max((need for _, need in self._recent), default=0)
         kept = math.ceil((peak + RESERVE_SHARE * machine_cpu) / (machine_cpu * FILL_SHARE))
         kept = max(kept, needed, 1)
+        lendable = max(size - kept, 0)
         if not forecast.quiet:
             kept = max(kept, self._given)
-        return Balance(0, max(size - kept, 0))
+        return Balance(0, max(size - kept, 0), lendable)
 
 
 def _machine_cpu(view: PoolView) -> float:
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -38,11 +38,12 @@
 
 
 class PoolRequest(NamedTuple):
-    """What the fleet's owner wants emptied, and what it will want soon."""
+    """What the fleet's owner wants emptied, will want soon, and has ended by its orders."""
 
     service: str
     closing: list[ExecutorId]
     planned: list[ExecutorId]
+    gone: list[ExecutorId] = []
 
 
 def view(dispatcher: "Dispatcher", service: str, wall: float) -> PoolView:
--- a/mustardgap/turns.py
+++ b/mustardgap/turns.py
@@ -63,21 +63,30 @@
         :param now: steady seconds.
         """
         own = [turn.began_at for turn in self._turns if turn.service == service]
+        gap = self._gap_s()
         if not own:
+            # It may be the next one; the one after it is soon enough to look again.
+            if gap is None:
+                return None
+            expected, interval = self._turns[-1].began_at + gap, gap
+        elif len(own) > 1:
+            interval = own[-1] - own[-2]
+            expected = own[-1] + interval
+        elif gap is not None:
+            interval = gap * services
+            expected = own[-1] + interval
+        else:
             return None
-        interval = own[-1] - own[-2] if len(own) > 1 else self._round_s(services)
-        if interval is None or interval <= 0:
-            return None
-        expected = own[-1] + interval
         # A turn that didn't come is given half a round more, then the next one is expected.
         while expected + interval / 2 < now:
             expected += interval
         return expected
 
-    def _round_s(self, services: int) -> float | None:
+    def _gap_s(self) -> float | None:
+        """How far apart the rises of different pools are."""
         gaps = [
             after.began_at - before.began_at
             for before, after in zip(self._turns, self._turns[1:], strict=False)
             if after.service != before.service and after.began_at - before.began_at > TOGETHER_S
         ]
-        return median(gaps) * services if gaps else None
+        return median(gaps) if gaps else None
