Order jobs by standing, hand shards over in good order, keep what was learned of demand

Change: standing against the objective, what has begun first, newest first in an overloaded queue; a leaving owner stores that it gives no more leases; the fleet's owner tells pools which lives have ended; rises and first sizes are stored.

--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -22,7 +22,7 @@
     note_end,
 )
 from .pacing import Pacing
-from .placing import choose, choose_gang, urgency, usable
+from .placing import choose, choose_gang, in_order, usable
 from .pool_views import PoolRequest, PoolView, view
 from .ports import Entries, Executors, Store
 from .shard_logs import ShardLog, Stored, Ticket
@@ -42,8 +42,9 @@
 # Run numbers rise with the epoch, so that those of a new owner are above all earlier ones.
 RUNS_AN_EPOCH = 100_000
 # How long an owner that the store doesn't answer goes on giving leases and starting tasks. A
-# successor waits this long, and a lease more, for an executor that it can't reach.
-AUTHORITY_S = 10.0
+# successor waits this long, and a lease more, for an executor that it can't reach. With a lease on
+# top, what runs outlasts a store that is away for 11 s.
+AUTHORITY_S = 8.0
 # How long a caller waits for its job to be stored: some 60 times the usual append of 8 ms, which
 # is what a slow store takes.
 ACCEPT_S = 1.2
@@ -59,7 +60,9 @@
 # needs some 6 s to go on, and an order without an answer may arrive meanwhile.
 FLEET_S = 6.0
 
-JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY = "j/", "p/", "e/"
+JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY, OWNER_KEY = "j/", "p/", "e/", "o"
+# How long a leaving owner waits for its last record; without it the successor is more careful.
+HAND_OVER_S = 0.3
 
 
 class Bounds(NamedTuple):
@@ -127,6 +130,9 @@
         self._fleet_at = float("-inf")
         # Their entries stay on the list of executors for some seconds.
         self._departed: set[str] = set()
+        self._link_tasks: dict[str, asyncio.Task[None]] = {}
+        self._closed_before = False
+        self._handing_over = False
 
     # What callers ask.
 
@@ -135,8 +141,8 @@
 
         :return: MG4020 stored, MG4027 or MG4028 certainly not stored, MG4029 not known.
         """
-        if not self.loaded:
-            return job_replies.not_owner("the owner is reading its jobs")
+        if not self.loaded or self._handing_over:
+            return job_replies.not_owner("the owner is reading or handing over its jobs")
         if job_id in self.jobs_by_id:
             return job_replies.ACCEPTED
         ticket = self._accepting_by_id.get(job_id)
@@ -239,13 +245,25 @@
             if await self.log.open() and await self._load():
                 await self._serve()
         finally:
-            self.ended.set()
-            self.log.close()
             for link in self.links_by_executor.values():
                 link.close()
+            self.ended.set()
+            self.log.close()
             for task in list(self._tasks):
                 task.cancel()
 
+    async def hand_over(self) -> None:
+        """Stop all orders, and let the successor know that none will come any more."""
+        if not self.loaded or self.log.fenced:
+            return
+        self._handing_over = True
+        for task in list(self._link_tasks.values()):
+            task.cancel()
+        for link in self.links_by_executor.values():
+            link.close()
+        ticket = self.log.put(OWNER_KEY, _owner_record(self.epoch, closed=True))
+        await asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
+
     async def _serve(self) -> None:
         self._spawn(self.log.run())
         self._spawn(self._tick())
@@ -280,6 +298,8 @@
 
     def _restore(self, entries: Entries) -> None:
         values = entries.values_by_key
+        self._closed_before = _was_closed(values.get(OWNER_KEY))
+        self.log.put(OWNER_KEY, _owner_record(self.epoch, closed=False))
         for key, value in values.items():
             if key.startswith(JOB_KEY) and value:
                 job_id = key.removeprefix(JOB_KEY)
@@ -345,7 +365,8 @@
             owner=self,
             clock=self._clock,
             events=self._events,
-            lapse_at=now + (AUTHORITY_S + LEASE_S) * 1.05,
+            # An owner that left in good order gives no leases after its last record.
+            lapse_at=now + (LEASE_S + (0 if self._closed_before else AUTHORITY_S)) * 1.05,
         )
         link.listed = not inherited or entry.executor in self._entries_by_id
         self.links_by_executor[entry.executor] = link
@@ -355,7 +376,7 @@
         link.durable.outcome.add_done_callback(lambda _: self._wake.set())
         if inherited:
             self._unheard.add(entry.executor)
-        self._spawn(link.run())
+        self._link_tasks[entry.executor] = self._spawn(link.run())
 
     def _drop_link(self, link: ExecutorLink, why: str) -> None:
         executor = link.entry.executor
@@ -369,6 +390,7 @@
             self.on_lost(link, run, why)
         link.up = False
         link.close()
+        self._link_tasks.pop(executor).cancel()
         self.log.put(EXECUTOR_KEY + executor, b"")
         self._heard(executor)
 
@@ -548,12 +570,13 @@
     def place(self) -> None:
         """Start what waits and has room, the most urgent first."""
         configuration = self.configuration
-        if configuration is None or self.authority_s() <= 0 or self.log.fenced:
+        if configuration is None or self.authority_s() <= 0:
+            return
+        if self.log.fenced or self._handing_over:
             return
         now, wall = self._clock.monotonic(), self._clock.wall()
         waiting = [job for job in self.jobs_by_id.values() if job.phase is JobPhase.LIVE]
-        waiting.sort(key=lambda job: urgency(job, self.queue_of(job), wall))
-        for job in waiting:
+        for job in in_order(waiting, self.queue_of, wall):
             for tasks in job.steps_in_turn():
                 self._place_step(job, tasks, now)
 
@@ -617,7 +640,7 @@
 
     def pool_view(self, request: PoolRequest) -> PoolView | None:
         """Sum up a pool for the fleet's owner, and empty what it wants; None if not sure of it."""
-        if not self.loaded or self._unheard or not self._settled():
+        if not self.loaded or self._handing_over or not self._settled():
             return None
         self._fleet_at = self._clock.monotonic()
         closing = frozenset(request.closing)
@@ -669,10 +692,11 @@
         """The job of a task that is known."""
         return self.jobs_by_id[task_id.job]
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._ended_child)
+        return task
 
     def _ended_child(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
@@ -687,3 +711,12 @@
             # A part that failed leaves the shard half served; a new ownership starts afresh.
             self.log.close()
             self._wake.set()
+
+
+def _owner_record(epoch: int, *, closed: bool) -> bytes:
+    return msgspec.msgpack.encode((epoch, closed))
+
+
+def _was_closed(raw: bytes | None) -> bool:
+    """Whether the last owner left in good order; a shard that never had one counts as such."""
+    return not raw or bool(msgspec.msgpack.decode(raw)[1])
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -13,7 +13,7 @@
 from .ports import Boards, Done, Entries, Fenced, Machines, NoAnswer, Refused, Store
 from .shard_logs import ShardLog
 from .timers import Clock
-from .turns import Turns
+from .turns import Turn, Turns
 from .workloads import Configuration, Machine, Service, Wave
 
 # How often pools are asked and decisions taken. Demand turns within a second or two; a round is a
@@ -41,7 +41,13 @@
 # A machine is let go before an expected rise if it would idle for longer than two moves cost: at
 # 0.094 a second and 0.11 a move that is 2.4 s.
 WORTH_S = 2.4
+# The list of machines is up to a second or so behind; an executor that is missing from it for this
+# long is no machine's present life.
+ABSENT_S = 2.5
+# For how long owners of pools are told of an ended life; it covers two takeovers in a row.
+TELL_S = 20.0
 WAVE_KEY = "w/"
+LEARNED_KEY = "learned"
 UP = "up"
 
 
@@ -64,6 +70,21 @@
     wave: int | None
 
 
+class EndedLife(NamedTuple):
+    """The pool of an executor whose life has ended, and since when that is known."""
+
+    pool: str
+    at: float
+
+
+class Learned(NamedTuple):
+    """What is kept of the pools' demand: their first sizes, rises and highest demands."""
+
+    given: dict[str, int] = {}
+    seen: list[Turn] = []
+    peaks: dict[str, float] = {}
+
+
 class Times(NamedTuple):
     """What orders take on this deployment, in seconds."""
 
@@ -134,9 +155,12 @@
         self._known_at_by_wave: dict[int, float] = {}
         self._told_by_wave: dict[int, bool] = {}
         self._orders: dict[str, asyncio.Task[None]] = {}
+        self._may_order_at = float("inf")
+        self._absent_since: dict[str, float] = {}
         self._turns = Turns()
-        # Executors whose lives ended by our orders, with their pools, until these have been told.
-        self._gone: dict[str, str] = {}
+        self._learned = Learned()
+        # Executors whose lives have ended. Pools are told for some time, as their owners change.
+        self._gone: dict[str, EndedLife] = {}
         self._fenced = False
 
     async def run(self) -> None:
@@ -147,7 +171,7 @@
                 return
             writing = asyncio.create_task(self.log.run())
             # Orders for one machine by two holders within this time would contradict each other.
-            await self._clock.sleep(self._times.lease_s + TAKEOVER_SLACK_S)
+            self._may_order_at = self._clock.monotonic() + self._times.lease_s + TAKEOVER_SLACK_S
             while not self._fenced and not self.log.fenced:
                 await self._round()
                 await self._clock.sleep(ROUND_S)
@@ -158,12 +182,21 @@
                 if task is not None:
                     task.cancel()
 
+    async def hand_over(self) -> None:
+        """Send no more orders."""
+        self._may_order_at = float("inf")
+
     async def _load(self) -> bool:
         while True:
             entries = await self._store.newest(shard=self._shard)
             if isinstance(entries, Entries):
                 break
             await self._clock.sleep(ROUND_S)
+        learned = entries.values_by_key.get(LEARNED_KEY)
+        if learned:
+            self._learned = msgspec.msgpack.decode(learned, type=Learned)
+            self._turns.seen = list(self._learned.seen)
+            self._turns.peak_by_service = dict(self._learned.peaks)
         for key, value in entries.values_by_key.items():
             if key.startswith(WAVE_KEY) and value:
                 number = int(key.removeprefix(WAVE_KEY))
@@ -178,6 +211,9 @@
             await self._list()
         await self._look_at_pools(configuration)
         self._note_returns()
+        self._note_ended_lives()
+        if self._clock.monotonic() < self._may_order_at:
+            return
         self._drop_stale_closings()
         self._carry_out_closed()
         self._plan_waves(configuration)
@@ -200,19 +236,27 @@
 
     async def _look_at(self, service: Service) -> None:
         closing = [c.executor for c in self.closing_by_machine.values()]
-        gone = [e for e, pool in self._gone.items() if pool == service.name]
+        gone = [e for e, end in self._gone.items() if end.pool == service.name]
         request = PoolRequest(service.name, closing, self._planned(), gone)
         view = await self._ask(request)
         if view is None:
             return
-        for executor in gone:
-            self._gone.pop(executor, None)
         now = self._clock.monotonic()
         self.views_by_service[service.name] = view
         self._viewed_at_by_service[service.name] = now
-        demand = self._demands_by_service.setdefault(service.name, PoolDemand())
+        demand = self._demands_by_service.get(service.name)
+        if demand is None:
+            demand = PoolDemand(given=self._learned.given.get(service.name, 0))
+            self._demands_by_service[service.name] = demand
         demand.note(view, now)
-        self._turns.note(service.name, demand.machines(view), now)
+        if self._turns.note(service.name, demand.machines(view), self._clock.wall()):
+            self._store_learned()
+
+    def _store_learned(self) -> None:
+        """Keep what was learned of demand; a successor would have to see all rises again."""
+        given = {name: demand.given for name, demand in self._demands_by_service.items()}
+        learned = Learned(given, self._turns.seen, self._turns.peak_by_service)
+        self.log.put(LEARNED_KEY, msgspec.msgpack.encode(learned))
 
     def _planned(self) -> list[str]:
         """Executors of machines that a wave will take away."""
@@ -234,6 +278,37 @@
             if machine is None or _is_back(machine, away):
                 del self.away_by_machine[name]
 
+    def _note_ended_lives(self) -> None:
+        """Find executors that pools still wait for, and that are no machine's life any more.
+
+        An owner that takes a pool over starts nothing that may run on an executor that it can't
+        reach, until all leases have lapsed; the list of machines tells sooner that it is gone.
+        """
+        now = self._clock.monotonic()
+        listed = {machine.executor for machine in self.machines_by_id.values()}
+        unsettled = {
+            executor.executor: service
+            for service, view in self.views_by_service.items()
+            for executor in view.executors
+            if not executor.settled
+        }
+        for executor in list(self._absent_since):
+            if executor in listed or executor not in unsettled:
+                del self._absent_since[executor]
+        for executor, service in unsettled.items():
+            if executor in listed:
+                continue
+            since = self._absent_since.setdefault(executor, now)
+            if now - since > ABSENT_S and self._listed_at > since + ABSENT_S / 2:
+                self._end_life(executor, service)
+        for executor, end in list(self._gone.items()):
+            if now - end.at > TELL_S:
+                del self._gone[executor]
+
+    def _end_life(self, executor: str, pool: str) -> None:
+        if executor not in self._gone:
+            self._gone[executor] = EndedLife(pool, self._clock.monotonic())
+
     # Closing and ordering.
 
     def _close(self, machine: Machine, *, wave: int | None = None, pool: str | None = None) -> None:
@@ -336,7 +411,7 @@
                 self._note_done(closing.wave, name)
             return
         if closing.executor:
-            self._gone[closing.executor] = closing.source
+            self._end_life(closing.executor, closing.source)
         if closing.wave is not None:
             self._note_done(closing.wave, name)
 
@@ -440,17 +515,14 @@
             return
         short: dict[str, int] = {}
         surplus: list[Machine] = []
-        lendable: list[Machine] = []
         for service, view in self.views_by_service.items():
             if now - self._viewed_at_by_service[service] > WORD_S:
                 continue
             balance = self._balance(service, view, now)
             if balance.missing:
                 short[service] = balance.missing
-            elif balance.lendable:
-                machines = self._spare_machines(service, view, balance.lendable, now)
-                surplus.extend(machines[: balance.spare])
-                lendable.extend(machines[balance.spare :])
+            elif balance.spare:
+                surplus.extend(self._spare_machines(service, view, balance.spare, now))
         idle = [
             machine
             for name, machine in sorted(self.machines_by_id.items())
@@ -460,9 +532,8 @@
             for _ in range(count):
                 if idle:
                     self._order_idle(idle.pop(), pool=service)
-                elif surplus or lendable:
-                    machines = surplus or lendable
-                    self._close(machines.pop(0), pool=service)
+                elif surplus:
+                    self._close(surplus.pop(0), pool=service)
         for machine in surplus:
             self._close(machine, pool=standby[0])
 
@@ -475,13 +546,14 @@
         closings = self.closing_by_machine.values()
         coming = len(ordered) + sum(1 for closing in closings if closing.pool == service)
         leaving = sum(1 for closing in closings if closing.source == service)
-        next_at = self._turns.next_at(service, len(self.views_by_service), now)
+        wall = self._clock.wall()
+        next_at = self._turns.next_at(service, len(self.views_by_service), wall)
         quiet = soon = False
         if next_at is not None and not self._turns.is_risen(service):
             # Brought so early, a machine is there when the rise begins.
             lead_s = self._times.move_s + LEAD_SLACK_S
-            soon = abs(next_at - lead_s / 2 - now) <= lead_s / 2 + RISE_SLACK_S
-            quiet = next_at - lead_s - now > WORTH_S
+            soon = abs(next_at - lead_s / 2 - wall) <= lead_s / 2 + RISE_SLACK_S
+            quiet = next_at - lead_s - wall > WORTH_S
         elif next_at is not None:
             quiet = True
         forecast = Forecast(quiet=quiet, soon=soon, peak=self._turns.peak(service))
@@ -497,7 +569,7 @@
                 leaving=leaving,
                 missing=balance.missing,
                 spare=balance.spare,
-                next_rise_s=next_at - now if next_at is not None else None,
+                next_rise_s=next_at - wall if next_at is not None else None,
                 risen=self._turns.is_risen(service),
             )
         return balance
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -1,7 +1,7 @@
 """Which waiting task goes next, and on which executor."""
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from .executor_links import ExecutorLink
@@ -10,6 +10,8 @@
 
 # Up to this many times its objective a job earns a little; after that only its promise counts.
 LATE_FACTOR = 3.0
+# A queue whose waiting jobs have used up this share of their slack is overloaded.
+OVERLOAD_USED = 0.5
 
 
 class Urgency(NamedTuple):
@@ -17,33 +19,77 @@
 
     standing: int
     priority: int
-    work: float
-    accepted_at: float
+    waiting: bool
+    rank: float
 
 
 LASTING, IN_TIME, LATE, HOPELESS = range(4)
 
 
-def urgency(job: Job, queue: Queue | None, wall: float) -> Urgency:
-    """How urgent a job is: lasting ones, then those in time by least remaining work, then late.
+class Standing(NamedTuple):
+    """Where a job stands against its objective, in seconds; ``slack_s`` is what it may still wait.
+
+    ``used`` is the share of the slack that it had at first and has used up.
+    """
+
+    standing: int
+    slack_s: float
+    used: float
 
-    A job that can't be in time any more takes no room from one that can. Among those in time the
-    least remaining work first ends most jobs within their objective.
+
+def standing(job: Job, queue: Queue, wall: float) -> Standing:
+    """Whether a job can still be in time.
 
     :param wall: seconds since the epoch.
     """
-    if queue is None:
-        return Urgency(HOPELESS, 0, 0.0, job.accepted_at)
-    if job.lasting:
-        return Urgency(LASTING, queue.priority, 0.0, job.accepted_at)
-    chain, work = job.remaining()
+    chain, _ = job.remaining()
     objective = queue.stretch * job.chain_s + queue.objective_s
-    ends_at = wall + chain
-    if ends_at <= job.accepted_at + objective:
-        return Urgency(IN_TIME, queue.priority, work, job.accepted_at)
-    if ends_at <= job.accepted_at + LATE_FACTOR * objective:
-        return Urgency(LATE, queue.priority, work, job.accepted_at)
-    return Urgency(HOPELESS, queue.priority, work, job.accepted_at)
+    slack = job.accepted_at + objective - wall - chain
+    used = 1 - slack / max(objective - job.chain_s, 0.001)
+    if slack >= 0:
+        return Standing(IN_TIME, slack, used)
+    if slack >= -(LATE_FACTOR - 1) * objective:
+        return Standing(LATE, slack, used)
+    return Standing(HOPELESS, slack, used)
+
+
+def in_order(
+    jobs: Iterable[Job], queue_of: Callable[[Job], Queue | None], wall: float
+) -> list[Job]:
+    """Sort jobs by who gets room first.
+
+    Lasting tasks come first, then jobs that can be in time, then late ones. What has begun is ended
+    before more is begun. While no job waits long, the one that has the least time left goes first.
+    Under overload that would begin each job when its time is nearly over, and most would be late;
+    then the newest goes first, so that those that are begun are in time, whatever their size.
+
+    :param queue_of: a job's queue, None if it isn't configured any more.
+    :param wall: seconds since the epoch.
+    """
+    standings: dict[str, Standing] = {}
+    overloaded: set[str] = set()
+    ordered = list(jobs)
+    for job in ordered:
+        queue = queue_of(job)
+        if queue is None or job.lasting:
+            continue
+        standings[job.job_id] = seen = standing(job, queue, wall)
+        if not job.begun and seen.standing == IN_TIME and seen.used > OVERLOAD_USED:
+            overloaded.add(job.queue_name)
+
+    def key(job: Job) -> Urgency:
+        queue = queue_of(job)
+        if queue is None:
+            return Urgency(HOPELESS, 0, True, job.accepted_at)
+        if job.lasting:
+            return Urgency(LASTING, queue.priority, False, job.accepted_at)
+        seen = standings[job.job_id]
+        rank = seen.slack_s
+        if seen.standing == IN_TIME and not job.begun and job.queue_name in overloaded:
+            rank = -job.accepted_at
+        return Urgency(seen.standing, queue.priority, not job.begun, rank)
+
+    return sorted(ordered, key=key)
 
 
 def usable(link: ExecutorLink, step: Step, service: str, now: float) -> bool:
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 from .. import logs
@@ -136,8 +137,10 @@
         await self.clock.sleep(LINGER_S)
         self.front.closing = True
         await self.clock.sleep(CLOSE_S)
-        await self.front.stop()
-        await self.peer_server.stop()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_S):
+                await self.front.stop()
+                await self.peer_server.stop()
 
     def _reload(self) -> None:
         # What may change in the file while the process runs are its seeds; all else is learned
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -22,7 +22,8 @@
     """What is expected of a pool.
 
     ``quiet`` tells that no rise is expected while a machine could be brought back, ``soon`` that
-    one is expected within that time, and ``peak`` the machines that the last rises took.
+    one is expected within that time, and ``peak`` the machines that the last rises took, 0 if there
+    was none.
     """
 
     quiet: bool
@@ -31,22 +32,24 @@
 
 
 class Balance(NamedTuple):
-    """How many machines a pool lacks, can spare, and could lend to one that lacks some."""
+    """How many machines a pool lacks, and how many it can spare."""
 
     missing: int
     spare: int
-    lendable: int = 0
 
 
 class PoolDemand:
-    """Follows one pool's demand, in thousandths of a core."""
+    """Follows one pool's demand, in thousandths of a core.
 
-    def __init__(self) -> None:
+    :param given: the size that the pool had before machines were moved, 0 if not known yet.
+    """
+
+    def __init__(self, *, given: int) -> None:
         self.smooth = 0.0
         self._noted_at: float | None = None
         self._recent: deque[tuple[float, int]] = deque()
         # A pool is left at the size that it was given until its demand can be foreseen.
-        self._given = 0
+        self.given = given
 
     def note(self, view: PoolView, now: float) -> None:
         """Take in a view of the pool.
@@ -63,8 +66,8 @@
         self._recent.append((now, need))
         while self._recent and self._recent[0][0] < now - FALL_S:
             self._recent.popleft()
-        if not self._given:
-            self._given = len(view.executors)
+        if not self.given:
+            self.given = len(view.executors)
 
     def machines(self, view: PoolView) -> float:
         """The smoothed demand in machines."""
@@ -80,16 +83,15 @@
         size = len(present) + coming
         needed = math.ceil(self.machines(view))
         if forecast.soon:
-            needed = max(needed, math.ceil(forecast.peak) or self._given)
+            needed = max(needed, math.ceil(forecast.peak) if forecast.peak else self.given)
         if needed > size:
-            return Balance(needed - size, 0, 0)
+            return Balance(needed - size, 0)
         peak = max((need for _, need in self._recent), default=0)
         kept = math.ceil((peak + RESERVE_SHARE * machine_cpu) / (machine_cpu * FILL_SHARE))
         kept = max(kept, needed, 1)
-        lendable = max(size - kept, 0)
         if not forecast.quiet:
-            kept = max(kept, self._given)
-        return Balance(0, max(size - kept, 0), lendable)
+            kept = max(kept, self.given)
+        return Balance(0, max(size - kept, 0))
 
 
 def _machine_cpu(view: PoolView) -> float:
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .placing import HOPELESS, urgency
+from .placing import HOPELESS, standing
 from .workloads import ExecutorId
 
 if TYPE_CHECKING:
@@ -55,7 +55,8 @@
     for job in dispatcher.jobs_by_id.values():
         if job.service != service or job.phase:
             continue
-        hopeless = urgency(job, dispatcher.queue_of(job), wall).standing == HOPELESS
+        queue = dispatcher.queue_of(job)
+        hopeless = queue is None or standing(job, queue, wall).standing == HOPELESS
         for tasks in job.steps_in_turn():
             step = tasks[0].step
             if step.filling:
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -15,6 +15,11 @@
 RENEW_S = 0.45
 RETRY_S = 0.1
 FLEET_SHARD = 0
+# A daemon without shards, or that has just let go of some, renews sooner: what is dealt anew is
+# served by nobody until both ends have renewed.
+SOON_S = 0.15
+LEAVING, DEALT = "leaving", "dealt to another"
+IN_GOOD_ORDER = (LEAVING, DEALT)
 
 
 class Owned(Protocol):
@@ -25,6 +30,9 @@
     async def run(self) -> None:
         """Take the shard over and serve it."""
 
+    async def hand_over(self) -> None:
+        """Stop in good order, just before being cancelled."""
+
 
 class ShardOwners:
     """Keeps this daemon in the group of owners, and runs what it owns.
@@ -78,16 +86,17 @@
     async def run(self) -> None:
         """Renew the membership until cancelled."""
         while not self._leaving:
+            before = self.generation
             if await self._renew():
-                await self._clock.sleep(RENEW_S)
+                soon = self.generation != before or not self.owned_by_shard
+                await self._clock.sleep(SOON_S if soon else RENEW_S)
             else:
                 await self._clock.sleep(RETRY_S)
 
     async def leave(self) -> None:
         """Stop owning, and let others take over at once."""
         self._leaving = True
-        for shard in list(self.owned_by_shard):
-            await self._give_up(shard, "leaving")
+        await asyncio.gather(*(self._give_up(s, LEAVING) for s in list(self.owned_by_shard)))
         await self._store.leave(member=self.member)
         self._events.note("group.left", vital=True, member=self.member)
 
@@ -119,7 +128,7 @@
             for shard in list(self.owned_by_shard):
                 await self._give_up(shard, "membership lapsed")
         for shard in [s for s in self.owned_by_shard if s not in joined.shards]:
-            await self._give_up(shard, "dealt to another")
+            await self._give_up(shard, DEALT)
         # What isn't listed any more has been given up above, before the next renewal names this
         # generation: only then does the store deal it to another.
         self.generation = joined.generation
@@ -150,10 +159,12 @@
         self._events.note("shard.gained", vital=True, shard=shard, epoch=epoch)
 
     async def _give_up(self, shard: int, why: str) -> None:
-        self.owned_by_shard.pop(shard)
+        owned = self.owned_by_shard.pop(shard)
         if self.members_by_shard.get(shard) == self.member:
             del self.members_by_shard[shard]
         task = self._tasks_by_shard.pop(shard)
+        if why in IN_GOOD_ORDER:
+            await owned.hand_over()
         task.cancel()
         await asyncio.wait([task])
         if not task.cancelled() and task.exception() is not None:
--- a/mustardgap/turns.py
+++ b/mustardgap/turns.py
@@ -29,46 +29,52 @@
     """
 
     def __init__(self) -> None:
-        self._turns: list[Turn] = []
-        self._peak_by_service: dict[str, float] = {}
+        self.seen: list[Turn] = []
+        self.peak_by_service: dict[str, float] = {}
         self._risen: set[str] = set()
 
-    def note(self, service: str, machines: float, now: float) -> None:
+    def note(self, service: str, machines: float, now: float) -> bool:
         """Take in a pool's smoothed demand.
 
         :param machines: the demand in machines.
-        :param now: steady seconds.
+        :param now: seconds since the epoch.
+        :return: whether a rise has begun or ended.
         """
-        peak = max(self._peak_by_service.get(service, 0.0), machines)
-        self._peak_by_service[service] = peak
+        peak = max(self.peak_by_service.get(service, 0.0), machines)
+        self.peak_by_service[service] = peak
         if service in self._risen:
             if machines < END_SHARE * peak:
                 self._risen.discard(service)
+                return True
         elif machines >= max(BEGIN_SHARE * peak, LEAST_MACHINES):
             self._risen.add(service)
-            self._turns.append(Turn(service, now))
+            self.seen.append(Turn(service, now))
+            return True
+        return False
 
     def is_risen(self, service: str) -> bool:
         """Whether a pool is in its turn."""
         return service in self._risen
 
     def peak(self, service: str) -> float:
-        """The most machines that a pool's demand ever was."""
-        return self._peak_by_service.get(service, 0.0)
+        """The most machines that a pool's rises took, 0 if there was none."""
+        if not any(turn.service == service for turn in self.seen):
+            return 0.0
+        return self.peak_by_service.get(service, 0.0)
 
     def next_at(self, service: str, services: int, now: float) -> float | None:
         """When a pool's next turn is expected, None if that can't be told.
 
         :param services: how many pools there are.
-        :param now: steady seconds.
+        :param now: seconds since the epoch.
         """
-        own = [turn.began_at for turn in self._turns if turn.service == service]
+        own = [turn.began_at for turn in self.seen if turn.service == service]
         gap = self._gap_s()
         if not own:
             # It may be the next one; the one after it is soon enough to look again.
             if gap is None:
                 return None
-            expected, interval = self._turns[-1].began_at + gap, gap
+            expected, interval = self.seen[-1].began_at + gap, gap
         elif len(own) > 1:
             interval = own[-1] - own[-2]
             expected = own[-1] + interval
@@ -86,7 +92,7 @@
         """How far apart the rises of different pools are."""
         gaps = [
             after.began_at - before.began_at
-            for before, after in zip(self._turns, self._turns[1:], strict=False)
+            for before, after in zip(self.seen, self.seen[1:], strict=False)
             if after.service != before.service and after.began_at - before.began_at > TOGETHER_S
         ]
         return median(gaps) if gaps else None
