--- /dev/null
+++ b/features/owners.feature
@@ -0,0 +1,97 @@
+Feature: Jobs run once and end, whatever befalls their owner, its executors or the store
+  One daemon owns the jobs of a service; the store deals ownership out. Tasks run on executors that go
+  on without their owner for as long as a lease lasts.
+
+  Scenario Outline: Jobs under the trouble "<trouble>"
+    The caller has handed jobs in and asks for their state until it is final. While their tasks run the
+    trouble comes, once or in a row. Each task runs on one executor at a time and isn't started again
+    once its end was acknowledged; an accepted job is never said not to exist.
+
+    Given owners on a fake platform
+    When 8 jobs of two steps are handed in under the trouble "<trouble>", <times> times in a row
+    Then all jobs have ended as <state>
+    And no promise was broken
+
+    Examples:
+      | trouble                       | times | state               |
+      | none                          | 1     | completed           |
+      | owner killed                  | 2     | completed           |
+      | owner frozen                  | 2     | completed           |
+      | owner stopped                 | 3     | completed           |
+      | all killed                    | 2     | completed           |
+      | store down                    | 1     | completed           |
+      | store slow                    | 1     | completed           |
+      | store loses answers           | 2     | completed           |
+      | owner cut from store          | 1     | completed           |
+      | dealt anew                    | 4     | completed           |
+      | executor crashes              | 2     | completed           |
+      | address reused                | 3     | completed           |
+      | executor cut                  | 1     | completed           |
+      | executor cut and owner killed | 1     | completed           |
+      | entry lapses and owner killed | 1     | completed           |
+      | orders held up                | 2     | completed           |
+      | executor fails all            | 1     | completed           |
+      | executor hangs                | 1     | completed           |
+      | executor drains               | 2     | completed           |
+      | wave comes                    | 1     | completed           |
+
+  Scenario Outline: A cancelled job stops for good under the trouble "<trouble>"
+    The caller is told that the job is cancelled. Its tasks run at that moment, and the trouble comes
+    just then. No task of it is started seconds later, by this owner or the next, and none runs on.
+
+    Given owners on a fake platform
+    When a lasting job is cancelled under the trouble "<trouble>"
+    Then nothing of the job runs after <seconds> s
+    And no promise was broken
+
+    Examples:
+      | trouble              | seconds |
+      | none                 | 3       |
+      | owner killed         | 8       |
+      | owner frozen         | 8       |
+      | store loses answers  | 8       |
+      | orders held up       | 15      |
+      | executor cut         | 12      |
+
+  Scenario Outline: Lasting tasks move when their machine leaves: <trouble>
+    Users of a lasting task see at most one of its step away at a time. Machines are maintained or
+    drain under it; tasks are evacuated one after the other before an order takes their machine away.
+
+    Given owners on a fake platform
+    When a lasting job runs under the trouble "<trouble>" for 25 s
+    Then all tasks of the job are at work
+    And no promise was broken
+
+    Examples:
+      | trouble         |
+      | none            |
+      | wave comes      |
+      | executor drains |
+      | owner killed    |
+      | owner stopped   |
+      | store down      |
+
+  Scenario: A repeat of a job's id changes nothing
+    The caller's answer was lost; the same request comes again at once through another host, and again
+    seconds after the job was accepted. It stays one job.
+
+    Given owners on a fake platform
+    When one job is handed in through all hosts at once, and again after it has ended
+    Then all jobs have ended as completed
+    And each task has run once
+
+  Scenario: Jobs that can't be stored are refused truthfully or left open
+    The store answers nobody. Callers are told at once that their job was not accepted, or that it may
+    have been; what was refused never runs.
+
+    Given owners on a fake platform
+    When 6 jobs are handed in while the store is down
+    Then no promise was broken
+    And each answer was 200, 503 or 504
+
+  Scenario: Random troubles, overlapping and in a row
+    Whatever comes together, the same promises hold; each run is drawn from a fixed seed.
+
+    Given owners on a fake platform
+    When random troubles are played
+    Then all plays kept every promise
--- /dev/null
+++ b/features/steps/owners_steps.py
@@ -0,0 +1,197 @@
+"""Steps of the owners' feature, on virtual time."""
+
+import asyncio
+import os
+
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, settings, strategies
+from hypothesis import given as drawn
+
+from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
+from tools.owner_worlds import play
+
+START_S = 6.0
+LONG = "MUSTARDGAP_LONG" in os.environ
+
+
+@given("owners on a fake platform")
+def fake_platform(context):
+    context.options = {}
+    context.states = {}
+
+
+def _job_id(number):
+    return f"{number:016x}"
+
+
+async def _hand_in(world, states, count, pause_s=0.4):
+    """Hand jobs in one after another, and wait for their ends."""
+
+    async def one(number):
+        job_id = _job_id(number)
+        await asyncio.sleep(number * pause_s)
+        assert await world.submit_until_accepted(job_id, TWO_STEPS), "no host accepted the job"
+        states[job_id] = await world.final_state(job_id, 60)
+
+    await asyncio.gather(*(one(number) for number in range(count)))
+
+
+@when(
+    '{count:d} jobs of two steps are handed in under the trouble "{name}", {times:d} times in a row'
+)
+def jobs_under_trouble(context, count, name, times):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        work = asyncio.ensure_future(_hand_in(world, context.states, count))
+        for _ in range(times):
+            await asyncio.sleep(0.9)
+            await BY_NAME[name](world)
+        await work
+
+    context.world = play(scene, **context.options)
+
+
+@when('a lasting job is cancelled under the trouble "{name}"')
+def cancelled_under_trouble(context, name):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        assert await world.submit_until_accepted(_job_id(1), LASTING)
+        await asyncio.sleep(2)
+        trouble = asyncio.ensure_future(BY_NAME[name](world))
+        await asyncio.sleep(0.05)
+        for attempt in range(60):
+            if await world.cancel(_job_id(1), world.names[attempt % 3]) == 200:
+                break
+            await asyncio.sleep(0.3)
+        context.cancelled_at = world.loop.time()
+        await trouble
+        await asyncio.sleep(20)
+
+    context.world = play(scene, **context.options)
+
+
+@when('a lasting job runs under the trouble "{name}" for {seconds:d} s')
+def lasting_under_trouble(context, name, seconds):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        assert await world.submit_until_accepted(_job_id(1), LASTING)
+        await asyncio.sleep(3)
+        await BY_NAME[name](world)
+        await asyncio.sleep(seconds)
+        context.at_work = sum(1 for run in world.fleet.record.runs if run.ended_at is None)
+
+    context.world = play(scene, **context.options)
+
+
+@when("one job is handed in through all hosts at once, and again after it has ended")
+def repeated(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        job_id = _job_id(1)
+        await asyncio.gather(*(world.submit(job_id, TWO_STEPS, name) for name in world.names))
+        await world.submit_until_accepted(job_id, TWO_STEPS)
+        context.states[job_id] = await world.final_state(job_id, 20)
+        for name in world.names:
+            await world.submit(job_id, TWO_STEPS, name)
+        await asyncio.sleep(5)
+
+    context.world = play(scene, **context.options)
+
+
+@when("{count:d} jobs are handed in while the store is down")
+def store_is_down(context, count):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        world.store.down = True
+        for number in range(count):
+            await world.submit(_job_id(number), TWO_STEPS, world.names[number % 3])
+        world.store.down = False
+        await asyncio.sleep(10)
+
+    context.world = play(scene, **context.options)
+
+
+@when("random troubles are played")
+def random_troubles(context):
+    context.failures = []
+    names = sorted(BY_NAME)
+    step = strategies.tuples(strategies.sampled_from(names), strategies.floats(0.1, 3.0))
+
+    @settings(
+        max_examples=300 if LONG else 25,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=(Phase.generate,),
+        suppress_health_check=list(HealthCheck),
+    )
+    @drawn(strategies.lists(step, min_size=2, max_size=8), strategies.integers(0, 1000))
+    def run(steps, seed):
+        context.failures += _played(steps, seed)
+
+    run()
+
+
+def _played(steps, seed):
+    states = {}
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        work = asyncio.ensure_future(_hand_in(world, states, 6, pause_s=1.0))
+        assert await world.submit_until_accepted(_job_id(99), LASTING)
+        troubles = []
+        for name, pause_s in steps:
+            troubles.append(asyncio.ensure_future(BY_NAME[name](world)))
+            await asyncio.sleep(pause_s)
+        await asyncio.gather(work, *troubles)
+        await asyncio.sleep(20)
+
+    try:
+        world = play(scene, seed=seed)
+    except AssertionError as exc:
+        return [f"{steps} seed {seed}: {exc}"]
+    unended = {job: state for job, state in states.items() if state not in ("completed", "failed")}
+    found = world.problems() + ([f"not ended: {unended}"] if unended else [])
+    return [f"{steps} seed {seed}: {problem}" for problem in found]
+
+
+@then("all jobs have ended as {state}")
+def all_ended(context, state):
+    assert context.states and set(context.states.values()) == {state}, context.states
+
+
+@then("no promise was broken")
+def nothing_broken(context):
+    assert not context.world.problems(), "\n".join(context.world.problems())
+
+
+@then("all plays kept every promise")
+def plays_kept(context):
+    assert not context.failures, "\n".join(context.failures[:10])
+
+
+@then("nothing of the job runs after {seconds:d} s")
+def nothing_runs(context, seconds):
+    late = [
+        run
+        for run in context.world.fleet.record.runs
+        if run.ended_at is None or run.ended_at > context.cancelled_at + seconds
+    ]
+    assert not late, late
+
+
+@then("all tasks of the job are at work")
+def at_work(context):
+    assert context.at_work == LASTING.steps[0].width, context.at_work
+
+
+@then("each task has run once")
+def ran_once(context):
+    tasks = [run.task for run in context.world.fleet.record.runs]
+    assert len(tasks) == len(set(tasks)) == sum(step.width for step in TWO_STEPS.steps)
+
+
+@then("each answer was 200, 503 or 504")
+def answers(context):
+    statuses = {s for asked in context.world.asked_by_job.values() for s in asked.statuses}
+    assert statuses <= {200, 503, 504}, statuses
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -24,7 +24,7 @@
 from .pacing import Pacing
 from .placing import choose, choose_gang, in_order, usable
 from .pool_views import PoolRequest, PoolView, view
-from .ports import Entries, Executors, Store
+from .ports import Appended, Entries, Executors, Fenced, Store
 from .shard_logs import ShardLog, Stored, Ticket
 from .suspicions import Suspicions
 from .timers import Clock
@@ -164,7 +164,7 @@
             await asyncio.wait([accepting.outcome], timeout=ACCEPT_S)
         job = self.jobs_by_id.get(job_id)
         if job is None:
-            return self._unknown()
+            return await self._unknown()
         if job.phase is JobPhase.LIVE:
             self._finish(job, JobPhase.CANCELLED, "cancelled")
         ticket = self._cancelling_by_id.get(job_id)
@@ -172,7 +172,7 @@
             return job_replies.CANCELLED
         return await self._await_stored(ticket, PROGRESS_KEY + job_id, job_replies.CANCELLED)
 
-    def state(self, job_id: str) -> JobReply:
+    async def state(self, job_id: str) -> JobReply:
         """Where a job stands, by what is durable."""
         if not self.loaded:
             return job_replies.not_owner("the owner is reading its jobs")
@@ -180,7 +180,7 @@
         if job is None:
             if job_id in self._accepting_by_id:
                 return JobReply(status_codes.JOB_STATE, state="queued")
-            return self._unknown()
+            return await self._unknown()
         if job.shown_phase is not JobPhase.LIVE:
             name = job_replies.STATE_NAMES[job.shown_phase]
         else:
@@ -198,12 +198,16 @@
         )
         return JobReply(status_codes.JOB_STATE, pending=count)
 
-    def _unknown(self) -> JobReply:
-        # A daemon that was cut off may not know that another owns the shard by now, and has
-        # accepted the job: its caller would be told that the job doesn't exist.
-        if not self._settled():
-            return job_replies.not_owner("the owner isn't sure of its jobs")
-        return job_replies.UNKNOWN_JOB
+    async def _unknown(self) -> JobReply:
+        # The shard may have been dealt to another, who has accepted the job: its caller would be
+        # told that the job doesn't exist. The store knows who owns the shard at this moment.
+        outcome = await self._store.fence(shard=self.shard, epoch=self.epoch)
+        if isinstance(outcome, Appended) and not self.log.fenced:
+            return job_replies.UNKNOWN_JOB
+        if isinstance(outcome, Fenced):
+            self.log.close()
+            self._wake.set()
+        return job_replies.not_owner("the owner isn't sure of its jobs")
 
     async def _await_stored(self, ticket: Ticket, key: str, reply: JobReply) -> JobReply:
         await asyncio.wait([ticket.outcome], timeout=ACCEPT_S)
@@ -219,7 +223,10 @@
         return job_replies.UNSETTLED
 
     async def _accept(self, job_id: str, stored: StoredJob, ticket: Ticket) -> None:
-        outcome = await ticket.outcome
+        # Awaiting the future itself would cancel it with this task when the ownership ends, and the
+        # caller, who waits for it too, would get no answer at all.
+        await asyncio.wait([ticket.outcome])
+        outcome = ticket.outcome.result()
         del self._accepting_by_id[job_id]
         self._events.note(
             "job.accepted",
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -185,7 +185,7 @@
         if name == "cancel":
             return await owned.cancel(values[0])
         if name == "state":
-            return owned.state(values[0])
+            return await owned.state(values[0])
         return owned.pending(values[0])
 
     async def _refresh(self) -> None:
--- /dev/null
+++ b/tools/fake_executors.py
@@ -0,0 +1,336 @@
+"""Fake executors in one process: runs under leases and fences, with faults, and a record of all."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mustardgap.ports import (
+    Fenced,
+    NoAnswer,
+    OtherIncarnation,
+    Started,
+    StartRefused,
+    Stopped,
+)
+from mustardgap.workloads import (
+    EndKind,
+    EndRow,
+    ExecutorEntry,
+    Report,
+    Room,
+    RunRow,
+    TaskId,
+)
+
+ANSWER_S = 0.002
+TIMEOUT_S = 0.5
+LONGEST_LEASE_S = 10.0
+STOP_S = 0.2
+STEP_S = 0.02
+GANG_S = 3.0
+
+
+class RunRecord(NamedTuple):
+    """One run as it truly was; ``ended_at`` None while it goes on."""
+
+    task: TaskId
+    run: int
+    executor: str
+    started_at: float
+    fence: int
+    payload: str
+    ended_at: float | None
+    how: EndKind | None
+
+
+class _Run:
+    def __init__(self, *, work_s: float, now: float, index: int) -> None:
+        self.work_s = work_s
+        self.done_s = 0.0
+        self.started_at = now
+        self.stop_at: float | None = None
+        self.index = index
+        self.pace = 100
+
+
+class FakeExecutor:
+    """One life of an executor.
+
+    :param entry: what it says of itself.
+    :param record: where what it does is kept.
+    :param work: how long a task takes; None for a lasting one.
+    :param rate: its clock's speed against true time.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: ExecutorEntry,
+        record: "FleetRecord",
+        work: Callable[[TaskId], float | None],
+        rate: float = 1.0,
+    ) -> None:
+        self.entry = entry
+        self.record = record
+        self.rate = rate
+        self.alive = True
+        self.speed = 1.0
+        self.fails = False
+        self.hangs = False
+        self.fence = 0
+        self.lease_until_ms = 0
+        self.acknowledged = 0
+        self.runs: dict[tuple[TaskId, int], _Run] = {}
+        self.ended: list[EndRow] = []
+        self.stopped_by_task: dict[TaskId, int] = {}
+        self.count = 0
+        self.changed = asyncio.Event()
+        self._lapsed_ms = 0
+        self._work = work
+        self._born = _now()
+        self._at = self._born
+
+    def clock_ms(self) -> int:
+        return int((_now() - self._born) * 1000 * self.rate)
+
+    @property
+    def free(self) -> Room:
+        used = Room()
+        for task, _ in self.runs:
+            used = used.plus(self.record.room_of(task))
+        return self.entry.capacity.minus(used)
+
+    def start(self, task: TaskId, run: int, payload: str, until_ms: int, fence: int):  # type: ignore
+        if (refusal := self._fenced(fence)) is not None:
+            return refusal
+        if (task, run) in self.runs:
+            return Started(clock_ms=self.clock_ms())
+        if until_ms <= self.clock_ms():
+            return StartRefused(reason="late", clock_ms=self.clock_ms())
+        self._extend(until_ms)
+        if run <= self.stopped_by_task.get(task, 0):
+            return StartRefused(reason="old", clock_ms=self.clock_ms())
+        if not self.free.holds(self.record.room_of(task)):
+            return StartRefused(reason="room", clock_ms=self.clock_ms())
+        work = self._work(task)
+        index = self.record.begin(task, run, self.entry.executor, fence, payload)
+        self.runs[task, run] = _Run(work_s=work or 1e9, now=_now(), index=index)
+        return Started(clock_ms=self.clock_ms())
+
+    def stop(self, task: TaskId, run: int, fence: int):  # type: ignore[no-untyped-def]
+        if (refusal := self._fenced(fence)) is not None:
+            return refusal
+        self.stopped_by_task[task] = max(run, self.stopped_by_task.get(task, 0))
+        there = self.runs.get((task, run))
+        if there is not None and there.stop_at is None:
+            there.stop_at = _now() + STOP_S
+        return Stopped(clock_ms=self.clock_ms())
+
+    def report(self) -> Report:
+        running = tuple(
+            RunRow(task, run, "", self._percent(task, there))
+            for (task, run), there in self.runs.items()
+        )
+        ended = tuple(end for end in self.ended if end.number > self.acknowledged)
+        return Report(self.clock_ms(), running, ended)
+
+    def hold(self, fence: int, acknowledged: int, until_ms: int | None):  # type: ignore
+        if (refusal := self._fenced(fence)) is not None:
+            return refusal
+        if acknowledged > self.acknowledged:
+            self.record.acknowledge(
+                self.entry.executor,
+                [e for e in self.ended if self.acknowledged < e.number <= acknowledged],
+            )
+            self.acknowledged = acknowledged
+        if until_ms is not None:
+            self._extend(until_ms)
+        return None
+
+    def step(self) -> None:
+        """Let time pass: work goes on, leases lapse, stops take effect."""
+        now = _now()
+        passed = now - self._at
+        self._at = now
+        if not self.alive:
+            return
+        if self.clock_ms() > self.lease_until_ms > self._lapsed_ms:
+            self._lapsed_ms = self.lease_until_ms
+            self.record.lapses.append((self.entry.executor, now))
+            for key in list(self.runs):
+                self._end(key, EndKind.LAPSED)
+            return
+        for key, run in list(self.runs.items()):
+            if run.stop_at is not None and now >= run.stop_at:
+                self._end(key, EndKind.STOPPED)
+                continue
+            if not self.hangs:
+                run.done_s += passed * self.speed * run.pace / 100
+            if run.done_s >= run.work_s:
+                self._end(key, EndKind.FAILED if self.fails else EndKind.DONE)
+
+    def crash(self) -> None:
+        """End at once, with all that runs."""
+        self.alive = False
+        for run in self.runs.values():
+            self.record.finish(run.index, None)
+        self.runs.clear()
+
+    def _percent(self, task: TaskId, run: _Run) -> int:
+        if self._work(task) is None:
+            return 100 if _now() - run.started_at > 0.5 else 0
+        return min(99, int(100 * run.done_s / run.work_s))
+
+    def _end(self, key: tuple[TaskId, int], how: EndKind) -> None:
+        run = self.runs.pop(key)
+        self.count += 1
+        self.ended.append(EndRow(self.count, key[0], key[1], how, ""))
+        self.stopped_by_task[key[0]] = max(key[1], self.stopped_by_task.get(key[0], 0))
+        self.record.finish(run.index, how)
+        self.changed.set()
+
+    def _extend(self, until_ms: int) -> None:
+        longest = self.clock_ms() + int(LONGEST_LEASE_S * 1000)
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, longest))
+
+    def _fenced(self, fence: int) -> Fenced | None:
+        if fence < self.fence:
+            return Fenced()
+        self.fence = fence
+        return None
+
+
+class FleetRecord:
+    """What all executors truly did; the oracle reads it."""
+
+    def __init__(self) -> None:
+        self.runs: list[RunRecord] = []
+        self.acknowledged: list[tuple[float, str, EndRow]] = []
+        self.lapses: list[tuple[str, float]] = []
+        self.room_of: Callable[[TaskId], Room] = lambda task: Room()
+
+    def begin(self, task: TaskId, run: int, executor: str, fence: int, payload: str) -> int:
+        self.runs.append(RunRecord(task, run, executor, _now(), fence, payload, None, None))
+        return len(self.runs) - 1
+
+    def finish(self, index: int, how: EndKind | None) -> None:
+        self.runs[index] = self.runs[index]._replace(ended_at=_now(), how=how)
+
+    def lapsed_between(self, executor: str, after: float, before: float) -> bool:
+        """Whether an executor's lease lapsed in a span of time."""
+        return any(e == executor and after <= at <= before for e, at in self.lapses)
+
+    def acknowledge(self, executor: str, ends: list[EndRow]) -> None:
+        self.acknowledged.extend((_now(), executor, end) for end in ends)
+
+
+class FakeExecutors:
+    """All executors, and the faults between them and the hosts.
+
+    :param seed: draws which orders are held up.
+    """
+
+    def __init__(self, *, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.record = FleetRecord()
+        self.by_address: dict[str, FakeExecutor] = {}
+        # Pairs of host and executor without a path; None stands for every host.
+        self.cut: set[tuple[str | None, str]] = set()
+        self.late_share = 0.0
+        self.probes = 0
+
+    def add(self, executor: FakeExecutor) -> None:
+        """Let an executor listen at its address."""
+        self.by_address[executor.entry.address] = executor
+
+    async def run(self) -> None:
+        """Let time pass for all, until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            for executor in list(self.by_address.values()):
+                executor.step()
+
+
+class ExecutorPort:
+    """One host's way to the executors, as the product's ``Executors``.
+
+    :param fleet: all executors.
+    :param host: the host's name.
+    """
+
+    def __init__(self, *, fleet: FakeExecutors, host: str) -> None:
+        self.fleet = fleet
+        self.host = host
+
+    async def hold(self, entry, *, fence, acknowledged, until_ms, wait_s):  # type: ignore
+        self.fleet.probes += 1
+        target = await self._reach(entry)
+        if not isinstance(target, FakeExecutor):
+            return target
+        refusal = target.hold(fence, acknowledged, until_ms)
+        if refusal is not None:
+            return refusal
+        if wait_s > 0 and not target.report().ended:
+            target.changed.clear()
+            try:
+                async with asyncio.timeout(wait_s):
+                    await target.changed.wait()
+            except TimeoutError:
+                pass
+        lost = await self._back(entry, target)
+        return lost or target.report()
+
+    async def start(self, entry, *, task, run, payload, until_ms, fence, checkpoint, ticket):  # type: ignore
+        return await self._order(
+            entry, lambda target: target.start(task, run, payload, until_ms, fence)
+        )
+
+    async def stop(self, entry, *, task, run, fence):  # type: ignore[no-untyped-def]
+        return await self._order(entry, lambda target: target.stop(task, run, fence))
+
+    async def pace(self, entry, *, task, run, percent, fence):  # type: ignore[no-untyped-def]
+        return await self._order(entry, lambda target: Stopped(clock_ms=target.clock_ms()))
+
+    async def _order(self, entry, work):  # type: ignore[no-untyped-def]
+        target = await self._reach(entry)
+        if not isinstance(target, FakeExecutor):
+            return target
+        if self.fleet.random.random() < self.fleet.late_share:
+            delay = self.fleet.random.uniform(2.0, 12.0)
+            asyncio.get_running_loop().call_later(
+                delay, lambda: work(target) if target.alive else None
+            )
+            await asyncio.sleep(TIMEOUT_S)
+            return NoAnswer(sent=True, detail="held up")
+        outcome = work(target)
+        lost = await self._back(entry, target)
+        return lost or outcome
+
+    async def _reach(self, entry: ExecutorEntry) -> FakeExecutor | NoAnswer | OtherIncarnation:
+        await asyncio.sleep(ANSWER_S / 2)
+        if self._is_cut(entry.executor):
+            await asyncio.sleep(TIMEOUT_S)
+            return NoAnswer(sent=True, detail="no path")
+        target = self.fleet.by_address.get(entry.address)
+        if target is None or not target.alive:
+            return NoAnswer(sent=False, detail="connection refused")
+        if target.entry.executor != entry.executor:
+            return OtherIncarnation()
+        return target
+
+    async def _back(self, entry: ExecutorEntry, target: FakeExecutor) -> NoAnswer | None:
+        await asyncio.sleep(ANSWER_S / 2)
+        if self._is_cut(entry.executor):
+            await asyncio.sleep(TIMEOUT_S)
+            return NoAnswer(sent=True, detail="no path back")
+        if not target.alive:
+            return NoAnswer(sent=True, detail="connection reset")
+        return None
+
+    def _is_cut(self, executor: str) -> bool:
+        return (None, executor) in self.fleet.cut or (self.host, executor) in self.fleet.cut
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tools/fake_store.py
@@ -0,0 +1,266 @@
+"""A fake keyed store in one process: shards with epochs, a group of owners, entries, and faults."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from mustardgap.ports import (
+    Appended,
+    Done,
+    Entries,
+    Expired,
+    Fenced,
+    Joined,
+    NoAnswer,
+    Record,
+    Refused,
+    WrongSequence,
+)
+
+ANSWER_S = 0.004
+TIMEOUT_S = 0.8
+REPEATS = 5
+
+
+class _Shard:
+    """The newest records of one shard, and who may write it."""
+
+    def __init__(self) -> None:
+        self.values_by_key: dict[str, bytes] = {}
+        self.epoch = -1
+        self.next_sequence: int | None = None
+        self.recent: dict[int, int] = {}
+        self.end = 0
+
+
+class _Member(NamedTuple):
+    """A member of the group: until when it holds, and the generation that it knows."""
+
+    until: float
+    generation: int
+
+
+class FakeStore:
+    """The store as all daemons share it.
+
+    :param shards: how many shards there are.
+    :param seed: draws which answers are lost.
+    """
+
+    def __init__(self, *, shards: int, seed: int = 0) -> None:
+        self.down = False
+        self.slow_s = 0.0
+        self.lost_share = 0.0
+        self.cut_hosts: set[str] = set()
+        self.random = random.Random(seed)
+        self.shards = {number: _Shard() for number in range(shards)}
+        self.operator: list[tuple[str, bytes]] = []
+        self.entries: list[tuple[str, bytes | None]] = []
+        self.statuses: list[tuple[int, bool]] = []
+        self.generation = 0
+        self.members_by_name: dict[str, _Member] = {}
+        self.holders_by_shard: dict[int, str] = {}
+        self.wanted_by_shard: dict[int, str] = {}
+        self.calls = 0
+
+    def write_operator(self, key: str, value: bytes) -> None:
+        """Write a record as the operator does."""
+        self.operator.append((key, value))
+
+    def write_entry(self, executor: str, value: bytes | None) -> None:
+        """Write an executor's entry; None removes it."""
+        self.entries.append((executor, value))
+
+    def join(self, member: str, generation: int, ttl_s: float) -> Joined:
+        """Keep a member in the group, and deal the shards evenly."""
+        now = _now()
+        self._expire(now)
+        if member not in self.members_by_name:
+            self.members_by_name[member] = _Member(now + ttl_s, 0)
+            self._deal()
+        known = generation if generation <= self.generation else 0
+        self.members_by_name[member] = _Member(now + ttl_s, known)
+        self._hand_over()
+        held = frozenset(
+            shard
+            for shard, holder in self.holders_by_shard.items()
+            if holder == member and self.wanted_by_shard[shard] == member
+        )
+        return Joined(generation=self.generation, shards=held)
+
+    def leave(self, member: str) -> None:
+        """Take a member out."""
+        self.members_by_name.pop(member, None)
+        self._release(member)
+        self._deal()
+
+    def deal_anew(self) -> None:
+        """Deal all shards to other members at once, without asking their holders."""
+        names = sorted(self.members_by_name)
+        for shard, holder in list(self.holders_by_shard.items()):
+            if holder in names and len(names) > 1:
+                following = names[(names.index(holder) + 1) % len(names)]
+                self.wanted_by_shard[shard] = self.holders_by_shard[shard] = following
+        self.generation += 1
+
+    def _expire(self, now: float) -> None:
+        for name, member in list(self.members_by_name.items()):
+            if member.until < now:
+                self.leave(name)
+
+    def _release(self, member: str) -> None:
+        for shard, holder in list(self.holders_by_shard.items()):
+            if holder == member:
+                del self.holders_by_shard[shard]
+
+    def _deal(self) -> None:
+        names = sorted(self.members_by_name)
+        self.generation += 1
+        if not names:
+            self.wanted_by_shard.clear()
+            return
+        most = -(-len(self.shards) // len(names))
+        counts = dict.fromkeys(names, 0)
+        unplaced = []
+        for shard in self.shards:
+            wanted = self.wanted_by_shard.get(shard)
+            if wanted in counts and counts[wanted] < most:
+                counts[wanted] += 1
+            else:
+                unplaced.append(shard)
+        for shard in unplaced:
+            name = min(names, key=lambda n: (counts[n], n))
+            self.wanted_by_shard[shard] = name
+            counts[name] += 1
+        self._hand_over()
+
+    def _hand_over(self) -> None:
+        for shard, wanted in self.wanted_by_shard.items():
+            holder = self.holders_by_shard.get(shard)
+            member = self.members_by_name.get(holder) if holder else None
+            if holder == wanted:
+                continue
+            if member is None or member.generation >= self.generation:
+                self.holders_by_shard[shard] = wanted
+                self.generation += 1
+
+    def append(
+        self, shard: int, epoch: int, sequence: int | None, records: Sequence[Record]
+    ) -> Appended | Fenced | WrongSequence:
+        """Append under an epoch."""
+        place = self.shards[shard]
+        if epoch < place.epoch:
+            return Fenced()
+        if epoch > place.epoch:
+            place.epoch = epoch
+            place.next_sequence = None
+            place.recent.clear()
+        if sequence is None:
+            return Appended(end=place.end)
+        if sequence in place.recent:
+            return Appended(end=place.recent[sequence])
+        if place.next_sequence is not None and sequence != place.next_sequence:
+            return WrongSequence(expected=place.next_sequence)
+        for record in records:
+            place.end += 1
+            place.values_by_key.pop(record.key, None)
+            if record.value:
+                place.values_by_key[record.key] = record.value
+        place.next_sequence = sequence + 1
+        place.recent[sequence] = place.end
+        for old in [number for number in place.recent if number <= sequence - REPEATS]:
+            del place.recent[old]
+        return Appended(end=place.end)
+
+
+class StorePort:
+    """One host's way to the store, as the product's ``Store`` and ``Boards``.
+
+    :param store: the shared store.
+    :param host: the host's name.
+    """
+
+    def __init__(self, *, store: FakeStore, host: str) -> None:
+        self.store = store
+        self.host = host
+
+    async def fence(self, *, shard: int, epoch: int) -> Appended | Fenced | Refused | NoAnswer:
+        return await self._do(lambda: self.store.append(shard, epoch, None, ()))  # type: ignore
+
+    async def append(
+        self, *, shard: int, epoch: int, sequence: int, records: Sequence[Record]
+    ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
+        return await self._do(lambda: self.store.append(shard, epoch, sequence, records))
+
+    async def newest(self, *, shard: int) -> Entries | Refused | NoAnswer:
+        place = self.store.shards[shard]
+        return await self._do(
+            lambda: Entries(values_by_key=dict(place.values_by_key), end=place.end)
+        )
+
+    async def join(
+        self, *, member: str, generation: int, ttl_s: float
+    ) -> Joined | Refused | NoAnswer:
+        return await self._do(lambda: self.store.join(member, generation, ttl_s))
+
+    async def leave(self, *, member: str) -> Done | Refused | NoAnswer:
+        def work() -> Done:
+            self.store.leave(member)
+            return Done()
+
+        return await self._do(work)
+
+    async def owners(self) -> dict[int, str] | Refused | NoAnswer:
+        return await self._do(lambda: dict(self.store.holders_by_shard))
+
+    async def read_operator(
+        self, *, offset: int | None, wait_s: float
+    ) -> Entries | Expired | Refused | NoAnswer:
+        return await self._read(self.store.operator, offset, wait_s)
+
+    async def read_executors(
+        self, *, offset: int | None, wait_s: float
+    ) -> Entries | Expired | Refused | NoAnswer:
+        return await self._read(self.store.entries, offset, wait_s)
+
+    async def write_status(self, *, wave: int, completed: bool) -> Appended | Refused | NoAnswer:
+        def work() -> Appended:
+            self.store.statuses.append((wave, completed))
+            return Appended(end=len(self.store.statuses))
+
+        return await self._do(work)
+
+    async def _read(self, rows, offset, wait_s):  # type: ignore[no-untyped-def]
+        until = _now() + wait_s
+        while offset is not None and len(rows) <= offset and _now() < until and self._reached():
+            await asyncio.sleep(0.05)
+
+        def work() -> Entries:
+            values: dict[str, bytes | None] = {}
+            for key, value in rows[offset or 0 :]:
+                values.pop(key, None)
+                values[key] = value
+            return Entries(values_by_key=values, end=len(rows))
+
+        return await self._do(work)
+
+    def _reached(self) -> bool:
+        return not self.store.down and self.host not in self.store.cut_hosts
+
+    async def _do(self, work):  # type: ignore[no-untyped-def]
+        self.store.calls += 1
+        await asyncio.sleep(ANSWER_S / 2 + self.store.slow_s)
+        if not self._reached():
+            await asyncio.sleep(TIMEOUT_S)
+            return NoAnswer(sent=True, detail="the store is away")
+        outcome = work()
+        if self.store.random.random() < self.store.lost_share:
+            await asyncio.sleep(TIMEOUT_S)
+            return NoAnswer(sent=True, detail="the answer was lost")
+        await asyncio.sleep(ANSWER_S / 2)
+        return outcome
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tools/owner_troubles.py
@@ -0,0 +1,234 @@
+"""Troubles that befall daemons, executors and the store of an owner world."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from mustardgap.workloads import JobSpec, Step, Wave
+
+from .owner_worlds import HeldClock, OwnerWorld
+
+Trouble = Callable[[OwnerWorld], Coroutine[Any, Any, None]]
+
+TWO_STEPS = JobSpec(
+    "payload",
+    (Step(3, 1_000, 500, 0, 0.6), Step(2, 2_000, 500, 0, 0.6, (0,), anti_affinity=1)),
+)
+LASTING = JobSpec(
+    "lasting", (Step(3, 1_000, 500, 0, 0.0, lasting=True, may_miss=1, anti_affinity=2),)
+)
+
+
+async def none(world: OwnerWorld) -> None:
+    """Nothing happens."""
+
+
+async def owner_killed(world: OwnerWorld) -> None:
+    """The owner dies and comes back later, as another incarnation."""
+    name = world.owner() or world.names[0]
+    world.kill(name)
+    await asyncio.sleep(4)
+    world.start(name)
+
+
+async def owner_frozen(world: OwnerWorld) -> None:
+    """The owner stands still for longer than its membership lasts, then goes on."""
+    name = world.owner() or world.names[0]
+    if f"{name}:1" not in world.daemons_by_address:
+        return
+    clock = world.daemon(name).clock
+    assert isinstance(clock, HeldClock)
+    clock.gate.clear()
+    await asyncio.sleep(4)
+    clock.gate.set()
+
+
+async def owner_stopped(world: OwnerWorld) -> None:
+    """The owner is stopped in good order and started again."""
+    name = world.owner() or world.names[0]
+    if f"{name}:1" not in world.daemons_by_address:
+        return
+    await world.stop(name)
+    await asyncio.sleep(1)
+    world.start(name)
+
+
+async def all_killed(world: OwnerWorld) -> None:
+    """All daemons die at once, and come back together."""
+    for name in world.names:
+        world.kill(name)
+    await asyncio.sleep(3)
+    for name in world.names:
+        if f"{name}:1" not in world.daemons_by_address:
+            world.start(name)
+
+
+async def store_down(world: OwnerWorld) -> None:
+    """The store answers nobody for a while."""
+    world.store.down = True
+    await asyncio.sleep(6)
+    world.store.down = False
+
+
+async def store_slow(world: OwnerWorld) -> None:
+    """Each answer of the store takes a quarter of a second."""
+    world.store.slow_s = 0.25
+    await asyncio.sleep(5)
+    world.store.slow_s = 0.0
+
+
+async def store_loses_answers(world: OwnerWorld) -> None:
+    """A third of the calls take effect and aren't answered."""
+    world.store.lost_share = 0.33
+    await asyncio.sleep(5)
+    world.store.lost_share = 0.0
+
+
+async def owner_cut_from_store(world: OwnerWorld) -> None:
+    """The owner alone can't reach the store, but all executors."""
+    name = world.owner() or world.names[0]
+    world.store.cut_hosts.add(name)
+    await asyncio.sleep(6)
+    world.store.cut_hosts.discard(name)
+
+
+async def dealt_anew(world: OwnerWorld) -> None:
+    """The store deals all shards to other members without asking."""
+    world.store.deal_anew()
+
+
+async def executor_crashes(world: OwnerWorld) -> None:
+    """An executor dies with what it runs; its machine is back later with another life."""
+    executor = _some_executor(world)
+    if executor is None:
+        return
+    executor.crash()
+    await asyncio.sleep(5)
+    _bear_again(world, executor.entry.machine)
+
+
+async def address_reused(world: OwnerWorld) -> None:
+    """Another life answers at an executor's address at once."""
+    executor = _some_executor(world)
+    if executor is None:
+        return
+    executor.crash()
+    _bear_again(world, executor.entry.machine)
+
+
+async def executor_cut(world: OwnerWorld) -> None:
+    """An executor runs on while no host reaches it."""
+    executor = _some_executor(world)
+    if executor is None:
+        return
+    pair = (None, executor.entry.executor)
+    world.fleet.cut.add(pair)
+    await asyncio.sleep(6)
+    world.fleet.cut.discard(pair)
+
+
+async def executor_cut_and_owner_killed(world: OwnerWorld) -> None:
+    """An executor runs on out of reach while its owner is replaced."""
+    await asyncio.gather(executor_cut(world), owner_killed(world))
+
+
+async def entry_lapses_and_owner_killed(world: OwnerWorld) -> None:
+    """The list of executors lacks one that is out of reach and works, and the owner dies."""
+    executor = _some_executor(world)
+    if executor is not None:
+        world.store.write_entry(executor.entry.executor, None)
+    await asyncio.gather(executor_cut(world), owner_killed(world))
+
+
+async def orders_held_up(world: OwnerWorld) -> None:
+    """Half of the orders get no answer and are carried out 2 to 12 s later."""
+    world.fleet.late_share = 0.5
+    await asyncio.sleep(5)
+    world.fleet.late_share = 0.0
+
+
+async def executor_fails_all(world: OwnerWorld) -> None:
+    """An executor fails all that it starts."""
+    executor = _some_executor(world)
+    if executor is None:
+        return
+    executor.fails = True
+    await asyncio.sleep(6)
+    executor.fails = False
+
+
+async def executor_hangs(world: OwnerWorld) -> None:
+    """What runs on an executor stands still."""
+    executor = _some_executor(world)
+    if executor is None:
+        return
+    executor.hangs = True
+    await asyncio.sleep(8)
+    executor.hangs = False
+
+
+async def executor_drains(world: OwnerWorld) -> None:
+    """An executor announces that it leaves, and is gone some seconds later."""
+    executor = _some_executor(world)
+    if executor is None:
+        return
+    executor.entry = executor.entry._replace(draining=True)
+    world.publish(executor)
+    await asyncio.sleep(3.5)
+    executor.crash()
+    world.store.write_entry(executor.entry.executor, None)
+    await asyncio.sleep(2)
+    _bear_again(world, executor.entry.machine)
+
+
+async def wave_comes(world: OwnerWorld) -> None:
+    """Half of the pool's machines are due for maintenance, one at a time."""
+    number = world.store.random.randrange(1, 10_000)
+    wave = Wave(number, ("m1", "m2"), 20.0, 1)
+    world.store.write_operator(f"wave/{number}", _encoded(wave))
+
+
+def _encoded(wave: Wave) -> bytes:
+    return msgspec.msgpack.encode(wave)
+
+
+def _some_executor(world: OwnerWorld):  # type: ignore[no-untyped-def]
+    """An executor that runs something, or any that lives."""
+    living = [e for e in world.fleet.by_address.values() if e.alive]
+    busy = [e for e in living if e.runs]
+    return next(iter(busy or living), None)
+
+
+def _bear_again(world: OwnerWorld, machine: str) -> None:
+    place = world.machines.places[machine]
+    if place.state == "up" and place.executor is not None and not place.executor.alive:
+        place.executor = world.bear(machine, place.pool)
+
+
+BY_NAME: dict[str, Trouble] = {
+    trouble.__name__.replace("_", " "): trouble
+    for trouble in (
+        none,
+        owner_killed,
+        owner_frozen,
+        owner_stopped,
+        all_killed,
+        store_down,
+        store_slow,
+        store_loses_answers,
+        owner_cut_from_store,
+        dealt_anew,
+        executor_crashes,
+        address_reused,
+        executor_cut,
+        executor_cut_and_owner_killed,
+        entry_lapses_and_owner_killed,
+        orders_held_up,
+        executor_fails_all,
+        executor_hangs,
+        executor_drains,
+        wave_comes,
+    )
+}
--- /dev/null
+++ b/tools/owner_worlds.py
@@ -0,0 +1,479 @@
+"""Several daemons' owners, gateways and boards in one process on virtual time, over fakes."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from mustardgap.boards import ExecutorBoard, OperatorBoard, OperatorRecords
+from mustardgap.dispatchers import Bounds, Dispatcher
+from mustardgap.events import EventLog
+from mustardgap.fleet_managers import FleetManager, Times
+from mustardgap.job_gateways import JobGateway
+from mustardgap.job_replies import JobReply
+from mustardgap.peer_calls import PeerUnreachable
+from mustardgap.shard_owners import FLEET_SHARD, Owned, ShardOwners, shard_of
+from mustardgap.workloads import (
+    Configuration,
+    ExecutorEntry,
+    JobSpec,
+    Queue,
+    Room,
+    Service,
+    TaskId,
+    Wave,
+)
+
+from .fake_executors import ExecutorPort, FakeExecutor, FakeExecutors
+from .fake_machines import FakeMachines, MachinePort
+from .fake_store import FakeStore, StorePort
+from .owner_oracle import Asked, problems
+from .virtual_time import VirtualClock, VirtualLoop
+
+SHARDS = 4
+ATTEMPTS = 2
+SERVICE, STANDBY = "quoting", "spare"
+QUEUE = Queue(
+    name="quotes",
+    host="stairs.example",
+    path_prefix="/quotes/",
+    service=SERVICE,
+    timeout_s=3.0,
+    objective_s=0.6,
+    priority=0,
+    max_attempts=ATTEMPTS,
+    stretch=1.6,
+)
+CAPACITY = Room(cpu=8_000, memory_mb=16_000, gpus=0)
+HEARTBEAT_S = 1.5
+CALL_S = 0.001
+
+
+class HeldClock(VirtualClock):
+    """A clock whose sleepers are held while their process is frozen."""
+
+    def __init__(self, *, loop: VirtualLoop) -> None:
+        super().__init__(loop=loop)
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep, and go on once the process isn't frozen."""
+        await super().sleep(seconds)
+        await self.gate.wait()
+
+
+class Held:
+    """Calls something else, with its answers held while the process is frozen.
+
+    :param target: what is called.
+    :param gate: open while the process runs.
+    """
+
+    def __init__(self, *, target: Any, gate: asyncio.Event) -> None:
+        self._target = target
+        self._gate = gate
+
+    def __getattr__(self, name: str) -> Callable[..., Coroutine[Any, Any, Any]]:
+        async def call(*args: Any, **kwargs: Any) -> Any:
+            await self._gate.wait()
+            outcome = await getattr(self._target, name)(*args, **kwargs)
+            await self._gate.wait()
+            return outcome
+
+        return call
+
+
+class FakePeers:
+    """Calls the handlers of other daemons in this process.
+
+    :param world: all daemons.
+    """
+
+    def __init__(self, *, world: "OwnerWorld") -> None:
+        self._world = world
+
+    async def call(self, address: str, name: str, values: Any, *, timeout_s: float) -> Any:
+        """Call a daemon's handler, as the gRPC client does."""
+        await asyncio.sleep(CALL_S)
+        daemon = self._world.daemons_by_address.get(address)
+        if daemon is None:
+            raise PeerUnreachable(sent=False, detail="connection refused")
+        raw = msgspec.msgpack.encode(values)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await daemon.clock.gate.wait()
+                handler = daemon.handlers_by_name[name]
+                answer = await handler(msgspec.msgpack.decode(raw))
+        except TimeoutError:
+            raise PeerUnreachable(sent=True, detail="no answer") from None
+        return msgspec.msgpack.decode(msgspec.msgpack.encode(answer))
+
+
+class FakeDaemon:
+    """One process.
+
+    :param world: what it runs in.
+    :param name: its host.
+    :param incarnation: numbers its lives.
+    """
+
+    def __init__(self, *, world: "OwnerWorld", name: str, incarnation: int) -> None:
+        self.name = name
+        self.clock = HeldClock(loop=world.loop)
+        self.events = EventLog(host=name, clock=self.clock)
+        self.handlers_by_name: dict[str, Callable[..., Any]] = {}
+        gate = self.clock.gate
+        store: Any = Held(target=StorePort(store=world.store, host=name), gate=gate)
+        executors: Any = Held(target=ExecutorPort(fleet=world.fleet, host=name), gate=gate)
+        machines: Any = Held(target=MachinePort(machines=world.machines), gate=gate)
+        peers: Any = FakePeers(world=world)
+
+        async def ask_peer() -> dict[str, bytes | None]:
+            return {}
+
+        self.operator = OperatorBoard(
+            boards=store,
+            decode=_decode_operator,
+            ask_peer=ask_peer,
+            clock=self.clock,
+            events=self.events,
+        )
+        self.board = ExecutorBoard(
+            boards=store,
+            decode=lambda _, raw: msgspec.msgpack.decode(raw, type=ExecutorEntry),
+            needed=lambda: True,
+            clock=self.clock,
+            events=self.events,
+        )
+
+        def make(shard: int, epoch: int) -> Owned:
+            if shard == FLEET_SHARD:
+                return FleetManager(
+                    shard=shard,
+                    epoch=epoch,
+                    host=name,
+                    store=store,
+                    boards=store,
+                    machines=machines,
+                    operator=self.operator,
+                    ask=self.gateway.pool,
+                    settled=self.owners.settled,
+                    times=Times(1.5, 2.0, 3.0),
+                    clock=self.clock,
+                    events=self.events,
+                )
+            dispatcher = Dispatcher(
+                shard=shard,
+                epoch=epoch,
+                store=store,
+                executors=executors,
+                clock=self.clock,
+                events=self.events,
+                bounds=Bounds(),
+                fresh_s=self.owners.fresh_s,
+                settled=self.owners.settled,
+            )
+            self._update_one(dispatcher)
+            return dispatcher
+
+        self.owners = ShardOwners(
+            store=store,
+            member=f"{name}:1/{name}/{incarnation}",
+            make=make,
+            clock=self.clock,
+            events=self.events,
+        )
+        self.gateway = JobGateway(
+            owners=self.owners,
+            operator=self.operator,
+            peers=peers,
+            shards=SHARDS,
+            clock=self.clock,
+            events=self.events,
+        )
+        self.gateway.serve(self)  # type: ignore[arg-type]
+        self.operator.on_change(self._update)
+        self.board.on_change(self._update)
+        self.tasks = [
+            asyncio.ensure_future(run())
+            for run in (self.operator.run, self.board.run, self.owners.run)
+        ]
+
+    def handle(self, name: str, handler: Callable[..., Any]) -> None:
+        """Take a handler of calls, as the gRPC server does."""
+        self.handlers_by_name[name] = handler
+
+    def kill(self) -> None:
+        """End without a word."""
+        for owned in self.owners.owned_by_shard.values():
+            if isinstance(owned, Dispatcher):
+                owned.log.close()
+        for task in [*self.tasks, *self.owners._tasks_by_shard.values()]:
+            task.cancel()
+
+    def _update(self) -> None:
+        for owned in self.owners.owned_by_shard.values():
+            if isinstance(owned, Dispatcher):
+                self._update_one(owned)
+
+    def _update_one(self, dispatcher: Dispatcher) -> None:
+        dispatcher.update(
+            configuration=self.operator.configuration,
+            entries_by_id=self.board.entries_by_id,
+            services=frozenset(
+                name for name in (SERVICE,) if shard_of(name, SHARDS) == dispatcher.shard
+            ),
+        )
+
+
+class OwnerWorld:
+    """Daemons, executors, machines and the store, with what callers were told.
+
+    :param loop: the virtual loop that all run on.
+    :param daemons: how many daemons.
+    :param executors: how many executors the pool has; the standby pool has two machines.
+    :param work_s: how long a task takes.
+    :param seed: draws losses and delays.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: VirtualLoop,
+        daemons: int = 3,
+        executors: int = 4,
+        work_s: float = 0.6,
+        seed: int = 0,
+    ) -> None:
+        self.loop = loop
+        self.store = FakeStore(shards=SHARDS, seed=seed)
+        self.fleet = FakeExecutors(seed=seed)
+        self.machines = FakeMachines(world=self)
+        self.asked_by_job: dict[str, Asked] = {}
+        self.daemons_by_address: dict[str, FakeDaemon] = {}
+        self.work_s = work_s
+        self.lives = 0
+        self.found: list[str] = []
+        self.fleet.record.room_of = self._room_of
+        self.names = [f"e{number}" for number in range(1, daemons + 1)]
+        services = {
+            SERVICE: Service(SERVICE, "/", 64, True, False),
+            STANDBY: Service(STANDBY, "/", 64, True, True),
+        }
+        configuration = Configuration(1, {QUEUE.name: QUEUE}, services)
+        self.store.write_operator("config", msgspec.msgpack.encode(configuration))
+        for number in range(1, executors + 1):
+            self.machines.add(f"m{number}", SERVICE)
+        for number in (1, 2):
+            self.machines.add(f"s{number}", STANDBY)
+        self._tasks = [
+            asyncio.ensure_future(self.fleet.run()),
+            asyncio.ensure_future(self._beat()),
+        ]
+        for name in self.names:
+            self.start(name)
+
+    # Daemons.
+
+    def start(self, name: str) -> None:
+        """Start a daemon, unless it runs."""
+        if f"{name}:1" in self.daemons_by_address:
+            return
+        self.lives += 1
+        daemon = FakeDaemon(world=self, name=name, incarnation=self.lives)
+        self.daemons_by_address[f"{name}:1"] = daemon
+
+    def kill(self, name: str) -> None:
+        """Kill a daemon."""
+        daemon = self.daemons_by_address.pop(f"{name}:1", None)
+        if daemon is not None:
+            daemon.kill()
+
+    async def stop(self, name: str) -> None:
+        """Stop a daemon in good order."""
+        daemon = self.daemons_by_address[f"{name}:1"]
+        await daemon.owners.leave()
+        if self.daemons_by_address.get(f"{name}:1") is daemon:
+            self.kill(name)
+
+    def daemon(self, name: str) -> FakeDaemon:
+        """A daemon that runs."""
+        return self.daemons_by_address[f"{name}:1"]
+
+    def owner(self) -> str | None:
+        """The host that believes to own the pool's queues, the latest if several do."""
+        shard = shard_of(SERVICE, SHARDS)
+        owners = [
+            (daemon.owners._epoch_by_shard[shard], daemon.name)
+            for daemon in self.daemons_by_address.values()
+            if shard in daemon.owners.owned_by_shard
+        ]
+        return max(owners)[1] if owners else None
+
+    # Executors.
+
+    def bear(self, machine: str, pool: str) -> FakeExecutor:
+        """Let a machine's next executor begin."""
+        self.lives += 1
+        entry = ExecutorEntry(
+            executor=f"x{self.lives}",
+            service=pool,
+            address=f"{machine}:9",
+            data_centre="d1",
+            draining=False,
+            capacity=CAPACITY,
+            rack="r1",
+            machine=machine,
+        )
+        executor = FakeExecutor(
+            entry=entry,
+            record=self.fleet.record,
+            work=self._work,
+            rate=0.98 + 0.04 * self.fleet.random.random() / 2,
+        )
+        self.fleet.add(executor)
+        self.publish(executor)
+        return executor
+
+    def publish(self, executor: FakeExecutor) -> None:
+        """Write an executor's entry."""
+        raw = msgspec.msgpack.encode(executor.entry)
+        self.store.write_entry(executor.entry.executor, raw)
+
+    async def _beat(self) -> None:
+        silent: dict[str, float] = {}
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if self.store.down:
+                continue
+            for executor in list(self.fleet.by_address.values()):
+                name = executor.entry.executor
+                if executor.alive:
+                    silent.pop(name, None)
+                    self.publish(executor)
+                elif silent.setdefault(name, self.loop.time()) < self.loop.time() - 4.5:
+                    self.store.write_entry(name, None)
+
+    def _work(self, task: TaskId) -> float | None:
+        asked = self.asked_by_job.get(task.job)
+        if asked is None:
+            return self.work_s
+        return None if asked.spec.steps[task.step].lasting else self.work_s
+
+    def _room_of(self, task: TaskId) -> Room:
+        asked = self.asked_by_job.get(task.job)
+        return asked.spec.steps[task.step].room if asked else Room()
+
+    # Callers.
+
+    async def submit(self, job_id: str, spec: JobSpec, host: str) -> JobReply | None:
+        """Hand a job in through a host; None when the host is dead."""
+        asked = self.asked_by_job.setdefault(job_id, Asked(spec, [], []))
+        daemon = self.daemons_by_address.get(f"{host}:1")
+        if daemon is None:
+            return None
+        # Until it is answered, nobody can say that it was refused.
+        asked.statuses.append(0)
+        place = len(asked.statuses) - 1
+        reply = await daemon.gateway.submit(queue=QUEUE, job_id=job_id, spec=spec)
+        asked.statuses[place] = reply.code.http_status
+        return reply
+
+    async def submit_until_accepted(self, job_id: str, spec: JobSpec, tries: int = 60) -> bool:
+        """Hand a job in, again and again, through one host after another."""
+        for number in range(tries):
+            reply = await self.submit(job_id, spec, self.names[number % len(self.names)])
+            if reply is not None and reply.code.http_status == 200:
+                return True
+            await asyncio.sleep(0.3)
+        return False
+
+    async def cancel(self, job_id: str, host: str) -> int:
+        """Cancel a job through a host; the status, 0 when the host is dead."""
+        daemon = self.daemons_by_address.get(f"{host}:1")
+        if daemon is None:
+            return 0
+        reply = await daemon.gateway.cancel(queue=QUEUE, job_id=job_id)
+        if reply.code.http_status == 200:
+            self.asked_by_job[job_id].cancelled_at.append(self.loop.time())
+        return reply.code.http_status
+
+    async def state(self, job_id: str, host: str) -> str:
+        """A job's state as a host tells it; empty when it can't."""
+        daemon = self.daemons_by_address.get(f"{host}:1")
+        if daemon is None:
+            return ""
+        reply = await daemon.gateway.state(queue=QUEUE, job_id=job_id)
+        if reply.code.http_status == 410 and 200 in self.asked_by_job[job_id].statuses:
+            self.found.append(f"{job_id} was said not to exist by {host}, though it was accepted")
+        return reply.state
+
+    async def final_state(self, job_id: str, wait_s: float) -> str:
+        """A job's state, once it is final or the time is over."""
+        until = self.loop.time() + wait_s
+        state = ""
+        while self.loop.time() < until:
+            for name in self.names:
+                state = await self.state(job_id, name) or state
+                if state in ("completed", "failed", "canceled"):
+                    return state
+            await asyncio.sleep(0.2)
+        return state
+
+    def problems(self) -> list[str]:
+        """Everything that broke a promise so far."""
+        return (
+            self.found
+            + problems(self.fleet.record, self.asked_by_job, ATTEMPTS)
+            + self.machines.problems
+        )
+
+    def close(self) -> None:
+        """End everything."""
+        for name in self.names:
+            self.kill(name)
+        for task in self._tasks:
+            task.cancel()
+
+
+def _decode_operator(values: dict[str, bytes | None]) -> OperatorRecords:
+    configuration = None
+    waves = []
+    for key, raw in values.items():
+        if raw and key == "config":
+            configuration = msgspec.msgpack.decode(raw, type=Configuration)
+        elif raw and key.startswith("wave/"):
+            waves.append(msgspec.msgpack.decode(raw, type=Wave))
+    return OperatorRecords(configuration, waves, [])
+
+
+def play(scene: Callable[[OwnerWorld], Coroutine[Any, Any, None]], **options: Any) -> OwnerWorld:
+    """Play a scene on virtual time.
+
+    :param scene: what happens; it gets the world.
+    :param options: how the world is made.
+    :return: the world as it was at the end.
+    """
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+
+        async def run() -> OwnerWorld:
+            world = OwnerWorld(loop=loop, **options)
+            try:
+                await scene(world)
+            finally:
+                world.close()
+            return world
+
+        return loop.run_until_complete(run())
+    finally:
+        pending = asyncio.all_tasks(loop)
+        for task in pending:
+            task.cancel()
+        if pending:
+            loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        asyncio.set_event_loop(None)
+        loop.close()
