--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -1,6 +1,7 @@
 """The fleet's owner: moves machines between pools as demand turns, and carries out maintenance."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
@@ -229,6 +230,10 @@
             return
         self._listed_at = self._clock.monotonic()
         self.machines_by_id = {machine.machine: machine for machine in outcome}
+        if not self._learned.given:
+            sizes = Counter(machine.pool for machine in outcome)
+            self._learned = self._learned._replace(given=dict(sizes))
+            self._store_learned()
 
     async def _look_at_pools(self, configuration: Configuration) -> None:
         services = [s for s in configuration.services_by_name.values() if not s.standby]
@@ -239,7 +244,7 @@
         gone = [e for e, end in self._gone.items() if end.pool == service.name]
         request = PoolRequest(service.name, closing, self._planned(), gone)
         view = await self._ask(request)
-        if view is None:
+        if view is None or not self._learned.given:
             return
         now = self._clock.monotonic()
         self.views_by_service[service.name] = view
@@ -254,8 +259,7 @@
 
     def _store_learned(self) -> None:
         """Keep what was learned of demand; a successor would have to see all rises again."""
-        given = {name: demand.given for name, demand in self._demands_by_service.items()}
-        learned = Learned(given, self._turns.seen, self._turns.peak_by_service)
+        learned = Learned(self._learned.given, self._turns.seen, self._turns.peak_by_service)
         self.log.put(LEARNED_KEY, msgspec.msgpack.encode(learned))
 
     def _planned(self) -> list[str]:
@@ -514,6 +518,7 @@
         if not standby:
             return
         short: dict[str, int] = {}
+        liked: dict[str, int] = {}
         surplus: list[Machine] = []
         for service, view in self.views_by_service.items():
             if now - self._viewed_at_by_service[service] > WORD_S:
@@ -521,6 +526,8 @@
             balance = self._balance(service, view, now)
             if balance.missing:
                 short[service] = balance.missing
+            elif balance.liked:
+                liked[service] = balance.liked
             elif balance.spare:
                 surplus.extend(self._spare_machines(service, view, balance.spare, now))
         idle = [
@@ -528,12 +535,19 @@
             for name, machine in sorted(self.machines_by_id.items())
             if machine.pool in standby and self._free_to_close(name, now)
         ]
-        for service, count in sorted(short.items(), key=lambda item: -item[1]):
-            for _ in range(count):
+        # One machine a pool in turn, so that two that rise together share what there is.
+        while short and (idle or surplus):
+            for service in list(short):
                 if idle:
                     self._order_idle(idle.pop(), pool=service)
                 elif surplus:
                     self._close(surplus.pop(0), pool=service)
+                short[service] -= 1
+                if not short[service]:
+                    del short[service]
+        for service, count in liked.items():
+            for _ in range(min(count, len(idle))):
+                self._order_idle(idle.pop(), pool=service)
         for machine in surplus:
             self._close(machine, pool=standby[0])
 
@@ -556,10 +570,10 @@
             quiet = next_at - lead_s - wall > WORTH_S
         elif next_at is not None:
             quiet = True
-        forecast = Forecast(quiet=quiet, soon=soon, peak=self._turns.peak(service))
+        forecast = Forecast(quiet=quiet, soon=soon)
         demand = self._demands_by_service[service]
         balance = demand.balance(view, forecast, coming=coming - leaving)
-        if balance.missing or balance.spare:
+        if balance != Balance(0, 0):
             self._events.note(
                 "pool.balance",
                 service=service,
@@ -569,6 +583,7 @@
                 leaving=leaving,
                 missing=balance.missing,
                 spare=balance.spare,
+                liked=balance.liked,
                 next_rise_s=next_at - wall if next_at is not None else None,
                 risen=self._turns.is_risen(service),
             )
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -31,10 +31,10 @@
 PRODUCER = "mustardgap-owner"
 
 # An answer takes 4 ms on a calm day and some 250 ms when the store is slow by the factor of 60
-# that was seen; a lost answer holds up the calls behind it for no longer than this.
+# that was seen. A lost answer holds up the calls behind it: the first wait is short, and each that
+# was in vain doubles it, so that a slow store is waited for and a lost answer costs little.
+FIRST_CALL_S = 0.2
 CALL_S = 0.8
-# A renewal has to be repeated well within the time for which it holds.
-JOIN_S = 0.6
 # What a long poll may take beyond the time it was asked to wait.
 POLL_SLACK_S = 1.0
 READ_KB = 1024
@@ -53,6 +53,7 @@
     def __init__(self, *, pool: HttpPool, address: str) -> None:
         self._pool = pool
         self._address = address
+        self._patience_s = FIRST_CALL_S
 
     async def fence(self, *, shard: int, epoch: int) -> Appended | Fenced | Refused | NoAnswer:
         """Raise a shard's epoch; the call is an append without records."""
@@ -83,7 +84,7 @@
             "ttlMs": int(ttl_s * 1000),
             "generation": generation,
         }
-        fields = await self._post("/mustardgap/log-join", body, JOIN_S)
+        fields = await self._post("/mustardgap/log-join", body, self._patience_s)
         if isinstance(fields, Refused | NoAnswer):
             return fields
         shards = frozenset(row[1] for row in fields["parts"] if row[0] == JOBS)
@@ -92,7 +93,7 @@
     async def leave(self, *, member: str) -> Done | Refused | NoAnswer:
         """Leave the owners' group."""
         body = {"group": GROUP, "member": member}
-        fields = await self._post("/mustardgap/log-leave", body, JOIN_S)
+        fields = await self._post("/mustardgap/log-leave", body, self._patience_s)
         return fields if isinstance(fields, Refused | NoAnswer) else Done()
 
     async def owners(self) -> dict[int, str] | Refused | NoAnswer:
@@ -184,7 +185,7 @@
         self, topic: str, shard: int, body: bytes, query: Mapping[str, object]
     ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
         target = "/mustardgap/log-append?" + urlencode({"topic": topic, "part": shard, **query})
-        answer = await self._call("POST", target, body, CALL_S)
+        answer = await self._call("POST", target, body, self._patience_s)
         if not isinstance(answer, HttpAnswer):
             return answer
         fields = fields_of(answer.body)
@@ -214,8 +215,11 @@
             address=self._address, method=method, target=target, body=body, timeout_s=timeout_s
         )
         if isinstance(answer, NoAnswer):
+            self._patience_s = min(self._patience_s * 2, CALL_S)
             # After a lost answer the idle connections may be as silent as the one that was used.
             self._pool.forget(self._address)
+        elif timeout_s <= CALL_S:
+            self._patience_s = max(self._patience_s / 2, FIRST_CALL_S)
         return answer
 
 
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -16,39 +16,40 @@
 FILL_SHARE = 0.9
 # Room that is kept free beside the demand, as a share of one machine, for what comes next.
 RESERVE_SHARE = 0.5
+# A pool grows to this many times its first size at the most.
+MOST_GROWTH = 2.5
 
 
 class Forecast(NamedTuple):
     """What is expected of a pool.
 
     ``quiet`` tells that no rise is expected while a machine could be brought back, ``soon`` that
-    one is expected within that time, and ``peak`` the machines that the last rises took, 0 if there
-    was none.
+    one is expected within that time.
     """
 
     quiet: bool
     soon: bool
-    peak: float
 
 
 class Balance(NamedTuple):
-    """How many machines a pool lacks, and how many it can spare."""
+    """How many machines a pool lacks, can spare, and would like to have for an expected rise."""
 
     missing: int
     spare: int
+    liked: int = 0
 
 
 class PoolDemand:
     """Follows one pool's demand, in thousandths of a core.
 
-    :param given: the size that the pool had before machines were moved, 0 if not known yet.
+    :param given: the size that the pool had before machines were moved.
     """
 
     def __init__(self, *, given: int) -> None:
         self.smooth = 0.0
         self._noted_at: float | None = None
         self._recent: deque[tuple[float, int]] = deque()
-        # A pool is left at the size that it was given until its demand can be foreseen.
+        # A pool is left at this size until its demand can be foreseen.
         self.given = given
 
     def note(self, view: PoolView, now: float) -> None:
@@ -66,8 +67,6 @@
         self._recent.append((now, need))
         while self._recent and self._recent[0][0] < now - FALL_S:
             self._recent.popleft()
-        if not self.given:
-            self.given = len(view.executors)
 
     def machines(self, view: PoolView) -> float:
         """The smoothed demand in machines."""
@@ -82,10 +81,12 @@
         machine_cpu = _machine_cpu(view)
         size = len(present) + coming
         needed = math.ceil(self.machines(view))
-        if forecast.soon:
-            needed = max(needed, math.ceil(forecast.peak) if forecast.peak else self.given)
+        # A backlog adds up to more machines than the work that goes on coming could use.
+        needed = min(needed, int(self.given * MOST_GROWTH) + 1)
         if needed > size:
             return Balance(needed - size, 0)
+        if forecast.soon and size < self.given:
+            return Balance(0, 0, self.given - size)
         peak = max((need for _, need in self._recent), default=0)
         kept = math.ceil((peak + RESERVE_SHARE * machine_cpu) / (machine_cpu * FILL_SHARE))
         kept = max(kept, needed, 1)
--- a/mustardgap/turns.py
+++ b/mustardgap/turns.py
@@ -1,16 +1,20 @@
 """Foresees when a pool's demand rises again, where demand rises by turns."""
 
+from itertools import pairwise
 from statistics import median
 from typing import NamedTuple
 
 # A turn begins when a pool's smoothed demand passes this share of the most that it ever was, and
-# ends when it falls below the lower one.
+# ends when it falls below the lower one; either has to last, as single jobs rise and fall too.
 BEGIN_SHARE = 0.45
 END_SHARE = 0.25
+LASTS_S = 0.8
 # Demand below this many machines is no turn: there is nothing to bring or to let go.
-LEAST_MACHINES = 1.5
+LEAST_MACHINES = 2.0
 # Turns of different pools that begin within this time are one rise of all demand.
 TOGETHER_S = 0.5
+# Rises that are this much further apart than others, as a factor, don't follow a rhythm.
+RHYTHM = 1.5
 
 
 class Turn(NamedTuple):
@@ -32,6 +36,7 @@
         self.seen: list[Turn] = []
         self.peak_by_service: dict[str, float] = {}
         self._risen: set[str] = set()
+        self._turning_since: dict[str, float] = {}
 
     def note(self, service: str, machines: float, now: float) -> bool:
         """Take in a pool's smoothed demand.
@@ -42,26 +47,28 @@
         """
         peak = max(self.peak_by_service.get(service, 0.0), machines)
         self.peak_by_service[service] = peak
-        if service in self._risen:
-            if machines < END_SHARE * peak:
-                self._risen.discard(service)
-                return True
-        elif machines >= max(BEGIN_SHARE * peak, LEAST_MACHINES):
-            self._risen.add(service)
-            self.seen.append(Turn(service, now))
+        risen = service in self._risen
+        share = END_SHARE if risen else BEGIN_SHARE
+        if (machines >= max(share * peak, LEAST_MACHINES)) == risen:
+            self._turning_since.pop(service, None)
+            return False
+        since = self._turning_since.setdefault(service, now)
+        if now - since < LASTS_S:
+            return False
+        del self._turning_since[service]
+        if risen:
+            self._risen.discard(service)
             return True
-        return False
+        self._risen.add(service)
+        # Without another pool's rise in between it is the same turn that goes on.
+        if not self.seen or self.seen[-1].service != service:
+            self.seen.append(Turn(service, since))
+        return True
 
     def is_risen(self, service: str) -> bool:
         """Whether a pool is in its turn."""
         return service in self._risen
 
-    def peak(self, service: str) -> float:
-        """The most machines that a pool's rises took, 0 if there was none."""
-        if not any(turn.service == service for turn in self.seen):
-            return 0.0
-        return self.peak_by_service.get(service, 0.0)
-
     def next_at(self, service: str, services: int, now: float) -> float | None:
         """When a pool's next turn is expected, None if that can't be told.
 
@@ -71,8 +78,8 @@
         own = [turn.began_at for turn in self.seen if turn.service == service]
         gap = self._gap_s()
         if not own:
-            # It may be the next one; the one after it is soon enough to look again.
-            if gap is None:
+            # It may be the next one, if there is a rhythm.
+            if gap is None or not self._is_rhythm():
                 return None
             expected, interval = self.seen[-1].began_at + gap, gap
         elif len(own) > 1:
@@ -90,9 +97,16 @@
 
     def _gap_s(self) -> float | None:
         """How far apart the rises of different pools are."""
-        gaps = [
+        gaps = self._gaps()
+        return median(gaps) if gaps else None
+
+    def _is_rhythm(self) -> bool:
+        gaps = self._gaps()
+        return len(gaps) > 1 and max(gaps) <= RHYTHM * min(gaps)
+
+    def _gaps(self) -> list[float]:
+        return [
             after.began_at - before.began_at
-            for before, after in zip(self.seen, self.seen[1:], strict=False)
-            if after.service != before.service and after.began_at - before.began_at > TOGETHER_S
+            for before, after in pairwise(self.seen)
+            if after.began_at - before.began_at > TOGETHER_S
         ]
-        return median(gaps) if gaps else None
