--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -583,10 +583,18 @@
             return
         now, wall = self._clock.monotonic(), self._clock.wall()
         waiting = [job for job in self.jobs_by_id.values() if job.phase is JobPhase.LIVE]
-        for job in in_order(waiting, self.queue_of, wall):
+        for job in in_order(waiting, self.queue_of, self._cores_by_service(now), wall):
             for tasks in job.steps_in_turn():
                 self._place_step(job, tasks, now)
 
+    def _cores_by_service(self, now: float) -> dict[str, float]:
+        cores: dict[str, float] = {}
+        for link in self.links_by_executor.values():
+            if link.up and link.listed and not link.closing and now >= link.pause_until:
+                service = link.entry.service
+                cores[service] = cores.get(service, 0.0) + link.entry.capacity.cpu / 1000
+        return cores
+
     def _place_step(self, job: Job, tasks: list[Task], now: float) -> None:
         step = tasks[0].step
         missing = [task for task in tasks if task.waits]
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -47,6 +47,11 @@
 ABSENT_S = 2.5
 # For how long owners of pools are told of an ended life; it covers two takeovers in a row.
 TELL_S = 20.0
+# Emptying a machine takes about a lasting task's way to work on another, for each that it has.
+EMPTYING_S = 3.0
+# A wave takes machines from pools that need them once the time left is less than this many times
+# what its rounds take.
+HURRY = 1.7
 WAVE_KEY = "w/"
 LEARNED_KEY = "learned"
 UP = "up"
@@ -153,7 +158,9 @@
         self._viewed_at_by_service: dict[str, float] = {}
         self._demands_by_service: dict[str, PoolDemand] = {}
         self._not_before_by_machine: dict[str, float] = {}
+        # When each wave was first seen, in seconds since the epoch.
         self._known_at_by_wave: dict[int, float] = {}
+        self._short: set[str] = set()
         self._told_by_wave: dict[int, bool] = {}
         self._orders: dict[str, asyncio.Task[None]] = {}
         self._may_order_at = float("inf")
@@ -201,7 +208,9 @@
         for key, value in entries.values_by_key.items():
             if key.startswith(WAVE_KEY) and value:
                 number = int(key.removeprefix(WAVE_KEY))
-                self.done_by_wave[number] = set(msgspec.msgpack.decode(value))
+                known_at, done = msgspec.msgpack.decode(value)
+                self._known_at_by_wave[number] = known_at
+                self.done_by_wave[number] = set(done)
         return True
 
     async def _round(self) -> None:
@@ -217,8 +226,8 @@
             return
         self._drop_stale_closings()
         self._carry_out_closed()
-        self._plan_waves(configuration)
         self._plan_moves(configuration)
+        self._plan_waves(configuration)
         await self._tell_waves()
 
     # What is known.
@@ -433,14 +442,21 @@
         return [name for name in wave.machines if name not in done]
 
     def _note_done(self, number: int, name: str) -> None:
-        done = self.done_by_wave.setdefault(number, set())
-        done.add(name)
-        self.log.put(f"{WAVE_KEY}{number}", msgspec.msgpack.encode(sorted(done)))
+        self.done_by_wave.setdefault(number, set()).add(name)
+        self._store_wave(number)
+
+    def _store_wave(self, number: int) -> None:
+        done = sorted(self.done_by_wave.get(number, ()))
+        known_at = self._known_at_by_wave.get(number, self._clock.wall())
+        self.log.put(f"{WAVE_KEY}{number}", msgspec.msgpack.encode((known_at, done)))
 
     def _plan_waves(self, configuration: Configuration) -> None:
         now = self._clock.monotonic()
         for wave in self._open_waves():
-            self._known_at_by_wave.setdefault(wave.number, now)
+            if wave.number not in self._known_at_by_wave:
+                self._known_at_by_wave[wave.number] = self._clock.wall()
+                self._store_wave(wave.number)
+            hurried = self._is_hurried(wave)
             busy = sum(1 for c in self.closing_by_machine.values() if c.wave == wave.number)
             busy += sum(
                 1
@@ -456,9 +472,16 @@
             for machine in candidates[: max(wave.at_once - busy, 0)]:
                 if self._is_standby(machine.pool, configuration):
                     self._order_idle(machine, wave=wave.number)
-                elif self._may_close(machine):
+                elif self._may_close(machine, hurried):
                     self._close(machine, wave=wave.number)
 
+    def _is_hurried(self, wave: Wave) -> bool:
+        """Whether a wave would be late if it waited for pools that have no machine to spare."""
+        rounds = -(-len(self._remaining(wave)) // max(wave.at_once, 1))
+        needed_s = rounds * (self._times.maintenance_s + EMPTYING_S)
+        left_s = self._known_at_by_wave[wave.number] + wave.finish_by_s - self._clock.wall()
+        return left_s < needed_s * HURRY
+
     def _free_to_close(self, name: str, now: float) -> bool:
         machine = self.machines_by_id.get(name)
         return (
@@ -479,10 +502,12 @@
             return 2, 0, 0
         return 1, executor.lasting_runs, view.waiting_cpu + executor.used_cpu
 
-    def _may_close(self, machine: Machine) -> bool:
+    def _may_close(self, machine: Machine, hurried: bool) -> bool:
         view = self.views_by_service.get(machine.pool)
         if view is None or _executor(view, machine.executor) is None:
             return False
+        if not hurried and (machine.pool in self._short or self._turns.is_risen(machine.pool)):
+            return False
         closed = sum(1 for c in self.closing_by_machine.values() if c.source == machine.pool)
         closed += sum(1 for a in self.away_by_machine.values() if a.pool == machine.pool)
         size = len(view.executors)
@@ -535,6 +560,9 @@
             for name, machine in sorted(self.machines_by_id.items())
             if machine.pool in standby and self._free_to_close(name, now)
         ]
+        self._short = set(short)
+        due = {name for wave in self._open_waves() for name in self._remaining(wave)}
+        idle.sort(key=lambda machine: machine.machine not in due)
         # One machine a pool in turn, so that two that rise together share what there is.
         while short and (idle or surplus):
             for service in list(short):
@@ -572,7 +600,7 @@
             quiet = True
         forecast = Forecast(quiet=quiet, soon=soon)
         demand = self._demands_by_service[service]
-        balance = demand.balance(view, forecast, coming=coming - leaving)
+        balance = demand.balance(view, forecast, coming=coming, leaving=leaving)
         if balance != Balance(0, 0):
             self._events.note(
                 "pool.balance",
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -1,7 +1,7 @@
 """Which waiting task goes next, and on which executor."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from .executor_links import ExecutorLink
@@ -10,8 +10,8 @@
 
 # Up to this many times its objective a job earns a little; after that only its promise counts.
 LATE_FACTOR = 3.0
-# A queue whose waiting jobs have used up this share of their slack is overloaded.
-OVERLOAD_USED = 0.5
+# A job with less slack than this has to begin now: estimates are off by some tenths of a second.
+CRITICAL_S = 0.3
 
 
 class Urgency(NamedTuple):
@@ -19,7 +19,7 @@
 
     standing: int
     priority: int
-    waiting: bool
+    can_wait: bool
     rank: float
 
 
@@ -27,14 +27,14 @@
 
 
 class Standing(NamedTuple):
-    """Where a job stands against its objective, in seconds; ``slack_s`` is what it may still wait.
+    """Where a job stands against its objective.
 
-    ``used`` is the share of the slack that it had at first and has used up.
+    ``slack_s`` is how long it may still wait, ``work`` the core-seconds that it needs.
     """
 
     standing: int
     slack_s: float
-    used: float
+    work: float
 
 
 def standing(job: Job, queue: Queue, wall: float) -> Standing:
@@ -42,40 +42,41 @@
 
     :param wall: seconds since the epoch.
     """
-    chain, _ = job.remaining()
+    chain, work = job.remaining()
     objective = queue.stretch * job.chain_s + queue.objective_s
     slack = job.accepted_at + objective - wall - chain
-    used = 1 - slack / max(objective - job.chain_s, 0.001)
     if slack >= 0:
-        return Standing(IN_TIME, slack, used)
+        return Standing(IN_TIME, slack, work)
     if slack >= -(LATE_FACTOR - 1) * objective:
-        return Standing(LATE, slack, used)
-    return Standing(HOPELESS, slack, used)
+        return Standing(LATE, slack, work)
+    return Standing(HOPELESS, slack, work)
 
 
 def in_order(
-    jobs: Iterable[Job], queue_of: Callable[[Job], Queue | None], wall: float
+    jobs: Iterable[Job],
+    queue_of: Callable[[Job], Queue | None],
+    cores_by_service: Mapping[str, float],
+    wall: float,
 ) -> list[Job]:
     """Sort jobs by who gets room first.
 
-    Lasting tasks come first, then jobs that can be in time, then late ones. What has begun is ended
-    before more is begun. While no job waits long, the one that has the least time left goes first.
-    Under overload that would begin each job when its time is nearly over, and most would be late;
-    then the newest goes first, so that those that are begun are in time, whatever their size.
+    Lasting tasks come first, then jobs that can be in time, then late ones. While the work that
+    waits can be done within the slack of those that wait, the job with the least work left goes
+    first, unless another has hardly any slack left: so most are in time, and wide ones too. Under
+    overload that would starve wide jobs, and begin each job when its time is nearly over. Then what
+    has begun is ended first, and the newest begins first, whatever its size.
 
     :param queue_of: a job's queue, None if it isn't configured any more.
+    :param cores_by_service: the cores of each service's usable executors.
     :param wall: seconds since the epoch.
     """
-    standings: dict[str, Standing] = {}
-    overloaded: set[str] = set()
     ordered = list(jobs)
-    for job in ordered:
-        queue = queue_of(job)
-        if queue is None or job.lasting:
-            continue
-        standings[job.job_id] = seen = standing(job, queue, wall)
-        if not job.begun and seen.standing == IN_TIME and seen.used > OVERLOAD_USED:
-            overloaded.add(job.queue_name)
+    standings = {
+        job.job_id: standing(job, queue, wall)
+        for job in ordered
+        if not job.lasting and (queue := queue_of(job)) is not None
+    }
+    overloaded = _overloaded(ordered, standings, cores_by_service)
 
     def key(job: Job) -> Urgency:
         queue = queue_of(job)
@@ -84,14 +85,38 @@
         if job.lasting:
             return Urgency(LASTING, queue.priority, False, job.accepted_at)
         seen = standings[job.job_id]
-        rank = seen.slack_s
-        if seen.standing == IN_TIME and not job.begun and job.queue_name in overloaded:
-            rank = -job.accepted_at
-        return Urgency(seen.standing, queue.priority, not job.begun, rank)
+        if job.service in overloaded and seen.standing == IN_TIME:
+            rank = -job.accepted_at if not job.begun else seen.slack_s
+            return Urgency(IN_TIME, queue.priority, not job.begun, rank)
+        critical = seen.standing == IN_TIME and seen.slack_s < CRITICAL_S
+        return Urgency(seen.standing, queue.priority, not critical, seen.work)
 
     return sorted(ordered, key=key)
 
 
+def _overloaded(
+    jobs: Iterable[Job],
+    standings: Mapping[str, Standing],
+    cores_by_service: Mapping[str, float],
+) -> set[str]:
+    """The services whose waiting jobs can't all be in time."""
+    work: Counter[str] = Counter()
+    slack: Counter[str] = Counter()
+    waiting: Counter[str] = Counter()
+    for job in jobs:
+        seen = standings.get(job.job_id)
+        if seen is None or seen.standing != IN_TIME or job.begun:
+            continue
+        work[job.service] += seen.work  # type: ignore[assignment]
+        slack[job.service] += seen.slack_s  # type: ignore[assignment]
+        waiting[job.service] += 1
+    return {
+        service
+        for service, count in waiting.items()
+        if work[service] > cores_by_service.get(service, 0.0) * slack[service] / count
+    }
+
+
 def usable(link: ExecutorLink, step: Step, service: str, now: float) -> bool:
     """Whether an executor may get new runs of a step at all."""
     return (
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -18,6 +18,8 @@
 RESERVE_SHARE = 0.5
 # A pool grows to this many times its first size at the most.
 MOST_GROWTH = 2.5
+# A rise is taken to go on for this long; a third of what a move takes, as rises flatten.
+GROWTH_S = 0.5
 
 
 class Forecast(NamedTuple):
@@ -72,15 +74,16 @@
         """The smoothed demand in machines."""
         return self.smooth / (_machine_cpu(view) * FILL_SHARE)
 
-    def balance(self, view: PoolView, forecast: Forecast, *, coming: int) -> Balance:
+    def balance(self, view: PoolView, forecast: Forecast, *, coming: int, leaving: int) -> Balance:
         """Compare what the pool has with what it needs.
 
         :param coming: machines that are on their way to the pool.
+        :param leaving: machines of the pool that are being emptied.
         """
         present = [e for e in view.executors if e.settled and not e.draining]
         machine_cpu = _machine_cpu(view)
-        size = len(present) + coming
-        needed = math.ceil(self.machines(view))
+        size = len(present) + coming - leaving
+        needed = math.ceil(self.machines(view) + self._growth(machine_cpu, forecast))
         # A backlog adds up to more machines than the work that goes on coming could use.
         needed = min(needed, int(self.given * MOST_GROWTH) + 1)
         if needed > size:
@@ -92,7 +95,21 @@
         kept = max(kept, needed, 1)
         if not forecast.quiet:
             kept = max(kept, self.given)
-        return Balance(0, max(size - kept, 0))
+        # A pool that grows lets nothing go: what comes would only take the place of what leaves.
+        return Balance(0, 0 if coming else max(size - kept, 0))
+
+    def _growth(self, machine_cpu: float, forecast: Forecast) -> float:
+        """How many machines more the demand will need when one that is ordered now is there.
+
+        Waiting until a pool is full costs the first seconds of each rise; a rise that goes on as
+        it began is met half-way. Where no rise is expected, single large jobs look like one.
+        """
+        if forecast.quiet or len(self._recent) < 2:
+            return 0.0
+        since, before = self._recent[0]
+        at, need = self._recent[-1]
+        slope = max((need - before) / max(at - since, 0.1), 0.0)
+        return slope * GROWTH_S / (machine_cpu * FILL_SHARE)
 
 
 def _machine_cpu(view: PoolView) -> float:
