--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -11,9 +11,9 @@
 
 # The store answers as soon as there is a record; an idle wait costs one call in this time.
 OPERATOR_WAIT_S = 15.0
-# Executors write some 30 records a second; a waiting read would come back for each. Read at this
-# period, a new executor is used 0.1 s after it is listed on average, and a leaving one is known well
-# within the 2 s for which it goes on serving.
+# Executors write some 30 records a second; a waiting read would come back for each. At this period
+# a new executor is used 0.1 s after it is listed on average, and a leaving one is known well within
+# the 2 s for which it goes on serving.
 EXECUTORS_PERIOD_S = 0.2
 EXECUTORS_WAIT_S = 2.0
 RETRY_S = 0.2
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -23,10 +23,13 @@
 
     def __init__(self, *, dispatcher: "Dispatcher") -> None:
         self.planned: frozenset[str] = frozenset()
+        # Services with a lasting task that has to move and finds no room.
+        self.cramped: set[str] = set()
         self._dispatcher = dispatcher
 
     def look(self, now: float) -> None:
         """Stop what may be stopped now on executors that leave."""
+        self.cramped.clear()
         for link in list(self._dispatcher.links_by_executor.values()):
             if not (link.closing or link.entry.draining) or not link.up:
                 continue
@@ -51,7 +54,10 @@
             for link in self._dispatcher.links_by_executor.values()
             if usable(link, task.step, job.service, now)
         ]
-        return choose(task, siblings, links, self.planned) is not None
+        if choose(task, siblings, links, self.planned) is not None:
+            return True
+        self.cramped.add(job.service)
+        return False
 
 
 def _may_miss_one(task: Task, siblings: list[Task]) -> bool:
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -508,7 +508,13 @@
             return False
         if not hurried and (machine.pool in self._short or self._turns.is_risen(machine.pool)):
             return False
-        closed = sum(1 for c in self.closing_by_machine.values() if c.source == machine.pool)
+        closing = [c for c in self.closing_by_machine.values() if c.source == machine.pool]
+        lasting = {e.executor for e in view.executors if e.lasting_runs}
+        hosts = sum(1 for c in closing if c.executor in lasting)
+        if machine.executor in lasting and hosts and not hurried:
+            # Lasting tasks move one at a time, and into what their pool has left.
+            return False
+        closed = len(closing)
         closed += sum(1 for a in self.away_by_machine.values() if a.pool == machine.pool)
         size = len(view.executors)
         idle = size - closed - 1 > self._demands_by_service[machine.pool].machines(view)
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -86,6 +86,8 @@
         needed = math.ceil(self.machines(view) + self._growth(machine_cpu, forecast))
         # A backlog adds up to more machines than the work that goes on coming could use.
         needed = min(needed, int(self.given * MOST_GROWTH) + 1)
+        if view.cramped and not coming:
+            needed = max(needed, size + 1)
         if needed > size:
             return Balance(needed - size, 0)
         if forecast.soon and size < self.given:
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -28,13 +28,18 @@
 
 
 class PoolView(NamedTuple):
-    """A pool's demand, in thousandths of a core, and its executors."""
+    """A pool's demand, in thousandths of a core, and its executors.
+
+    ``cramped`` tells that a lasting task finds no executor, for another reason than processor time
+    perhaps, such as memory or the bound of its step on one executor.
+    """
 
     service: str
     lasting_cpu: int
     running_cpu: int
     waiting_cpu: int
     executors: list[ExecutorView]
+    cramped: bool = False
 
 
 class PoolRequest(NamedTuple):
@@ -52,6 +57,7 @@
     :param wall: seconds since the epoch.
     """
     lasting = running = waiting = 0
+    cramped = service in dispatcher.evacuations.cramped
     for job in dispatcher.jobs_by_id.values():
         if job.service != service or job.phase:
             continue
@@ -65,12 +71,14 @@
             waiting_tasks = sum(1 for task in tasks if task.waits)
             if step.lasting:
                 lasting += step.cpu * (running_tasks + waiting_tasks)
+                cramped = cramped or waiting_tasks > 0
                 continue
             running += step.cpu * running_tasks
             if not hopeless:
                 share = min(1.0, step.estimate_s / HORIZON_S)
                 waiting += int(step.cpu * waiting_tasks * share)
-    return PoolView(service, lasting, running, waiting, _executors(dispatcher, service))
+    executors = _executors(dispatcher, service)
+    return PoolView(service, lasting, running, waiting, executors, cramped)
 
 
 def _executors(dispatcher: "Dispatcher", service: str) -> list[ExecutorView]:
