--- a/features/owners.feature
+++ b/features/owners.feature
@@ -35,6 +35,16 @@
       | executor drains               | 2     | completed           |
       | wave comes                    | 1     | completed           |
 
+  Scenario: Failures that a former owner couldn't store count for the next one
+    The caller's job fails as often as its queue allows. The store is away, so no end is acknowledged;
+    all daemons die. The next owner hears of the failures from the executors before it has read the
+    configuration, which says how many are allowed. It mustn't start the job's tasks once more.
+
+    Given owners on a fake platform
+    When 4 jobs of two steps are handed in under the trouble "all fails and configuration late", 1 times in a row
+    Then all jobs have ended as failed
+    And no promise was broken
+
   Scenario Outline: A cancelled job stops for good under the trouble "<trouble>"
     The caller is told that the job is cancelled. Its tasks run at that moment, and the trouble comes
     just then. No task of it is started seconds later, by this owner or the next, and none runs on.
@@ -71,6 +81,29 @@
       | owner stopped   |
       | store down      |
 
+  Scenario Outline: A configuration is in force everywhere although <trouble>
+    A caller uses a queue that was just added. The daemon it reaches doesn't hear of it: its waiting
+    read was silenced, or the store turns it away. It notices within a second and asks anew, or a peer.
+
+    Given owners on a fake platform
+    When a configuration is published and <trouble>
+    Then it is in force on all daemons after 2 s
+
+    Examples:
+      | trouble                            |
+      | nothing happens                    |
+      | a daemon's waiting read is silent  |
+      | a daemon is cut off from the store |
+
+  Scenario: Jobs go on where every executor has failed something
+    The caller's job has failed on the executors that there are, for reasons that have passed. It has
+    attempts left, there is room, and nothing of it runs: it is tried again all the same.
+
+    Given owners on a fake platform
+    When a job is handed in while the only executor fails for a moment
+    Then all jobs have ended as completed
+    And no promise was broken
+
   Scenario: A repeat of a job's id changes nothing
     The caller's answer was lost; the same request comes again at once through another host, and again
     seconds after the job was accepted. It stays one job.
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import HealthCheck, Phase, settings, strategies
 from hypothesis import given as drawn
 
+from mustardgap.workloads import EndKind
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
 from tools.owner_worlds import play
 
@@ -111,6 +112,41 @@
     context.world = play(scene, **context.options)
 
 
+@when("a configuration is published and {trouble}")
+def configuration_published(context, trouble):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        if trouble == "a daemon's waiting read is silent":
+            world.store.silenced_hosts.add("e1")
+            await asyncio.sleep(0.1)
+        elif trouble == "a daemon is cut off from the store":
+            world.store.cut_hosts.add("e1")
+        world.publish_configuration(5)
+        await asyncio.sleep(2)
+        context.versions = {
+            daemon.name: daemon.operator.configuration.version
+            for daemon in world.daemons_by_address.values()
+        }
+
+    context.world = play(scene, **context.options)
+
+
+@when("a job is handed in while the only executor fails for a moment")
+def only_executor_fails(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        for executor in world.fleet.by_address.values():
+            executor.fails = True
+        work = asyncio.ensure_future(_hand_in(world, context.states, 1))
+        while not any(run.how is EndKind.FAILED for run in world.fleet.record.runs):
+            await asyncio.sleep(0.01)
+        for executor in world.fleet.by_address.values():
+            executor.fails = False
+        await asyncio.wait_for(work, 70)
+
+    context.world = play(scene, executors=1, **context.options)
+
+
 @when("random troubles are played")
 def random_troubles(context):
     context.failures = []
@@ -185,6 +221,11 @@
     assert context.at_work == LASTING.steps[0].width, context.at_work
 
 
+@then("it is in force on all daemons after 2 s")
+def in_force(context):
+    assert set(context.versions.values()) == {5}, context.versions
+
+
 @then("each task has run once")
 def ran_once(context):
     tasks = [run.task for run in context.world.fleet.record.runs]
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -9,17 +9,18 @@
 from .timers import Clock
 from .workloads import Configuration, ExecutorEntry, Wave
 
-# The store answers as soon as there is a record; an idle wait costs one call in this time.
-OPERATOR_WAIT_S = 15.0
+# The store answers as soon as there is a record. A connection that went silent is noticed after this
+# and the call's slack. A longer wait would save calls, but a change has to be in force within 2 s,
+# and a daemon that waits in vain can't know of it.
+OPERATOR_WAIT_S = 0.8
 # Executors write some 30 records a second; a waiting read would come back for each. At this period
 # a new executor is used 0.1 s after it is listed on average, and a leaving one is known well within
 # the 2 s for which it goes on serving.
 EXECUTORS_PERIOD_S = 0.2
-EXECUTORS_WAIT_S = 2.0
+EXECUTORS_WAIT_S = 0.8
 RETRY_S = 0.2
-# A daemon that can't read the store for this long asks its peers for the configuration.
-ASK_PEERS_S = 0.6
-ASK_PERIOD_S = 0.5
+# A daemon that can't read the store asks a peer for the configuration at this period.
+ASK_PERIOD_S = 0.3
 # Entries that expired while the store was away come back within 2 s of its return.
 RETURN_S = 2.3
 
@@ -60,7 +61,6 @@
         self._clock = clock
         self._events = events
         self._offset: int | None = None
-        self._read_at = clock.monotonic()
         self._failing = False
         self._subscribers: list[Callable[[], None]] = []
 
@@ -85,8 +85,7 @@
         """While the store can't be read, take the configuration from peers; until cancelled."""
         while True:
             await self._clock.sleep(ASK_PERIOD_S)
-            away_s = self._clock.monotonic() - self._read_at
-            if (self._failing and away_s > ASK_PEERS_S) or self.configuration is None:
+            if self._failing or self.configuration is None:
                 self.take(await self._ask_peer(), source="peer")
 
     def take(self, values: dict[str, bytes | None], *, source: str) -> None:
@@ -121,7 +120,6 @@
 
     def _read(self, entries: Entries) -> None:
         self._offset = entries.end
-        self._read_at = self._clock.monotonic()
         if self._failing:
             self._failing = False
             self._events.note("operator.regained", vital=True, offset=entries.end)
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -600,14 +600,21 @@
         missing = [task for task in tasks if task.waits]
         if not missing:
             return
+        # A new owner hears of failures before it knows how many the queue allows, which the
+        # configuration says; a job that was over by then would be started once more.
+        if any(exhausted(task, self.queue_of(job)) for task in missing):
+            self._finish(job, JobPhase.FAILED, "a task had failed too often under earlier owners")
+            return
         links = [
-            link for link in self.links_by_executor.values() if usable(link, step, job.service, now)
+            link for link in self.links_by_executor.values() if usable(link, step, job.service)
         ]
+        # Where every executor is under suspicion, trying is better than waiting.
+        links = [link for link in links if now >= link.pause_until] or links
         if step.gang:
             self._place_gang(job, tasks, links)
             return
         for task in missing:
-            link = choose(task, tasks, links, self.evacuations.planned)
+            link = choose(task, tasks, links, self.evacuations.planned, now)
             if link is None:
                 return
             self._start(job, task, link, self._next_run())
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -52,9 +52,9 @@
         links = [
             link
             for link in self._dispatcher.links_by_executor.values()
-            if usable(link, task.step, job.service, now)
+            if usable(link, task.step, job.service) and now >= link.pause_until
         ]
-        if choose(task, siblings, links, self.planned) is not None:
+        if choose(task, siblings, links, self.planned, now) is not None:
             return True
         self.cramped.add(job.service)
         return False
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -154,6 +154,7 @@
         self.used = Room()
         self.pause_until = 0.0
         self.failures_in_a_row = 0
+        self.failed_at = float("-inf")
         self.failed_jobs: set[str] = set()
         self.slow_marks = 0
         self.slow_jobs: set[str] = set()
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -12,6 +12,8 @@
 LATE_FACTOR = 3.0
 # A job with less slack than this has to begin now: estimates are off by some tenths of a second.
 CRITICAL_S = 0.3
+# An executor whose last run failed isn't trusted for so long; tasks may lie idle for 3 s at most.
+DISTRUST_S = 1.5
 
 
 class Urgency(NamedTuple):
@@ -117,7 +119,7 @@
     }
 
 
-def usable(link: ExecutorLink, step: Step, service: str, now: float) -> bool:
+def usable(link: ExecutorLink, step: Step, service: str) -> bool:
     """Whether an executor may get new runs of a step at all."""
     return (
         link.up
@@ -127,19 +129,23 @@
         and link.durable is not None
         and link.durable.durable
         and link.entry.service == service
-        and now >= link.pause_until
         and (not step.requires or step.requires in link.entry.labels)
     )
 
 
 def choose(
-    task: Task, siblings: Sequence[Task], links: Iterable[ExecutorLink], planned: frozenset[str]
+    task: Task,
+    siblings: Sequence[Task],
+    links: Iterable[ExecutorLink],
+    planned: frozenset[str],
+    now: float,
 ) -> ExecutorLink | None:
     """Choose an executor for one task, None when none has room.
 
     :param siblings: the tasks of the same step, for its bound of tasks on one executor.
     :param links: executors that may be used for it.
     :param planned: executors that will be taken away soon.
+    :param now: steady seconds.
     """
     step = task.step
     placed = Counter(t.run.link.entry.executor for t in siblings if t.run is not None)
@@ -148,18 +154,19 @@
         for link in links
         if link.free.holds(step.room)
         and (not step.anti_affinity or placed[link.entry.executor] < step.anti_affinity)
-        and _trusted(link, task)
+        and _trusted(link, task, now)
     ]
     if not fitting:
         return None
     return min(fitting, key=lambda link: _preference(link, task, planned))
 
 
-def _trusted(link: ExecutorLink, task: Task) -> bool:
+def _trusted(link: ExecutorLink, task: Task, now: float) -> bool:
     # An executor whose last run failed may fail all that it starts. It gets one run at a time, of a
     # task that can still afford a failure, until one succeeds; so a sick one costs a job at most
-    # one of its attempts, and a healthy one that met a bad job is back after one success.
-    if not link.failures_in_a_row:
+    # one of its attempts, and a healthy one that met a bad job is back after one success. Where all
+    # have failed something, tasks that failed would wait for ever; so distrust ends by itself.
+    if not link.failures_in_a_row or now - link.failed_at > DISTRUST_S:
         return True
     return not link.runs_by_key and not task.failures
 
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -36,7 +36,7 @@
 FIRST_CALL_S = 0.2
 CALL_S = 0.8
 # What a long poll may take beyond the time it was asked to wait.
-POLL_SLACK_S = 1.0
+POLL_SLACK_S = 0.4
 READ_KB = 1024
 
 _LENGTH = struct.Struct(">I")
--- a/mustardgap/suspicions.py
+++ b/mustardgap/suspicions.py
@@ -56,6 +56,7 @@
             # Lasting tasks may fail at any time; that says little of the executor.
             return
         link.failures_in_a_row += 1
+        link.failed_at = self._clock.monotonic()
         link.failed_jobs.add(task.task_id.job)
         if len(link.failed_jobs) >= FAILED_JOBS:
             self._pause(link, PAUSE_S, "fails what it starts")
--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -21,6 +21,7 @@
 ANSWER_S = 0.004
 TIMEOUT_S = 0.8
 REPEATS = 5
+POLL_SLACK_S = 0.4
 
 
 class _Shard:
@@ -51,6 +52,10 @@
     def __init__(self, *, shards: int, seed: int = 0) -> None:
         self.down = False
         self.slow_s = 0.0
+        # The operator's records are there, but reading them takes long.
+        self.operator_held = False
+        # Hosts whose open reads get no answer any more, while new ones do.
+        self.silenced_hosts: set[str] = set()
         self.lost_share = 0.0
         self.cut_hosts: set[str] = set()
         self.random = random.Random(seed)
@@ -217,6 +222,8 @@
     async def read_operator(
         self, *, offset: int | None, wait_s: float
     ) -> Entries | Expired | Refused | NoAnswer:
+        while self.store.operator_held:
+            await asyncio.sleep(0.1)
         return await self._read(self.store.operator, offset, wait_s)
 
     async def read_executors(
@@ -235,6 +242,10 @@
         until = _now() + wait_s
         while offset is not None and len(rows) <= offset and _now() < until and self._reached():
             await asyncio.sleep(0.05)
+            if self.host in self.store.silenced_hosts:
+                self.store.silenced_hosts.discard(self.host)
+                await asyncio.sleep(until - _now() + POLL_SLACK_S)
+                return NoAnswer(sent=True, detail="the connection went silent")
 
         def work() -> Entries:
             values: dict[str, bytes | None] = {}
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -183,6 +183,22 @@
     _bear_again(world, executor.entry.machine)
 
 
+async def all_fails_and_configuration_late(world: OwnerWorld) -> None:
+    """All runs fail while the store is away, all daemons die, and read the configuration late."""
+    world.store.down = True
+    for executor in world.fleet.by_address.values():
+        executor.fails = True
+    await asyncio.sleep(4)
+    for name in world.names:
+        world.kill(name)
+    world.store.operator_held = True
+    world.store.down = False
+    for name in world.names:
+        world.start(name)
+    await asyncio.sleep(2)
+    world.store.operator_held = False
+
+
 async def wave_comes(world: OwnerWorld) -> None:
     """Half of the pool's machines are due for maintenance, one at a time."""
     number = world.store.random.randrange(1, 10_000)
@@ -227,6 +243,7 @@
         entry_lapses_and_owner_killed,
         orders_held_up,
         executor_fails_all,
+        all_fails_and_configuration_late,
         executor_hangs,
         executor_drains,
         wave_comes,
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -131,7 +131,8 @@
         peers: Any = FakePeers(world=world)
 
         async def ask_peer() -> dict[str, bytes | None]:
-            return {}
+            others = [d for d in world.daemons_by_address.values() if d is not self]
+            return dict(others[0].operator.raw_by_key) if others else {}
 
         self.operator = OperatorBoard(
             boards=store,
@@ -198,7 +199,7 @@
         self.board.on_change(self._update)
         self.tasks = [
             asyncio.ensure_future(run())
-            for run in (self.operator.run, self.board.run, self.owners.run)
+            for run in (self.operator.run, self.operator.ask, self.board.run, self.owners.run)
         ]
 
     def handle(self, name: str, handler: Callable[..., Any]) -> None:
@@ -262,8 +263,8 @@
             SERVICE: Service(SERVICE, "/", 64, True, False),
             STANDBY: Service(STANDBY, "/", 64, True, True),
         }
-        configuration = Configuration(1, {QUEUE.name: QUEUE}, services)
-        self.store.write_operator("config", msgspec.msgpack.encode(configuration))
+        self._configuration = Configuration(1, {QUEUE.name: QUEUE}, services)
+        self.publish_configuration(1)
         for number in range(1, executors + 1):
             self.machines.add(f"m{number}", SERVICE)
         for number in (1, 2):
@@ -312,6 +313,11 @@
         ]
         return max(owners)[1] if owners else None
 
+    def publish_configuration(self, version: int) -> None:
+        """Publish a configuration as the operator does."""
+        raw = msgspec.msgpack.encode(self._configuration._replace(version=version))
+        self.store.write_operator("config", raw)
+
     # Executors.
 
     def bear(self, machine: str, pool: str) -> FakeExecutor:
