--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,73 @@
+Feature: mustardgap runs on the users' platform through its adapter
+  The daemons run as processes of their own against a stand-in that speaks the platform's protocol.
+
+  Scenario: Names of the platform's wire stay in its adapter
+    Then no module outside the adapter names anything of the wire
+
+  Scenario: A job is handed in, runs and is shown as completed, through any daemon
+    Given the platform's stand-in and 2 daemons on it
+    When a job is handed in through daemon 1
+    Then the answer is 200 with code MG4020
+    And daemon 2 shows the job as completed
+    And each of its tasks has run once on the platform
+
+  Scenario Outline: <what> is answered <status>, and nothing is stored
+    Callers send what isn't a job, or ask for what isn't there. They get a numbered answer at once;
+    nothing of it runs, and the daemon goes on.
+
+    Given the platform's stand-in and 1 daemons on it
+    When callers send <what>
+    Then the answer is <status> with code <code>
+    And nothing has run on the platform
+
+    Examples:
+      | what                              | status | code   |
+      | a body that isn't JSON            | 400    | MG4025 |
+      | a job without steps               | 400    | MG4025 |
+      | a job with a step of no tasks     | 400    | MG4025 |
+      | a job whose steps depend in rings | 400    | MG4025 |
+      | a job with a payload too long     | 400    | MG4025 |
+      | a job under a bad id              | 400    | MG4025 |
+      | a job for an unknown queue        | 404    | MG4024 |
+      | a question for an unknown job     | 410    | MG4023 |
+      | a cancelling of an unknown job    | 410    | MG4023 |
+
+  Scenario: The owner is killed while a job runs
+    The caller's job was accepted. The process that owns it gets SIGKILL while its tasks run. Another
+    process takes the shard over, finds the runs on their executors and ends the job.
+
+    Given the platform's stand-in and 3 daemons on it
+    When a job is handed in through daemon 1
+    And the daemon that owns it is killed
+    Then some daemon shows the job as completed
+    And each of its tasks has run once on the platform
+
+  Scenario: A daemon is told to stop while a job runs
+    The operator stops the owner's process. It hands its shards over, serves what still comes, and ends
+    with status 0 before the platform would kill it.
+
+    Given the platform's stand-in and 2 daemons on it
+    When a job is handed in through daemon 1
+    And daemon 1 is told to stop
+    Then daemon 1 has ended with status 0
+    And daemon 2 shows the job as completed
+    And each of its tasks has run once on the platform
+
+  Scenario Outline: A settings file that <flaw>
+    Given the platform's stand-in and 0 daemons on it
+    When a daemon starts with a settings file that <flaw>
+    Then it <outcome>
+
+    Examples:
+      | flaw                         | outcome              |
+      | has fields nobody knows      | serves               |
+      | isn't JSON                   | ends with status 20  |
+      | lacks the store's address    | ends with status 20  |
+      | isn't there                  | ends with status 20  |
+
+  Scenario: Metrics and logs tell what happened to a job
+    Given the platform's stand-in and 1 daemons on it
+    When a job is handed in through daemon 1
+    Then daemon 1 shows the job as completed
+    And its log tells of the job: submit.answered, job.accepted, run.start, run.end, job.ended
+    And its metrics count the calls
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,259 @@
+"""Steps of the platform's feature: real processes on loopback."""
+
+import json
+import re
+import time
+from http.client import HTTPConnection
+from pathlib import Path
+
+from behave import given, then, when
+
+from tools.processes import free_ports, get_json, wait_http
+
+PACKAGE = Path(__file__).resolve().parent.parent.parent / "mustardgap"
+# What the platform's pages call things on the wire and in their settings.
+WIRE = re.compile(
+    r"run-start|run-stop|log-append|log-read|log-newest|log-join|log-commit|log-leave|log-owners"
+    r"|ackedOffset|untilMs|clockMs|hasMore|machine-move|machine-upkeep|maxCount|mayMiss"
+    r"|rejectsOverload|keyed\.|X-Mustardgap|pathPrefix|sloMs|finishByS|memMb|longRunning"
+)
+HOST = "stairs.example"
+JOB = "00000000000000a1"
+STEPS = [
+    {"count": 3, "cpu": 1000, "memMb": 500, "estimateMs": 500},
+    {"count": 2, "cpu": 1000, "memMb": 500, "estimateMs": 500, "dependsOn": [0]},
+]
+BODIES = {
+    "a body that isn't JSON": (f"/quotes/{JOB}", "steps"),
+    "a job without steps": (f"/quotes/{JOB}", {"spec": "p", "steps": []}),
+    "a job with a step of no tasks": (f"/quotes/{JOB}", {"steps": [{"count": 0}]}),
+    "a job whose steps depend in rings": (f"/quotes/{JOB}", {"steps": [{"dependsOn": [0]}]}),
+    "a job with a payload too long": (f"/quotes/{JOB}", {"spec": "p" * 4001, "steps": STEPS}),
+    "a job under a bad id": ("/quotes/zz", {"spec": "p", "steps": STEPS}),
+    "a job for an unknown queue": (f"/unknown/{JOB}", {"spec": "p", "steps": STEPS}),
+}
+
+
+def _call(port, method, path, body=None, ip="127.0.0.1"):
+    connection = HTTPConnection(ip, port, timeout=10)
+    try:
+        text = body if body is None or isinstance(body, str) else json.dumps(body)
+        connection.request(method, path, text, {"Host": HOST})
+        answer = connection.getresponse()
+        raw = answer.read()
+        return answer.status, json.loads(raw) if raw else {}, answer.headers
+    finally:
+        connection.close()
+
+
+def _settings(context, number):
+    front, ready, peer = (context.ports[f"{kind}{number}"] for kind in "frp")
+    return {
+        "node": f"e{number}",
+        "role": "entry",
+        "ip": "127.0.0.1",
+        "zone": "d1",
+        "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+        "portRange": [peer, peer + 1],
+        "platform": {"addr": f"127.0.0.1:{context.store_port}", "parts": 4},
+        "cloudApi": {"addr": f"127.0.0.1:{context.store_port}"},
+        "bounds": {"graceS": 6, "status_s": 120},
+    }
+
+
+def _start(context, number, text=None):
+    file = context.folder / f"settings{number}.json"
+    file.write_text(json.dumps(_settings(context, number)) if text is None else text)
+    variables = {
+        "MUSTARDGAP_CONFIG": str(file),
+        "MUSTARDGAP_METRICS_PORT": str(context.ports[f"m{number}"]),
+    }
+    context.processes.start(f"e{number}", "mustardgap.platform", variables=variables)
+
+
+def _choose_ports(context):
+    ports = iter(free_ports(100))
+    taken = sorted(ports)
+    runs = [
+        a for a, b, c, d in zip(taken, taken[1:], taken[2:], taken[3:], strict=False) if d == a + 3
+    ]
+    context.store_port = runs[0]
+    context.ports = {}
+    place = runs[0] + 4
+    for number in (1, 2, 3):
+        for kind in "frpm":
+            context.ports[f"{kind}{number}"] = place
+            place += 1
+
+
+@given("the platform's stand-in and {count:d} daemons on it")
+def platform_and_daemons(context, count):
+    _choose_ports(context)
+    context.processes.start("platform", "tools.wire_platform", f"--port={context.store_port}")
+    wait_http(f"http://127.0.0.1:{context.store_port}/record")
+    for number in range(1, count + 1):
+        _start(context, number)
+    for number in range(1, count + 1):
+        _wait_ready(context, number)
+    context.count = count
+
+
+def _wait_ready(context, number):
+    wait_http(
+        f"http://127.0.0.1:{context.ports[f'r{number}']}/mustardgap/ready",
+        running=lambda: context.processes.is_running(f"e{number}"),
+    )
+
+
+def _until(check, what, wait_s=40.0):
+    until = time.monotonic() + wait_s
+    while time.monotonic() < until:
+        if check():
+            return
+        time.sleep(0.1)
+    raise AssertionError(what)
+
+
+@when("a job is handed in through daemon {number:d}")
+def hand_in(context, number):
+    def accepted():
+        context.answer = _call(
+            context.ports[f"f{number}"], "POST", f"/quotes/{JOB}", {"spec": "p", "steps": STEPS}
+        )
+        return context.answer[0] == 200
+
+    _until(accepted, "the job wasn't accepted")
+
+
+@when("callers send {what}")
+def send(context, what):
+    def answered():
+        # Until the shards are dealt out, every answer is that nobody owns the queue yet.
+        context.answer = _send(context, what)
+        return context.answer[0] != 503
+
+    _until(answered, "nobody came to own the queue")
+
+
+def _send(context, what):
+    if what in BODIES:
+        path, body = BODIES[what]
+        return _call(context.ports["f1"], "POST", path, body)
+    method = "DELETE" if "cancelling" in what else "GET"
+    return _call(context.ports["f1"], method, f"/quotes/{JOB}")
+
+
+@when("the daemon that owns it is killed")
+def kill_owner(context):
+    lines = {n: context.processes.output(f"e{n}") for n in (1, 2, 3)}
+    owner = next(n for n, text in lines.items() if '"event":"job.accepted"' in text)
+    context.processes.kill(f"e{owner}")
+    context.killed = owner
+
+
+@when("daemon {number:d} is told to stop")
+def stop(context, number):
+    context.status = context.processes.stop(f"e{number}")
+
+
+@when("a daemon starts with a settings file that {flaw}")
+def flawed_settings(context, flaw):
+    fields = _settings(context, 1)
+    if flaw == "has fields nobody knows":
+        text = json.dumps({**fields, "brandNew": {"deep": [1]}, "bounds": {"more": 3}})
+    elif flaw == "isn't JSON":
+        text = "{"
+    elif flaw == "lacks the store's address":
+        del fields["platform"]
+        text = json.dumps(fields)
+    else:
+        variables = {"MUSTARDGAP_CONFIG": str(context.folder / "nowhere.json")}
+        context.processes.start("e1", "mustardgap.platform", variables=variables)
+        return
+    _start(context, 1, text)
+
+
+@then("it serves")
+def it_serves(context):
+    _wait_ready(context, 1)
+
+
+@then("it ends with status {status:d}")
+def it_ends(context, status):
+    assert context.processes.by_name["e1"].wait(timeout=20) == status
+    assert "Traceback" not in context.processes.output("e1")
+
+
+@then("daemon {number:d} has ended with status {status:d}")
+def ended(context, number, status):
+    assert context.status == status, context.status
+
+
+@then("the answer is {status:d} with code {code}")
+def answer_is(context, status, code):
+    got, _, headers = context.answer
+    assert (got, headers["X-Result-Code"]) == (status, code), context.answer
+
+
+def _shown(context, number):
+    return _call(context.ports[f"f{number}"], "GET", f"/quotes/{JOB}")[1].get("state")
+
+
+@then("daemon {number:d} shows the job as {state}")
+def shows(context, number, state):
+    _until(lambda: _shown(context, number) == state, f"the job wasn't shown as {state}")
+
+
+@then("some daemon shows the job as {state}")
+def some_shows(context, state):
+    others = [n for n in (1, 2, 3) if n != context.killed]
+    _until(
+        lambda: any(_shown(context, n) == state for n in others),
+        f"the job wasn't shown as {state}",
+    )
+
+
+def _record(context):
+    return get_json(f"http://127.0.0.1:{context.store_port}/record")
+
+
+@then("each of its tasks has run once on the platform")
+def ran_once_each(context):
+    tasks = [tuple(row[0]) for row in _record(context)]
+    assert len(tasks) == len(set(tasks)) == sum(step["count"] for step in STEPS), tasks
+
+
+@then("nothing has run on the platform")
+def nothing_ran(context):
+    assert not _record(context)
+
+
+@then("no module outside the adapter names anything of the wire")
+def wire_stays(context):
+    found = [
+        f"{file.name}:{number}: {line.strip()}"
+        for file in sorted(PACKAGE.glob("*.py"))
+        for number, line in enumerate(file.read_text().splitlines(), 1)
+        if WIRE.search(line)
+    ]
+    assert not found, "\n".join(found)
+
+
+@then("its log tells of the job: {events}")
+def log_tells(context, events):
+    rows = [
+        json.loads(line)
+        for line in context.processes.output("e1").splitlines()
+        if line.startswith("{")
+    ]
+    told = {row["event"] for row in rows if row.get("job") == JOB}
+    assert set(events.split(", ")) <= told, told
+
+
+@then("its metrics count the calls")
+def metrics_count(context):
+    connection = HTTPConnection("127.0.0.1", context.ports["m1"], timeout=10)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    assert 'mustardgap_job_calls_total{call="submit",code="4020"}' in text, text[:2000]
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -9,9 +9,9 @@
 from .timers import Clock
 from .workloads import Configuration, ExecutorEntry, Wave
 
-# The store answers as soon as there is a record. A connection that went silent is noticed after this
-# and the call's slack. A longer wait would save calls, but a change has to be in force within 2 s,
-# and a daemon that waits in vain can't know of it.
+# The store answers as soon as there is a record. A connection that went silent is noticed after
+# this and the call's slack. A longer wait would save calls, but a change has to be in force within
+# 2 s, and a daemon that waits in vain can't know of it.
 OPERATOR_WAIT_S = 0.8
 # Executors write some 30 records a second; a waiting read would come back for each. At this period
 # a new executor is used 0.1 s after it is listed on average, and a leaving one is known well within
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from . import job_replies, status_codes
+from . import job_replies, metrics, status_codes
 from .evacuations import Evacuations
 from .events import EventLog
 from .executor_links import LEASE_S, ExecutorLink, Run, RunPhase
@@ -470,6 +470,7 @@
         self._wake.set()
         if job is None or task is None:
             return None
+        metrics.run_ends.add(1, {"how": end.how.name.lower()})
         current = run is not None and task.run is run
         inherited = run is None and task.run is None and task.inherited
         self._events.note(
@@ -509,6 +510,7 @@
 
     def on_lost(self, link: ExecutorLink, run: Run, why: str) -> None:
         """A run is gone without an end."""
+        metrics.run_losses.add(1, {"why": why})
         self._events.note(
             "run.lost",
             vital=True,
@@ -554,6 +556,7 @@
             why=why,
             age_s=self._clock.wall() - job.accepted_at,
         )
+        metrics.dispatched_jobs.add(1, {"phase": phase.name.lower()})
         for task in job.tasks():
             if task.run is not None:
                 task.run.link.end(task.run, phase.name.lower())
@@ -635,6 +638,7 @@
         run = Run(task=task, number=number, link=link, now=now)
         task.run = run
         job.begun = True
+        waited_s = self._clock.wall() - job.due_at(task.task_id.occurrence)
         self._events.note(
             "run.start",
             job=job.job_id,
@@ -644,8 +648,9 @@
             free_cpu=link.free.cpu,
             failures=task.failures,
             fence=self.epoch,
-            waited_s=self._clock.wall() - job.due_at(task.task_id.occurrence),
+            waited_s=waited_s,
         )
+        metrics.placement_wait.record(max(waited_s, 0.0))
         link.begin(run, payload=job.spec.payload, ticket="")
 
     def _next_run(self) -> int:
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -4,6 +4,7 @@
 import enum
 from typing import Any, Protocol
 
+from . import metrics
 from .events import EventLog
 from .executor_clocks import ExecutorClock
 from .job_states import Task
@@ -406,6 +407,7 @@
                 checkpoint=task.checkpoint,
                 ticket=ticket,
             )
+            metrics.run_starts.add(1, {"outcome": type(outcome).__name__})
             if isinstance(outcome, Started):
                 self._confirm(run)
                 return
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from . import metrics
 from .boards import OperatorBoard
 from .events import EventLog
 from .pool_demands import Balance, Forecast, PoolDemand
@@ -381,6 +382,8 @@
                 closing.wave,
             )
             outcome = await self._send(name, closing)
+            kind = "move" if closing.wave is None else "maintain"
+            metrics.machine_orders.add(1, {"kind": kind, "outcome": type(outcome).__name__})
             self._events.note(
                 "machine.ordered",
                 vital=not isinstance(outcome, Done),
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -217,6 +217,34 @@
 job_calls = _counter(
     "mustardgap.job_calls", "{call}", "Calls of the job interface by outcome", "call", "code"
 )
+job_call_duration = _seconds("mustardgap.job_call.duration", "Time to answer a caller", "call")
+dispatched_jobs = _counter(
+    "mustardgap.dispatched_jobs.ended", "{job}", "Jobs ended by their owner", "phase"
+)
+placement_wait = _seconds(
+    "mustardgap.placement.wait", "Time from a job's acceptance to the start of a task"
+)
+run_starts = _counter("mustardgap.run.starts", "{run}", "Starts of runs by outcome", "outcome")
+run_ends = _counter("mustardgap.run.ends", "{run}", "Ends of runs as executors told them", "how")
+run_losses = _counter("mustardgap.run.losses", "{run}", "Runs that are gone without an end", "why")
+shard_changes = _counter(
+    "mustardgap.shard.changes", "{shard}", "Shards gained and lost by this daemon", "change"
+)
+store_appends = _counter(
+    "mustardgap.store.appends", "{append}", "Appends to owned shards by outcome", "outcome"
+)
+append_duration = _seconds("mustardgap.store.append_duration", "Time until an append is answered")
+machine_orders = _counter(
+    "mustardgap.machine.orders",
+    "{order}",
+    "Orders to machines by kind and outcome",
+    "kind",
+    "outcome",
+)
+executor_pauses = _counter(
+    "mustardgap.executor.pauses", "{pause}", "Executors that were given nothing for a while", "why"
+)
+_gauge("mustardgap.configuration.version", "1", "The configuration that is in force here")
 lost_answers = _counter(
     "mustardgap.lost_answers", "{answer}", "Answers whose caller had left", "error"
 )
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from .. import logs
+from .. import logs, metrics
 from ..boards import ExecutorBoard, OperatorBoard, OperatorRecords
 from ..dispatchers import Bounds, Dispatcher
 from ..events import EventLog
@@ -30,6 +30,9 @@
 from .store_client import StoreClient
 
 SETTINGS_VARIABLE = "MUSTARDGAP_CONFIG"
+# The deploy file has to name the metrics' port, so it can't be one of the settings file's.
+METRICS_VARIABLE = "MUSTARDGAP_METRICS_PORT"
+METRICS_PORT = 9464
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
 PEER_S = 0.4
@@ -87,6 +90,7 @@
         )
         self.front = Front(gateway=self.gateway, ready=self._is_ready)
         self._stopping = asyncio.Event()
+        metrics.observe("mustardgap.configuration.version", self._version)
         self.operator.on_change(self._update)
         self.board.on_change(self._update)
 
@@ -129,7 +133,8 @@
             self.front.listen(settings.front, self.front.jobs)
         if settings.ready:
             self.front.listen(settings.ready, self.front.readiness)
-        self.front.listen(f"{settings.ip}:{settings.metrics_port}", self.front.metrics)
+        port = os.environ.get(METRICS_VARIABLE) or METRICS_PORT
+        self.front.listen(f"{settings.ip}:{port}", self.front.metrics)
 
     async def _leave(self) -> None:
         self.events.note("daemon.stopping", vital=True, shards=sorted(self.owners.owned_by_shard))
@@ -152,6 +157,10 @@
             return
         self.events.note("daemon.reload", vital=True, applied=True)
 
+    def _version(self) -> float:
+        configuration = self.operator.configuration
+        return float(configuration.version) if configuration else 0.0
+
     def _is_ready(self) -> bool:
         return self.operator.configuration is not None and not self._stopping.is_set()
 
--- a/mustardgap/platform/process_settings.py
+++ b/mustardgap/platform/process_settings.py
@@ -88,7 +88,6 @@
     front: str
     ready: str
     peer_port: int
-    metrics_port: int
     seed_ips: tuple[str, ...]
     executor_heartbeat_s: float
     store: str
@@ -130,7 +129,6 @@
         front=fields.listen.front,
         ready=fields.listen.ready,
         peer_port=fields.port_range[0],
-        metrics_port=fields.port_range[0] + 1,
         seed_ips=tuple(seed.rpartition(":")[0] for seed in fields.seeds),
         executor_heartbeat_s=fields.heartbeat_ms / 1000,
         store=fields.platform.addr,
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -4,6 +4,7 @@
 import enum
 from typing import NamedTuple
 
+from . import metrics
 from .events import EventLog
 from .ports import Appended, Fenced, NoAnswer, Record, Refused, Store, WrongSequence
 from .timers import Clock
@@ -173,9 +174,12 @@
     async def _append(self, records: list[Record]) -> Stored:
         unanswered = False
         while True:
+            sent_at = self._clock.monotonic()
             outcome = await self._store.append(
                 shard=self.shard, epoch=self.epoch, sequence=self._sequence, records=records
             )
+            metrics.append_duration.record(self._clock.monotonic() - sent_at)
+            metrics.store_appends.add(1, {"outcome": type(outcome).__name__})
             if isinstance(outcome, Appended):
                 self._sequence += 1
                 self._recovered()
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from . import metrics
 from .events import EventLog
 from .ports import Joined, NoAnswer, Refused, Store
 from .timers import Clock
@@ -156,6 +157,7 @@
         self.owned_by_shard[shard] = owned
         self.members_by_shard[shard] = self.member
         self._tasks_by_shard[shard] = asyncio.create_task(owned.run(), name=f"shard:{shard}")
+        metrics.shard_changes.add(1, {"change": "gained"})
         self._events.note("shard.gained", vital=True, shard=shard, epoch=epoch)
 
     async def _give_up(self, shard: int, why: str) -> None:
@@ -169,6 +171,7 @@
         await asyncio.wait([task])
         if not task.cancelled() and task.exception() is not None:
             self._events.note("shard.failed", vital=True, shard=shard, why=repr(task.exception()))
+        metrics.shard_changes.add(1, {"change": "lost"})
         self._events.note(
             "shard.lost", vital=True, shard=shard, epoch=self._epoch_by_shard[shard], why=why
         )
--- a/mustardgap/suspicions.py
+++ b/mustardgap/suspicions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from . import metrics
 from .events import EventLog
 from .executor_links import ExecutorLink, Run
 from .job_states import Task
@@ -107,6 +108,7 @@
         return run.task.step.estimate_s < SLOW_SHARE * ran_s
 
     def _pause(self, link: ExecutorLink, pause_s: float, why: str) -> None:
+        metrics.executor_pauses.add(1, {"why": why})
         link.pause_until = max(link.pause_until, self._clock.monotonic() + pause_s)
         self._events.note(
             "executor.paused",
--- a/tools/docs.py
+++ b/tools/docs.py
@@ -215,7 +215,7 @@
 
 def _unused_metrics(root: Path) -> Iterator[str]:
     code = "\n".join(
-        path.read_text(encoding="utf-8") for path in sorted((root / "mustardgap").glob("*.py"))
+        path.read_text(encoding="utf-8") for path in sorted((root / "mustardgap").rglob("*.py"))
     )
     used = set(PYTHON_NAMES.findall(code))
     observed = set(OBSERVED_NAMES.findall(code))
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -81,8 +81,13 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.by_name: dict[str, subprocess.Popen[bytes]] = {}
 
-    def start(self, name: str, module: str, *args: str) -> subprocess.Popen[bytes]:
-        """Start ``python -m module args`` under a name; its output goes to ``<name>.log``."""
+    def start(
+        self, name: str, module: str, *args: str, variables: dict[str, str] | None = None
+    ) -> subprocess.Popen[bytes]:
+        """Start ``python -m module args`` under a name; its output goes to ``<name>.log``.
+
+        :param variables: environment variables beside those of this process.
+        """
         with open(self.folder / f"{name}.log", "ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *args],
@@ -90,7 +95,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                env={**os.environ, "PYTHONUNBUFFERED": "1", **(variables or {})},
             )
         self.by_name[name] = process
         return process
--- /dev/null
+++ b/tools/wire_platform.py
@@ -0,0 +1,321 @@
+"""A stand-in for the users' platform that speaks its HTTP protocol on loopback, over the fakes.
+
+It is a program of its own: the store, the machines, and one address an executor. Faults are
+switched on by ``POST /control`` at the store's address.
+"""
+
+import asyncio
+import base64
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import click
+import msgspec
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+
+from mustardgap.ports import (
+    Appended,
+    Fenced,
+    Record,
+    StartRefused,
+    WrongSequence,
+)
+from mustardgap.workloads import ExecutorEntry, Room, TaskId
+
+from .fake_executors import FakeExecutor, FakeExecutors
+from .fake_store import FakeStore
+
+JOBS_PREFIX = "keyed.mustardgap"
+HEARTBEAT_S = 0.5
+Answer = tuple[int, bytes]
+Handler = Callable[[httputil.HTTPServerRequest], Awaitable[Answer]]
+
+
+class WirePlatform:
+    """The platform's store and executors behind HTTP.
+
+    :param ip: where it listens.
+    :param port: the store's port; executors have the following ones.
+    :param executors: how many executors there are.
+    :param work_s: how long a task takes.
+    """
+
+    def __init__(self, *, ip: str, port: int, executors: int, work_s: float) -> None:
+        self.ip = ip
+        self.port = port
+        self.work_s = work_s
+        self.store = FakeStore(shards=4)
+        self.fleet = FakeExecutors()
+        self.lasting: set[str] = set()
+        self.operator: list[tuple[str, bytes]] = []
+        self.entries: list[tuple[str, bytes]] = []
+        self.status: list[tuple[str, bytes]] = []
+        self.executors = [self._executor(number) for number in range(1, executors + 1)]
+        self.operator.append(("config", msgspec.json.encode(self._configuration())))
+
+    async def run(self) -> None:
+        """Serve until ended."""
+        _serve(self.ip, self.port, self._store)
+        for executor in self.executors:
+            port = int(executor.entry.address.rpartition(":")[2])
+            _serve(self.ip, port, self._orders(executor))
+        ticking = asyncio.create_task(self.fleet.run())
+        while True:
+            for executor in self.executors:
+                if executor.alive:
+                    self.entries.append((executor.entry.executor, _entry(executor.entry)))
+            await asyncio.sleep(HEARTBEAT_S)
+            assert not ticking.done()
+
+    def _executor(self, number: int) -> FakeExecutor:
+        entry = ExecutorEntry(
+            executor=f"x{number}",
+            service="quoting",
+            address=f"{self.ip}:{self.port + number}",
+            data_centre="d1",
+            draining=False,
+            capacity=Room(8_000, 16_000, 0),
+            labels=("a", "r1"),
+            machine=f"m{number}",
+        )
+        executor = FakeExecutor(
+            entry=entry,
+            record=self.fleet.record,
+            work=lambda task: None if task.job in self.lasting else self.work_s,
+        )
+        self.fleet.add(executor)
+        return executor
+
+    def _configuration(self) -> dict[str, Any]:
+        route = {
+            "name": "quotes",
+            "host": "stairs.example",
+            "pathPrefix": "/quotes/",
+            "service": "quoting",
+            "sloMs": 600,
+            "maxAttempts": 2,
+            "stretch": 1.6,
+            "newField": True,
+        }
+        return {"version": 3, "routes": [route], "services": [{"name": "quoting"}], "limits": {}}
+
+    async def _store(self, request: httputil.HTTPServerRequest) -> Answer:
+        if request.path == "/control":
+            fields = msgspec.json.decode(request.body)
+            for name, value in fields.items():
+                setattr(self.store, name, value)
+            return 200, b"{}"
+        if request.path == "/record":
+            rows = [[list(r.task), r.run, r.executor, r.how] for r in self.fleet.record.runs]
+            return 200, msgspec.json.encode(rows)
+        if self.store.down:
+            await asyncio.sleep(2)
+            return 503, b"{}"
+        verb = request.path.removeprefix("/mustardgap/").replace("-", "_")
+        handler = getattr(self, f"_do_{verb}", None)
+        return await handler(request) if handler else (404, b"{}")
+
+    async def _do_log_append(self, request: httputil.HTTPServerRequest) -> Answer:
+        topic = _query(request, "topic")
+        if not topic.startswith(JOBS_PREFIX):
+            for record in _split(request.body):
+                self.status.append((record.key, record.value))
+            return _json(200, {"offset": 0, "end": len(self.status)})
+        sequence = _query(request, "seq")
+        outcome = self.store.append(
+            int(_query(request, "part")),
+            int(_query(request, "epoch")),
+            int(sequence) if sequence else None,
+            _split(request.body),
+        )
+        if isinstance(outcome, Appended):
+            return _json(200, {"offset": 0, "end": outcome.end})
+        if isinstance(outcome, Fenced):
+            return _json(409, {"reason": "fenced"})
+        assert isinstance(outcome, WrongSequence)
+        return _json(409, {"reason": "seq", "seq": outcome.expected})
+
+    async def _do_log_read(self, request: httputil.HTTPServerRequest) -> Answer:
+        rows = self._rows(_query(request, "topic"))
+        offset = int(_query(request, "from"))
+        until = asyncio.get_running_loop().time() + int(_query(request, "waitMs") or 0) / 1000
+        while len(rows) <= offset and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.02)
+        body = struct.pack(">QQ", len(rows), 0)
+        for key, value in rows[offset:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(content)) + content
+        return 200, body
+
+    async def _do_log_newest(self, request: httputil.HTTPServerRequest) -> Answer:
+        topic = _query(request, "topic")
+        if topic.startswith(JOBS_PREFIX):
+            place = self.store.shards[int(_query(request, "part"))]
+            values, end = place.values_by_key, place.end
+        else:
+            rows = self._rows(topic)
+            values, end = dict(rows), len(rows)
+        after = _query(request, "dependsOn")
+        keys = sorted(key for key in values if not after or key > after)
+        items = [
+            {"key": key, "value": base64.b64encode(values[key]).decode(), "offset": 0}
+            for key in keys[:3]
+        ]
+        return _json(200, {"items": items, "hasMore": len(keys) > 3, "end": end})
+
+    async def _do_log_join(self, request: httputil.HTTPServerRequest) -> Answer:
+        fields = msgspec.json.decode(request.body)
+        joined = self.store.join(fields["member"], fields["generation"], fields["ttlMs"] / 1000)
+        parts = [[fields["topics"][0], shard, 0] for shard in sorted(joined.shards)]
+        return _json(200, {"generation": joined.generation, "ttlMs": 1, "parts": parts})
+
+    async def _do_log_leave(self, request: httputil.HTTPServerRequest) -> Answer:
+        self.store.leave(msgspec.json.decode(request.body)["member"])
+        return _json(200, {})
+
+    async def _do_log_owners(self, request: httputil.HTTPServerRequest) -> Answer:
+        topic = f"{JOBS_PREFIX}-jobs"
+        rows = [[topic, s, m, 0] for s, m in self.store.holders_by_shard.items()]
+        return _json(200, {"owners": rows})
+
+    async def _do_machines(self, request: httputil.HTTPServerRequest) -> Answer:
+        rows = [
+            {"machine": e.entry.machine, "pool": "quoting", "state": "up", "id": e.entry.executor}
+            for e in self.executors
+        ]
+        return _json(200, {"machines": rows, "nextToken": None})
+
+    def _rows(self, topic: str) -> list[tuple[str, bytes]]:
+        return self.operator if topic == "keyed.op" else self.entries
+
+    def _orders(self, executor: FakeExecutor) -> Handler:
+        async def handle(request: httputil.HTTPServerRequest) -> Answer:
+            if request.headers.get("X-Mustardgap-Expect-Instance") != executor.entry.executor:
+                return 421, b"{}"
+            fields = msgspec.json.decode(request.body)
+            verb = request.path.removeprefix("/mustardgap/")
+            if verb == "hold":
+                return await _hold(executor, fields)
+            task = _task(fields["task"])
+            if verb == "run-start":
+                if fields["spec"] == "lasting":
+                    self.lasting.add(task.job)
+                outcome = executor.start(
+                    task, fields["run"], fields["spec"], fields["untilMs"], fields["fence"]
+                )
+            else:
+                outcome = executor.stop(task, fields["run"], fields["fence"])
+            return _ordered(executor, outcome)
+
+        return handle
+
+
+async def _hold(executor: FakeExecutor, fields: dict[str, Any]) -> Answer:
+    refusal = executor.hold(fields["fence"], fields["ackedOffset"], fields.get("untilMs"))
+    if refusal is not None:
+        return _ordered(executor, refusal)
+    until = asyncio.get_running_loop().time() + fields.get("waitMs", 0) / 1000
+    while not executor.report().ended and asyncio.get_running_loop().time() < until:
+        await asyncio.sleep(0.01)
+    report = executor.report()
+    running = [[_name(r.task), r.run, r.checkpoint, r.percent, 0] for r in report.running]
+    ended = [
+        [e.number, _name(e.task), e.run, e.how.name.lower(), e.checkpoint] for e in report.ended
+    ]
+    return _json(200, {"clockMs": report.clock_ms, "running": running, "ended": ended})
+
+
+def _ordered(executor: FakeExecutor, outcome: object) -> Answer:
+    fields: dict[str, Any] = {"clockMs": executor.clock_ms()}
+    if isinstance(outcome, Fenced):
+        return _json(409, {**fields, "reason": "fence"})
+    if isinstance(outcome, StartRefused):
+        return _json(409, {**fields, "reason": outcome.reason})
+    return _json(200, fields)
+
+
+def _entry(entry: ExecutorEntry) -> bytes:
+    return msgspec.json.encode(
+        {
+            "service": entry.service,
+            "addr": entry.address,
+            "zone": entry.data_centre,
+            "state": "ready",
+            "capacity": {"cpu": entry.capacity.cpu, "memMb": entry.capacity.memory_mb},
+            "labels": list(entry.labels),
+            "machine": entry.machine,
+        }
+    )
+
+
+def _split(body: bytes) -> list[Record]:
+    records = []
+    place = 0
+    while place < len(body):
+        (length,) = struct.unpack_from(">I", body, place)
+        content = body[place + 4 : place + 4 + length]
+        place += 4 + length
+        key_end = 1 + content[0]
+        records.append(Record(content[1:key_end].decode(), content[key_end:]))
+    return records
+
+
+def _task(name: str) -> TaskId:
+    job, occurrence, step, number = name.split(".")
+    return TaskId(job, int(occurrence), int(step), int(number))
+
+
+def _name(task: TaskId) -> str:
+    return ".".join(str(part) for part in task)
+
+
+def _query(request: httputil.HTTPServerRequest, name: str) -> str:
+    values = request.arguments.get(name)
+    return values[0].decode() if values else ""
+
+
+def _json(status: int, fields: dict[str, Any]) -> Answer:
+    return status, msgspec.json.encode(fields)
+
+
+def _serve(ip: str, port: int, handler: Handler) -> None:
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def answer(request: httputil.HTTPServerRequest) -> None:
+        status, body = await handler(request)
+        headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
+        connection = request.connection
+        assert connection is not None
+        line = httputil.ResponseStartLine("HTTP/1.1", status, "")
+        try:
+            connection.write_headers(line, headers, body or None)
+            connection.finish()
+        except Exception as exc:
+            print(f"an asker left before its answer: {exc!r}", flush=True)
+
+    def handle(request: httputil.HTTPServerRequest) -> None:
+        task = asyncio.ensure_future(answer(request))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    HTTPServer(handle).listen(port, ip)
+
+
+@click.command()
+@click.option("--ip", default="127.0.0.1", help="Where to listen.")
+@click.option("--port", type=int, required=True, help="The store's port; executors follow.")
+@click.option("--executors", type=int, default=3, help="How many executors there are.")
+@click.option("--work-s", type=float, default=0.5, help="How long a task takes, in seconds.")
+def main(ip: str, port: int, executors: int, work_s: float) -> None:
+    """Run the stand-in."""
+
+    async def run() -> None:
+        await WirePlatform(ip=ip, port=port, executors=executors, work_s=work_s).run()
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    main()
