--- a/features/platform.feature
+++ b/features/platform.feature
@@ -71,3 +71,4 @@
     Then daemon 1 shows the job as completed
     And its log tells of the job: submit.answered, job.accepted, run.start, run.end, job.ended
     And its metrics count the calls
+    And the command line tells the job's story from the log, with its start, its ends and its owner
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,7 +7,10 @@
 from pathlib import Path
 
 from behave import given, then, when
+from click.testing import CliRunner
 
+from mustardgap import commands_views  # noqa: F401
+from mustardgap.command_options import cli as main_cli
 from tools.processes import free_ports, get_json, wait_http
 
 PACKAGE = Path(__file__).resolve().parent.parent.parent / "mustardgap"
@@ -257,3 +260,15 @@
     text = connection.getresponse().read().decode()
     connection.close()
     assert 'mustardgap_job_calls_total{call="submit",code="4020"}' in text, text[:2000]
+
+
+@then("the command line tells the job's story from the log, with its start, its ends and its owner")
+def story_is_told(context):
+    log = context.folder / "e1.log"
+    result = CliRunner().invoke(main_cli, ["explain", "job", JOB, "--logs", str(log)])
+    assert result.exit_code == 0, result.output
+    for event in ("job.accepted", "run.start", "run.end", "job.ended"):
+        assert event in result.output, result.output
+    assert "epoch=" in result.output, result.output
+    missing = CliRunner().invoke(main_cli, ["explain", "job", JOB, "--logs", "/nowhere/e1.log"])
+    assert "MG2000" in missing.output + str(missing.exception), missing.output
--- a/mustardgap/commands_views.py
+++ b/mustardgap/commands_views.py
@@ -4,11 +4,12 @@
 import sys
 import time
 from datetime import datetime
+from pathlib import Path
 from typing import Any
 
 import click
 
-from . import status_codes, timeline_pages
+from . import job_stories, status_codes, timeline_pages
 from .clients import Client
 from .command_options import cli, emit, options, run
 from .exceptions import MustardgapError
@@ -158,7 +159,13 @@
 @cli.command()
 @click.argument("kind", type=click.Choice(["host", "pool", "service", "job", "request", "code"]))
 @click.argument("name")
-def explain(kind: str, name: str) -> None:
+@click.option(
+    "--logs",
+    multiple=True,
+    type=click.Path(path_type=Path),
+    help="For a job: logs of the daemons, instead of asking them.",
+)
+def explain(kind: str, name: str, logs: tuple[Path, ...]) -> None:
     """Say why something is as it is, or what a result code means.
 
     \b
@@ -166,9 +173,12 @@
       mustardgap explain host w17
       mustardgap explain pool deposits
       mustardgap explain code MG3002
+      mustardgap explain job 5c0e7a21d94b36f8 --logs e1.log --logs e2.log
     """
     if kind == "code":
         answer = explain_code(name)
+    elif kind == "job" and logs:
+        answer = {"lines": job_stories.story(job_stories.read(logs), name)}
     else:
         answer = run(lambda client: _explain(client, kind, name))
     emit(answer, lambda: print_lines(answer["lines"]))
