Take back an earlier process's membership at start; empty machines with lasting tasks ahead of their place

Ruled out: keeping the member's name without leaving first (the new process would get the old epoch again).

--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -363,24 +363,21 @@
             view = _executor(self.views_by_service[closing.source], closing.executor)
             if view is None or not view.settled or view.short_runs or view.lasting_runs:
                 continue
+            if closing.wave is not None and not self._may_go_down(closing.wave):
+                continue
             self._order(name, closing)
 
     def _order(self, name: str, closing: Closing) -> None:
+        # From here on, as it may be carried out although its answer is lost.
+        self._note_away(name, closing)
         task = asyncio.create_task(self._carry_out(name, closing))
         self._orders[name] = task
         task.add_done_callback(lambda _: self._orders.pop(name, None))
 
     async def _carry_out(self, name: str, closing: Closing) -> None:
         """Order a machine away until the outcome is known; orders are idempotent."""
-        takes_s = self._times.move_s if closing.wave is None else self._times.maintenance_s
         while not self._fenced:
-            # From the first try on, as it may be carried out although its answer is lost.
-            self.away_by_machine[name] = Away(
-                closing.executor,
-                closing.pool or closing.source,
-                self._clock.monotonic() + takes_s + BACK_SLACK_S,
-                closing.wave,
-            )
+            self._note_away(name, closing)
             outcome = await self._send(name, closing)
             kind = "move" if closing.wave is None else "maintain"
             metrics.machine_orders.add(1, {"kind": kind, "outcome": type(outcome).__name__})
@@ -404,6 +401,15 @@
             self._ordered(name, closing, outcome)
             return
 
+    def _note_away(self, name: str, closing: Closing) -> None:
+        takes_s = self._times.move_s if closing.wave is None else self._times.maintenance_s
+        self.away_by_machine[name] = Away(
+            closing.executor,
+            closing.pool or closing.source,
+            self._clock.monotonic() + takes_s + BACK_SLACK_S,
+            closing.wave,
+        )
+
     async def _send(self, name: str, closing: Closing) -> Done | Fenced | Refused | NoAnswer:
         if closing.wave is not None:
             return await self._machines.maintain(
@@ -460,24 +466,49 @@
                 self._known_at_by_wave[wave.number] = self._clock.wall()
                 self._store_wave(wave.number)
             hurried = self._is_hurried(wave)
-            busy = sum(1 for c in self.closing_by_machine.values() if c.wave == wave.number)
-            busy += sum(
-                1
-                for name, away in self.away_by_machine.items()
-                if away.wave == wave.number and name not in self.closing_by_machine
-            )
             candidates = [
                 self.machines_by_id[name]
                 for name in self._remaining(wave)
                 if self._free_to_close(name, now)
             ]
             candidates.sort(key=lambda machine: self._wave_order(machine, configuration))
-            for machine in candidates[: max(wave.at_once - busy, 0)]:
+            for machine in candidates:
                 if self._is_standby(machine.pool, configuration):
-                    self._order_idle(machine, wave=wave.number)
-                elif self._may_close(machine, hurried):
+                    if self._may_go_down(wave.number):
+                        self._order_idle(machine, wave=wave.number)
+                elif self._has_turn(machine, wave) and self._may_close(machine, hurried):
                     self._close(machine, wave=wave.number)
 
+    def _has_turn(self, machine: Machine, wave: Wave) -> bool:
+        # Lasting tasks move one after another, which takes longer than all the rest: their machines
+        # are emptied ahead, and go down once they are empty and the wave has a place.
+        if self._hosts_lasting(machine):
+            return True
+        return self._closing_for(wave.number) < wave.at_once - self._down_for(wave.number)
+
+    def _may_go_down(self, number: int) -> bool:
+        return self._down_for(number) < self._operator.waves_by_number[number].at_once
+
+    def _down_for(self, number: int) -> int:
+        """How many machines are away for a wave, or were ordered so and may be."""
+        return sum(1 for away in self.away_by_machine.values() if away.wave == number)
+
+    def _closing_for(self, number: int) -> int:
+        """How many machines without lasting tasks are being emptied for a wave."""
+        return sum(
+            1
+            for name, closing in self.closing_by_machine.items()
+            if closing.wave == number
+            and name not in self._orders
+            and name in self.machines_by_id
+            and not self._hosts_lasting(self.machines_by_id[name])
+        )
+
+    def _hosts_lasting(self, machine: Machine) -> bool:
+        view = self.views_by_service.get(machine.pool)
+        executor = _executor(view, machine.executor) if view else None
+        return executor is not None and executor.lasting_runs > 0
+
     def _is_hurried(self, wave: Wave) -> bool:
         """Whether a wave would be late if it waited for pools that have no machine to spare."""
         rounds = -(-len(self._remaining(wave)) // max(wave.at_once, 1))
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -72,10 +72,9 @@
             clock=self.clock,
             events=self.events,
         )
-        incarnation = f"{random.SystemRandom().getrandbits(48):012x}"
         self.owners = ShardOwners(
             store=self.store,
-            member=f"{settings.ip}:{settings.peer_port}/{settings.host}/{incarnation}",
+            member=f"{settings.ip}:{settings.peer_port}/{settings.host}",
             make=self._make,
             clock=self.clock,
             events=self.events,
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -38,6 +38,8 @@
 # What a long poll may take beyond the time it was asked to wait.
 POLL_SLACK_S = 0.4
 READ_KB = 1024
+# The store does nothing, now or because of its limits.
+BUSY = (429, 500, 502, 503, 504)
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -93,8 +95,12 @@
     async def leave(self, *, member: str) -> Done | Refused | NoAnswer:
         """Leave the owners' group."""
         body = {"group": GROUP, "member": member}
-        fields = await self._post("/mustardgap/log-leave", body, self._patience_s)
-        return fields if isinstance(fields, Refused | NoAnswer) else Done()
+        raw = msgspec.json.encode(body)
+        answer = await self._call("POST", "/mustardgap/log-leave", raw, self._patience_s)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        # Who isn't a member is told so, and has left.
+        return _refused(answer) if answer.status in BUSY else Done()
 
     async def owners(self) -> dict[int, str] | Refused | NoAnswer:
         """The member that holds each shard."""
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -7,7 +7,7 @@
 
 from . import metrics
 from .events import EventLog
-from .ports import Joined, NoAnswer, Refused, Store
+from .ports import Done, Joined, NoAnswer, Refused, Store
 from .timers import Clock
 
 # A daemon that dies is replaced after this. It is some four renewals, and a slow store's answer
@@ -39,7 +39,8 @@
     """Keeps this daemon in the group of owners, and runs what it owns.
 
     :param store: the platform's store.
-    :param member: this daemon's name in the group: its peers' address and its incarnation.
+    :param member: this daemon's name in the group: its peers' address and its host, the same for
+        each process of the host.
     :param make: makes what is run for a shard at an epoch.
     :param clock: the clocks to read.
     :param events: the process's log.
@@ -86,6 +87,7 @@
 
     async def run(self) -> None:
         """Renew the membership until cancelled."""
+        await self._end_earlier_life()
         while not self._leaving:
             before = self.generation
             if await self._renew():
@@ -94,6 +96,19 @@
             else:
                 await self._clock.sleep(RETRY_S)
 
+    async def _end_earlier_life(self) -> None:
+        """Take the membership of this host's earlier process back.
+
+        That process is dead, as a host runs one at a time. Until its membership lapsed, its shards
+        would be served by nobody, and with its name this process would get its epoch again.
+        """
+        while True:
+            outcome = await self._store.leave(member=self.member)
+            if isinstance(outcome, Done):
+                return
+            self._failed(outcome)
+            await self._clock.sleep(RETRY_S)
+
     async def leave(self) -> None:
         """Stop owning, and let others take over at once."""
         self._leaving = True
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -116,10 +116,9 @@
 
     :param world: what it runs in.
     :param name: its host.
-    :param incarnation: numbers its lives.
     """
 
-    def __init__(self, *, world: "OwnerWorld", name: str, incarnation: int) -> None:
+    def __init__(self, *, world: "OwnerWorld", name: str) -> None:
         self.name = name
         self.clock = HeldClock(loop=world.loop)
         self.events = EventLog(host=name, clock=self.clock)
@@ -181,7 +180,7 @@
 
         self.owners = ShardOwners(
             store=store,
-            member=f"{name}:1/{name}/{incarnation}",
+            member=f"{name}:1/{name}",
             make=make,
             clock=self.clock,
             events=self.events,
@@ -282,8 +281,7 @@
         """Start a daemon, unless it runs."""
         if f"{name}:1" in self.daemons_by_address:
             return
-        self.lives += 1
-        daemon = FakeDaemon(world=self, name=name, incarnation=self.lives)
+        daemon = FakeDaemon(world=self, name=name)
         self.daemons_by_address[f"{name}:1"] = daemon
 
     def kill(self, name: str) -> None:
