Ask for tickets on queues whose policy allows only some executors, ahead of the need

Change: one call at a time, tickets kept while they hold, steps to come asked for as well; a refused ticket is dropped.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -104,6 +104,22 @@
     Then all jobs have ended as completed
     And no promise was broken
 
+  Scenario Outline: Jobs of another kind end as well: <kind>
+    Given owners on a fake platform
+    When 4 jobs are handed in that are <kind>
+    Then all jobs have ended as completed
+    And no promise was broken
+
+    Examples:
+      | kind                                  |
+      | gangs                                 |
+      | gangs on one rack                     |
+      | repeated three times                  |
+      | near their data                       |
+      | for executors with a label            |
+      | allowed on some executors by a policy |
+      | wider than the pool                   |
+
   Scenario: A repeat of a job's id changes nothing
     The caller's answer was lost; the same request comes again at once through another host, and again
     seconds after the job was accepted. It stays one job.
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -25,13 +25,13 @@
     return f"{number:016x}"
 
 
-async def _hand_in(world, states, count, pause_s=0.4):
+async def _hand_in(world, states, count, pause_s=0.4, spec=TWO_STEPS):
     """Hand jobs in one after another, and wait for their ends."""
 
     async def one(number):
         job_id = _job_id(number)
         await asyncio.sleep(number * pause_s)
-        assert await world.submit_until_accepted(job_id, TWO_STEPS), "no host accepted the job"
+        assert await world.submit_until_accepted(job_id, spec), "no host accepted the job"
         states[job_id] = await world.final_state(job_id, 60)
 
     await asyncio.gather(*(one(number) for number in range(count)))
@@ -147,6 +147,43 @@
     context.world = play(scene, executors=1, **context.options)
 
 
+def _kind(name, now):
+    """A job's spec and the options of its world, by the kind's name."""
+    step = TWO_STEPS.steps[0]
+    plain = TWO_STEPS
+    kinds = {
+        "gangs": plain._replace(steps=(step._replace(gang=True),)),
+        "gangs on one rack": plain._replace(steps=(step._replace(gang=True, same_rack=True),)),
+        "repeated three times": plain._replace(repeats=3, first_at_s=now + 1, interval_s=0.5),
+        "near their data": plain._replace(steps=(step._replace(data_rack="r1"),)),
+        "for executors with a label": plain._replace(steps=(step._replace(requires="gold"),)),
+        "wider than the pool": plain._replace(steps=(step._replace(width=60),)),
+    }
+    return kinds.get(name, plain)
+
+
+@when("4 jobs are handed in that are {kind}")
+def jobs_of_kind(context, kind):
+    async def scene(world):
+        if "label" in kind:
+            for executor in list(world.fleet.by_address.values())[:2]:
+                executor.entry = executor.entry._replace(labels=("gold",))
+                world.publish(executor)
+        await asyncio.sleep(START_S)
+        wall = world.daemon("e1").clock.wall()
+        spec = _kind(kind, wall)
+        await _hand_in(world, context.states, 4, spec=spec)
+        runs = world.fleet.record.runs
+        tasks = {run.task for run in runs if run.how is EndKind.DONE}
+        expected = sum(step.width for step in spec.steps) * max(spec.repeats, 1) * 4
+        assert len(tasks) == expected, (len(tasks), expected)
+        if "label" in kind:
+            gold = {e.entry.executor for e in world.fleet.by_address.values() if e.entry.labels}
+            assert {run.executor for run in runs} <= gold
+
+    context.world = play(scene, advised="policy" in kind, **context.options)
+
+
 @when("random troubles are played")
 def random_troubles(context):
     context.failures = []
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from . import job_replies, metrics, status_codes
+from .advices import AdviceDesk, StepKey
 from .evacuations import Evacuations
 from .events import EventLog
 from .executor_links import LEASE_S, ExecutorLink, Run, RunPhase
@@ -24,11 +25,12 @@
 from .pacing import Pacing
 from .placing import choose, choose_gang, in_order, usable
 from .pool_views import PoolRequest, PoolView, view
-from .ports import Appended, Entries, Executors, Fenced, Store
+from .ports import Advice, Appended, Entries, Executors, Fenced, Store
 from .shard_logs import ShardLog, Stored, Ticket
 from .suspicions import Suspicions
 from .timers import Clock
 from .workloads import (
+    AdvicePolicy,
     Configuration,
     EndKind,
     EndRow,
@@ -80,6 +82,7 @@
     :param epoch: numbers the ownership; it fences appends and orders of earlier owners off.
     :param store: the durable log.
     :param executors: sends orders to executors.
+    :param advice: says which executors a queue's policy allows.
     :param clock: the clocks to read.
     :param events: the process's log.
     :param bounds: the deployment's bounds.
@@ -94,6 +97,7 @@
         epoch: int,
         store: Store,
         executors: Executors,
+        advice: Advice,
         clock: Clock,
         events: EventLog,
         bounds: Bounds,
@@ -111,6 +115,7 @@
         self.suspicions = Suspicions(clock=clock, events=events)
         self.evacuations = Evacuations(dispatcher=self)
         self.pacing = Pacing(clock=clock)
+        self.advices = AdviceDesk(advice=advice, clock=clock, events=events)
         self._store = store
         self._executors = executors
         self._clock = clock
@@ -274,12 +279,20 @@
     async def _serve(self) -> None:
         self._spawn(self.log.run())
         self._spawn(self._tick())
+        self._spawn(self.advices.run())
+        self._spawn(self._place_when_advised())
         while not self.log.fenced:
             await self._wake.wait()
             await self._clock.sleep(GATHER_S)
             self._wake.clear()
             self.place()
 
+    async def _place_when_advised(self) -> None:
+        while True:
+            await self.advices.granted.wait()
+            self.advices.granted.clear()
+            self._wake.set()
+
     async def _load(self) -> bool:
         began = self._clock.monotonic()
         while True:
@@ -538,7 +551,11 @@
         )
         if run.task.run is run:
             run.task.run = None
-        self.suspicions.on_refused(link, why)
+        if why == "ticket":
+            ids = run.task.task_id
+            self.advices.drop(StepKey(ids.job, ids.occurrence, ids.step), link.entry.executor)
+        else:
+            self.suspicions.on_refused(link, why)
         self._wake.set()
 
     # Ending jobs.
@@ -557,6 +574,7 @@
             age_s=self._clock.wall() - job.accepted_at,
         )
         metrics.dispatched_jobs.add(1, {"phase": phase.name.lower()})
+        self.advices.forget(job.job_id)
         for task in job.tasks():
             if task.run is not None:
                 task.run.link.end(task.run, phase.name.lower())
@@ -589,6 +607,7 @@
         for job in in_order(waiting, self.queue_of, self._cores_by_service(now), wall):
             for tasks in job.steps_in_turn():
                 self._place_step(job, tasks, now)
+            self._ask_ahead(job)
 
     def _cores_by_service(self, now: float) -> dict[str, float]:
         cores: dict[str, float] = {}
@@ -605,7 +624,8 @@
             return
         # A new owner hears of failures before it knows how many the queue allows, which the
         # configuration says; a job that was over by then would be started once more.
-        if any(exhausted(task, self.queue_of(job)) for task in missing):
+        queue = self.queue_of(job)
+        if any(exhausted(task, queue) for task in missing):
             self._finish(job, JobPhase.FAILED, "a task had failed too often under earlier owners")
             return
         links = [
@@ -613,6 +633,8 @@
         ]
         # Where every executor is under suspicion, trying is better than waiting.
         links = [link for link in links if now >= link.pause_until] or links
+        if queue is not None and queue.advice is not None:
+            links = self._advised(tasks[0].task_id, links, queue.advice)
         if step.gang:
             self._place_gang(job, tasks, links)
             return
@@ -622,6 +644,27 @@
                 return
             self._start(job, task, link, self._next_run())
 
+    def _ask_ahead(self, job: Job) -> None:
+        """Have tickets asked for the steps that come next, so that they needn't wait for them."""
+        queue = self.queue_of(job)
+        if queue is None or queue.advice is None or not job.begun:
+            return
+        for tasks in job.steps_to_come():
+            step = tasks[0].step
+            links = [
+                link for link in self.links_by_executor.values() if usable(link, step, job.service)
+            ]
+            self._advised(tasks[0].task_id, links, queue.advice)
+
+    def _advised(
+        self, task_id: TaskId, links: list[ExecutorLink], policy: AdvicePolicy
+    ) -> list[ExecutorLink]:
+        """The executors with a ticket for a task's step; tickets that lack are asked for."""
+        key = StepKey(task_id.job, task_id.occurrence, task_id.step)
+        best = sorted(links, key=lambda link: -link.free.cpu)
+        self.advices.want(key, [link.entry.executor for link in best], policy)
+        return [link for link in links if self.advices.ticket(key, link.entry.executor)]
+
     def _place_gang(self, job: Job, tasks: list[Task], links: list[ExecutorLink]) -> None:
         # A gang restarts as a whole, when all its earlier runs have ended.
         if not all(task.waits for task in tasks):
@@ -651,7 +694,10 @@
             waited_s=waited_s,
         )
         metrics.placement_wait.record(max(waited_s, 0.0))
-        link.begin(run, payload=job.spec.payload, ticket="")
+        ids = task.task_id
+        key = StepKey(ids.job, ids.occurrence, ids.step)
+        ticket = self.advices.ticket(key, link.entry.executor) or ""
+        link.begin(run, payload=job.spec.payload, ticket=ticket)
 
     def _next_run(self) -> int:
         self._run_count += 1
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -169,6 +169,16 @@
                 if all(all(t.done for t in steps[earlier]) for earlier in step.depends_on):
                     yield steps[number]
 
+    def steps_to_come(self) -> Iterator[list[Task]]:
+        """The steps that wait only for steps in turn, as lists of their tasks."""
+        for steps in self._occurrences.values():
+            done = [all(task.done for task in tasks) for tasks in steps]
+            in_turn = [all(done[earlier] for earlier in s.depends_on) for s in self.spec.steps]
+            for number, step in enumerate(self.spec.steps):
+                earlier_in_turn = all(done[e] or in_turn[e] for e in step.depends_on)
+                if not in_turn[number] and earlier_in_turn:
+                    yield steps[number]
+
     def remaining(self) -> tuple[float, float]:
         """What is left of the work.
 
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -25,7 +25,7 @@
 from . import decoding
 from .executor_client import ExecutorClient
 from .front import Front
-from .machine_client import MachineClient
+from .machine_client import AdviceClient, MachineClient
 from .process_settings import ProcessSettings, load
 from .store_client import StoreClient
 
@@ -56,6 +56,7 @@
         self.store = StoreClient(pool=pool, address=settings.store)
         self.executors = ExecutorClient(pool=pool)
         self.machines = MachineClient(pool=pool, address=settings.machines)
+        self.advice = AdviceClient(pool=pool, address=settings.advice)
         self.peers = PeerClient()
         self.peer_server = PeerServer(events=self.events)
         self.operator = OperatorBoard(
@@ -185,6 +186,7 @@
             epoch=epoch,
             store=self.store,
             executors=self.executors,
+            advice=self.advice,
             clock=self.clock,
             events=self.events,
             bounds=Bounds(promises.status_kept_s, promises.stop_timeout_s, promises.drain_s),
--- a/tools/fake_executors.py
+++ b/tools/fake_executors.py
@@ -239,6 +239,9 @@
         self.cut: set[tuple[str | None, str]] = set()
         self.late_share = 0.0
         self.probes = 0
+        # Tickets by step and executor, with the time until which they hold.
+        self.advised = False
+        self.tickets: dict[tuple[str, int, int, str], tuple[str, float]] = {}
 
     def add(self, executor: FakeExecutor) -> None:
         """Let an executor listen at its address."""
@@ -282,9 +285,16 @@
         return lost or target.report()
 
     async def start(self, entry, *, task, run, payload, until_ms, fence, checkpoint, ticket):  # type: ignore
-        return await self._order(
-            entry, lambda target: target.start(task, run, payload, until_ms, fence)
-        )
+        def work(target: FakeExecutor) -> object:
+            key = (task.job, task.occurrence, task.step, target.entry.executor)
+            known = self.fleet.tickets.get(key)
+            if self.fleet.advised and (known is None or known != (ticket, known[1])):
+                return StartRefused(reason="ticket", clock_ms=target.clock_ms())
+            if known is not None and _now() > known[1]:
+                return StartRefused(reason="ticket", clock_ms=target.clock_ms())
+            return target.start(task, run, payload, until_ms, fence)
+
+        return await self._order(entry, work)
 
     async def stop(self, entry, *, task, run, fence):  # type: ignore[no-untyped-def]
         return await self._order(entry, lambda target: target.stop(task, run, fence))
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -1,7 +1,7 @@
 """Several daemons' owners, gateways and boards in one process on virtual time, over fakes."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import msgspec
@@ -13,8 +13,10 @@
 from mustardgap.job_gateways import JobGateway
 from mustardgap.job_replies import JobReply
 from mustardgap.peer_calls import PeerUnreachable
+from mustardgap.ports import Granted
 from mustardgap.shard_owners import FLEET_SHARD, Owned, ShardOwners, shard_of
 from mustardgap.workloads import (
+    AdvicePolicy,
     Configuration,
     ExecutorEntry,
     JobSpec,
@@ -48,6 +50,7 @@
 CAPACITY = Room(cpu=8_000, memory_mb=16_000, gpus=0)
 HEARTBEAT_S = 1.5
 CALL_S = 0.001
+ADVISE_S, ADVICE_VALID_S = 0.15, 1.5
 
 
 class HeldClock(VirtualClock):
@@ -85,6 +88,25 @@
         return call
 
 
+class FakeAdvice:
+    """Grants every other executor, and takes its time.
+
+    :param fleet: the executors, which check the tickets.
+    """
+
+    def __init__(self, *, fleet: FakeExecutors) -> None:
+        self._fleet = fleet
+
+    async def advise(self, *, step: TaskId, executors: Sequence[str]) -> Granted:
+        """Answer one call."""
+        await asyncio.sleep(ADVISE_S)
+        key = (step.job, step.occurrence, step.step)
+        granted = {e: f"{key}/{e}" for e in executors if int(e[1:]) % 2}
+        for executor, text in granted.items():
+            self._fleet.tickets[*key, executor] = (text, _now() + ADVICE_VALID_S)
+        return Granted(tickets_by_executor=granted, valid_s=ADVICE_VALID_S)
+
+
 class FakePeers:
     """Calls the handlers of other daemons in this process.
 
@@ -169,6 +191,7 @@
                 epoch=epoch,
                 store=store,
                 executors=executors,
+                advice=FakeAdvice(fleet=world.fleet),
                 clock=self.clock,
                 events=self.events,
                 bounds=Bounds(),
@@ -236,6 +259,7 @@
     :param executors: how many executors the pool has; the standby pool has two machines.
     :param work_s: how long a task takes.
     :param seed: draws losses and delays.
+    :param advised: whether the queue's policy allows only some executors.
     """
 
     def __init__(
@@ -246,6 +270,7 @@
         executors: int = 4,
         work_s: float = 0.6,
         seed: int = 0,
+        advised: bool = False,
     ) -> None:
         self.loop = loop
         self.store = FakeStore(shards=SHARDS, seed=seed)
@@ -262,7 +287,10 @@
             SERVICE: Service(SERVICE, "/", 64, True, False),
             STANDBY: Service(STANDBY, "/", 64, True, True),
         }
-        self._configuration = Configuration(1, {QUEUE.name: QUEUE}, services)
+        policy = AdvicePolicy(ADVISE_S, 0.0, ADVICE_VALID_S) if advised else None
+        queue = QUEUE._replace(advice=policy)
+        self.fleet.advised = advised
+        self._configuration = Configuration(1, {QUEUE.name: queue}, services)
         self.publish_configuration(1)
         for number in range(1, executors + 1):
             self.machines.add(f"m{number}", SERVICE)
@@ -442,6 +470,10 @@
             task.cancel()
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _decode_operator(values: dict[str, bytes | None]) -> OperatorRecords:
     configuration = None
     waves = []
