Keep a run whose start was repeated and then turned down

Ruled out: ends that were missed by the look (the end was acknowledged 0.1 s later). Change: once a try was unanswered, a refusal settles nothing; a stop's answer and the next look do. The test reproduces it with half of the answers lost: 9 tasks ran again; after: none.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -35,6 +35,15 @@
       | executor drains               | 2     | completed           |
       | wave comes                    | 1     | completed           |
 
+  Scenario: A start is answered only when its run has ended
+    The caller's task was started, and the answer lost. It ends before the start is repeated, which the
+    executor turns down as old. That says nothing of a start that failed: the task mustn't run again.
+
+    Given owners on a fake platform
+    When 8 short jobs are handed in while executors lose answers
+    Then all jobs have ended as completed
+    And no promise was broken
+
   Scenario: Failures that a former owner couldn't store count for the next one
     The caller's job fails as often as its queue allows. The store is away, so no end is acknowledged;
     all daemons die. The next owner hears of the failures from the executors before it has read the
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -52,6 +52,17 @@
     context.world = play(scene, **context.options)
 
 
+@when("{count:d} short jobs are handed in while executors lose answers")
+def short_jobs(context, count):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        trouble = asyncio.ensure_future(BY_NAME["executors lose answers"](world))
+        await _hand_in(world, context.states, count)
+        await trouble
+
+    context.world = play(scene, work_s=0.2, **context.options)
+
+
 @when('a lasting job is cancelled under the trouble "{name}"')
 def cancelled_under_trouble(context, name):
     async def scene(world):
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -391,6 +391,7 @@
 
     async def _start(self, run: Run, payload: str, ticket: str) -> None:
         task = run.task
+        unanswered = False
         for _ in range(START_TRIES):
             if run.phase is not RunPhase.STARTING:
                 return
@@ -412,6 +413,10 @@
                 self._confirm(run)
                 return
             if isinstance(outcome, StartRefused | Refused):
+                if unanswered:
+                    # An earlier try may have been carried out, and the run have ended since: an
+                    # executor turns the repeat down as old, and the task would be run again.
+                    break
                 self._refuse(run, outcome)
                 return
             if isinstance(outcome, Fenced):
@@ -420,6 +425,7 @@
             if isinstance(outcome, OtherIncarnation):
                 self._owner.on_gone(self)
                 return
+            unanswered = unanswered or outcome.sent
             self._events.note(
                 "run.unanswered",
                 vital=True,
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -136,7 +136,7 @@
             await self._refresh()
         metrics.job_calls.add(1, {"call": name, "code": reply.code.number})
         metrics.job_call_duration.record(self._clock.monotonic() - began, {"call": name})
-        if reply.code.http_status >= 400 and reply.code is not status_codes.JOB_UNKNOWN:
+        if reply.code.http_status >= 400 and reply.code is not status_codes.SUBMITTED_JOB_UNKNOWN:
             self._events.note(
                 f"{name}.answered",
                 vital=True,
--- a/mustardgap/job_replies.py
+++ b/mustardgap/job_replies.py
@@ -42,8 +42,8 @@
 }
 
 ACCEPTED = JobReply(status_codes.JOB_ACCEPTED)
-CANCELLED = JobReply(status_codes.JOB_CANCELLED)
-UNKNOWN_JOB = JobReply(status_codes.JOB_UNKNOWN)
+CANCELLED = JobReply(status_codes.JOB_CANCELLING)
+UNKNOWN_JOB = JobReply(status_codes.SUBMITTED_JOB_UNKNOWN)
 UNKNOWN_QUEUE = JobReply(status_codes.QUEUE_UNKNOWN)
 NO_CONFIGURATION = JobReply(status_codes.CONFIGURATION_MISSING)
 UNSETTLED = JobReply(status_codes.JOB_UNSETTLED)
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -30,6 +30,8 @@
 ) -> Code:
     if number in by_number:
         raise ValueError(f"result code {number} is taken by {by_number[number].name}")
+    if any(code.name == name for code in by_number.values()):
+        raise ValueError(f"result code {name} has two numbers")
     code = Code(number, name, http_status, exit_status, title, advice)
     by_number[number] = code
     return code
@@ -368,9 +370,9 @@
     "Have it repaired; its place is filled meanwhile.",
 )
 JOB_ACCEPTED = _code(4020, "job_accepted", 200, 0, "The job is stored and will be run", "")
-JOB_CANCELLED = _code(4021, "job_cancelled", 200, 0, "The job is cancelled, or had ended", "")
+JOB_CANCELLING = _code(4021, "job_cancelling", 200, 0, "The job is cancelled, or had ended", "")
 JOB_STATE = _code(4022, "job_state", 200, 0, "The state of a job or queue", "")
-JOB_UNKNOWN = _code(4023, "job_unknown", 410, 45, "No such job exists", "")
+SUBMITTED_JOB_UNKNOWN = _code(4023, "submitted_job_unknown", 410, 45, "No such job exists", "")
 QUEUE_UNKNOWN = _code(
     4024, "queue_unknown", 404, 45, "No queue takes this host and path", "Check the configuration."
 )
--- a/tools/fake_executors.py
+++ b/tools/fake_executors.py
@@ -238,6 +238,8 @@
         # Pairs of host and executor without a path; None stands for every host.
         self.cut: set[tuple[str | None, str]] = set()
         self.late_share = 0.0
+        # The share of calls that take effect at once and aren't answered.
+        self.lost_share = 0.0
         self.probes = 0
         # Tickets by step and executor, with the time until which they hold.
         self.advised = False
@@ -331,9 +333,9 @@
 
     async def _back(self, entry: ExecutorEntry, target: FakeExecutor) -> NoAnswer | None:
         await asyncio.sleep(ANSWER_S / 2)
-        if self._is_cut(entry.executor):
+        if self._is_cut(entry.executor) or self.fleet.random.random() < self.fleet.lost_share:
             await asyncio.sleep(TIMEOUT_S)
-            return NoAnswer(sent=True, detail="no path back")
+            return NoAnswer(sent=True, detail="no answer came back")
         if not target.alive:
             return NoAnswer(sent=True, detail="connection reset")
         return None
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -149,6 +149,13 @@
     world.fleet.late_share = 0.0
 
 
+async def executors_lose_answers(world: OwnerWorld) -> None:
+    """Half of all calls to executors take effect and aren't answered; tasks are short."""
+    world.fleet.lost_share = 0.5
+    await asyncio.sleep(6)
+    world.fleet.lost_share = 0.0
+
+
 async def executor_fails_all(world: OwnerWorld) -> None:
     """An executor fails all that it starts."""
     executor = _some_executor(world)
@@ -242,6 +249,7 @@
         executor_cut_and_owner_killed,
         entry_lapses_and_owner_killed,
         orders_held_up,
+        executors_lose_answers,
         executor_fails_all,
         all_fails_and_configuration_late,
         executor_hangs,
