Part the fleet's owner by job, and begin a shard afresh whose part failed

Change: fleet_states, fleet_waves, fleet_moves beside fleet_managers; a daemon whose part ended leaves the group and comes back with a new epoch.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -16,6 +16,7 @@
       | trouble                       | times | state               |
       | none                          | 1     | completed           |
       | owner killed                  | 2     | completed           |
+      | owner part fails              | 2     | completed           |
       | owner frozen                  | 2     | completed           |
       | owner stopped                 | 3     | completed           |
       | all killed                    | 2     | completed           |
--- /dev/null
+++ b/mustardgap/fleet_moves.py
@@ -0,0 +1,217 @@
+"""Moves of machines between pools and standby, as the pools' demand turns."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import msgspec
+
+from .events import EventLog
+from .fleet_states import FleetState, Times
+from .pool_demands import Balance, Forecast, PoolDemand
+from .pool_views import PoolView
+from .shard_logs import ShardLog
+from .timers import Clock
+from .turns import Turn, Turns
+from .workloads import Configuration, Machine
+
+# A pool's word that an executor is empty holds for so long.
+WORD_S = 0.5
+# Beside the move itself, a machine that is brought for a rise needs this long to be found, listed
+# and held.
+LEAD_SLACK_S = 0.9
+# A rise that is expected may come this much late before its machines are let go again.
+RISE_SLACK_S = 1.0
+# A machine is let go before an expected rise if it would idle for longer than two moves cost: at
+# 0.094 a second and 0.11 a move that is 2.4 s.
+WORTH_S = 2.4
+LEARNED_KEY = "learned"
+
+
+class Learned(NamedTuple):
+    """What is kept of the pools' demand: their first sizes, rises and highest demands."""
+
+    given: dict[str, int] = {}
+    seen: list[Turn] = []
+    peaks: dict[str, float] = {}
+
+
+class FleetMoves:
+    """Moves machines to the pools that need them.
+
+    :param state: the fleet as it is known.
+    :param log: the fleet's shard, for what is learned.
+    :param times: what orders take.
+    :param order_idle: orders a machine of a standby pool to another.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: FleetState,
+        log: ShardLog,
+        times: Times,
+        order_idle: Callable[[Machine, str], None],
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.log = log
+        self._state = state
+        self._times = times
+        self._order_idle = order_idle
+        self._clock = clock
+        self._events = events
+        self._demands_by_service: dict[str, PoolDemand] = {}
+        self._short: set[str] = set()
+        self._turns = Turns()
+        self._learned = Learned()
+
+    def restore(self, raw: bytes) -> None:
+        """Take in what a former owner had learned."""
+        self._learned = msgspec.msgpack.decode(raw, type=Learned)
+        self._turns.seen = list(self._learned.seen)
+        self._turns.peak_by_service = dict(self._learned.peaks)
+
+    def note_sizes(self, machines: Iterable[Machine]) -> None:
+        """Note the pools' sizes before any machine was moved."""
+        if not self._learned.given:
+            sizes = Counter(machine.pool for machine in machines)
+            self._learned = self._learned._replace(given=dict(sizes))
+            self._store_learned()
+
+    def note(self, service: str, view: PoolView, now: float) -> None:
+        """Take in a pool's demand.
+
+        :param now: steady seconds.
+        """
+        if not self._learned.given:
+            return
+        demand = self._demands_by_service.get(service)
+        if demand is None:
+            demand = PoolDemand(given=self._learned.given.get(service, 0))
+            self._demands_by_service[service] = demand
+        demand.note(view, now)
+        if self._turns.note(service, demand.machines(view), self._clock.wall()):
+            self._store_learned()
+
+    def needs_all(self, service: str) -> bool:
+        """Whether a pool has no machine to spare now."""
+        return service in self._short or self._turns.is_risen(service)
+
+    def demand(self, service: str) -> float:
+        """A pool's demand in machines, 0 if it isn't known."""
+        demand = self._demands_by_service.get(service)
+        view = self._state.views_by_service.get(service)
+        return demand.machines(view) if demand is not None and view is not None else 0.0
+
+    def plan(self, configuration: Configuration, due: set[str]) -> None:
+        """Bring machines to pools that lack some, and let go what isn't needed.
+
+        :param due: machines that a wave will take.
+        """
+        now = self._clock.monotonic()
+        standby = [s.name for s in configuration.services_by_name.values() if s.standby]
+        if not standby:
+            return
+        short: dict[str, int] = {}
+        liked: dict[str, int] = {}
+        surplus: list[Machine] = []
+        for service, view in self._state.views_by_service.items():
+            fresh = now - self._state.viewed_at_by_service[service] <= WORD_S
+            if not fresh or service not in self._demands_by_service:
+                continue
+            balance = self._balance(service, view, now)
+            if balance.missing:
+                short[service] = balance.missing
+            elif balance.liked:
+                liked[service] = balance.liked
+            elif balance.spare:
+                surplus.extend(self._spare_machines(service, view, balance.spare, due, now))
+        idle = [
+            machine
+            for name, machine in sorted(self._state.machines_by_id.items())
+            if machine.pool in standby and self._state.free_to_close(name, now)
+        ]
+        self._short = set(short)
+        idle.sort(key=lambda machine: machine.machine not in due)
+        # One machine a pool in turn, so that two that rise together share what there is.
+        while short and (idle or surplus):
+            for service in list(short):
+                if idle:
+                    self._order_idle(idle.pop(), service)
+                elif surplus:
+                    self._state.close(surplus.pop(0), pool=service)
+                short[service] -= 1
+                if not short[service]:
+                    del short[service]
+        for service, count in liked.items():
+            for _ in range(min(count, len(idle))):
+                self._order_idle(idle.pop(), service)
+        for machine in surplus:
+            self._state.close(machine, pool=standby[0])
+
+    def _balance(self, service: str, view: PoolView, now: float) -> Balance:
+        ordered = [
+            away
+            for name, away in self._state.away_by_machine.items()
+            if away.pool == service and name not in self._state.closing_by_machine
+        ]
+        closings = self._state.closing_by_machine.values()
+        coming = len(ordered) + sum(1 for closing in closings if closing.pool == service)
+        leaving = sum(1 for closing in closings if closing.source == service)
+        wall = self._clock.wall()
+        next_at = self._turns.next_at(service, len(self._state.views_by_service), wall)
+        quiet = soon = False
+        if next_at is not None and not self._turns.is_risen(service):
+            # Brought so early, a machine is there when the rise begins.
+            lead_s = self._times.move_s + LEAD_SLACK_S
+            soon = abs(next_at - lead_s / 2 - wall) <= lead_s / 2 + RISE_SLACK_S
+            quiet = next_at - lead_s - wall > WORTH_S
+        elif next_at is not None:
+            quiet = True
+        forecast = Forecast(quiet=quiet, soon=soon)
+        demand = self._demands_by_service[service]
+        balance = demand.balance(view, forecast, coming=coming, leaving=leaving)
+        if balance != Balance(0, 0):
+            self._events.note(
+                "pool.balance",
+                service=service,
+                demand_machines=demand.machines(view),
+                executors=len(view.executors),
+                coming=coming,
+                leaving=leaving,
+                missing=balance.missing,
+                spare=balance.spare,
+                liked=balance.liked,
+                next_rise_s=next_at - wall if next_at is not None else None,
+                risen=self._turns.is_risen(service),
+            )
+        return balance
+
+    def _spare_machines(
+        self, service: str, view: PoolView, count: int, due: set[str], now: float
+    ) -> list[Machine]:
+        """The machines that are easiest to do without: without lasting tasks, and idle."""
+        executors = {e.executor: e for e in view.executors}
+        machines = [
+            machine
+            for name, machine in self._state.machines_by_id.items()
+            if machine.pool == service
+            and machine.executor in executors
+            and self._state.free_to_close(name, now)
+            and not executors[machine.executor].lasting_runs
+        ]
+        machines.sort(
+            key=lambda machine: (
+                executors[machine.executor].used_cpu,
+                machine.machine not in due,
+            )
+        )
+        return machines[:count]
+
+    def _store_learned(self) -> None:
+        """Keep what was learned of demand; a successor would have to see all rises again."""
+        learned = Learned(self._learned.given, self._turns.seen, self._turns.peak_by_service)
+        self.log.put(LEARNED_KEY, msgspec.msgpack.encode(learned))
--- /dev/null
+++ b/mustardgap/fleet_waves.py
@@ -0,0 +1,201 @@
+"""Waves of maintenance: which machines go down next, and what the operator is told."""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from .boards import OperatorBoard
+from .events import EventLog
+from .fleet_states import FleetState, Times, executor_in
+from .ports import Boards, NoAnswer, Refused
+from .shard_logs import ShardLog
+from .timers import Clock
+from .workloads import Configuration, Machine, Wave
+
+# The share of a pool's machines that may be closed for maintenance at once while it has work.
+CLOSED_SHARE = 0.34
+# Emptying a machine takes about a lasting task's way to work on another, for each that it has.
+EMPTYING_S = 3.0
+# A wave takes machines from pools that need them once the time left is less than this many times
+# what its rounds take.
+HURRY = 1.7
+WAVE_KEY = "w/"
+
+OrderIdle = Callable[[Machine, int], None]
+
+
+class FleetWaves:
+    """Carries waves out within what pools can spare.
+
+    :param state: the fleet as it is known.
+    :param log: the fleet's shard.
+    :param boards: where the operator reads how far a wave is.
+    :param operator: the waves.
+    :param times: what orders take.
+    :param needed: whether a pool has no machine to spare now.
+    :param demand: a pool's demand in machines.
+    :param order_idle: orders a machine of a standby pool down for a wave.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: FleetState,
+        log: ShardLog,
+        boards: Boards,
+        operator: OperatorBoard,
+        times: Times,
+        needed: Callable[[str], bool],
+        demand: Callable[[str], float],
+        order_idle: OrderIdle,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.done_by_wave: dict[int, set[str]] = {}
+        self.log = log
+        self._state = state
+        self._boards = boards
+        self._operator = operator
+        self._times = times
+        self._needed = needed
+        self._demand = demand
+        self._order_idle = order_idle
+        self._clock = clock
+        self._events = events
+        # When each wave was first seen, in seconds since the epoch.
+        self._known_at_by_wave: dict[int, float] = {}
+        self._told_by_wave: dict[int, bool] = {}
+
+    def restore(self, number: int, raw: bytes) -> None:
+        """Take in what a former owner had done of a wave."""
+        known_at, done = msgspec.msgpack.decode(raw)
+        self._known_at_by_wave[number] = known_at
+        self.done_by_wave[number] = set(done)
+
+    def open_waves(self) -> Iterable[Wave]:
+        """The waves with machines left."""
+        return [
+            wave
+            for _, wave in sorted(self._operator.waves_by_number.items())
+            if self.remaining(wave)
+        ]
+
+    def remaining(self, wave: Wave) -> list[str]:
+        """The machines of a wave that haven't had their maintenance."""
+        done = self.done_by_wave.get(wave.number, set())
+        return [name for name in wave.machines if name not in done]
+
+    def note_done(self, number: int, name: str) -> None:
+        """Note that a machine has had its maintenance."""
+        self.done_by_wave.setdefault(number, set()).add(name)
+        self._store_wave(number)
+
+    def _store_wave(self, number: int) -> None:
+        done = sorted(self.done_by_wave.get(number, ()))
+        known_at = self._known_at_by_wave.get(number, self._clock.wall())
+        self.log.put(f"{WAVE_KEY}{number}", msgspec.msgpack.encode((known_at, done)))
+
+    def plan(self, configuration: Configuration) -> None:
+        """Have the next machines emptied or ordered down."""
+        now = self._clock.monotonic()
+        for wave in self.open_waves():
+            if wave.number not in self._known_at_by_wave:
+                self._known_at_by_wave[wave.number] = self._clock.wall()
+                self._store_wave(wave.number)
+            hurried = self._is_hurried(wave)
+            candidates = [
+                self._state.machines_by_id[name]
+                for name in self.remaining(wave)
+                if self._state.free_to_close(name, now)
+            ]
+            candidates.sort(key=lambda machine: self._wave_order(machine, configuration))
+            for machine in candidates:
+                if self._state.is_standby(machine.pool, configuration):
+                    if self.may_go_down(wave.number):
+                        self._order_idle(machine, wave.number)
+                elif self._has_turn(machine, wave) and self._may_close(machine, hurried):
+                    self._state.close(machine, wave=wave.number)
+
+    def _has_turn(self, machine: Machine, wave: Wave) -> bool:
+        # Lasting tasks move one after another, which takes longer than all the rest: their machines
+        # are emptied ahead, and go down once they are empty and the wave has a place.
+        if self._state.hosts_lasting(machine):
+            return True
+        return self._closing_for(wave.number) < wave.at_once - self._down_for(wave.number)
+
+    def may_go_down(self, number: int) -> bool:
+        """Whether one more machine may be away for a wave."""
+        return self._down_for(number) < self._operator.waves_by_number[number].at_once
+
+    def _down_for(self, number: int) -> int:
+        """How many machines are away for a wave, or were ordered so and may be."""
+        return sum(1 for away in self._state.away_by_machine.values() if away.wave == number)
+
+    def _closing_for(self, number: int) -> int:
+        """How many machines without lasting tasks are being emptied for a wave."""
+        return sum(
+            1
+            for name, closing in self._state.closing_by_machine.items()
+            if closing.wave == number
+            and name not in self._state.orders_by_machine
+            and name in self._state.machines_by_id
+            and not self._state.hosts_lasting(self._state.machines_by_id[name])
+        )
+
+    def _is_hurried(self, wave: Wave) -> bool:
+        """Whether a wave would be late if it waited for pools that have no machine to spare."""
+        rounds = -(-len(self.remaining(wave)) // max(wave.at_once, 1))
+        needed_s = rounds * (self._times.maintenance_s + EMPTYING_S)
+        left_s = self._known_at_by_wave[wave.number] + wave.finish_by_s - self._clock.wall()
+        return left_s < needed_s * HURRY
+
+    def _wave_order(self, machine: Machine, configuration: Configuration) -> tuple[int, int, int]:
+        if self._state.is_standby(machine.pool, configuration):
+            return 0, 0, 0
+        view = self._state.views_by_service.get(machine.pool)
+        executor = executor_in(view, machine.executor) if view else None
+        if view is None or executor is None:
+            return 2, 0, 0
+        return 1, executor.lasting_runs, view.waiting_cpu + executor.used_cpu
+
+    def _may_close(self, machine: Machine, hurried: bool) -> bool:
+        view = self._state.views_by_service.get(machine.pool)
+        if view is None or executor_in(view, machine.executor) is None:
+            return False
+        if not hurried and self._needed(machine.pool):
+            return False
+        closing = [c for c in self._state.closing_by_machine.values() if c.source == machine.pool]
+        lasting = {e.executor for e in view.executors if e.lasting_runs}
+        hosts = sum(1 for c in closing if c.executor in lasting)
+        if machine.executor in lasting and hosts and not hurried:
+            # Lasting tasks move one at a time, and into what their pool has left.
+            return False
+        closed = len(closing)
+        closed += sum(1 for a in self._state.away_by_machine.values() if a.pool == machine.pool)
+        size = len(view.executors)
+        idle = size - closed - 1 > self._demand(machine.pool)
+        return idle or closed < max(1, int(size * CLOSED_SHARE))
+
+    async def tell(self) -> None:
+        """Tell the operator of waves that began or are completed."""
+        for wave in list(self._operator.waves_by_number.values()):
+            completed = not self.remaining(wave) and not any(
+                away.wave == wave.number for away in self._state.away_by_machine.values()
+            )
+            if self._told_by_wave.get(wave.number) is completed:
+                continue
+            if completed and not self.log.durable:
+                continue
+            outcome = await self._boards.write_status(wave=wave.number, completed=completed)
+            if isinstance(outcome, Refused | NoAnswer):
+                continue
+            self._told_by_wave[wave.number] = completed
+            self._events.note(
+                "wave.told",
+                vital=True,
+                wave=wave.number,
+                completed=completed,
+                left=len(self.remaining(wave)),
+            )
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -14,7 +14,8 @@
 from ..dispatchers import Bounds, Dispatcher
 from ..events import EventLog
 from ..exceptions import MustardgapError
-from ..fleet_managers import FleetManager, Times
+from ..fleet_managers import FleetManager
+from ..fleet_states import Times
 from ..http_pools import HttpPool
 from ..job_gateways import JobGateway
 from ..peer_calls import PeerClient, PeerServer, PeerUnreachable
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -152,10 +152,11 @@
             owned = self.owned_by_shard.get(shard)
             if owned is not None and owned.ended.is_set():
                 await self._give_up(shard, "ended")
-                # The epoch was fenced off, so another owner was there in between; ours is newer
-                # only once the group's generation is.
                 if joined.generation <= self._epoch_by_shard[shard]:
-                    continue
+                    # A part of it failed, and nobody else has got the shard. It would lie idle
+                    # until the group changes; leaving changes it, and brings a new epoch.
+                    await self._start_afresh()
+                    return
                 owned = None
             if owned is None and joined.generation > self._epoch_by_shard.get(shard, 0):
                 self._begin(shard, joined.generation)
@@ -166,6 +167,12 @@
                 shards=sorted(joined.shards),
             )
 
+    async def _start_afresh(self) -> None:
+        for shard in list(self.owned_by_shard):
+            await self._give_up(shard, LEAVING)
+        await self._end_earlier_life()
+        self.generation = 0
+
     def _begin(self, shard: int, epoch: int) -> None:
         owned = self._make(shard, epoch)
         self._epoch_by_shard[shard] = epoch
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from mustardgap.dispatchers import Dispatcher
+from mustardgap.shard_owners import shard_of
 from mustardgap.workloads import JobSpec, Step, Wave
 
-from .owner_worlds import HeldClock, OwnerWorld
+from .owner_worlds import SERVICE, SHARDS, HeldClock, OwnerWorld
 
 Trouble = Callable[[OwnerWorld], Coroutine[Any, Any, None]]
 
@@ -33,6 +35,16 @@
     world.start(name)
 
 
+async def owner_part_fails(world: OwnerWorld) -> None:
+    """A part of the owner fails, so that it ends, while the store still holds it for the owner."""
+    shard = shard_of(SERVICE, SHARDS)
+    for daemon in world.daemons_by_address.values():
+        owned = daemon.owners.owned_by_shard.get(shard)
+        if isinstance(owned, Dispatcher):
+            owned.log.close()
+            owned._wake.set()
+
+
 async def owner_frozen(world: OwnerWorld) -> None:
     """The owner stands still for longer than its membership lasts, then goes on."""
     name = world.owner() or world.names[0]
@@ -235,6 +247,7 @@
     for trouble in (
         none,
         owner_killed,
+        owner_part_fails,
         owner_frozen,
         owner_stopped,
         all_killed,
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -9,7 +9,8 @@
 from mustardgap.boards import ExecutorBoard, OperatorBoard, OperatorRecords
 from mustardgap.dispatchers import Bounds, Dispatcher
 from mustardgap.events import EventLog
-from mustardgap.fleet_managers import FleetManager, Times
+from mustardgap.fleet_managers import FleetManager
+from mustardgap.fleet_states import Times
 from mustardgap.job_gateways import JobGateway
 from mustardgap.job_replies import JobReply
 from mustardgap.peer_calls import PeerUnreachable
