--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -301,9 +301,7 @@
     assert set(context.versions.values()) == {5}, context.versions
 
 
-@then(
-    "a lasting run found {age:g} s ago {counts} as at work, where a stop takes {stop:g} s"
-)
+@then("a lasting run found {age:g} s ago {counts} as at work, where a stop takes {stop:g} s")
 def counts_as_at_work(context, age, counts, stop):
     task = Task(task_id=TaskId(_job_id(1), 0, 0, 0), step=LASTING.steps[0])
     link = SimpleNamespace(up=True)
