Take out what nothing reads, and find a step's executors and its key in one place

Cause (reading the whole change once more): placing.biggest_free, Task.lost_at, Bounds.drain_s and ExecutorBoard.known were written and never read; the executors that may run a step were filtered in three places, and a step's key was built from a task's id in three. Ruled out: merging on_lost with on_refused, and the orders' answers in executor_links (alike in shape, each ends otherwise). Change: Dispatcher.usable_links and StepKey.of serve all; no behaviour changes, no test was touched.

--- a/mustardgap/advices.py
+++ b/mustardgap/advices.py
@@ -23,6 +23,11 @@
     occurrence: int
     step: int
 
+    @classmethod
+    def of(cls, task_id: TaskId) -> "StepKey":
+        """The step that a task belongs to."""
+        return cls(task_id.job, task_id.occurrence, task_id.step)
+
 
 class _Ticket(NamedTuple):
     text: str
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -1,6 +1,5 @@
 """What operators and executors publish, followed on the platform's store."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -152,7 +151,6 @@
         events: EventLog,
     ) -> None:
         self.entries_by_id: dict[str, ExecutorEntry] = {}
-        self.known = asyncio.Event()
         self._boards = boards
         self._decode = decode
         self._needed = needed
@@ -201,7 +199,6 @@
             for executor in self.entries_by_id.keys() - entries.values_by_key.keys():
                 self._missing_by_id.setdefault(executor, now)
         self._drop_missing(now)
-        self.known.set()
         if self.entries_by_id != before:
             for callback in self._subscribers:
                 callback()
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -38,6 +38,7 @@
     JobSpec,
     Queue,
     RunRow,
+    Step,
     TaskId,
 )
 
@@ -75,7 +76,6 @@
 
     status_kept_s: float = 120.0
     stop_timeout_s: float = 0.4
-    drain_s: float = 2.0
 
 
 class Dispatcher:
@@ -541,7 +541,6 @@
         )
         if run.task.run is run:
             run.task.run = None
-            run.task.lost_at = self._clock.monotonic()
         self._wake.set()
 
     def on_refused(self, link: ExecutorLink, run: Run, why: str) -> None:
@@ -558,8 +557,7 @@
         if run.task.run is run:
             run.task.run = None
         if why == "ticket":
-            ids = run.task.task_id
-            self.advices.drop(StepKey(ids.job, ids.occurrence, ids.step), link.entry.executor)
+            self.advices.drop(StepKey.of(run.task.task_id), link.entry.executor)
         else:
             self.suspicions.on_refused(link, why)
         self._wake.set()
@@ -634,9 +632,7 @@
         if any(exhausted(task, queue) for task in missing):
             self._finish(job, JobPhase.FAILED, "a task had failed too often under earlier owners")
             return
-        links = [
-            link for link in self.links_by_executor.values() if usable(link, step, job.service)
-        ]
+        links = self.usable_links(step, job)
         # Where every executor is under suspicion, trying is better than waiting.
         links = [link for link in links if now >= link.pause_until] or links
         if queue is not None and queue.advice is not None:
@@ -650,23 +646,24 @@
                 return
             self._start(job, task, link, self._next_run())
 
+    def usable_links(self, step: Step, job: Job) -> list[ExecutorLink]:
+        """The executors that may get new runs of a job's step, those that are paused among them."""
+        return [link for link in self.links_by_executor.values() if usable(link, step, job.service)]
+
     def _ask_ahead(self, job: Job) -> None:
         """Have tickets asked for the steps that come next, so that they needn't wait for them."""
         queue = self.queue_of(job)
         if queue is None or queue.advice is None or not job.begun:
             return
         for tasks in job.steps_to_come():
-            step = tasks[0].step
-            links = [
-                link for link in self.links_by_executor.values() if usable(link, step, job.service)
-            ]
+            links = self.usable_links(tasks[0].step, job)
             self._advised(tasks[0].task_id, links, queue.advice)
 
     def _advised(
         self, task_id: TaskId, links: list[ExecutorLink], policy: AdvicePolicy
     ) -> list[ExecutorLink]:
         """The executors with a ticket for a task's step; tickets that lack are asked for."""
-        key = StepKey(task_id.job, task_id.occurrence, task_id.step)
+        key = StepKey.of(task_id)
         best = sorted(links, key=lambda link: -link.free.cpu)
         self.advices.want(key, [link.entry.executor for link in best], policy)
         return [link for link in links if self.advices.ticket(key, link.entry.executor)]
@@ -700,9 +697,7 @@
             waited_s=waited_s,
         )
         metrics.placement_wait.record(max(waited_s, 0.0))
-        ids = task.task_id
-        key = StepKey(ids.job, ids.occurrence, ids.step)
-        ticket = self.advices.ticket(key, link.entry.executor) or ""
+        ticket = self.advices.ticket(StepKey.of(task.task_id), link.entry.executor) or ""
         link.begin(run, payload=job.spec.payload, ticket=ticket)
 
     def _next_run(self) -> int:
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -4,7 +4,7 @@
 
 from .executor_links import ExecutorLink, Run, RunPhase
 from .job_states import Task
-from .placing import choose, usable
+from .placing import choose
 
 if TYPE_CHECKING:
     from .dispatchers import Dispatcher
@@ -77,11 +77,8 @@
 
     def _has_room_elsewhere(self, task: Task, siblings: list[Task], now: float) -> bool:
         job = self._dispatcher.job_of(task.task_id)
-        links = [
-            link
-            for link in self._dispatcher.links_by_executor.values()
-            if usable(link, task.step, job.service) and now >= link.pause_until
-        ]
+        usable = self._dispatcher.usable_links(task.step, job)
+        links = [link for link in usable if now >= link.pause_until]
         if choose(task, siblings, links, self.planned, now) is not None:
             return True
         self.cramped.add(job.service)
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -34,7 +34,6 @@
         "done",
         "failed_runs",
         "inherited",
-        "lost_at",
         "run",
         "step",
         "task_id",
@@ -51,7 +50,6 @@
         self.inherited = False
         # Executors on which it failed or stood still; others are tried first.
         self.avoided: set[str] = set()
-        self.lost_at: float | None = None
 
     @property
     def failures(self) -> int:
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -6,7 +6,7 @@
 
 from .executor_links import ExecutorLink
 from .job_states import Job, Task
-from .workloads import Queue, Room, Step
+from .workloads import Queue, Step
 
 # Up to this many times its objective a job earns a little; after that only its promise counts.
 LATE_FACTOR = 3.0
@@ -229,15 +229,3 @@
         counts[link.entry.executor] += 1
         chosen.append(link)
     return chosen
-
-
-def biggest_free(links: Iterable[ExecutorLink]) -> Room:
-    """The largest free amount of each resource on any one executor; a quick bound."""
-    free = [link.free for link in links]
-    if not free:
-        return Room(-1, -1, -1)
-    return Room(
-        max(room.cpu for room in free),
-        max(room.memory_mb for room in free),
-        max(room.gpus for room in free),
-    )
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -190,7 +190,7 @@
             advice=self.advice,
             clock=self.clock,
             events=self.events,
-            bounds=Bounds(promises.status_kept_s, promises.stop_timeout_s, promises.drain_s),
+            bounds=Bounds(promises.status_kept_s, promises.stop_timeout_s),
             fresh_s=self.owners.fresh_s,
             settled=self.owners.settled,
         )
