End a job before any of its steps is placed, and tell orders' refusals apart by type

Cause: a pass of placing looked at a job's steps one by one, and ended the job at the first that had failed too often under earlier owners. It went on with the next step in turn, whose runs then outlived the job: nothing stopped them (_finish had stopped what ran before). Seen by reading; the new scenario was red: both tasks of the second step ran, 0.6 s each, after the job had failed. Ruled out: a check of the phase between steps (what an earlier step had started in the same pass would still have been ordered to stop a moment after its start). Change: all steps in turn are looked at first. Also: a throttled order and one for a machine that isn't of the wave are types of their own instead of texts in Refused.detail; subscribers of the operator's records are called only when one changed; a play on virtual time that never ends is ended after 5 million turns (the longest takes 23,000; one had hung for 10 minutes).

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -55,6 +55,16 @@
     Then all jobs have ended as failed
     And no promise was broken
 
+  Scenario: A job that is over as one step failed starts no other step
+    The caller's job has two steps that need nothing of each other. A new owner finds that the first
+    one failed too often under earlier owners, and ends the job. The second one waits for room in the
+    same pass; started now, it would run on for a job that its caller sees as failed.
+
+    Given owners on a fake platform
+    When a job of two independent steps has failed at its first one before room is free
+    Then all jobs have ended as failed
+    And nothing of the job was started
+
   Scenario Outline: A lasting run counts as at work <when>
     Users of a lasting step see two of its tasks away. The former owner had ordered one to stop; the next
     one finds it listed at work, and stops another beside it. A run counts once a stop would have ended it.
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -13,7 +13,7 @@
 from mustardgap.job_states import Task
 from mustardgap.workloads import EndKind, TaskId
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
-from tools.owner_worlds import play
+from tools.owner_worlds import ATTEMPTS, play
 
 START_S = 6.0
 LONG = "MUSTARDGAP_LONG" in os.environ
@@ -90,6 +90,29 @@
     context.world = play(scene, **context.options)
 
 
+@when("a job of two independent steps has failed at its first one before room is free")
+def independent_steps(context):
+    first, second = TWO_STEPS.steps
+    spec = TWO_STEPS._replace(steps=(first, second._replace(depends_on=())))
+
+    async def scene(world):
+        for executor in world.fleet.by_address.values():
+            executor.entry = executor.entry._replace(draining=True)
+            world.publish(executor)
+        await asyncio.sleep(START_S)
+        assert await world.submit_until_accepted(_job_id(1), spec)
+        await asyncio.sleep(0.1)
+        dispatcher = world.dispatcher()
+        for task in dispatcher.jobs_by_id[_job_id(1)].tasks():
+            task.failed_runs = set(range(ATTEMPTS if task.task_id.step == 0 else 0))
+        for link in dispatcher.links_by_executor.values():
+            link.entry = link.entry._replace(draining=False)
+        context.states[_job_id(1)] = await world.final_state(_job_id(1), 20)
+        await asyncio.sleep(5)
+
+    context.world = play(scene, **context.options)
+
+
 @when('a lasting job is cancelled under the trouble "{name}"')
 def cancelled_under_trouble(context, name):
     async def scene(world):
@@ -313,6 +336,11 @@
     assert evacuations.is_at_work(task, 100.0) is (counts == "counts")
 
 
+@then("nothing of the job was started")
+def nothing_started(context):
+    assert not context.world.fleet.record.runs, context.world.fleet.record.runs
+
+
 @then("each task has run once")
 def ran_once(context):
     tasks = [run.task for run in context.world.fleet.record.runs]
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -94,7 +94,7 @@
             self._events.note("operator.invalid", vital=True, why=why, source=source)
         new = records.configuration
         old = self.configuration
-        changed = bool(records.waves)
+        changed = False
         if new is not None and (old is None or new.version > old.version):
             self._events.note(
                 "config.applied",
@@ -111,7 +111,8 @@
                 self._events.note(
                     "wave.known", vital=True, wave=wave.number, machines=len(wave.machines)
                 )
-            self.waves_by_number[wave.number] = wave
+                self.waves_by_number[wave.number] = wave
+                changed = True
         if changed:
             self.raw_by_key.update(values)
             for callback in self._subscribers:
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -609,10 +609,23 @@
         now, wall = self._clock.monotonic(), self._clock.wall()
         waiting = [job for job in self.jobs_by_id.values() if job.phase is JobPhase.LIVE]
         for job in in_order(waiting, self.queue_of, self._cores_by_service(now), wall):
-            for tasks in job.steps_in_turn():
+            steps = list(job.steps_in_turn())
+            if self._end_if_exhausted(job, steps):
+                continue
+            for tasks in steps:
                 self._place_step(job, tasks, now)
             self._ask_ahead(job)
 
+    def _end_if_exhausted(self, job: Job, steps: list[list[Task]]) -> bool:
+        # A new owner hears of failures before it knows how many the queue allows, which the
+        # configuration says; a job that was over by then would be started once more. All steps are
+        # looked at before any is placed: what was started of one step would outlive the job.
+        queue = self.queue_of(job)
+        if not any(task.waits and exhausted(task, queue) for tasks in steps for task in tasks):
+            return False
+        self._finish(job, JobPhase.FAILED, "a task had failed too often under earlier owners")
+        return True
+
     def _cores_by_service(self, now: float) -> dict[str, float]:
         cores: dict[str, float] = {}
         for link in self.links_by_executor.values():
@@ -626,12 +639,7 @@
         missing = [task for task in tasks if task.waits]
         if not missing:
             return
-        # A new owner hears of failures before it knows how many the queue allows, which the
-        # configuration says; a job that was over by then would be started once more.
         queue = self.queue_of(job)
-        if any(exhausted(task, queue) for task in missing):
-            self._finish(job, JobPhase.FAILED, "a task had failed too often under earlier owners")
-            return
         links = self.usable_links(step, job)
         # Where every executor is under suspicion, trying is better than waiting.
         links = [link for link in links if now >= link.pause_until] or links
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -10,7 +10,19 @@
 from .fleet_states import Away, Closing, EndedLife, FleetState, Times, executor_in, is_back
 from .fleet_waves import WAVE_KEY, FleetWaves
 from .pool_views import PoolRequest, PoolView
-from .ports import Boards, Done, Entries, Fenced, Machines, NoAnswer, Refused, Store
+from .ports import (
+    Boards,
+    Done,
+    Entries,
+    Fenced,
+    Machines,
+    NoAnswer,
+    NotInWave,
+    Order,
+    Refused,
+    Store,
+    Throttled,
+)
 from .shard_logs import ShardLog
 from .timers import Clock
 from .workloads import Configuration, Machine, Service
@@ -300,9 +312,7 @@
                 outcome=type(outcome).__name__,
                 why=getattr(outcome, "detail", None),
             )
-            if isinstance(outcome, NoAnswer) or (
-                isinstance(outcome, Refused) and outcome.detail.startswith("429")
-            ):
+            if isinstance(outcome, NoAnswer | Throttled):
                 await self._clock.sleep(ROUND_S)
                 continue
             self._ordered(name, closing, outcome)
@@ -317,7 +327,7 @@
             closing.wave,
         )
 
-    async def _send(self, name: str, closing: Closing) -> Done | Fenced | Refused | NoAnswer:
+    async def _send(self, name: str, closing: Closing) -> Order:
         if closing.wave is not None:
             return await self._machines.maintain(
                 machine=name, wave=closing.wave, holder=self._host, fence=self._epoch
@@ -327,16 +337,18 @@
             machine=name, pool=closing.pool, holder=self._host, fence=self._epoch
         )
 
-    def _ordered(self, name: str, closing: Closing, outcome: Done | Fenced | Refused) -> None:
+    def _ordered(
+        self, name: str, closing: Closing, outcome: Done | Fenced | Refused | NotInWave
+    ) -> None:
         self.state.closing_by_machine.pop(name, None)
         if isinstance(outcome, Fenced):
             # Another owner orders machines about by now; to go on would contradict it.
             self._fenced = True
             return
-        if isinstance(outcome, Refused):
+        if isinstance(outcome, Refused | NotInWave):
             self.state.away_by_machine.pop(name, None)
             self.state.not_before_by_machine[name] = self._clock.monotonic() + REOPEN_PAUSE_S
-            if outcome.detail.endswith("wave") and closing.wave is not None:
+            if isinstance(outcome, NotInWave) and closing.wave is not None:
                 self.waves.note_done(closing.wave, name)
             return
         if closing.executor:
--- a/mustardgap/platform/machine_client.py
+++ b/mustardgap/platform/machine_client.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..http_pools import HttpAnswer, HttpPool
-from ..ports import Done, Fenced, Granted, NoAnswer, Refused
+from ..ports import Done, Fenced, Granted, NoAnswer, NotInWave, Order, Refused, Throttled
 from ..workloads import ExecutorId, Machine, TaskId
 from .decoding import fields_of, machine_page
 
@@ -49,22 +49,16 @@
             if not token:
                 return machines
 
-    async def move(
-        self, *, machine: str, pool: str, holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    async def move(self, *, machine: str, pool: str, holder: str, fence: int) -> Order:
         """Give a machine to another pool."""
         return await self._order("machine-move", {"machine": machine, "pool": pool}, holder, fence)
 
-    async def maintain(
-        self, *, machine: str, wave: int, holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    async def maintain(self, *, machine: str, wave: int, holder: str, fence: int) -> Order:
         """Take a machine down for its maintenance."""
         body = {"machine": machine, "wave": wave}
         return await self._order("machine-upkeep", body, holder, fence)
 
-    async def _order(
-        self, verb: str, body: dict[str, Any], holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    async def _order(self, verb: str, body: dict[str, Any], holder: str, fence: int) -> Order:
         answer = await self._pool.call(
             address=self._address,
             method="POST",
@@ -81,9 +75,13 @@
             return answer
         if answer.status == 200:
             return Done()
+        if answer.status == 429:
+            return Throttled()
         reason = fields_of(answer.body).get("reason")
         if reason == "fence":
             return Fenced(detail="the machine knows a higher fencing token")
+        if reason == "wave":
+            return NotInWave()
         return Refused(detail=f"{answer.status} {reason or ''}".strip())
 
 
--- a/mustardgap/ports.py
+++ b/mustardgap/ports.py
@@ -26,6 +26,16 @@
     detail: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class Throttled:
+    """Too many calls: nothing was done, and the same call may succeed in a moment."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotInWave:
+    """The machine isn't one of the wave's, so the wave has nothing left to do with it."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Fenced:
     """A higher fencing token or epoch is known there: another daemon has taken over."""
@@ -197,20 +207,19 @@
         """Let a run work at a share of its speed."""
 
 
+Order = Done | Fenced | Refused | Throttled | NotInWave | NoAnswer
+
+
 class Machines(Protocol):
     """The fleet's machines: listing, moving between pools, and maintenance."""
 
     async def machines(self) -> list[Machine] | Refused | NoAnswer:
         """All machines."""
 
-    async def move(
-        self, *, machine: str, pool: str, holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    async def move(self, *, machine: str, pool: str, holder: str, fence: int) -> Order:
         """Give a machine to another pool; what runs on it ends at once."""
 
-    async def maintain(
-        self, *, machine: str, wave: int, holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    async def maintain(self, *, machine: str, wave: int, holder: str, fence: int) -> Order:
         """Take a machine down for its maintenance; what runs on it ends at once."""
 
 
--- a/tools/fake_machines.py
+++ b/tools/fake_machines.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from mustardgap.ports import Done, Fenced, NoAnswer, Refused
+from mustardgap.ports import Done, Fenced, NoAnswer, Order, Refused
 from mustardgap.workloads import Machine, Room
 
 if TYPE_CHECKING:
@@ -132,19 +132,15 @@
         await asyncio.sleep(ANSWER_S)
         return self._machines.list()
 
-    async def move(
-        self, *, machine: str, pool: str, holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    async def move(self, *, machine: str, pool: str, holder: str, fence: int) -> Order:
         return await self._order(machine, pool, None, holder, fence)
 
-    async def maintain(
-        self, *, machine: str, wave: int, holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    async def maintain(self, *, machine: str, wave: int, holder: str, fence: int) -> Order:
         return await self._order(machine, None, wave, holder, fence)
 
     async def _order(
         self, machine: str, pool: str | None, wave: int | None, holder: str, fence: int
-    ) -> Done | Fenced | Refused | NoAnswer:
+    ) -> Order:
         await asyncio.sleep(ANSWER_S)
         outcome = self._machines.order(machine, pool, wave, holder, fence)
         lost = self._machines._world.fleet.random.random() < self._machines.lost_share
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -342,6 +342,14 @@
         ]
         return max(owners)[1] if owners else None
 
+    def dispatcher(self) -> Dispatcher:
+        """What owns the pool's queues; there has to be an owner."""
+        owner = self.owner()
+        assert owner is not None, "nobody owns the pool's queues"
+        owned = self.daemon(owner).owners.owned_by_shard[shard_of(SERVICE, SHARDS)]
+        assert isinstance(owned, Dispatcher)
+        return owned
+
     def publish_configuration(self, version: int) -> None:
         """Publish a configuration as the operator does."""
         raw = msgspec.msgpack.encode(self._configuration._replace(version=version))
--- a/tools/virtual_time.py
+++ b/tools/virtual_time.py
@@ -9,6 +9,9 @@
 
 T = TypeVar("T")
 
+# The longest play of owners, of 60 virtual seconds, takes 23,000 turns; days of slots take more.
+MAX_TURNS = 5_000_000
+
 
 class _Jump(selectors.SelectSelector):
     """Waits for nothing; moves the loop's time on by the time it would have waited."""
@@ -19,6 +22,10 @@
         if timeout is None:
             raise RuntimeError("every task waits and no timer is set")
         self.loop.now += max(timeout, 0.0)
+        self.loop.turns += 1
+        # Tasks that wait for something that never comes, with timers that go on, would run forever.
+        if self.loop.turns > MAX_TURNS:
+            raise RuntimeError(f"no end after {MAX_TURNS} turns, at {self.loop.now:.1f} s")
         return []
 
 
@@ -27,6 +34,7 @@
 
     def __init__(self) -> None:
         self.now = 1000.0
+        self.turns = 0
         selector = _Jump()
         selector.loop = self
         super().__init__(selector)
