Split the shard's owner: its callers' desk, its executors' roster, its starter of tasks

It keeps ownership, the taking in of ends, and time; callers' requests, the list of executors and placing stand in modules of their own, moved without a change of behaviour. Keys of a shard's records stand in shard_logs. Also: the step that kills the owner read the daemons' lines before the line was there. It now waits for the line.

--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -105,7 +105,7 @@
         dispatcher = world.dispatcher()
         for task in dispatcher.jobs_by_id[_job_id(1)].tasks():
             task.failed_runs = set(range(ATTEMPTS if task.task_id.step == 0 else 0))
-        for link in dispatcher.links_by_executor.values():
+        for link in dispatcher.roster.links_by_executor.values():
             link.entry = link.entry._replace(draining=False)
         context.states[_job_id(1)] = await world.final_state(_job_id(1), 20)
         await asyncio.sleep(5)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -184,10 +184,16 @@
 
 @when("the daemon that owns it is killed")
 def kill_owner(context):
-    lines = {n: context.processes.output(f"e{n}") for n in (1, 2, 3)}
-    owner = next(n for n, text in lines.items() if '"event":"job.accepted"' in text)
-    context.processes.kill(f"e{owner}")
-    context.killed = owner
+    # Lines are written by a thread of their own, so the caller's answer may be ahead of them.
+    _until(lambda: _accepting(context), "no daemon has logged that it accepted the job")
+    context.killed = _accepting(context)[0]
+    context.processes.kill(f"e{context.killed}")
+
+
+def _accepting(context):
+    """The daemons that have logged that they accepted a job."""
+    lines = {n: context.processes.output(f"e{n}") for n in range(1, context.count + 1)}
+    return [n for n, text in lines.items() if '"event":"job.accepted"' in text]
 
 
 @when("daemon {number:d} is told to stop")
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -34,7 +34,7 @@
     def look(self, now: float) -> None:
         """Stop what may be stopped now on executors that leave."""
         self.cramped.clear()
-        for link in list(self._dispatcher.links_by_executor.values()):
+        for link in list(self._dispatcher.roster.links_by_executor.values()):
             if not (link.closing or link.entry.draining) or not link.up:
                 continue
             for run in list(link.runs_by_key.values()):
@@ -77,7 +77,7 @@
 
     def _has_room_elsewhere(self, task: Task, siblings: list[Task], now: float) -> bool:
         job = self._dispatcher.job_of(task.task_id)
-        usable = self._dispatcher.usable_links(task.step, job)
+        usable = self._dispatcher.starter.usable_links(task.step, job)
         links = [link for link in usable if now >= link.pause_until]
         if choose(task, siblings, links, self.planned, now) is not None:
             return True
--- /dev/null
+++ b/mustardgap/executor_rosters.py
@@ -0,0 +1,135 @@
+"""The executors of one shard's pools, and which of them the owner has heard."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .events import EventLog
+from .executor_links import LEASE_S, ExecutorLink
+from .ports import Executors
+from .shard_logs import EXECUTOR_KEY
+from .timers import Clock
+from .workloads import ExecutorEntry
+
+if TYPE_CHECKING:
+    from .dispatchers import Dispatcher
+
+# How long an owner that the store doesn't answer goes on giving leases and starting tasks. A
+# successor waits this long, and a lease more, for an executor that it can't reach. With a lease on
+# top, what runs outlasts a store that is away for 11 s.
+AUTHORITY_S = 8.0
+
+
+class ExecutorRoster:
+    """Keeps a link to each executor that runs, or may run, tasks of one shard.
+
+    :param dispatcher: the shard's owner.
+    :param executors: sends orders to executors.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self, *, dispatcher: "Dispatcher", executors: Executors, clock: Clock, events: EventLog
+    ) -> None:
+        self.links_by_executor: dict[str, ExecutorLink] = {}
+        self.entries_by_id: dict[str, ExecutorEntry] = {}
+        self.services: frozenset[str] = frozenset()
+        # What a former owner used and has not answered this one yet.
+        self.unheard: set[str] = set()
+        # Ordered away; their entries stay on the list of executors for some seconds.
+        self.departed: set[str] = set()
+        # Whether the former owner left in good order.
+        self.closed_before = False
+        self._shard = dispatcher
+        self._executors = executors
+        self._clock = clock
+        self._events = events
+        self._link_tasks: dict[str, asyncio.Task[None]] = {}
+
+    def close(self) -> None:
+        """Send no more orders."""
+        for task in list(self._link_tasks.values()):
+            task.cancel()
+        for link in self.links_by_executor.values():
+            link.close()
+
+    def update(self) -> None:
+        """Take in the list of executors."""
+        for entry in self.entries_by_id.values():
+            link = self.links_by_executor.get(entry.executor)
+            if link is None:
+                if entry.service in self.services and entry.executor not in self.departed:
+                    self.open(entry, inherited=False)
+                continue
+            if entry.draining and not link.entry.draining:
+                self._events.note("executor.draining", executor=entry.executor)
+            link.entry = entry
+            link.listed = True
+        for executor, link in list(self.links_by_executor.items()):
+            if executor not in self.entries_by_id:
+                link.listed = False
+                if link.lapsed:
+                    self.drop(link, "not listed any more")
+
+    def open(self, entry: ExecutorEntry, *, inherited: bool) -> None:
+        """Begin to use an executor.
+
+        :param entry: its entry.
+        :param inherited: whether a former owner used it, so that it may run tasks of this shard.
+        """
+        now = self._clock.monotonic()
+        link = ExecutorLink(
+            entry=entry,
+            fence=self._shard.epoch,
+            port=self._executors,
+            owner=self._shard,
+            clock=self._clock,
+            events=self._events,
+            # An owner that left in good order gives no leases after its last record.
+            lapse_at=now + (LEASE_S + (0 if self.closed_before else AUTHORITY_S)) * 1.05,
+        )
+        link.listed = not inherited or entry.executor in self.entries_by_id
+        self.links_by_executor[entry.executor] = link
+        # A successor has to know each executor that may run something. The list of executors may
+        # lack one that is cut off, and its tasks would be started a second time.
+        link.durable = self._shard.log.put(
+            EXECUTOR_KEY + entry.executor, msgspec.msgpack.encode(entry)
+        )
+        link.durable.outcome.add_done_callback(lambda _: self._shard.wake())
+        if inherited:
+            self.unheard.add(entry.executor)
+        self._link_tasks[entry.executor] = self._shard.spawn(link.run())
+
+    def drop(self, link: ExecutorLink, why: str) -> None:
+        """Take an executor for gone, with all that ran on it."""
+        executor = link.entry.executor
+        if self.links_by_executor.pop(executor, None) is None:
+            return
+        self._events.note(
+            "executor.gone", vital=True, executor=executor, why=why, runs=len(link.runs_by_key)
+        )
+        for run in list(link.runs_by_key.values()):
+            link.remove(run)
+            self._shard.on_lost(link, run, why)
+        link.up = False
+        link.close()
+        self._link_tasks.pop(executor).cancel()
+        self._shard.log.put(EXECUTOR_KEY + executor, b"")
+        self.heard(executor)
+
+    def heard(self, executor: str) -> None:
+        """Note that an executor has told what it runs, or can't run anything any more."""
+        if executor not in self.unheard:
+            return
+        self.unheard.discard(executor)
+        if self.unheard:
+            return
+        freed = 0
+        for job in self._shard.jobs_by_id.values():
+            for task in job.tasks():
+                freed += task.inherited
+                task.inherited = False
+        self._events.note("shard.audited", vital=True, shard=self._shard.shard, waiting=freed)
+        self._shard.wake()
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -183,16 +183,16 @@
             return job_replies.not_owner("this daemon doesn't own the queue")
         if name == "submit":
             job_id, queue, spec = values
-            return await owned.submit(
+            return await owned.desk.submit(
                 job_id=job_id,
                 queue=msgspec.convert(queue, Queue),
                 spec=msgspec.convert(spec, JobSpec),
             )
         if name == "cancel":
-            return await owned.cancel(values[0])
+            return await owned.desk.cancel(values[0])
         if name == "state":
-            return await owned.state(values[0])
-        return owned.pending(values[0])
+            return await owned.desk.state(values[0])
+        return owned.desk.pending(values[0])
 
     async def _refresh(self) -> None:
         # Many requests may find an owner gone at once; one reading serves all of them.
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -83,7 +83,7 @@
 
 def _executors(dispatcher: "Dispatcher", service: str) -> list[ExecutorView]:
     views = []
-    for link in dispatcher.links_by_executor.values():
+    for link in dispatcher.roster.links_by_executor.values():
         if link.entry.service != service:
             continue
         runs = list(link.runs_by_key.values())
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -18,6 +18,10 @@
 # The bytes of one append; the store takes 2 MB.
 MAX_BATCH_BYTES = 1_000_000
 
+# Prefixes of a shard's keys: accepted jobs, their progress, the executors that may run its tasks,
+# and the key of its owner's record.
+JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY, OWNER_KEY = "j/", "p/", "e/", "o"
+
 
 class Stored(enum.Enum):
     """What became of a record."""
--- /dev/null
+++ b/mustardgap/task_starters.py
@@ -0,0 +1,150 @@
+"""Places the tasks of one shard: who goes first, and on which executor."""
+
+from typing import TYPE_CHECKING
+
+from . import metrics
+from .advices import StepKey
+from .events import EventLog
+from .executor_links import ExecutorLink, Run
+from .job_states import Job, JobPhase, Task, exhausted
+from .placing import choose, choose_gang, in_order, usable
+from .timers import Clock
+from .workloads import AdvicePolicy, Step, TaskId
+
+if TYPE_CHECKING:
+    from .dispatchers import Dispatcher
+
+# Run numbers rise with the epoch, so that those of a new owner are above all earlier ones.
+RUNS_AN_EPOCH = 100_000
+
+
+class TaskStarter:
+    """Starts what waits and has room, in passes over all jobs.
+
+    :param dispatcher: the shard's owner.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(self, *, dispatcher: "Dispatcher", clock: Clock, events: EventLog) -> None:
+        self._shard = dispatcher
+        self._clock = clock
+        self._events = events
+        self._run_count = 0
+
+    def place(self) -> None:
+        """Start what waits and has room, the most urgent first."""
+        configuration = self._shard.configuration
+        if configuration is None or self._shard.authority_s() <= 0:
+            return
+        if self._shard.log.fenced or self._shard.handing_over:
+            return
+        now, wall = self._clock.monotonic(), self._clock.wall()
+        waiting = [job for job in self._shard.jobs_by_id.values() if job.phase is JobPhase.LIVE]
+        for job in in_order(waiting, self._shard.queue_of, self._cores_by_service(now), wall):
+            steps = list(job.steps_in_turn())
+            if self._end_if_exhausted(job, steps):
+                continue
+            for tasks in steps:
+                self._place_step(job, tasks, now)
+            self._ask_ahead(job)
+
+    def _end_if_exhausted(self, job: Job, steps: list[list[Task]]) -> bool:
+        # A new owner hears of failures before it knows how many the queue allows, which the
+        # configuration says; a job that was over by then would be started once more. All steps are
+        # looked at before any is placed: what was started of one step would outlive the job.
+        queue = self._shard.queue_of(job)
+        if not any(task.waits and exhausted(task, queue) for tasks in steps for task in tasks):
+            return False
+        self._shard.finish(job, JobPhase.FAILED, "a task had failed too often under earlier owners")
+        return True
+
+    def _cores_by_service(self, now: float) -> dict[str, float]:
+        cores: dict[str, float] = {}
+        for link in self._shard.roster.links_by_executor.values():
+            if link.up and link.listed and not link.closing and now >= link.pause_until:
+                service = link.entry.service
+                cores[service] = cores.get(service, 0.0) + link.entry.capacity.cpu / 1000
+        return cores
+
+    def _place_step(self, job: Job, tasks: list[Task], now: float) -> None:
+        step = tasks[0].step
+        missing = [task for task in tasks if task.waits]
+        if not missing:
+            return
+        queue = self._shard.queue_of(job)
+        links = self.usable_links(step, job)
+        # Where every executor is under suspicion, trying is better than waiting.
+        links = [link for link in links if now >= link.pause_until] or links
+        if queue is not None and queue.advice is not None:
+            links = self._advised(tasks[0].task_id, links, queue.advice)
+        if step.gang:
+            self._place_gang(job, tasks, links)
+            return
+        for task in missing:
+            link = choose(task, tasks, links, self._shard.evacuations.planned, now)
+            if link is None:
+                return
+            self._start(job, task, link, self._next_run())
+
+    def usable_links(self, step: Step, job: Job) -> list[ExecutorLink]:
+        """The executors that may get new runs of a job's step, those that are paused among them."""
+        return [
+            link
+            for link in self._shard.roster.links_by_executor.values()
+            if usable(link, step, job.service)
+        ]
+
+    def _ask_ahead(self, job: Job) -> None:
+        """Have tickets asked for the steps that come next, so that they needn't wait for them."""
+        queue = self._shard.queue_of(job)
+        if queue is None or queue.advice is None or not job.begun:
+            return
+        for tasks in job.steps_to_come():
+            links = self.usable_links(tasks[0].step, job)
+            self._advised(tasks[0].task_id, links, queue.advice)
+
+    def _advised(
+        self, task_id: TaskId, links: list[ExecutorLink], policy: AdvicePolicy
+    ) -> list[ExecutorLink]:
+        """The executors with a ticket for a task's step; tickets that lack are asked for."""
+        key = StepKey.of(task_id)
+        best = sorted(links, key=lambda link: -link.free.cpu)
+        self._shard.advices.want(key, [link.entry.executor for link in best], policy)
+        return [link for link in links if self._shard.advices.ticket(key, link.entry.executor)]
+
+    def _place_gang(self, job: Job, tasks: list[Task], links: list[ExecutorLink]) -> None:
+        # A gang restarts as a whole, when all its earlier runs have ended.
+        if not all(task.waits for task in tasks):
+            return
+        chosen = choose_gang(tasks, links)
+        if chosen is None:
+            return
+        number = self._next_run()
+        for task, link in zip(tasks, chosen, strict=True):
+            self._start(job, task, link, number)
+
+    def _start(self, job: Job, task: Task, link: ExecutorLink, number: int) -> None:
+        now = self._clock.monotonic()
+        run = Run(task=task, number=number, link=link, now=now)
+        task.run = run
+        job.begun = True
+        waited_s = self._clock.wall() - job.due_at(task.task_id.occurrence)
+        self._events.note(
+            "run.start",
+            job=job.job_id,
+            task=task.task_id,
+            run=number,
+            executor=link.entry.executor,
+            free_cpu=link.free.cpu,
+            failures=task.failures,
+            fence=self._shard.epoch,
+            waited_s=waited_s,
+        )
+        metrics.placement_wait.record(max(waited_s, 0.0))
+        ticket = self._shard.advices.ticket(StepKey.of(task.task_id), link.entry.executor) or ""
+        link.begin(run, payload=job.spec.payload, ticket=ticket)
+
+    def _next_run(self) -> int:
+        self._run_count += 1
+        return self._shard.epoch * RUNS_AN_EPOCH + self._run_count
--- a/tools/virtual_time.py
+++ b/tools/virtual_time.py
@@ -9,7 +9,7 @@
 
 T = TypeVar("T")
 
-# The longest play of owners, of 60 virtual seconds, takes 23,000 turns; days of slots take more.
+# The longest play of owners, of 60 virtual seconds, takes 23,000 turns.
 MAX_TURNS = 5_000_000
 
 
