--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -184,7 +184,7 @@
 
 @when("the daemon that owns it is killed")
 def kill_owner(context):
-    # Lines are written by a thread of their own, so the caller's answer may be ahead of them.
+    # The caller's answer may go out a moment ahead of the owner's line.
     _until(lambda: _accepting(context), "no daemon has logged that it accepted the job")
     context.killed = _accepting(context)[0]
     context.processes.kill(f"e{context.killed}")
