Check in the owners' worlds how many of a wave are down, and what callers are told waits

Cause: two rules of the users' pages had a mechanism and no test of their own. The fake fleet counted machines of a wave that were down and nobody read it; it now notes an order above the wave's bound. Four scenarios ask each host for its waiting jobs, also after takeovers.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -162,6 +162,21 @@
       | allowed on some executors by a policy |
       | wider than the pool                   |
 
+  Scenario Outline: Callers see how many jobs wait, also after the trouble "<trouble>"
+    Nothing can start, as no executor has the label that the jobs want. The caller asks each host how
+    many of its jobs haven't begun; too low a number would have it send more than can be done.
+
+    Given owners on a fake platform
+    When 8 jobs wait for a label that no executor has, and the trouble "<trouble>" comes
+    Then each host shows 8 jobs that haven't begun
+
+    Examples:
+      | trouble      |
+      | none         |
+      | owner killed |
+      | all killed   |
+      | dealt anew   |
+
   Scenario: A repeat of a job's id changes nothing
     The caller's answer was lost; the same request comes again at once through another host, and again
     seconds after the job was accepted. It stays one job.
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -13,7 +13,7 @@
 from mustardgap.job_states import Task
 from mustardgap.workloads import EndKind, TaskId
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
-from tools.owner_worlds import ATTEMPTS, play
+from tools.owner_worlds import ATTEMPTS, QUEUE, play
 
 START_S = 6.0
 LONG = "MUSTARDGAP_LONG" in os.environ
@@ -96,9 +96,7 @@
     spec = TWO_STEPS._replace(steps=(first, second._replace(depends_on=())))
 
     async def scene(world):
-        for executor in world.fleet.by_address.values():
-            executor.entry = executor.entry._replace(draining=True)
-            world.publish(executor)
+        _drain(world)
         await asyncio.sleep(START_S)
         assert await world.submit_until_accepted(_job_id(1), spec)
         await asyncio.sleep(0.1)
@@ -146,6 +144,30 @@
     context.world = play(scene, **context.options)
 
 
+@when('{count:d} jobs wait for a label that no executor has, and the trouble "{name}" comes')
+def jobs_wait(context, count, name):
+    steps = tuple(step._replace(requires="gold") for step in TWO_STEPS.steps)
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        for number in range(count):
+            spec = TWO_STEPS._replace(steps=steps)
+            assert await world.submit_until_accepted(_job_id(number), spec)
+        await BY_NAME[name](world)
+        await asyncio.sleep(8)
+        replies = [await world.daemon(host).gateway.pending(queue=QUEUE) for host in world.names]
+        context.pending = [reply.pending for reply in replies]
+
+    context.world = play(scene, **context.options)
+
+
+def _drain(world):
+    """Let every executor say that it is about to leave."""
+    for executor in world.fleet.by_address.values():
+        executor.entry = executor.entry._replace(draining=True)
+        world.publish(executor)
+
+
 @when("one job is handed in through all hosts at once, and again after it has ended")
 def repeated(context):
     async def scene(world):
@@ -320,6 +342,11 @@
     assert context.at_work == LASTING.steps[0].width, context.at_work
 
 
+@then("each host shows {count:d} jobs that haven't begun")
+def shows_waiting(context, count):
+    assert context.pending == [count] * 3, context.pending
+
+
 @then("it is in force on all daemons after 2 s")
 def in_force(context):
     assert set(context.versions.values()) == {5}, context.versions
--- a/tools/fake_machines.py
+++ b/tools/fake_machines.py
@@ -37,7 +37,7 @@
         self.moves = 0
         self.lost_share = 0.0
         self.down_by_wave: dict[int, int] = {}
-        self.most_by_wave: dict[int, int] = {}
+        self.at_once_by_wave: dict[int, int] = {}
         self.places: dict[str, _Place] = {}
         self._world = world
 
@@ -85,8 +85,8 @@
         if wave is not None:
             place.waves_done.add(wave)
             self.down_by_wave[wave] = self.down_by_wave.get(wave, 0) + 1
-            most = max(self.most_by_wave.get(wave, 0), self.down_by_wave[wave])
-            self.most_by_wave[wave] = most
+            if self.down_by_wave[wave] > self.at_once_by_wave[wave]:
+                self.problems.append(f"{name} went down while enough of wave {wave} were")
         else:
             assert pool is not None
             self.moves += 1
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -222,6 +222,7 @@
     """Half of the pool's machines are due for maintenance, one at a time."""
     number = world.store.random.randrange(1, 10_000)
     wave = Wave(number, ("m1", "m2"), 20.0, 1)
+    world.machines.at_once_by_wave[number] = wave.at_once
     world.store.write_operator(f"wave/{number}", _encoded(wave))
 
 
