--- a/features/owners.feature
+++ b/features/owners.feature
@@ -162,6 +162,15 @@
       | allowed on some executors by a policy |
       | wider than the pool                   |
 
+  Scenario: An executor that announces that it leaves gets nothing new after 2 s
+    The executor's entry says that it is draining. What is started on it later than its owner must know
+    of that ends with it some seconds on, and its caller waits for a second run.
+
+    Given owners on a fake platform
+    When 24 jobs of two steps are handed in under the trouble "executor drains", 3 times in a row
+    Then all jobs have ended as completed
+    And nothing was started on an executor that had been draining for 2 s
+
   Scenario Outline: Callers see how many jobs wait, also after the trouble "<trouble>"
     Nothing can start, as no executor has the label that the jobs want. The caller asks each host how
     many of its jobs haven't begun; too low a number would have it send more than can be done.
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -364,6 +364,18 @@
     assert evacuations.is_at_work(task, 100.0) is (counts == "counts")
 
 
+@then("nothing was started on an executor that had been draining for {seconds:d} s")
+def drained(context, seconds):
+    world = context.world
+    assert len(world.drained_at_by_executor) == 3, world.drained_at_by_executor
+    late = [
+        run
+        for run in world.fleet.record.runs
+        if run.started_at > world.drained_at_by_executor.get(run.executor, 1e9) + seconds
+    ]
+    assert not late, late
+
+
 @then("nothing of the job was started")
 def nothing_started(context):
     assert not context.world.fleet.record.runs, context.world.fleet.record.runs
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -195,6 +195,7 @@
         return
     executor.entry = executor.entry._replace(draining=True)
     world.publish(executor)
+    world.drained_at_by_executor[executor.entry.executor] = world.loop.time()
     await asyncio.sleep(3.5)
     executor.crash()
     world.store.write_entry(executor.entry.executor, None)
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -282,6 +282,7 @@
         self.work_s = work_s
         self.lives = 0
         self.found: list[str] = []
+        self.drained_at_by_executor: dict[str, float] = {}
         self.fleet.record.room_of = self._room_of
         self.fleet.record.on_stop = self._check_stop
         self.cancelling: set[str] = set()
