--- a/features/owners.feature
+++ b/features/owners.feature
@@ -180,7 +180,7 @@
     few tasks that were sent would wait for all of them.
 
     Given owners on a fake platform
-    When a job of 60 small tasks begins as one of 2 executors is cut off for 9 s
+    When a job of 60 small tasks begins, one of 2 executors is cut off for 9 s
     Then all jobs have ended as completed
     And the job has ended before the executor is back
     And no promise was broken
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -85,7 +85,7 @@
 
 
 @when(
-    "a job of {width:d} small tasks begins as one of {count:d} executors is cut off for {seconds:d} s"
+    "a job of {width:d} small tasks begins, one of {count:d} executors is cut off for {seconds:d} s"
 )
 def small_tasks(context, width, count, seconds):
     step = TWO_STEPS.steps[0]._replace(width=width, cpu=100)
