--- a/features/events.feature
+++ b/features/events.feature
@@ -25,3 +25,21 @@
     When 3000 usual lines are noted within a second
     And 10 vital lines are noted within a second
     Then the last 10 lines are the vital ones
+
+  Scenario: A day's logs become one page
+    The one who was on call wants to see a day after a complaint: who owned what, what callers were told,
+    what was lost meanwhile. The last line of a daemon that was killed is cut in the middle.
+
+    Given logs of two daemons, the first of which was killed and the second took over
+    When a page is drawn from the logs
+    Then the page names both owners of shard 3 with their epochs, and what was lost
+    And its plots show jobs, answers, runs and the owners
+
+  Scenario Outline: No page is drawn from logs that <flaw>
+    When a page is drawn from logs that <flaw>
+    Then the report ends in <code>, which names <text>
+
+    Examples:
+      | flaw                     | code   | text                |
+      | aren't there             | MG2000 | No such file        |
+      | hold no structured lines | MG6000 | no structured lines |
--- a/features/steps/events_steps.py
+++ b/features/steps/events_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from features.support.command_line import run_command
 from mustardgap.events import EventLog
 from mustardgap.timers import Clock
 
@@ -80,3 +81,67 @@
 @then("the last {count:d} lines are the vital ones")
 def last_vital(context, count):
     assert [row["event"] for row in context.log.kept[-count:]] == ["vital"] * count
+
+
+FIRST_LOG = """starting
+{"time":10.0,"host":"e1","event":"shard.gained","shard":3,"epoch":7}
+{"time":11.0,"host":"e1","event":"job.accepted","job":"a1","shard":3,"epoch":7,"stored":"stored"}
+{"time":11.1,"host":"e1","event":"submit.answered","job":"a1","code":"MG4020","took_s":0.02}
+{"time":11.2,"host":"e1","event":"run.start","job":"a1","run":1,"waited_s":0.2}
+{"time":12.0,"host":"e1","event":"store.lost","shard":3,"why":"no answer in time"}
+{"time":12.5,"host":"e1","event":"run.st"""
+SECOND_LOG = """{"time":13.0,"host":"e2","event":"shard.gained","shard":3,"epoch":8}
+{"time":14.0,"host":"e2","event":"run.end","job":"a1","run":1,"how":"DONE"}
+{"time":14.1,"host":"e2","event":"job.ended","job":"a1","phase":"COMPLETED"}
+"""
+
+
+@given("logs of two daemons, the first of which was killed and the second took over")
+def two_logs(context):
+    context.logs = [context.folder / "e1.log", context.folder / "e2.log"]
+    for path, text in zip(context.logs, (FIRST_LOG, SECOND_LOG), strict=True):
+        path.write_text(text)
+
+
+def _draw(context, logs):
+    context.page = context.folder / "day.html"
+    options = [part for path in logs for part in ("--logs", str(path))]
+    context.ran = run_command("report", *options, "--out", str(context.page))
+
+
+@when("a page is drawn from the logs")
+def draw(context):
+    _draw(context, context.logs)
+    assert context.ran.status == 0, context.ran.stderr
+
+
+@when("a page is drawn from logs that {flaw}")
+def draw_flawed(context, flaw):
+    path = context.folder / "flawed.log"
+    if "hold" in flaw:
+        path.write_text("starting\n")
+    _draw(context, [path])
+
+
+@then("the page names both owners of shard 3 with their epochs, and what was lost")
+def page_names(context):
+    text = context.page.read_text()
+    cells = "<td>3</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td>"
+    # The first one's ownership ends with the last line that it wrote whole.
+    assert cells.format("e1", 7, "0.00", "2.00") in text, text[-2000:]
+    assert cells.format("e2", 8, "3.00", "4.10") in text, text[-2000:]
+    assert "<td>store.lost</td><td>shard=3 why=no answer in time</td>" in text, text[-2000:]
+
+
+@then("its plots show jobs, answers, runs and the owners")
+def page_plots(context):
+    text = context.page.read_text()
+    assert text.count("<svg") == 1
+    for label in ("accepted", "ended: completed", "submit MG4020", "end: done", "e1", "e2"):
+        assert f"<!-- {label} -->" in text or f"<!--  {label} -->" in text, label
+
+
+@then("the report ends in {code}, which names {text}")
+def report_ends(context, code, text):
+    assert context.ran.status != 0
+    assert code in context.ran.stderr and text in context.ran.stderr, context.ran.stderr
--- a/mustardgap/commands_views.py
+++ b/mustardgap/commands_views.py
@@ -9,7 +9,7 @@
 
 import click
 
-from . import job_stories, status_codes, timeline_pages
+from . import day_reports, job_stories, status_codes, timeline_pages
 from .clients import Client
 from .command_options import cli, emit, options, run
 from .exceptions import MustardgapError
@@ -184,6 +184,42 @@
     emit(answer, lambda: print_lines(answer["lines"]))
 
 
+@cli.command()
+@click.option(
+    "--logs",
+    multiple=True,
+    required=True,
+    type=click.Path(path_type=Path),
+    help="Logs of the daemons.",
+)
+@click.option(
+    "--out", required=True, type=click.Path(path_type=Path, dir_okay=False), help="The page."
+)
+def report(logs: tuple[Path, ...], out: Path) -> None:
+    """Draw a day on the users' platform from the daemons' logs, as one page.
+
+    It shows who owned each shard, jobs, answers, runs, executors and waits, and lists what was lost
+    and regained. It needs matplotlib: pip install "mustardgap[report]".
+
+    \b
+    Example: mustardgap report --logs e1.log --logs e2.log --out day.html
+    """
+    lines = job_stories.read(logs)
+    if not lines:
+        raise click.UsageError("the logs hold no structured lines")
+    summary = day_reports.make(lines)
+    try:
+        plots = day_reports.plot(summary)
+    except ImportError as exc:
+        raise click.ClickException(f'{exc}; try pip install "mustardgap[report]"') from None
+    try:
+        out.write_text(day_reports.page(summary, plots), encoding="utf-8")
+    except OSError as exc:
+        raise click.FileError(str(out), exc.strerror) from None
+    answer = {"page": str(out), "lines": len(lines), "daemons": len(summary.hosts)}
+    emit(answer, lambda: click.echo(f"{len(lines)} lines of {len(summary.hosts)} daemons: {out}"))
+
+
 @cli.command()
 @click.option("--since", default="1h", show_default=True, help="30s, 10m, 2h, 1d, or a time.")
 @click.option("--service", default="", help="Only events of this service.")
--- /dev/null
+++ b/mustardgap/day_reports.py
@@ -0,0 +1,232 @@
+"""One page that shows a day on the users' platform, from the daemons' structured lines."""
+
+import html
+import io
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, NamedTuple
+
+from .job_stories import Line
+
+# Lines are counted in steps of this many seconds.
+STEP_S = 1.0
+WIDTH_INCHES, PANEL_INCHES = 12.0, 2.2
+# A page of a long day names at most this many lost and regained dependencies.
+MAX_ROWS = 200
+
+_PAGE = """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>mustardgap: a day</title><style>
+body {{ font-family: sans-serif; margin: 2em; }}
+td, th {{ padding: 0.1em 0.8em; text-align: left; }}
+svg {{ max-width: 100%; height: auto; }}
+</style></head><body><h1>A day of {hosts} daemons, {span:.0f} s</h1>
+{plots}
+<h2>Counts</h2>{counts}
+<h2>Shards gained and lost</h2>{shards}
+<h2>Dependencies lost and regained, failures</h2>{trouble}
+</body></html>
+"""
+
+
+class Ownership(NamedTuple):
+    """A span in which one daemon owned a shard; times in seconds since the first line."""
+
+    shard: int
+    host: str
+    epoch: int
+    since: float
+    until: float
+
+
+class Report(NamedTuple):
+    """What a page shows; ``series`` are counts by step, by what is counted, by panel."""
+
+    start: float
+    span_s: float
+    hosts: list[str]
+    ownerships: list[Ownership]
+    series_by_panel: dict[str, dict[str, list[int]]]
+    waits_s: list[tuple[float, float]]
+    counts: Counter[tuple[str, str]]
+    trouble: list[Line]
+
+
+def make(lines: Sequence[Line]) -> Report:
+    """Sum a day up.
+
+    :param lines: the lines of all daemons, by time; at least one.
+    """
+    start, end = lines[0].time, lines[-1].time
+    counts: Counter[tuple[str, str]] = Counter()
+    steps = int((end - start) / STEP_S) + 1
+    series: dict[str, dict[str, list[int]]] = {panel: {} for panel in _PANELS}
+    waits = []
+    for line in lines:
+        kind = _kind(line)
+        counts[line.event, kind] += 1
+        for panel, label_of in _PANELS.items():
+            label = label_of(line.event, kind)
+            if label:
+                counted = series[panel].setdefault(label, [0] * steps)
+                counted[int((line.time - start) / STEP_S)] += 1
+        if line.event == "run.start" and "waited_s" in line.fields:
+            waits.append((line.time - start, line.fields["waited_s"]))
+    return Report(
+        start=start,
+        span_s=end - start,
+        hosts=sorted({line.host for line in lines}),
+        ownerships=list(_ownerships(lines)),
+        series_by_panel=series,
+        waits_s=waits,
+        counts=counts,
+        trouble=[line for line in lines if line.event in _TROUBLE][:MAX_ROWS],
+    )
+
+
+def page(report: Report, plots: str) -> str:
+    """The page, with its plots as SVG."""
+    return _PAGE.format(
+        hosts=len(report.hosts),
+        span=report.span_s,
+        plots=plots,
+        counts=_table(
+            ("event", "kind", "lines"),
+            [(event, kind, count) for (event, kind), count in sorted(report.counts.items())],
+        ),
+        shards=_table(
+            ("shard", "daemon", "epoch", "from second", "to second"),
+            [
+                (o.shard, o.host, o.epoch, f"{o.since:.2f}", f"{o.until:.2f}")
+                for o in report.ownerships
+            ],
+        ),
+        trouble=_table(
+            ("second", "daemon", "event", "what"),
+            [
+                (f"{line.time - report.start:.3f}", line.host, line.event, _fields(line))
+                for line in report.trouble
+            ],
+        ),
+    )
+
+
+def plot(report: Report) -> str:
+    """The report's plots as one SVG.
+
+    :raises ImportError: matplotlib isn't installed.
+    """
+    from matplotlib.figure import Figure
+
+    panels = len(_PANELS) + 2
+    figure = Figure(figsize=(WIDTH_INCHES, PANEL_INCHES * panels), layout="constrained")
+    axes = figure.subplots(panels, 1, sharex=True)
+    _plot_owners(axes[0], report)
+    for axis, (panel, series) in zip(axes[1:], report.series_by_panel.items(), strict=False):
+        axis.set_title(f"{panel}, lines a second", loc="left", fontsize=9)
+        for label, counted in sorted(series.items()):
+            axis.step(range(len(counted)), counted, where="post", label=label)
+        if series:
+            axis.legend(fontsize=7, loc="upper right")
+    axes[-1].set_title("wait of a task before its start, s", loc="left", fontsize=9)
+    axes[-1].scatter(
+        [at for at, _ in report.waits_s], [waited for _, waited in report.waits_s], s=2
+    )
+    axes[-1].set_xlabel("seconds since the first line")
+    out = io.StringIO()
+    figure.savefig(out, format="svg")
+    return out.getvalue()[out.getvalue().index("<svg") :]
+
+
+def _plot_owners(axis: Any, report: Report) -> None:
+    axis.set_title("owner of each shard", loc="left", fontsize=9)
+    numbers = {host: number for number, host in enumerate(report.hosts)}
+    for owned in report.ownerships:
+        colour = f"C{numbers[owned.host] % 10}"
+        axis.barh(owned.shard, owned.until - owned.since, left=owned.since, color=colour)
+        axis.text(owned.since, owned.shard, f" {owned.host}", fontsize=6, va="center")
+
+
+def _ownerships(lines: Iterable[Line]) -> Iterable[Ownership]:
+    """Spans from a gain to the loss, or to the daemon's last line, which may be its end."""
+    lines = list(lines)
+    start = lines[0].time
+    last_by_host = {line.host: line.time for line in lines}
+    since: dict[tuple[str, int], Line] = {}
+    for line in lines:
+        key = (line.host, line.fields.get("shard", -1))
+        if line.event == "shard.gained":
+            since[key] = line
+        elif line.event == "shard.lost" and key in since:
+            yield _owned(since.pop(key), line.time, start)
+    for (host, _), gained in since.items():
+        yield _owned(gained, last_by_host[host], start)
+
+
+def _owned(gained: Line, until: float, start: float) -> Ownership:
+    fields = gained.fields
+    return Ownership(
+        fields["shard"], gained.host, fields.get("epoch", 0), gained.time - start, until - start
+    )
+
+
+def _kind(line: Line) -> str:
+    for name in ("code", "how", "phase", "outcome", "why"):
+        if name in line.fields:
+            return str(line.fields[name])
+    return ""
+
+
+def _jobs(event: str, kind: str) -> str:
+    if event == "job.accepted":
+        return "accepted"
+    return f"ended: {kind.lower()}" if event == "job.ended" else ""
+
+
+def _answers(event: str, kind: str) -> str:
+    return f"{event.removesuffix('.answered')} {kind}" if event.endswith(".answered") else ""
+
+
+def _runs(event: str, kind: str) -> str:
+    if event == "run.end":
+        return f"end: {kind.lower()}"
+    return event.removeprefix("run.") if event.startswith("run.") else ""
+
+
+def _fleet(event: str, kind: str) -> str:
+    known = ("executor.up", "executor.lost", "executor.gone", "executor.paused", "machine.ordered")
+    return event if event in known else ""
+
+
+_PANELS: dict[str, Callable[[str, str], str]] = {
+    "jobs": _jobs,
+    "answers to callers": _answers,
+    "runs": _runs,
+    "executors and machines": _fleet,
+}
+_TROUBLE = frozenset(
+    {
+        "daemon.start",
+        "daemon.stop",
+        "dispatcher.failed",
+        "executor.lapsed",
+        "operator.lost",
+        "operator.regained",
+        "shard.fenced",
+        "shard.unread",
+        "store.lost",
+        "store.regained",
+    }
+)
+
+
+def _fields(line: Line) -> str:
+    return " ".join(f"{key}={value}" for key, value in line.fields.items())
+
+
+def _table(columns: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    head = "".join(f"<th>{html.escape(column)}</th>" for column in columns)
+    body = "".join(
+        "<tr>" + "".join(f"<td>{html.escape(str(cell))}</td>" for cell in row) + "</tr>"
+        for row in rows
+    )
+    return f"<table><tr>{head}</tr>{body}</table>"
