--- a/features/events.feature
+++ b/features/events.feature
@@ -32,7 +32,7 @@
 
     Given logs of two daemons, the first of which was killed and the second took over
     When a page is drawn from the logs
-    Then the page names both owners of shard 3 with their epochs, and what was lost
+    Then the page names both owners of shard 3 with their epochs, what was lost, and lines left out
     And its plots show jobs, answers, runs and the owners
 
   Scenario Outline: No page is drawn from logs that <flaw>
--- a/features/steps/events_steps.py
+++ b/features/steps/events_steps.py
@@ -91,7 +91,7 @@
 {"time":12.0,"host":"e1","event":"store.lost","shard":3,"why":"no answer in time"}
 {"time":12.5,"host":"e1","event":"run.st"""
 SECOND_LOG = """{"time":13.0,"host":"e2","event":"shard.gained","shard":3,"epoch":8}
-{"time":14.0,"host":"e2","event":"run.end","job":"a1","run":1,"how":"DONE"}
+{"time":14.0,"host":"e2","event":"run.end","job":"a1","run":1,"how":"DONE","left_out":17}
 {"time":14.1,"host":"e2","event":"job.ended","job":"a1","phase":"COMPLETED"}
 """
 
@@ -123,13 +123,14 @@
     _draw(context, [path])
 
 
-@then("the page names both owners of shard 3 with their epochs, and what was lost")
+@then("the page names both owners of shard 3 with their epochs, what was lost, and lines left out")
 def page_names(context):
     text = context.page.read_text()
     cells = "<td>3</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td>"
     # The first one's ownership ends with the last line that it wrote whole.
     assert cells.format("e1", 7, "0.00", "2.00") in text, text[-2000:]
     assert cells.format("e2", 8, "3.00", "4.10") in text, text[-2000:]
+    assert "wrote 8 lines and left 17 out" in text, text[:900]
     assert "<td>store.lost</td><td>shard=3 why=no answer in time</td>" in text, text[-2000:]
 
 
--- a/mustardgap/day_reports.py
+++ b/mustardgap/day_reports.py
@@ -20,6 +20,8 @@
 td, th {{ padding: 0.1em 0.8em; text-align: left; }}
 svg {{ max-width: 100%; height: auto; }}
 </style></head><body><h1>A day of {hosts} daemons, {span:.0f} s</h1>
+<p>The daemons wrote {lines} lines and left {left_out} out, to bound their rate. Where they left
+some out, counts and curves are too low; numbers of runs, which rise by one each, tell more.</p>
 {plots}
 <h2>Counts</h2>{counts}
 <h2>Shards gained and lost</h2>{shards}
@@ -48,6 +50,7 @@
     series_by_panel: dict[str, dict[str, list[int]]]
     waits_s: list[tuple[float, float]]
     counts: Counter[tuple[str, str]]
+    left_out: int
     trouble: list[Line]
 
 
@@ -79,6 +82,7 @@
         series_by_panel=series,
         waits_s=waits,
         counts=counts,
+        left_out=sum(line.fields.get("left_out", 0) for line in lines),
         trouble=[line for line in lines if line.event in _TROUBLE][:MAX_ROWS],
     )
 
@@ -89,6 +93,8 @@
         hosts=len(report.hosts),
         span=report.span_s,
         plots=plots,
+        lines=report.counts.total(),
+        left_out=report.left_out,
         counts=_table(
             ("event", "kind", "lines"),
             [(event, kind, count) for (event, kind), count in sorted(report.counts.items())],
