Hand no slot to a caller that has hung up in the same turn

Cause: a request that waits for a slot is cancelled when its caller hangs up; its future is cancelled at once, and it leaves the queue a turn of the loop later. A request that ended in between handed it the slot: InvalidStateError, so the slot was lost for good and the request that had ended well was answered with a reset. Ruled out: a slot given twice (each failed on a cancelled future). Change: such a waiter is taken out and passed over. The new scenario ended in InvalidStateError.

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -56,3 +56,11 @@
     Given slots are shared by 4 entry hosts on a network that is orderly
     When slots of service s0 are asked for at 5 times capacity and of s1 at 0.5
     Then slots of service s1 were given as if it were alone
+
+  Scenario: a caller that hangs up doesn't take a slot from the next one
+    # It waits for a slot and hangs up; in the same moment another request ends. The one that waits has
+    # been cancelled and still stands in the queue: handed the slot, it can't take it, the slot is lost
+    # for good, and the request that had ended well is told as failed.
+    Given slots are shared by 4 entry hosts on a network that is orderly
+    When slots of service s0 are all taken, and the first of two that wait hangs up as one is released
+    Then slots' next waiter has got it, and the released one failed nobody
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -179,3 +179,33 @@
     refused = context.outcomes["s1", 1, False] + context.outcomes["s1", 8, False]
     assert context.outcomes["s0", 8, False] > 100 and not refused, context.outcomes
     assert sum(context.waits["s1"]) / len(context.waits["s1"]) < 0.02
+
+
+@when(
+    "slots of service s0 are all taken, and the first of two that wait hangs up as one is released"
+)
+def hang_up(context):
+    async def play():
+        loop = asyncio.get_running_loop()
+        executors = FakeExecutors(services=1, executors=1)
+        network = FakeNetwork(delay_s=lambda: 0.0005)
+        fleet = Fleet(network=network, executors=executors, clock=VirtualClock(loop=loop))
+        entry, *_ = (fleet.add(f"e{i}") for i in range(context.entries))
+        await asyncio.sleep(5)
+        deadline = loop.time() + 30
+        taken = [await entry.slots.acquire("s0", deadline=deadline) for _ in range(8)]
+        waiting = [
+            asyncio.create_task(entry.slots.acquire("s0", deadline=deadline)) for _ in range(2)
+        ]
+        await asyncio.sleep(0.1)
+        waiting[0].cancel()
+        entry.slots.release(taken[0])
+        async with asyncio.timeout(1):
+            context.next = await waiting[1]
+
+    run(play())
+
+
+@then("slots' next waiter has got it, and the released one failed nobody")
+def next_has_it(context):
+    assert context.next.service == "s0", context.next
--- a/mustardgap/slots.py
+++ b/mustardgap/slots.py
@@ -158,6 +158,11 @@
             return
         passed_over = 0
         for waiter in list(queue):
+            if waiter.future.done():
+                # Its caller has hung up in this same turn of the loop, and it can't take a slot any
+                # more; the slot would be lost, and whoever released it be told of an error.
+                queue.remove(waiter)
+                continue
             slot = self.way.take(service, waiter.exclude, waiter.deadline)
             if slot is None:
                 passed_over += 1
