Read a shard, end a link's use, free a task and step down in one place each

Found by reading the whole change again: the loop that reads a shard stood in the shard's owner and in the fleet's owner, whose copy swallowed the store's refusals without a line; links told a later owner and another incarnation in three copies; a lost and a refused run were freed by the same lines twice; the steps of stepping down stood three times; the fleet's owner kept epoch and shard beside its log's. Each has one place now. Behaviour is as it was, but that the fleet's owner notes shard.unread too. Ruled out: one base for the two boards and one for all 'lost/regained' flags (alike in shape, with other fields and times); the constructors and modules alike in shape only.

--- a/mustardgap/day_reports.py
+++ b/mustardgap/day_reports.py
@@ -140,7 +140,8 @@
     axes[-1].set_xlabel("seconds since the first line")
     out = io.StringIO()
     figure.savefig(out, format="svg")
-    return out.getvalue()[out.getvalue().index("<svg") :]
+    svg = out.getvalue()
+    return svg[svg.index("<svg") :]
 
 
 def _plot_owners(axis: Any, report: Report) -> None:
@@ -152,9 +153,8 @@
         axis.text(owned.since, owned.shard, f" {owned.host}", fontsize=6, va="center")
 
 
-def _ownerships(lines: Iterable[Line]) -> Iterable[Ownership]:
+def _ownerships(lines: Sequence[Line]) -> Iterable[Ownership]:
     """Spans from a gain to the loss, or to the daemon's last line, which may be its end."""
-    lines = list(lines)
     start = lines[0].time
     last_by_host = {line.host: line.time for line in lines}
     since: dict[tuple[str, int], Line] = {}
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -23,7 +23,7 @@
 )
 from .pacing import Pacing
 from .pool_views import PoolRequest, PoolView, view
-from .ports import Advice, Entries, Executors, Store
+from .ports import Advice, Executors, Store
 from .shard_logs import EXECUTOR_KEY, JOB_KEY, OWNER_KEY, PROGRESS_KEY, ShardLog, Ticket
 from .suspicions import Suspicions
 from .task_starters import TaskStarter
@@ -49,7 +49,6 @@
 # Ended jobs are kept for this much longer than the platform asks for.
 KEEP_SLACK_S = 30.0
 REAP_S = 5.0
-LOAD_RETRY_S = 0.2
 # What the fleet's owner wants closed stays closed for so long without a word of it; a successor
 # needs some 6 s to go on, and an order without an answer may arrive meanwhile.
 FLEET_S = 6.0
@@ -114,7 +113,6 @@
         self.handing_over = False
         # Records of ends that aren't durable yet.
         self.ending_by_id: dict[str, Ticket] = {}
-        self._store = store
         self._clock = clock
         self._events = events
         self._bounds = bounds
@@ -129,7 +127,8 @@
     async def run(self) -> None:
         """Take the shard over and dispatch its jobs until fenced off or cancelled."""
         try:
-            if await self.log.open() and await self._load():
+            if await self.log.open():
+                await self._load()
                 await self._serve()
         finally:
             self.roster.close()
@@ -167,15 +166,9 @@
             self.advices.granted.clear()
             self.wake()
 
-    async def _load(self) -> bool:
+    async def _load(self) -> None:
         began = self._clock.monotonic()
-        while True:
-            entries = await self._store.newest(shard=self.shard)
-            if isinstance(entries, Entries):
-                break
-            self._events.note("shard.unread", vital=True, shard=self.shard, why=entries.detail)
-            await self._clock.sleep(LOAD_RETRY_S)
-        self._restore(entries)
+        self._restore(await self.log.read())
         self.loaded = True
         self._events.note(
             "shard.loaded",
@@ -188,10 +181,8 @@
         )
         self.roster.update()
         self.wake()
-        return True
 
-    def _restore(self, entries: Entries) -> None:
-        values = entries.values_by_key
+    def _restore(self, values: dict[str, bytes | None]) -> None:
         self.roster.closed_before = _was_closed(values.get(OWNER_KEY))
         self.log.put(OWNER_KEY, _owner_record(self.epoch, closed=False))
         for key, value in values.items():
@@ -264,8 +255,7 @@
                 epoch=self.epoch,
                 executor=link.entry.executor,
             )
-        self.log.close()
-        self.wake()
+        self.step_down()
 
     def on_unknown_row(self, link: ExecutorLink, row: RunRow) -> Run | None:
         """Adopt a run of a former owner, if its task is still wanted and runs nowhere else."""
@@ -332,23 +322,20 @@
     def on_lost(self, link: ExecutorLink, run: Run, why: str) -> None:
         """A run is gone without an end."""
         metrics.run_losses.add(1, {"why": why})
-        self._events.note(
-            "run.lost",
-            vital=True,
-            job=run.task.task_id.job,
-            task=run.task.task_id,
-            run=run.number,
-            executor=link.entry.executor,
-            why=why,
-        )
-        if run.task.run is run:
-            run.task.run = None
-        self.wake()
+        self._free_task("run.lost", link, run, why)
 
     def on_refused(self, link: ExecutorLink, run: Run, why: str) -> None:
         """A start was turned down."""
+        if why == "ticket":
+            self.advices.drop(StepKey.of(run.task.task_id), link.entry.executor)
+        else:
+            self.suspicions.on_refused(link, why)
+        self._free_task("run.refused", link, run, why)
+
+    def _free_task(self, event: str, link: ExecutorLink, run: Run, why: str) -> None:
+        """Let a task be placed again, as its run is no more."""
         self._events.note(
-            "run.refused",
+            event,
             vital=True,
             job=run.task.task_id.job,
             task=run.task.task_id,
@@ -358,10 +345,6 @@
         )
         if run.task.run is run:
             run.task.run = None
-        if why == "ticket":
-            self.advices.drop(StepKey.of(run.task.task_id), link.entry.executor)
-        else:
-            self.suspicions.on_refused(link, why)
         self.wake()
 
     # Ending jobs.
@@ -458,6 +441,11 @@
             if run.phase is RunPhase.RUNNING
         ]
 
+    def step_down(self) -> None:
+        """End the ownership; what is under way ends with it."""
+        self.log.close()
+        self.wake()
+
     def wake(self) -> None:
         """Have a pass of placing made soon."""
         self._wake.set()
@@ -484,8 +472,7 @@
                 why=repr(task.exception()),
             )
             # A part that failed leaves the shard half served; a new ownership starts afresh.
-            self.log.close()
-            self.wake()
+            self.step_down()
 
 
 def _owner_record(epoch: int, *, closed: bool) -> bytes:
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -254,11 +254,8 @@
         """Hold the lease and take in reports until the executor is gone, or cancelled."""
         while True:
             outcome = await self._look()
-            if isinstance(outcome, Fenced):
-                self._owner.on_fenced(self)
-                return
-            if isinstance(outcome, OtherIncarnation):
-                self._owner.on_gone(self)
+            if isinstance(outcome, Fenced | OtherIncarnation):
+                self._end_use(outcome)
                 return
             if not isinstance(outcome, Report):
                 self._miss(outcome)
@@ -452,11 +449,8 @@
                     break
                 self._refuse(run, outcome)
                 return
-            if isinstance(outcome, Fenced):
-                self._owner.on_fenced(self)
-                return
-            if isinstance(outcome, OtherIncarnation):
-                self._owner.on_gone(self)
+            if isinstance(outcome, Fenced | OtherIncarnation):
+                self._end_use(outcome)
                 return
             unanswered = unanswered or outcome.sent
             self._events.note(
@@ -490,6 +484,12 @@
             ticket=ticket,
         )
 
+    def _end_use(self, outcome: Fenced | OtherIncarnation) -> None:
+        if isinstance(outcome, Fenced):
+            self._owner.on_fenced(self)
+        else:
+            self._owner.on_gone(self)
+
     def _confirm(self, run: Run) -> None:
         if (run.task.task_id, run.number) not in self.runs_by_key:
             return
@@ -513,11 +513,8 @@
                     run.confirmed_at = self._clock.monotonic()
                 self._strays.discard((task_id, number))
                 return
-            if isinstance(outcome, Fenced):
-                self._owner.on_fenced(self)
-                return
-            if isinstance(outcome, OtherIncarnation):
-                self._owner.on_gone(self)
+            if isinstance(outcome, Fenced | OtherIncarnation):
+                self._end_use(outcome)
                 return
             if isinstance(outcome, Refused):
                 self._events.note(
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -13,7 +13,6 @@
 from .ports import (
     Boards,
     Done,
-    Entries,
     Fenced,
     Machines,
     NoAnswer,
@@ -86,9 +85,7 @@
         self.ended = asyncio.Event()
         self.state = FleetState(clock=clock, events=events)
         self.log = ShardLog(store=store, shard=shard, epoch=epoch, clock=clock, events=events)
-        self._epoch = epoch
         self._host = host
-        self._store = store
         self._machines = machines
         self._operator = operator
         self._ask = ask
@@ -96,7 +93,6 @@
         self._times = times
         self._clock = clock
         self._events = events
-        self._shard = shard
         self._listed_at = float("-inf")
         self._may_order_at = float("inf")
         self._absent_since: dict[str, float] = {}
@@ -128,8 +124,9 @@
         """Take the shard over, and order machines about until fenced off or cancelled."""
         writing: asyncio.Task[None] | None = None
         try:
-            if not await self.log.open() or not await self._load():
+            if not await self.log.open():
                 return
+            await self._load()
             writing = asyncio.create_task(self.log.run())
             # Orders for one machine by two holders within this time would contradict each other.
             self._may_order_at = self._clock.monotonic() + self._times.lease_s + TAKEOVER_SLACK_S
@@ -147,19 +144,14 @@
         """Send no more orders."""
         self._may_order_at = float("inf")
 
-    async def _load(self) -> bool:
-        while True:
-            entries = await self._store.newest(shard=self._shard)
-            if isinstance(entries, Entries):
-                break
-            await self._clock.sleep(ROUND_S)
-        learned = entries.values_by_key.get(LEARNED_KEY)
+    async def _load(self) -> None:
+        values = await self.log.read()
+        learned = values.get(LEARNED_KEY)
         if learned:
             self.moves.restore(learned)
-        for key, value in entries.values_by_key.items():
+        for key, value in values.items():
             if key.startswith(WAVE_KEY) and value:
                 self.waves.restore(int(key.removeprefix(WAVE_KEY)), value)
-        return True
 
     async def _round(self) -> None:
         configuration = self._operator.configuration
@@ -308,7 +300,7 @@
                 pool=closing.source,
                 wave=closing.wave,
                 to=closing.pool,
-                fence=self._epoch,
+                fence=self.log.epoch,
                 outcome=type(outcome).__name__,
                 why=getattr(outcome, "detail", None),
             )
@@ -330,11 +322,11 @@
     async def _send(self, name: str, closing: Closing) -> Order:
         if closing.wave is not None:
             return await self._machines.maintain(
-                machine=name, wave=closing.wave, holder=self._host, fence=self._epoch
+                machine=name, wave=closing.wave, holder=self._host, fence=self.log.epoch
             )
         assert closing.pool is not None
         return await self._machines.move(
-            machine=name, pool=closing.pool, holder=self._host, fence=self._epoch
+            machine=name, pool=closing.pool, holder=self._host, fence=self.log.epoch
         )
 
     def _ordered(
--- a/mustardgap/job_desks.py
+++ b/mustardgap/job_desks.py
@@ -110,8 +110,7 @@
         if isinstance(outcome, Appended) and not self._shard.log.fenced:
             return job_replies.UNKNOWN_JOB
         if isinstance(outcome, Fenced):
-            self._shard.log.close()
-            self._shard.wake()
+            self._shard.step_down()
         return job_replies.not_owner("the owner isn't sure of its jobs")
 
     async def _await_stored(self, ticket: Ticket, key: str, reply: JobReply) -> JobReply:
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -6,7 +6,7 @@
 
 from . import metrics
 from .events import EventLog
-from .ports import Appended, Fenced, NoAnswer, Record, Refused, Store, WrongSequence
+from .ports import Appended, Entries, Fenced, NoAnswer, Record, Refused, Store, WrongSequence
 from .timers import Clock
 
 # Records that come within this time share an append. An append takes the store 2 ms and a round
@@ -15,6 +15,8 @@
 BATCH_S = 0.008
 # The pause before an append that failed is repeated.
 RETRY_S = 0.1
+# The pause before a whole shard, which may be large, is read again.
+READ_RETRY_S = 0.2
 # The bytes of one append; the store takes 2 MB.
 MAX_BATCH_BYTES = 1_000_000
 
@@ -145,6 +147,15 @@
             while self._waiting_by_key and not self.fenced:
                 await self._send(self._take())
 
+    async def read(self) -> dict[str, bytes | None]:
+        """Read the newest value of each key, again and again until the store answers."""
+        while True:
+            outcome = await self._store.newest(shard=self.shard)
+            if isinstance(outcome, Entries):
+                return outcome.values_by_key
+            self._events.note("shard.unread", vital=True, shard=self.shard, why=outcome.detail)
+            await self._clock.sleep(READ_RETRY_S)
+
     def close(self) -> None:
         """End all tickets that are still open; nothing is written any more."""
         self.fenced = True
