Eject by certain failures too, and keep a held-up test from ejecting the well

The stand-in's first 100 draws fail 18 to 21 of 100; the limit was a share of over 0.2, so whether x1 was ejected hung on the moment of a check each 0.25 s. Change: a share also counts when the lower end of Wilson's interval is over what is usual. Red first: 19 and 17 of 100 stayed.

--- a/features/executors.feature
+++ b/features/executors.feature
@@ -22,6 +22,25 @@
       | non-idempotent | refusing            | 600   | 40   |
       | idempotent     | ten times as slow   | 600   | 60   |
 
+  Scenario Outline: an executor that fails <failed> of <tries> tries is <seen>
+    A caller gets an error, or waits for a retry, each time that a sick executor fails. One that
+    fails a sixth of its requests looks like bad luck after a few; after many it is certain, and it
+    has to go. The others fail <elsewhere> of 100 by the fault of their requests.
+
+    When executors fail <elsewhere> of 100 tries each, and one fails <failed> of <tries>
+    Then executors have that one <seen>
+
+    Examples:
+      | failed | tries | elsewhere | seen    |
+      | 3      | 10    | 0         | ejected |
+      | 2      | 10    | 0         | well    |
+      | 6      | 40    | 0         | well    |
+      | 19     | 100   | 0         | ejected |
+      | 17     | 100   | 0         | ejected |
+      | 12     | 100   | 0         | well    |
+      | 19     | 100   | 5         | well    |
+      | 35     | 100   | 5         | ejected |
+
   Scenario Outline: of six executors with a budget of <budget>, <count> that are <sick> stay in use
     Ejecting them all would leave the service with less than its budget, or the signs speak of the
     requests and not of executors. What can't be ejected gets the smallest share of the work.
--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -40,6 +40,24 @@
         return self.now
 
 
+class UnstalledClock(Clock):
+    """A clock that leaves out the time in which this process was held up.
+
+    Its hands move with its readings, by ``MAX_STEP_S`` at most.
+    """
+
+    MAX_STEP_S = 0.03
+
+    def __init__(self):
+        self._shown = self._read = super().monotonic()
+
+    def monotonic(self):
+        now = super().monotonic()
+        self._shown += min(now - self._read, self.MAX_STEP_S)
+        self._read = now
+        return self._shown
+
+
 class Six(Rig):
     """Six executors behind one entry host that spreads its requests."""
 
@@ -118,11 +136,16 @@
 
 @when("executors have one that is sick, then well")
 def sick_then_well(context):
+    # All six can be reached and answer at once, well or not. A test process that is held up would
+    # find the whole rack unreachable, silent or slow, eject three, and have to use the sick one.
+    waits = {"silent_timeout_s": 15.0, "connect_timeout_s": 15.0}
+    times = {"eject_s": 0.3, "slow_start_s": 0.4, **waits}
+
     async def main():
-        async with Six(requests={"eject_s": 0.3, "slow_start_s": 0.4}) as r:
+        async with Six(requests=times, clock=UnstalledClock()) as r:
             r.make_sick("resetting", ["x1"])
             outliers = r.entry.executors.outliers
-            async with asyncio.timeout(30):
+            async with asyncio.timeout(120):
                 while outliers.by_executor["x1"].ejections < 2:
                     await r.ask_many("idempotent", 12)
                 runs = len([run for run in r.runs() if run.executor == "x1"])
@@ -210,6 +233,29 @@
     return outliers
 
 
+def spread_failures(failed, tries):
+    """Signs of which some are failures, evenly spread, the last one a success."""
+    return [HARD if (n + 1) * failed // tries > n * failed // tries else OK for n in range(tries)]
+
+
+@when("executors fail {elsewhere:d} of 100 tries each, and one fails {failed:d} of {tries:d}")
+def fail_shares(context, elsewhere, failed, tries):
+    context.outliers = outliers = watch()
+    for name in SIX[1:]:
+        for sign in reversed(spread_failures(elsewhere, 100)):
+            outliers.note(name, sign, 0.01)
+    for sign in reversed(spread_failures(failed, tries)):
+        outliers.note("x1", sign, 0.01)
+    outliers.clock.now += 1.0
+    outliers.note("x2", OK, 0.01)
+
+
+@then("executors have that one {state}")
+def check_one(context, state):
+    states = {name: patient.state for name, patient in context.outliers.by_executor.items()}
+    assert states == dict.fromkeys(SIX, "well") | {"x1": state}, states
+
+
 @when("executors are found at the start, and one more later")
 def found(context):
     rows = [(name, "127.0.0.1:1", "r") for name in SIX]
--- a/mustardgap/healths.py
+++ b/mustardgap/healths.py
@@ -1,12 +1,15 @@
 """How healthy an executor looks from the tries that were sent to it."""
 
 from functools import singledispatch
+from math import sqrt
 from typing import Any, NamedTuple
 
 from .tries import CallerGone, Cut, Mismatch, NotSent, PassedOn, Refused, Reset, TimedOut, Whole
 
 HALF_LIFE_S = 5.0
 FAILED_STATUSES = frozenset({500, 502, 503, 504})
+# Standard deviations that an estimate may be off: 1.96 leaves a chance of 2.5 % on that side.
+CONFIDENCE = 1.96
 
 
 class Sign(NamedTuple):
@@ -99,6 +102,19 @@
         """The share of tries that failed."""
         return self._failures / self.tries if self.tries else 0.0
 
+    @property
+    def surest_failure_ratio(self) -> float:
+        """The share of failing tries that these tries show at the least.
+
+        :return: the lower end of Wilson's interval, 0 to 1; few tries show little.
+        """
+        if not self.tries:
+            return 0.0
+        share, spread = self.failure_ratio, CONFIDENCE**2 / self.tries
+        middle = share + spread / 2
+        margin = sqrt(spread * (share * (1 - share) + spread / 4))
+        return max(0.0, (middle - margin) / (1 + spread))
+
     @property
     def mean_s(self) -> float:
         """Seconds that a try took on average."""
--- a/mustardgap/outliers.py
+++ b/mustardgap/outliers.py
@@ -278,8 +278,11 @@
     """
     ratios, means = zip(*((p.failure_ratio, p.mean_s) for p in peers), strict=True)
     ratio, mean_s = median(ratios), median(means)
-    limit = max(FAILURE_RATIO, ratio * TIMES_MEDIAN + FAILURE_MARGIN)
-    if health.failure_ratio > limit:
+    usual = ratio * TIMES_MEDIAN + FAILURE_MARGIN
+    # A lower share counts too once it is certain. By a fixed share alone an executor that fails 19
+    # of 100 stays for good, and one that fails 3 of 10 goes or stays by the moment of the check.
+    is_certain = health.surest_failure_ratio > usual
+    if is_certain or health.failure_ratio > max(FAILURE_RATIO, usual):
         return f"{health.failure_ratio:.0%} of tries fail, {ratio:.0%} elsewhere"
     if health.mean_s > max(mean_s * TIMES_MEDIAN, mean_s + SLOW_MARGIN_S):
         return f"tries take {health.mean_s:.3f} s, {mean_s:.3f} s elsewhere"
