Leave shards to larger hosts while there are some

Cause: the store deals shards evenly among all members, whatever their size. On a grown fleet 28 of 38 hosts have half a core, and one of them owned the busiest pool: it took 0.4 s to store a job, its pool's views came too late for the fleet's owner (so the pool got no machines), half of all jobs began after 3.7 s, and 605 of 1,000 requests failed. Ruled out: several owners a pool (a step's bound of tasks on one executor needs the whole pool; the larger hosts suffice), telling power by what owners are seen to do (a takeover would be learned by failing), a fixed rule of who may join (a fleet of small hosts has to be served too). Change: hosts under a core stand by: they read who owns what twice a second, call one owner each time, and join when a shard has had no owner for 1 s or an owner answers nothing for 3 s; they give back when two larger hosts have owned all the while for 5 s.

--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import given as drawn
 from hypothesis.stateful import run_state_machine_as_test
 
+from features.support.owner_jobs import START_S, hand_in, job_id_of
 from mustardgap.evacuations import Evacuations
 from mustardgap.executor_links import Run, RunPhase
 from mustardgap.job_states import Task
@@ -17,7 +18,6 @@
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
 from tools.owner_worlds import ATTEMPTS, QUEUE, SHARDS, play
 
-START_S = 6.0
 LONG = "MUSTARDGAP_LONG" in os.environ
 
 
@@ -27,29 +27,13 @@
     context.states = {}
 
 
-def _job_id(number):
-    return f"{number:016x}"
-
-
-async def _hand_in(world, states, count, pause_s=0.4, spec=TWO_STEPS):
-    """Hand jobs in one after another, and wait for their ends."""
-
-    async def one(number):
-        job_id = _job_id(number)
-        await asyncio.sleep(number * pause_s)
-        assert await world.submit_until_accepted(job_id, spec), "no host accepted the job"
-        states[job_id] = await world.final_state(job_id, 60)
-
-    await asyncio.gather(*(one(number) for number in range(count)))
-
-
 @when(
     '{count:d} jobs of two steps are handed in under the trouble "{name}", {times:d} times in a row'
 )
 def jobs_under_trouble(context, count, name, times):
     async def scene(world):
         await asyncio.sleep(START_S)
-        work = asyncio.ensure_future(_hand_in(world, context.states, count))
+        work = asyncio.ensure_future(hand_in(world, context.states, count))
         for _ in range(times):
             await asyncio.sleep(0.9)
             await BY_NAME[name](world)
@@ -67,7 +51,7 @@
     async def scene(world):
         await asyncio.sleep(START_S)
         trouble = asyncio.ensure_future(BY_NAME["executors lose answers"](world))
-        await _hand_in(world, context.states, count)
+        await hand_in(world, context.states, count)
         await trouble
 
     context.world = play(scene, work_s=0.2, **context.options)
@@ -80,7 +64,7 @@
     async def scene(world):
         await asyncio.sleep(START_S)
         world.fleet.order_s = ms / 1000
-        await _hand_in(world, context.states, count, pause_s=0, spec=spec)
+        await hand_in(world, context.states, count, pause_s=0, spec=spec)
         context.lines = _lines(world)
 
     context.world = play(scene, executors=24, **context.options)
@@ -95,7 +79,7 @@
     async def scene(world):
         await asyncio.sleep(START_S)
         spec = TWO_STEPS._replace(steps=(step,))
-        work = asyncio.ensure_future(_hand_in(world, context.states, 1, spec=spec))
+        work = asyncio.ensure_future(hand_in(world, context.states, 1, spec=spec))
         while not world.fleet.record.runs:
             await asyncio.sleep(0.001)
         first = world.fleet.record.runs[0].executor
@@ -118,7 +102,7 @@
             executor.fails = True
             # Whatever is acknowledged gets lost on its way.
             executor.deaf = True
-        work = asyncio.ensure_future(_hand_in(world, context.states, 1))
+        work = asyncio.ensure_future(hand_in(world, context.states, 1))
         while not any(run.how is EndKind.FAILED for run in world.fleet.record.runs):
             await asyncio.sleep(0.01)
         for executor in executors:
@@ -140,15 +124,15 @@
     async def scene(world):
         _drain(world)
         await asyncio.sleep(START_S)
-        assert await world.submit_until_accepted(_job_id(1), spec)
+        assert await world.submit_until_accepted(job_id_of(1), spec)
         await asyncio.sleep(0.1)
         dispatcher = world.dispatcher()
-        job = dispatcher.jobs_by_id[_job_id(1)]
+        job = dispatcher.jobs_by_id[job_id_of(1)]
         for run in range(ATTEMPTS):
             job.mark_failed([task for task in job.tasks() if task.task_id.step == 0], run)
         for link in dispatcher.roster.links_by_executor.values():
             link.entry = link.entry._replace(draining=False)
-        context.states[_job_id(1)] = await world.final_state(_job_id(1), 20)
+        context.states[job_id_of(1)] = await world.final_state(job_id_of(1), 20)
         await asyncio.sleep(5)
 
     context.world = play(scene, **context.options)
@@ -158,12 +142,12 @@
 def cancelled_under_trouble(context, name):
     async def scene(world):
         await asyncio.sleep(START_S)
-        assert await world.submit_until_accepted(_job_id(1), LASTING)
+        assert await world.submit_until_accepted(job_id_of(1), LASTING)
         await asyncio.sleep(2)
         trouble = asyncio.ensure_future(BY_NAME[name](world))
         await asyncio.sleep(0.05)
         for attempt in range(60):
-            if await world.cancel(_job_id(1), world.names[attempt % 3]) == 200:
+            if await world.cancel(job_id_of(1), world.names[attempt % 3]) == 200:
                 break
             await asyncio.sleep(0.3)
         context.cancelled_at = world.loop.time()
@@ -177,7 +161,7 @@
 def lasting_under_trouble(context, name, seconds):
     async def scene(world):
         await asyncio.sleep(START_S)
-        assert await world.submit_until_accepted(_job_id(1), LASTING)
+        assert await world.submit_until_accepted(job_id_of(1), LASTING)
         await asyncio.sleep(3)
         await BY_NAME[name](world)
         await asyncio.sleep(seconds)
@@ -194,7 +178,7 @@
         await asyncio.sleep(START_S)
         for number in range(count):
             spec = TWO_STEPS._replace(steps=steps)
-            assert await world.submit_until_accepted(_job_id(number), spec)
+            assert await world.submit_until_accepted(job_id_of(number), spec)
         await BY_NAME[name](world)
         await asyncio.sleep(8)
         replies = [await world.daemon(host).gateway.pending(queue=QUEUE) for host in world.names]
@@ -239,7 +223,7 @@
 def repeated(context):
     async def scene(world):
         await asyncio.sleep(START_S)
-        job_id = _job_id(1)
+        job_id = job_id_of(1)
         await asyncio.gather(*(world.submit(job_id, TWO_STEPS, name) for name in world.names))
         await world.submit_until_accepted(job_id, TWO_STEPS)
         context.states[job_id] = await world.final_state(job_id, 20)
@@ -256,7 +240,7 @@
         await asyncio.sleep(START_S)
         world.store.down = True
         for number in range(count):
-            await world.submit(_job_id(number), TWO_STEPS, world.names[number % 3])
+            await world.submit(job_id_of(number), TWO_STEPS, world.names[number % 3])
         world.store.down = False
         await asyncio.sleep(10)
 
@@ -288,7 +272,7 @@
         await asyncio.sleep(START_S)
         for executor in world.fleet.by_address.values():
             executor.fails = True
-        work = asyncio.ensure_future(_hand_in(world, context.states, 1))
+        work = asyncio.ensure_future(hand_in(world, context.states, 1))
         while not any(run.how is EndKind.FAILED for run in world.fleet.record.runs):
             await asyncio.sleep(0.01)
         for executor in world.fleet.by_address.values():
@@ -323,7 +307,7 @@
         await asyncio.sleep(START_S)
         wall = world.daemon("e1").clock.wall()
         spec = _kind(kind, wall)
-        await _hand_in(world, context.states, 4, spec=spec)
+        await hand_in(world, context.states, 4, spec=spec)
         runs = world.fleet.record.runs
         tasks = {run.task for run in runs if run.how is EndKind.DONE}
         expected = sum(step.width for step in spec.steps) * max(spec.repeats, 1) * 4
@@ -361,8 +345,8 @@
 
     async def scene(world):
         await asyncio.sleep(START_S)
-        work = asyncio.ensure_future(_hand_in(world, states, 6, pause_s=1.0))
-        assert await world.submit_until_accepted(_job_id(99), LASTING)
+        work = asyncio.ensure_future(hand_in(world, states, 6, pause_s=1.0))
+        assert await world.submit_until_accepted(job_id_of(99), LASTING)
         troubles = []
         for name, pause_s in steps:
             troubles.append(asyncio.ensure_future(BY_NAME[name](world)))
@@ -431,7 +415,7 @@
 
 @then("a lasting run found {age:g} s ago {counts} as at work, where a stop takes {stop:g} s")
 def counts_as_at_work(context, age, counts, stop):
-    task = Task(task_id=TaskId(_job_id(1), 0, 0, 0), step=LASTING.steps[0])
+    task = Task(task_id=TaskId(job_id_of(1), 0, 0, 0), step=LASTING.steps[0])
     link = SimpleNamespace(up=True)
     run = Run(task=task, number=1, link=link, now=100.0 - age)
     run.phase = RunPhase.RUNNING
--- a/mustardgap/platform/process_settings.py
+++ b/mustardgap/platform/process_settings.py
@@ -26,6 +26,9 @@
 
 
 class _Limits(msgspec.Struct):
+    # A share of the processor, which is ``cores`` times as fast as one core.
+    cpu_share: float = msgspec.field(default=1.0, name="cpuShare")
+    cores: float = 1.0
     memory_mb: int = msgspec.field(default=300, name="memoryMb")
 
 
@@ -97,6 +100,8 @@
     machine_reads_per_s: float
     advice: str
     memory_mb: int
+    # How many cores' work the host does.
+    cores: float
     promises: Promises
 
 
@@ -138,6 +143,7 @@
         machine_reads_per_s=fields.cloud_api.rate_per_s,
         advice=fields.advice or "",
         memory_mb=fields.limits.memory_mb,
+        cores=fields.limits.cpu_share * fields.limits.cores,
         promises=Promises(
             drain_s=bounds.drain_ms / 1000,
             grace_s=bounds.grace_s,
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from . import metrics
 from .events import EventLog
 from .ports import Done, Joined, NoAnswer, Refused, Store
+from .standbys import LOOK_S, Standby, is_small
 from .timers import Clock
 
 # A daemon that dies is replaced after this. It is some four renewals, and a slow store's answer
@@ -39,9 +40,10 @@
     """Keeps this daemon in the group of owners, and runs what it owns.
 
     :param store: the platform's store.
-    :param member: this daemon's name in the group: its peers' address and its host, the same for
-        each process of the host.
+    :param member: this daemon's name in the group, the same for each process of the host.
+    :param shards: how many shards there are.
     :param make: makes what is run for a shard at an epoch.
+    :param reach: calls the daemon at an address; whether it has answered.
     :param clock: the clocks to read.
     :param events: the process's log.
     """
@@ -51,7 +53,9 @@
         *,
         store: Store,
         member: str,
+        shards: int,
         make: Callable[[int, int], Owned],
+        reach: Callable[[str], Awaitable[bool]],
         clock: Clock,
         events: EventLog,
     ) -> None:
@@ -61,6 +65,7 @@
         self.members_by_shard: dict[int, str] = {}
         self._store = store
         self._make = make
+        self._reach = reach
         self._clock = clock
         self._events = events
         self._epoch_by_shard: dict[int, int] = {}
@@ -69,6 +74,9 @@
         self._failing = False
         self._owners_of = 0
         self._leaving = False
+        self._standby = Standby(shards=shards, clock=clock) if is_small(member) else None
+        self._looked_at = float("-inf")
+        self._looks = 0
         # Held while shards are taken and given up. A daemon that was told to leave while a new deal
         # took shards away gave one up twice, and ended by the error; or the deal went on behind its
         # back and took shards that the daemon had just given up.
@@ -87,12 +95,15 @@
     def address_of(self, shard: int) -> str | None:
         """Where the peers of a shard's owner call it, None while nobody is known."""
         member = self.members_by_shard.get(shard)
-        return member.partition("/")[0] if member else None
+        return _address_of(member) if member else None
 
     async def run(self) -> None:
         """Renew the membership until cancelled."""
         await self._end_earlier_life()
         while not self._leaving:
+            if self._standby is not None and not await self._is_wanted(self._standby):
+                await self._clock.sleep(LOOK_S)
+                continue
             before = self.generation
             if await self._renew():
                 soon = self.generation != before or not self.owned_by_shard
@@ -100,6 +111,34 @@
             else:
                 await self._clock.sleep(RETRY_S)
 
+    async def _is_wanted(self, standby: Standby) -> bool:
+        """Whether this daemon's small host has to own shards; gives them back if not any more."""
+        now = self._clock.monotonic()
+        if now - self._looked_at < LOOK_S:
+            return standby.wanted
+        self._looked_at = now
+        if not await self._read_owners():
+            return standby.wanted
+        others = sorted(set(self.members_by_shard.values()) - {self.member})
+        if others:
+            # One a look: with 30 hosts standing by, each of 10 owners is called 6 times a second.
+            self._looks += 1
+            other = others[self._looks % len(others)]
+            standby.note_call(other, answered=await self._reach(_address_of(other)))
+        if standby.note(self.members_by_shard, owns=bool(self.owned_by_shard)):
+            self._events.note(
+                "group.standby",
+                vital=True,
+                wanted=standby.wanted,
+                owned=sorted(self.owned_by_shard),
+                known=len(self.members_by_shard),
+            )
+            if not standby.wanted:
+                async with self._dealing:
+                    if not self._leaving:
+                        await self._start_afresh()
+        return standby.wanted
+
     async def _end_earlier_life(self) -> None:
         """Take the membership of this host's earlier process back.
 
@@ -205,15 +244,20 @@
             "shard.lost", vital=True, shard=shard, epoch=self._epoch_by_shard[shard], why=why
         )
 
-    async def _read_owners(self) -> None:
+    async def _read_owners(self) -> bool:
+        """Read who owns what.
+
+        :return: whether the store has answered.
+        """
         generation = self.generation
         outcome = await self._store.owners()
         if isinstance(outcome, Refused | NoAnswer):
-            return
+            return False
         self.members_by_shard = dict(outcome)
         for shard in self.owned_by_shard:
             self.members_by_shard[shard] = self.member
         self._owners_of = generation
+        return True
 
     async def refresh(self) -> None:
         """Read anew who owns what, for example after an owner couldn't be reached."""
@@ -227,6 +271,10 @@
             )
 
 
+def _address_of(member: str) -> str:
+    return member.partition("/")[0]
+
+
 def shard_of(service: str, shards: int) -> int:
     """The shard that holds a service's jobs; shard 0 is the fleet's.
 
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -16,6 +16,7 @@
 from mustardgap.peer_calls import PeerUnreachable
 from mustardgap.ports import Granted
 from mustardgap.shard_owners import FLEET_SHARD, Owned, ShardOwners, shard_of
+from mustardgap.standbys import member_name
 from mustardgap.workloads import (
     AdvicePolicy,
     Configuration,
@@ -171,6 +172,18 @@
             events=self.events,
         )
 
+        async def reach(address: str) -> bool:
+            try:
+                await peers.call(address, "alive", None, timeout_s=0.4)
+            except PeerUnreachable:
+                return False
+            return True
+
+        async def alive(values: object) -> bool:
+            return True
+
+        self.handle("alive", alive)
+
         def make(shard: int, epoch: int) -> Owned:
             if shard == FLEET_SHARD:
                 return FleetManager(
@@ -204,8 +217,10 @@
 
         self.owners = ShardOwners(
             store=store,
-            member=f"{name}:1/{name}",
+            member=member_name(f"{name}:1", name, 0.5 if name in world.small else 2.0),
+            shards=SHARDS,
             make=make,
+            reach=reach,
             clock=self.clock,
             events=self.events,
         )
@@ -261,6 +276,7 @@
     :param work_s: how long a task takes.
     :param seed: draws losses and delays.
     :param advised: whether the queue's policy allows only some executors.
+    :param small: daemons whose hosts are small.
     """
 
     def __init__(
@@ -272,8 +288,10 @@
         work_s: float = 0.6,
         seed: int = 0,
         advised: bool = False,
+        small: Sequence[str] = (),
     ) -> None:
         self.loop = loop
+        self.small = frozenset(small)
         self.store = FakeStore(shards=SHARDS, seed=seed)
         self.fleet = FakeExecutors(seed=seed)
         self.machines = FakeMachines(world=self)
