Take an ordered machine's executor for ended only when the list shows it

Cause, shown by a test on the fakes: a machine's maintenance that an earlier owner of the fleet had ordered is ordered again by its successor. The answer is 200, and nothing happens. The successor took it for the end of the executor's life and told the owner of its pool for 20 s. The executor was left out for good besides. Ruled out before by reading: "told only after the order's 200, which ends it". Change: the word goes out once the list of machines, read after the order, lacks the executor; and an owner keeps an executor that answers and has runs, whoever says that it has ended. Red first: 24 tasks ran twice at once in the first scenario, 3 in the second. After: 0 and 0; 67 scenarios of owners and fleet pass.

--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,26 @@
+Feature: orders to machines end no work that goes on
+  The fleet's owner tells the owners of pools which executors have ended by its orders, so that their
+  tasks are started elsewhere at once. A word that is wrong has tasks run twice.
+
+  Scenario: Maintenance that a machine has had already ends nothing
+    A caller's job is run twice. The fleet's owner dies after a machine's maintenance was carried out and
+    before that is on record. Its successor empties the machine and orders the same again; the answer is
+    "done", though nothing happens. A pool's owner that takes over just then starts tasks on that machine.
+    It is told by the fleet's owner that all that runs there has ended.
+
+    Given owners on a fake platform
+    When a wave's machine has had its maintenance, and the owners of fleet and pool die in turn
+    Then the machine was ordered down once more than it went
+    And all jobs have ended as completed
+    And no promise was broken
+    And each executor of the pool is used by its owner
+
+  Scenario: A word that an executor has ended is not believed while it answers
+    The fleet's owner says that an executor has ended, which answers its pool's owner all the while. Its
+    tasks go on there, and aren't started a second time.
+
+    Given owners on a fake platform
+    When the owner of a pool is told that an executor has ended which runs tasks
+    Then all jobs have ended as completed
+    And no promise was broken
+    And each task has run once
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,75 @@
+"""Steps of the fleet's owner beside owners of pools, on virtual time."""
+
+import asyncio
+
+from behave import then, when
+
+from features.support.owner_jobs import START_S, hand_in, job_id_of
+from mustardgap.pool_views import PoolRequest
+from mustardgap.shard_owners import FLEET_SHARD
+from tools.owner_troubles import TWO_STEPS, publish_wave
+from tools.owner_worlds import SERVICE, play
+
+# Orders are taken up by a new owner of the fleet after 4 s; the wave and its repeat take 8 s more.
+PATIENCE_S = 30.0
+
+
+def owner_of_fleet(world):
+    """The host of the fleet's owner."""
+    for daemon in world.daemons_by_address.values():
+        if FLEET_SHARD in daemon.owners.owned_by_shard:
+            return daemon.name
+    return ""
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+@when("a wave's machine has had its maintenance, and the owners of fleet and pool die in turn")
+def maintenance_twice(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        places = world.machines.places
+        number = publish_wave(world, ["m1"])
+        await until(lambda: places["m1"].waves_done)
+        world.kill(owner_of_fleet(world))
+        await until(lambda: places["m1"].executor and owner_of_fleet(world))
+        await until(lambda: world.machines.repeats)
+        world.kill(world.owner())
+        wide = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=24, cpu=900),))
+        await hand_in(world, context.states, 3, spec=wide)
+        await asyncio.sleep(3)
+        context.ordered = world.machines.repeats + len(places["m1"].waves_done & {number})
+        listed = {place.executor.entry.executor for place in places.values() if place.executor}
+        context.unused = listed - world.dispatcher().roster.links_by_executor.keys()
+
+    context.world = play(scene, daemons=4, **context.options)
+
+
+@when("the owner of a pool is told that an executor has ended which runs tasks")
+def told_wrongly(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        work = asyncio.ensure_future(hand_in(world, context.states, 2))
+        await until(lambda: any(e.runs for e in world.fleet.by_address.values()))
+        [first, *_] = [e.entry.executor for e in world.fleet.by_address.values() if e.runs]
+        await asyncio.sleep(0.1)
+        world.dispatcher().pool_view(PoolRequest(SERVICE, [], [], [first]))
+        await work
+
+    context.world = play(scene, **context.options)
+    assert job_id_of(0) in context.states
+
+
+@then("the machine was ordered down once more than it went")
+def ordered_twice(context):
+    assert context.ordered == 2, context.ordered
+
+
+@then("each executor of the pool is used by its owner")
+def all_used(context):
+    assert not context.unused, context.unused
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -457,7 +457,8 @@
 @then("each task has run once")
 def ran_once(context):
     tasks = [run.task for run in context.world.fleet.record.runs]
-    assert len(tasks) == len(set(tasks)) == sum(step.width for step in TWO_STEPS.steps)
+    expected = len(context.states) * sum(step.width for step in TWO_STEPS.steps)
+    assert len(tasks) == len(set(tasks)) == expected, tasks
 
 
 @then("each answer was 200, 503 or 504")
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -399,8 +399,13 @@
         closing = frozenset(request.closing)
         self.evacuations.planned = frozenset(request.planned)
         for executor in request.gone:
-            if executor in self.roster.links_by_executor:
-                self.roster.drop(self.roster.links_by_executor[executor], "ordered away")
+            link = self.roster.links_by_executor.get(executor)
+            if link is not None and link.up and link.runs_by_key:
+                # What answers and works hasn't ended, whoever says so; if it has since the last
+                # look, the next one tells. Its tasks would be run twice.
+                continue
+            if link is not None:
+                self.roster.drop(link, "ordered away")
             self.roster.departed.add(executor)
         for executor, link in self.roster.links_by_executor.items():
             if link.entry.service == request.service:
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -96,6 +96,8 @@
         self._listed_at = float("-inf")
         self._may_order_at = float("inf")
         self._absent_since: dict[str, float] = {}
+        # Executors of machines that were ordered away, until the list of machines shows it.
+        self._ending: dict[str, EndedLife] = {}
         # Executors whose lives have ended. Pools are told for some time, as their owners change.
         self._gone: dict[str, EndedLife] = {}
         self._fenced = False
@@ -224,6 +226,7 @@
         """
         now = self._clock.monotonic()
         listed = {machine.executor for machine in self.state.machines_by_id.values()}
+        self._confirm_ends(listed, now)
         unsettled = {
             executor.executor: service
             for service, view in self.state.views_by_service.items()
@@ -243,6 +246,23 @@
             if now - end.at > TELL_S:
                 del self._gone[executor]
 
+    def _confirm_ends(self, listed: set[str], now: float) -> None:
+        """Take the executors of ordered machines for ended once they aren't listed any more.
+
+        An order that had been carried out for an earlier owner is answered as done, and ends
+        nothing. Taken for an end it would have all tasks of an executor that works on started
+        again elsewhere, and the executor be left out for good.
+        """
+        for executor, order in list(self._ending.items()):
+            if self._listed_at <= order.at:
+                continue
+            if executor not in listed:
+                del self._ending[executor]
+                self._end_life(executor, order.pool)
+            elif now - order.at > ABSENT_S:
+                del self._ending[executor]
+                self._events.note("machine.untouched", vital=True, executor=executor)
+
     def _end_life(self, executor: str, pool: str) -> None:
         if executor not in self._gone:
             self._gone[executor] = EndedLife(pool, self._clock.monotonic())
@@ -344,7 +364,7 @@
                 self.waves.note_done(closing.wave, name)
             return
         if closing.executor:
-            self._end_life(closing.executor, closing.source)
+            self._ending[closing.executor] = EndedLife(closing.source, self._clock.monotonic())
         if closing.wave is not None:
             self.waves.note_done(closing.wave, name)
 
--- a/tools/fake_machines.py
+++ b/tools/fake_machines.py
@@ -35,6 +35,8 @@
     def __init__(self, *, world: "OwnerWorld") -> None:
         self.problems: list[str] = []
         self.moves = 0
+        # Orders that had been carried out before.
+        self.repeats = 0
         self.lost_share = 0.0
         self.down_by_wave: dict[int, int] = {}
         self.at_once_by_wave: dict[int, int] = {}
@@ -71,6 +73,7 @@
         if fence < place.fence:
             return Fenced()
         if (wave is not None and wave in place.waves_done) or pool == place.pool:
+            self.repeats += 1
             return Done()
         if place.state != "up":
             return Refused(detail="409 busy")
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -1,7 +1,7 @@
 """Troubles that befall daemons, executors and the store of an owner world."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import msgspec
@@ -221,10 +221,19 @@
 
 async def wave_comes(world: OwnerWorld) -> None:
     """Half of the pool's machines are due for maintenance, one at a time."""
+    publish_wave(world, ["m1", "m2"])
+
+
+def publish_wave(world: OwnerWorld, machines: Sequence[str]) -> int:
+    """Ask for the maintenance of machines, one at a time.
+
+    :return: the wave's number.
+    """
     number = world.store.random.randrange(1, 10_000)
-    wave = Wave(number, ("m1", "m2"), 20.0, 1)
+    wave = Wave(number, tuple(machines), 20.0, 1)
     world.machines.at_once_by_wave[number] = wave.at_once
-    world.store.write_operator(f"wave/{number}", _encoded(wave))
+    world.store.write_operator(f"wave/{number}", msgspec.msgpack.encode(wave))
+    return number
 
 
 async def wave_comes_and_owner_stops(world: OwnerWorld) -> None:
@@ -239,10 +248,6 @@
             return
 
 
-def _encoded(wave: Wave) -> bytes:
-    return msgspec.msgpack.encode(wave)
-
-
 def _some_executor(world: OwnerWorld):  # type: ignore[no-untyped-def]
     """An executor that runs something, or any that lives."""
     living = [e for e in world.fleet.by_address.values() if e.alive]
