Lend machines that are kept for rises nobody foresees, and foresee rises only from passing work

Change: a pool that is short for 0.4 s is lent idle machines of others, down to half of their first size; turns are told by the work that passes, from a quarter of a pool's first size on.

--- /dev/null
+++ b/features/steps/moves_steps.py
@@ -0,0 +1,131 @@
+"""Steps of the fleet's decisions about moves, against pools that only count their machines."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from mustardgap.events import EventLog
+from mustardgap.fleet_moves import FleetMoves
+from mustardgap.fleet_states import FleetState, Times
+from mustardgap.pool_views import ExecutorView, PoolView
+from mustardgap.timers import Clock
+from mustardgap.workloads import Configuration, Machine, Room, Service
+
+CORES = 10_000
+ROUND_S = 0.2
+STANDBY = "spare"
+
+
+class HandClock(Clock):
+    """A clock that is moved by hand."""
+
+    now = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+    def wall(self):
+        return self.now
+
+
+class Pools:
+    """Machines in pools, each moved at once when it is ordered, and the parts that decide."""
+
+    def __init__(self, sizes):
+        self.clock = HandClock()
+        events = EventLog(host="e1", clock=self.clock)
+        self.state = FleetState(clock=self.clock, events=events)
+        log = SimpleNamespace(put=lambda key, value: None)
+        self.moves = FleetMoves(
+            state=self.state,
+            log=log,
+            times=Times(1.5, 2.0, 3.0),
+            order_idle=self.move,
+            clock=self.clock,
+            events=events,
+        )
+        services = {name: Service(name, "/", 64, True, name == STANDBY) for name in sizes}
+        self.configuration = Configuration(1, {}, services)
+        self.demand = dict.fromkeys(sizes, 0)
+        self.lasting = dict.fromkeys(sizes, 0)
+        for name, size in sizes.items():
+            for number in range(size):
+                machine = f"{name}-{number}"
+                self.state.machines_by_id[machine] = self.machine(machine, name)
+
+    def machine(self, name, pool):
+        executor = "" if pool == STANDBY else f"x-{name}"
+        return Machine(name, pool, "up", "d1", (), Room(cpu=CORES, memory_mb=1, gpus=0), executor)
+
+    def move(self, machine, pool):
+        self.state.machines_by_id[machine.machine] = self.machine(machine.machine, pool)
+
+    def size(self, pool):
+        return sum(machine.pool == pool for machine in self.state.machines_by_id.values())
+
+    def view(self, pool):
+        """What the pool's owner tells: its work, spread over as few machines as hold it."""
+        left = (self.demand[pool] + self.lasting[pool]) * CORES
+        executors = []
+        for machine in self.state.machines_by_id.values():
+            if machine.pool == pool:
+                used = min(left, CORES)
+                left -= used
+                executors.append(
+                    ExecutorView(machine.executor, CORES, used, int(used > 0), 0, True, False)
+                )
+        lasting = self.lasting[pool] * CORES
+        running = sum(executor.used_cpu for executor in executors) - lasting
+        return PoolView(pool, lasting, running, left, executors)
+
+    def play(self, seconds):
+        """Let time pass, a round of the fleet's owner after another."""
+        for _ in range(max(1, round(seconds / ROUND_S))):
+            self.clock.now += ROUND_S
+            self.moves.note_sizes(self.state.machines_by_id.values())
+            for pool in self.demand:
+                if pool != STANDBY:
+                    view = self.view(pool)
+                    self.state.views_by_service[pool] = view
+                    self.state.viewed_at_by_service[pool] = self.clock.now
+                    self.moves.note(pool, view, self.clock.now)
+            self.moves.plan(self.configuration, set())
+            for name, closing in list(self.state.closing_by_machine.items()):
+                del self.state.closing_by_machine[name]
+                self.move(self.state.machines_by_id[name], closing.pool)
+
+
+@given("pools quotes, cuts and stairs of {size:d} machines each, and {idle:d} on standby")
+def make_pools(context, size, idle):
+    context.pools = Pools({"quotes": size, "cuts": size, "stairs": size, STANDBY: idle})
+    context.pools.play(1.0)
+
+
+@when(
+    "the demand of quotes is {asked:d} machines for {seconds:g} s, "
+    "while cuts and stairs have work for {others:d}"
+)
+def demand_rises(context, asked, seconds, others):
+    pools = context.pools
+    pools.demand.update(quotes=asked, cuts=others, stairs=others)
+    pools.play(seconds)
+
+
+@when("lasting tasks for {count:d} machines come to one pool after another, {gap:d} s apart, twice")
+def lasting_tasks_come(context, count, gap):
+    pools = context.pools
+    for arrived in (count, 0, count):
+        for pool in ("quotes", "cuts", "stairs"):
+            pools.lasting[pool] = arrived
+            pools.play(gap)
+
+
+@then("the pool {pool} has {count:d} machines")
+def has_machines(context, pool, count):
+    assert context.pools.size(pool) == count, context.pools.size(pool)
+
+
+@then("the pools cuts and stairs have {count:d} machines each")
+def have_machines(context, count):
+    sizes = [context.pools.size(pool) for pool in ("cuts", "stairs")]
+    assert sizes == [count, count], sizes
--- a/mustardgap/fleet_moves.py
+++ b/mustardgap/fleet_moves.py
@@ -25,6 +25,8 @@
 # A machine is let go before an expected rise if it would idle for longer than two moves cost: at
 # 0.094 a second and 0.11 a move that is 2.4 s.
 WORTH_S = 2.4
+# Pools lend to one that has been short for this long. Single large jobs make a pool short for less.
+SHORT_S = 0.4
 LEARNED_KEY = "learned"
 
 
@@ -64,7 +66,8 @@
         self._clock = clock
         self._events = events
         self._demands_by_service: dict[str, PoolDemand] = {}
-        self._short: set[str] = set()
+        # Pools that lack machines, and since when.
+        self._short_since: dict[str, float] = {}
         self._turns = Turns()
         self._learned = Learned()
 
@@ -93,12 +96,15 @@
             demand = PoolDemand(given=self._learned.given.get(service, 0))
             self._demands_by_service[service] = demand
         demand.note(view, now)
-        if self._turns.note(service, demand.machines(view), self._clock.wall()):
+        # Lasting tasks come once and stay. Counted as a rise, they had pools foresee the next one
+        # from their arrival, and let go of 31 of 40 machines 7 s before the rise that came.
+        machines = demand.passing_machines(view)
+        if self._turns.note(service, machines, self._clock.wall(), given=demand.given):
             self._store_learned()
 
     def needs_all(self, service: str) -> bool:
         """Whether a pool has no machine to spare now."""
-        return service in self._short or self._turns.is_risen(service)
+        return service in self._short_since or self._turns.is_risen(service)
 
     def demand(self, service: str) -> float:
         """A pool's demand in machines, 0 if it isn't known."""
@@ -118,6 +124,7 @@
         short: dict[str, int] = {}
         liked: dict[str, int] = {}
         surplus: list[Machine] = []
+        lendable: list[Machine] = []
         for service, view in self._state.views_by_service.items():
             fresh = now - self._state.viewed_at_by_service[service] <= WORD_S
             if not fresh or service not in self._demands_by_service:
@@ -127,14 +134,17 @@
                 short[service] = balance.missing
             elif balance.liked:
                 liked[service] = balance.liked
-            elif balance.spare:
-                surplus.extend(self._spare_machines(service, view, balance.spare, due, now))
+            elif balance.spare or balance.lendable:
+                count = balance.spare + balance.lendable
+                machines = self._spare_machines(service, view, count, due, now)
+                surplus.extend(machines[: balance.spare])
+                lendable.extend(machines[balance.spare :])
         idle = [
             machine
             for name, machine in sorted(self._state.machines_by_id.items())
             if machine.pool in standby and self._state.free_to_close(name, now)
         ]
-        self._short = set(short)
+        self._short_since = {s: self._short_since.get(s, now) for s in short}
         idle.sort(key=lambda machine: machine.machine not in due)
         # One machine a pool in turn, so that two that rise together share what there is.
         while short and (idle or surplus):
@@ -146,12 +156,24 @@
                 short[service] -= 1
                 if not short[service]:
                     del short[service]
+        self._lend(short, lendable, now)
         for service, count in liked.items():
             for _ in range(min(count, len(idle))):
                 self._order_idle(idle.pop(), service)
         for machine in surplus:
             self._state.close(machine, pool=standby[0])
 
+    def _lend(self, short: dict[str, int], lendable: list[Machine], now: float) -> None:
+        """Give pools that are short for long what others only keep for their next rise."""
+        lasting = {s: count for s, count in short.items() if now - self._short_since[s] >= SHORT_S}
+        while lasting and lendable:
+            for service in list(lasting):
+                if lendable:
+                    self._state.close(lendable.pop(0), pool=service)
+                lasting[service] -= 1
+                if not lasting[service]:
+                    del lasting[service]
+
     def _balance(self, service: str, view: PoolView, now: float) -> Balance:
         ordered = [
             away
@@ -185,6 +207,7 @@
                 missing=balance.missing,
                 spare=balance.spare,
                 liked=balance.liked,
+                lendable=balance.lendable,
                 next_rise_s=next_at - wall if next_at is not None else None,
                 risen=self._turns.is_risen(service),
             )
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -18,6 +18,10 @@
 RESERVE_SHARE = 0.5
 # A pool grows to this many times its first size at the most.
 MOST_GROWTH = 2.5
+# A pool that keeps machines for a rise lends them to one that has work for them, down to this share
+# of its first size. With 35 to 44 idle machines in each of three other pools a risen one had 61 for
+# work that asked for 100 to 180; with none at all, the next rise would begin with nothing.
+LENDING_FLOOR = 0.5
 # A rise is taken to go on for this long; a third of what a move takes, as rises flatten.
 GROWTH_S = 0.5
 
@@ -34,11 +38,16 @@
 
 
 class Balance(NamedTuple):
-    """How many machines a pool lacks, can spare, and would like to have for an expected rise."""
+    """How many machines a pool lacks, and how many it can do without.
+
+    ``liked`` are machines that it would like to have for an expected rise, ``lendable`` ones that
+    it has no work for but keeps for a rise that can't be foreseen.
+    """
 
     missing: int
     spare: int
     liked: int = 0
+    lendable: int = 0
 
 
 class PoolDemand:
@@ -49,6 +58,7 @@
 
     def __init__(self, *, given: int) -> None:
         self.smooth = 0.0
+        self._smooth_passing = 0.0
         self._noted_at: float | None = None
         self._recent: deque[tuple[float, int]] = deque()
         # A pool is left at this size until its demand can be foreseen.
@@ -59,12 +69,14 @@
 
         :param now: steady seconds.
         """
-        need = view.lasting_cpu + view.running_cpu + view.waiting_cpu
+        passing = view.running_cpu + view.waiting_cpu
+        need = view.lasting_cpu + passing
         if self._noted_at is None:
-            self.smooth = need
+            self.smooth, self._smooth_passing = need, passing
         else:
             share = 1 - math.exp(-(now - self._noted_at) / RISE_S)
             self.smooth += (need - self.smooth) * share
+            self._smooth_passing += (passing - self._smooth_passing) * share
         self._noted_at = now
         self._recent.append((now, need))
         while self._recent and self._recent[0][0] < now - FALL_S:
@@ -74,6 +86,10 @@
         """The smoothed demand in machines."""
         return self.smooth / (_machine_cpu(view) * FILL_SHARE)
 
+    def passing_machines(self, view: PoolView) -> float:
+        """The smoothed demand of work that ends by itself, in machines."""
+        return self._smooth_passing / (_machine_cpu(view) * FILL_SHARE)
+
     def balance(self, view: PoolView, forecast: Forecast, *, coming: int, leaving: int) -> Balance:
         """Compare what the pool has with what it needs.
 
@@ -95,10 +111,14 @@
         peak = max((need for _, need in self._recent), default=0)
         kept = math.ceil((peak + RESERVE_SHARE * machine_cpu) / (machine_cpu * FILL_SHARE))
         kept = max(kept, needed, 1)
+        if coming:
+            # One that grows lets nothing go: what comes would only take the place of what leaves.
+            return Balance(0, 0)
+        lent_down_to = max(kept, math.ceil(self.given * LENDING_FLOOR))
         if not forecast.quiet:
             kept = max(kept, self.given)
-        # A pool that grows lets nothing go: what comes would only take the place of what leaves.
-        return Balance(0, 0 if coming else max(size - kept, 0))
+        spare = max(size - kept, 0)
+        return Balance(0, spare, lendable=max(size - spare - lent_down_to, 0))
 
     def _growth(self, machine_cpu: float, forecast: Forecast) -> float:
         """How many machines more the demand will need when one that is ordered now is there.
--- a/mustardgap/turns.py
+++ b/mustardgap/turns.py
@@ -9,8 +9,10 @@
 BEGIN_SHARE = 0.45
 END_SHARE = 0.25
 LASTS_S = 0.8
-# Demand below this many machines is no turn: there is nothing to bring or to let go.
+# Demand below this many machines, or this share of the pool's first size, is no turn: there is
+# nothing to bring or to let go.
 LEAST_MACHINES = 2.0
+LEAST_SHARE = 0.25
 # Turns of different pools that begin within this time are one rise of all demand.
 TOGETHER_S = 0.5
 # Rises that are this much further apart than others, as a factor, don't follow a rhythm.
@@ -38,18 +40,20 @@
         self._risen: set[str] = set()
         self._turning_since: dict[str, float] = {}
 
-    def note(self, service: str, machines: float, now: float) -> bool:
+    def note(self, service: str, machines: float, now: float, *, given: int) -> bool:
         """Take in a pool's smoothed demand.
 
         :param machines: the demand in machines.
         :param now: seconds since the epoch.
+        :param given: the pool's first size.
         :return: whether a rise has begun or ended.
         """
         peak = max(self.peak_by_service.get(service, 0.0), machines)
         self.peak_by_service[service] = peak
         risen = service in self._risen
         share = END_SHARE if risen else BEGIN_SHARE
-        if (machines >= max(share * peak, LEAST_MACHINES)) == risen:
+        least = max(LEAST_MACHINES, LEAST_SHARE * given)
+        if (machines >= max(share * peak, least)) == risen:
             self._turning_since.pop(service, None)
             return False
         since = self._turning_since.setdefault(service, now)
