Wait for answers that go on arriving, and take no silence for an owner's end on a full link

Hosts with 10 Mbit/s gave each read up after 0.4 to 0.8 s and began again, so it never came whole, one host was on a version from 3 s before, and calls between hosts got no answer for 20 s. A small host took the silent owners for dead, was dealt the busiest pool, and failed to read that shard 30 times: nobody was told of its jobs. Ruled out: larger time-outs (a silent connection would be noticed late; 0.4 s is what a lost answer may cost), reading only the newest version (a read that waits can't say so), a choked large host (they answered the store all the while). Change: each part that arrives gives a call 0.5 s more, up to 10 s in all. A host that stands by counts no silence while its own read of the owners takes over 0.25 s. Red first: an answer in 8 parts was given up; two small hosts joined the owners with their links full.

--- /dev/null
+++ b/features/steps/http_pools_steps.py
@@ -0,0 +1,54 @@
+"""Steps of calls over kept connections, against a server that answers part by part."""
+
+import asyncio
+
+from behave import then, when
+
+from mustardgap.http_pools import HttpAnswer, HttpPool
+
+PART = b"x" * 1000
+PARTS = 8
+# Of the parts: how many come, and the pause before each, in seconds.
+COURSES = {
+    "comes at once": (PARTS, 0.0),
+    "comes in 8 parts, 0.1 s apart": (PARTS, 0.1),
+    "stops after 2 parts": (2, 0.0),
+    "never begins": (None, 0.0),
+}
+
+
+@when("a call with {seconds:g} s for its answer gets one that {course}")
+def call(context, seconds, course):
+    count, pause_s = COURSES[course]
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if count is not None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (PARTS * len(PART)))
+            for _ in range(count):
+                await asyncio.sleep(pause_s)
+                writer.write(PART)
+                await writer.drain()
+        await reader.read()
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = HttpPool()
+        context.answer = await pool.call(
+            address=f"127.0.0.1:{port}", method="GET", target="/", timeout_s=seconds
+        )
+        pool.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+@then("the call's answer was {taken}")
+def was_taken(context, taken):
+    got = context.answer
+    if taken == "whole":
+        assert isinstance(got, HttpAnswer) and got.body == PART * PARTS, got
+    else:
+        assert not isinstance(got, HttpAnswer) and got.sent, got
--- a/features/steps/standbys_steps.py
+++ b/features/steps/standbys_steps.py
@@ -5,6 +5,7 @@
 from behave import then, when
 
 from features.support.owner_jobs import START_S, hand_in
+from mustardgap.standbys import is_small
 from tools.owner_worlds import play
 
 LARGE = ("e1", "e2")
@@ -49,6 +50,21 @@
     context.world = play(scene, daemons=4, small=small.split(", "), **context.options)
 
 
+@when("{count:d} jobs are handed in while the links of the small hosts {small} are full")
+def jobs_with_full_links(context, count, small):
+    names = small.split(", ")
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        for name in names:
+            world.fill_link(name)
+        await hand_in(world, context.states, count)
+        await asyncio.sleep(SETTLED_S)
+        context.joined = [name for name in world.store.members_by_name if is_small(name)]
+
+    context.world = play(scene, daemons=4, small=names, **context.options)
+
+
 @when("{count:d} jobs are handed in to {hosts:d} small hosts")
 def jobs_to_small_hosts(context, count, hosts):
     async def scene(world):
@@ -63,3 +79,8 @@
 def owned_by(context, kinds):
     seen = [kind for n, kind in enumerate(context.owners) if kind != context.owners[n - 1] or not n]
     assert seen == kinds.split(", "), context.owners
+
+
+@then("no small host has joined the owners")
+def none_joined(context):
+    assert not context.joined, context.joined
--- a/mustardgap/http_pools.py
+++ b/mustardgap/http_pools.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import defaultdict, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from tornado import httputil, iostream
@@ -18,6 +18,12 @@
 IDLE_S = 8.0
 # A connection that has to be opened may take this share of a call's time, at least this long.
 CONNECT_S = 1.0
+# An answer that goes on arriving is waited for beyond its call's time: this long for each part, and
+# for this long in all. Given up and asked for again, an answer that is large for its host's link
+# never arrives whole: on links of 10 Mbit/s repeats of a configuration of 1,600 queues left hardly
+# any room for other calls for 20 s, by the lines of 28 hosts.
+PROGRESS_S = 0.5
+LONGEST_S = 10.0
 MAX_KEPT = 8
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
@@ -40,9 +46,13 @@
 
 
 class _Collector(httputil.HTTPMessageDelegate):
-    """Collects one answer."""
+    """Collects one answer.
 
-    def __init__(self) -> None:
+    :param on_progress: called when a part of it has come.
+    """
+
+    def __init__(self, *, on_progress: Callable[[], None]) -> None:
+        self._on_progress = on_progress
         self.status = 0
         self.headers: httputil.HTTPHeaders = httputil.HTTPHeaders()
         self.chunks: list[bytes] = []
@@ -59,6 +69,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         self.chunks.append(chunk)
+        self._on_progress()
 
     def finish(self) -> None:
         self.whole = True
@@ -94,15 +105,23 @@
 
         :param address: ``ip:port``.
         :param target: path with query.
-        :param timeout_s: seconds for connecting, sending and the answer.
+        :param timeout_s: seconds for connecting, sending and the answer's first part.
         :return: the answer, or ``NoAnswer`` with whether a byte may have gone out.
         """
         self.calls += 1
-        collector = _Collector()
+        loop = asyncio.get_running_loop()
+        limit = asyncio.timeout(timeout_s)
+        latest = loop.time() + max(timeout_s, LONGEST_S)
+
+        def wait_on() -> None:
+            when = max(limit.when() or 0.0, loop.time() + PROGRESS_S)
+            limit.reschedule(min(when, latest))
+
+        collector = _Collector(on_progress=wait_on)
         stream: iostream.IOStream | None = None
         sent = False
         try:
-            async with asyncio.timeout(timeout_s):
+            async with limit:
                 stream = self._take(address) or await self._open(address, timeout_s)
                 stream.set_close_callback(None)
                 connection = HTTP1Connection(stream, True, self._parameters)
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -8,7 +8,7 @@
 from . import metrics
 from .events import EventLog
 from .ports import Done, Joined, NoAnswer, Refused, Store
-from .standbys import LOOK_S, Standby, is_small
+from .standbys import CLEAR_LOOK_S, LOOK_S, Standby, is_small
 from .timers import Clock
 
 # A daemon that dies is replaced after this. It is some four renewals, and a slow store's answer
@@ -120,7 +120,9 @@
         if not await self._read_owners():
             return standby.wanted
         others = sorted(set(self.members_by_shard.values()) - {self.member})
-        if others:
+        if self._clock.monotonic() - now > CLEAR_LOOK_S:
+            standby.note_unclear()
+        elif others:
             # One a look: with 30 hosts standing by, each of 10 owners is called 6 times a second.
             self._looks += 1
             other = others[self._looks % len(others)]
--- a/mustardgap/standbys.py
+++ b/mustardgap/standbys.py
@@ -15,6 +15,9 @@
 # An owner that has answered no call for so long, and is named as owner all the while, has no
 # successor: others take over within 2 s. The store may name it until somebody joins the group.
 GONE_S = 3.0
+# A host whose read of the owners takes longer than this can't tell whether owners are silent or its
+# own link is full. The read takes 4 ms, and 0.25 s where the store is slow.
+CLEAR_LOOK_S = 0.25
 # Larger hosts that were restarted are given this long to stay before they get everything back:
 # each deal stops a shard for some tenths of a second.
 SPARED_S = 5.0
@@ -64,6 +67,10 @@
         else:
             self._silent_since.setdefault(member, self._clock.monotonic())
 
+    def note_unclear(self) -> None:
+        """Forget which owners were silent, as this host's link may be why."""
+        self._silent_since.clear()
+
     def note(self, members_by_shard: Mapping[int, str], *, owns: bool) -> bool:
         """Take in who owns what.
 
--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -52,6 +52,8 @@
     def __init__(self, *, shards: int, seed: int = 0) -> None:
         self.down = False
         self.slow_s = 0.0
+        # Seconds that a host's calls take besides, as its own link is full.
+        self.slow_hosts: dict[str, float] = {}
         # The operator's records are there, but reading them takes long.
         self.operator_held = False
         # Hosts whose open reads get no answer any more, while new ones do.
@@ -261,7 +263,8 @@
 
     async def _do(self, work):  # type: ignore[no-untyped-def]
         self.store.calls += 1
-        await asyncio.sleep(ANSWER_S / 2 + self.store.slow_s)
+        slow_s = self.store.slow_s + self.store.slow_hosts.get(self.host, 0.0)
+        await asyncio.sleep(ANSWER_S / 2 + slow_s)
         if not self._reached():
             await asyncio.sleep(TIMEOUT_S)
             return NoAnswer(sent=True, detail="the store is away")
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -52,6 +52,7 @@
 CAPACITY = Room(cpu=8_000, memory_mb=16_000, gpus=0)
 HEARTBEAT_S = 1.5
 CALL_S = 0.001
+FULL_LINK_S = 0.5
 ADVISE_S, ADVICE_VALID_S = 0.15, 1.5
 
 
@@ -113,10 +114,12 @@
     """Calls the handlers of other daemons in this process.
 
     :param world: all daemons.
+    :param host: the host that calls.
     """
 
-    def __init__(self, *, world: "OwnerWorld") -> None:
+    def __init__(self, *, world: "OwnerWorld", host: str) -> None:
         self._world = world
+        self._host = host
 
     async def call(self, address: str, name: str, values: Any, *, timeout_s: float) -> Any:
         """Call a daemon's handler, as the gRPC client does."""
@@ -125,6 +128,9 @@
         if daemon is None:
             raise PeerUnreachable(sent=False, detail="connection refused")
         raw = msgspec.msgpack.encode(values)
+        if self._host in self._world.hosts_unheard:
+            await asyncio.sleep(timeout_s)
+            raise PeerUnreachable(sent=True, detail="no answer")
         try:
             async with asyncio.timeout(timeout_s):
                 await daemon.clock.gate.wait()
@@ -151,7 +157,7 @@
         store: Any = Held(target=StorePort(store=world.store, host=name), gate=gate)
         executors: Any = Held(target=ExecutorPort(fleet=world.fleet, host=name), gate=gate)
         machines: Any = Held(target=MachinePort(machines=world.machines), gate=gate)
-        peers: Any = FakePeers(world=world)
+        peers: Any = FakePeers(world=world, host=name)
 
         async def ask_peer() -> dict[str, bytes | None]:
             others = [d for d in world.daemons_by_address.values() if d is not self]
@@ -292,6 +298,8 @@
     ) -> None:
         self.loop = loop
         self.small = frozenset(small)
+        # Hosts whose calls of other hosts get no answer.
+        self.hosts_unheard: set[str] = set()
         self.store = FakeStore(shards=SHARDS, seed=seed)
         self.fleet = FakeExecutors(seed=seed)
         self.machines = FakeMachines(world=self)
@@ -372,6 +380,11 @@
         assert isinstance(owned, Dispatcher)
         return owned
 
+    def fill_link(self, name: str) -> None:
+        """Have a host's calls of the store take long, and those of other hosts get no answer."""
+        self.store.slow_hosts[name] = FULL_LINK_S
+        self.hosts_unheard.add(name)
+
     def publish_configuration(self, version: int) -> None:
         """Publish a configuration as the operator does."""
         raw = msgspec.msgpack.encode(self._configuration._replace(version=version))
