Soak real processes with faults from outside, checked from outside

What it is: daemons on the platform's stand-in with loopback links between daemons, store, executors and callers. A seed draws troubles in series and overlapping: daemons killed, stopped, killed while stopping, all killed, frozen, reloaded; the store down or slow; links delayed, cut one way or both, reset, or silent for good on what is open. Callers keep connections, hand in, repeat, ask and cancel. The oracle of the owners' worlds holds the executors' record against what callers were told, each second and at the end; then each accepted job must have ended, each daemon must stop with status 0 and without a traceback. Ruled out: a soak of the product's own interface only (tools/fuzz.py is one), faults inside processes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PIP := $(BIN)/pip install --quiet --no-compile --disable-pip-version-check
 
-.PHONY: install install-dev demo test lint fuzz bench bench-capacity
+.PHONY: install install-dev demo test lint fuzz soak bench bench-capacity
 
 # The demo is a new user's first command, so it waits only for the libraries that it runs on.
 install: $(VENV)/.installed
@@ -35,6 +35,10 @@
 	$(BIN)/python -m tools.testing --long
 	$(BIN)/python -m tools.fuzz --requests 100000 --seconds 30 --rate 150
 
+# SEED=n plays one seed; COUNT=n plays fresh ones.
+soak: install-dev
+	$(BIN)/python -m tools.soak $(if $(SEED),--seed $(SEED),--count $(or $(COUNT),5))
+
 bench: install-dev
 	$(BIN)/python -m tools.bench
 
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,16 @@
+Feature: a soak of real processes, with faults from outside
+  Daemons, the platform's stand-in and links between them are real. Daemons are killed, stopped, frozen
+  and reloaded, the store goes away or is slow, links are delayed, cut one way, reset or go silent; all
+  of it in series and overlapping. Callers keep connections open until the processes are gone.
+
+  Scenario Outline: Seed <seed> keeps every promise
+    Callers hand jobs in, repeat, ask and cancel while the faults come. None is told a wrong thing, no
+    task runs twice or out of order, and once the faults are over each accepted job ends.
+
+    When a soak is played for <seconds> s with seed <seed>
+    Then the soak broke no promise
+    And the soak had jobs accepted and troubles brought
+
+    Examples:
+      | seed | seconds |
+      | 11   | 8       |
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,176 @@
+"""A randomized soak: real processes, faults from outside, and promises checked from outside.
+
+Everything drawn follows from the seed; what processes make of it doesn't, so a seed that failed may
+have to be played again. Ends only processes that it started, by their ids.
+"""
+
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+from .fake_executors import FleetRecord
+from .owner_oracle import Asked, problems
+from .soak_callers import FINAL_STATES, Caller
+from .soak_troubles import TROUBLES
+from .soak_world import PLATFORM, SoakWorld
+from .wire_platform import History
+
+ATTEMPTS = 2
+CHECK_S = 1.0
+# How long jobs may take to end once all faults are over: an owner that died without a word is
+# waited for 11.5 s on executors that don't answer, and then a backlog has to be worked off.
+SETTLE_S = 60.0
+PAUSE_S = (0.2, 1.5)
+CRASH_MARK = "Traceback (most recent call last)"
+
+
+class Outcome(NamedTuple):
+    """How one seed went."""
+
+    seed: int
+    problems: list[str]
+    jobs: int
+    accepted: int
+    answers: int
+    troubles: list[str]
+
+
+async def play(seed: int, *, seconds: float, daemons: int, callers: int, folder: Path) -> Outcome:
+    """Play one seed.
+
+    :param seconds: for how long faults are brought.
+    :param daemons: how many daemons.
+    :param callers: how many callers.
+    :param folder: where settings and logs are written.
+    """
+    rng = random.Random(seed)
+    world = SoakWorld(folder=folder, daemons=daemons, small=rng.randint(0, daemons - 1))
+    calling = [Caller(number=n, world=world, seed=seed) for n in range(1, callers + 1)]
+    found: list[str] = []
+    brought: list[str] = []
+    try:
+        await world.start()
+        for caller in calling:
+            caller.start()
+        checking = asyncio.create_task(_check(world, calling, found))
+        await _bring_troubles(world, rng, seconds, brought)
+        for caller in calling:
+            caller.stopping.set()
+        for caller in calling:
+            await asyncio.to_thread(caller.join)
+        checking.cancel()
+        await asyncio.to_thread(_settle, calling, found)
+        found += _broken(await world.history(), calling)
+        found += await _stop_all(world, folder)
+    finally:
+        for caller in calling:
+            caller.stopping.set()
+        world.close()
+    for caller in calling:
+        found += caller.found
+    asked = _asked(calling)
+    accepted = sum(200 in one.statuses for one in asked.values())
+    answers = sum(caller.answers for caller in calling)
+    return Outcome(seed, sorted(set(found)), len(asked), accepted, answers, brought)
+
+
+async def _bring_troubles(
+    world: SoakWorld, rng: random.Random, seconds: float, brought: list[str]
+) -> None:
+    """Begin one trouble after another without waiting for their ends, then wait for these."""
+    until = time.monotonic() + seconds
+    going: set[asyncio.Task[None]] = set()
+    while time.monotonic() < until:
+        trouble = rng.choice(TROUBLES)
+        brought.append(trouble.__name__)
+        # Its own numbers, so that what one trouble draws doesn't depend on when others draw.
+        task = asyncio.create_task(trouble(world, random.Random(rng.random())))
+        going.add(task)
+        await asyncio.sleep(rng.uniform(*PAUSE_S))
+    await asyncio.gather(*going)
+
+
+async def _check(world: SoakWorld, callers: list[Caller], found: list[str]) -> None:
+    """Hold what callers were told against what executors did, while it goes on."""
+    while not found:
+        await asyncio.sleep(CHECK_S)
+        found += _broken(await world.history(), callers)
+
+
+def _asked(callers: list[Caller]) -> dict[str, Asked]:
+    return {job: asked for caller in callers for job, asked in list(caller.asked_by_job.items())}
+
+
+def _broken(history: History, callers: list[Caller]) -> list[str]:
+    record = FleetRecord()
+    record.runs = history.runs
+    record.acknowledged = history.acknowledged
+    record.lapses = history.lapses
+    return problems(record, _asked(callers), ATTEMPTS)
+
+
+def _settle(callers: list[Caller], found: list[str]) -> None:
+    """Wait until each accepted job has ended, faults being over."""
+    deadline = time.monotonic() + SETTLE_S
+    open_jobs = [
+        (caller, job)
+        for caller in callers
+        for job, asked in caller.asked_by_job.items()
+        if 200 in asked.statuses
+    ]
+    last: dict[str, str] = {}
+    while open_jobs and time.monotonic() < deadline:
+        for caller, job in open_jobs:
+            last[job] = caller.state(job)
+        open_jobs = [(caller, job) for caller, job in open_jobs if last[job] not in FINAL_STATES]
+        time.sleep(0.2)
+    found += [f"{job} was accepted and hasn't ended: {last[job] or '?'}" for _, job in open_jobs]
+
+
+async def _stop_all(world: SoakWorld, folder: Path) -> list[str]:
+    """Stop all daemons in good order, and look at how processes ended."""
+    await asyncio.gather(*(world.stop(name) for name in world.names))
+    found = [f"{name} ended with status {status}" for name, status in world.exits if status]
+    for name in (*world.names, PLATFORM):
+        if CRASH_MARK in world.processes.output(name):
+            found.append(f"{name} wrote a traceback: {folder / name}.log")
+    return found
+
+
+@click.command()
+@click.option("--seed", "seeds", type=int, multiple=True, help="A seed; fresh ones without.")
+@click.option("--count", default=1, help="How many fresh seeds.")
+@click.option("--seconds", default=15.0, help="For how long faults are brought.")
+@click.option("--daemons", default=4, help="How many daemons.")
+@click.option("--callers", default=6, help="How many callers.")
+@click.option("--keep", type=click.Path(), help="Where logs of seeds that failed are kept.")
+def main(
+    seeds: tuple[int, ...], count: int, seconds: float, daemons: int, callers: int, keep: str | None
+) -> None:
+    """Play seeds one after another; ends with 1 if any broke a promise."""
+    failed = 0
+    for seed in seeds or [random.SystemRandom().randrange(1_000_000) for _ in range(count)]:
+        folder = Path(keep or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        outcome = asyncio.run(
+            play(seed, seconds=seconds, daemons=daemons, callers=callers, folder=folder)
+        )
+        click.echo(
+            f"seed {seed}: {outcome.jobs} jobs, {outcome.accepted} accepted, "
+            f"{outcome.answers} answers, {len(outcome.troubles)} troubles, "
+            f"{len(outcome.problems)} promises broken"
+        )
+        for problem in outcome.problems[:20]:
+            click.echo(f"  {problem}")
+        failed += bool(outcome.problems)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak_troubles.py
@@ -0,0 +1,151 @@
+"""Faults that a soak brings from outside the processes; they come in series and overlap."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from .soak_links import Link, Way
+from .soak_world import SoakWorld
+
+Trouble = Callable[[SoakWorld, random.Random], Coroutine[Any, Any, None]]
+SHORT_S, LONG_S = 0.3, 5.0
+# A process that ended is started again after this.
+RESTART_S = (0.1, 3.0)
+DELAYS_S = (0.02, 0.4)
+
+
+async def daemon_killed(world: SoakWorld, rng: random.Random) -> None:
+    """A daemon dies, and is started again."""
+    name = _take_daemon(world, rng)
+    if name is not None:
+        world.kill(name)
+        await _restart(world, rng, name)
+
+
+async def daemon_stopped(world: SoakWorld, rng: random.Random) -> None:
+    """A daemon is stopped in good order, and started again."""
+    name = _take_daemon(world, rng)
+    if name is not None:
+        await world.stop(name)
+        await _restart(world, rng, name)
+
+
+async def daemon_killed_while_stopping(world: SoakWorld, rng: random.Random) -> None:
+    """A daemon that is stopping dies on the way."""
+    name = _take_daemon(world, rng)
+    if name is not None:
+        stopping = asyncio.ensure_future(world.stop(name))
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        world.kill(name)
+        await stopping
+        world.exits.pop()
+        await _restart(world, rng, name)
+
+
+async def all_killed(world: SoakWorld, rng: random.Random) -> None:
+    """All daemons die at once, and come back one after another."""
+    names = [name for name in world.names if name not in world.busy]
+    world.busy |= set(names)
+    for name in names:
+        world.kill(name)
+    for name in names:
+        await _restart(world, rng, name)
+
+
+async def daemon_frozen(world: SoakWorld, rng: random.Random) -> None:
+    """A daemon stands still, for less or more than its membership lasts."""
+    name = _take_daemon(world, rng)
+    if name is not None:
+        await world.freeze(name, rng.uniform(SHORT_S, LONG_S))
+        world.busy.discard(name)
+
+
+async def settings_reloaded(world: SoakWorld, rng: random.Random) -> None:
+    """Daemons are told that their settings have changed, in quick succession."""
+    for _ in range(rng.randint(1, 5)):
+        up = [name for name in world.names if world.is_up(name)]
+        if up:
+            world.reload(rng.choice(up))
+        await asyncio.sleep(rng.uniform(0.0, 0.3))
+
+
+async def store_down(world: SoakWorld, rng: random.Random) -> None:
+    """The store answers nobody."""
+    await world.control(down=True)
+    await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+    await world.control(down=False)
+
+
+async def store_slow(world: SoakWorld, rng: random.Random) -> None:
+    """Each answer of the store takes long."""
+    await world.control(slow_s=rng.choice((0.05, 0.24, 0.6)))
+    await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+    await world.control(slow_s=0.0)
+
+
+async def link_slow(world: SoakWorld, rng: random.Random) -> None:
+    """A link delays all that passes."""
+    link = _any_link(world, rng)
+    link.delay_s = rng.uniform(*DELAYS_S)
+    await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+    link.delay_s = 0.0
+
+
+async def link_cut(world: SoakWorld, rng: random.Random) -> None:
+    """A link carries nothing one way, or either."""
+    link = _any_link(world, rng)
+    link.cut(*rng.choice(([Way.OUT], [Way.BACK], [Way.OUT, Way.BACK])))
+    await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+    link.cut()
+
+
+async def link_reset(world: SoakWorld, rng: random.Random) -> None:
+    """All connections of a link are reset, again and again."""
+    link = _any_link(world, rng)
+    for _ in range(rng.randint(1, 4)):
+        link.reset()
+        await asyncio.sleep(rng.uniform(0.0, 0.5))
+
+
+async def links_silenced(world: SoakWorld, rng: random.Random) -> None:
+    """Open connections go silent for good, on one link or on all; new ones work."""
+    links = [_any_link(world, rng)] if rng.random() < 0.7 else list(world.links.values())
+    for link in links:
+        link.silence()
+
+
+TROUBLES: tuple[Trouble, ...] = (
+    daemon_killed,
+    daemon_stopped,
+    daemon_killed_while_stopping,
+    all_killed,
+    daemon_frozen,
+    settings_reloaded,
+    store_down,
+    store_slow,
+    link_slow,
+    link_cut,
+    link_reset,
+    links_silenced,
+)
+
+
+def _take_daemon(world: SoakWorld, rng: random.Random) -> str | None:
+    """A daemon that no other trouble holds; it is held until it runs again."""
+    free = [name for name in world.names if name not in world.busy and world.is_up(name)]
+    if not free:
+        return None
+    name = rng.choice(free)
+    world.busy.add(name)
+    return name
+
+
+async def _restart(world: SoakWorld, rng: random.Random, name: str) -> None:
+    await asyncio.sleep(rng.uniform(*RESTART_S))
+    world.start_daemon(name)
+    world.busy.discard(name)
+
+
+def _any_link(world: SoakWorld, rng: random.Random) -> Link:
+    return world.links[rng.choice(sorted(world.links))]
--- /dev/null
+++ b/tools/soak_world.py
@@ -0,0 +1,173 @@
+"""The real processes of a soak: daemons on the platform's stand-in, with links between."""
+
+import asyncio
+import http.client
+import json
+import signal
+from pathlib import Path
+
+import msgspec
+
+from .processes import Processes, free_ports, wait_http
+from .soak_links import Link
+from .wire_platform import History
+
+HOST = "stairs.example"
+EXECUTORS, SHARDS = 4, 4
+# A daemon that is asked to stop lingers for the balancer's sake, and leaves within the grace.
+GRACE_S = 10.0
+PLATFORM = "platform"
+CALL_S = 5.0
+
+
+class SoakWorld:
+    """Daemons, the platform's stand-in, and the links between them.
+
+    :param folder: where settings and logs are written.
+    :param daemons: how many daemons.
+    :param small: how many of them say that their hosts are small.
+    """
+
+    def __init__(self, *, folder: Path, daemons: int, small: int) -> None:
+        self.processes = Processes(folder=folder)
+        self.names = [f"e{number}" for number in range(1, daemons + 1)]
+        self.links: dict[str, Link] = {}
+        self.exits: list[tuple[str, int]] = []
+        self.frozen: set[str] = set()
+        self.busy: set[str] = set()
+        self._folder = folder
+        self._small = set(self.names[daemons - small :])
+        self._ports: dict[str, int] = {}
+        self._store_port, self._announced = self._choose_ports()
+
+    def _choose_ports(self) -> tuple[int, int]:
+        """Ports for all; the stand-in and its links need rows of neighbours."""
+        ports = sorted(free_ports(240))
+        rows = [
+            ports[n]
+            for n in range(0, len(ports) - EXECUTORS)
+            if ports[n + EXECUTORS] == ports[n] + EXECUTORS
+        ]
+        store = rows[0]
+        announced = next(port for port in rows if port > store + EXECUTORS)
+        rest = iter(port for port in ports if port > announced + EXECUTORS)
+        for name in self.names:
+            for kind in ("front", "ready", "metrics", "peer", "front link", "store link"):
+                self._ports[f"{kind} {name}"] = next(rest)
+        return store, announced
+
+    async def start(self) -> None:
+        """Start everything, and wait until all daemons are ready."""
+        self.processes.start(
+            PLATFORM,
+            "tools.wire_platform",
+            f"--port={self._store_port}",
+            f"--executors={EXECUTORS}",
+            f"--announce={self._announced}",
+        )
+        await asyncio.to_thread(wait_http, self._store_url("record"))
+        for name in self.names:
+            self._add(f"front {name}", f"front link {name}", self._ports[f"front {name}"])
+            self._add(f"store {name}", f"store link {name}", self._store_port)
+        for number in range(1, EXECUTORS + 1):
+            link = Link(port=self._announced + number, target=self._store_port + number)
+            self.links[f"executor x{number}"] = link
+        for link in self.links.values():
+            await link.open()
+        for name in self.names:
+            self.start_daemon(name)
+        for name in self.names:
+            await asyncio.to_thread(wait_http, self._ready_url(name))
+
+    def _add(self, name: str, port: str, target: int) -> None:
+        self.links[name] = Link(port=self._ports[port], target=target)
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon's process."""
+        file = self._folder / f"{name}.json"
+        file.write_text(json.dumps(self._settings(name)))
+        variables = {
+            "MUSTARDGAP_CONFIG": str(file),
+            "MUSTARDGAP_METRICS_PORT": str(self._ports[f"metrics {name}"]),
+        }
+        self.processes.start(name, "mustardgap.platform", variables=variables)
+
+    def _settings(self, name: str) -> dict[str, object]:
+        store = f"127.0.0.1:{self._ports[f'store link {name}']}"
+        peer = self._ports[f"peer {name}"]
+        return {
+            "node": name,
+            "ip": "127.0.0.1",
+            "zone": "d1",
+            "listen": {
+                "front": f"127.0.0.1:{self._ports[f'front {name}']}",
+                "ready": f"127.0.0.1:{self._ports[f'ready {name}']}",
+            },
+            "portRange": [peer, peer],
+            "limits": {"cpuShare": 0.5 if name in self._small else 1.0, "cores": 1},
+            "platform": {"addr": store, "parts": SHARDS},
+            "cloudApi": {"addr": store},
+            "bounds": {"graceS": 6, "status_s": 600},
+        }
+
+    def entry_port(self, name: str) -> int:
+        """Where callers reach a daemon."""
+        return self._ports[f"front link {name}"]
+
+    def is_up(self, name: str) -> bool:
+        """Whether a daemon's process runs and isn't frozen."""
+        return self.processes.is_running(name) and name not in self.frozen
+
+    def kill(self, name: str) -> None:
+        """Kill a daemon."""
+        self.processes.kill(name)
+
+    async def stop(self, name: str) -> None:
+        """Ask a daemon to stop, and note how it ended."""
+        status = await asyncio.to_thread(self.processes.stop, name, GRACE_S)
+        self.exits.append((name, status))
+
+    async def freeze(self, name: str, seconds: float) -> None:
+        """Let a daemon stand still for some time."""
+        self.frozen.add(name)
+        self.processes.freeze(name)
+        await asyncio.sleep(seconds)
+        self.processes.wake(name)
+        self.frozen.discard(name)
+
+    def reload(self, name: str) -> None:
+        """Tell a daemon that its settings file has changed."""
+        self.processes.signal(name, signal.SIGHUP)
+
+    async def control(self, **fields: object) -> None:
+        """Switch faults of the store on or off."""
+        await asyncio.to_thread(self._post_control, fields)
+
+    def _post_control(self, fields: dict[str, object]) -> None:
+        connection = http.client.HTTPConnection("127.0.0.1", self._store_port, timeout=CALL_S)
+        connection.request("POST", "/control", json.dumps(fields))
+        connection.getresponse().read()
+        connection.close()
+
+    async def history(self) -> History:
+        """What the executors truly did so far."""
+        return await asyncio.to_thread(self._get_history)
+
+    def _get_history(self) -> History:
+        connection = http.client.HTTPConnection("127.0.0.1", self._store_port, timeout=CALL_S)
+        connection.request("GET", "/history")
+        raw = connection.getresponse().read()
+        connection.close()
+        return msgspec.json.decode(raw, type=History)
+
+    def close(self) -> None:
+        """End all that was started, by process id."""
+        for link in self.links.values():
+            link.close()
+        self.processes.stop_all()
+
+    def _store_url(self, path: str) -> str:
+        return f"http://127.0.0.1:{self._store_port}/{path}"
+
+    def _ready_url(self, name: str) -> str:
+        return f"http://127.0.0.1:{self._ports[f'ready {name}']}/mustardgap/ready"
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -22,9 +22,9 @@
     StartRefused,
     WrongSequence,
 )
-from mustardgap.workloads import ExecutorEntry, Room, TaskId
+from mustardgap.workloads import EndRow, ExecutorEntry, Room, TaskId
 
-from .fake_executors import FakeExecutor, FakeExecutors
+from .fake_executors import FakeExecutor, FakeExecutors, RunRecord
 from .fake_store import FakeStore
 
 JOBS_PREFIX = "keyed.mustardgap"
@@ -33,6 +33,14 @@
 Handler = Callable[[httputil.HTTPServerRequest], Awaitable[Answer]]
 
 
+class History(msgspec.Struct):
+    """What all executors truly did, by the steady clock that processes of one machine share."""
+
+    runs: list[RunRecord]
+    acknowledged: list[tuple[float, str, EndRow]]
+    lapses: list[tuple[str, float]]
+
+
 class WirePlatform:
     """The platform's store and executors behind HTTP.
 
@@ -40,11 +48,15 @@
     :param port: the store's port; executors have the following ones.
     :param executors: how many executors there are.
     :param work_s: how long a task takes.
+    :param announced: the port that executors' announced ports follow, where links lie between.
     """
 
-    def __init__(self, *, ip: str, port: int, executors: int, work_s: float) -> None:
+    def __init__(
+        self, *, ip: str, port: int, executors: int, work_s: float, announced: int | None = None
+    ) -> None:
         self.ip = ip
         self.port = port
+        self.announced = announced or port
         self.work_s = work_s
         self.store = FakeStore(shards=4)
         self.fleet = FakeExecutors()
@@ -60,7 +72,7 @@
         _serve(self.ip, self.port, self._store)
         for executor in self.executors:
             port = int(executor.entry.address.rpartition(":")[2])
-            _serve(self.ip, port, self._orders(executor))
+            _serve(self.ip, port - self.announced + self.port, self._orders(executor))
         ticking = asyncio.create_task(self.fleet.run())
         while True:
             for executor in self.executors:
@@ -73,7 +85,7 @@
         entry = ExecutorEntry(
             executor=f"x{number}",
             service="quoting",
-            address=f"{self.ip}:{self.port + number}",
+            address=f"{self.ip}:{self.announced + number}",
             data_centre="d1",
             draining=False,
             capacity=Room(8_000, 16_000, 0),
@@ -110,6 +122,12 @@
         if request.path == "/record":
             rows = [[list(r.task), r.run, r.executor, r.how] for r in self.fleet.record.runs]
             return 200, msgspec.json.encode(rows)
+        if request.path == "/history":
+            record = self.fleet.record
+            history = History(
+                runs=record.runs, acknowledged=record.acknowledged, lapses=record.lapses
+            )
+            return 200, msgspec.json.encode(history)
         if self.store.down:
             await asyncio.sleep(2)
             return 503, b"{}"
@@ -309,11 +327,15 @@
 @click.option("--port", type=int, required=True, help="The store's port; executors follow.")
 @click.option("--executors", type=int, default=3, help="How many executors there are.")
 @click.option("--work-s", type=float, default=0.5, help="How long a task takes, in seconds.")
-def main(ip: str, port: int, executors: int, work_s: float) -> None:
+@click.option("--announce", "announced", type=int, help="The port that announced ones follow.")
+def main(ip: str, port: int, executors: int, work_s: float, announced: int | None) -> None:
     """Run the stand-in."""
 
     async def run() -> None:
-        await WirePlatform(ip=ip, port=port, executors=executors, work_s=work_s).run()
+        platform = WirePlatform(
+            ip=ip, port=port, executors=executors, work_s=work_s, announced=announced
+        )
+        await platform.run()
 
     asyncio.run(run())
 
