--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -33,6 +33,6 @@
     are free to order. A pool in need would wait for 3 s for nothing.
 
     Given owners on a fake platform
-    When the fleet's owner dies just after it has ordered m1 down, and m2 and m3 are due
+    When the fleet's owner dies just after it has ordered one machine down, and others are due
     Then its successor has ordered another machine within 1 s of its takeover
     And no promise was broken
