--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -11,8 +11,8 @@
 
 from features.support.owner_jobs import START_S, hand_in, job_id_of
 from mustardgap.evacuations import Evacuations
-from mustardgap.executor_links import Run, RunPhase
 from mustardgap.job_states import Task
+from mustardgap.runs import Run, RunPhase
 from mustardgap.workloads import EndKind, TaskId
 from tools.owner_machine import OwnerMachine
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -10,7 +10,7 @@
 from .advices import AdviceDesk, StepKey
 from .evacuations import Evacuations
 from .events import EventLog
-from .executor_links import ExecutorLink, Run, RunPhase
+from .executor_links import ExecutorLink
 from .executor_rosters import AUTHORITY_S, ExecutorRoster
 from .job_desks import JobDesk
 from .job_states import (
@@ -24,6 +24,7 @@
 from .pacing import Pacing
 from .pool_views import PoolRequest, PoolView, view
 from .ports import Advice, Executors, Store
+from .runs import Run, RunPhase
 from .shard_logs import EXECUTOR_KEY, JOB_KEY, OWNER_KEY, PROGRESS_KEY, ShardLog, Ticket
 from .suspicions import Suspicions
 from .task_starters import TaskStarter
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -2,9 +2,10 @@
 
 from typing import TYPE_CHECKING
 
-from .executor_links import ExecutorLink, Run, RunPhase
+from .executor_links import ExecutorLink
 from .job_states import Task
 from .placing import choose
+from .runs import Run, RunPhase
 
 if TYPE_CHECKING:
     from .dispatchers import Dispatcher
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -9,7 +9,7 @@
 from .workloads import EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
 
 if TYPE_CHECKING:
-    from .executor_links import Run
+    from .runs import Run
 
 
 class JobPhase(enum.IntEnum):
--- a/mustardgap/pacing.py
+++ b/mustardgap/pacing.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from .executor_links import ExecutorLink, Run, RunPhase
+from .executor_links import ExecutorLink
+from .runs import Run, RunPhase
 from .timers import Clock
 
 # Filling tasks are slowed when a serving task's tail is above this share of its target, and given
--- a/mustardgap/suspicions.py
+++ b/mustardgap/suspicions.py
@@ -4,8 +4,9 @@
 
 from . import metrics
 from .events import EventLog
-from .executor_links import ExecutorLink, Run
+from .executor_links import ExecutorLink
 from .job_states import Task
+from .runs import Run
 from .timers import Clock
 from .workloads import EndKind
 
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -5,10 +5,11 @@
 from . import metrics
 from .advices import StepKey
 from .events import EventLog
-from .executor_links import ExecutorLink, Run
+from .executor_links import ExecutorLink
 from .job_states import Job, JobPhase, Task, exhausted
 from .openings import Openings
 from .placing import choose_each, choose_gang, in_order, usable
+from .runs import Run
 from .timers import Clock
 from .workloads import AdvicePolicy, Step, TaskId
 
