Have one link for soak and tests

The soak's link and the peers' relay did the same: pass bytes on until told to be silent or to close. The relay is now a link in a thread of its own, for steps that block; links take over that a silent connection's end isn't seen at its other side, and that new connections may be silent too. peers.feature (4 scenarios) and soak.feature (2) pass, without a stray task at the end.

--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -181,7 +181,7 @@
     if "new ones" in cut:
         time.sleep(4)
         for relay in context.relays:
-            relay.silent_new = False
+            relay.admit()
 
 
 @then("peers' calls are answered again within {limit:g} s")
--- a/features/support/relays.py
+++ b/features/support/relays.py
@@ -1,8 +1,10 @@
-"""A TCP relay in the test's process that goes silent or closes, as a network's path does."""
+"""A link in a thread of its own, for steps that block."""
 
 import asyncio
 import threading
 
+from tools.links import Link
+
 
 class Relay:
     """Passes connections on to a port until told otherwise.
@@ -14,51 +16,32 @@
     def __init__(self, *, port: int, target: int) -> None:
         self.port = port
         self.target = target
-        self.silent_new = False
-        self._pipes: list[dict[str, object]] = []
         self._loop = asyncio.new_event_loop()
         threading.Thread(target=self._loop.run_forever, daemon=True).start()
-        asyncio.run_coroutine_threadsafe(self._listen(), self._loop).result(5)
+        asyncio.run_coroutine_threadsafe(self._open(), self._loop).result(5)
 
     def silence(self, *, new: bool = False) -> None:
         """Let all open connections swallow what is sent; new ones too if told."""
-        self.silent_new = new
-        for pipe in self._pipes:
-            pipe["silent"] = True
+        self._loop.call_soon_threadsafe(lambda: self._link.silence(new=new))
+
+    def admit(self) -> None:
+        """Let new connections work again."""
+        self._loop.call_soon_threadsafe(self._link.admit)
 
     def close_all(self) -> None:
         """Close all open connections."""
-        for pipe in self._pipes:
-            for writer in pipe["writers"]:
-                self._loop.call_soon_threadsafe(writer.transport.abort)
+        self._loop.call_soon_threadsafe(self._link.reset)
 
     def stop(self) -> None:
         """End the relay."""
+        asyncio.run_coroutine_threadsafe(self._close(), self._loop).result(5)
         self._loop.call_soon_threadsafe(self._loop.stop)
 
-    async def _listen(self):
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
-
-    async def _accept(self, reader, writer):
-        pipe = {"silent": self.silent_new, "writers": [writer]}
-        self._pipes.append(pipe)
-        try:
-            other_reader, other = await asyncio.open_connection("127.0.0.1", self.target)
-        except OSError:
-            writer.close()
-            return
-        pipe["writers"].append(other)
-        await asyncio.gather(
-            self._pass(pipe, reader, other), self._pass(pipe, other_reader, writer)
-        )
+    async def _close(self) -> None:
+        self._link.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        await asyncio.gather(*others, return_exceptions=True)
 
-    async def _pass(self, pipe, reader, writer):
-        try:
-            while data := await reader.read(65_536):
-                if not pipe["silent"]:
-                    writer.write(data)
-                    await writer.drain()
-        except OSError:
-            pass
-        if not pipe["silent"]:
-            writer.close()
+    async def _open(self) -> None:
+        self._link = Link(port=self.port, target=self.target)
+        await self._link.open()
--- a/tools/soak_links.py
+++ b/tools/links.py
@@ -5,8 +5,6 @@
 import enum
 
 CHUNK_BYTES = 65_536
-# A connection whose way is closed for so long is given up by the link itself.
-HELD_S = 30.0
 
 
 class Way(enum.Enum):
@@ -32,6 +30,9 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
+        self._silent_new = False
+        self._carrying: set[asyncio.Task[None]] = set()
+        self._never = asyncio.Event()
 
     async def open(self) -> None:
         """Begin to listen."""
@@ -48,6 +49,8 @@
         """End all connections at once, with what is under way on them."""
         for writer in list(self._writers):
             writer.transport.abort()
+        for task in self._carrying:
+            task.cancel()
 
     def cut(self, *ways: Way) -> None:
         """Hold all bytes back that go these ways, and let others through."""
@@ -57,12 +60,24 @@
             else:
                 is_open.set()
 
-    def silence(self) -> None:
-        """Let no byte through any more on the connections that are open; new ones work."""
+    def silence(self, *, new: bool = False) -> None:
+        """Let no byte through any more on the connections that are open.
+
+        :param new: whether new ones are silent too, until ``admit`` is called.
+        """
         self._silent |= self._writers
+        self._silent_new = new
+
+    def admit(self) -> None:
+        """Let new connections work again; silent ones stay so."""
+        self._silent_new = False
 
     async def _carry(self, near: asyncio.StreamReader, back: asyncio.StreamWriter) -> None:
         self.carried += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._carrying.add(task)
+        task.add_done_callback(self._carrying.discard)
         try:
             far, out = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
@@ -70,13 +85,15 @@
             return
         writers = {back, out}
         self._writers |= writers
+        if self._silent_new:
+            self._silent |= writers
         ways = [
             asyncio.create_task(self._pump(near, out, Way.OUT)),
             asyncio.create_task(self._pump(far, back, Way.BACK)),
         ]
         try:
             # An end of either way ends both, as when a process dies. Cancelled is who carries when
-            # the whole run ends, and asyncio's streams would report that as an error.
+            # the connection is reset, and asyncio's streams would report that as an error.
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -96,8 +113,9 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 await self._open_by_way[way].wait()
-                if writer in self._silent:
-                    await asyncio.sleep(HELD_S)
-                    return
-                writer.write(data)
-                await writer.drain()
+                if writer not in self._silent:
+                    writer.write(data)
+                    await writer.drain()
+        if writer in self._silent:
+            # The other side doesn't even see that this one has ended.
+            await self._never.wait()
--- a/tools/soak_troubles.py
+++ b/tools/soak_troubles.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from .soak_links import Link, Way
+from .links import Link, Way
 from .soak_world import SoakWorld
 
 Trouble = Callable[[SoakWorld, random.Random], Coroutine[Any, Any, None]]
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from .links import Link
 from .processes import Processes, free_ports, wait_http
-from .soak_links import Link
 from .wire_platform import History
 
 HOST = "stairs.example"
