Keep all of an idle pool's first size again

Idle machines cost less there than what the first seconds of a rise lose without them. Lending stays; the scenarios of the fleet keep choosing machines that the pool has.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -4,7 +4,7 @@
 
   Scenario Outline: A pool that asks for <asked> machines gets <gets>: <when>
     A pool's queue rises to several times what its machines do, and its jobs are late. Machines of the
-    standby pool come first, with what idle pools let go. Then others lend what they keep for a rise.
+    standby pool come first. Then other pools lend what they keep only for a rise that nobody foresees.
     They keep what they have work for, and half of all: their own rise would begin with nothing.
 
     Given pools quotes, cuts and stairs of 10 machines each, and 4 on standby
@@ -14,12 +14,12 @@
 
     Examples:
       | when                             | asked | seconds | others | gets | left |
-      | within its size                  | 6     | 4       | 1      | 8    | 6    |
-      | standby is enough                | 12    | 4       | 1      | 14   | 6    |
+      | within its size                  | 6     | 4       | 1      | 10   | 10   |
+      | standby is enough                | 12    | 4       | 1      | 14   | 10   |
       | others have little to do         | 23    | 6       | 1      | 24   | 5    |
       | others have work for most        | 23    | 6       | 7      | 16   | 9    |
       | others are full                  | 23    | 6       | 8      | 14   | 10   |
-      | too short to be lent for         | 23    | 0.3     | 1      | 22   | 6    |
+      | too short to be lent for         | 23    | 0.3     | 1      | 14   | 10   |
 
   Scenario: Lasting tasks that come are no rise of demand
     Lasting tasks arrive at one pool after another, as an operator rolls a service out. Taken for rises,
@@ -28,5 +28,5 @@
 
     Given pools quotes, cuts and stairs of 10 machines each, and 4 on standby
     When lasting tasks for 3 machines come to one pool after another, 1 s apart, twice
-    Then the pool quotes has 6 machines
-    And the pools cuts and stairs have 6 machines each
+    Then the pool quotes has 10 machines
+    And the pools cuts and stairs have 10 machines each
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -18,9 +18,6 @@
 RESERVE_SHARE = 0.5
 # A pool grows to this many times its first size at the most.
 MOST_GROWTH = 2.5
-# The share of its first size that a pool keeps for a rise that nobody foresees. Idle machines cost
-# more than all else on most days; with none at all the first seconds of each rise are lost.
-KEPT_SHARE = 0.6
 # A pool that keeps machines for a rise lends them to one that has work for them, down to this share
 # of its first size. With 35 to 44 idle machines in each of three other pools a risen one had 61 for
 # work that asked for 100 to 180; with none at all, the next rise would begin with nothing.
@@ -64,6 +61,7 @@
         self._smooth_passing = 0.0
         self._noted_at: float | None = None
         self._recent: deque[tuple[float, int]] = deque()
+        # A pool is left at this size until its demand can be foreseen.
         self.given = given
 
     def note(self, view: PoolView, now: float) -> None:
@@ -118,7 +116,7 @@
             return Balance(0, 0)
         lent_down_to = max(kept, math.ceil(self.given * LENDING_FLOOR))
         if not forecast.quiet:
-            kept = max(kept, math.ceil(self.given * KEPT_SHARE))
+            kept = max(kept, self.given)
         spare = max(size - kept, 0)
         return Balance(0, spare, lendable=max(size - spare - lent_down_to, 0))
 
