--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -20,7 +20,7 @@
 
 FLEETS = ROOT / "standins" / "fleets"
 CLI_TIMEOUT_S = 150.0
-READY_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 120.0
 DATA_CENTERS = ("kochi-a", "kochi-b", "kochi-c")
 
 
@@ -145,7 +145,7 @@
 
     # Waiting
 
-    def wait(self, what: str, met: Callable[[], bool], *, timeout_s: float = 30.0) -> None:
+    def wait(self, what: str, met: Callable[[], bool], *, timeout_s: float = 120.0) -> None:
         """Wait until a condition is met.
 
         :raises TimeoutError: it wasn't in time.
