Let no check of the soak end unseen, and use what the tools have

The soak's running check was cancelled without a look at how it had ended: if it couldn't read the record once, nothing was checked any more while faults came; its error ends the run now. How daemons ended was kept in a list from which a killed one's entry was taken back, which could be another's when stops overlap; a stop that must be graceful says so itself. Both make checks stricter. The record is read by get_json, the settings of a process on loopback come from one function for soak and platform steps, and a counter nobody read is gone. Draws of a seed are the same.

--- a/features/steps/http_pools_steps.py
+++ b/features/steps/http_pools_steps.py
@@ -1,6 +1,7 @@
 """Steps of calls over kept connections, against a server that answers part by part."""
 
 import asyncio
+import contextlib
 
 from behave import then, when
 
@@ -29,7 +30,9 @@
                 await asyncio.sleep(pause_s)
                 writer.write(PART)
                 await writer.drain()
-        await reader.read()
+        # Cancelled when the loop ends, which asyncio's streams would report as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            await reader.read()
         writer.close()
 
     async def main():
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,6 +13,7 @@
 from mustardgap import commands_views  # noqa: F401
 from mustardgap.command_options import cli as main_cli
 from tools.processes import free_ports, get_json, wait_http
+from tools.wire_platform import process_settings
 
 PACKAGE = Path(__file__).resolve().parent.parent.parent / "mustardgap"
 # What the platform's pages call things on the wire and in their settings.
@@ -52,17 +53,14 @@
 
 def _settings(context, number):
     front, ready, peer = (context.ports[f"{kind}{number}"] for kind in "frp")
-    return {
-        "node": f"e{number}",
-        "role": "entry",
-        "ip": "127.0.0.1",
-        "zone": "d1",
-        "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
-        "portRange": [peer, peer + 1],
-        "platform": {"addr": f"127.0.0.1:{context.store_port}", "parts": 4},
-        "cloudApi": {"addr": f"127.0.0.1:{context.store_port}"},
-        "bounds": {"graceS": 6, "status_s": 120},
-    }
+    return process_settings(
+        host=f"e{number}",
+        front=front,
+        ready=ready,
+        peer=peer,
+        store=context.store_port,
+        status_s=120,
+    )
 
 
 def _start(context, number, text=None):
--- a/tools/links.py
+++ b/tools/links.py
@@ -26,7 +26,6 @@
         self.target = target
         self.delay_s = 0.0
         self._open_by_way = {way: asyncio.Event() for way in Way}
-        self.carried = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
@@ -73,7 +72,6 @@
         self._silent_new = False
 
     async def _carry(self, near: asyncio.StreamReader, back: asyncio.StreamWriter) -> None:
-        self.carried += 1
         task = asyncio.current_task()
         assert task is not None
         self._carrying.add(task)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 
@@ -74,9 +75,13 @@
         for caller in calling:
             await asyncio.to_thread(caller.join)
         checking.cancel()
+        # A check that couldn't go on ends the run with its error; silent, it would check no more.
+        with suppress(asyncio.CancelledError):
+            await checking
         await asyncio.to_thread(_settle, calling, found)
         found += _broken(await world.history(), calling)
-        found += await _stop_all(world, folder)
+        await asyncio.gather(*(world.stop_gracefully(name) for name in world.names))
+        found += world.found + _tracebacks(world, folder)
     finally:
         for caller in calling:
             caller.stopping.set()
@@ -142,14 +147,12 @@
     found += [f"{job} was accepted and hasn't ended: {last[job] or '?'}" for _, job in open_jobs]
 
 
-async def _stop_all(world: SoakWorld, folder: Path) -> list[str]:
-    """Stop all daemons in good order, and look at how processes ended."""
-    await asyncio.gather(*(world.stop(name) for name in world.names))
-    found = [f"{name} ended with status {status}" for name, status in world.exits if status]
-    for name in (*world.names, PLATFORM):
-        if CRASH_MARK in world.processes.output(name):
-            found.append(f"{name} wrote a traceback: {folder / name}.log")
-    return found
+def _tracebacks(world: SoakWorld, folder: Path) -> list[str]:
+    return [
+        f"{name} wrote a traceback: {folder / name}.log"
+        for name in (*world.names, PLATFORM)
+        if CRASH_MARK in world.processes.output(name)
+    ]
 
 
 @click.command()
@@ -158,7 +161,7 @@
 @click.option("--seconds", default=SECONDS, help="For how long faults are brought.")
 @click.option("--daemons", default=DAEMONS, help="How many daemons.")
 @click.option("--callers", default=CALLERS, help="How many callers.")
-@click.option("--keep", type=click.Path(), help="Where logs of seeds that failed are kept.")
+@click.option("--keep", type=click.Path(), help="Where settings and logs are kept.")
 def main(
     seeds: tuple[int, ...], count: int, seconds: float, daemons: int, callers: int, keep: str | None
 ) -> None:
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -46,10 +46,9 @@
         while not self.stopping.wait(self._rng.uniform(*PAUSE_S)):
             known = list(self.asked_by_job)
             [act] = self._rng.choices(
-                (self._submit, self._ask, self._cancel, self._repeat),
-                (SUBMIT, ASK, CANCEL, REPEAT),
+                (None, self.state, self._cancel, self._repeat), (SUBMIT, ASK, CANCEL, REPEAT)
             )
-            if act is self._submit or not known:
+            if act is None or not known:
                 self._submit()
             else:
                 act(self._rng.choice(known[-20:]))
@@ -77,7 +76,7 @@
         self.answers += 1
         return answer.status, json.loads(raw) if raw else {}
 
-    def _submit(self, known: str = "") -> None:
+    def _submit(self) -> None:
         job_id = f"{self._number:04x}{len(self.asked_by_job):012x}"
         self.asked_by_job[job_id] = Asked(_draw_spec(self._rng), [], [])
         for _ in range(self._rng.randint(1, 8)):
@@ -98,9 +97,6 @@
         if 200 in self.asked_by_job[job_id].statuses:
             self._send(job_id)
 
-    def _ask(self, job_id: str) -> None:
-        self.state(job_id)
-
     def state(self, job_id: str) -> str:
         """Ask for a job's state; empty when it can't be told."""
         accepted = 200 in self.asked_by_job[job_id].statuses
--- a/tools/soak_troubles.py
+++ b/tools/soak_troubles.py
@@ -27,7 +27,7 @@
     """A daemon is stopped in good order, and started again."""
     name = _take_daemon(world, rng)
     if name is not None:
-        await world.stop(name)
+        await world.stop_gracefully(name)
         await _restart(world, rng, name)
 
 
@@ -39,7 +39,6 @@
         await asyncio.sleep(rng.uniform(0.0, 1.0))
         world.kill(name)
         await stopping
-        world.exits.pop()
         await _restart(world, rng, name)
 
 
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -1,20 +1,20 @@
 """The real processes of a soak: daemons on the platform's stand-in, with links between."""
 
 import asyncio
-import http.client
 import json
 import signal
 import time
 from pathlib import Path
+from urllib.request import Request, urlopen
 
 import msgspec
 
 from .links import Link
-from .processes import Processes, free_ports, wait_http
-from .wire_platform import History
+from .processes import Processes, free_ports, get_json, wait_http
+from .wire_platform import History, process_settings
 
 HOST = "stairs.example"
-EXECUTORS, SHARDS = 4, 4
+EXECUTORS = 4
 # By then an interpreter runs the daemon's own code, if it is to run at all.
 BEGUN_S = 10.0
 # A daemon that is asked to stop lingers for the balancer's sake, and leaves within the grace.
@@ -35,10 +35,11 @@
         self.processes = Processes(folder=folder)
         self.names = [f"e{number}" for number in range(1, daemons + 1)]
         self.links: dict[str, Link] = {}
-        self.exits: list[tuple[str, int]] = []
         self.frozen: set[str] = set()
         self.beginning: set[str] = set()
         self.busy: set[str] = set()
+        # What the processes did that they mustn't.
+        self.found: list[str] = []
         self._folder = folder
         self._small = set(self.names[daemons - small :])
         self._ports: dict[str, int] = {}
@@ -112,22 +113,16 @@
             time.sleep(0.01)
 
     def _settings(self, name: str) -> dict[str, object]:
-        store = f"127.0.0.1:{self._ports[f'store link {name}']}"
-        peer = self._ports[f"peer {name}"]
-        return {
-            "node": name,
-            "ip": "127.0.0.1",
-            "zone": "d1",
-            "listen": {
-                "front": f"127.0.0.1:{self._ports[f'front {name}']}",
-                "ready": f"127.0.0.1:{self._ports[f'ready {name}']}",
-            },
-            "portRange": [peer, peer],
-            "limits": {"cpuShare": 0.5 if name in self._small else 1.0, "cores": 1},
-            "platform": {"addr": store, "parts": SHARDS},
-            "cloudApi": {"addr": store},
-            "bounds": {"graceS": 6, "status_s": 600},
-        }
+        fields = process_settings(
+            host=name,
+            front=self._ports[f"front {name}"],
+            ready=self._ports[f"ready {name}"],
+            peer=self._ports[f"peer {name}"],
+            store=self._ports[f"store link {name}"],
+            status_s=600,
+        )
+        cores = 0.5 if name in self._small else 1.0
+        return {**fields, "limits": {"cpuShare": cores, "cores": 1}}
 
     def entry_port(self, name: str) -> int:
         """Where callers reach a daemon."""
@@ -143,10 +138,18 @@
         """Kill a daemon."""
         self.processes.kill(name)
 
-    async def stop(self, name: str) -> None:
-        """Ask a daemon to stop, and note how it ended."""
-        status = await asyncio.to_thread(self.processes.stop, name, GRACE_S)
-        self.exits.append((name, status))
+    async def stop(self, name: str) -> int:
+        """Ask a daemon to stop.
+
+        :return: its exit status.
+        """
+        return await asyncio.to_thread(self.processes.stop, name, GRACE_S)
+
+    async def stop_gracefully(self, name: str) -> None:
+        """Ask a daemon to stop that nothing else is done to; it must end with status 0."""
+        status = await self.stop(name)
+        if status:
+            self.found.append(f"{name} ended with status {status}")
 
     async def freeze(self, name: str, seconds: float) -> None:
         """Let a daemon stand still for some time."""
@@ -165,21 +168,13 @@
         await asyncio.to_thread(self._post_control, fields)
 
     def _post_control(self, fields: dict[str, object]) -> None:
-        connection = http.client.HTTPConnection("127.0.0.1", self._store_port, timeout=CALL_S)
-        connection.request("POST", "/control", json.dumps(fields))
-        connection.getresponse().read()
-        connection.close()
+        request = Request(self._store_url("control"), json.dumps(fields).encode(), method="POST")
+        urlopen(request, timeout=CALL_S).close()
 
     async def history(self) -> History:
         """What the executors truly did so far."""
-        return await asyncio.to_thread(self._get_history)
-
-    def _get_history(self) -> History:
-        connection = http.client.HTTPConnection("127.0.0.1", self._store_port, timeout=CALL_S)
-        connection.request("GET", "/history")
-        raw = connection.getresponse().read()
-        connection.close()
-        return msgspec.json.decode(raw, type=History)
+        rows = await asyncio.to_thread(get_json, self._store_url("history"))
+        return msgspec.convert(rows, History)
 
     def close(self) -> None:
         """End all that was started, by process id."""
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -29,6 +29,7 @@
 
 JOBS_PREFIX = "keyed.mustardgap"
 HEARTBEAT_S = 0.5
+SHARDS = 4
 Answer = tuple[int, bytes]
 Handler = Callable[[httputil.HTTPServerRequest], Awaitable[Answer]]
 
@@ -58,7 +59,7 @@
         self.port = port
         self.announced = announced or port
         self.work_s = work_s
-        self.store = FakeStore(shards=4)
+        self.store = FakeStore(shards=SHARDS)
         self.fleet = FakeExecutors()
         self.lasting: set[str] = set()
         self.operator: list[tuple[str, bytes]] = []
@@ -231,6 +232,32 @@
         return handle
 
 
+def process_settings(
+    *, host: str, front: int, ready: int, peer: int, store: int, status_s: int
+) -> dict[str, Any]:
+    """The settings that the platform writes for a process on loopback.
+
+    :param host: the process's host.
+    :param front: the port for callers.
+    :param ready: the port for the balancer's checks.
+    :param peer: the first of the ports between daemons.
+    :param store: the port of the store, which answers for machines too.
+    :param status_s: how long ended jobs are known.
+    """
+    address = f"127.0.0.1:{store}"
+    return {
+        "node": host,
+        "role": "entry",
+        "ip": "127.0.0.1",
+        "zone": "d1",
+        "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+        "portRange": [peer, peer + 1],
+        "platform": {"addr": address, "parts": SHARDS},
+        "cloudApi": {"addr": address},
+        "bounds": {"graceS": 6, "status_s": status_s},
+    }
+
+
 async def _hold(executor: FakeExecutor, fields: dict[str, Any]) -> Answer:
     refusal = executor.hold(fields["fence"], fields["ackedOffset"], fields.get("untilMs"))
     if refusal is not None:
