Let a stand-in that is held up carry out its orders all the same

Cause of 'host list shows r1-w1 as leaving' seen red beside load: the platform's order to start executors ended with 'Timeout while resolving 127.0.0.1' after the 2 s that a connection might take; the process had waited for a processor. Orders aren't repeated, so the worker stayed without executors. Addresses are numbers and now taken as such, and a connection may take 30 s. Ruled out: repeating orders (a start done twice makes two executors). Red before: a platform held up for 2.5 s.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -270,6 +270,13 @@
       | method | path           | body | status | answer                                                                  |
       | UNTIL  | /control/truth |      | 200    | {"cuts": [{"worker": "r1-w1", "kind": "requests", "count": 1}]}         |
 
+  Scenario: a standins platform that is held up carries out its orders all the same
+    Executors weren't started, for good, as the platform's process waited for a processor while it
+    looked up the address: the time to connect was over when it ran again, and no order is repeated.
+
+    When a standins platform is held up for 2.5 seconds as it orders an executor to be cut
+    Then the standins executors process has carried that out
+
   Scenario Outline: Standins refuse <settings> with one line
     When the standins <module> is started with <settings>
     Then it ends with exit status <status> and one standins line with <text>
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -1,5 +1,6 @@
 """Steps that try the stand-ins over real sockets."""
 
+import asyncio
 import http.client
 import json
 import re
@@ -14,9 +15,11 @@
 from hypothesis import given as for_all
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
+from tornado.web import Application, RequestHandler
 
 from standins import logs
 from standins.controls import Control, check_body
+from standins.links import Links
 from standins.settings import FleetSpec, load
 from tools.processes import ROOT, free_ports, wait_http
 
@@ -387,3 +390,32 @@
     for rack in racks:
         used = [worker.pool for worker in rack.workers if worker.pool]
         assert len(rack.workers) == 4 and len(used) == len(set(used)), rack
+
+
+# A platform that is held up.
+
+
+class _Cut(RequestHandler):
+    def post(self, worker):
+        self.write({"executors": [], "cut": 7})
+
+
+@when("a standins platform is held up for {seconds:g} seconds as it orders an executor to be cut")
+def order_held_up(context, seconds):
+    async def main():
+        server = Application([("/control/workers/(.*)", _Cut)]).listen(0, "127.0.0.1")
+        port = next(iter(server._sockets.values())).getsockname()[1]
+        links = Links()
+        links.register(f"127.0.0.1:{port}", ["w1"])
+        order = asyncio.create_task(links.step("w1", "cut"))
+        await asyncio.sleep(0)
+        time.sleep(seconds)  # noqa: ASYNC251
+        context.cut = (await order)["cut"]
+        server.stop()
+
+    asyncio.run(main())
+
+
+@then("the standins executors process has carried that out")
+def check_cut(context):
+    assert context.cut == 7, context.cut
--- a/standins/links.py
+++ b/standins/links.py
@@ -8,8 +8,13 @@
 from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from mustardgap.resolvers import NumericResolver
+
 DRAIN_TIMEOUT_S = 86_400.0
 MAX_CALLS = 10_000
+# Loopback connects at once or refuses; what takes seconds is this process waiting for a processor.
+# An order isn't repeated, and a start that got lost left its worker without executors for good.
+CONNECT_TIMEOUT_S = 30.0
 
 
 class Links:
@@ -18,7 +23,9 @@
     def __init__(self) -> None:
         self._control_by_worker: dict[str, str] = {}
         self._control_of_others = ""
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
+        self._client = SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CALLS, resolver=NumericResolver()
+        )
 
     def register(self, control: str, workers: list[str]) -> None:
         """Take in an executors process; one that names no workers has all that no other has."""
@@ -41,7 +48,7 @@
             f"http://{control}/control/workers/{worker}",
             method="POST",
             body=msgspec.json.encode({"step": step, "service": service, "order": time.time_ns()}),
-            connect_timeout=2.0,
+            connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=DRAIN_TIMEOUT_S,
         )
         try:
