Let an operator see changes before they are published, and have two who race read the same

Cause of 'two operators publish different changes' seen red once: under load the second command read after the first had published (offsets 12 and 13), so there was no race. Both are now asked before either agrees.

--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -1,12 +1,14 @@
 """Steps for the command line."""
 
 import contextlib
+import io
 import json
 import os
 import pty
 import re
 import subprocess
 import sys
+from unittest import mock
 
 import json5
 from behave import given, then, when
@@ -102,6 +104,11 @@
     dry = run_well(context, "apply", folder, "--dry-run")
     assert "+ service/deposits" in dry and "would be accepted" in dry, dry
     assert run_json(context, "services")["items"] == {}
+    with mock.patch.object(sys, "stdin", io.StringIO("n\n")):
+        declined = run(context, "apply", folder, "--ask")
+    assert "+ service/deposits" in declined.stderr, declined
+    assert declined.stdout == "nothing was published\n" and declined.status == 0, declined
+    assert run_json(context, "services")["items"] == {}
     applied = run_well(context, "apply", folder, "--wait", "--timeout", "20")
     assert "accepted at offset 0" in applied and "in force everywhere" in applied, applied
     assert run_well(context, "apply", folder) == "no changes\n"
--- a/features/steps/system_steps.py
+++ b/features/steps/system_steps.py
@@ -1,6 +1,7 @@
 """Steps for the whole system in real processes under load."""
 
 import json
+import subprocess
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -21,8 +22,9 @@
     write_declarations,
 )
 from tools.benches import declared, fleet
-from tools.clusters import Cluster
+from tools.clusters import CLI_TIMEOUT_S, Cluster
 from tools.load import Plan, Stage
+from tools.processes import ROOT
 
 # Where callers have to be told nothing but answers, daemons and callers wait so long. On a machine
 # with too little processor time a claim takes over a second to be decided and news of the log six,
@@ -129,12 +131,26 @@
 def race(context, field, a, b, e1, e2):
     context.cluster.platform.fault("slow", on="/log/*", method="POST", seconds=1.0)
 
-    def publish(value, entry):
+    def read(value, entry):
         folder = write_declarations(context, f"by-{entry}", with_field(context, field, value))
-        return value, context.cluster.cli("apply", str(folder), "--wait", entry=entry, check=False)
-
+        command = context.cluster.cli_command("apply", str(folder), "--ask", "--wait", entry=entry)
+        pipes = dict.fromkeys(("stdin", "stdout", "stderr"), subprocess.PIPE)
+        operator = subprocess.Popen(command, cwd=ROOT, text=True, **pipes)
+        shown = ""
+        while not shown.endswith("[y/N]: "):
+            letter = operator.stderr.read(1)
+            assert letter, f"ended before it asked: {shown}"
+            shown += letter
+        return operator
+
+    def publish(operator):
+        stdout, stderr = operator.communicate("y\n", timeout=CLI_TIMEOUT_S)
+        return subprocess.CompletedProcess(operator.args, operator.returncode, stdout, stderr)
+
+    # Both are asked before either publishes, so both have read the same.
+    operators = [read(a, e1), read(b, e2)]
     with ThreadPoolExecutor(2) as pool:
-        context.races = list(pool.map(publish, (a, b), (e1, e2)))
+        context.races = list(zip((a, b), pool.map(publish, operators), strict=True))
     context.cluster.platform.clear()
 
 
--- a/mustardgap/commands_apply.py
+++ b/mustardgap/commands_apply.py
@@ -16,6 +16,7 @@
 @cli.command()
 @click.argument("folder", metavar="DIR", type=click.Path())
 @click.option("--dry-run", is_flag=True, help="Only say what would change, and be checked.")
+@click.option("--ask", is_flag=True, help="Show what would change, and ask before publishing it.")
 @click.option("--wait", is_flag=True, help="End when it is in force on every live entry host.")
 @click.option(
     "--timeout",
@@ -24,7 +25,7 @@
     show_default=True,
     help="Seconds to wait at most.",
 )
-def apply(folder: str, dry_run: bool, wait: bool, timeout: float) -> None:
+def apply(folder: str, dry_run: bool, ask: bool, wait: bool, timeout: float) -> None:
     """Publish the declarations in DIR.
 
     What isn't in DIR any more is removed. Each change names the version it was made on, so that of
@@ -33,6 +34,7 @@
     \b
     Examples:
       mustardgap apply config/ --dry-run
+      mustardgap apply config/ --ask
       mustardgap apply config/ --wait --timeout 30
     """
     wanted = declarations.read_dir(folder)
@@ -44,6 +46,8 @@
         result: dict[str, Any] = {"changes": changes, "lines": lines, "dry_run": dry_run}
         if not changes:
             return {**result, "verdict": "unchanged"}
+        if ask and not _agrees(lines):
+            return {**result, "verdict": "declined"}
         try:
             result.update(await client.apply(changes, dry_run=dry_run))
         except ProblemError as exc:
@@ -100,6 +104,13 @@
     emit({"path": path, "valid": True}, lambda: click.echo(text))
 
 
+def _agrees(lines: list[str]) -> bool:
+    # To the error stream: what a script reads from the output stays one document.
+    for line in lines:
+        click.echo(line, err=True)
+    return click.confirm("publish these changes?", err=True)
+
+
 async def _wait(client: Client, offset: int, timeout_s: float) -> float:
     progress = Progress(quiet=options().json)
 
@@ -125,6 +136,9 @@
 
 
 def _show(result: dict[str, Any]) -> None:
+    if result["verdict"] == "declined":
+        click.echo("nothing was published")
+        return
     _show_lines(result["lines"])
     if not result["changes"]:
         return
--- a/tools/clusters.py
+++ b/tools/clusters.py
@@ -191,17 +191,25 @@
 
         :raises RuntimeError: it ended with another status than 0, when ``check`` is set.
         """
-        daemons = [self.daemons_by_name[entry]] if entry else list(self.daemons_by_name.values())
-        entries = [word for daemon in daemons for word in ("--entry", daemon.operators)]
-        command = [sys.executable, "-m", "mustardgap", *entries, *args]
         done = subprocess.run(
-            command, cwd=ROOT, capture_output=True, text=True, timeout=CLI_TIMEOUT_S, check=False
+            self.cli_command(*args, entry=entry),
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=CLI_TIMEOUT_S,
+            check=False,
         )
         if check and done.returncode:
             text = f"mustardgap {' '.join(args)}: status {done.returncode}"
             raise RuntimeError(f"{text}\n{done.stdout}{done.stderr}")
         return done
 
+    def cli_command(self, *args: str, entry: str = "") -> list[str]:
+        """The words that run the command-line tool against one daemon, or all in turn."""
+        daemons = [self.daemons_by_name[entry]] if entry else list(self.daemons_by_name.values())
+        entries = [word for daemon in daemons for word in ("--entry", daemon.operators)]
+        return [sys.executable, "-m", "mustardgap", *entries, *args]
+
     def show(self, *args: str, entry: str = "") -> Any:
         """Run the command-line tool and decode its JSON."""
         return json.loads(self.cli("--output", "json", *args, entry=entry).stdout)
