--- a/mustardgap/timers.py
+++ b/mustardgap/timers.py
@@ -49,9 +49,9 @@
     :param gap_s: a tick later than this many seconds counts as a gap.
     """
 
-    # A hold-up that begins between two ticks is seen too short, by a tick at the most; what is judged
-    # by them waits for 0.3 s and more. A tick takes 0.14 ms of processor time (of 2,300, on a
-    # busy machine): ten a second take 0.14 % of a core, where 1.2 % are allowed.
+    # A hold-up that begins between two ticks is seen too short, by a tick at most; what is judged
+    # by them waits for 0.3 s and more. A tick takes 0.14 ms of processor time (mean of 2,300 on
+    # a busy machine): ten a second take 0.14 % of a core, where 1.2 % are allowed.
     TICK_S = 0.1
 
     def __init__(self, *, clock: Clock | None = None, gap_s: float = 2.0) -> None:
