Let pools lend while a wave has machines of theirs

Now only machines beyond a pool's own count as growth. The two loops that dealt machines out are one; it no longer counts a pool as served that got nothing.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -21,6 +21,17 @@
       | others are full                  | 23    | 6       | 8      | 14   | 10   |
       | too short to be lent for         | 23    | 0.3     | 1      | 14   | 10   |
 
+  Scenario: Pools lend while a wave has machines of theirs
+    A rack's machines are away for maintenance, and another pool's demand rises. Their pools looked as
+    if they were growing, as machines were on the way to them, and lent nothing for as long as the wave
+    went on. The risen pool's jobs were late while two thirds of the fleet lay idle.
+
+    Given pools quotes, cuts and stairs of 10 machines each, and 4 on standby
+    And a wave has a machine of cuts and one of stairs
+    When the demand of quotes is 23 machines for 6 s, while cuts and stairs have work for 1
+    Then the pool quotes has 24 machines
+    And the pools cuts and stairs have 5 machines each
+
   Scenario: Lasting tasks that come are no rise of demand
     Lasting tasks arrive at one pool after another, as an operator rolls a service out. Taken for rises,
     they would have pools foresee the next ones by them and let go of their machines; the first real rise
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -6,7 +6,7 @@
 
 from mustardgap.events import EventLog
 from mustardgap.fleet_moves import FleetMoves
-from mustardgap.fleet_states import FleetState, Times
+from mustardgap.fleet_states import Away, FleetState, Times
 from mustardgap.pool_views import ExecutorView, PoolView
 from mustardgap.timers import Clock
 from mustardgap.workloads import Configuration, Machine, Room, Service
@@ -68,7 +68,7 @@
         left = (self.demand[pool] + self.lasting[pool]) * CORES
         executors = []
         for machine in self.state.machines_by_id.values():
-            if machine.pool == pool:
+            if machine.pool == pool and machine.machine not in self.state.away_by_machine:
                 used = min(left, CORES)
                 left -= used
                 executors.append(
@@ -101,6 +101,15 @@
     context.pools.play(1.0)
 
 
+@given("a wave has a machine of cuts and one of stairs")
+def wave_has(context):
+    state = context.pools.state
+    for name in ("cuts-0", "stairs-0"):
+        machine = state.machines_by_id[name]
+        state.machines_by_id[name] = machine._replace(state="maintenance")
+        state.away_by_machine[name] = Away(machine.executor, machine.pool, float("inf"), 1)
+
+
 @when(
     "the demand of quotes is {asked:d} machines for {seconds:g} s, "
     "while cuts and stairs have work for {others:d}"
--- a/mustardgap/fleet_moves.py
+++ b/mustardgap/fleet_moves.py
@@ -1,7 +1,7 @@
 """Moves of machines between pools and standby, as the pools' demand turns."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -38,6 +38,13 @@
     peaks: dict[str, float] = {}
 
 
+class Assignment(NamedTuple):
+    """A pool, and a machine that it gets."""
+
+    service: str
+    machine: Machine
+
+
 class FleetMoves:
     """Moves machines to the pools that need them.
 
@@ -145,41 +152,27 @@
             if machine.pool in standby and self._state.free_to_close(name, now)
         ]
         self._short_since = {s: self._short_since.get(s, now) for s in short}
-        idle.sort(key=lambda machine: machine.machine not in due)
-        # One machine a pool in turn, so that two that rise together share what there is.
-        while short and (idle or surplus):
-            for service in list(short):
-                if idle:
-                    self._order_idle(idle.pop(), service)
-                elif surplus:
-                    self._state.close(surplus.pop(0), pool=service)
-                short[service] -= 1
-                if not short[service]:
-                    del short[service]
-        self._lend(short, lendable, now)
-        for service, count in liked.items():
-            for _ in range(min(count, len(idle))):
-                self._order_idle(idle.pop(), service)
+        idle.sort(key=lambda machine: machine.machine in due)
+        for service, machine in _in_turn(short, idle):
+            self._order_idle(machine, service)
+        for service, machine in _in_turn(short, surplus):
+            self._state.close(machine, pool=service)
+        # Those that are short for long get what others only keep for their next rise.
+        needy = {s: count for s, count in short.items() if now - self._short_since[s] >= SHORT_S}
+        for service, machine in _in_turn(needy, lendable):
+            self._state.close(machine, pool=service)
+        for service, machine in _in_turn(liked, idle):
+            self._order_idle(machine, service)
         for machine in surplus:
             self._state.close(machine, pool=standby[0])
 
-    def _lend(self, short: dict[str, int], lendable: list[Machine], now: float) -> None:
-        """Give pools that are short for long what others only keep for their next rise."""
-        needy = {s: count for s, count in short.items() if now - self._short_since[s] >= SHORT_S}
-        while needy and lendable:
-            for service in list(needy):
-                if lendable:
-                    self._state.close(lendable.pop(0), pool=service)
-                needy[service] -= 1
-                if not needy[service]:
-                    del needy[service]
-
     def _balance(self, service: str, view: PoolView, now: float) -> Balance:
         ordered = [
             away
             for name, away in self._state.away_by_machine.items()
             if away.pool == service and name not in self._state.closing_by_machine
         ]
+        returning = sum(1 for away in ordered if away.wave is not None)
         closings = self._state.closing_by_machine.values()
         coming = len(ordered) + sum(1 for closing in closings if closing.pool == service)
         leaving = sum(1 for closing in closings if closing.source == service)
@@ -195,7 +188,9 @@
             quiet = True
         forecast = Forecast(quiet=quiet, soon=soon)
         demand = self._demands_by_service[service]
-        balance = demand.balance(view, forecast, coming=coming, leaving=leaving)
+        balance = demand.balance(
+            view, forecast, coming=coming, returning=returning, leaving=leaving
+        )
         if balance != Balance(0, 0):
             self._events.note(
                 "pool.balance",
@@ -203,6 +198,7 @@
                 demand_machines=demand.machines(view),
                 executors=len(view.executors),
                 coming=coming,
+                returning=returning,
                 leaving=leaving,
                 missing=balance.missing,
                 spare=balance.spare,
@@ -238,3 +234,19 @@
         """Keep what was learned of demand; a successor would have to see all rises again."""
         learned = Learned(self._learned.given, self._turns.seen, self._turns.peak_by_service)
         self.log.put(LEARNED_KEY, msgspec.msgpack.encode(learned))
+
+
+def _in_turn(count_by_service: dict[str, int], machines: list[Machine]) -> Iterator[Assignment]:
+    """Deal machines out, one a pool in turn, so that pools that rise together share what there is.
+
+    :param count_by_service: how many machines each pool is to get; what was dealt is taken off.
+    :param machines: what there is, the first ones first; what was dealt is taken out.
+    """
+    while count_by_service and machines:
+        for service in list(count_by_service):
+            if not machines:
+                return
+            yield Assignment(service, machines.pop(0))
+            count_by_service[service] -= 1
+            if not count_by_service[service]:
+                del count_by_service[service]
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -90,10 +90,13 @@
         """The smoothed demand of work that ends by itself, in machines."""
         return self._smooth_passing / (_machine_cpu(view) * FILL_SHARE)
 
-    def balance(self, view: PoolView, forecast: Forecast, *, coming: int, leaving: int) -> Balance:
+    def balance(
+        self, view: PoolView, forecast: Forecast, *, coming: int, returning: int, leaving: int
+    ) -> Balance:
         """Compare what the pool has with what it needs.
 
         :param coming: machines that are on their way to the pool.
+        :param returning: those among them that a wave has, and gives back.
         :param leaving: machines of the pool that are being emptied.
         """
         present = [e for e in view.executors if e.settled and not e.draining]
@@ -111,8 +114,10 @@
         peak = max((need for _, need in self._recent), default=0)
         kept = math.ceil((peak + RESERVE_SHARE * machine_cpu) / (machine_cpu * FILL_SHARE))
         kept = max(kept, needed, 1)
-        if coming:
+        if coming > returning:
             # One that grows lets nothing go: what comes would only take the place of what leaves.
+            # One that gets its own back after maintenance doesn't grow. Taken for growing, pools
+            # lent nothing while a wave went on; a risen one had 50 machines for work for 110.
             return Balance(0, 0)
         lent_down_to = max(kept, math.ceil(self.given * LENDING_FLOOR))
         if not forecast.quiet:
