Leave a machine alone for the time since its order, however often the fleet changes hands

Each held all machines of its predecessors' record for 3.3 s from its own takeover, so with 75 idle machines in one pool and 48 to 70 missing in another nothing moved from 36.1 to 39.8 s. Ruled out: the balance (it named them spare in each round), their lasting tasks (none). The record now tells each order's age at the least (no wall clock: daemons' clocks may be 6 s apart), and a leaving owner writes it anew. An order under way has none. Red before: rest 3.3 s after 1, 2 and 3 changes of hands, now 2.3, 1.3 and 0.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -27,6 +27,23 @@
     And no promise was broken
     And each task has run once
 
+  Scenario Outline: A machine is left alone for the time since its order, not since each takeover
+    All daemons are rolled, one after another, and the fleet changes hands every second or two. Each new
+    owner left all machines alone that had been ordered lately, for 3 s from its own takeover, and
+    was rolled before that was over: for 10 s no machine moved, while a pool rose. An order that is still
+    under way may be sent again until its owner is gone; that one counts from the takeover.
+
+    When a machine's order has <ended>, and the fleet changes hands <times> times, <seconds> s apart
+    Then its last owner leaves that machine alone for <rest> s
+
+    Examples:
+      | ended       | times | seconds | rest |
+      | been done   | 1     | 1.0     | 2.3  |
+      | been done   | 2     | 1.0     | 1.3  |
+      | been done   | 3     | 2.0     | 0.0  |
+      | no answer   | 1     | 1.0     | 3.3  |
+      | no answer   | 2     | 1.0     | 2.3  |
+
   Scenario: A new owner of the fleet leaves only those machines alone that its predecessor ordered
     The fleet's owner dies with one machine of a wave down. Its successor must not order that machine
     within 3 s, as two holders would contradict each other; it counts as down meanwhile. All others
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -1,12 +1,18 @@
 """Steps of the fleet's owner beside owners of pools, on virtual time."""
 
 import asyncio
+from types import SimpleNamespace
 
 from behave import then, when
 
 from features.support.owner_jobs import START_S, hand_in, job_id_of
+from mustardgap.events import EventLog
+from mustardgap.fleet_orders import RECENT_KEY, FleetOrders
+from mustardgap.fleet_states import Closing, FleetState, Times
 from mustardgap.pool_views import PoolRequest
+from mustardgap.ports import Done, NoAnswer
 from mustardgap.shard_owners import FLEET_SHARD
+from tools.actor_platforms import HandClock
 from tools.owner_troubles import TWO_STEPS, publish_wave
 from tools.owner_worlds import SERVICE, play
 
@@ -111,3 +117,75 @@
 @then("its successor has ordered another machine within {seconds:g} s of its takeover")
 def ordered_soon(context, seconds):
     assert context.waited_s <= seconds, context.waited_s
+
+
+class Record:
+    """The fleet's record, which owner after owner writes to."""
+
+    epoch = 1
+
+    def __init__(self):
+        self.values = {}
+
+    def put(self, key, value):
+        self.values[key] = value
+        outcome = asyncio.get_running_loop().create_future()
+        outcome.set_result(None)
+        return SimpleNamespace(outcome=outcome, durable=True)
+
+
+class OneAnswer:
+    """Machines whose orders all have the same outcome."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+    async def move(self, **order):
+        return self.outcome
+
+
+@when(
+    "a machine's order has {ended}, "
+    "and the fleet changes hands {times:d} times, {seconds:g} s apart"
+)
+def fleet_changes_hands(context, ended, times, seconds):
+    clock, record = HandClock(), Record()
+    outcome = {"been done": Done(), "no answer": NoAnswer(sent=True, detail="cut")}[ended]
+
+    def take_over():
+        events = EventLog(host="e1", clock=clock)
+        state = FleetState(clock=clock, events=events)
+        orders = FleetOrders(
+            state=state,
+            log=record,
+            machines=OneAnswer(outcome),
+            host="e1",
+            times=Times(1.5, 2.0, 3.0),
+            on_done=lambda name, closing: None,
+            on_maintained=lambda wave, name: None,
+            clock=clock,
+            events=events,
+        )
+        if RECENT_KEY in record.values:
+            orders.restore(record.values[RECENT_KEY])
+        return orders, state
+
+    async def main():
+        orders, state = take_over()
+        orders.send("m1", Closing("x1", "quotes", clock.now, None, "cuts"))
+        await asyncio.sleep(0.01)
+        under_way = list(state.orders_by_machine.values())
+        for _ in range(times):
+            clock.now += seconds
+            await orders.hand_over()
+            orders, state = take_over()
+        for task in under_way:
+            task.cancel()
+        context.rest_s = max(0.0, state.not_before_by_machine.get("m1", 0.0) - clock.now)
+
+    asyncio.run(main())
+
+
+@then("its last owner leaves that machine alone for {seconds:g} s")
+def left_alone(context, seconds):
+    assert abs(context.rest_s - seconds) < 1e-6, context.rest_s
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -8,26 +8,14 @@
 from mustardgap.fleet_moves import FleetMoves
 from mustardgap.fleet_states import Away, FleetState, Times
 from mustardgap.pool_views import ExecutorView, PoolView
-from mustardgap.timers import Clock
 from mustardgap.workloads import Configuration, Machine, Room, Service
+from tools.actor_platforms import HandClock
 
 CORES = 10_000
 ROUND_S = 0.2
 STANDBY = "spare"
 
 
-class HandClock(Clock):
-    """A clock that is moved by hand."""
-
-    now = 1000.0
-
-    def monotonic(self):
-        return self.now
-
-    def wall(self):
-        return self.now
-
-
 class Pools:
     """Machines in pools, each moved at once when it is ordered, and the parts that decide."""
 
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -131,8 +131,8 @@
                     task.cancel()
 
     async def hand_over(self) -> None:
-        """Send no more orders."""
-        self.orders.ended = True
+        """Send no more orders, and leave a record of those that were sent."""
+        await self.orders.hand_over()
 
     async def _load(self) -> None:
         values = await self.log.read()
--- a/mustardgap/fleet_orders.py
+++ b/mustardgap/fleet_orders.py
@@ -10,7 +10,7 @@
 from .events import EventLog
 from .fleet_states import Away, Closing, FleetState, Times
 from .ports import Done, Fenced, Machines, NoAnswer, NotInWave, Order, Refused, Throttled
-from .shard_logs import ShardLog
+from .shard_logs import ShardLog, Ticket
 from .timers import Clock
 from .workloads import Machine
 
@@ -24,18 +24,26 @@
 # the list of machines.
 BACK_SLACK_S = 0.3
 REOPEN_PAUSE_S = 1.0
+# How long a leaving owner waits for its last record; without it the successor counts from an
+# earlier one, and leaves machines alone for longer.
+HAND_OVER_S = 0.3
 # A successor orders a machine that its predecessor may have ordered after the platform's bound
 # between two holders, and this.
 TAKEOVER_SLACK_S = 0.3
 
 
 class Recent(NamedTuple):
-    """An order that was sent lately, or is about to be."""
+    """An order that was sent lately, or is about to be.
+
+    ``age_s`` tells how long ago it was sent at the least: daemons' clocks may differ, and the time
+    between the record and its reader isn't counted.
+    """
 
     machine: str
     executor: str
     pool: str
     wave: int | None
+    age_s: float = 0.0
 
 
 class FleetOrders:
@@ -83,15 +91,27 @@
         self._recent: dict[str, Recent] = {}
         self._sent_at: dict[str, float] = {}
 
+    async def hand_over(self) -> None:
+        """Send no more orders, and tell the successor how old the sent ones are.
+
+        When all daemons are rolled, the fleet changes hands every second or two. Counted from each
+        takeover, the time for which a machine is left alone was never over, and no machine moved
+        for 8 s while a pool rose to ten times its size.
+        """
+        self.ended = True
+        if self._recent:
+            ticket = self._put_recent()
+            await asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
+
     def restore(self, raw: bytes) -> None:
         """Take in what a former owner may have ordered just before this one took over."""
         now = self._clock.monotonic()
         for row in msgspec.msgpack.decode(raw, type=list[Recent]):
             self._recent[row.machine] = row
-            self._sent_at[row.machine] = now
-            self._state.not_before_by_machine[row.machine] = now + self._apart_s
+            sent_at = self._sent_at[row.machine] = now - row.age_s
+            self._state.not_before_by_machine[row.machine] = sent_at + self._apart_s
             # Counted as away: it may be, for a wave that allows only so many.
-            self._state.away_by_machine[row.machine] = self._away(row, now)
+            self._state.away_by_machine[row.machine] = self._away(row, sent_at)
 
     def send(self, name: str, closing: Closing) -> None:
         """Order a machine away on which nothing runs."""
@@ -137,19 +157,25 @@
 
     async def _record(self, row: Recent) -> bool:
         """Keep an order for a successor; whether that has been done."""
-        now = self._clock.monotonic()
-        for name, sent_at in list(self._sent_at.items()):
-            under_way = name in self._state.orders_by_machine
-            # Twice the bound, as a successor counts from its own takeover.
-            if not under_way and now - sent_at > 2 * self._apart_s:
-                del self._sent_at[name], self._recent[name]
         self._recent[row.machine] = row
-        self._sent_at[row.machine] = now
-        raw = msgspec.msgpack.encode(list(self._recent.values()))
-        ticket = self._log.put(RECENT_KEY, raw)
+        self._sent_at[row.machine] = self._clock.monotonic()
+        ticket = self._put_recent()
         await asyncio.wait([ticket.outcome], timeout=RECORD_S)
         return ticket.durable
 
+    def _put_recent(self) -> Ticket:
+        now = self._clock.monotonic()
+        rows = []
+        for name, row in list(self._recent.items()):
+            # One under way may be sent again after this record.
+            age_s = 0.0 if name in self._state.orders_by_machine else now - self._sent_at[name]
+            # Twice the bound: a successor may not find the machine back in the list before.
+            if age_s > 2 * self._apart_s:
+                del self._sent_at[name], self._recent[name]
+                continue
+            rows.append(row._replace(age_s=age_s))
+        return self._log.put(RECENT_KEY, msgspec.msgpack.encode(rows))
+
     async def _send(self, name: str, closing: Closing) -> Order:
         fence = self._log.epoch
         if closing.wave is not None:
