Move a risen pool's lasting tasks in time for a wave

Ruled out: places of the wave (37 at once, 3 used), room elsewhere (each move found some at once). A pool's lasting tasks now move, one machine at a time, once the time left is 1.2 times what they take. Red before: no machine closed with 19 s left.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -27,6 +27,21 @@
     And no promise was broken
     And each task has run once
 
+  Scenario Outline: Lasting tasks of a risen pool move in time for a wave: <left> s before its end
+    A pool has work for all its machines for as long as most of a wave lasts. Its machines were left
+    alone until the wave's last rounds. Lasting tasks move one after another, so those on the wave's
+    machines took until after its end, and the operator's maintenance was late.
+
+    When a wave is due in <left> s for <due> of 10 machines that a risen pool has lasting tasks on
+    Then <closed> of its machines are being emptied
+
+    Examples:
+      | left | due | closed |
+      | 30   | 5   | 0      |
+      | 19   | 5   | 1      |
+      | 19   | 2   | 0      |
+      | 6    | 2   | 2      |
+
   Scenario Outline: A machine is left alone for the time since its order, not since each takeover
     All daemons are rolled, one after another, and the fleet changes hands every second or two. Each new
     owner left all machines alone that had been ordered lately, for 3 s from its own takeover, and
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -9,9 +9,11 @@
 from mustardgap.events import EventLog
 from mustardgap.fleet_orders import RECENT_KEY, FleetOrders
 from mustardgap.fleet_states import Closing, FleetState, Times
-from mustardgap.pool_views import PoolRequest
+from mustardgap.fleet_waves import FleetWaves
+from mustardgap.pool_views import ExecutorView, PoolRequest, PoolView
 from mustardgap.ports import Done, NoAnswer
 from mustardgap.shard_owners import FLEET_SHARD
+from mustardgap.workloads import Configuration, Machine, Room, Service, Wave
 from tools.actor_platforms import HandClock
 from tools.owner_troubles import TWO_STEPS, publish_wave
 from tools.owner_worlds import SERVICE, play
@@ -189,3 +191,40 @@
 @then("its last owner leaves that machine alone for {seconds:g} s")
 def left_alone(context, seconds):
     assert abs(context.rest_s - seconds) < 1e-6, context.rest_s
+
+
+@when(
+    "a wave is due in {left:g} s for {due:d} of {size:d} machines "
+    "that a risen pool has lasting tasks on"
+)
+def wave_is_due(context, left, due, size):
+    clock = HandClock()
+    events = EventLog(host="e1", clock=clock)
+    state = FleetState(clock=clock, events=events)
+    for number in range(size):
+        room = Room(cpu=1, memory_mb=1, gpus=0)
+        machine = Machine(f"m{number}", "quotes", "up", "d1", (), room, f"x{number}")
+        state.machines_by_id[machine.machine] = machine
+    executors = [ExecutorView(f"x{number}", 1, 1, 1, 1, True, False) for number in range(size)]
+    state.views_by_service["quotes"] = PoolView("quotes", size, 0, 0, executors)
+    wave = Wave(1, tuple(f"m{number}" for number in range(due)), left, 10)
+    waves = FleetWaves(
+        state=state,
+        log=SimpleNamespace(put=lambda key, value: None),
+        boards=None,
+        operator=SimpleNamespace(waves_by_number={1: wave}),
+        times=Times(1.5, 2.0, 3.0),
+        needed=lambda pool: True,
+        demand=lambda pool: float(size),
+        order_idle=lambda machine, number: None,
+        clock=clock,
+        events=events,
+    )
+    quotes = Service("quotes", "/", 64, True, False)
+    waves.plan(Configuration(1, {}, {"quotes": quotes}))
+    context.closed = list(state.closing_by_machine)
+
+
+@then("{count:d} of its machines are being emptied")
+def being_emptied(context, count):
+    assert len(context.closed) == count, context.closed
--- a/mustardgap/fleet_waves.py
+++ b/mustardgap/fleet_waves.py
@@ -19,6 +19,9 @@
 # A wave takes machines from pools that need them once the time left is less than this many times
 # what its rounds take.
 HURRY = 1.7
+# The same for machines with lasting tasks. These move one after another, so how long that takes is
+# known better; it is begun in time, one machine at once, also in a pool that has none to spare.
+LASTING_HURRY = 1.2
 WAVE_KEY = "w/"
 
 OrderIdle = Callable[[Machine, int], None]
@@ -115,7 +118,7 @@
                 if self._state.is_standby(machine.pool, configuration):
                     if self.may_go_down(wave.number):
                         self._order_idle(machine, wave.number)
-                elif self._has_turn(machine, wave) and self._may_close(machine, hurried):
+                elif self._has_turn(machine, wave) and self._may_close(machine, wave, hurried):
                     self._state.close(machine, wave=wave.number)
 
     def _has_turn(self, machine: Machine, wave: Wave) -> bool:
@@ -148,8 +151,23 @@
         """Whether a wave would be late if it waited for pools that have no machine to spare."""
         rounds = -(-len(self.remaining(wave)) // max(wave.at_once, 1))
         needed_s = rounds * (self._times.maintenance_s + EMPTYING_S)
-        left_s = self._known_at_by_wave[wave.number] + wave.finish_by_s - self._clock.wall()
-        return left_s < needed_s * HURRY
+        return self._left_s(wave) < needed_s * HURRY
+
+    def _left_s(self, wave: Wave) -> float:
+        return self._known_at_by_wave[wave.number] + wave.finish_by_s - self._clock.wall()
+
+    def _would_be_late(self, wave: Wave, pool: str) -> bool:
+        """Whether a pool's lasting tasks have to move now, for their machines to be done in time.
+
+        A pool that had risen for 11 s was left alone until the wave's last rounds. Its five
+        machines with lasting tasks then took 2.5 s each, and four of the wave's 98 were late.
+        """
+        view = self._state.views_by_service[pool]
+        machines = [self._state.machines_by_id.get(name) for name in self.remaining(wave)]
+        due = {machine.executor for machine in machines if machine is not None}
+        runs = sum(e.lasting_runs for e in view.executors if e.executor in due)
+        needed_s = runs * EMPTYING_S + self._times.maintenance_s
+        return runs > 0 and self._left_s(wave) < needed_s * LASTING_HURRY
 
     def _wave_order(self, machine: Machine, configuration: Configuration) -> tuple[int, int, int]:
         if self._state.is_standby(machine.pool, configuration):
@@ -160,16 +178,18 @@
             return 2, 0, 0
         return 1, executor.lasting_runs, view.waiting_cpu + executor.used_cpu
 
-    def _may_close(self, machine: Machine, hurried: bool) -> bool:
+    def _may_close(self, machine: Machine, wave: Wave, hurried: bool) -> bool:
         view = self._state.views_by_service.get(machine.pool)
         if view is None or executor_in(view, machine.executor) is None:
             return False
-        if not hurried and self._needed(machine.pool):
+        hosts_lasting = self._state.hosts_lasting(machine)
+        presses = hurried or (hosts_lasting and self._would_be_late(wave, machine.pool))
+        if not presses and self._needed(machine.pool):
             return False
         closing = [c for c in self._state.closing_by_machine.values() if c.source == machine.pool]
         lasting = {e.executor for e in view.executors if e.lasting_runs}
         hosts = sum(1 for c in closing if c.executor in lasting)
-        if machine.executor in lasting and hosts and not hurried:
+        if hosts_lasting and hosts and not hurried:
             # Lasting tasks move one at a time, and into what their pool has left.
             return False
         closed = len(closing)
