Have a pool that is about to rise get what the risen one no longer needs

Ruled out: the forecast (rises came within 0.5 s of it), the number of machines (enough). A pool now likes as many as its last rise needed, before its first one as much times its size as others needed, and gets them from what is given back too.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -63,6 +63,15 @@
     Then the pool quotes has 24 machines
     And the pools cuts and stairs have 5 machines each
 
+  Scenario: A pool that is about to rise gets what the risen one no longer needs
+    Pools rise one after another. The machines of the one that falls went to standby and from there to
+    the next one, two moves on end; they came as most of the rise was over, and its jobs were late.
+    Machines are filled by nine tenths, so work for 20 takes 22 of them.
+
+    Given pools quotes, cuts and stairs of 10 machines each, and 4 on standby
+    When quotes, cuts and stairs rise to 20 machines in turn, 6 s apart, and quotes is about to again
+    Then the pool quotes has 22 machines
+
   Scenario: Lasting tasks that come are no rise of demand
     Lasting tasks arrive at one pool after another, as an operator rolls a service out. Taken for rises,
     they would have pools foresee the next ones by them and let go of their machines; the first real rise
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -136,6 +136,19 @@
     assert round(context.cores) == cores, context.cores
 
 
+@when(
+    "quotes, cuts and stairs rise to {asked:d} machines in turn, {gap:d} s apart, "
+    "and quotes is about to again"
+)
+def rise_in_turn(context, asked, gap):
+    pools = context.pools
+    for pool in ("quotes", "cuts", "stairs"):
+        pools.demand[pool] = asked
+        pools.play(gap / 2)
+        pools.demand[pool] = 1
+        pools.play(gap / 2)
+
+
 @when("lasting tasks for {count:d} machines come to one pool after another, {gap:d} s apart, twice")
 def lasting_tasks_come(context, count, gap):
     pools = context.pools
--- a/mustardgap/fleet_moves.py
+++ b/mustardgap/fleet_moves.py
@@ -2,13 +2,14 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
+from statistics import median
 from typing import NamedTuple
 
 import msgspec
 
 from .events import EventLog
 from .fleet_states import FleetState, Times
-from .pool_demands import Balance, Forecast, PoolDemand
+from .pool_demands import MOST_GROWTH, Balance, Forecast, PoolDemand
 from .pool_views import PoolView
 from .shard_logs import ShardLog
 from .timers import Clock
@@ -163,6 +164,8 @@
             self._state.close(machine, pool=service)
         for service, machine in _in_turn(liked, idle):
             self._order_idle(machine, service)
+        for service, machine in _in_turn(liked, surplus):
+            self._state.close(machine, pool=service)
         for machine in surplus:
             self._state.close(machine, pool=standby[0])
 
@@ -186,8 +189,8 @@
             quiet = next_at - lead_s - wall > WORTH_S
         elif next_at is not None:
             quiet = True
-        forecast = Forecast(quiet=quiet, soon=soon)
         demand = self._demands_by_service[service]
+        forecast = Forecast(quiet=quiet, soon=soon, machines=self._risen_size(service, demand))
         balance = demand.balance(
             view, forecast, coming=coming, returning=returning, leaving=leaving
         )
@@ -209,6 +212,22 @@
             )
         return balance
 
+    def _risen_size(self, service: str, demand: PoolDemand) -> int:
+        """How many machines a pool's next rise will need, as far as rises tell so far.
+
+        Pools that haven't risen yet are taken to grow by the same factor as those that have. With
+        their first size alone, machines for the rest came when most of the rise was over.
+        """
+        growths = {
+            turn.service: self._turns.peak_by_service[turn.service] / given
+            for turn in self._turns.seen
+            if (given := self._learned.given.get(turn.service, 0))
+        }
+        if not growths:
+            return 0
+        growth = growths.get(service, median(growths.values()))
+        return int(demand.given * min(growth, MOST_GROWTH))
+
     def _spare_machines(
         self, service: str, view: PoolView, count: int, due: set[str], now: float
     ) -> list[Machine]:
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -30,11 +30,12 @@
     """What is expected of a pool.
 
     ``quiet`` tells that no rise is expected while a machine could be brought back, ``soon`` that
-    one is expected within that time.
+    one is expected within that time, and ``machines`` what it would need then.
     """
 
     quiet: bool
     soon: bool
+    machines: int = 0
 
 
 class Balance(NamedTuple):
@@ -110,11 +111,12 @@
             needed = max(needed, size + 1)
         if needed > size:
             return Balance(needed - size, 0)
-        if forecast.soon and size < self.given:
-            return Balance(0, 0, self.given - size)
+        awaited = max(self.given, forecast.machines) if forecast.soon else 0
+        if size < awaited:
+            return Balance(0, 0, awaited - size)
         peak = max((need for _, need in self._recent), default=0)
         kept = math.ceil((peak + RESERVE_SHARE * machine_cpu) / (machine_cpu * FILL_SHARE))
-        kept = max(kept, needed, 1)
+        kept = max(kept, needed, awaited, 1)
         if coming > returning:
             # One that grows lets nothing go: what comes would only take the place of what leaves.
             # One that gets its own back after maintenance doesn't grow. Taken for growing, pools
