--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -15,8 +15,9 @@
 from mustardgap.shard_owners import FLEET_SHARD
 from mustardgap.workloads import Configuration, Machine, Room, Service, Wave
 from tools.actor_platforms import HandClock
+from tools.owner_daemons import SERVICE
 from tools.owner_troubles import TWO_STEPS, publish_wave
-from tools.owner_worlds import SERVICE, play
+from tools.owner_worlds import play
 
 # Orders are taken up by a new owner of the fleet after 4 s; the wave and its repeat take 8 s more.
 PATIENCE_S = 30.0
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -14,9 +14,10 @@
 from mustardgap.job_states import Task
 from mustardgap.runs import Run, RunPhase
 from mustardgap.workloads import EndKind, TaskId
+from tools.owner_daemons import SHARDS
 from tools.owner_machine import OwnerMachine
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
-from tools.owner_worlds import ATTEMPTS, QUEUE, SHARDS, play
+from tools.owner_worlds import ATTEMPTS, QUEUE, play
 
 LONG = "MUSTARDGAP_LONG" in os.environ
 
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -10,7 +10,8 @@
 from mustardgap.shard_owners import shard_of
 from mustardgap.workloads import JobSpec, Step, Wave
 
-from .owner_worlds import SERVICE, SHARDS, HeldClock, OwnerWorld
+from .owner_daemons import SERVICE, SHARDS, HeldClock
+from .owner_worlds import OwnerWorld
 
 Trouble = Callable[[OwnerWorld], Coroutine[Any, Any, None]]
 
