Call no key unknown that was claimed before the log went away and may have ended since

Another host, asked 2 s after the claim's time, told MG1204 from what it had read 7 s before, three times; the answer stood on the log a second later. Under load claims take longer, so one was under way just then. Ruled out: a request run twice or an answer lost (all promises kept). Now such a key is MG1107, not decided, while the log isn't read and for 2 s after. Red before: 1204 in the new scenario.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -87,6 +87,16 @@
       | another body                      | 1109 |
       | a forgotten key                   | 1000 |
 
+  Scenario: a key whose request ended while the log was down isn't called unknown
+    An entry host has claimed the key and answered its caller, and can't put that on the log. The same
+    request comes through another host, after the claim's time: what that host has read is old. It was
+    told that it may have run and should be looked up, where coming back later gives the answer.
+
+    Given keys with two entry hosts
+    When keys' claimant answers while the log is down, and the claim's time passes
+    Then keys asked through the other host are refused with 1107
+    And keys are replayed once the log is back
+
   Scenario: an entry host that starts later knows the keys of the ones before it
     Given keys with two entry hosts
     When keys are sent with a small answer
--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -12,6 +12,7 @@
 
 from features.support.entries import Entry
 from features.support.rigs import Rig
+from mustardgap.keys import SKEW_S
 from standins import platforms
 from standins.faults import Fault
 from standins.settings import FleetSpec
@@ -31,6 +32,7 @@
     "silent": [{"fault": "silent"}],
     "lost, unread": [{"fault": "lost"}, {"fault": "silent", "method": "GET"}],
     "doubled, down": [{"fault": "doubled"}, {"fault": "down"}],
+    "down, unread": [{"fault": "down"}, {"fault": "down", "method": "GET"}],
 }
 FATES = {
     "a small answer": {},
@@ -229,6 +231,43 @@
         ledger.ttl_s = 3600.0
 
 
+@when("keys' claimant answers while the log is down, and the claim's time passes")
+def end_while_down(context):
+    async def main():
+        k = context.keyed
+        sending = asyncio.create_task(k.send(query="run_s=0.4", timeout_s=0.6))
+        await asyncio.sleep(0.2)
+        k.log_faults("down, unread")
+        assert (await sending).code == 1000
+        entries = k.entries[1].keys._log.ledger.by_key.values()
+        async with asyncio.timeout(20):
+            while not entries or k.entries[1].keys.is_usable():
+                await asyncio.sleep(0.05)
+            while any(entry.until + SKEW_S > time.time() for entry in entries):
+                await asyncio.sleep(0.05)
+
+    context.runner.run(main())
+
+
+@then("keys asked through the other host are refused with {code:d}")
+def asked_other(context, code):
+    told = context.runner.run(context.keyed.send(1, query="run_s=0.4"))
+    assert told.code == code, told.code
+
+
+@then("keys are replayed once the log is back")
+def replayed_when_back(context):
+    async def main():
+        context.keyed.log_faults("well")
+        async with asyncio.timeout(15):
+            while (told := await context.keyed.send(1, query="run_s=0.4")).code in (1107, 1108):
+                await asyncio.sleep(0.05)
+        assert told.code == 1001, told.code
+
+    context.runner.run(main())
+    have_run(context)
+
+
 @when("keys' entry hosts are replaced")
 def replace(context):
     async def main():
--- a/mustardgap/claim_logs.py
+++ b/mustardgap/claim_logs.py
@@ -71,6 +71,7 @@
         self._next = 0
         self._end = 0
         self._readable = False
+        self._readable_since = float("inf")
         self._careful_until = 0.0
         self._appendable = True
         self._probe_at = 0.0
@@ -104,6 +105,10 @@
         """Whether all records that were put stand on the log."""
         return not self._queue and not self._appends
 
+    def read_for_s(self) -> float:
+        """Tell for how long the log has been read without a failure, in seconds; 0 if it isn't."""
+        return max(0.0, self.clock.monotonic() - self._readable_since)
+
     def why_unusable(self) -> str:
         """Why a new claim would be in vain now, "" when it may be tried."""
         if not self._readable:
@@ -251,6 +256,7 @@
         if readable == self._readable:
             return
         self._readable = readable
+        self._readable_since = self.clock.monotonic() if readable else float("inf")
         if readable:
             logging.info("claims of keys are read up to the log's end")
         else:
--- a/mustardgap/keys.py
+++ b/mustardgap/keys.py
@@ -21,6 +21,9 @@
 # How far the clocks of entry hosts may differ before a run that goes on is taken for lost.
 SKEW_S = 2.0
 RETRY_AFTER_S = 2.0
+# After the log has come back, claimants have this long to put there what ended meanwhile: eight of
+# the pauses after which they try that again.
+END_GRACE_S = 2.0
 FLUSH_CHECK_S = 0.02
 
 
@@ -177,6 +180,11 @@
         if entry.state == "done":
             return await self._read_answer(entry)
         left = entry.until + SKEW_S - self.clock.wall()
+        if entry.state != "lost" and left <= 0 and self._log.read_for_s() < END_GRACE_S:
+            # While the log is away a claimant can't put the end of its request there. The caller
+            # would be told to look up by hand what it gets as an answer some seconds later.
+            detail = "an earlier request with this key may have ended; the log wasn't readable"
+            return _not_run(status_codes.KEY_UNDECIDED, detail)
         if entry.state == "lost" or left <= 0:
             return Unknown(code=status_codes.UNKNOWN_KEY)
         return _not_run(status_codes.KEY_IN_USE, retry_after=min(2.0, left))
