Wait longer for the record of an order to a machine that nothing can run on

Ruled out: the store being away (jobs were accepted), another owner of the fleet (one fence throughout), the balance (it asked in each round). Red before: no order with a record of 0.8 s.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -12,6 +12,7 @@
 from mustardgap.fleet_waves import FleetWaves
 from mustardgap.pool_views import ExecutorView, PoolRequest, PoolView
 from mustardgap.ports import Done, NoAnswer
+from mustardgap.shard_logs import Stored, Ticket
 from mustardgap.shard_owners import FLEET_SHARD
 from mustardgap.workloads import Configuration, Machine, Room, Service, Wave
 from tools.actor_platforms import HandClock
@@ -127,14 +128,15 @@
 
     epoch = 1
 
-    def __init__(self):
+    def __init__(self, takes_s=0.0):
         self.values = {}
+        self.takes_s = takes_s
 
     def put(self, key, value):
         self.values[key] = value
-        outcome = asyncio.get_running_loop().create_future()
-        outcome.set_result(None)
-        return SimpleNamespace(outcome=outcome, durable=True)
+        ticket = Ticket(outcome=asyncio.get_running_loop().create_future())
+        asyncio.get_running_loop().call_later(self.takes_s, ticket.outcome.set_result, Stored.YES)
+        return ticket
 
 
 class OneAnswer:
@@ -142,11 +144,45 @@
 
     def __init__(self, outcome):
         self.outcome = outcome
+        self.orders = []
 
     async def move(self, **order):
+        self.orders.append(order)
         return self.outcome
 
 
+@when("the order of {machine} is recorded after {seconds:g} s")
+def recorded_after(context, machine, seconds):
+    clock = HandClock()
+    events = EventLog(host="e1", clock=clock)
+    state = FleetState(clock=clock, events=events)
+    machines = OneAnswer(Done())
+
+    async def main():
+        orders = FleetOrders(
+            state=state,
+            log=Record(seconds),
+            machines=machines,
+            host="e1",
+            times=Times(1.5, 2.0, 3.0),
+            on_done=lambda name, closing: None,
+            on_maintained=lambda wave, name: None,
+            clock=clock,
+            events=events,
+        )
+        executor = "" if machine == "a standby machine" else "x1"
+        orders.send("m1", Closing(executor, "spare", clock.now, None, "quotes"))
+        await asyncio.wait(list(state.orders_by_machine.values()))
+
+    asyncio.run(main())
+    context.orders = machines.orders
+
+
+@then("it is ordered {times}")
+def ordered_times(context, times):
+    assert len(context.orders) == {"never": 0, "once": 1}[times], context.orders
+
+
 @when(
     "a machine's order has {ended}, "
     "and the fleet changes hands {times:d} times, {seconds:g} s apart"
--- a/mustardgap/fleet_orders.py
+++ b/mustardgap/fleet_orders.py
@@ -20,6 +20,9 @@
 # How long the record of an order may take; it is some 60 times the usual append of 8 ms. After that
 # the pool's word that the machine is empty is too old to act on.
 RECORD_S = 0.5
+# The same for a machine that has no executor: it stays empty, and the record itself proves that
+# this daemon still owns the fleet. A store that is slow for seconds, and not away, answers by then.
+RECORD_IDLE_S = 3.0
 # A machine is back this long after its move or maintenance should have ended, or is looked for in
 # the list of machines.
 BACK_SLACK_S = 0.3
@@ -160,7 +163,8 @@
         self._recent[row.machine] = row
         self._sent_at[row.machine] = self._clock.monotonic()
         ticket = self._put_recent()
-        await asyncio.wait([ticket.outcome], timeout=RECORD_S)
+        patience_s = RECORD_S if row.executor else RECORD_IDLE_S
+        await asyncio.wait([ticket.outcome], timeout=patience_s)
         return ticket.durable
 
     def _put_recent(self) -> Ticket:
