Work out a pool's next rise and a wave's pressure only where they decide, and make fleet orders in one place in the tests

Read as a newcomer: what a rise would need was worked out for each pool in each round of 0.2 s, though it is used only when a rise is near; whether a wave would be late was worked out for each machine with lasting tasks, over all of the wave's machines, also where the pool can spare one. Two scenarios made the same FleetOrders each for itself. Decisions stay as they are: both functions read and change nothing. Lint, and the features fleet, moves and owners: 100 scenarios passed.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -151,25 +151,33 @@
         return self.outcome
 
 
+def take_over(clock, record, machines):
+    """A new owner's orders, and the fleet as it knows it."""
+    events = EventLog(host="e1", clock=clock)
+    state = FleetState(clock=clock, events=events)
+    orders = FleetOrders(
+        state=state,
+        log=record,
+        machines=machines,
+        host="e1",
+        times=Times(1.5, 2.0, 3.0),
+        on_done=lambda name, closing: None,
+        on_maintained=lambda wave, name: None,
+        clock=clock,
+        events=events,
+    )
+    if RECENT_KEY in record.values:
+        orders.restore(record.values[RECENT_KEY])
+    return orders, state
+
+
 @when("the order of {machine} is recorded after {seconds:g} s")
 def recorded_after(context, machine, seconds):
     clock = HandClock()
-    events = EventLog(host="e1", clock=clock)
-    state = FleetState(clock=clock, events=events)
     machines = OneAnswer(Done())
 
     async def main():
-        orders = FleetOrders(
-            state=state,
-            log=Record(seconds),
-            machines=machines,
-            host="e1",
-            times=Times(1.5, 2.0, 3.0),
-            on_done=lambda name, closing: None,
-            on_maintained=lambda wave, name: None,
-            clock=clock,
-            events=events,
-        )
+        orders, state = take_over(clock, Record(seconds), machines)
         executor = "" if machine == "a standby machine" else "x1"
         orders.send("m1", Closing(executor, "spare", clock.now, None, "quotes"))
         await asyncio.wait(list(state.orders_by_machine.values()))
@@ -190,34 +198,17 @@
 def fleet_changes_hands(context, ended, times, seconds):
     clock, record = HandClock(), Record()
     outcome = {"been done": Done(), "no answer": NoAnswer(sent=True, detail="cut")}[ended]
-
-    def take_over():
-        events = EventLog(host="e1", clock=clock)
-        state = FleetState(clock=clock, events=events)
-        orders = FleetOrders(
-            state=state,
-            log=record,
-            machines=OneAnswer(outcome),
-            host="e1",
-            times=Times(1.5, 2.0, 3.0),
-            on_done=lambda name, closing: None,
-            on_maintained=lambda wave, name: None,
-            clock=clock,
-            events=events,
-        )
-        if RECENT_KEY in record.values:
-            orders.restore(record.values[RECENT_KEY])
-        return orders, state
+    machines = OneAnswer(outcome)
 
     async def main():
-        orders, state = take_over()
+        orders, state = take_over(clock, record, machines)
         orders.send("m1", Closing("x1", "quotes", clock.now, None, "cuts"))
         await asyncio.sleep(0.01)
         under_way = list(state.orders_by_machine.values())
         for _ in range(times):
             clock.now += seconds
             await orders.hand_over()
-            orders, state = take_over()
+            orders, state = take_over(clock, record, machines)
         for task in under_way:
             task.cancel()
         context.rest_s = max(0.0, state.not_before_by_machine.get("m1", 0.0) - clock.now)
--- a/mustardgap/fleet_moves.py
+++ b/mustardgap/fleet_moves.py
@@ -190,7 +190,8 @@
         elif next_at is not None:
             quiet = True
         demand = self._demands_by_service[service]
-        forecast = Forecast(quiet=quiet, soon=soon, machines=self._risen_size(service, demand))
+        machines = self._risen_size(service, demand) if soon else 0
+        forecast = Forecast(quiet=quiet, soon=soon, machines=machines)
         balance = demand.balance(
             view, forecast, coming=coming, returning=returning, leaving=leaving
         )
--- a/mustardgap/fleet_waves.py
+++ b/mustardgap/fleet_waves.py
@@ -183,8 +183,8 @@
         if view is None or executor_in(view, machine.executor) is None:
             return False
         hosts_lasting = self._state.hosts_lasting(machine)
-        presses = hurried or (hosts_lasting and self._would_be_late(wave, machine.pool))
-        if not presses and self._needed(machine.pool):
+        can_wait = not hurried and self._needed(machine.pool)
+        if can_wait and not (hosts_lasting and self._would_be_late(wave, machine.pool)):
             return False
         closing = [c for c in self._state.closing_by_machine.values() if c.source == machine.pool]
         lasting = {e.executor for e in view.executors if e.lasting_runs}
