Eject an executor for what may be the requests' fault only if its peers are known to do better

Cause: the median over peers takes only those with three tries; until one has them there was no peer to compare with, and five failures in a row were enough. An executor that fails fast gets its five first. Ruled out: ejection by the share of failures (it compares with peers of three tries itself), by silence or by resets (the fault answers 500 at once). Change: with too few tries at each peer they are added up; none at all show nothing. A table of six cases has it without a network: 3 of 6 red before (failed twice each, once each, not tried), 6 of 6 after.

--- a/features/executors.feature
+++ b/features/executors.feature
@@ -79,6 +79,23 @@
       | 1      | 6     | failing   | 0    |
       | 1      | 6     | frozen    | 0    |
 
+  Scenario Outline: an executor that fails five times while its peers have <peers> is <seen>
+    All requests of a moment fail, for a reason that is theirs or stands behind every executor. The one
+    that gets five of them first would be ejected, and then the next one, for what isn't their fault:
+    no peer has been tried often enough by itself to tell. All peers' tries together do tell it.
+
+    When executors have five failures in a row at one of six, whose peers have <peers>
+    Then executors have that one <seen>
+
+    Examples:
+      | peers               | seen    |
+      | failed twice each   | well    |
+      | answered twice each | ejected |
+      | failed once each    | well    |
+      | answered once each  | ejected |
+      | not been tried      | well    |
+      | failed 4 times each | well    |
+
   Scenario: an executor that was ejected comes back by a probe and slowly
     Its time being over, it gets the smallest share, of requests that may be repeated. If it answers,
     its share grows back; if it fails again, it is out for twice as long.
--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -314,6 +314,26 @@
     outliers.note("x2", OK, 0.01)
 
 
+PEERS = {
+    "failed twice each": [Sign(True)] * 2,
+    "answered twice each": [OK] * 2,
+    "failed once each": [Sign(True)],
+    "answered once each": [OK],
+    "not been tried": [],
+    "failed 4 times each": [Sign(True)] * 4,
+}
+
+
+@when("executors have five failures in a row at one of six, whose peers have {tried}")
+def five_first(context, tried):
+    context.outliers = outliers = watch()
+    for name in SIX[1:]:
+        for sign in PEERS[tried]:
+            outliers.note(name, sign, 0.01)
+    for _ in range(5):
+        outliers.note("x1", Sign(True), 0.01)
+
+
 @then("executors have that one {state}")
 def check_one(context, state):
     states = {name: patient.state for name, patient in context.outliers.by_executor.items()}
--- a/mustardgap/outliers.py
+++ b/mustardgap/outliers.py
@@ -122,7 +122,7 @@
         if not sign.failed:
             self._note_success(patient)
         elif patient.health.failures_in_row >= self._limit(patient, sign) and (
-            sign.hard or not self._all_fail(patient)
+            sign.hard or self._peers_do_better(patient)
         ):
             self._eject(patient, f"{patient.health.failures_in_row} failures in a row")
         if now - self._checked.get(patient.service, 0.0) >= CHECK_S:
@@ -187,10 +187,20 @@
             return 1
         return self.settings.eject_after
 
-    def _all_fail(self, patient: Patient) -> bool:
+    def _peers_do_better(self, patient: Patient) -> bool:
+        """Whether failures that may come from the requests speak against this executor.
+
+        While all requests fail, the executor that is the first to fail five of them has peers with
+        a try or two each. Taken for the only sick one, it was ejected for what all had in common.
+        So too few tries at each peer are added up, and none at all show nothing.
+        """
         peers = [p.health for p in self._by_service[patient.service].values() if p is not patient]
         ratios = [health.failure_ratio for health in peers if health.tries >= MIN_PEER_TRIES]
-        return bool(ratios) and median(ratios) >= ALL_FAIL_RATIO
+        if ratios:
+            return median(ratios) < ALL_FAIL_RATIO
+        tries = sum(health.tries for health in peers)
+        failures = sum(health.failure_ratio * health.tries for health in peers)
+        return tries >= MIN_PEER_TRIES and failures < ALL_FAIL_RATIO * tries
 
     def _rack_fails(self, patient: Patient) -> bool:
         # A rack's executors fail together. Waiting for each to fail in a row would cost as many
