Let a record that can't be read cost that record only

One of our own records that couldn't be decoded ended each new owner of its shard; a row of machines that couldn't be read failed the whole list. Change: entries are decoded by type, range and named states, with every field that an executor writes. An executor whose entry is overwritten gets nothing new and isn't taken for gone. Records without a key that can be read are passed over; a record cut short by the end of an answer is read again (it was skipped). A list of machines with a bad row shows no machine as gone. A job whose progress can't be read isn't started; an executor of which only the id is known is waited for until its leases have lapsed.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -34,6 +34,7 @@
       | executor fails all            | 1     | completed           |
       | executor hangs                | 1     | completed           |
       | executor drains               | 2     | completed           |
+      | entries overwritten           | 3     | completed           |
       | wave comes                    | 1     | completed           |
 
   Scenario: A start is answered only when its run has ended
--- /dev/null
+++ b/features/steps/entries_steps.py
@@ -0,0 +1,287 @@
+"""Steps of records that can't be read: decoding alone, and a world of owners on virtual time."""
+
+import asyncio
+import struct
+from base64 import b64encode
+
+import msgspec
+from behave import then, when
+from hypothesis import HealthCheck
+from hypothesis import given as drawn
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+
+from features.support.owner_jobs import START_S, hand_in, job_id_of
+from mustardgap.boards import ExecutorBoard
+from mustardgap.events import EventLog
+from mustardgap.fleet_moves import LEARNED_KEY
+from mustardgap.fleet_orders import RECENT_KEY
+from mustardgap.platform.daemon import decode_entry
+from mustardgap.platform.decoding import newest_page
+from mustardgap.platform.store_client import _records
+from mustardgap.ports import Entries, Invalid
+from mustardgap.shard_logs import EXECUTOR_KEY, JOB_KEY, OWNER_KEY, PROGRESS_KEY
+from mustardgap.shard_owners import FLEET_SHARD, shard_of
+from mustardgap.timers import Clock
+from mustardgap.workloads import EndKind
+from tools.owner_daemons import SERVICE, SHARDS
+from tools.owner_troubles import TWO_STEPS, UNREADABLE
+from tools.owner_worlds import play
+
+GOOD = {
+    "service": "quoting",
+    "addr": "10.1.0.9:8080",
+    "zone": "d1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 4,
+    "capacity": {"cpu": 16_000, "memMb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "machine": "m-1",
+}
+REQUIRED = sorted(GOOD.keys() - {"machine"})
+RAW = {
+    "nothing in JSON": b"hello",
+    "cut off": msgspec.json.encode(GOOD)[:-7],
+    "not in UTF-8": msgspec.json.encode(GOOD).replace(b"quoting", b"quot\xff\xfe"),
+    "a list": b"[1,2]",
+    "null": b"null",
+    "a number": b"17",
+}
+
+
+def entry_with(**changes):
+    """What decoding makes of a good entry with some fields changed."""
+    return decode_entry("x1", msgspec.json.encode({**GOOD, **changes}))
+
+
+@then("an executor's entry with nothing changed names the executor")
+def check_good(context):
+    entry = entry_with()
+    assert (entry.executor, entry.address, entry.rack) == ("x1", "10.1.0.9:8080", "r1-3"), entry
+    assert not entry.draining and entry_with(state="draining", remainingMs=1500.5).draining
+
+
+@then("an executor's entry with {field} {change} is invalid")
+def check_changed(context, field, change):
+    fields = dict(GOOD)
+    if change == "left out":
+        del fields[field]
+    else:
+        fields[field] = msgspec.json.decode(change)
+    entry = decode_entry("x1", msgspec.json.encode(fields))
+    assert isinstance(entry, Invalid) and entry.detail, entry
+
+
+@then("an entry that is {kind} is invalid")
+def check_raw(context, kind):
+    assert isinstance(decode_entry("x1", RAW[kind]), Invalid)
+
+
+ANYTHING = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=6,
+)
+HISTORIES = st.fixed_dictionaries(
+    {},
+    optional={name: st.just(GOOD[name]) | ANYTHING for name in GOOD}
+    | {"remainingMs": ANYTHING, "another": ANYTHING},
+)
+
+
+@then("drawn entries are read as they are meant, or are invalid")
+def check_drawn(context):
+    @profile(max_examples=500, deadline=None, suppress_health_check=list(HealthCheck))
+    @drawn(HISTORIES, st.integers(0, 400), st.binary(max_size=20))
+    def check(fields, place, noise):
+        entry = decode_entry("x1", msgspec.json.encode(fields))
+        if not isinstance(entry, Invalid):
+            assert all(name in fields for name in REQUIRED), fields
+            assert entry.service and entry.capacity.cpu > 0 and entry.capacity.memory_mb > 0
+            assert fields["state"] in ("ready", "draining")
+            assert 0 < int(entry.address.rpartition(":")[2]) < 65_536
+        raw = msgspec.json.encode({**GOOD, **fields})
+        decode_entry("x1", raw[:place] + noise + raw[place:])
+        decode_entry("x1", raw[:place])
+
+    check()
+
+
+@when("a list holds good entries, and bad ones that are written {times:d} times")
+def list_with_bad(context, times):
+    context.events = EventLog(host="e1")
+    board = ExecutorBoard(
+        boards=None,
+        decode=decode_entry,
+        needed=lambda: True,
+        clock=Clock(),
+        events=context.events,
+    )
+    good = {f"x{n}": msgspec.json.encode(GOOD) for n in range(3)}
+    context.bad = {f"bad-{n}": raw for n, raw in enumerate(RAW.values())}
+    for _ in range(times):
+        board._read(Entries(values_by_key={**context.bad, **good}, end=1))
+    context.board = board
+
+
+@then("the good ones are known, and a line tells of each bad one")
+def check_list(context):
+    assert sorted(context.board.entries_by_id) == ["x0", "x1", "x2"]
+    lines = [line for line in context.events.kept if line["event"] == "executor.invalid"]
+    assert sorted(line["executor"] for line in lines) == sorted(context.bad), lines
+    assert all(line["why"] for line in lines), lines
+
+
+def _record(content):
+    return struct.pack(">I", len(content)) + content
+
+
+@when(
+    "a read of the store has a key in no encoding, a key beyond its record, and an answer cut short"
+)
+def read_records(context):
+    good = [_record(b"\x02x1value"), _record(b"\x02x2")]
+    bad = [_record(b"\x02\xff\xfevalue"), _record(b"\x09x3"), _record(b"")]
+    cut_short = _record(b"\x02x4value")[:-2]
+    raw = struct.pack(">QQ", 100, 0) + b"".join([good[0], *bad, good[1], cut_short])
+    context.read = _records(raw, 40)
+    context.expected = Entries(
+        values_by_key={"x1": b"value", "x2": None}, end=45, invalid=context.read.invalid
+    )
+
+
+@when("a page of newest records has an item without a key, and one whose value isn't in base64")
+def read_newest(context):
+    items = [
+        {"key": "x1", "value": b64encode(b"value").decode(), "offset": 1},
+        {"value": "dmFsdWU=", "offset": 2},
+        {"key": "x2", "value": "{not base64}", "offset": 3},
+        7,
+    ]
+    page = newest_page(msgspec.json.encode({"items": items, "hasMore": False, "end": 9}))
+    context.read = Entries(
+        values_by_key=dict(page.values_by_key), end=page.end, invalid=tuple(page.invalid)
+    )
+    context.expected = Entries(
+        values_by_key={"x1": b"value", "x2": b"{not base64}"}, end=9, invalid=context.read.invalid
+    )
+
+
+@then("the other records are read, and the next read begins at the one that was cut short")
+@then("the other records are read, and the one with a key is passed on as it stands")
+def check_read(context):
+    assert context.read == context.expected, context.read
+    assert context.read.invalid
+
+
+@when("all entries are overwritten for {seconds:d} s while jobs run, and a job is handed in")
+def overwritten(context, seconds):
+    context.states = {}
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        work = asyncio.ensure_future(hand_in(world, context.states, 2, pause_s=0))
+        await asyncio.sleep(0.3)
+        world.beating = False
+        for executor in world.fleet.by_address.values():
+            world.store.write_entry(executor.entry.executor, UNREADABLE)
+        await asyncio.sleep(0.5)
+        context.from_s = world.loop.time()
+        late = job_id_of(77)
+        await world.submit_until_accepted(late, world.asked_by_job[job_id_of(0)].spec)
+        await asyncio.sleep(seconds)
+        context.until_s = world.loop.time()
+        world.beating = True
+        await work
+        context.states[late] = await world.final_state(late, 60)
+
+    context.world = play(scene, work_s=1.5)
+
+
+@then("what ran has gone on, and nothing was started until the entries were back")
+def check_overwritten(context):
+    runs = context.world.fleet.record.runs
+    begun = [run for run in runs if run.started_at < context.from_s]
+    assert begun and all(run.how is EndKind.DONE for run in begun), begun
+    new = [run for run in runs if context.from_s < run.started_at < context.until_s]
+    assert not new, new
+    assert set(context.states.values()) == {"completed"}, context.states
+
+
+KEYS = {
+    "a job": (SERVICE, JOB_KEY + job_id_of(0)),
+    "a job's progress": (SERVICE, PROGRESS_KEY + job_id_of(0)),
+    "an executor": (SERVICE, EXECUTOR_KEY + "x1"),
+    "who owned the shard": (SERVICE, OWNER_KEY),
+    "what the fleet has learned": (None, LEARNED_KEY),
+    "orders to machines": (None, RECENT_KEY),
+}
+
+
+@when("an owner dies and the record of {kind} can't be read")
+def record_unreadable(context, kind):
+    service, context.key = KEYS[kind]
+    shard = FLEET_SHARD if service is None else shard_of(service, SHARDS)
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        context.spoilt = job_id_of(0)
+        assert await world.submit_until_accepted(context.spoilt, TWO_STEPS)
+        await asyncio.sleep(0.9)
+        for daemon in list(world.daemons_by_address.values()):
+            if shard in daemon.owners.owned_by_shard:
+                world.kill(daemon.name)
+        world.store.shards[shard].values_by_key[context.key] = UNREADABLE
+        context.states = {}
+        ids = range(1, 5)
+        await asyncio.gather(*(_one(world, context.states, job_id_of(n)) for n in ids))
+        await asyncio.sleep(20)
+        context.lines = [x for d in world.daemons_by_address.values() for x in d.events.kept]
+
+    context.world = play(scene)
+
+
+async def _one(world, states, job_id):
+    assert await world.submit_until_accepted(job_id, TWO_STEPS)
+    states[job_id] = await world.final_state(job_id, 60)
+
+
+@then("all other jobs have ended as completed, and nothing of the job has run twice")
+def check_others(context):
+    assert set(context.states.values()) == {"completed"}, context.states
+    runs = [r for r in context.world.fleet.record.runs if r.task.job == context.spoilt]
+    assert len(runs) >= 3, runs
+    done = [run.task for run in runs if run.how is EndKind.DONE]
+    assert len(done) == len(set(done)), runs
+
+
+@then("a line tells of the record")
+def check_line(context):
+    lines = [line for line in context.lines if line["event"] == "record.invalid"]
+    assert any(context.key in line["why"] for line in lines), lines
+
+
+@when("a machine's row can't be read for {seconds:d} s while its executor runs jobs")
+def row_unreadable(context, seconds):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        work = asyncio.ensure_future(hand_in(world, context.states, 8))
+        await asyncio.sleep(0.5)
+        world.machines.unreadable.update(["m1", "m2"])
+        await asyncio.sleep(seconds)
+        world.machines.unreadable.clear()
+        await work
+        context.lines = [x for d in world.daemons_by_address.values() for x in d.events.kept]
+
+    context.states = {}
+    context.world = play(scene)
+
+
+@then("no executor was given up")
+def check_none_given_up(context):
+    gone = [line for line in context.lines if line["event"] == "executor.gone"]
+    assert not gone, gone
+    assert any(line["event"] == "machine.invalid" for line in context.lines)
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from .events import EventLog
-from .ports import Boards, Entries, Expired, NoAnswer, Refused
+from .ports import Boards, Entries, Expired, Invalid, NoAnswer, Refused
 from .timers import Clock
 from .workloads import Configuration, ExecutorEntry, Wave
 
@@ -123,6 +123,7 @@
         if self._failing:
             self._failing = False
             self._events.note("operator.regained", vital=True, offset=entries.end)
+        _note_invalid(self._events, entries)
         if entries.values_by_key:
             self.take(entries.values_by_key, source="store")
 
@@ -146,7 +147,7 @@
         self,
         *,
         boards: Boards,
-        decode: Callable[[str, bytes], ExecutorEntry | None],
+        decode: Callable[[str, bytes], ExecutorEntry | Invalid],
         needed: Callable[[], bool],
         clock: Clock,
         events: EventLog,
@@ -161,6 +162,8 @@
         self._failing = False
         self._returned_at = float("-inf")
         self._missing_by_id: dict[str, float] = {}
+        # What was wrong with the newest records of those that can't be read.
+        self._invalid_by_id: dict[str, Invalid] = {}
         self._subscribers: list[Callable[[], None]] = []
 
     def on_change(self, callback: Callable[[], None]) -> None:
@@ -194,6 +197,7 @@
             self._returned_at = now
             self._events.note("executors.regained", vital=True, entries=len(self.entries_by_id))
         before = dict(self.entries_by_id)
+        _note_invalid(self._events, entries)
         for executor, raw in entries.values_by_key.items():
             self._take(executor, raw, now)
         if whole:
@@ -206,16 +210,38 @@
 
     def _take(self, executor: str, raw: bytes | None, now: float) -> None:
         if not raw:
+            self._invalid_by_id.pop(executor, None)
             if executor in self.entries_by_id:
                 self._missing_by_id.setdefault(executor, now)
             return
         entry = self._decode(executor, raw)
-        if entry is None:
-            self._events.note("executor.invalid", vital=True, executor=executor)
+        if isinstance(entry, Invalid):
+            self._take_invalid(executor, entry)
             return
+        self._invalid_by_id.pop(executor, None)
         self.entries_by_id[executor] = entry
         self._missing_by_id.pop(executor, None)
 
+    def _take_invalid(self, executor: str, record: Invalid) -> None:
+        """Note a record that can't be read.
+
+        Written over an executor's own, it leaves open whether that one drains or has moved, so it
+        gets nothing new. It isn't taken for gone: what runs there would be started a second time.
+        """
+        known = self.entries_by_id.get(executor)
+        if known is not None:
+            self.entries_by_id[executor] = known._replace(readable=False)
+        # Its writer may repeat it with each heartbeat; one line tells all of it.
+        if self._invalid_by_id.get(executor) != record:
+            self._invalid_by_id[executor] = record
+            self._events.note(
+                "executor.invalid",
+                vital=True,
+                executor=executor,
+                why=record.detail,
+                known=known is not None,
+            )
+
     def _drop_missing(self, now: float) -> None:
         # Executors write nothing while the store is away, and their entries expire although they
         # work on; taking them for gone would leave a healthy pool unused.
@@ -230,3 +256,11 @@
         if not self._failing:
             self._failing = True
             self._events.note("executors.lost", vital=True, why=outcome.detail)
+
+
+def _note_invalid(events: EventLog, entries: Entries) -> None:
+    """Tell of records that name nothing, and so cost nothing but themselves."""
+    if entries.invalid:
+        events.note(
+            "record.invalid", vital=True, count=len(entries.invalid), why=entries.invalid[0]
+        )
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, NamedTuple
 
-import msgspec
-
 from . import metrics
 from .advices import AdviceDesk, StepKey
 from .evacuations import Evacuations
@@ -17,7 +15,6 @@
     Job,
     JobPhase,
     Task,
-    decode_job,
     exhausted,
     note_end,
 )
@@ -25,7 +22,8 @@
 from .pool_views import PoolRequest, PoolView, view
 from .ports import Advice, Executors, Store
 from .runs import Run, RunPhase
-from .shard_logs import EXECUTOR_KEY, JOB_KEY, OWNER_KEY, PROGRESS_KEY, ShardLog, Ticket
+from .shard_logs import JOB_KEY, OWNER_KEY, PROGRESS_KEY, ShardLog, Ticket
+from .shard_records import encode_owner, read_records
 from .suspicions import Suspicions
 from .task_starters import TaskStarter
 from .timers import Clock
@@ -144,7 +142,7 @@
             return
         self.handing_over = True
         self.roster.close()
-        ticket = self.log.put(OWNER_KEY, _owner_record(self.epoch, closed=True))
+        ticket = self.log.put(OWNER_KEY, encode_owner(self.epoch, closed=True))
         await asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
 
     async def _serve(self) -> None:
@@ -184,22 +182,16 @@
         self.wake()
 
     def _restore(self, values: dict[str, bytes | None]) -> None:
-        self.roster.closed_before = _was_closed(values.get(OWNER_KEY))
-        self.log.put(OWNER_KEY, _owner_record(self.epoch, closed=False))
-        for key, value in values.items():
-            if key.startswith(JOB_KEY) and value:
-                job_id = key.removeprefix(JOB_KEY)
-                self.jobs_by_id[job_id] = decode_job(job_id, value)
-        for key, value in values.items():
-            if not value:
-                continue
-            if key.startswith(PROGRESS_KEY):
-                job = self.jobs_by_id.get(key.removeprefix(PROGRESS_KEY))
-                if job is not None:
-                    job.restore(value)
-            elif key.startswith(EXECUTOR_KEY):
-                entry = msgspec.msgpack.decode(value, type=ExecutorEntry)
-                self.roster.open(entry, inherited=True)
+        records = read_records(values)
+        for why in records.invalid:
+            self._events.note("record.invalid", vital=True, shard=self.shard, why=why)
+        self.roster.closed_before = records.closed
+        self.log.put(OWNER_KEY, encode_owner(self.epoch, closed=False))
+        self.jobs_by_id.update(records.jobs_by_id)
+        for entry in records.executors:
+            self.roster.open(entry, inherited=True)
+        for executor in records.unread_executors:
+            self.roster.wait_for(executor)
         # Starts aren't stored: each executor that a former owner used tells what it runs. Until
         # all have, a task that isn't known to have ended may run on one of the others.
         if self.roster.unheard:
@@ -479,12 +471,3 @@
             )
             # A part that failed leaves the shard half served; a new ownership starts afresh.
             self.step_down()
-
-
-def _owner_record(epoch: int, *, closed: bool) -> bytes:
-    return msgspec.msgpack.encode((epoch, closed))
-
-
-def _was_closed(raw: bytes | None) -> bool:
-    """Whether the last owner left in good order; a shard that never had one counts as such."""
-    return not raw or bool(msgspec.msgpack.decode(raw)[1])
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -10,7 +10,7 @@
 from .ports import Executors
 from .shard_logs import EXECUTOR_KEY
 from .timers import Clock
-from .workloads import ExecutorEntry
+from .workloads import ExecutorEntry, ExecutorId
 
 if TYPE_CHECKING:
     from .dispatchers import Dispatcher
@@ -89,8 +89,7 @@
             clock=self._clock,
             events=self._events,
             starting=self._starting,
-            # An owner that left in good order gives no leases after its last record.
-            lapse_at=now + (LEASE_S + (0 if self.closed_before else AUTHORITY_S)) * 1.05,
+            lapse_at=now + self._inherited_lease_s,
         )
         link.listed = not inherited or entry.executor in self.entries_by_id
         self.links_by_executor[entry.executor] = link
@@ -104,6 +103,21 @@
             self.unheard.add(entry.executor)
         self._link_tasks[entry.executor] = self._shard.spawn(link.run())
 
+    def wait_for(self, executor: ExecutorId) -> None:
+        """Wait until all leases on an executor of which only the id is known have lapsed."""
+        self.unheard.add(executor)
+        self._shard.spawn(self._hear_lapsed(executor))
+
+    async def _hear_lapsed(self, executor: ExecutorId) -> None:
+        await self._clock.sleep(self._inherited_lease_s)
+        self.heard(executor)
+
+    @property
+    def _inherited_lease_s(self) -> float:
+        """How long leases that a former owner gave may still last."""
+        # An owner that left in good order gives no leases after its last record.
+        return (LEASE_S + (0 if self.closed_before else AUTHORITY_S)) * 1.05
+
     def drop(self, link: ExecutorLink, why: str) -> None:
         """Take an executor for gone, with all that ran on it."""
         executor = link.entry.executor
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -12,6 +12,7 @@
 from .pool_views import PoolRequest, PoolView
 from .ports import Boards, Machines, NoAnswer, Refused, Store
 from .shard_logs import ShardLog
+from .shard_records import UNREADABLE, told
 from .timers import Clock
 from .workloads import Configuration, Service
 
@@ -75,6 +76,10 @@
         self._clock = clock
         self._events = events
         self._listed_at = float("-inf")
+        # When the list last had every machine; only such a list shows that one is gone.
+        self._listed_whole_at = float("-inf")
+        # Any machine may have just had an order that the former owner's record doesn't tell of.
+        self._leave_alone_until = float("-inf")
         self._absent_since: dict[str, float] = {}
         # Executors of machines that were ordered away, until the list of machines shows it.
         self._ending: dict[str, EndedLife] = {}
@@ -135,21 +140,31 @@
         await self.orders.hand_over()
 
     async def _load(self) -> None:
-        values = await self.log.read()
-        learned = values.get(LEARNED_KEY)
-        if learned:
-            self.moves.restore(learned)
-        recent = values.get(RECENT_KEY)
-        if recent:
-            self.orders.restore(recent)
-        for key, value in values.items():
-            if key.startswith(WAVE_KEY) and value:
-                self.waves.restore(int(key.removeprefix(WAVE_KEY)), value)
+        for key, value in (await self.log.read()).items():
+            if not value:
+                continue
+            try:
+                self._restore(key, value)
+            except UNREADABLE as exc:
+                # What was learned is learned again, and a wave's machines say what they have had.
+                self._events.note("record.invalid", vital=True, why=told(key, exc))
+                if key == RECENT_KEY:
+                    self._leave_alone_until = self._clock.monotonic() + self.orders.apart_s
+
+    def _restore(self, key: str, value: bytes) -> None:
+        if key == LEARNED_KEY:
+            self.moves.restore(value)
+        elif key == RECENT_KEY:
+            self.orders.restore(value)
+        elif key.startswith(WAVE_KEY):
+            self.waves.restore(int(key.removeprefix(WAVE_KEY)), value)
 
     async def _round(self) -> None:
         configuration = self._operator.configuration
         if configuration is None or not self._settled():
             return
+        if self._clock.monotonic() < self._leave_alone_until:
+            return
         if self._clock.monotonic() - self._listed_at >= LIST_S:
             await self._list()
         await self._look_at_pools(configuration)
@@ -171,8 +186,18 @@
             self._events.note("machines.unlisted", why=outcome.detail)
             return
         self._listed_at = self._clock.monotonic()
-        self.state.machines_by_id = {machine.machine: machine for machine in outcome}
-        self.moves.note_sizes(outcome)
+        by_id = {machine.machine: machine for machine in outcome.machines}
+        if outcome.invalid:
+            # A machine whose row can't be read is still there. Taken for gone, its executor would
+            # be given up, and what it runs started a second time.
+            by_id = {**self.state.machines_by_id, **by_id}
+            self._events.note(
+                "machine.invalid", vital=True, count=len(outcome.invalid), why=outcome.invalid[0]
+            )
+        else:
+            self._listed_whole_at = self._listed_at
+        self.state.machines_by_id = by_id
+        self.moves.note_sizes(by_id.values())
 
     async def _look_at_pools(self, configuration: Configuration) -> None:
         services = [s for s in configuration.services_by_name.values() if not s.standby]
@@ -235,7 +260,7 @@
             if executor in listed:
                 continue
             since = self._absent_since.setdefault(executor, now)
-            if now - since > ABSENT_S and self._listed_at > since + ABSENT_S / 2:
+            if now - since > ABSENT_S and self._listed_whole_at > since + ABSENT_S / 2:
                 self._end_life(executor, service)
         for executor, end in list(self._gone.items()):
             if now - end.at > TELL_S:
@@ -249,7 +274,7 @@
         again elsewhere, and the executor be left out for good.
         """
         for executor, order in list(self._ending.items()):
-            if self._listed_at <= order.at:
+            if self._listed_whole_at <= order.at:
                 continue
             if executor not in listed:
                 del self._ending[executor]
--- a/mustardgap/fleet_orders.py
+++ b/mustardgap/fleet_orders.py
@@ -112,7 +112,7 @@
         for row in msgspec.msgpack.decode(raw, type=list[Recent]):
             self._recent[row.machine] = row
             sent_at = self._sent_at[row.machine] = now - row.age_s
-            self._state.not_before_by_machine[row.machine] = sent_at + self._apart_s
+            self._state.not_before_by_machine[row.machine] = sent_at + self.apart_s
             # Counted as away: it may be, for a wave that allows only so many.
             self._state.away_by_machine[row.machine] = self._away(row, sent_at)
 
@@ -134,7 +134,8 @@
         self.send(machine.machine, closing)
 
     @property
-    def _apart_s(self) -> float:
+    def apart_s(self) -> float:
+        """How long a machine is left alone after an order of another owner, in seconds."""
         return self._times.lease_s + TAKEOVER_SLACK_S
 
     def _away(self, row: Recent, now: float) -> Away:
@@ -174,7 +175,7 @@
             # One under way may be sent again after this record.
             age_s = 0.0 if name in self._state.orders_by_machine else now - self._sent_at[name]
             # Twice the bound: a successor may not find the machine back in the list before.
-            if age_s > 2 * self._apart_s:
+            if age_s > 2 * self.apart_s:
                 del self._sent_at[name], self._recent[name]
                 continue
             rows.append(row._replace(age_s=age_s))
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -113,6 +113,8 @@
         # what the caller was told had ended.
         self.shown_phase = JobPhase.LIVE
         self.begun = False
+        # Whether nothing of it may be started, as its progress can't be read.
+        self.held = False
         # The whole chain of work that is left when nothing has been done, in seconds.
         self.chain_s = _chain(stored.spec.steps)
         # Whether it has tasks that run until it is cancelled.
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -126,6 +126,7 @@
         and link.listed
         and not link.closing
         and not link.entry.draining
+        and link.entry.readable
         and link.durable is not None
         and link.durable.durable
         and link.entry.service == service
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -19,6 +19,7 @@
 from ..http_pools import HttpPool
 from ..job_gateways import JobGateway
 from ..peer_calls import PeerClient, PeerServer, PeerUnreachable
+from ..ports import Invalid
 from ..shard_owners import FLEET_SHARD, Owned, ShardOwners, shard_of
 from ..standbys import address_of, member_name
 from ..supervisors import Supervisor
@@ -258,12 +259,12 @@
     return OperatorRecords(configuration, waves, invalid)
 
 
-def decode_entry(executor: str, raw: bytes) -> ExecutorEntry | None:
-    """Decode an executor's entry, None if it can't be."""
+def decode_entry(executor: str, raw: bytes) -> ExecutorEntry | Invalid:
+    """Decode an executor's entry."""
     try:
         return decoding.executor_entry(executor, raw)
-    except decoding.InvalidBody:
-        return None
+    except decoding.InvalidBody as exc:
+        return Invalid(detail=str(exc))
 
 
 def main() -> None:
--- a/mustardgap/platform/decoding.py
+++ b/mustardgap/platform/decoding.py
@@ -1,7 +1,11 @@
 """Bodies and records of the platform, decoded once into the product's types and back."""
 
+import binascii
+from base64 import b64decode
 from collections.abc import Mapping
-from typing import Any
+from enum import StrEnum
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 
@@ -26,6 +30,9 @@
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_TASKS = 10_000
+MAX_PORT = 65_535
+# So much of a record that can't be read is shown beside the reason.
+MAX_SHOWN_BYTES = 100
 
 _END_KINDS = {kind.name.lower(): kind for kind in EndKind}
 
@@ -100,50 +107,118 @@
     interval_ms: float = msgspec.field(default=0, name="intervalMs")
 
 
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Amount = Annotated[int, msgspec.Meta(gt=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = msgspec.field(default=0, name="memMb")
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount = msgspec.field(name="memMb")
+    gpu: _Count = 0
+
+
+class _ExecutorState(StrEnum):
+    READY = "ready"
+    DRAINING = "draining"
 
 
 class _Entry(msgspec.Struct):
-    service: str
-    addr: str
-    zone: str = ""
-    state: str = "ready"
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    """Every field that an executor writes; what lacks one wasn't written by an executor."""
+
+    service: _Name
+    addr: _Name
+    zone: _Name
+    version: str
+    slots: _Count
+    state: _ExecutorState
+    cold_left_ms: _Milliseconds = msgspec.field(name="coldLeftMs")
+    seq: _Count
+    capacity: _Capacity
     # The executor's kind comes first, its rack last.
-    labels: list[str] = []
+    labels: list[str]
     machine: str = ""
-    remaining_ms: float | None = msgspec.field(default=None, name="remainingMs")
+    remaining_ms: _Milliseconds | None = msgspec.field(default=None, name="remainingMs")
+
+
+class _MachineState(StrEnum):
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
 
 
 class _MachineRow(msgspec.Struct):
-    machine: str
-    pool: str = ""
-    state: str = ""
+    machine: _Name
+    pool: _Name
+    state: _MachineState
+    capacity: _Capacity
     zone: str = ""
     labels: list[str] = []
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     id: str | None = None
 
 
 class _MachinePage(msgspec.Struct):
-    machines: list[_MachineRow]
+    machines: list[msgspec.Raw]
     next_token: str | None = msgspec.field(default=None, name="nextToken")
 
 
+class MachinePage(NamedTuple):
+    """One page of machines, what was wrong with rows that it lacks, and the next page's token."""
+
+    machines: list[Machine]
+    invalid: list[str]
+    next_token: str | None
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    value: str
+
+
+class _NewestPage(msgspec.Struct):
+    items: list[msgspec.Raw]
+    end: _Count
+    has_more: bool = msgspec.field(default=False, name="hasMore")
+
+
+class NewestPage(NamedTuple):
+    """One page of the newest records, what was wrong with others, and whether there are more."""
+
+    values_by_key: dict[str, bytes]
+    invalid: list[str]
+    end: int
+    has_more: bool
+
+
 class _Wave(msgspec.Struct):
-    wave: int
+    wave: _Count
     machines: list[str]
-    finish_by_s: float = msgspec.field(default=0, name="finishByS")
-    max_count: int = msgspec.field(default=1, name="maxCount")
+    finish_by_s: Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(name="finishByS")
+    max_count: _Amount = msgspec.field(name="maxCount")
+
+
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    saved: str
+    percent: float
+    load: float = 0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+    saved: str
 
 
 class _Report(msgspec.Struct):
-    clock_ms: int = msgspec.field(default=0, name="clockMs")
-    running: list[tuple[Any, ...]] = []
-    ended: list[tuple[Any, ...]] = []
+    clock_ms: int = msgspec.field(name="clockMs")
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
 
 
 class InvalidBody(ValueError):
@@ -247,14 +322,21 @@
 
 
 def executor_entry(executor: str, raw: bytes) -> ExecutorEntry:
-    """Decode what an executor says of itself."""
+    """Decode what an executor says of itself.
+
+    Others may write to the list, too. A record with a field that is missing or can't be would pass
+    for an executor that has no room, or can't be reached, and tasks would wait for it.
+
+    :raises InvalidBody: what is wrong with it.
+    """
     fields = _decode(raw, _Entry)
+    _check_address(fields.addr)
     return ExecutorEntry(
         executor=executor,
         service=fields.service,
         address=fields.addr,
         data_centre=fields.zone,
-        draining=fields.state != "ready",
+        draining=fields.state is _ExecutorState.DRAINING,
         capacity=_room(fields.capacity),
         labels=tuple(fields.labels),
         rack=fields.labels[-1] if fields.labels else "",
@@ -263,47 +345,104 @@
     )
 
 
+def _check_address(address: str) -> None:
+    ip, _, port = address.rpartition(":")
+    try:
+        IPv4Address(ip)
+    except AddressValueError as exc:
+        raise InvalidBody(f"the address {address!r}: {exc}") from None
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise InvalidBody(f"the address {address!r} has no port from 1 to {MAX_PORT}")
+
+
 def wave(raw: bytes) -> Wave:
-    """Decode a wave of maintenance."""
+    """Decode a wave of maintenance.
+
+    :raises InvalidBody: what is wrong with it.
+    """
     fields = _decode(raw, _Wave)
     return Wave(fields.wave, tuple(fields.machines), fields.finish_by_s, fields.max_count)
 
 
-def machine_page(raw: bytes) -> tuple[list[Machine], str | None]:
-    """Decode one page of machines, with the token of the next one."""
+def machine_page(raw: bytes) -> MachinePage:
+    """Decode one page of machines; a row that can't be read costs that row only.
+
+    :raises InvalidBody: the page itself can't be read.
+    """
     page = _decode(raw, _MachinePage)
-    machines = [
-        Machine(
-            machine=row.machine,
-            pool=row.pool,
-            state=row.state,
-            data_centre=row.zone,
-            labels=tuple(row.labels),
-            capacity=_room(row.capacity),
-            executor=row.id or "",
-        )
-        for row in page.machines
-    ]
-    return machines, page.next_token
+    machines: list[Machine] = []
+    invalid: list[str] = []
+    for row in page.machines:
+        try:
+            machines.append(_machine(_decode(bytes(row), _MachineRow)))
+        except InvalidBody as exc:
+            invalid.append(f"{exc}: {bytes(row)[:MAX_SHOWN_BYTES]!r}")
+    return MachinePage(machines, invalid, page.next_token)
+
+
+def _machine(row: _MachineRow) -> Machine:
+    return Machine(
+        machine=row.machine,
+        pool=row.pool,
+        state=row.state.value,
+        data_centre=row.zone,
+        labels=tuple(row.labels),
+        capacity=_room(row.capacity),
+        executor=row.id or "",
+    )
+
+
+def newest_page(raw: bytes) -> NewestPage:
+    """Decode one page of the newest records; one that can't be read costs that record only.
+
+    A value that isn't in base64 is passed on as it stands: whoever reads it finds it invalid, and
+    knows by its key whose record it is.
+
+    :raises InvalidBody: the page itself can't be read.
+    """
+    page = _decode(raw, _NewestPage)
+    values: dict[str, bytes] = {}
+    invalid: list[str] = []
+    for raw_item in page.items:
+        try:
+            item = _decode(bytes(raw_item), _NewestItem)
+        except InvalidBody as exc:
+            invalid.append(f"{exc}: {bytes(raw_item)[:MAX_SHOWN_BYTES]!r}")
+            continue
+        try:
+            values[item.key] = b64decode(item.value, validate=True)
+        except (binascii.Error, ValueError):
+            values[item.key] = item.value.encode()
+    return NewestPage(values, invalid, page.end, page.has_more)
 
 
 def report(raw: bytes) -> Report:
-    """Decode what an executor answers when it is asked what it runs."""
+    """Decode what an executor answers when it is asked what it runs.
+
+    :raises InvalidBody: what is wrong with it.
+    """
     fields = _decode(raw, _Report)
     running = tuple(
-        RunRow(task_id(row[0]), row[1], row[2], row[3], int(row[4]) if len(row) > 4 else 0)
+        RunRow(task_id(row.task), row.run, row.saved, int(row.percent), int(row.load))
         for row in fields.running
     )
     ended = tuple(
-        EndRow(row[0], task_id(row[1]), row[2], _END_KINDS[row[3]], row[4]) for row in fields.ended
+        EndRow(row.number, task_id(row.task), row.run, _END_KINDS[row.how], row.saved)
+        for row in fields.ended
     )
     return Report(fields.clock_ms, running, ended)
 
 
 def task_id(name: str) -> TaskId:
-    """Decode a task's name."""
-    job_id, occurrence, step, index = name.split(".")
-    return TaskId(job_id, int(occurrence), int(step), int(index))
+    """Decode a task's name.
+
+    :raises InvalidBody: it isn't one.
+    """
+    try:
+        job_id, occurrence, step, index = name.split(".")
+        return TaskId(job_id, int(occurrence), int(step), int(index))
+    except ValueError:
+        raise InvalidBody(f"{name!r} is no task's name") from None
 
 
 def task_name(task: TaskId) -> str:
@@ -326,6 +465,6 @@
 
 def _decode(raw: bytes, kind: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(raw, type=kind, strict=False)
+        return msgspec.json.decode(raw, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise InvalidBody(str(exc)) from None
--- a/mustardgap/platform/executor_client.py
+++ b/mustardgap/platform/executor_client.py
@@ -7,7 +7,7 @@
 from ..http_pools import HttpAnswer, HttpPool
 from ..ports import Fenced, NoAnswer, OtherIncarnation, Refused, Started, StartRefused, Stopped
 from ..workloads import ExecutorEntry, Report, TaskId
-from .decoding import fields_of, report, task_name
+from .decoding import InvalidBody, fields_of, report, task_name
 
 # An executor answers within a few milliseconds; orders that it left unanswered are repeated.
 ORDER_S = 0.5
@@ -42,9 +42,12 @@
         answer = await self._order(entry, "hold", body, wait_s + HOLD_SLACK_S)
         if not isinstance(answer, HttpAnswer):
             return answer
-        if answer.status == 200:
+        if answer.status != 200:
+            return _refusal(answer)
+        try:
             return report(answer.body)
-        return _refusal(answer)
+        except InvalidBody as exc:
+            return Refused(detail=f"a report that can't be read: {exc}")
 
     async def start(
         self,
--- a/mustardgap/platform/machine_client.py
+++ b/mustardgap/platform/machine_client.py
@@ -7,9 +7,19 @@
 import msgspec
 
 from ..http_pools import HttpAnswer, HttpPool
-from ..ports import Done, Fenced, Granted, NoAnswer, NotInWave, Order, Refused, Throttled
+from ..ports import (
+    Done,
+    Fenced,
+    Granted,
+    MachineList,
+    NoAnswer,
+    NotInWave,
+    Order,
+    Refused,
+    Throttled,
+)
 from ..workloads import ExecutorId, Machine, TaskId
-from .decoding import fields_of, machine_page
+from .decoding import InvalidBody, fields_of, machine_page
 
 # Both services answer in milliseconds on a calm day and some 50 times slower on a bad one.
 CALL_S = 1.0
@@ -28,9 +38,10 @@
         self._pool = pool
         self._address = address
 
-    async def machines(self) -> list[Machine] | Refused | NoAnswer:
+    async def machines(self) -> MachineList | Refused | NoAnswer:
         """List all machines, page by page."""
         machines: list[Machine] = []
+        invalid: list[str] = []
         token: str | None = None
         while True:
             query = "?" + urlencode({"pageToken": token}) if token else ""
@@ -44,10 +55,15 @@
                 return answer
             if answer.status != 200:
                 return Refused(detail=str(answer.status))
-            page, token = machine_page(answer.body)
-            machines.extend(page)
+            try:
+                page = machine_page(answer.body)
+            except InvalidBody as exc:
+                return Refused(detail=f"a page that can't be read: {exc}")
+            machines.extend(page.machines)
+            invalid.extend(page.invalid)
+            token = page.next_token
             if not token:
-                return machines
+                return MachineList(machines=machines, invalid=tuple(invalid))
 
     async def move(self, *, machine: str, pool: str, holder: str, fence: int) -> Order:
         """Give a machine to another pool."""
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -1,6 +1,5 @@
 """The platform's keyed log, as the product's ``Store`` and ``Boards``."""
 
-import base64
 import struct
 import time
 from collections.abc import Mapping, Sequence
@@ -22,7 +21,7 @@
     Refused,
     WrongSequence,
 )
-from .decoding import fields_of
+from .decoding import InvalidBody, fields_of, newest_page
 
 JOBS = "keyed.mustardgap-jobs"
 OPERATOR = "keyed.op"
@@ -165,6 +164,7 @@
 
     async def _newest(self, topic: str, shard: int) -> Entries | Refused | NoAnswer:
         values: dict[str, bytes | None] = {}
+        invalid: list[str] = []
         end: int | None = None
         after = ""
         while True:
@@ -180,15 +180,19 @@
                 return Entries(values_by_key={}, end=0)
             if answer.status != 200:
                 return _refused(answer)
-            page = fields_of(answer.body)
-            for item in page["items"]:
-                values[item["key"]] = base64.b64decode(item["value"])
-                after = item["key"]
+            try:
+                page = newest_page(answer.body)
+            except InvalidBody as exc:
+                return Refused(detail=f"a page that can't be read: {exc}")
+            values.update(page.values_by_key)
+            invalid.extend(page.invalid)
             # Pages are read one after another: what was written meanwhile is read again from the
             # end that the first one gave.
-            end = page["end"] if end is None else end
-            if not page.get("hasMore"):
-                return Entries(values_by_key=values, end=end)
+            end = page.end if end is None else end
+            # Without a key that can be read there is nothing to go on from.
+            if not page.has_more or not page.values_by_key:
+                return Entries(values_by_key=values, end=end, invalid=tuple(invalid))
+            after = list(page.values_by_key)[-1]
 
     async def _append(
         self, topic: str, shard: int, body: bytes, query: Mapping[str, object]
@@ -243,19 +247,36 @@
 def _records(raw: bytes, offset: int) -> Entries:
     """Split the answer of a read: the end, the first kept offset, then records with lengths."""
     values: dict[str, bytes | None] = {}
+    invalid: list[str] = []
     place = _OFFSETS.size
     count = 0
     while place + _LENGTH.size <= len(raw):
         (length,) = _LENGTH.unpack_from(raw, place)
-        place += _LENGTH.size
-        content = raw[place : place + length]
-        place += length
+        content = raw[place + _LENGTH.size : place + _LENGTH.size + length]
+        place += _LENGTH.size + length
+        if place > len(raw):
+            # The answer ends within this record, which is read again from its offset.
+            break
+        try:
+            key, value = _unkeyed(content)
+        except ValueError as exc:
+            invalid.append(f"offset {offset + count}: {exc}")
+        else:
+            values.pop(key, None)
+            values[key] = value
         count += 1
-        key_end = 1 + content[0]
-        key = content[1:key_end].decode()
-        values.pop(key, None)
-        values[key] = content[key_end:] or None
-    return Entries(values_by_key=values, end=offset + count)
+    return Entries(values_by_key=values, end=offset + count, invalid=tuple(invalid))
+
+
+def _unkeyed(content: bytes) -> tuple[str, bytes | None]:
+    """A record's key, and its value if it has one.
+
+    :raises ValueError: there is no key that can be read.
+    """
+    if not content or len(content) < 1 + content[0]:
+        raise ValueError("the record is shorter than its key")
+    key_end = 1 + content[0]
+    return content[1:key_end].decode(), content[key_end:] or None
 
 
 def _lists(fields: dict[str, Any]) -> list[list[Any]]:
--- a/mustardgap/ports.py
+++ b/mustardgap/ports.py
@@ -59,10 +59,29 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Entries:
-    """Keyed records and the offset after the last one that was looked at."""
+    """Keyed records and the offset after the last one that was looked at.
+
+    ``invalid`` tells of records without a key that can be read, and of what was wrong with each.
+    """
 
     values_by_key: dict[str, bytes | None]
     end: int
+    invalid: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Invalid:
+    """A record that isn't what it should be."""
+
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class MachineList:
+    """The fleet's machines; ``invalid`` tells of rows that couldn't be read."""
+
+    machines: list[Machine]
+    invalid: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -213,7 +232,7 @@
 class Machines(Protocol):
     """The fleet's machines: listing, moving between pools, and maintenance."""
 
-    async def machines(self) -> list[Machine] | Refused | NoAnswer:
+    async def machines(self) -> MachineList | Refused | NoAnswer:
         """All machines."""
 
     async def move(self, *, machine: str, pool: str, holder: str, fence: int) -> Order:
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -152,6 +152,8 @@
         while True:
             outcome = await self._store.newest(shard=self.shard)
             if isinstance(outcome, Entries):
+                for why in outcome.invalid:
+                    self._events.note("record.invalid", vital=True, shard=self.shard, why=why)
                 return outcome.values_by_key
             self._events.note("shard.unread", vital=True, shard=self.shard, why=outcome.detail)
             await self._clock.sleep(READ_RETRY_S)
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -43,7 +43,11 @@
             return
         now, wall = self._clock.monotonic(), self._clock.wall()
         openings = Openings(links=self._shard.roster.links_by_executor.values(), now=now)
-        waiting = [job for job in self._shard.jobs_by_id.values() if job.phase is JobPhase.LIVE]
+        waiting = [
+            job
+            for job in self._shard.jobs_by_id.values()
+            if job.phase is JobPhase.LIVE and not job.held
+        ]
         for job in in_order(waiting, self._shard.queue_of, self._cores_by_service(now), wall):
             steps = job.steps_in_turn()
             if self._end_if_exhausted(job, steps):
--- a/mustardgap/workloads.py
+++ b/mustardgap/workloads.py
@@ -152,7 +152,10 @@
 
 
 class ExecutorEntry(NamedTuple):
-    """What an executor says of itself in the platform's list of executors."""
+    """What an executor says of itself in the platform's list of executors.
+
+    ``readable`` is False while its newest record can't be read, and the rest is from an older one.
+    """
 
     executor: ExecutorId
     service: str
@@ -164,6 +167,7 @@
     rack: str = ""
     machine: MachineId = ""
     remaining_s: float | None = None
+    readable: bool = True
 
 
 class EndKind(enum.IntEnum):
--- a/tools/fake_machines.py
+++ b/tools/fake_machines.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from mustardgap.ports import Done, Fenced, NoAnswer, Order, Refused
+from mustardgap.ports import Done, Fenced, MachineList, NoAnswer, Order, Refused
 from mustardgap.workloads import Machine, Room
 
 if TYPE_CHECKING:
@@ -38,6 +38,8 @@
         # Orders that had been carried out before.
         self.repeats = 0
         self.lost_share = 0.0
+        # Machines whose rows can't be read.
+        self.unreadable: set[str] = set()
         self.down_by_wave: dict[int, int] = {}
         self.at_once_by_wave: dict[int, int] = {}
         self.places: dict[str, _Place] = {}
@@ -49,9 +51,9 @@
         if not self._is_standby(pool):
             place.executor = self._world.bear(name, pool)
 
-    def list(self) -> list[Machine]:
-        """The machines as they are."""
-        return [
+    def list(self) -> MachineList:
+        """The machines as they are, without those whose rows can't be read."""
+        machines = [
             Machine(
                 name,
                 place.pool,
@@ -62,7 +64,9 @@
                 place.executor.entry.executor if place.executor else "",
             )
             for name, place in self.places.items()
+            if name not in self.unreadable
         ]
+        return MachineList(machines=machines, invalid=tuple(sorted(self.unreadable)))
 
     def order(
         self, name: str, pool: str | None, wave: int | None, holder: str, fence: int
@@ -131,7 +135,7 @@
     def __init__(self, *, machines: FakeMachines) -> None:
         self._machines = machines
 
-    async def machines(self) -> list[Machine] | Refused | NoAnswer:
+    async def machines(self) -> MachineList | Refused | NoAnswer:
         await asyncio.sleep(ANSWER_S)
         return self._machines.list()
 
--- a/tools/owner_daemons.py
+++ b/tools/owner_daemons.py
@@ -13,7 +13,7 @@
 from mustardgap.fleet_states import Times
 from mustardgap.job_gateways import JobGateway
 from mustardgap.peer_calls import PeerUnreachable
-from mustardgap.ports import Granted
+from mustardgap.ports import Granted, Invalid
 from mustardgap.shard_owners import FLEET_SHARD, Owned, ShardOwners, shard_of
 from mustardgap.standbys import member_name
 from mustardgap.workloads import (
@@ -153,7 +153,7 @@
         )
         self.board = ExecutorBoard(
             boards=store,
-            decode=lambda _, raw: msgspec.msgpack.decode(raw, type=ExecutorEntry),
+            decode=_decode_entry,
             needed=lambda: True,
             clock=self.clock,
             events=self.events,
@@ -249,6 +249,13 @@
     return asyncio.get_running_loop().time()
 
 
+def _decode_entry(executor: str, raw: bytes) -> ExecutorEntry | Invalid:
+    try:
+        return msgspec.msgpack.decode(raw, type=ExecutorEntry)
+    except msgspec.DecodeError as exc:
+        return Invalid(detail=str(exc))
+
+
 def _decode_operator(values: dict[str, bytes | None]) -> OperatorRecords:
     configuration = None
     waves = []
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -13,6 +13,9 @@
 from .owner_daemons import SERVICE, SHARDS, HeldClock
 from .owner_worlds import OwnerWorld
 
+# No record of any kind, in any format.
+UNREADABLE = b"\xc1{"
+
 Trouble = Callable[[OwnerWorld], Coroutine[Any, Any, None]]
 
 TWO_STEPS = JobSpec(
@@ -220,6 +223,14 @@
     world.store.operator_held = False
 
 
+async def entries_overwritten(world: OwnerWorld) -> None:
+    """Another writer puts what nobody can read over all executors' entries, and adds one."""
+    for executor in list(world.fleet.by_address.values()):
+        world.store.write_entry(executor.entry.executor, UNREADABLE)
+    world.store.write_entry("x-of-nobody", UNREADABLE)
+    await asyncio.sleep(3)
+
+
 async def wave_comes(world: OwnerWorld) -> None:
     """Half of the pool's machines are due for maintenance, one at a time."""
     publish_wave(world, ["m1", "m2"])
@@ -288,6 +299,7 @@
         all_fails_and_configuration_late,
         executor_hangs,
         executor_drains,
+        entries_overwritten,
         wave_comes,
         wave_comes_and_owner_stops,
     )
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -81,6 +81,8 @@
         self.gone: FakeDaemon | None = None
         self.work_s = work_s
         self.lives = 0
+        # Whether executors write their entries.
+        self.beating = True
         self.found: list[str] = []
         self.drained_at_by_executor: dict[str, float] = {}
         self.fleet.record.room_of = self._room_of
@@ -196,7 +198,7 @@
         silent: dict[str, float] = {}
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            if self.store.down:
+            if self.store.down or not self.beating:
                 continue
             for executor in list(self.fleet.by_address.values()):
                 name = executor.entry.executor
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -202,7 +202,15 @@
 
     async def _do_machines(self, request: httputil.HTTPServerRequest) -> Answer:
         rows = [
-            {"machine": e.entry.machine, "pool": "quoting", "state": "up", "id": e.entry.executor}
+            {
+                "machine": e.entry.machine,
+                "pool": "quoting",
+                "state": "up",
+                "zone": e.entry.data_centre,
+                "labels": list(e.entry.labels),
+                "capacity": _capacity(e.entry.capacity),
+                "id": e.entry.executor,
+            }
             for e in self.executors
         ]
         return _json(200, {"machines": rows, "nextToken": None})
@@ -282,14 +290,22 @@
     return _json(200, fields)
 
 
+def _capacity(room: Room) -> dict[str, int]:
+    return {"cpu": room.cpu, "memMb": room.memory_mb, "gpu": room.gpus}
+
+
 def _entry(entry: ExecutorEntry) -> bytes:
     return msgspec.json.encode(
         {
             "service": entry.service,
             "addr": entry.address,
             "zone": entry.data_centre,
+            "version": "v1",
+            "slots": 8,
             "state": "ready",
-            "capacity": {"cpu": entry.capacity.cpu, "memMb": entry.capacity.memory_mb},
+            "coldLeftMs": 0,
+            "seq": 1,
+            "capacity": _capacity(entry.capacity),
             "labels": list(entry.labels),
             "machine": entry.machine,
         }
