Put a change of unknown outcome again within its caller's time, and count as not sent what found no connection

The store was away from 18.0 to 22.2 s; the owner of a busy pool lost power at 22.3 s. Until 24.3 s each call to it ended "failed to connect to all addresses", which was taken for a call that may have arrived: 504, after which a client can't try again. Before, while the store was away, a desk said after 1.2 s that it didn't know, with up to 1.8 s of the caller's time left. Change: a call that gRPC gave to no connection has certainly not left; submits and cancels of unknown outcome are put again, to the same or the next owner, until 0.15 s before the caller stops waiting. Once a try may have arrived, a refusal isn't said any more. Test: features/gateways.feature, 16 scenarios, the one of connections that end at once red before.

--- /dev/null
+++ b/features/gateways.feature
@@ -0,0 +1,39 @@
+Feature: A caller is told what became of its job, by whatever daemon it asks
+  The daemon that a caller reaches asks the owner of the queue, which may be dying or just replaced.
+
+  Scenario Outline: A caller who waits <wait> s is told <code> when its owner's answers are: <answers>
+    An owner loses power, or the store goes away under it, as jobs come. A job may or may not have arrived.
+    Put again under its id it is stored once; told that nobody knows, its caller could do nothing more.
+    Once a try may have arrived, nothing but the job's being stored may be said for certain.
+
+    When a caller who waits <wait> s hands a job in, and owners answer <answers>
+    Then the caller is told <code> after <tries> tries
+
+    Examples:
+      | wait | answers                                | code   | tries |
+      | 3    | accepted                               | MG4020 | 1     |
+      | 3    | unknown, accepted                      | MG4020 | 2     |
+      | 3    | unknown, nobody, nobody, accepted      | MG4020 | 4     |
+      | 3    | silent, refused, away, accepted        | MG4020 | 4     |
+      | 3    | unknown, nobody for ever               | MG4029 | 17    |
+      | 3    | silent, away for ever                  | MG4029 | 14    |
+      | 1.2  | unknown, accepted                      | MG4029 | 1     |
+      | 3    | nobody, nobody, accepted               | MG4020 | 3     |
+      | 3    | nobody for ever                        | MG4027 | 4     |
+      | 3    | refused for ever                       | MG4027 | 4     |
+      | 3    | away for ever                          | MG4028 | 1     |
+      | 3    | nobody, unknown, accepted              | MG4020 | 3     |
+
+  Scenario Outline: A call to a daemon that <state> has <sent>
+    A host that is down, or a process that has just ended, takes no call. Its callers' jobs certainly
+    haven't arrived, and go to the next owner.
+
+    When a daemon calls one that <state>
+    Then the call has <sent>
+
+    Examples:
+      | state                                | sent                 |
+      | has ended                            | certainly not left   |
+      | ends each connection                 | certainly not left   |
+      | ends while it works on the call      | perhaps been heard   |
+      | answers nothing                      | perhaps been heard   |
--- /dev/null
+++ b/features/steps/gateways_steps.py
@@ -0,0 +1,157 @@
+"""Steps of the way from a caller's daemon to the owner of its queue."""
+
+import asyncio
+from itertools import chain, repeat
+from types import SimpleNamespace
+
+import grpc
+from behave import then, when
+
+from mustardgap import job_replies
+from mustardgap.events import EventLog
+from mustardgap.job_gateways import CALL_S, JobGateway
+from mustardgap.peer_calls import METHOD, SERVICE, PeerClient, PeerUnreachable
+from tools.actor_platforms import HandClock
+from tools.owner_troubles import TWO_STEPS
+from tools.owner_worlds import QUEUE
+
+# What a desk takes until it says that it doesn't know.
+UNKNOWN_S = 1.2
+
+
+class MovingClock(HandClock):
+    """A clock by which a sleep takes no time, and is over."""
+
+    async def sleep(self, seconds):
+        self.now += seconds
+
+
+class ScriptedPeers:
+    """Owners that answer as they are told to, one call after another."""
+
+    def __init__(self, answers, clock):
+        steps = answers.removesuffix(" for ever").split(", ")
+        last = repeat(steps[-1]) if answers.endswith(" for ever") else ()
+        self.tries = 0
+        self._answers = chain(steps, last)
+        self._clock = clock
+
+    async def call(self, address, name, values, *, timeout_s):
+        self.tries += 1
+        answer = next(self._answers)
+        if answer == "silent":
+            self._clock.now += CALL_S
+            raise PeerUnreachable(sent=True, detail="no answer")
+        if answer == "refused":
+            raise PeerUnreachable(sent=False, detail="connection refused")
+        if answer == "unknown":
+            self._clock.now += UNKNOWN_S
+            return job_replies.UNSETTLED.encode()
+        if answer == "nobody":
+            return job_replies.not_owner("not any more").encode()
+        if answer == "away":
+            return job_replies.store_away("away").encode()
+        return job_replies.ACCEPTED.encode()
+
+
+async def _refresh():
+    """Nothing has changed."""
+
+
+@when("a caller who waits {wait:g} s hands a job in, and owners answer {answers}")
+def hand_in_once(context, wait, answers):
+    clock = MovingClock()
+    context.peers = ScriptedPeers(answers, clock)
+    owners = SimpleNamespace(
+        owned_by_shard={},
+        members_by_shard={},
+        generation=1,
+        address_of=lambda shard: "10.0.0.1:1",
+        refresh=_refresh,
+    )
+    gateway = JobGateway(
+        owners=owners,
+        operator=None,
+        peers=context.peers,
+        shards=4,
+        clock=clock,
+        events=EventLog(host="e1", clock=clock),
+    )
+    context.reply = asyncio.run(
+        gateway.submit(queue=QUEUE, job_id="0" * 16, spec=TWO_STEPS, wait_s=wait)
+    )
+
+
+@then("the caller is told {code} after {tries:d} tries")
+def check_told(context, code, tries):
+    assert (str(context.reply.code), context.peers.tries) == (code, tries), (
+        context.reply,
+        context.peers.tries,
+    )
+
+
+async def _end_connections(reader, writer):
+    writer.close()
+
+
+async def _end_after_call(reader, writer):
+    # The connection's preface and settings come first; a call's frames follow the answer to them.
+    writer.write(b"\x00\x00\x00\x04\x00\x00\x00\x00\x00")
+    seen = 0
+    while seen < 150:
+        seen += len(await reader.read(1000)) or 1000
+    writer.close()
+
+
+async def _call(address):
+    try:
+        await PeerClient().call(address, "alive", None, timeout_s=0.5)
+    except PeerUnreachable as exc:
+        return exc
+    raise AssertionError("answered")
+
+
+async def _call_silent():
+    gate = asyncio.Event()
+
+    async def hold(request, context):
+        await gate.wait()
+
+    server = grpc.aio.server()
+    handler = grpc.unary_unary_rpc_method_handler(hold)
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
+    )
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    outcome = await _call(f"127.0.0.1:{port}")
+    await server.stop(0)
+    return outcome
+
+
+async def _call_ending(handle, stays):
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    if not stays:
+        server.close()
+        await server.wait_closed()
+    outcome = await _call(f"127.0.0.1:{port}")
+    server.close()
+    return outcome
+
+
+@when("a daemon calls one that {state}")
+def call_daemon(context, state):
+    calls = {
+        "has ended": lambda: _call_ending(_end_connections, stays=False),
+        "ends each connection": lambda: _call_ending(_end_connections, stays=True),
+        "ends while it works on the call": lambda: _call_ending(_end_after_call, stays=True),
+        "answers nothing": _call_silent,
+    }
+    context.unreachable = asyncio.run(calls[state]())
+
+
+@then("the call has {sent}")
+def check_sent(context, sent):
+    expected = {"certainly not left": False, "perhaps been heard": True}[sent]
+    assert context.unreachable.sent is expected, context.unreachable
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -291,8 +291,8 @@
         if current or inherited:
             self.suspicions.on_end(link, task, end.how, run)
         if job.phase is not JobPhase.LIVE:
-            # Acknowledged before the job's own end is stored, an end would be on record nowhere: the
-            # next owner would find a job that goes on, and start a task again that was done.
+            # Acknowledged before the job's own end is stored, an end would be on record nowhere.
+            # The next owner would find a job that goes on, and start again what was done.
             return self.ending_by_id.get(job.job_id)
         if task.done:
             # That it is done may not be stored yet either.
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -28,6 +28,13 @@
 # of a hand-over a refusal, after which they would come back a second later.
 TRIES = 4
 AGAIN_S = 0.1
+# A change whose outcome isn't known is put again until so long before its caller stops waiting: the
+# answer's way, some 8 ms to the farthest clients, and the time that a busy host takes for it.
+ANSWER_S = 0.15
+
+
+# Answers that say that a call had no effect.
+NOT_DONE = (status_codes.OWNER_UNAVAILABLE, status_codes.STORE_UNAVAILABLE)
 
 
 class JobGateway:
@@ -66,14 +73,22 @@
             return job_replies.NO_CONFIGURATION
         return configuration.queue_for(host, path) or job_replies.UNKNOWN_QUEUE
 
-    async def submit(self, *, queue: Queue, job_id: str, spec: JobSpec) -> JobReply:
-        """Hand a job in."""
+    async def submit(
+        self, *, queue: Queue, job_id: str, spec: JobSpec, wait_s: float | None = None
+    ) -> JobReply:
+        """Hand a job in.
+
+        :param wait_s: how long the caller waits; the queue's timeout if it doesn't say.
+        """
         values = [job_id, queue, spec]
-        return await self._ask("submit", queue, values, CALL_S, job_id=job_id)
+        return await self._ask("submit", queue, values, CALL_S, job_id=job_id, wait_s=wait_s)
+
+    async def cancel(self, *, queue: Queue, job_id: str, wait_s: float | None = None) -> JobReply:
+        """Cancel a job.
 
-    async def cancel(self, *, queue: Queue, job_id: str) -> JobReply:
-        """Cancel a job."""
-        return await self._ask("cancel", queue, [job_id], CALL_S, job_id=job_id)
+        :param wait_s: how long the caller waits; the queue's timeout if it doesn't say.
+        """
+        return await self._ask("cancel", queue, [job_id], CALL_S, job_id=job_id, wait_s=wait_s)
 
     async def state(self, *, queue: Queue, job_id: str) -> JobReply:
         """Ask for a job's state."""
@@ -136,19 +151,33 @@
         return handle
 
     async def _ask(
-        self, name: str, queue: Queue, values: list[Any], timeout_s: float, *, job_id: str
+        self,
+        name: str,
+        queue: Queue,
+        values: list[Any],
+        timeout_s: float,
+        *,
+        job_id: str,
+        wait_s: float | None = None,
     ) -> JobReply:
         shard = shard_of(queue.service, self._shards)
         began = self._clock.monotonic()
+        until = began + (queue.timeout_s if wait_s is None else wait_s) - ANSWER_S
         tried = 0
+        unsettled: JobReply | None = None
         while True:
             tried += 1
             reply = await self._once(shard, name, values, timeout_s)
-            if reply.code is not status_codes.OWNER_UNAVAILABLE or tried >= TRIES:
+            if reply.code is status_codes.JOB_UNSETTLED:
+                unsettled = reply
+            if not self._tries_again(reply, tried, unsettled is not None, until):
                 break
             # A shard that is handed over in good order has its new owner within a few tenths.
             await self._clock.sleep(AGAIN_S)
             await self._refresh()
+        if unsettled is not None and reply.code in NOT_DONE:
+            # An earlier try may have done it, so that it wasn't done can't be said any more.
+            reply = unsettled
         metrics.job_calls.add(1, {"call": name, "code": reply.code.number})
         metrics.job_call_duration.record(self._clock.monotonic() - began, {"call": name})
         if reply.code.http_status >= 400 and reply.code is not status_codes.SUBMITTED_JOB_UNKNOWN:
@@ -177,6 +206,16 @@
             )
         return reply
 
+    def _tries_again(self, reply: JobReply, tried: int, unsettled: bool, until: float) -> bool:
+        """Whether to put a call again.
+
+        A change under a job's id may be put any number of times. Told that nobody knows what became
+        of it, its caller can neither go on nor put it again.
+        """
+        if unsettled and reply.code in (status_codes.JOB_UNSETTLED, *NOT_DONE):
+            return self._clock.monotonic() + AGAIN_S < until
+        return reply.code is status_codes.OWNER_UNAVAILABLE and tried < TRIES
+
     async def _once(self, shard: int, name: str, values: list[Any], timeout_s: float) -> JobReply:
         if shard in self._owners.owned_by_shard:
             return await self._local(shard, name, msgspec.to_builtins(values))
--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -24,6 +24,9 @@
     ("grpc.max_receive_message_length", 16 * 1024 * 1024),
 ]
 
+# How gRPC's text begins when a call was given to no connection.
+UNCONNECTED = "failed to connect to all addresses"
+
 Handler = Callable[[Any], Awaitable[Any]]
 
 
@@ -104,9 +107,12 @@
         except grpc.aio.AioRpcError as exc:
             if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 self._drop(address, channel)
-            refused = "Connection refused" in (exc.details() or "")
+            # A call that finds no connection never leaves this host. Taken for one that may have
+            # arrived, callers were told that nobody knows what became of their jobs, and couldn't
+            # try again: 43 of 46 in the 2 s after a busy pool's owner had lost power.
+            unconnected = (exc.details() or "").startswith(UNCONNECTED)
             raise PeerUnreachable(
-                sent=not refused, detail=f"{exc.code().name}: {exc.details()}"
+                sent=not unconnected, detail=f"{exc.code().name}: {exc.details()}"
             ) from None
 
     def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -19,6 +19,9 @@
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_S = 60.0
+# In whole milliseconds; a number of more digits, 28 hours and more, is no time to wait.
+WAIT_HEADER = "X-Mustardgap-Request-Deadline"
+MAX_WAIT_DIGITS = 8
 
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _METHOD_NOT_ALLOWED = 405
@@ -87,14 +90,18 @@
         if request.method == "GET":
             return _encoded(await self._gateway.state(queue=queue, job_id=job_id))
         if request.method == "DELETE":
-            return _encoded(await self._gateway.cancel(queue=queue, job_id=job_id))
+            reply = await self._gateway.cancel(queue=queue, job_id=job_id, wait_s=_wait_s(request))
+            return _encoded(reply)
         if request.method != "POST":
             return _METHOD_NOT_ALLOWED, b"", {"Allow": "GET, POST, DELETE"}
         try:
             spec = job(request.body)
         except InvalidBody as exc:
             return _encoded(JobReply(status_codes.JOB_INVALID, detail=str(exc)))
-        return _encoded(await self._gateway.submit(queue=queue, job_id=job_id, spec=spec))
+        reply = await self._gateway.submit(
+            queue=queue, job_id=job_id, spec=spec, wait_s=_wait_s(request)
+        )
+        return _encoded(reply)
 
     async def readiness(self, request: httputil.HTTPServerRequest) -> Answer:
         """Answer the balancer."""
@@ -129,6 +136,14 @@
             metrics.lost_answers.add(1, {"error": type(exc).__name__})
 
 
+def _wait_s(request: httputil.HTTPServerRequest) -> float | None:
+    """How long the caller waits for its answer, None if it doesn't say so in a way that can be."""
+    text = request.headers.get(WAIT_HEADER, "")
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_WAIT_DIGITS):
+        return None
+    return int(text) / 1000
+
+
 def _encoded(reply: JobReply) -> Answer:
     status = reply.code.http_status
     fields: dict[str, str | int] = {}
