--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -8,6 +8,7 @@
 from mustardgap.fleet_moves import FleetMoves
 from mustardgap.fleet_states import Away, FleetState, Times
 from mustardgap.job_states import Job, StoredJob
+from mustardgap.policies import WHOLE
 from mustardgap.pool_demands import FILL_SHARE, Forecast, PoolDemand
 from mustardgap.pool_views import ExecutorView, PoolView, arriving_cpu
 from mustardgap.workloads import Configuration, JobSpec, Machine, Room, Service, Step
@@ -21,7 +22,7 @@
 class Pools:
     """Machines in pools, each moved at once when it is ordered, and the parts that decide."""
 
-    def __init__(self, sizes):
+    def __init__(self, sizes, policy=WHOLE):
         self.clock = HandClock()
         events = EventLog(host="e1", clock=self.clock)
         self.state = FleetState(clock=self.clock, events=events)
@@ -33,6 +34,7 @@
             order_idle=self.move,
             clock=self.clock,
             events=events,
+            policy=policy,
         )
         services = {name: Service(name, "/", 64, True, name == STANDBY) for name in sizes}
         self.configuration = Configuration(1, {}, services)
@@ -89,7 +91,8 @@
 
 @given("pools quotes, cuts and stairs of {size:d} machines each, and {idle:d} on standby")
 def make_pools(context, size, idle):
-    context.pools = Pools({"quotes": size, "cuts": size, "stairs": size, STANDBY: idle})
+    sizes = {"quotes": size, "cuts": size, "stairs": size, STANDBY: idle}
+    context.pools = Pools(sizes, getattr(context, "policy", WHOLE))
     context.pools.play(1.0)
 
 
--- a/mustardgap/day_reports.py
+++ b/mustardgap/day_reports.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
+from .day_bounds import IN_TIME, WINDOW_S, Window, uses_by_pool, worst_windows
 from .job_stories import Line
+from .pool_uses import PoolUse
 
 # Lines are counted in steps of this many seconds.
 STEP_S = 1.0
@@ -23,6 +25,9 @@
 <p>The daemons wrote {lines} lines and left {left_out} out, to bound their rate. Where they left
 some out, counts and curves are too low; numbers of runs, which rise by one each, tell more.</p>
 {plots}
+<h2>Where most callers weren't served in time</h2>
+<p>Windows of {window:g} s by when jobs were handed in, the worst first.</p>{worst}
+<h2>What the pools' machines were for, in machine-seconds</h2>{uses}
 <h2>Counts</h2>{counts}
 <h2>Shards gained and lost</h2>{shards}
 <h2>Dependencies lost and regained, failures</h2>{trouble}
@@ -52,6 +57,8 @@
     counts: Counter[tuple[str, str]]
     left_out: int
     trouble: list[Line]
+    worst: list[Window]
+    uses_by_pool: dict[str, PoolUse]
 
 
 def make(lines: Sequence[Line]) -> Report:
@@ -84,6 +91,8 @@
         counts=counts,
         left_out=sum(line.fields.get("left_out", 0) for line in lines),
         trouble=[line for line in lines if line.event in _TROUBLE][:MAX_ROWS],
+        worst=worst_windows(lines),
+        uses_by_pool=uses_by_pool(lines),
     )
 
 
@@ -95,6 +104,18 @@
         plots=plots,
         lines=report.counts.total(),
         left_out=report.left_out,
+        window=WINDOW_S,
+        worst=_table(
+            ("from second", "queue", "jobs", "not in time", "why"),
+            [(f"{w.since:.0f}", w.queue, w.fates.total(), w.lost, _whys(w)) for w in report.worst],
+        ),
+        uses=_table(
+            ("pool", *(name.replace("_", " ") for name in PoolUse._fields)),
+            [
+                (pool, *(f"{seconds:.1f}" for seconds in use))
+                for pool, use in sorted(report.uses_by_pool.items())
+            ],
+        ),
         counts=_table(
             ("event", "kind", "lines"),
             [(event, kind, count) for (event, kind), count in sorted(report.counts.items())],
@@ -225,6 +246,12 @@
 )
 
 
+def _whys(window: Window) -> str:
+    return ", ".join(
+        f"{count} {fate}" for fate, count in window.fates.most_common() if fate != IN_TIME
+    )
+
+
 def _fields(line: Line) -> str:
     return " ".join(f"{key}={value}" for key, value in line.fields.items())
 
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -19,6 +19,7 @@
     note_end,
 )
 from .pacing import Pacing
+from .placing import objective_s
 from .policies import WHOLE, Policy
 from .pool_views import PoolRequest, PoolView, view
 from .ports import Advice, Executors, Store
@@ -356,6 +357,7 @@
         job.end(phase, self._clock.wall())
         ticket = self.log.put(PROGRESS_KEY + job.job_id, job.progress())
         self.ending_by_id[job.job_id] = ticket
+        queue = self.queue_of(job)
         ticket.outcome.add_done_callback(lambda _: self._show(job, ticket))
         self._events.note(
             "job.ended",
@@ -364,6 +366,8 @@
             phase=phase.name,
             why=why,
             age_s=self._clock.wall() - job.accepted_at,
+            objective_s=queue and objective_s(job, queue),
+            slack_s=queue and objective_s(job, queue) - job.chain_s,
         )
         metrics.dispatched_jobs.add(1, {"phase": phase.name.lower()})
         self.advices.forget(job.job_id)
--- a/mustardgap/fleet_moves.py
+++ b/mustardgap/fleet_moves.py
@@ -11,6 +11,7 @@
 from .fleet_states import FleetState, Times
 from .policies import WHOLE, Mechanism, Policy
 from .pool_demands import Balance, Forecast, PoolDemand
+from .pool_uses import PoolTally
 from .pool_views import PoolView
 from .shard_logs import ShardLog
 from .timers import Clock
@@ -75,6 +76,7 @@
         self._events = events
         self._policy = policy
         self._demands_by_service: dict[str, PoolDemand] = {}
+        self._tallies_by_service: dict[str, PoolTally] = {}
         # Pools that lack machines, and since when.
         self._short_since: dict[str, float] = {}
         self._turns = Turns()
@@ -190,6 +192,10 @@
         balance = demand.balance(
             view, forecast, coming=coming, returning=returning, leaving=leaving
         )
+        tally = self._tallies_by_service.setdefault(service, PoolTally())
+        use = tally.note(view, forecast, coming=coming, leaving=leaving, now=now)
+        if use is not None:
+            self._events.note("pool.use", service=service, **use._asdict())
         if balance != Balance(0, 0):
             self._events.note(
                 "pool.balance",
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -40,13 +40,18 @@
     work: float
 
 
+def objective_s(job: Job, queue: Queue) -> float:
+    """Within how many seconds a job's caller wants it done."""
+    return queue.stretch * job.chain_s + queue.objective_s
+
+
 def standing(job: Job, queue: Queue, wall: float) -> Standing:
     """Whether a job can still be in time.
 
     :param wall: seconds since the epoch.
     """
     chain, work = job.remaining()
-    objective = queue.stretch * job.chain_s + queue.objective_s
+    objective = objective_s(job, queue)
     slack = job.accepted_at + objective - wall - chain
     if slack >= 0:
         return Standing(IN_TIME, slack, work)
