Let another writer be at work among the executors' entries during all of a soak

Each half second it writes over one executor's entry, and one of nobody, in six ways that can't be read.

--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -59,6 +59,8 @@
         # Hosts whose open reads get no answer any more, while new ones do.
         self.silenced_hosts: set[str] = set()
         self.lost_share = 0.0
+        # Whether somebody else writes among the executors' entries.
+        self.foreign_writer = False
         self.cut_hosts: set[str] = set()
         self.random = random.Random(seed)
         self.shards = {number: _Shard() for number in range(shards)}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -66,6 +66,8 @@
     brought: list[str] = []
     try:
         await world.start()
+        # Another writer is at work all the while, so that all other troubles meet it.
+        await world.control(foreign_writer=True)
         for caller in calling:
             caller.start()
         checking = asyncio.create_task(_check(world, calling, found))
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -30,6 +30,17 @@
 JOBS_PREFIX = "keyed.mustardgap"
 HEARTBEAT_S = 0.5
 SHARDS = 4
+# What another writer puts among the executors' entries.
+FOREIGN = (
+    b"not JSON",
+    b"\xff\xfe",
+    b"[1,2,3]",
+    b'{"service":"quoting","addr":"127.0.0.1:1"}',
+    b'{"service":"quoting","addr":"nonsense","zone":"d1","version":"v1","slots":8,"state":"ready",'
+    b'"coldLeftMs":0,"seq":1,"capacity":{"cpu":8000,"memMb":16000},"labels":["a","r1"]}',
+    b'{"service":"quoting","addr":"127.0.0.1:1","zone":"d1","version":"v1","slots":8,"state":"gone",'
+    b'"coldLeftMs":0,"seq":1,"capacity":{"cpu":-1,"memMb":16000},"labels":["a","r1"]}',
+)
 Answer = tuple[int, bytes]
 Handler = Callable[[httputil.HTTPServerRequest], Awaitable[Answer]]
 
@@ -64,6 +75,8 @@
         self.lasting: set[str] = set()
         self.operator: list[tuple[str, bytes]] = []
         self.entries: list[tuple[str, bytes]] = []
+        # How many records another writer has written.
+        self._foreign = 0
         self.status: list[tuple[str, bytes]] = []
         self.executors = [self._executor(number) for number in range(1, executors + 1)]
         self.operator.append(("config", msgspec.json.encode(self._configuration())))
@@ -79,9 +92,19 @@
             for executor in self.executors:
                 if executor.alive:
                     self.entries.append((executor.entry.executor, _entry(executor.entry)))
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(HEARTBEAT_S / 2)
+            if self.store.foreign_writer:
+                self._write_foreign()
+            await asyncio.sleep(HEARTBEAT_S / 2)
             assert not ticking.done()
 
+    def _write_foreign(self) -> None:
+        """Write as somebody else would: over an executor's entry, and one of nobody."""
+        executor = self.executors[self._foreign % len(self.executors)].entry.executor
+        raw = FOREIGN[self._foreign % len(FOREIGN)]
+        self._foreign += 1
+        self.entries += [(executor, raw), ("x-of-nobody", raw)]
+
     def _executor(self, number: int) -> FakeExecutor:
         entry = ExecutorEntry(
             executor=f"x{number}",
