--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -1,7 +1,7 @@
 """The way of a caller's request to the owner of its queue, here or on another daemon."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -38,6 +38,13 @@
 NOT_DONE = (status_codes.OWNER_UNAVAILABLE, status_codes.STORE_UNAVAILABLE)
 
 
+class Answered(NamedTuple):
+    """What a caller is told, and how often its call was put to an owner."""
+
+    reply: JobReply
+    tries: int
+
+
 class JobGateway:
     """Answers the callers of the job interface.
 
@@ -167,6 +174,20 @@
         shard = shard_of(queue.service, self._shards)
         began = self._clock.monotonic()
         until = began + (queue.timeout_s if wait_s is None else wait_s) - ANSWER_S
+        answered = await self._put(shard, name, values, timeout_s, until)
+        took_s = self._clock.monotonic() - began
+        metrics.job_calls.add(1, {"call": name, "code": answered.reply.code.number})
+        metrics.job_call_duration.record(took_s, {"call": name})
+        self._note(name, queue, shard, job_id, answered, took_s)
+        return answered.reply
+
+    async def _put(
+        self, shard: int, name: str, values: list[Any], timeout_s: float, until: float
+    ) -> Answered:
+        """Put a call to the owner, again where that may help.
+
+        :param until: the steady time until which a change of unknown outcome is put again.
+        """
         tried = 0
         unsettled: JobReply | None = None
         while True:
@@ -182,9 +203,21 @@
         if unsettled is not None and reply.code in NOT_DONE:
             # An earlier try may have done it, so that it wasn't done can't be said any more.
             reply = unsettled
-        metrics.job_calls.add(1, {"call": name, "code": reply.code.number})
-        metrics.job_call_duration.record(self._clock.monotonic() - began, {"call": name})
-        if reply.code.http_status >= 400 and reply.code is not status_codes.SUBMITTED_JOB_UNKNOWN:
+        return Answered(reply, tried)
+
+    def _note(
+        self,
+        name: str,
+        queue: Queue,
+        shard: int,
+        job_id: str,
+        answered: Answered,
+        took_s: float,
+    ) -> None:
+        """Write a line for a change, and for whatever wasn't answered with success."""
+        reply = answered.reply
+        failed = reply.code.http_status >= 400
+        if failed and reply.code is not status_codes.SUBMITTED_JOB_UNKNOWN:
             self._events.note(
                 f"{name}.answered",
                 vital=True,
@@ -196,8 +229,8 @@
                 code=str(reply.code),
                 status=reply.code.http_status,
                 why=reply.detail,
-                tries=tried,
-                took_s=self._clock.monotonic() - began,
+                tries=answered.tries,
+                took_s=took_s,
             )
         elif name in ("submit", "cancel"):
             self._events.note(
@@ -206,9 +239,8 @@
                 queue=queue.name,
                 shard=shard,
                 code=str(reply.code),
-                took_s=self._clock.monotonic() - began,
+                took_s=took_s,
             )
-        return reply
 
     def _tries_again(self, reply: JobReply, tried: int, unsettled: bool, until: float) -> bool:
         """Whether to put a call again.
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -125,9 +125,9 @@
             needed = max(needed, size + 1)
         if needed > size:
             return Balance(needed - size, 0)
-        # With its first size a pool meets the beginning of a rise. What its last one needed at most
-        # was brought before, and of five rises that were foretold three never came: such a day had
-        # 152 moves for 122, and 900 machine-seconds for 850.
+        # With its first size a pool meets the beginning of a rise. To bring all that its last rise
+        # needed costs more than it earns: of five rises foretold on a calm day three never came,
+        # which took 152 moves in place of 122, and 900 machine-seconds in place of 850.
         awaited = self.given if forecast.soon else 0
         if size < awaited:
             return Balance(0, 0, awaited - size)
@@ -159,9 +159,9 @@
     def _arriving(self, view: PoolView) -> float:
         """What jobs that go on coming, and coming faster, will keep busy, in thousandths of a core.
 
-        Of a rise to 30 jobs a second within 2 s the jobs of the last moments show the half, and the
-        first machines for it came when 50 jobs were late. With what they grow by, 0.98 to 0.99 of a
-        calm day was served, 0.94 to 0.96 without (four and five plays).
+        Of a rise to 30 jobs a second within 2 s the jobs of the last moments show the half, and 50
+        jobs are late before the first machine for it is there. With what they grow by, 0.97 to 0.99
+        of a calm day is served, 0.94 to 0.96 without (played four times and five).
         """
         if not self._policy.has(Mechanism.ARRIVALS):
             return 0.0
