Read a file of experiments as all settings are read, and work a job's objective out once

Found on reading the change: policies.load had its own copy of what settings.load does with a schema's errors, without the check of numbers that aren't finite; both call read_section now.

--- a/mustardgap/day_bounds.py
+++ b/mustardgap/day_bounds.py
@@ -41,9 +41,12 @@
 
 
 class _Job:
-    """What the lines tell of one job."""
+    """What the lines tell of one job.
 
-    def __init__(self, at: float) -> None:
+    :param at: the time of its first line, in seconds since the epoch.
+    """
+
+    def __init__(self, *, at: float) -> None:
         self.at = at
         self.queue = ""
         self.refusal = ""
@@ -76,7 +79,7 @@
     for line in lines:
         job_id = line.fields.get("job")
         if job_id:
-            _take(jobs.setdefault(job_id, _Job(line.time)), line)
+            _take(jobs.setdefault(job_id, _Job(at=line.time)), line)
     return [
         JobFate(job.at, job.queue, _fate(job))
         for job in jobs.values()
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -358,6 +358,7 @@
         ticket = self.log.put(PROGRESS_KEY + job.job_id, job.progress())
         self.ending_by_id[job.job_id] = ticket
         queue = self.queue_of(job)
+        objective = objective_s(job, queue) if queue is not None else None
         ticket.outcome.add_done_callback(lambda _: self._show(job, ticket))
         self._events.note(
             "job.ended",
@@ -366,8 +367,8 @@
             phase=phase.name,
             why=why,
             age_s=self._clock.wall() - job.accepted_at,
-            objective_s=queue and objective_s(job, queue),
-            slack_s=queue and objective_s(job, queue) - job.chain_s,
+            objective_s=objective,
+            slack_s=objective - job.chain_s if objective is not None else None,
         )
         metrics.dispatched_jobs.add(1, {"phase": phase.name.lower()})
         self.advices.forget(job.job_id)
--- a/mustardgap/policies.py
+++ b/mustardgap/policies.py
@@ -4,13 +4,7 @@
 from pathlib import Path
 from typing import Annotated
 
-import msgspec
-
-from . import status_codes
-from .exceptions import SettingsError
-from .json_files import read_json
-from .setting_checks import hint
-from .settings import Section, about
+from .settings import Section, about, read_section
 
 
 class Mechanism(StrEnum):
@@ -56,10 +50,4 @@
     """
     if not str(path):
         return WHOLE
-    value = read_json(path)
-    try:
-        return msgspec.convert(value, Policy)
-    except msgspec.ValidationError as exc:
-        raise SettingsError(
-            code=status_codes.SETTINGS_INVALID, detail=hint(str(exc), Policy), place=str(path)
-        ) from None
+    return read_section(path, Policy)
--- a/mustardgap/settings.py
+++ b/mustardgap/settings.py
@@ -5,7 +5,7 @@
 """
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -37,6 +37,9 @@
     """A section of settings; unknown keys are refused."""
 
 
+SectionType = TypeVar("SectionType", bound=Section)
+
+
 class TlsSettings(Section, kw_only=True, frozen=True, forbid_unknown_fields=True):
     """Keys and certificates, PEM files that are read again when they change."""
 
@@ -218,18 +221,28 @@
     :rtype: Settings
     :raises SettingsError: MG2000 to MG2002 with file and key.
     """
+    settings = read_section(path, Settings)
+    for clash in find_clashes(settings):
+        raise _invalid(path, clash.key, clash.detail)
+    return settings
+
+
+def read_section(path: str | Path, section: type[SectionType]) -> SectionType:
+    """Read a file of JSON with comments, and check it against a schema.
+
+    :param path: the file's path.
+    :param section: the schema.
+    :raises SettingsError: MG2000 to MG2002 with file and key.
+    """
     raw = read_json(path)
     key = find_non_finite(raw)
     if key:
         raise _invalid(path, key, "not a finite number")
     try:
-        settings = msgspec.convert(raw, Settings)
+        return msgspec.convert(raw, section)
     except msgspec.ValidationError as exc:
         message, _, where = str(exc).partition(" - at `$")
-        raise _invalid(path, where.rstrip("`").lstrip("."), hint(message, Settings)) from None
-    for clash in find_clashes(settings):
-        raise _invalid(path, clash.key, clash.detail)
-    return settings
+        raise _invalid(path, where.rstrip("`").lstrip("."), hint(message, section)) from None
 
 
 def _invalid(path: str | Path, key: str, detail: str) -> SettingsError:
