--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -248,5 +248,11 @@
 lost_answers = _counter(
     "mustardgap.lost_answers", "{answer}", "Answers whose caller had left", "error"
 )
+unanswered_requests = _counter(
+    "mustardgap.requests.unanswered",
+    "{request}",
+    "Requests of callers whose handling ended without an answer",
+    "how",
+)
 log_lines = _counter("mustardgap.log_lines", "{line}", "Lines logged or suppressed", "result")
 _gauge("mustardgap.ready", "1", "1 when this entry host takes requests")
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -101,7 +101,7 @@
             events=self.events,
             policy=policy,
         )
-        self.front = Front(gateway=self.gateway, ready=self._is_ready)
+        self.front = Front(gateway=self.gateway, ready=self._is_ready, events=self.events)
         self._stopping = asyncio.Event()
         metrics.observe("mustardgap.configuration.version", self._version)
         self.operator.on_change(self._update)
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import re
+import traceback
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import msgspec
 from tornado import httputil
 from tornado.httpserver import HTTPServer
 
 from .. import job_replies, metrics, status_codes
+from ..events import EventLog
 from ..job_gateways import JobGateway
 from ..job_replies import JobReply
 from ..workloads import Queue
@@ -34,12 +37,14 @@
 
     :param gateway: knows what to answer.
     :param ready: whether the balancer may send connections here.
+    :param events: the process's log.
     """
 
-    def __init__(self, *, gateway: JobGateway, ready: Callable[[], bool]) -> None:
+    def __init__(self, *, gateway: JobGateway, ready: Callable[[], bool], events: EventLog) -> None:
         self.closing = False
         self._gateway = gateway
         self._ready = ready
+        self._events = events
         self._servers: list[HTTPServer] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -118,7 +123,12 @@
         request: httputil.HTTPServerRequest,
         answer: Callable[..., Awaitable[Answer]],
     ) -> None:
-        status, body, fields = await answer(request)
+        began = self._events.clock.monotonic()
+        try:
+            status, body, fields = await answer(request)
+        except BaseException as exc:
+            self._note_unanswered(request, exc, self._events.clock.monotonic() - began)
+            raise
         headers = httputil.HTTPHeaders(fields)
         headers["Content-Length"] = str(len(body))
         if self.closing:
@@ -135,6 +145,34 @@
             # The caller has left; there is nobody to answer.
             metrics.lost_answers.add(1, {"error": type(exc).__name__})
 
+    def _note_unanswered(
+        self, request: httputil.HTTPServerRequest, exc: BaseException, after_s: float
+    ) -> None:
+        how = "cancelled" if isinstance(exc, asyncio.CancelledError) else "failed"
+        name = request.path.rpartition("/")[2]
+        metrics.unanswered_requests.add(1, {"how": how})
+        self._events.note(
+            "request.unanswered",
+            vital=True,
+            method=request.method,
+            path=request.path,
+            job=name if _JOB_ID.fullmatch(name) else None,
+            how=how,
+            why=repr(exc),
+            at=_innermost(exc),
+            closing=self.closing,
+            after_s=after_s,
+        )
+
+
+def _innermost(exc: BaseException) -> str:
+    """Where an exception was raised, as ``file:line in function``."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    if not frames:
+        return ""
+    last = frames[-1]
+    return f"{Path(last.filename).name}:{last.lineno} in {last.name}"
+
 
 def _wait_s(request: httputil.HTTPServerRequest) -> float | None:
     """How long the caller waits for its answer, None if it doesn't say so in a way that can be."""
