Give each request its one answer, however its handling ends

Callers saw: a request read whole, then silence until their own time was over or the daemon closed the connection. Cause: the task that handled a request also owed the answer. Calls to one owner share a channel; one that wasn't answered in time closed the channel, gRPC cancelled the other calls on it, and the cancellation ended their callers' tasks. The class: the end of something shared is taken for the end of whoever waits for it, or an error nobody foresaw does the same. Change: the handling's end, whatever it is, is looked at by a callback, which gives the caller its answer: the handling's own, or one that is true whatever has been done: 504 for a change (put again under its id it stays one job), 503 for a question. Why this holds: a callback runs however a task ends, also if it is cancelled before its first step; nothing between reading and it can fail. Before: 8 of 8 rows without an answer; after: 8 of 8 answered.

--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -4,7 +4,9 @@
 
   Scenario: A caller is answered although the handling of its request ended without an answer
     A caller's request was read whole by a daemon that was told to stop. The caller saw nothing for 2.6 s, until
-    the daemon had left and closed the connection; no line told of it.
+    the daemon had left and closed the connection; no line told of it. Another call on the channel to the owner had
+    timed out and closed the channel; the cancellation of all calls on it ended the task that owed the answer.
+    Proof: with a line for each such end, 37 of 37 on a day came within 50 ms of a channel's end on their host.
 
     When callers send requests to a front, and their handling ends without an answer
       | request            | handling          | status | code   |
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -1,10 +1,9 @@
 """The platform's HTTP interface for callers, its readiness check, and the metrics page."""
 
-import asyncio
 import re
-import traceback
-from collections.abc import Awaitable, Callable
-from pathlib import Path
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any, NamedTuple
 
 import msgspec
 from tornado import httputil
@@ -14,6 +13,7 @@
 from ..events import EventLog
 from ..job_gateways import JobGateway
 from ..job_replies import JobReply
+from ..open_requests import Ending, OpenRequest, OpenRequests
 from ..workloads import Queue
 from .decoding import InvalidBody, job
 
@@ -22,6 +22,8 @@
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_S = 60.0
+# How long a front that stops waits for requests under way.
+SETTLE_S = 1.0
 # In whole milliseconds; a number of more digits, 28 hours and more, is no time to wait.
 WAIT_HEADER = "X-Mustardgap-Request-Deadline"
 MAX_WAIT_DIGITS = 8
@@ -29,7 +31,19 @@
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _METHOD_NOT_ALLOWED = 405
 
-Answer = tuple[int, bytes, dict[str, str]]
+# Methods of requests that may change something.
+CHANGES = ("POST", "DELETE")
+
+
+class Answer(NamedTuple):
+    """One HTTP answer."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = {}
+
+
+Handler = Callable[[httputil.HTTPServerRequest], Coroutine[Any, Any, Answer]]
 
 
 class Front:
@@ -44,21 +58,14 @@
         self.closing = False
         self._gateway = gateway
         self._ready = ready
-        self._events = events
+        self._open = OpenRequests(events=events)
         self._servers: list[HTTPServer] = []
-        self._tasks: set[asyncio.Task[None]] = set()
 
-    def listen(self, address: str, answer: Callable[..., Awaitable[Answer]]) -> None:
+    def listen(self, address: str, answer: Handler) -> None:
         """Serve an address with one of this object's ways to answer."""
         ip, _, port = address.rpartition(":")
-
-        def handle(request: httputil.HTTPServerRequest) -> None:
-            task = asyncio.ensure_future(self._handle(request, answer))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
         server = HTTPServer(
-            handle,
+            partial(self._begin, answer=answer),
             idle_connection_timeout=IDLE_S,
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
@@ -70,8 +77,7 @@
         """Take no new connections, and end those that are open."""
         for server in self._servers:
             server.stop()
-        if self._tasks:
-            await asyncio.wait(list(self._tasks), timeout=1.0)
+        await self._open.settle(timeout_s=SETTLE_S)
         for server in self._servers:
             await server.close_all_connections()
 
@@ -98,7 +104,7 @@
             reply = await self._gateway.cancel(queue=queue, job_id=job_id, wait_s=_wait_s(request))
             return _encoded(reply)
         if request.method != "POST":
-            return _METHOD_NOT_ALLOWED, b"", {"Allow": "GET, POST, DELETE"}
+            return Answer(_METHOD_NOT_ALLOWED, headers={"Allow": "GET, POST, DELETE"})
         try:
             spec = job(request.body)
         except InvalidBody as exc:
@@ -110,68 +116,51 @@
 
     async def readiness(self, request: httputil.HTTPServerRequest) -> Answer:
         """Answer the balancer."""
-        return (200 if self._ready() else 503), b"", {}
+        return Answer(200 if self._ready() else 503)
 
     async def metrics(self, request: httputil.HTTPServerRequest) -> Answer:
         """Answer a scrape of the metrics."""
         if request.path != METRICS_PATH:
-            return 404, b"", {}
-        return 200, metrics.render(), {"Content-Type": metrics.CONTENT_TYPE}
-
-    async def _handle(
-        self,
-        request: httputil.HTTPServerRequest,
-        answer: Callable[..., Awaitable[Answer]],
-    ) -> None:
-        began = self._events.clock.monotonic()
-        try:
-            status, body, fields = await answer(request)
-        except BaseException as exc:
-            self._note_unanswered(request, exc, self._events.clock.monotonic() - began)
-            raise
-        headers = httputil.HTTPHeaders(fields)
-        headers["Content-Length"] = str(len(body))
+            return Answer(404)
+        return Answer(200, metrics.render(), {"Content-Type": metrics.CONTENT_TYPE})
+
+    def _begin(self, request: httputil.HTTPServerRequest, answer: Handler) -> None:
+        name = request.path.rpartition("/")[2]
+        self._open.begin(
+            OpenRequest(
+                method=request.method or "",
+                path=request.path,
+                job=name if _JOB_ID.fullmatch(name) else None,
+                handle=partial(answer, request),
+                fallback=partial(_fallback, request),
+                send=partial(self._send, request),
+            )
+        )
+
+    def _send(self, request: httputil.HTTPServerRequest, answer: Answer) -> None:
+        headers = httputil.HTTPHeaders(answer.headers)
+        headers["Content-Length"] = str(len(answer.body))
         if self.closing:
             headers["Connection"] = "close"
         connection = request.connection
         if connection is None:
             return
-        reason = httputil.responses.get(status, "Unknown")
-        line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        reason = httputil.responses.get(answer.status, "Unknown")
+        line = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
         try:
-            connection.write_headers(line, headers, body or None)
+            connection.write_headers(line, headers, answer.body or None)
             connection.finish()
         except Exception as exc:
             # The caller has left; there is nobody to answer.
             metrics.lost_answers.add(1, {"error": type(exc).__name__})
 
-    def _note_unanswered(
-        self, request: httputil.HTTPServerRequest, exc: BaseException, after_s: float
-    ) -> None:
-        how = "cancelled" if isinstance(exc, asyncio.CancelledError) else "failed"
-        name = request.path.rpartition("/")[2]
-        metrics.unanswered_requests.add(1, {"how": how})
-        self._events.note(
-            "request.unanswered",
-            vital=True,
-            method=request.method,
-            path=request.path,
-            job=name if _JOB_ID.fullmatch(name) else None,
-            how=how,
-            why=repr(exc),
-            at=_innermost(exc),
-            closing=self.closing,
-            after_s=after_s,
-        )
-
 
-def _innermost(exc: BaseException) -> str:
-    """Where an exception was raised, as ``file:line in function``."""
-    frames = traceback.extract_tb(exc.__traceback__)
-    if not frames:
-        return ""
-    last = frames[-1]
-    return f"{Path(last.filename).name}:{last.lineno} in {last.name}"
+def _fallback(request: httputil.HTTPServerRequest, ending: Ending) -> Answer:
+    """What is true of a request whose handling ended without an answer."""
+    detail = f"its handling {ending.value}"
+    if request.method in CHANGES:
+        return _encoded(job_replies.UNSETTLED._replace(detail=detail))
+    return _encoded(job_replies.not_owner(detail))
 
 
 def _wait_s(request: httputil.HTTPServerRequest) -> float | None:
@@ -195,4 +184,4 @@
         fields["detail"] = reply.detail or reply.code.title
     if status in (503, 504):
         headers["Retry-After"] = str(job_replies.RETRY_AFTER_S)
-    return status, msgspec.json.encode(fields), headers
+    return Answer(status, msgspec.json.encode(fields), headers)
