Keep the channel to a daemon that answers when one call to it times out

Cause: a call that timed out closed the channel to that daemon, and gRPC cancels all calls on a channel that is closed. One call's time-out was taken as proof that the connection is silent. Ruled out: letting the calls under way end by their own time before closing. When an owner loses power, jobs would be put again after 1.5 s instead of the 0.4 to 0.6 s of the first question that times out. Change: the channel is closed only if nothing at all has come on it since the call that timed out was sent. Silent connections are given up as soon as before; those that carry answers cut nobody off. Test: gateways.feature, three calls on one channel, one of which times out while another is answered. Before: "the connection was given up"; after: answered, on the same connection. The one on a silent channel ("is given up by another call") passes as it did.

--- a/features/gateways.feature
+++ b/features/gateways.feature
@@ -38,3 +38,11 @@
       | ends while it works on the call      | perhaps been heard   |
       | answers nothing                      | perhaps been heard   |
       | is given up by another call          | perhaps been heard   |
+
+  Scenario: A call goes on when another one to the same daemon times out, and the daemon answers
+    A question to an owner takes its whole time, as it waits for the store. It closed the channel that all calls
+    to that owner share, though others had been answered meanwhile: a job that was about to be accepted was
+    cut off, and its caller told nothing by the code of then, and that nobody knows by later code.
+
+    When a daemon puts two calls to another one, and one of them times out while a third is answered
+    Then the other one is answered, on the same connection as the third
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import grpc
+import msgspec
 from behave import then, when
 
 from mustardgap import job_replies
@@ -119,20 +120,25 @@
     return results[1]
 
 
-async def _call_silent(call=_call):
-    gate = asyncio.Event()
-
-    async def hold(request, context):
-        await gate.wait()
-
+async def _serve(answer):
     server = grpc.aio.server()
-    handler = grpc.unary_unary_rpc_method_handler(hold)
+    handler = grpc.unary_unary_rpc_method_handler(answer)
     server.add_generic_rpc_handlers(
         (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
     )
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    outcome = await call(f"127.0.0.1:{port}")
+    return server, f"127.0.0.1:{port}"
+
+
+async def _call_silent(call=_call):
+    gate = asyncio.Event()
+
+    async def hold(request, context):
+        await gate.wait()
+
+    server, address = await _serve(hold)
+    outcome = await call(address)
     await server.stop(0)
     return outcome
 
@@ -148,6 +154,55 @@
     return outcome
 
 
+class SlowDaemon:
+    """A daemon that answers quick calls at once, others when they may be, and silent ones never."""
+
+    def __init__(self):
+        self.may_answer = asyncio.Event()
+        self.arrived = asyncio.Event()
+        self.peers = []
+
+    async def answer(self, raw, context):
+        name, _ = msgspec.msgpack.decode(raw)
+        self.peers.append(context.peer())
+        if name == "silent":
+            await asyncio.Event().wait()
+        if name == "slow":
+            self.arrived.set()
+            await self.may_answer.wait()
+        return msgspec.msgpack.encode(name)
+
+    async def play(self):
+        """Put a slow call, a silent one and, once it is under way, a quick one; see them end."""
+        server, address = await _serve(self.answer)
+        client = PeerClient()
+        slow = asyncio.ensure_future(client.call(address, "slow", None, timeout_s=20.0))
+        await self.arrived.wait()
+        silent = asyncio.ensure_future(client.call(address, "silent", None, timeout_s=0.5))
+        await asyncio.sleep(0)
+        await client.call(address, "quick", None, timeout_s=20.0)
+        await asyncio.wait([silent])
+        assert isinstance(silent.exception(), PeerUnreachable)
+        # The end of the silent call has done by now whatever it does to others.
+        await asyncio.sleep(0.1)
+        self.may_answer.set()
+        result = (await asyncio.gather(slow, return_exceptions=True))[0]
+        await server.stop(0)
+        return result
+
+
+@when("a daemon puts two calls to another one, and one of them times out while a third is answered")
+def put_calls(context):
+    context.daemon = SlowDaemon()
+    context.result = asyncio.run(context.daemon.play())
+
+
+@then("the other one is answered, on the same connection as the third")
+def check_other(context):
+    assert context.result == "slow", repr(context.result)
+    assert len(set(context.daemon.peers)) == 1, context.daemon.peers
+
+
 @when("a daemon calls one that {state}")
 def call_daemon(context, state):
     calls = {
--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -11,8 +11,6 @@
 
 SERVICE = "mustardgap.Owners"
 METHOD = "Call"
-# A call that got no answer closes its channel: the connection may have gone silent while a new one
-# would work.
 OPTIONS = [
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.enable_http_proxy", 0),
@@ -81,11 +79,19 @@
         return msgspec.msgpack.encode(await handler(values))
 
 
+class _Link:
+    """The channel to one peer, and when an answer last came on it."""
+
+    def __init__(self, *, channel: grpc.aio.Channel) -> None:
+        self.channel = channel
+        self.heard_at = float("-inf")
+
+
 class PeerClient:
     """Calls other daemons over one channel each."""
 
     def __init__(self) -> None:
-        self._channels_by_address: dict[str, grpc.aio.Channel] = {}
+        self._links_by_address: dict[str, _Link] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
     async def call(self, address: str, name: str, values: Any, *, timeout_s: float) -> Any:
@@ -96,17 +102,15 @@
         :param values: plain values.
         :raises PeerUnreachable: no answer came.
         """
-        channel = self._channels_by_address.get(address)
-        if channel is None:
-            channel = grpc.aio.insecure_channel(address, options=OPTIONS)
-            self._channels_by_address[address] = channel
-        method = channel.unary_unary(f"/{SERVICE}/{METHOD}")
+        link = self._link(address)
+        method = link.channel.unary_unary(f"/{SERVICE}/{METHOD}")
         raw = msgspec.msgpack.encode((name, values))
+        sent_at = asyncio.get_running_loop().time()
         try:
-            return msgspec.msgpack.decode(await method(raw, timeout=timeout_s))
+            answer = await method(raw, timeout=timeout_s)
         except grpc.aio.AioRpcError as exc:
-            if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
-                self._drop(address, channel)
+            if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED and link.heard_at < sent_at:
+                self._drop(address, link)
             # A call that finds no connection never leaves this host. Taken for one that may have
             # arrived, callers were told that nobody knows what became of their jobs, and couldn't
             # try again: 43 of 46 in the 2 s after a busy pool's owner had lost power.
@@ -115,16 +119,31 @@
                 sent=not unconnected, detail=f"{exc.code().name}: {exc.details()}"
             ) from None
         except asyncio.CancelledError:
-            # Another call's time was over, and closing its channel cancelled this one, too. Taken
-            # for the end of this task, the caller that waits on it would get no answer at all.
+            # The channel was closed under the call. That isn't the end of this task: whoever waits
+            # for it may put the call again.
             task = asyncio.current_task()
             if task is None or task.cancelling():
                 raise
             raise PeerUnreachable(sent=True, detail="the connection was given up") from None
+        link.heard_at = asyncio.get_running_loop().time()
+        return msgspec.msgpack.decode(answer)
 
-    def _drop(self, address: str, channel: grpc.aio.Channel) -> None:
-        if self._channels_by_address.get(address) is channel:
-            del self._channels_by_address[address]
-        task = asyncio.ensure_future(channel.close())
+    def _link(self, address: str) -> _Link:
+        link = self._links_by_address.get(address)
+        if link is None:
+            link = _Link(channel=grpc.aio.insecure_channel(address, options=OPTIONS))
+            self._links_by_address[address] = link
+        return link
+
+    def _drop(self, address: str, link: _Link) -> None:
+        """Close a channel on which nothing came while a call waited, and with it all its calls.
+
+        The connection may have gone silent while a new one would work. One that carries answers is
+        kept: a call that takes long there says nothing of the others, which closing would cut off.
+        """
+        if self._links_by_address.get(address) is not link:
+            return
+        del self._links_by_address[address]
+        task = asyncio.ensure_future(link.channel.close())
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
