Answer what is under way when a daemon leaves, and read nothing that it won't answer

Callers saw: requests that came in a leaving daemon's last moments, or waited for a slow owner then, got a closed connection instead of an answer. Cause: stopping waited 1 s for the requests under way at its beginning, and for none that kept connections brought meanwhile; then it closed all connections, and the process's end cancelled the handlings. 1.4 s of the grace of 6 s were left unused. Change: idle connections are closed first, so that their next request isn't read here; the others end with their answers. What is under way is waited for until 5.4 s after the signal, by times counted from it; what has no answer then is told so (504, 503). A daemon that ends as a part of it keeps failing answers before it goes, too.

--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -20,3 +20,37 @@
       | count of a queue   | is cancelled      | 503    | MG4027 |
     Then each caller is told as the table says
     And for each the front's log tells why, and its counter counts it
+
+  Scenario Outline: A request under way when its daemon leaves is told <status> when its handling <ends>
+    The daemon is told to stop while a request waits for a slow owner. Its connection ended after 1 s, and at the
+    process's end its handling was cancelled; the caller learned nothing. Now the answer is delivered if it comes
+    while there is time, and else the caller is told that nobody knows: it can put the job again elsewhere.
+
+    When a front is stopped while a caller waits for its new job, and the handling <ends>
+    Then the caller is told <status> with <code>, and its connection ends
+
+    Examples:
+      | ends                        | status | code   |
+      | gives its answer            | 200    | MG4020 |
+      | goes on for ever            | 504    | MG4029 |
+      | takes no notice of its end  | 504    | MG4029 |
+
+  Scenario: A front that stops reads no request that it may not answer
+    A kept connection is idle when the daemon stops, while another caller still waits. The idle one's next request was
+    read, and cut off as the process ended. Now its connection is closed first: the request goes to another daemon.
+
+    When a front is stopped while a caller waits, and another one sends a job on its idle connection
+    Then the job on the idle connection hasn't been read, and that connection ends
+    And the caller is told 200 with MG4020, and its connection ends
+
+  Scenario Outline: A daemon with a grace of <grace> s stops reading requests after <stop> s and ends after <end> s
+    Killed at the end of its grace, a daemon would cut off whatever it still answers.
+
+    Then a daemon with a grace of <grace> s stops reading after <stop> s and ends after <end> s
+
+    Examples:
+      | grace | stop | end |
+      | 6     | 3.6  | 5.4 |
+      | 30    | 3.6  | 5.4 |
+      | 3     | 1.8  | 2.7 |
+      | 1     | 0.6  | 0.9 |
--- a/features/steps/fronts_steps.py
+++ b/features/steps/fronts_steps.py
@@ -8,6 +8,7 @@
 
 from mustardgap import job_replies, metrics
 from mustardgap.events import EventLog
+from mustardgap.platform.daemon import leaving_steps
 from mustardgap.platform.front import Front
 from tools.owner_worlds import QUEUE
 from tools.processes import free_ports
@@ -18,6 +19,8 @@
 NO_BODY = b""
 # A caller that has been told nothing for so long has got no answer.
 PATIENCE_S = 3.0
+# The time that a front gets for stopping where the handling outlasts it.
+LEAVE_S = 0.5
 REQUESTS = {
     "new job": ("POST", PATH + JOB, BODY),
     "cancelling": ("DELETE", PATH + JOB, NO_BODY),
@@ -57,7 +60,12 @@
             raise ValueError("a fault of ours")
         if self._handling == "is cancelled":
             raise asyncio.CancelledError
-        await self.may_end.wait()
+        while not self.may_end.is_set():
+            try:
+                await self.may_end.wait()
+            except asyncio.CancelledError:
+                if self._handling != "takes no notice of its end":
+                    raise
         return job_replies.ACCEPTED
 
 
@@ -130,15 +138,19 @@
             return await play(rig)
         finally:
             rig.gateway.may_end.set()
-            await rig.front.stop()
+            await rig.front.stop(timeout_s=PATIENCE_S)
 
     return asyncio.run(main())
 
 
-async def _ask(rig, request):
+async def _send(rig, request):
     connection = await Connection.open(rig.port)
     connection.send(*REQUESTS[request])
-    return await connection.answer()
+    return connection
+
+
+async def _ask(rig, request):
+    return await (await _send(rig, request)).answer()
 
 
 @when("callers send requests to a front, and their handling ends without an answer")
@@ -157,6 +169,71 @@
     ]
 
 
+async def _send_and_begin(rig):
+    connection = await _send(rig, "new job")
+    async with asyncio.timeout(PATIENCE_S):
+        await rig.gateway.begun.wait()
+    return connection
+
+
+@when("a front is stopped while a caller waits for its new job, and the handling {ends}")
+def stop_front(context, ends):
+    async def play(rig):
+        connection = await _send_and_begin(rig)
+        goes_on = ends != "gives its answer"
+        timeout_s = LEAVE_S if goes_on else PATIENCE_S
+        stopping = asyncio.create_task(rig.front.stop(timeout_s=timeout_s))
+        # The front has begun to stop when the handling may end.
+        await asyncio.sleep(0)
+        if not goes_on:
+            rig.gateway.may_end.set()
+        context.answer = await connection.answer()
+        context.ended = await connection.has_ended()
+        await stopping
+
+    _play(ends, play)
+
+
+@when("a front is stopped while a caller waits, and another one sends a job on its idle connection")
+def stop_front_beside_idle(context):
+    async def play(rig):
+        idle = await Connection.open(rig.port)
+        idle.send("POST", "/nowhere/" + JOB, NO_BODY)
+        assert (await idle.answer()).status == 404
+        connection = await _send_and_begin(rig)
+        stopping = asyncio.create_task(rig.front.stop(timeout_s=PATIENCE_S))
+        await asyncio.sleep(0)
+        idle.send(*REQUESTS["new job"])
+        context.idle_ended = await idle.has_ended()
+        context.begun = rig.gateway.count
+        rig.gateway.may_end.set()
+        context.answer = await connection.answer()
+        context.ended = await connection.has_ended()
+        await stopping
+
+    _play("goes on until it may end", play)
+
+
+@then("the job on the idle connection hasn't been read, and that connection ends")
+def check_idle(context):
+    assert (context.idle_ended, context.begun) == (True, 1)
+
+
+@then("the caller is told {status} with {code}, and its connection ends")
+def check_told_once(context, status, code):
+    assert _told(context.answer) == f"{status} {code}", _told(context.answer)
+    assert context.ended
+
+
+@then(
+    "a daemon with a grace of {grace:g} s stops reading after {stop:g} s and ends after {end:g} s"
+)
+def check_steps(context, grace, stop, end):
+    steps = leaving_steps(grace)
+    assert (round(steps.stop_s, 6), round(steps.end_s, 6)) == (stop, end), steps
+    assert steps.close_s < steps.stop_s < steps.end_s < grace
+
+
 def _told(answer):
     if answer is None:
         return "no answer"
--- a/mustardgap/open_requests.py
+++ b/mustardgap/open_requests.py
@@ -4,7 +4,7 @@
 import enum
 import traceback
 from collections.abc import Callable, Coroutine
-from functools import partial
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, Generic, NamedTuple, TypeVar
 
@@ -19,6 +19,8 @@
 
     FAILED = "failed"
     CANCELLED = "cancelled"
+    # The daemon leaves, and the handling goes on.
+    CUT = "cut"
 
 
 class OpenRequest(NamedTuple, Generic[AnswerT]):
@@ -37,6 +39,13 @@
     send: Callable[[AnswerT], None]
 
 
+class _Waiting(NamedTuple):
+    """A request without an answer, and the steady time since when it waits."""
+
+    request: OpenRequest[Any]
+    began: float
+
+
 class OpenRequests:
     """Sees to it that each request gets exactly one answer, however its handling ends.
 
@@ -45,42 +54,51 @@
 
     def __init__(self, *, events: EventLog) -> None:
         self._events = events
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._waiting_by_task: dict[asyncio.Task[Any], _Waiting] = {}
 
     def begin(self, request: OpenRequest[AnswerT]) -> None:
         """Handle a request in a task of its own, and answer it when that has ended."""
         task = asyncio.create_task(request.handle(), name=f"request:{request.path}")
-        self._tasks.add(task)
+        self._waiting_by_task[task] = _Waiting(request, self._events.clock.monotonic())
         # Whatever the handling waits for may fail, or be cancelled by others who share it: a
         # connection that is closed, a shard that is given up. If the task itself owed the answer,
         # its caller would see a silent connection until one side ended it. A callback runs however
         # a task ends, even one that is cancelled before its first step.
-        task.add_done_callback(partial(self._answer, request, self._events.clock.monotonic()))
+        task.add_done_callback(self._answer)
 
     async def settle(self, *, timeout_s: float) -> None:
-        """Wait until all requests are answered.
+        """Wait until all requests are answered; those that aren't in time get their fallback.
 
-        :param timeout_s: seconds to wait at the most.
+        :param timeout_s: seconds to wait for their handling.
         """
-        if self._tasks:
-            await asyncio.wait(list(self._tasks), timeout=timeout_s)
-
-    def _answer(
-        self, request: OpenRequest[AnswerT], began: float, task: "asyncio.Task[AnswerT]"
-    ) -> None:
-        self._tasks.discard(task)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self._waiting_by_task:
+                    await asyncio.wait(list(self._waiting_by_task))
+        for task in list(self._waiting_by_task):
+            # Answered first: a handling that is cancelled may take its time to end.
+            self._give_fallback(task, Ending.CUT, TimeoutError("the daemon leaves"))
+            task.cancel()
+
+    def _answer(self, task: "asyncio.Task[Any]") -> None:
+        if task not in self._waiting_by_task:
+            return
         try:
             answer = task.result()
         except asyncio.CancelledError as exc:
-            answer = request.fallback(Ending.CANCELLED)
-            self._note(request, Ending.CANCELLED, exc, began)
+            self._give_fallback(task, Ending.CANCELLED, exc)
         except Exception as exc:
-            answer = request.fallback(Ending.FAILED)
-            self._note(request, Ending.FAILED, exc, began)
-        request.send(answer)
+            self._give_fallback(task, Ending.FAILED, exc)
+        else:
+            self._waiting_by_task.pop(task).request.send(answer)
+
+    def _give_fallback(self, task: "asyncio.Task[Any]", ending: Ending, exc: BaseException) -> None:
+        request, began = self._waiting_by_task.pop(task)
+        self._note(request, ending, exc, began)
+        request.send(request.fallback(ending))
 
     def _note(
-        self, request: OpenRequest[AnswerT], ending: Ending, exc: BaseException, began: float
+        self, request: OpenRequest[Any], ending: Ending, exc: BaseException, began: float
     ) -> None:
         metrics.unanswered_requests.add(1, {"how": ending.value})
         self._events.note(
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -6,8 +6,8 @@
 import random
 import signal
 import sys
-from contextlib import suppress
 from pathlib import Path
+from typing import NamedTuple
 
 from .. import logs, metrics, policies
 from ..boards import ExecutorBoard, OperatorBoard, OperatorRecords
@@ -42,10 +42,34 @@
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
 PEER_S = 0.4
-# After a stop is asked for, connections are still sent here until the balancer has missed two
-# checks, a second apart; they are served until the rest of the grace is needed for leaving.
-LINGER_S = 2.6
-CLOSE_S = 1.0
+
+
+class LeavingSteps(NamedTuple):
+    """When a daemon that was told to stop goes on to its next step, in seconds since then.
+
+    Connections are sent here until the balancer has missed two checks, a second apart. Then each
+    answer ends its connection (``close_s``). Then no request is read any more, and those under way
+    are waited for (``stop_s``). At ``end_s`` what has no answer is told so, and the process ends
+    before it would be killed, which takes a busy host some tenths.
+    """
+
+    close_s: float
+    stop_s: float
+    end_s: float
+
+
+# The shortest grace that has time for all steps; a shorter one shortens each by the same share.
+FULL_GRACE_S = 6.0
+FULL_STEPS = LeavingSteps(close_s=2.6, stop_s=3.6, end_s=5.4)
+
+
+def leaving_steps(grace_s: float) -> LeavingSteps:
+    """The steps of leaving within a grace.
+
+    :param grace_s: seconds from the signal to stop until the process is killed.
+    """
+    share = min(1.0, grace_s / FULL_GRACE_S)
+    return LeavingSteps(*(step * share for step in FULL_STEPS))
 
 
 class PlatformDaemon:
@@ -133,6 +157,9 @@
             await self._first(root)
             await self._leave()
         finally:
+            # A part that keeps failing ends the daemon without time to leave; what is under way is
+            # answered even so.
+            await self.front.stop(timeout_s=0.0)
             await root.stop()
             self.events.note("daemon.stop", vital=True)
 
@@ -156,15 +183,19 @@
         self.front.listen(f"{settings.ip}:{port}", self.front.metrics)
 
     async def _leave(self) -> None:
+        began = self.clock.monotonic()
+        steps = leaving_steps(self.settings.promises.grace_s)
         self.events.note("daemon.stopping", vital=True, shards=sorted(self.owners.owned_by_shard))
         await self.owners.leave()
-        await self.clock.sleep(LINGER_S)
+        await self._sleep_until(began + steps.close_s)
         self.front.closing = True
-        await self.clock.sleep(CLOSE_S)
-        with suppress(TimeoutError):
-            async with asyncio.timeout(CLOSE_S):
-                await self.front.stop()
-                await self.peer_server.stop()
+        await self._sleep_until(began + steps.stop_s)
+        left_s = began + steps.end_s - self.clock.monotonic()
+        await self.front.stop(timeout_s=max(0.0, left_s))
+        await self.peer_server.stop()
+
+    async def _sleep_until(self, when: float) -> None:
+        await self.clock.sleep(max(0.0, when - self.clock.monotonic()))
 
     def _reload(self) -> None:
         # What may change in the file while the process runs are its seeds; all else is learned
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -1,13 +1,15 @@
 """The platform's HTTP interface for callers, its readiness check, and the metrics page."""
 
 import re
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Container, Coroutine
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, cast
 
 import msgspec
 from tornado import httputil
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 
 from .. import job_replies, metrics, status_codes
 from ..events import EventLog
@@ -22,8 +24,6 @@
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_S = 60.0
-# How long a front that stops waits for requests under way.
-SETTLE_S = 1.0
 # In whole milliseconds; a number of more digits, 28 hours and more, is no time to wait.
 WAIT_HEADER = "X-Mustardgap-Request-Deadline"
 MAX_WAIT_DIGITS = 8
@@ -46,6 +46,16 @@
 Handler = Callable[[httputil.HTTPServerRequest], Coroutine[Any, Any, Answer]]
 
 
+class _Server(HTTPServer):
+    """An HTTP server that can end the connections that nothing is under way on."""
+
+    def close_idle(self, busy: Container[IOStream]) -> None:
+        """Close all connections but those whose streams are busy."""
+        for connection in list(self._connections):
+            if connection.stream not in busy:
+                connection.stream.close()
+
+
 class Front:
     """Answers callers over HTTP.
 
@@ -59,12 +69,14 @@
         self._gateway = gateway
         self._ready = ready
         self._open = OpenRequests(events=events)
-        self._servers: list[HTTPServer] = []
+        self._servers: list[_Server] = []
+        # The streams of connections with a request that has no answer yet.
+        self._busy: set[IOStream] = set()
 
     def listen(self, address: str, answer: Handler) -> None:
         """Serve an address with one of this object's ways to answer."""
         ip, _, port = address.rpartition(":")
-        server = HTTPServer(
+        server = _Server(
             partial(self._begin, answer=answer),
             idle_connection_timeout=IDLE_S,
             max_body_size=MAX_BODY_BYTES,
@@ -73,11 +85,19 @@
         server.listen(int(port), ip)
         self._servers.append(server)
 
-    async def stop(self) -> None:
-        """Take no new connections, and end those that are open."""
+    async def stop(self, *, timeout_s: float) -> None:
+        """Answer what is under way, then end all connections.
+
+        :param timeout_s: seconds to wait for answers; what has none by then is told so.
+        """
+        self.closing = True
         for server in self._servers:
             server.stop()
-        await self._open.settle(timeout_s=SETTLE_S)
+            # A request that came on an idle connection would be read, and cut off unanswered when
+            # the process ends; on a closed one it isn't read, and goes to another daemon. The other
+            # connections end with their answers, so nothing new is read from now on.
+            server.close_idle(self._busy)
+        await self._open.settle(timeout_s=timeout_s)
         for server in self._servers:
             await server.close_all_connections()
 
@@ -125,6 +145,7 @@
         return Answer(200, metrics.render(), {"Content-Type": metrics.CONTENT_TYPE})
 
     def _begin(self, request: httputil.HTTPServerRequest, answer: Handler) -> None:
+        self._busy.add(_stream(request))
         name = request.path.rpartition("/")[2]
         self._open.begin(
             OpenRequest(
@@ -138,21 +159,28 @@
         )
 
     def _send(self, request: httputil.HTTPServerRequest, answer: Answer) -> None:
+        connection = cast(HTTP1Connection, request.connection)
+        stream = _stream(request)
+        self._busy.discard(stream)
         headers = httputil.HTTPHeaders(answer.headers)
         headers["Content-Length"] = str(len(answer.body))
         if self.closing:
             headers["Connection"] = "close"
-        connection = request.connection
-        if connection is None:
-            return
         reason = httputil.responses.get(answer.status, "Unknown")
         line = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
         try:
-            connection.write_headers(line, headers, answer.body or None)
+            written = connection.write_headers(line, headers, answer.body or None)
             connection.finish()
         except Exception as exc:
             # The caller has left; there is nobody to answer.
             metrics.lost_answers.add(1, {"error": type(exc).__name__})
+            return
+        if self.closing:
+            written.add_done_callback(lambda _: stream.close())
+
+
+def _stream(request: httputil.HTTPServerRequest) -> IOStream:
+    return cast(HTTP1Connection, request.connection).stream
 
 
 def _fallback(request: httputil.HTTPServerRequest, ending: Ending) -> Answer:
