Tell a calling daemon at once when the handling of its call ended without an answer

Callers would see: their time used up waiting for an owner whose handling was cancelled, and other calls to that owner cut off, as its silence was held against the connection. Ruled out: that a client's own cancelling is answered needlessly: then the handler's task itself is being cancelled, and it ends. Change: both ends are answered INTERNAL, and told by a line `call.unanswered`.

--- a/features/gateways.feature
+++ b/features/gateways.feature
@@ -46,3 +46,16 @@
 
     When a daemon puts two calls to another one, and one of them times out while a third is answered
     Then the other one is answered, on the same connection as the third
+
+  Scenario Outline: A call whose handler <ends> is told so at once
+    The owner's handling of a call ends without an answer. A failed one was told so; a cancelled one was left
+    silent until its time was over, and its silence was then held against the connection. No line told of either.
+
+    When a daemon calls one whose handler <ends>
+    Then the call has perhaps been heard
+    And its end wasn't its time's, and the called daemon's log tells of it as <how>
+
+    Examples:
+      | ends              | how       |
+      | fails by an error | failed    |
+      | is cancelled      | cancelled |
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -11,10 +11,11 @@
 from mustardgap import job_replies
 from mustardgap.events import EventLog
 from mustardgap.job_gateways import CALL_S, JobGateway
-from mustardgap.peer_calls import METHOD, SERVICE, PeerClient, PeerUnreachable
+from mustardgap.peer_calls import METHOD, SERVICE, PeerClient, PeerServer, PeerUnreachable
 from tools.actor_platforms import HandClock
 from tools.owner_troubles import TWO_STEPS
 from tools.owner_worlds import QUEUE
+from tools.processes import free_ports
 
 # What a desk takes until it says that it doesn't know.
 UNKNOWN_S = 1.2
@@ -215,6 +216,36 @@
     context.unreachable = asyncio.run(calls[state]())
 
 
+async def _fail(values):
+    raise ValueError("a fault of ours")
+
+
+async def _be_cancelled(values):
+    raise asyncio.CancelledError
+
+
+@when("a daemon calls one whose handler {ends}")
+def call_handler(context, ends):
+    async def main():
+        events = EventLog(host="e2")
+        server = PeerServer(events=events)
+        handlers = {"fails by an error": _fail, "is cancelled": _be_cancelled}
+        server.handle("alive", handlers[ends])
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        await server.start(address)
+        context.unreachable = await _call(address, timeout_s=3.0)
+        await server.stop()
+        context.lines = [row for row in events.kept if row["event"] == "call.unanswered"]
+
+    asyncio.run(main())
+
+
+@then("its end wasn't its time's, and the called daemon's log tells of it as {how}")
+def check_end(context, how):
+    assert "DEADLINE" not in str(context.unreachable), context.unreachable
+    assert [(row["call"], row["how"]) for row in context.lines] == [("alive", how)], context.lines
+
+
 @then("the call has {sent}")
 def check_sent(context, sent):
     expected = {"certainly not left": False, "perhaps been heard": True}[sent]
--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -39,6 +39,15 @@
         self.sent = sent
 
 
+def is_being_cancelled() -> bool:
+    """Whether the current task itself was told to end.
+
+    If not, a ``CancelledError`` belongs to something that the task waits for.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 class PeerServer:
     """Answers calls of other daemons.
 
@@ -76,7 +85,22 @@
         if handler is None:
             await context.abort(grpc.StatusCode.UNIMPLEMENTED, f"no call {name}")
             raise AssertionError
-        return msgspec.msgpack.encode(await handler(values))
+        try:
+            return msgspec.msgpack.encode(await handler(values))
+        except asyncio.CancelledError as exc:
+            if is_being_cancelled():
+                # The caller has given the call up, or this daemon ends.
+                raise
+            self._note(name, "cancelled", exc)
+        except Exception as exc:
+            self._note(name, "failed", exc)
+        # A cancelled handler would leave the call silent until its time is over, and its caller
+        # would take this daemon for one that is gone.
+        await context.abort(grpc.StatusCode.INTERNAL, f"the handler of {name} gave no answer")
+        raise AssertionError
+
+    def _note(self, name: str, how: str, exc: BaseException) -> None:
+        self._events.note("call.unanswered", vital=True, call=name, how=how, why=repr(exc))
 
 
 class _Link:
@@ -121,8 +145,7 @@
         except asyncio.CancelledError:
             # The channel was closed under the call. That isn't the end of this task: whoever waits
             # for it may put the call again.
-            task = asyncio.current_task()
-            if task is None or task.cancelling():
+            if is_being_cancelled():
                 raise
             raise PeerUnreachable(sent=True, detail="the connection was given up") from None
         link.heard_at = asyncio.get_running_loop().time()
