Answer HEAD requests with the head of the answer

Callers saw: a HEAD request for what isn't there, or of the metrics page, ended with a closed connection and no byte. Cause: the body of the answer was sent along; tornado closes the connection when more is written than the method allows, and the failure was counted as a caller who had left. Change: answers to HEAD are sent without their body, with the length that it has.

--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -54,3 +54,16 @@
       | 30    | 3.6  | 5.4 |
       | 3     | 1.8  | 2.7 |
       | 1     | 0.6  | 0.9 |
+
+  Scenario Outline: A HEAD request <for_what> is told <status>
+    A monitor asks for the head of an answer alone. Sent along with its body, it was more than HTTP allows: the
+    connection was closed without a byte, and it counted as a caller who had left.
+
+    When a caller sends a front a HEAD request <for_what>
+    Then the caller is told <status> without a body
+
+    Examples:
+      | for_what            | status |
+      | for no queue        | 404    |
+      | under a bad id      | 400    |
+      | of the metrics page | 200    |
--- a/features/steps/fronts_steps.py
+++ b/features/steps/fronts_steps.py
@@ -27,6 +27,11 @@
     "question for a job": ("GET", PATH + JOB, NO_BODY),
     "count of a queue": ("GET", PATH, NO_BODY),
 }
+HEAD_PATHS = {
+    "for no queue": "/nowhere/" + JOB,
+    "under a bad id": PATH + "zz",
+    "of the metrics page": "/metrics",
+}
 
 
 class ScriptedGateway:
@@ -234,6 +239,26 @@
     assert steps.close_s < steps.stop_s < steps.end_s < grace
 
 
+@when("a caller sends a front a HEAD request {for_what}")
+def send_head(context, for_what):
+    async def play(rig):
+        port = rig.metrics_port if for_what == "of the metrics page" else rig.port
+        connection = await Connection.open(port)
+        connection.send("HEAD", HEAD_PATHS[for_what], NO_BODY)
+        context.answer = await connection.answer(head_only=True)
+        # What comes next on the connection is the next answer: no byte of a body is before it.
+        connection.send("HEAD", HEAD_PATHS[for_what], NO_BODY)
+        context.next_answer = await connection.answer(head_only=True)
+
+    _play("goes on", play)
+
+
+@then("the caller is told {status:d} without a body")
+def check_head(context, status):
+    answers = (context.answer, context.next_answer)
+    assert [answer and answer.status for answer in answers] == [status, status], answers
+
+
 def _told(answer):
     if answer is None:
         return "no answer"
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -168,8 +168,10 @@
             headers["Connection"] = "close"
         reason = httputil.responses.get(answer.status, "Unknown")
         line = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
+        # With the body, an answer to HEAD would be longer than HTTP allows, and be cut off whole.
+        body = None if request.method == "HEAD" else answer.body or None
         try:
-            written = connection.write_headers(line, headers, answer.body or None)
+            written = connection.write_headers(line, headers, body)
             connection.finish()
         except Exception as exc:
             # The caller has left; there is nobody to answer.
