Close no connection on which a request has just arrived, and read none behind a last answer

Callers would see: a closed connection instead of an answer, for a job that its daemon had read and went on to handle. Cause: a connection counted as idle from its answer to the moment at which the next request was whole. Between the reading of its bytes and that moment lie three turns of the event loop (counted); a front that began to stop in them closed it. And a request that came behind another one was read before the answer to the first ended the connection. Change: idle is a connection that waits for bytes; the others are looked at again for some turns. A last answer detaches its connection from the reading of requests.

--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -67,3 +67,19 @@
       | for no queue        | 404    |
       | under a bad id      | 400    |
       | of the metrics page | 200    |
+
+  Scenario: A request that has just arrived when the front stops is answered
+    A job comes on an idle connection. Its bytes have been taken from the socket, and are looked at in the event
+    loop's next turn; in between the front stops. It closed the connection as an idle one, and handled the job
+    for nobody.
+
+    When a front is stopped just as it has taken a job from an idle connection's socket
+    Then the caller is told 200 with MG4020, and its connection ends
+
+  Scenario: A front that stops reads no request behind the one that it answers
+    A caller sends the next request before it has the answer to the first. The answer to the first ended the
+    connection, but the next one was read by then, and handled for nobody.
+
+    When a front is stopped while a caller waits that has sent its next job already
+    Then the caller is told 200 with MG4020, and its connection ends
+    And only the first of its jobs has been handled
--- a/features/steps/fronts_steps.py
+++ b/features/steps/fronts_steps.py
@@ -124,6 +124,11 @@
         self.front.listen(f"127.0.0.1:{self.port}", self.front.jobs)
         self.front.listen(f"127.0.0.1:{self.metrics_port}", self.front.metrics)
 
+    def stream(self):
+        """The front's end of its only connection."""
+        [connection] = self.front._servers[0]._connections
+        return connection.stream
+
     @property
     def unanswered(self):
         """The lines that tell of handling without an answer."""
@@ -219,6 +224,45 @@
     _play("goes on until it may end", play)
 
 
+@when("a front is stopped just as it has taken a job from an idle connection's socket")
+def stop_front_at_reading(context):
+    async def play(rig):
+        connection = await Connection.open(rig.port)
+        connection.send("POST", "/nowhere/" + JOB, NO_BODY)
+        assert (await connection.answer()).status == 404
+        rig.gateway.may_end.set()
+        connection.send(*REQUESTS["new job"])
+        while rig.stream().reading():
+            await asyncio.sleep(0)
+        assert not rig.gateway.count, "the job is being handled already"
+        await rig.front.stop(timeout_s=PATIENCE_S)
+        context.answer = await connection.answer()
+        context.ended = await connection.has_ended()
+
+    _play("goes on until it may end", play)
+
+
+@when("a front is stopped while a caller waits that has sent its next job already")
+def stop_front_before_next(context):
+    async def play(rig):
+        connection = await _send_and_begin(rig)
+        connection.send(*REQUESTS["new job"])
+        stopping = asyncio.create_task(rig.front.stop(timeout_s=PATIENCE_S))
+        await asyncio.sleep(0)
+        rig.gateway.may_end.set()
+        context.answer = await connection.answer()
+        context.ended = await connection.has_ended()
+        await stopping
+        context.count = rig.gateway.count
+
+    _play("goes on until it may end", play)
+
+
+@then("only the first of its jobs has been handled")
+def check_handled(context):
+    assert context.count == 1, context.count
+
+
 @then("the job on the idle connection hasn't been read, and that connection ends")
 def check_idle(context):
     assert (context.idle_ended, context.begun) == (True, 1)
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -1,5 +1,6 @@
 """The platform's HTTP interface for callers, its readiness check, and the metrics page."""
 
+import asyncio
 import re
 from collections.abc import Callable, Container, Coroutine
 from functools import partial
@@ -27,6 +28,8 @@
 # In whole milliseconds; a number of more digits, 28 hours and more, is no time to wait.
 WAIT_HEADER = "X-Mustardgap-Request-Deadline"
 MAX_WAIT_DIGITS = 8
+# Turns of the event loop from a request's last byte to its handling; three were counted.
+READ_TURNS = 20
 
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _METHOD_NOT_ALLOWED = 405
@@ -49,11 +52,18 @@
 class _Server(HTTPServer):
     """An HTTP server that can end the connections that nothing is under way on."""
 
-    def close_idle(self, busy: Container[IOStream]) -> None:
-        """Close all connections but those whose streams are busy."""
-        for connection in list(self._connections):
-            if connection.stream not in busy:
-                connection.stream.close()
+    async def close_idle(self, busy: Container[IOStream]) -> None:
+        """Close all connections but those whose streams are busy, or still write an answer.
+
+        One that doesn't wait for bytes may have just got some; whether they are a whole request
+        shows within some turns of the event loop.
+        """
+        for _ in range(READ_TURNS):
+            for connection in list(self._connections):
+                stream = connection.stream
+                if stream not in busy and stream.reading():
+                    stream.close()
+            await asyncio.sleep(0)
 
 
 class Front:
@@ -96,7 +106,7 @@
             # A request that came on an idle connection would be read, and cut off unanswered when
             # the process ends; on a closed one it isn't read, and goes to another daemon. The other
             # connections end with their answers, so nothing new is read from now on.
-            server.close_idle(self._busy)
+            await server.close_idle(self._busy)
         await self._open.settle(timeout_s=timeout_s)
         for server in self._servers:
             await server.close_all_connections()
@@ -171,14 +181,16 @@
         # With the body, an answer to HEAD would be longer than HTTP allows, and be cut off whole.
         body = None if request.method == "HEAD" else answer.body or None
         try:
-            written = connection.write_headers(line, headers, body)
-            connection.finish()
+            connection.write_headers(line, headers, body)
+            if self.closing:
+                # Detached, so that no request that has come meanwhile is read behind this answer.
+                connection.detach()
+                stream.write(b"").add_done_callback(lambda _: stream.close())
+            else:
+                connection.finish()
         except Exception as exc:
             # The caller has left; there is nobody to answer.
             metrics.lost_answers.add(1, {"error": type(exc).__name__})
-            return
-        if self.closing:
-            written.add_done_callback(lambda _: stream.close())
 
 
 def _stream(request: httputil.HTTPServerRequest) -> IOStream:
