Tell callers what is known before their time is over, also when the owner answers nothing

Callers saw: nothing, until they gave up. With a silent owner a caller who waits 3 s was answered after 3.1 to 3.3 s, one of 1.2 s after 1.5 s. Cause: whether to put a change again was weighed by its caller's time; the try itself then took its own 1.5 s (1.2 s at this daemon's own shard). Change: a try ends when its caller has to be told. A call that had under 0.3 s says nothing of its connection, which is kept. Ruled out: a caller that waits less than any answer takes: its only try has 0.05 s.

--- a/features/gateways.feature
+++ b/features/gateways.feature
@@ -24,6 +24,28 @@
       | 3    | away for ever                          | MG4028 | 1     |
       | 3    | nobody, unknown, accepted              | MG4020 | 3     |
 
+  Scenario Outline: A caller who waits <wait> s is told <code> in that time when its owner answers <answers>
+    An owner loses power as jobs come. Each try waited for its own time, the last one beyond the caller's: a caller of 3 s
+    was told after 3.2 s, when it had gone with no answer, though nobody was to be asked any more.
+
+    When a caller who waits <wait> s hands a job in, and owners answer <answers>
+    Then the caller is told <code> within its <wait> s
+
+    Examples:
+      | wait | answers                        | code   |
+      | 3    | silent for ever                | MG4029 |
+      | 1.2  | silent for ever                | MG4029 |
+      | 0.5  | silent for ever                | MG4029 |
+      | 3    | nobody, nobody, silent for ever | MG4029 |
+      | 3    | unknown, silent for ever       | MG4029 |
+
+  Scenario: A caller is told in its time when its own daemon owns the queue and takes too long
+    The daemon that the caller reached owns the queue, and its store answers nothing. It waited for its own time,
+    beyond the caller's.
+
+    When a caller who waits 0.5 s hands a job in at the owner, which answers nothing
+    Then the caller is told MG4029 without an answer of the owner
+
   Scenario Outline: A call to a daemon that <state> has <sent>
     A host that is down, or a process that has just ended, takes no call. Its callers' jobs certainly
     haven't arrived, and go to the next owner.
@@ -39,13 +61,19 @@
       | answers nothing                      | perhaps been heard   |
       | is given up by another call          | perhaps been heard   |
 
-  Scenario: A call goes on when another one to the same daemon times out, and the daemon answers
+  Scenario Outline: A call goes on when another one to the same daemon times out after <time> s <beside>
     A question to an owner takes its whole time, as it waits for the store. It closed the channel that all calls
     to that owner share, though others had been answered meanwhile: a job that was about to be accepted was
-    cut off, and its caller told nothing by the code of then, and that nobody knows by later code.
+    cut off, and its caller told nothing by the code of then, and that nobody knows by later code. Nor does a call
+    that had hardly any time, as its caller's was nearly over, say that the daemon is silent.
 
-    When a daemon puts two calls to another one, and one of them times out while a third is answered
-    Then the other one is answered, on the same connection as the third
+    When a daemon puts two calls to another one, and one of them times out after <time> s <beside>
+    Then the other one is answered, on the only connection
+
+    Examples:
+      | time | beside                 |
+      | 0.5  | while a third answered |
+      | 0.1  | alone                  |
 
   Scenario Outline: A call whose handler <ends> is told so at once
     The owner's handling of a call ends without an answer. A failed one was told so; a cancelled one was left
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -9,9 +9,11 @@
 from behave import then, when
 
 from mustardgap import job_replies
+from mustardgap.dispatchers import Dispatcher
 from mustardgap.events import EventLog
-from mustardgap.job_gateways import CALL_S, JobGateway
+from mustardgap.job_gateways import JobGateway
 from mustardgap.peer_calls import METHOD, SERVICE, PeerClient, PeerServer, PeerUnreachable
+from mustardgap.timers import Clock
 from tools.actor_platforms import HandClock
 from tools.owner_troubles import TWO_STEPS
 from tools.owner_worlds import QUEUE
@@ -42,7 +44,7 @@
         self.tries += 1
         answer = next(self._answers)
         if answer == "silent":
-            self._clock.now += CALL_S
+            self._clock.now += timeout_s
             raise PeerUnreachable(sent=True, detail="no answer")
         if answer == "refused":
             raise PeerUnreachable(sent=False, detail="connection refused")
@@ -71,17 +73,12 @@
         address_of=lambda shard: "10.0.0.1:1",
         refresh=_refresh,
     )
-    gateway = JobGateway(
-        owners=owners,
-        operator=None,
-        peers=context.peers,
-        shards=4,
-        clock=clock,
-        events=EventLog(host="e1", clock=clock),
-    )
+    gateway = _gateway(owners, context.peers, clock)
+    began = clock.monotonic()
     context.reply = asyncio.run(
         gateway.submit(queue=QUEUE, job_id="0" * 16, spec=TWO_STEPS, wait_s=wait)
     )
+    context.took_s = clock.monotonic() - began
 
 
 @then("the caller is told {code} after {tries:d} tries")
@@ -92,6 +89,68 @@
     )
 
 
+class StuckDesk:
+    """An owner's desk that answers nothing until it may."""
+
+    def __init__(self):
+        self.may_answer = asyncio.Event()
+
+    async def submit(self, **request):
+        await self.may_answer.wait()
+        return job_replies.ACCEPTED
+
+
+class StuckOwner(Dispatcher):
+    """A shard's owner with such a desk."""
+
+    def __init__(self):
+        self.ended = asyncio.Event()
+        self.desk = StuckDesk()
+
+
+@when("a caller who waits {wait:g} s hands a job in at the owner, which answers nothing")
+def hand_in_at_owner(context, wait):
+    async def main():
+        owner = StuckOwner()
+        owners = SimpleNamespace(
+            owned_by_shard=dict.fromkeys(range(4), owner),
+            members_by_shard={},
+            generation=1,
+            refresh=_refresh,
+        )
+        gateway = _gateway(owners, None, Clock())
+        asking = asyncio.ensure_future(
+            gateway.submit(queue=QUEUE, job_id="0" * 16, spec=TWO_STEPS, wait_s=wait)
+        )
+        done, _ = await asyncio.wait([asking], timeout=5.0)
+        owner.desk.may_answer.set()
+        context.told, context.reply = bool(done), await asking
+
+    asyncio.run(main())
+
+
+@then("the caller is told {code} without an answer of the owner")
+def check_told_by_gateway(context, code):
+    assert context.told and str(context.reply.code) == code, context.reply
+
+
+def _gateway(owners, peers, clock):
+    return JobGateway(
+        owners=owners,
+        operator=None,
+        peers=peers,
+        shards=4,
+        clock=clock,
+        events=EventLog(host="e1", clock=clock),
+    )
+
+
+@then("the caller is told {code} within its {wait:g} s")
+def check_told_in_time(context, code, wait):
+    assert str(context.reply.code) == code, context.reply
+    assert context.took_s <= wait, context.took_s
+
+
 async def _end_connections(reader, writer):
     writer.close()
 
@@ -173,15 +232,16 @@
             await self.may_answer.wait()
         return msgspec.msgpack.encode(name)
 
-    async def play(self):
-        """Put a slow call, a silent one and, once it is under way, a quick one; see them end."""
+    async def play(self, silent_s, *, quick):
+        """Put a slow call, a silent one and perhaps, once it is under way, a quick one."""
         server, address = await _serve(self.answer)
         client = PeerClient()
         slow = asyncio.ensure_future(client.call(address, "slow", None, timeout_s=20.0))
         await self.arrived.wait()
-        silent = asyncio.ensure_future(client.call(address, "silent", None, timeout_s=0.5))
+        silent = asyncio.ensure_future(client.call(address, "silent", None, timeout_s=silent_s))
         await asyncio.sleep(0)
-        await client.call(address, "quick", None, timeout_s=20.0)
+        if quick:
+            await client.call(address, "quick", None, timeout_s=20.0)
         await asyncio.wait([silent])
         assert isinstance(silent.exception(), PeerUnreachable)
         # The end of the silent call has done by now whatever it does to others.
@@ -192,13 +252,14 @@
         return result
 
 
-@when("a daemon puts two calls to another one, and one of them times out while a third is answered")
-def put_calls(context):
+@when("a daemon puts two calls to another one, and one of them times out after {time:g} s {beside}")
+def put_calls(context, time, beside):
     context.daemon = SlowDaemon()
-    context.result = asyncio.run(context.daemon.play())
+    quick = beside == "while a third answered"
+    context.result = asyncio.run(context.daemon.play(time, quick=quick))
 
 
-@then("the other one is answered, on the same connection as the third")
+@then("the other one is answered, on the only connection")
 def check_other(context):
     assert context.result == "slow", repr(context.result)
     assert len(set(context.daemon.peers)) == 1, context.daemon.peers
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -1,5 +1,6 @@
 """The way of a caller's request to the owner of its queue, here or on another daemon."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -32,7 +33,11 @@
 # A change whose outcome isn't known is put again until so long before its caller stops waiting: the
 # answer's way, some 8 ms to the farthest clients, and the time that a busy host takes for it.
 ANSWER_S = 0.15
+# What a caller's only try gets however short its time is: an owner's usual answer.
+LEAST_S = 0.05
 
+# Calls that change something.
+CHANGES = ("submit", "cancel")
 
 # Answers that say that a call had no effect.
 NOT_DONE = (status_codes.OWNER_UNAVAILABLE, status_codes.STORE_UNAVAILABLE)
@@ -186,13 +191,16 @@
     ) -> Answered:
         """Put a call to the owner, again where that may help.
 
-        :param until: the steady time until which a change of unknown outcome is put again.
+        :param timeout_s: seconds that one try may take.
+        :param until: the steady time at which the caller has to be told.
         """
         tried = 0
         unsettled: JobReply | None = None
         while True:
             tried += 1
-            reply = await self._once(shard, name, values, timeout_s)
+            # A try that outlasts its caller's time ends when there is nobody left to be told.
+            left_s = max(until - self._clock.monotonic(), LEAST_S)
+            reply = await self._once(shard, name, values, timeout_s, left_s)
             if reply.code is status_codes.JOB_UNSETTLED:
                 unsettled = reply
             if not self._tries_again(reply, tried, unsettled is not None, until):
@@ -232,7 +240,7 @@
                 tries=answered.tries,
                 took_s=took_s,
             )
-        elif name in ("submit", "cancel"):
+        elif name in CHANGES:
             self._events.note(
                 f"{name}.answered",
                 job=job_id,
@@ -253,18 +261,30 @@
             return self._clock.monotonic() + AGAIN_S < until
         return reply.code is status_codes.OWNER_UNAVAILABLE and tried < TRIES
 
-    async def _once(self, shard: int, name: str, values: list[Any], timeout_s: float) -> JobReply:
+    async def _once(
+        self, shard: int, name: str, values: list[Any], timeout_s: float, left_s: float
+    ) -> JobReply:
+        """Put a call to the owner once.
+
+        :param timeout_s: seconds that another daemon may take.
+        :param left_s: seconds until the caller has to be told.
+        """
         if shard in self._owners.owned_by_shard:
-            return await self._local(shard, name, msgspec.to_builtins(values))
+            try:
+                async with asyncio.timeout(left_s):
+                    return await self._local(shard, name, msgspec.to_builtins(values))
+            except TimeoutError:
+                return _unanswered(name, "the owner, this daemon, took too long")
         address = self._owners.address_of(shard)
         if address is None:
             return job_replies.not_owner("nobody owns the queue yet")
         try:
-            answer = await self._peers.call(address, name, [shard, values], timeout_s=timeout_s)
+            answer = await self._peers.call(
+                address, name, [shard, values], timeout_s=min(timeout_s, left_s)
+            )
         except PeerUnreachable as exc:
-            # An unanswered question can be repeated; an unanswered change may have been made.
-            if exc.sent and name in ("submit", "cancel"):
-                return job_replies.UNSETTLED._replace(detail=str(exc))
+            if exc.sent:
+                return _unanswered(name, str(exc))
             return job_replies.not_owner(str(exc))
         return job_replies.decode(answer)
 
@@ -291,3 +311,13 @@
         if now - self._refreshed_at > 0.2:
             self._refreshed_at = now
             await self._owners.refresh()
+
+
+def _unanswered(name: str, detail: str) -> JobReply:
+    """What is known of a call that its owner didn't answer.
+
+    An unanswered question can be repeated; an unanswered change may have been made.
+    """
+    if name in CHANGES:
+        return job_replies.UNSETTLED._replace(detail=detail)
+    return job_replies.not_owner(detail)
--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -22,6 +22,10 @@
     ("grpc.max_receive_message_length", 16 * 1024 * 1024),
 ]
 
+# A connection on which nothing came for so long while a call waited counts as silent: some 60 times
+# an owner's usual answer, and less than any call waits but one whose caller's time is nearly over.
+SILENT_S = 0.3
+
 # How gRPC's text begins when a call was given to no connection.
 UNCONNECTED = "failed to connect to all addresses"
 
@@ -133,7 +137,8 @@
         try:
             answer = await method(raw, timeout=timeout_s)
         except grpc.aio.AioRpcError as exc:
-            if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED and link.heard_at < sent_at:
+            silent = timeout_s >= SILENT_S and link.heard_at < sent_at
+            if silent and exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 self._drop(address, link)
             # A call that finds no connection never leaves this host. Taken for one that may have
             # arrived, callers were told that nobody knows what became of their jobs, and couldn't
