Leave half of the link to callers while configurations come faster than it carries them

Ruled out: the processors (mean 0.04 of a core). Not all of it: small hosts that own a busy queue while the large ones restart still take 3 to 4 s to load it; open. Change: after a reading that brought more than one record, rest for as long as a record took, then read the newest only.

--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -12,6 +12,10 @@
 # this and the call's slack. A longer wait would save calls, but a change has to be in force within
 # 2 s, and a daemon that waits in vain can't know of it.
 OPERATOR_WAIT_S = 0.8
+# The longest rest after a reading that found the operator ahead. The slowest links take some 0.5 s
+# for a large configuration: with a reading before the rest and one after it, a change is in force
+# well within the 2 s that it may take.
+MOST_REST_S = 0.8
 # Executors write some 30 records a second; a waiting read would come back for each. At this period
 # a new executor is used 0.1 s after it is listed on average, and a leaving one is known well within
 # the 2 s for which it goes on serving.
@@ -59,7 +63,10 @@
         self._ask_peer = ask_peer
         self._clock = clock
         self._events = events
+        # Where to read on, None to read the newest records of all keys.
         self._offset: int | None = None
+        # Up to where the records have been read.
+        self._end: int | None = None
         self._failing = False
         self._subscribers: list[Callable[[], None]] = []
 
@@ -70,16 +77,34 @@
     async def run(self) -> None:
         """Follow the records until cancelled."""
         while True:
+            began = self._clock.monotonic()
             wait_s = 0.0 if self._failing else OPERATOR_WAIT_S
+            newest_only = self._offset is None
             outcome = await self._boards.read_operator(offset=self._offset, wait_s=wait_s)
             if isinstance(outcome, Entries):
+                written = outcome.end - self._end if self._end is not None else 0
                 self._read(outcome)
+                if written > 1:
+                    took_s = self._clock.monotonic() - began
+                    await self._rest(took_s if newest_only else took_s / written)
             elif isinstance(outcome, Expired):
                 self._offset = None
             else:
                 self._failed(outcome)
                 await self._clock.sleep(RETRY_S)
 
+    async def _rest(self, record_s: float) -> None:
+        """Leave the link to others for as long as a record took, then read the newest only.
+
+        An operator who publishes large configurations faster than a slow link carries them would
+        have all of the link: callers' requests came seconds late, and peers took this host for
+        dead. Versions that are already replaced are of no use.
+
+        :param record_s: seconds that one record took.
+        """
+        await self._clock.sleep(min(record_s, MOST_REST_S))
+        self._offset = None
+
     async def ask(self) -> None:
         """While the store can't be read, take the configuration from peers; until cancelled."""
         while True:
@@ -119,7 +144,7 @@
                 callback()
 
     def _read(self, entries: Entries) -> None:
-        self._offset = entries.end
+        self._offset = self._end = entries.end
         if self._failing:
             self._failing = False
             self._events.note("operator.regained", vital=True, offset=entries.end)
