Run a daemon's part again that ends by a cancellation nobody asked for

An operator would see a daemon that is up and ready while one of its parts does nothing any more: the list of executors isn't followed, or the membership isn't renewed. No line told of it. Of the parts, "owners" and "ask" call other daemons over shared gRPC channels, "relays" and "broker" over streams. Cause: Supervisor._watch passed each CancelledError on, also one that came out of what the child awaited (closing a gRPC channel cancels all calls on it). The child's task ended, its name stayed among the children, and nothing was started again. Ruled out: that PeerClient.call alone is enough. It turns such a cancellation into PeerUnreachable today, so no way is known by which it reaches a child of the platform's daemon on this commit; the supervisor took it for a stop all the same. Why the mend holds: only a task that was asked to end has cancelling() > 0 while it ends; asyncio.timeout takes its own request back. All else is a failure like any other: a line, a restart, and the end of the parent when it goes on. cancellations.py holds the question for all who ask it. A child that returns leaves a line, too.

--- a/mustardgap/supervisors.py
+++ b/mustardgap/supervisors.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 
-from . import status_codes
+from . import cancellations, status_codes
 from .exceptions import ChildFailed, MustardgapError
 
 Child = Callable[[], Awaitable[None]]
@@ -37,6 +37,9 @@
     def start_child(self, name: str, child: Child) -> asyncio.Task[None]:
         """Run a child until it returns, is stopped, or keeps failing.
 
+        One that ends by the cancellation of something that it awaited has failed. Taken for one
+        that was stopped, it would be missing from a daemon that seems well.
+
         :param name: the child's name, unique under this supervisor.
         :param child: a coroutine function without arguments.
         :return: the task that watches the child.
@@ -77,11 +80,10 @@
         failures: deque[float] = deque()
         while True:
             try:
-                await child()
+                await cancellations.run_part(child)
                 self._tasks_by_name.pop(name, None)
+                logging.info("%s/%s has returned", self.name, name)
                 return
-            except asyncio.CancelledError:
-                raise
             except Exception as exc:
                 if isinstance(exc, MustardgapError) and exc.code in FATAL:
                     self._give_up(name, exc)
