End a shard's ownership when one of its parts ends by a cancellation nobody asked for

Callers would see: jobs that can't be handed in for as long as the daemon holds the shard (no append goes out), jobs that stay queued for good (no ticket is asked for) or running for good (an executor's ends aren't taken in). No line tells of it. Cause: Dispatcher._ended_child took each cancelled task for one that the ownership's own end had cancelled. A part that something it awaited was cancelled under was missing from then on, while the store held the shard for its owner. Ruled out: that a way is known by which it happens on this commit. These parts call store, executors and tickets over HttpPool, each call with a connection of its own that no other call's end cancels. The hole was in the supervising code. Why the mend holds: a task that was told to end (run's finally, roster.close, roster.drop) keeps cancelling() > 0 after it ended; any other cancelled one is a failure and steps the shard down, as an exception does, and the shard is served anew under a new epoch.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -274,3 +274,21 @@
     at what executors and machines did. When the troubles are over, every job has to end.
 
     Then no order of jobs, cancels and troubles breaks a promise
+
+  Scenario Outline: What an owner's <part> await is cancelled, although nobody ended the ownership
+    The caller's jobs are accepted, or wait to be. Something that a part of the owner awaits is closed by
+    another, and the part ends as if it had been told to. The store holds the shard for its owner, which
+    would go on half served: appends never go out, accepted jobs are never placed, ends never taken in.
+
+    Given owners on a fake platform
+    When 6 jobs are handed in, and what the owner's <part> await is cancelled
+    Then all jobs have ended as completed
+    And no promise was broken
+    And a line tells of the part that ended by a cancellation: <event>
+
+    Examples:
+      | part    | event             |
+      | appends | dispatcher.failed |
+      | ticks   | dispatcher.failed |
+      | tickets | dispatcher.failed |
+      | leases  | dispatcher.failed |
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, NamedTuple
 
-from . import metrics
+from . import cancellations, metrics
 from .advices import AdviceDesk, StepKey
 from .evacuations import Evacuations
 from .events import EventLog
@@ -475,13 +475,16 @@
 
     def _ended_child(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
+        # A part that is cancelled though nobody ended it has failed, too. Taken for one that was
+        # ended, the shard would go on half served: accepted jobs that nobody places.
+        failure = cancellations.failure_of(task)
+        if failure is not None:
             self._events.note(
                 "dispatcher.failed",
                 vital=True,
                 shard=self.shard,
                 epoch=self.epoch,
-                why=repr(task.exception()),
+                why=repr(failure),
             )
             # A part that failed leaves the shard half served; a new ownership starts afresh.
             self.step_down()
