Tell why a shard's ownership ended when it was a cancellation nobody asked for

Operators would see a shard lost as "ended" and begun afresh, and no line that tells why. Cause: ShardOwners._give_up looked for an error only; a task that ended by the cancellation of something that it awaited has none. Ruled out: that the shard stays unserved. Dispatcher.run and FleetManager.run set "ended" in their finally blocks, whatever ends them, and the next renewal begins afresh; the scenario's jobs were completed before the change, too. Why the mend holds: the task is asked to end only while it runs, so one that had ended before has cancelling() = 0. Red before: the row "placing" (no line shard.failed).

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -292,3 +292,4 @@
       | ticks   | dispatcher.failed |
       | tickets | dispatcher.failed |
       | leases  | dispatcher.failed |
+      | placing | shard.failed      |
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from . import metrics
+from . import cancellations, metrics
 from .events import EventLog
 from .ports import Done, Joined, NoAnswer, Refused, Store
 from .standbys import CLEAR_LOOK_S, LOOK_S, Standby, address_of, is_small
@@ -239,8 +239,9 @@
             await owned.hand_over()
         task.cancel()
         await asyncio.wait([task])
-        if not task.cancelled() and task.exception() is not None:
-            self._events.note("shard.failed", vital=True, shard=shard, why=repr(task.exception()))
+        failure = cancellations.failure_of(task)
+        if failure is not None:
+            self._events.note("shard.failed", vital=True, shard=shard, why=repr(failure))
         metrics.shard_changes.add(1, {"change": "lost"})
         self._events.note(
             "shard.lost", vital=True, shard=shard, epoch=self._epoch_by_shard[shard], why=why
