Settle an order to an executor whose sending fails or is cancelled under it

Callers would see a job that stays running for good (its start's sending ended, and no other executor gets the task), or one that was answered as cancelled and runs on for good. The room of an unwanted run stays missing; a task that was to stand still disturbs those beside it. Cause: ExecutorLink noted the error of such a task, not its cancellation, and did nothing about either: a run stayed STARTING or STOPPING with nobody at work on it. An executor's answer to a start with a clock that isn't a number (ExecutorClient.start takes it as it comes) makes the way by error reachable; no way by cancellation is known, each call having a connection of its own. Ruled out: stepping the whole shard down, as for its other parts: one executor's answers would then end the shard again and again. Why the mend holds: a start that failed may have arrived or not; it is stopped, which settles it as for a start without an answer. A stop is ordered again after the usual pause until it is answered. A pace counts as not known. A link that is closed orders nothing more.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -293,3 +293,63 @@
       | tickets | dispatcher.failed |
       | leases  | dispatcher.failed |
       | placing | shard.failed      |
+
+  Scenario Outline: A start that <ends> on its way doesn't keep its task from being done
+    The caller's job stays running for good. Its task was given to an executor, and the sending of the
+    start ended for a reason that nobody had thought of. Nobody can tell whether the task runs, so no
+    other executor gets it; a stop that is answered settles that.
+
+    Given owners on a fake platform
+    When 6 jobs are handed in, and one start on each executor <ends>
+    Then all jobs have ended as completed
+    And no promise was broken
+    And a line tells of the order that <ended>
+
+    Examples:
+      | ends         | ended         |
+      | is cancelled | was cancelled |
+      | fails        | failed        |
+
+  Scenario Outline: A stop that <ends> on its way is sent again
+    The caller was told that the job is cancelled, and its tasks run on for good: the sending of the stop
+    ended for a reason that nobody had thought of, and the owner takes the run for one being stopped.
+
+    Given owners on a fake platform
+    When a lasting job is cancelled, and one stop on each executor <ends>
+    Then nothing of the job runs after 3 s
+    And no promise was broken
+    And a line tells of the order that <ended>
+
+    Examples:
+      | ends         | ended         |
+      | is cancelled | was cancelled |
+      | fails        | failed        |
+
+  Scenario Outline: The stop of an unwanted run that <ends> on its way is sent again
+    An executor runs a task on for good that no owner knows, and its room is missing to all callers: the
+    sending of the stop ended for a reason that nobody had thought of, and no other stop is sent.
+
+    Given owners on a fake platform
+    When a former owner's run is found that nobody wants, and the stop of it <ends>
+    Then nothing of the job runs after 3 s
+    And a line tells of the order that <ended>
+
+    Examples:
+      | ends         | ended         |
+      | is cancelled | was cancelled |
+      | fails        | failed        |
+
+  Scenario Outline: An order of a pace that <ends> on its way is sent again
+    Users of a lasting step are disturbed for good by a task that fills idle capacity beside it: the
+    sending of the order to stand still ended for a reason that nobody had thought of, and the owner
+    takes the task for one that stands still.
+
+    Given owners on a fake platform
+    When a running task is slowed to nothing, and the order <ends>
+    Then the pace is ordered 2 times
+    And a line tells of the order that <ended>
+
+    Examples:
+      | ends         | ended         |
+      | is cancelled | was cancelled |
+      | fails        | failed        |
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -4,9 +4,14 @@
 
 from behave import then, when
 
-from features.support.cancelled_parts import CancelledOnce
-from features.support.owner_jobs import START_S, hand_in
+from features.support.cancelled_parts import EndedOnce, cancelled, failed
+from features.support.owner_jobs import START_S, hand_in, job_id_of
 from mustardgap.dispatchers import TICK_S
+from mustardgap.pacing import HIGH_SHARE
+from mustardgap.workloads import TaskId
+from tools.owner_daemons import SERVICE
+from tools.owner_oracle import Asked
+from tools.owner_troubles import LASTING
 from tools.owner_worlds import play
 
 # Long enough for a shard to be given up, dealt anew and read, and for its jobs to end.
@@ -14,37 +19,34 @@
 
 
 def _cancel_appends(owned):
-    owned.log._store = CancelledOnce(owned.log._store, "append")
+    owned.log._store = EndedOnce(owned.log._store, "append")
     return [owned.log._store]
 
 
 def _cancel_ticks(owned):
-    owned._clock = CancelledOnce(owned._clock, "sleep", lambda seconds: seconds == TICK_S)
+    owned._clock = EndedOnce(owned._clock, "sleep", only=lambda seconds: seconds == TICK_S)
     return [owned._clock]
 
 
 def _cancel_placing(owned):
-    owned._clock = CancelledOnce(owned._clock, "sleep", lambda seconds: seconds != TICK_S)
+    owned._clock = EndedOnce(owned._clock, "sleep", only=lambda seconds: seconds != TICK_S)
     return [owned._clock]
 
 
 def _cancel_tickets(owned):
-    owned.advices._advice = CancelledOnce(owned.advices._advice, "advise")
+    owned.advices._advice = EndedOnce(owned.advices._advice, "advise")
     return [owned.advices._advice]
 
 
 def _cancel_leases(owned):
-    return _cancel_calls(owned, "hold")
+    return end_calls(owned, "hold", cancelled)
 
 
-def _cancel_starts(owned):
-    return _cancel_calls(owned, "start")
-
-
-def _cancel_calls(owned, name):
+def end_calls(owned, name, ends):
+    """Have one call of a kind to each executor end in a way."""
     links = list(owned.roster.links_by_executor.values())
     for link in links:
-        link._port = CancelledOnce(link._port, name)
+        link._port = EndedOnce(link._port, name, ends=ends)
     return [link._port for link in links]
 
 
@@ -54,7 +56,6 @@
     "placing": _cancel_placing,
     "tickets": _cancel_tickets,
     "leases": _cancel_leases,
-    "starts": _cancel_starts,
 }
 
 
@@ -68,18 +69,104 @@
         await asyncio.sleep(START_S)
         work = asyncio.ensure_future(hand_in(world, context.states, count))
         await asyncio.sleep(0.5)
-        cancelled = CANCEL_BY_PART[part](world.dispatcher())
+        ended = CANCEL_BY_PART[part](world.dispatcher())
         await work
         await asyncio.sleep(SETTLED_S)
-        context.cancelled = sum(one.cancelled for one in cancelled)
+        context.ended = sum(one.count for one in ended)
         context.lines = _lines(world)
 
     context.world = play(scene, advised=part == "tickets", **context.options)
 
 
+ENDS_BY_WORDS = {"is cancelled": cancelled, "fails": failed}
+
+
+@when("{count:d} jobs are handed in, and one start on each executor {ends}")
+def starts_end(context, count, ends):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        ended = end_calls(world.dispatcher(), "start", ENDS_BY_WORDS[ends])
+        await hand_in(world, context.states, count)
+        context.ended = sum(one.count for one in ended)
+        context.lines = _lines(world)
+
+    context.world = play(scene, **context.options)
+
+
+@when("a lasting job is cancelled, and one stop on each executor {ends}")
+def stops_end(context, ends):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        assert await world.submit_until_accepted(job_id_of(1), LASTING)
+        await asyncio.sleep(2)
+        ended = end_calls(world.dispatcher(), "stop", ENDS_BY_WORDS[ends])
+        assert await world.cancel(job_id_of(1), world.owner()) == 200
+        context.cancelled_at = world.loop.time()
+        await asyncio.sleep(20)
+        context.ended = sum(one.count for one in ended)
+        context.lines = _lines(world)
+
+    context.world = play(scene, **context.options)
+
+
+@when("a former owner's run is found that nobody wants, and the stop of it {ends}")
+def stray_stop_ends(context, ends):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        dispatcher = world.dispatcher()
+        ended = end_calls(dispatcher, "stop", ENDS_BY_WORDS[ends])
+        executor = next(e for e in world.fleet.by_address.values() if e.entry.service == SERVICE)
+        unwanted = TaskId(job_id_of(1), 0, 0, 0)
+        world.asked_by_job[unwanted.job] = Asked(LASTING, [], [])
+        world.cancelling.add(unwanted.job)
+        until_ms = executor.clock_ms() + 60_000
+        executor.start(unwanted, 1, "lasting", until_ms, dispatcher.epoch)
+        context.cancelled_at = world.loop.time()
+        await asyncio.sleep(20)
+        context.ended = sum(one.count for one in ended)
+        context.lines = _lines(world)
+
+    context.world = play(scene, **context.options)
+
+
+@when("a running task is slowed to nothing, and the order {ends}")
+def pace_ends(context, ends):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        assert await world.submit_until_accepted(job_id_of(1), LASTING)
+        await asyncio.sleep(2)
+        dispatcher = world.dispatcher()
+        run = next(iter(dispatcher.running()))
+        run.link._port = EndedOnce(run.link._port, "pace", ends=ENDS_BY_WORDS[ends])
+        run.link.pace(run, 0)
+        await asyncio.sleep(1)
+        for _ in range(2):
+            dispatcher.pacing._adjust(run.link, [run], HIGH_SHARE + 0.1)
+            await asyncio.sleep(1)
+        context.ended = run.link._port.count
+        context.calls = run.link._port.calls
+        context.lines = _lines(world)
+
+    context.world = play(scene, **context.options)
+
+
+@then("the pace is ordered {times:d} times")
+def pace_is_ordered(context, times):
+    assert context.calls == times, context.calls
+
+
+@then("a line tells of the order that {ends}")
+def a_line_tells_of_the_order(context, ends):
+    assert context.ended, "no order ended otherwise"
+    words = "StrayCancellation" if ends == "was cancelled" else "ValueError"
+    told = [line for line in context.lines if line["event"] == "order.failed"]
+    assert len(told) == context.ended, (context.ended, told)
+    assert all(words in line["why"] for line in told), told
+
+
 @then("a line tells of the part that ended by a cancellation: {event}")
 def a_line_tells(context, event):
-    assert context.cancelled, "nothing was cancelled"
+    assert context.ended, "nothing was cancelled"
     told = [
         line
         for line in context.lines
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -1,9 +1,10 @@
 """One owner's link to one executor: leases, starts, stops, and what the executor reports."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-from . import metrics
+from . import cancellations, metrics
 from .events import EventLog
 from .executor_clocks import ExecutorClock
 from .ports import (
@@ -135,6 +136,7 @@
         self._unacknowledged: list[tuple[int, Ticket | None]] = []
         self._strays: set[tuple[Any, int]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
 
     @property
     def free(self) -> Room:
@@ -165,7 +167,7 @@
     def begin(self, run: Run, *, payload: str, ticket: str) -> None:
         """Start a run; what becomes of it is told to the owner."""
         self.add(run)
-        self._spawn(self._start(run, payload, ticket))
+        self._spawn(self._start(run, payload, ticket), lambda: self._end_unstarted(run))
 
     def end(self, run: Run, why: str) -> None:
         """Stop a run; its end is told to the owner."""
@@ -181,15 +183,16 @@
             executor=self.entry.executor,
             why=why,
         )
-        self._spawn(self._stop(run.task.task_id, run.number, run))
+        self._order_stop(run.task.task_id, run.number, run)
 
     def pace(self, run: Run, percent: int) -> None:
         """Let a run work at a share of its speed."""
         run.pace = percent
-        self._spawn(self._pace(run, percent))
+        self._spawn(self._pace(run, percent), lambda: self._forget_pace(run, percent))
 
     def close(self) -> None:
         """End all orders that are under way."""
+        self._closed = True
         for task in list(self._tasks):
             task.cancel()
 
@@ -333,7 +336,7 @@
             run=number,
             executor=self.entry.executor,
         )
-        self._spawn(self._stop(task_id, number, None))
+        self._order_stop(task_id, number, None)
 
     def _miss(self, outcome: Refused | NoAnswer) -> None:
         now = self._clock.monotonic()
@@ -448,7 +451,25 @@
             self.remove(run)
             self._owner.on_refused(self, run, why)
 
-    async def _stop(self, task_id: Any, number: int, run: Run | None) -> None:
+    def _end_unstarted(self, run: Run) -> None:
+        # Its start may have arrived or not. Left as it is, it would be placed nowhere else, and its
+        # job never end; the stop settles it.
+        known = (run.task.task_id, run.number) in self.runs_by_key
+        if known and run.phase is RunPhase.STARTING:
+            self.end(run, "start failed")
+
+    def _order_stop(
+        self, task_id: Any, number: int, run: Run | None, *, pause_s: float = 0.0
+    ) -> None:
+        """Have a run stopped; a stop that fails is ordered again, or the run would go on."""
+        self._spawn(
+            self._stop(task_id, number, run, pause_s),
+            lambda: self._order_stop(task_id, number, run, pause_s=RETRY_S),
+        )
+
+    async def _stop(self, task_id: Any, number: int, run: Run | None, pause_s: float) -> None:
+        if pause_s:
+            await self._clock.sleep(pause_s)
         while run is None or (task_id, number) in self.runs_by_key:
             outcome = await self._port.stop(self.entry, task=task_id, run=number, fence=self.fence)
             if isinstance(outcome, Stopped):
@@ -476,16 +497,30 @@
         outcome = await self._port.pace(
             self.entry, task=run.task.task_id, run=run.number, percent=percent, fence=self.fence
         )
-        if not isinstance(outcome, Stopped) and run.pace == percent:
+        if not isinstance(outcome, Stopped):
+            self._forget_pace(run, percent)
+
+    def _forget_pace(self, run: Run, percent: int) -> None:
+        if run.pace == percent:
             # Not known to be in force: the next look at the run's speed orders it again.
             run.pace = -1
 
-    def _spawn(self, work: Any) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None], on_failure: Callable[[], None]) -> None:
+        """Run an order.
+
+        :param on_failure: called when it ends by an error, or by a cancellation nobody asked for.
+        """
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._reap)
+        task.add_done_callback(lambda _: self._reap(task, on_failure))
 
-    def _reap(self, task: asyncio.Task[None]) -> None:
+    def _reap(self, task: asyncio.Task[None], on_failure: Callable[[], None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._events.note("order.failed", vital=True, why=repr(task.exception()))
+        failure = cancellations.failure_of(task)
+        if failure is None:
+            return
+        self._events.note(
+            "order.failed", vital=True, executor=self.entry.executor, why=repr(failure)
+        )
+        if not self._closed:
+            on_failure()
