End the ownership of the fleet when its records aren't written any more

Operators would see waves that never end and pools that get no machine: no order can be recorded, so none is sent, for as long as the daemon holds the fleet. Each order left a line that it couldn't be recorded; none told why. Cause: FleetManager.run never looked at the task that writes its log. Its error, or its end by a cancellation nobody asked for, was seen by nobody, while the rounds went on. Also, that a way is known by which the writer ends so on this commit; the store's calls have connections of their own. Why the mend holds: the writer's end closes the log, which the next round sees; a writer that run's finally cancelled isn't a failure.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -353,3 +353,21 @@
       | ends         | ended         |
       | is cancelled | was cancelled |
       | fails        | failed        |
+
+  Scenario Outline: One of the fleet's <part> <ends>, and a wave of <machines> is carried out all the same
+    The operator's wave never ends: what the owner of the fleet awaits is closed by another, or fails for
+    a reason that nobody had thought of. No order can be recorded any more, so none is sent; or one
+    machine counts as ordered for good. The store holds the shard for its owner.
+
+    Given owners on a fake platform
+    When a wave of <machines> comes, and one of the fleet's <part> <ends>
+    Then all machines of the wave have had their maintenance
+    And no promise was broken
+    And a line <event> tells why it ended
+
+    Examples:
+      | part    | ends         | machines  | event                |
+      | appends | is cancelled | m1 and s1 | fleet.failed         |
+      | appends | fails        | m1 and s1 | fleet.failed         |
+      | rounds  | is cancelled | m1 and s1 | shard.failed         |
+      | rounds  | fails        | m1 and s1 | shard.failed         |
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -8,10 +8,11 @@
 from features.support.owner_jobs import START_S, hand_in, job_id_of
 from mustardgap.dispatchers import TICK_S
 from mustardgap.pacing import HIGH_SHARE
+from mustardgap.shard_owners import FLEET_SHARD
 from mustardgap.workloads import TaskId
 from tools.owner_daemons import SERVICE
 from tools.owner_oracle import Asked
-from tools.owner_troubles import LASTING
+from tools.owner_troubles import LASTING, publish_wave
 from tools.owner_worlds import play
 
 # Long enough for a shard to be given up, dealt anew and read, and for its jobs to end.
@@ -173,3 +174,58 @@
         if line["event"] == event and "StrayCancellation" in line.get("why", "")
     ]
     assert told, [line for line in context.lines if "failed" in line["event"]]
+
+
+def _end_fleet_appends(fleet, ends):
+    fleet.log._store = EndedOnce(fleet.log._store, "append", ends=ends)
+    return fleet.log._store
+
+
+def _end_fleet_orders(fleet, ends):
+    fleet.orders._machines = EndedOnce(fleet.orders._machines, "maintain", ends=ends)
+    return fleet.orders._machines
+
+
+def _end_fleet_rounds(fleet, ends):
+    fleet._machines = EndedOnce(fleet._machines, "machines", ends=ends)
+    return fleet._machines
+
+
+END_BY_FLEET_PART = {
+    "appends": _end_fleet_appends,
+    "orders": _end_fleet_orders,
+    "rounds": _end_fleet_rounds,
+}
+
+
+@when("a wave of {machines} comes, and one of the fleet's {part} {ends}")
+def fleet_part_ends(context, machines, part, ends):
+    names = machines.split(" and ")
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        daemon = next(
+            d for d in world.daemons_by_address.values() if FLEET_SHARD in d.owners.owned_by_shard
+        )
+        fleet = daemon.owners.owned_by_shard[FLEET_SHARD]
+        ended = END_BY_FLEET_PART[part](fleet, ENDS_BY_WORDS[ends])
+        wave = publish_wave(world, names, at_once=len(names))
+        await asyncio.sleep(20)
+        context.ended = ended.count
+        context.missing = [n for n in names if wave not in world.machines.places[n].waves_done]
+        context.lines = _lines(world)
+
+    context.world = play(scene, **context.options)
+
+
+@then("all machines of the wave have had their maintenance")
+def all_maintained(context):
+    assert not context.missing, context.missing
+
+
+@then("a line {event} tells why it ended")
+def a_line_tells_why(context, event):
+    assert context.ended, "nothing ended otherwise"
+    words = ("StrayCancellation", "ValueError")
+    told = [line for line in context.lines if line["event"] == event]
+    assert any(word in line["why"] for line in told for word in words), told
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from . import cancellations
 from .boards import OperatorBoard
 from .events import EventLog
 from .fleet_moves import LEARNED_KEY, WORD_S, FleetMoves
@@ -133,6 +134,7 @@
                 return
             await self._load()
             writing = asyncio.create_task(self.log.run())
+            writing.add_done_callback(self._ended_writing)
             while not self.orders.ended and not self.log.fenced:
                 await self._round()
                 await self._clock.sleep(ROUND_S)
@@ -143,6 +145,14 @@
                 if task is not None:
                     task.cancel()
 
+    def _ended_writing(self, task: asyncio.Task[None]) -> None:
+        failure = cancellations.failure_of(task)
+        if failure is not None:
+            self._events.note("fleet.failed", vital=True, epoch=self.log.epoch, why=repr(failure))
+            # No order is sent without its record, so none would be sent any more; a new ownership
+            # starts afresh.
+            self.log.close()
+
     async def hand_over(self) -> None:
         """Send no more orders, and leave a record of those that were sent."""
         await self.orders.hand_over()
