Plan a standby machine anew whose order failed or was cancelled on its way

Operators would see a wave that never ends: a standby machine of it isn't ordered down any more. For an error there was asyncio's own line of an exception never retrieved, for a cancellation none. Cause: the end of an order's task was looked at by nobody. A machine that is being emptied was ordered again with the pool's next word; no pool tells of a standby machine, so it stayed closing for good, and the planner leaves such machines out. Ruled out: reopening machines that have an executor, too. Its order may still be carried out, and would end what had been started there. Why the mend holds: the machine counts as away until it should be back, so a wave's bound is kept if the order was carried out; its repeat is idempotent. A line machine.order_failed tells of each. Red before: 3 of 3 rows "orders" (s1 without maintenance after 20 s). Green after: 7 of 7 rows of the scenario.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -369,5 +369,8 @@
       | part    | ends         | machines  | event                |
       | appends | is cancelled | m1 and s1 | fleet.failed         |
       | appends | fails        | m1 and s1 | fleet.failed         |
+      | orders  | is cancelled | m1 and s1 | machine.order_failed |
+      | orders  | fails        | m1 and s1 | machine.order_failed |
+      | orders  | is cancelled | s1 and s2 | machine.order_failed |
       | rounds  | is cancelled | m1 and s1 | shard.failed         |
       | rounds  | fails        | m1 and s1 | shard.failed         |
--- a/mustardgap/fleet_orders.py
+++ b/mustardgap/fleet_orders.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from . import metrics
+from . import cancellations, metrics
 from .events import EventLog
 from .fleet_states import Away, Closing, FleetState, Times
 from .ports import Done, Fenced, Machines, NoAnswer, NotInWave, Order, Refused, Throttled
@@ -123,7 +123,27 @@
         self._state.away_by_machine[name] = self._away(row, self._clock.monotonic())
         task = asyncio.create_task(self._carry_out(row, closing))
         self._state.orders_by_machine[name] = task
-        task.add_done_callback(lambda _: self._state.orders_by_machine.pop(name, None))
+        task.add_done_callback(lambda _: self._ended_order(name, closing, task))
+
+    def _ended_order(self, name: str, closing: Closing, task: asyncio.Task[None]) -> None:
+        self._state.orders_by_machine.pop(name, None)
+        failure = cancellations.failure_of(task)
+        if failure is None:
+            return
+        if not closing.executor:
+            # One that is being emptied is ordered again with the pool's next word; no pool has a
+            # word for this one, and closing for good it would be planned for nothing any more. The
+            # order may have been carried out, so it counts as away until it should be back.
+            self._state.closing_by_machine.pop(name, None)
+            self._state.not_before_by_machine[name] = self._clock.monotonic() + REOPEN_PAUSE_S
+        self._events.note(
+            "machine.order_failed",
+            vital=True,
+            machine=name,
+            executor=closing.executor,
+            wave=closing.wave,
+            why=repr(failure),
+        )
 
     def send_idle(
         self, machine: Machine, *, wave: int | None = None, pool: str | None = None
