Go on with a timer of which one call ended by a cancellation nobody asked for

Operators would see the view of the platform's hosts grow old, or a daemon that doesn't notice that its state is out of date, without a line. Cause: Timers._run let each CancelledError end the subscription, also one that came out of what the callback awaited. Why the mend holds: only a cancellation of the timer's own task ends it, which is what unsubscribing does; all else is a failed call. Red before: 1 of 4 rows of the scenario (cancelled once: 1 call instead of 10). Green after: 4 of 4.

--- a/features/steps/supervisors_steps.py
+++ b/features/steps/supervisors_steps.py
@@ -6,9 +6,10 @@
 from absl import logging
 from behave import given, then, when
 
-from mustardgap import supervisors
+from features.support.cancelled_parts import cancelled
+from mustardgap import supervisors, timers
 from mustardgap.exceptions import ChildFailed
-from tools.virtual_time import run
+from tools.virtual_time import VirtualClock, run
 
 NEVER = 1000
 CANCELLED_BY_WORDS = {
@@ -19,13 +20,6 @@
 SETTLED_S = 30.0
 
 
-async def cancelled():
-    """What awaiting something shared does once another one has closed it."""
-    future = asyncio.get_running_loop().create_future()
-    future.cancel()
-    await future
-
-
 class Child:
     """A part that ends in the way that its words tell."""
 
@@ -84,3 +78,49 @@
 def names_the_child(context):
     assert isinstance(context.ended_by, ChildFailed), context.ended_by
     assert "daemon/part" in str(context.ended_by), context.ended_by
+
+
+@given("a timer whose callback {words}")
+def a_timer(context, words):
+    context.words = words
+
+
+@when("ten periods of the timer have gone by")
+def ten_periods(context):
+    context.calls = 0
+
+    async def callback():
+        context.calls += 1
+        if context.calls > 1:
+            return
+        if context.words.startswith("awaits"):
+            await cancelled()
+        if context.words.startswith("fails"):
+            raise ValueError("it broke")
+        if context.words.startswith("ends"):
+            context.unsubscribe()
+            await asyncio.sleep(1.0)
+        if context.words.startswith("is ended"):
+            asyncio.get_running_loop().call_later(0.5, context.unsubscribe)
+            await asyncio.sleep(1.0)
+
+    async def scene():
+        service = timers.Timers(clock=VirtualClock(loop=asyncio.get_running_loop()))
+        context.unsubscribe = service.subscribe("view", 1.0, callback)
+        await asyncio.sleep(10.5)
+        service.close()
+        await asyncio.sleep(0)
+
+    with mock.patch.object(logging, "exception") as lines:
+        run(scene())
+    context.lines = lines.call_count
+
+
+@then("its callback was called {times:d} times")
+def called(context, times):
+    assert context.calls == times, context.calls
+
+
+@then("the timer has left {lines:d} lines")
+def left_lines(context, lines):
+    assert context.lines == lines, context.lines
--- a/features/supervisors.feature
+++ b/features/supervisors.feature
@@ -25,3 +25,19 @@
     Given a supervisor with a child that awaits what is always cancelled
     When the supervisor has had time to start it again
     Then the supervisor ends and names the child
+
+  Scenario Outline: a timer whose callback <ends> is <called>
+    A daemon's timer reads the platform's view, sends heartbeats or tells whether the daemon is ready. One
+    call awaits something shared that another one closes. Seen as the end of the subscription, the view
+    would grow old or the heartbeats stop, and no line would tell of it.
+    Given a timer whose callback <ends>
+    When ten periods of the timer have gone by
+    Then its callback was called <times> times
+    And the timer has left <lines> lines
+
+    Examples:
+      | ends                             | called              | times | lines |
+      | awaits what is cancelled once    | called again        | 10    | 1     |
+      | fails once                       | called again        | 10    | 1     |
+      | ends its own subscription        | called no more      | 1     | 0     |
+      | is ended in the middle of a call | called no more      | 1     | 0     |
--- a/mustardgap/timers.py
+++ b/mustardgap/timers.py
@@ -9,6 +9,8 @@
 
 from absl import logging
 
+from . import cancellations
+
 Callback = Callable[[], Awaitable[None] | None]
 
 # Later than this a tick tells of a hold-up, not of the loop's other work; a tenth of the period.
@@ -149,5 +151,11 @@
                 result = callback()
                 if inspect.isawaitable(result):
                     await result
+            except asyncio.CancelledError:
+                # Something that the callback awaits may have been closed by another. Taken for the
+                # end of the subscription, heartbeats or views would stop without a line.
+                if cancellations.is_own():
+                    raise
+                logging.exception("timer %s: a call was cancelled that nobody ended", name)
             except Exception:
                 logging.exception("timer %s failed", name)
