Follow a log anew when one of the tasks that follow it is cancelled under it

Operators would see one daemon that folds no more changes, or whose changes never reach the log, and that goes on all the same; callers with an Idempotency-Key would be told that it can't be decided. No line tells of it. Cause: Log.run and ClaimLog.run each hold their tasks in an asyncio.TaskGroup, which passes over a task that ended by a cancellation. If that came out of what the task awaited, the others of the group went on without it. The supervisor's mend alone isn't enough, as the group doesn't end. Why the mend holds: run_part turns such a cancellation into an error, which ends the group; the supervisor restarts it with a line. A cancellation of the group's own passes.

--- a/features/supervisors.feature
+++ b/features/supervisors.feature
@@ -41,3 +41,18 @@
       | fails once                       | called again        | 10    | 1     |
       | ends its own subscription        | called no more      | 1     | 0     |
       | is ended in the middle of a call | called no more      | 1     | 0     |
+
+  Scenario Outline: <what> go on after a cancellation that nobody asked for
+    Changes that operators make aren't folded any more on one daemon, or don't reach the log, and it
+    doesn't end: of the tasks that together follow the log one ended as something it awaited was
+    closed. The others go on, and a group of tasks passes over those of its tasks that were cancelled.
+    Given a supervisor with <log> on a platform of which one <call> is cancelled
+    When some time goes by, in which a change is written to the state's log
+    Then the platform was called again after the call that was cancelled
+    And the supervisor counts 1 restarts and 1 lines of its failures
+
+    Examples:
+      | what                  | log                | call   |
+      | reads of the state    | the state's log    | read   |
+      | appends to the state  | the state's log    | append |
+      | reads of claimed keys | the claims of keys | read   |
--- a/mustardgap/claim_logs.py
+++ b/mustardgap/claim_logs.py
@@ -7,7 +7,7 @@
 import msgspec
 from absl import logging
 
-from . import metrics
+from . import cancellations, metrics
 from .appends import Budget
 from .claims import ClaimRecord, KeyRecord, Ledger
 from .exceptions import AnswerLost, LogExpired, PlatformError
@@ -84,9 +84,10 @@
 
     async def run(self) -> None:
         """Read and append until cancelled; appends on their way end by themselves."""
+        # A group passes over a task that ends by a cancellation; the others would go on alone.
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._read_on())
-            group.create_task(self._append_on())
+            for part in (self._read_on, self._append_on):
+                group.create_task(cancellations.run_part(part))
 
     def put(self, record: KeyRecord) -> None:
         """Append a record soon; ends of claims are tried again until they stand on the log."""
--- a/mustardgap/streams.py
+++ b/mustardgap/streams.py
@@ -11,7 +11,7 @@
 import msgspec
 from absl import logging
 
-from . import folds, metrics, records, snapshots, status_codes
+from . import cancellations, folds, metrics, records, snapshots, status_codes
 from .adapters import Platform
 from .appends import Appender, Purpose
 from .checkpoints import Checkpoints
@@ -102,10 +102,10 @@
 
     async def run(self) -> None:
         """Read, fold and append until cancelled."""
+        # A group passes over a task that ends by a cancellation; the others would go on alone.
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._read_on())
-            group.create_task(self.appender.run())
-            group.create_task(self.checkpoints.run())
+            for part in (self._read_on, self.appender.run, self.checkpoints.run):
+                group.create_task(cancellations.run_part(part))
 
     async def write(
         self,
