Let a daemon leave that waits for the store to join the owners anew

Callers would lose their connections: a daemon that is told to stop while the store doesn't answer it isn't done leaving when its grace is over, and is killed. Cause: a daemon whose part failed (or that stands by again, or was told so by the store) leaves the group and joins anew. It repeats that call until the store answers, and holds the lock under which shards are dealt; ShardOwners.leave waits for the lock. Ruled out: the wait for the last records (hand_over), which is bounded by 0.3 s a shard. Why the mend holds: leaving is noted before the lock is asked for, so the repeats end after one call's time; leave() itself then makes one call, and goes on without an answer as before.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -374,3 +374,18 @@
       | orders  | is cancelled | s1 and s2 | machine.order_failed |
       | rounds  | is cancelled | m1 and s1 | shard.failed         |
       | rounds  | fails        | m1 and s1 | shard.failed         |
+
+  Scenario Outline: A daemon that <begins> can be stopped while it is cut off from the store
+    The platform's daemon is told to stop, and is killed when its grace is over: callers that are still
+    sent to it lose their connections. It was about to join the owners anew, waited for the store without
+    a bound, and leaving waited for that.
+
+    Given owners on a fake platform
+    When a daemon that <begins> is cut off from the store and told to stop
+    Then it has left
+    And no promise was broken
+
+    Examples:
+      | begins                |
+      | has just been started |
+      | begins afresh         |
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -229,3 +229,35 @@
     words = ("StrayCancellation", "ValueError")
     told = [line for line in context.lines if line["event"] == event]
     assert any(word in line["why"] for line in told for word in words), told
+
+
+@when("a daemon that {begins} is cut off from the store and told to stop")
+def cut_off_and_stopped(context, begins):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        name = world.owner()
+        if begins == "has just been started":
+            world.kill(name)
+            world.store.cut_hosts.add(name)
+            world.start(name)
+        else:
+            owned = world.daemon(name).owners.owned_by_shard
+            count = len(owned)
+            world.dispatcher().step_down()
+            while len(owned) == count:
+                await asyncio.sleep(0.0005)
+            world.store.cut_hosts.add(name)
+        await asyncio.sleep(2)
+        try:
+            await asyncio.wait_for(world.stop(name), 60)
+        except TimeoutError:
+            context.left = False
+        else:
+            context.left = True
+
+    context.world = play(scene, **context.options)
+
+
+@then("it has left")
+def has_left(context):
+    assert context.left, "it waited for the store for 60 s"
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -147,7 +147,8 @@
         That process is dead, as a host runs one at a time. Until its membership lapsed, its shards
         would be served by nobody, and with its name this process would get its epoch again.
         """
-        while True:
+        # A daemon that is told to leave waits for this, and must not wait for a store that is away.
+        while not self._leaving:
             outcome = await self._store.leave(member=self.member)
             if isinstance(outcome, Done):
                 return
