Give shards up before the group is left when the part that renews is run again

Callers would be told by two daemons how many jobs wait, and machines be ordered about by two, each sure to own the shard, for up to the 1.8 s that a membership lasts. Cause: ShardOwners.run begins by leaving the group, as its host's earlier process may have died. Run again by the supervisor after it failed, it left the group while it still served its shards, and the store dealt them to others. Ruled out: that two could store: appends and orders carry the epoch. What only settled() guards (counts, the fleet's rounds) had no other safeguard. Why the mend holds: what is owned is handed over first, as before any other new beginning; at a start nothing is owned. The part can fail: StoreClient.join raises on an answer without "parts". Red before: the scenario (e3 sure of shards 2 and 3 that the store had dealt to another). Green after, with both rows of stopping a daemon that is cut off from the store.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -375,6 +375,17 @@
       | rounds  | is cancelled | m1 and s1 | shard.failed         |
       | rounds  | fails        | m1 and s1 | shard.failed         |
 
+  Scenario: A daemon whose renewals begin anew gives its shards up before it joins
+    Two daemons would tell callers how many jobs wait, and order machines, each sure to own the shard. The
+    part that renews the membership has failed and is run again; it begins by leaving the group, and the
+    store deals its shards to others while this daemon still serves them.
+
+    Given owners on a fake platform
+    When 6 jobs are handed in, and an owner's part that renews is run again
+    Then all jobs have ended as completed
+    And no promise was broken
+    And no daemon was sure of a shard that the store had dealt to another
+
   Scenario Outline: A daemon that <begins> can be stopped while it is cut off from the store
     The platform's daemon is told to stop, and is killed when its grace is over: callers that are still
     sent to it lose their connections. It was about to join the owners anew, waited for the store without
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -231,6 +231,41 @@
     assert any(word in line["why"] for line in told for word in words), told
 
 
+def _sure_of_others_shards(world):
+    """Shards of which a daemon is sure although the store has dealt them to another."""
+    return {
+        (daemon.name, shard)
+        for daemon in world.daemons_by_address.values()
+        for shard, owned in daemon.owners.owned_by_shard.items()
+        if not owned.ended.is_set()
+        and daemon.owners.settled()
+        and world.store.holders_by_shard.get(shard, daemon.owners.member) != daemon.owners.member
+    }
+
+
+@when("{count:d} jobs are handed in, and an owner's part that renews is run again")
+def renewals_again(context, count):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        work = asyncio.ensure_future(hand_in(world, context.states, count))
+        await asyncio.sleep(0.5)
+        daemon = world.daemon(world.owner())
+        daemon.tasks.pop().cancel()
+        daemon.tasks.append(asyncio.ensure_future(daemon.owners.run()))
+        context.sure = set()
+        for _ in range(2000):
+            await asyncio.sleep(0.005)
+            context.sure |= _sure_of_others_shards(world)
+        await work
+
+    context.world = play(scene, **context.options)
+
+
+@then("no daemon was sure of a shard that the store had dealt to another")
+def nobody_sure(context):
+    assert not context.sure, context.sure
+
+
 @when("a daemon that {begins} is cut off from the store and told to stop")
 def cut_off_and_stopped(context, begins):
     async def scene(world):
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -99,7 +99,11 @@
 
     async def run(self) -> None:
         """Renew the membership until cancelled."""
-        await self._end_earlier_life()
+        # It owns something if it is run again after it failed. Leaving lets others have the shards
+        # at once, while this daemon would be sure of them for as long as a membership lasts.
+        async with self._dealing:
+            if not self._leaving:
+                await self._start_afresh()
         while not self._leaving:
             if self._standby is not None and not await self._is_wanted(self._standby):
                 await self._clock.sleep(LOOK_S)
