Tell of an actor's step that ended by a cancellation nobody asked for

Operators would see a host's maintenance or a job's start come later, and no line that tells why. Cause: Actors._run tells of errors only; a step under which something is cancelled ended without a line. Ruled out: that the step is lost. It leaves the list of those under way whatever ends it, and is decided anew in the next turn (the host was maintained before the change, too). The gathers of PlanActor, Registrar and Placer run within such steps. Why the mend holds: run_part turns it into an error with a line; a step that _drop cancels passes as before.

--- a/features/actors.feature
+++ b/features/actors.feature
@@ -29,6 +29,15 @@
       | power lost while rebooting           |
       | owner sees no change of the platform |
 
+  Scenario: A step under which something is cancelled is taken again, and a line tells of it
+    The operator sees a host's maintenance take longer, and wants to know why. What a step awaited was
+    closed by another part; the step is decided anew, but nothing told that it had ended.
+
+    Given actors of two daemons on a fake platform
+    When actors maintain r1-w1 and what one step of each daemon awaits is cancelled
+    Then actors have rebooted r1-w1 once, empty, and it is in service again
+    And actors have left a line for each step that was cancelled
+
   Scenario: An undrain of an earlier epoch arrives when the host is being rebooted
     The request that runs on the host would be cut off. A drain is taken back and wanted again, and
     the undrain in between was held up on its way; the worker was empty all the time, so nothing
--- a/features/steps/actors_steps.py
+++ b/features/steps/actors_steps.py
@@ -3,12 +3,15 @@
 import asyncio
 import signal
 import time
+from unittest import mock
 
+from absl import logging
 from behave import given, then, when
 from hypothesis.stateful import run_state_machine_as_test
 
 from features.support.actor_machine import SETTINGS, ActorMachine
 from features.support.actor_steps import HOST, call, owner, until, write_host
+from features.support.cancelled_parts import EndedOnce
 from tools.actor_worlds import WORKERS, World, declare
 from tools.clusters import Cluster
 
@@ -103,6 +106,28 @@
     asyncio.run(run())
 
 
+@when("actors maintain r1-w1 and what one step of each daemon awaits is cancelled")
+def step_cancelled(context):
+    world = context.world
+
+    async def run():
+        start_wave(world)
+        for daemon in world.daemons_by_name.values():
+            daemon.log.link = EndedOnce(daemon.link, "run", only=lambda name, *_: name == "append")
+        await until(world, lambda: is_maintained(world))
+
+    with mock.patch.object(logging, "exception") as lines:
+        asyncio.run(run())
+    context.lines = lines.call_args_list
+    context.cancelled = sum(d.log.link.count for d in world.daemons_by_name.values())
+
+
+@then("actors have left a line for each step that was cancelled")
+def step_lines(context):
+    assert context.cancelled, "nothing was cancelled"
+    assert len(context.lines) == context.cancelled, (context.lines, context.cancelled)
+
+
 @when("actors drain r1-w1, undrain it with a late call, and maintain it")
 def step_late_undrain(context):
     world, platform = context.world, context.world.platform
--- a/mustardgap/actors.py
+++ b/mustardgap/actors.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from . import cancellations
 from .duties import Duties
 from .host_actors import HostActor
 from .job_actors import JobActor
@@ -165,7 +166,7 @@
     async def _run(self, key: str, action: Callable[[], Awaitable[None]]) -> None:
         try:
             async with self._slots:
-                await action()
+                await cancellations.run_part(action)
         except Exception:
             logging.exception("step of %s failed", key)
         finally:
