--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -7,6 +7,7 @@
 import grpc
 import msgspec
 
+from . import cancellations
 from .events import EventLog
 
 SERVICE = "mustardgap.Owners"
@@ -43,15 +44,6 @@
         self.sent = sent
 
 
-def is_being_cancelled() -> bool:
-    """Whether the current task itself was told to end.
-
-    If not, a ``CancelledError`` belongs to something that the task waits for.
-    """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 class PeerServer:
     """Answers calls of other daemons.
 
@@ -92,7 +84,7 @@
         try:
             return msgspec.msgpack.encode(await handler(values))
         except asyncio.CancelledError as exc:
-            if is_being_cancelled():
+            if cancellations.is_own():
                 # The caller has given the call up, or this daemon ends.
                 raise
             self._note(name, "cancelled", exc)
@@ -150,7 +142,7 @@
         except asyncio.CancelledError:
             # The channel was closed under the call. That isn't the end of this task: whoever waits
             # for it may put the call again.
-            if is_being_cancelled():
+            if cancellations.is_own():
                 raise
             raise PeerUnreachable(sent=True, detail="the connection was given up") from None
         link.heard_at = asyncio.get_running_loop().time()
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -28,7 +28,7 @@
 # In whole milliseconds; a number of more digits, 28 hours and more, is no time to wait.
 WAIT_HEADER = "X-Mustardgap-Request-Deadline"
 MAX_WAIT_DIGITS = 8
-# Turns of the event loop from a request's last byte to its handling; three were counted.
+# Turns of the event loop that a request may take from its last byte to its handling, usually three.
 READ_TURNS = 20
 
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
