Keep a leaving executor's port open however long the test process is held up

Cause, in the test: the stand-in x1 drains and closes its port after 0.5 s without a request (drain_quiet_s). Test, entry host and executors are one process. Held up for that long before x1 is asked for the first time, it finds the drain over when it runs on: x1 refuses connections, is ejected as unreachable, and there is no answer that could tell of its leaving. The product is right: an executor that is gone is not one that leaves. With the hold-up the entry host also gave up silent tries after 0.3 s and sent them elsewhere, so more could reach x1 than the 12 that are under way at once.

Ruled out: an early time-out alone (hold-ups of 0.4 s, above the silent time-out of 0.3 s, never fail), and an ejection by the pause itself (x1's time-outs are skipped as the host's own, its refused connections are not).

Change: x1 drains for as long as the test takes, and what is late is waited for. Each assertion stays, the count of at most 12 now holds whatever the pause. Rig takes settings of the stand-ins for it.

--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -239,8 +239,15 @@
 
 @when("executors hear from {source} that one leaves")
 def hear_leaving(context, source):
+    # One that leaves closes its port after a time without requests, and is then found unreachable
+    # instead of leaving. A test process that is held up lets that time pass before it has asked.
+    open_on = {"drain_quiet_s": 600.0, "drain_grace_s": 600.0}
+    # A connection or answer that is late by the test's own pause is waited for: at most the 12
+    # requests that are under way at once reach it before the first answer tells of its leaving.
+    waits = {"silent_timeout_s": 15.0, "connect_timeout_s": 15.0}
+
     async def main():
-        async with Six() as r:
+        async with Six(executors=open_on, requests=waits) as r:
             executors = r.entry.executors
             views = lambda: [v.executor for v in executors.candidates("quotes")]  # noqa: E731
             heard = []
--- a/features/support/rigs.py
+++ b/features/support/rigs.py
@@ -16,15 +16,21 @@
 
 
 class Rig:
-    """Two executors, x1 first, behind one entry host, all in this process."""
+    """Two executors, x1 first, behind one entry host, all in this process.
 
-    def __init__(self, names=("x1", "x2"), **options):
+    :param names: the executors' ids.
+    :param executors: the stand-ins' settings.
+    :param options: the entry host's.
+    """
+
+    def __init__(self, names=("x1", "x2"), *, executors=None, **options):
         self.names = names
+        self.executors = executors or {}
         self.options = options
         self.count = 0
 
     async def __aenter__(self):
-        self.upstreams = Executors(settings=ExecutorsSettings())
+        self.upstreams = Executors(settings=ExecutorsSettings(**self.executors))
         rows = []
         for name in self.names:
             executor = self.upstreams.start(f"w-{name}", "quotes", name=name)
