Freeze the fuzz's entry host when all its reads are at the executor

Cause, in the test: it gave thirty reads 0.1 s to reach x1 and froze then. Where sending them takes longer than that, some are sent after the freeze. These took 0.2 to 0.8 s by themselves, as x1 ran them for 0.2 s each on 8 slots, and no pause lies within their time: beside x2's milliseconds x1 is rightly slow.

Ruled out: a pause that isn't told from the executor's silence.

Change: x1 answers nothing until all thirty are in its hands, then the process is frozen; the wait is bounded by a minute. The reads have no run time of their own, and a read after the next period of the checks has the outliers looked at with all thirty counted. That each read is answered is asserted too.

--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -9,6 +9,7 @@
 
 from features.support.entries import FirstSlots
 from features.support.rigs import Rig
+from mustardgap import outliers
 from standins import answers
 from tools import fuzz, fuzz_checks, fuzz_fleet, fuzz_schedules
 from tools.fuzz_operators import Attempt
@@ -204,16 +205,29 @@
     "the fuzz freezes an entry host for {seconds:g} s with {count:d} reads at one of two executors"
 )
 def freeze_entry(context, seconds, count):
+    waits = {"silent_timeout_s": 10.0, "connect_timeout_s": 10.0}
+
     async def main():
-        async with Rig(slots=_PickedSlots, requests={"silent_timeout_s": 10.0}) as r:
+        async with Rig(slots=_PickedSlots, requests=waits) as r:
             for _ in range(count):
                 await r.ask("idempotent")
             r.entry.slots.pick = "x1"
-            asks = [r.ask("idempotent", query="run_s=0.2") for _ in range(count)]
-            reads = asyncio.gather(*asks)
-            await asyncio.sleep(0.1)
+            x1 = r.upstreams.by_name["x1"]
+            # x1 answers none before the freeze, and each is there by then: a read that is sent
+            # after it isn't concerned by the pause, and x1 would rightly be judged by it.
+            x1.pause()
+            reads = asyncio.gather(*(r.ask("idempotent") for _ in range(count)))
+            async with asyncio.timeout(60):
+                while x1.show()["in_hand"] < count:
+                    await asyncio.sleep(0.001)
+            x1.resume()
             time.sleep(seconds)  # noqa: ASYNC251
-            await reads
+            told = await reads
+            assert all(one.code == 1000 for one in told), [one.code for one in told]
+            # The answers come together, within one period of the checks: the next check sees all.
+            r.entry.slots.pick = "x2"
+            await asyncio.sleep(2 * outliers.CHECK_S)
+            await r.ask("idempotent")
             patients = r.entry.executors.outliers.by_executor
             context.states = {name: patient.state for name, patient in patients.items()}
 
