Judge an executor's times only when enough of its tries have one

Seen: in a trace of a frozen entry host, x1 with 29 tries had a mean of 0.811 s that came from three of them; the others were counted without their time, as the host had been held up. One more answer and a check would have ejected it.

Cause, in the product: a judgement needs 10 tries of an executor and 3 of each peer, but its mean was taken over those alone that have a time. After a hold-up that may be one slow read; and peers without any time had a mean of 0, beside which every executor above 50 ms is slow.

Change: times are judged when 10 tries of the executor have one, against the peers of which 3 have one. Without hold-ups every try has its time, and nothing changes. The judgement by failures is a function of its own now.

Red before: executors.feature, "at one of six and", three of six rows (one slow read among timeless ones; peers without times; peers with two). Green after: all six, also the three that must eject. Whole features: executors 57 passed, requests 78 passed, 0 failed; "was frozen" 3 passed.

Ruled out: that slow executors are found later where the host is held up often.

--- a/features/executors.feature
+++ b/features/executors.feature
@@ -44,6 +44,23 @@
       | 0.5  | 0.4  | is answered   | counted timeless |
       | 3.0  | 2.5  | is answered   | counted timeless |
 
+  Scenario Outline: tries of <here> at one of six and <elsewhere> elsewhere have it <seen>
+    After the host was held up many tries count without their time. The few times that are left, or
+    none at all elsewhere, were taken for all of them: an executor was ejected for one slow read, or
+    for usual times beside a mean of nothing.
+
+    When executors have tries of <here> at one of six and <elsewhere> elsewhere
+    Then executors have that one <seen>
+
+    Examples:
+      | here                   | elsewhere                 | seen    |
+      | 20 x 0.2 s             | 20 x 0.01 s               | ejected |
+      | 19 x no time, 1 x 2 s  | 20 x 0.01 s               | well    |
+      | 10 x no time, 10 x 2 s | 20 x 0.01 s               | ejected |
+      | 20 x 0.06 s            | 20 x no time              | well    |
+      | 20 x 0.06 s            | 18 x no time, 2 x 0.001 s | well    |
+      | 20 x 0.06 s            | 17 x no time, 3 x 0.001 s | ejected |
+
   Scenario Outline: an executor that fails <failed> of <tries> tries is <seen>
     A caller gets an error, or waits for a retry, each time that a sick executor fails. One that
     fails a sixth of its requests looks like bad luck after a few; after many it is certain, and it
--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -321,6 +321,25 @@
     outliers.note("x2", OK, 0.01)
 
 
+def times(text):
+    """The times that a text such as ``19 x no time, 1 x 2 s`` names, None where there is none."""
+    found = []
+    for part in text.split(", "):
+        count, _, took = part.partition(" x ")
+        found += [None if took == "no time" else float(took.removesuffix(" s"))] * int(count)
+    return found
+
+
+@when("executors have tries of {here} at one of six and {elsewhere} elsewhere")
+def timed_tries(context, here, elsewhere):
+    context.outliers = outliers = watch()
+    for name in SIX:
+        for took_s in times(here if name == "x1" else elsewhere):
+            outliers.note(name, OK, took_s)
+    outliers.clock.now += 1.0
+    outliers.note("x2", OK, times(elsewhere)[0])
+
+
 PEERS = {
     "failed twice each": [Sign(True)] * 2,
     "answered twice each": [OK] * 2,
--- a/mustardgap/healths.py
+++ b/mustardgap/healths.py
@@ -76,13 +76,16 @@
 
 
 class Health:
-    """The recent tries at one executor; old ones fade with a half-life of some seconds."""
+    """The recent tries at one executor; old ones fade with a half-life of some seconds.
+
+    ``tries`` is how many there are, ``timed`` of how many it is known how long they took.
+    """
 
     def __init__(self) -> None:
         self.failures_in_row = 0
         self.tries = 0.0
+        self.timed = 0.0
         self._failures = 0.0
-        self._timed = 0.0
         self._took_s = 0.0
         self._faded = 0.0
 
@@ -96,7 +99,7 @@
         self._fade(now)
         self.tries += 1.0
         if took_s is not None:
-            self._timed += 1.0
+            self.timed += 1.0
             self._took_s += took_s
         if sign.failed:
             self._failures += 1.0
@@ -125,17 +128,17 @@
     @property
     def mean_s(self) -> float:
         """Seconds that a try took on average."""
-        return self._took_s / self._timed if self._timed else 0.0
+        return self._took_s / self.timed if self.timed else 0.0
 
     def clear(self) -> None:
         """Forget all tries."""
         self.failures_in_row = 0
-        self.tries = self._failures = self._timed = self._took_s = 0.0
+        self.tries = self._failures = self.timed = self._took_s = 0.0
 
     def _fade(self, now: float) -> None:
         factor = 0.5 ** ((now - self._faded) / HALF_LIFE_S) if self._faded else 1.0
         self._faded = now
         self.tries *= factor
         self._failures *= factor
-        self._timed *= factor
+        self.timed *= factor
         self._took_s *= factor
--- a/mustardgap/outliers.py
+++ b/mustardgap/outliers.py
@@ -4,7 +4,7 @@
 share; below the floor a sick executor only gets the smallest share of the work.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from statistics import median
 from typing import Literal
 
@@ -285,20 +285,34 @@
     return patient.health.failure_ratio, patient.health.mean_s
 
 
-def _stands_out(health: Health, peers: Iterable[Health]) -> str:
+def _stands_out(health: Health, peers: Collection[Health]) -> str:
     """Why an executor stands out from its peers, "" when it doesn't.
 
     Measured against the median of the others: what troubles all of them alike, such as bad requests
     or a slow store behind them, is no reason to go to fewer of them.
     """
-    ratios, means = zip(*((p.failure_ratio, p.mean_s) for p in peers), strict=True)
-    ratio, mean_s = median(ratios), median(means)
+    return _fails_more(health, peers) or _is_slower(health, peers)
+
+
+def _fails_more(health: Health, peers: Iterable[Health]) -> str:
+    ratio = median(p.failure_ratio for p in peers)
     usual = ratio * TIMES_MEDIAN + FAILURE_MARGIN
     # A lower share counts too once it is certain. By a fixed share alone an executor that fails 19
     # of 100 stays for good, and one that fails 3 of 10 goes or stays by the moment of the check.
     is_certain = health.surest_failure_ratio > usual
     if is_certain or health.failure_ratio > max(FAILURE_RATIO, usual):
         return f"{health.failure_ratio:.0%} of tries fail, {ratio:.0%} elsewhere"
+    return ""
+
+
+def _is_slower(health: Health, peers: Iterable[Health]) -> str:
+    # After this host was held up many tries count without their time. Judged by the few times that
+    # are left, or beside peers that have none, an executor was ejected for one slow read, or for
+    # its usual times. As many times as tries are needed for a judgement show more than chance.
+    means = [p.mean_s for p in peers if p.timed >= MIN_PEER_TRIES]
+    if health.timed < MIN_TRIES or not means:
+        return ""
+    mean_s = median(means)
     if health.mean_s > max(mean_s * TIMES_MEDIAN, mean_s + SLOW_MARGIN_S):
         return f"tries take {health.mean_s:.3f} s, {mean_s:.3f} s elsewhere"
     return ""
