Draw cases in ten step files with one profile

Change: features/support/drawing.py makes the profile; the number of cases and further settings stay with each step, unchanged. owners_steps.py, which others are changing, and entries_steps.py, which draws without a fixed seed, are left.

--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -13,12 +13,11 @@
 
 import json5
 from behave import given, then, when
-from hypothesis import HealthCheck
 from hypothesis import given as given_any
-from hypothesis import settings as bounds
 from hypothesis import strategies as st
 
 from features.support.command_line import run_command
+from features.support.drawing import bounded
 from features.support.operators import Entries
 from mustardgap import commands, status_codes
 from mustardgap.clients import Client
@@ -26,13 +25,7 @@
 from tools.processes import ROOT, free_ports
 
 EXAMPLES = 2000 if os.environ.get("MUSTARDGAP_LONG") else 120
-BOUNDED = bounds(
-    max_examples=EXAMPLES,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
+BOUNDED = bounded(EXAMPLES)
 TOWN = """{
   profiles: {
     calm: {  // may wait
--- a/features/steps/declarations_steps.py
+++ b/features/steps/declarations_steps.py
@@ -6,11 +6,10 @@
 
 import json5
 from behave import given, then, when
-from hypothesis import HealthCheck
 from hypothesis import given as given_any
-from hypothesis import settings as bounds
 from hypothesis import strategies as st
 
+from features.support.drawing import bounded
 from mustardgap import declarations, folds, status_codes
 from mustardgap.exceptions import SettingsError
 from mustardgap.models import LogRecord
@@ -19,13 +18,7 @@
 from tools.fleets import Ledger
 from tools.processes import ROOT
 
-BOUNDED = bounds(
-    max_examples=5000 if os.environ.get("MUSTARDGAP_LONG") else 300,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
+BOUNDED = bounded(5000 if os.environ.get("MUSTARDGAP_LONG") else 300)
 MAPS = ["profiles", "services", "pools", "teams", "policies"]
 KEYS = ["id", "writer", "rules", "seen", "kind", "time", "body", "changes", "key", "base", "value"]
 KEYS += ["host", "phase", "pool", "reason", "job", "step", "wave", "hosts", "room", "max_hosts"]
--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -5,11 +5,10 @@
 from collections import Counter
 
 from behave import then, when
-from hypothesis import HealthCheck
 from hypothesis import given as drawn
-from hypothesis import settings as profile
 from hypothesis import strategies as st
 
+from features.support.drawing import bounded
 from features.support.entries import SpreadSlots, make_state, make_workers
 from features.support.rigs import Rig
 from mustardgap.executors import Executors
@@ -405,13 +404,7 @@
         max_size=120,
     )  # fmt: skip
 
-    @profile(
-        max_examples=3000 if LONG else 150,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @bounded(3000 if LONG else 150)
     @drawn(steps, st.integers(0, 6))
     def example(drawn_steps, floor):
         outliers = watch(floor)
--- a/features/steps/folds_steps.py
+++ b/features/steps/folds_steps.py
@@ -6,9 +6,10 @@
 from unittest import mock
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import Phase
 from hypothesis.stateful import run_state_machine_as_test
 
+from features.support.drawing import bounded
 from features.support.fold_machine import FoldMachine
 from mustardgap import (
     config_rules,
@@ -81,14 +82,10 @@
     with mock.patch.object(states, "REMEMBERED_IDS", states.REMEMBERED_IDS):
         run_state_machine_as_test(
             FoldMachine,
-            settings=settings(
-                max_examples=examples,
+            settings=bounded(
+                examples,
                 stateful_step_count=steps,
-                derandomize=True,
-                database=None,
-                deadline=None,
                 phases=[Phase.generate],
-                suppress_health_check=list(HealthCheck),
                 print_blob=False,
                 report_multiple_bugs=False,
             ),
--- a/features/steps/key_claims_steps.py
+++ b/features/steps/key_claims_steps.py
@@ -9,12 +9,11 @@
 
 import msgspec
 from behave import then, when
-from hypothesis import HealthCheck
 from hypothesis import given as drawn
-from hypothesis import settings as profile
 from hypothesis import strategies as st
 from tornado.httputil import HTTPHeaders
 
+from features.support.drawing import bounded
 from mustardgap import claim_logs, status_codes
 from mustardgap.claims import Ledger
 from mustardgap.exceptions import AnswerLost, PlatformError
@@ -140,13 +139,7 @@
             assert log.claims_held() <= won, (drawn_fates, drawn_steps)
         assert max(executed.values(), default=0) <= 1, (executed, drawn_fates, drawn_steps)
 
-    @profile(
-        max_examples=5000 if LONG else 200,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @bounded(5000 if LONG else 200)
     @drawn(fates, steps)
     def example(drawn_fates, drawn_steps):
         runner.run(one(drawn_fates, drawn_steps))
--- a/features/steps/operator_inputs_steps.py
+++ b/features/steps/operator_inputs_steps.py
@@ -7,22 +7,15 @@
 
 import psutil
 from behave import given, then, when
-from hypothesis import HealthCheck
 from hypothesis import given as given_any
-from hypothesis import settings as bounds
 from hypothesis import strategies as st
 
+from features.support.drawing import bounded
 from features.support.operators import Entries
 from mustardgap import operators, status_codes
 
 EXAMPLES = 3000 if os.environ.get("MUSTARDGAP_LONG") else 200
-BOUNDED = bounds(
-    max_examples=EXAMPLES,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
+BOUNDED = bounded(EXAMPLES)
 WAIT_S = 30.0
 MOST_MB = 20
 TEAM = {"max_cores": 1, "max_memory_gb": 1, "max_jobs": 1}
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -10,10 +10,10 @@
 import msgspec
 import trustme
 from behave import given, then, when
-from hypothesis import HealthCheck, settings
 from hypothesis import given as given_any
 from hypothesis import strategies as st
 
+from features.support.drawing import bounded
 from features.support.operators import Entries
 from features.support.tls import LeavingServer, write_keys
 from mustardgap import calls, status_codes
@@ -21,13 +21,7 @@
 from mustardgap.exceptions import MustardgapError
 from mustardgap.outcomes import Accepted
 
-BOUNDED = settings(
-    max_examples=5,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
+BOUNDED = bounded(5)
 SPEC = {
     "team": "ledger",
     "urgency": 3,
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -5,11 +5,10 @@
 import time
 
 from behave import given, then, when
-from hypothesis import HealthCheck
 from hypothesis import given as drawn
-from hypothesis import settings as profile
 from hypothesis import strategies as st
 
+from features.support.drawing import bounded
 from features.support.rigs import METHODS, Rig, read_answer
 
 LONG = os.environ.get("MUSTARDGAP_LONG") == "1"
@@ -61,13 +60,7 @@
     faults += ["refusing", "wrong_id", "doubled", "short", "late", "failing"]
     context.seen = set()
 
-    @profile(
-        max_examples=4000 if LONG else 150,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @bounded(4000 if LONG else 150)
     @drawn(
         st.sampled_from(faults),
         st.sampled_from(["idempotent", "non-idempotent"]),
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -4,23 +4,16 @@
 
 import json5
 from behave import given, then
-from hypothesis import HealthCheck
 from hypothesis import given as given_any
-from hypothesis import settings as bounds
 from hypothesis import strategies as st
 
 from features.support.command_line import run_command
+from features.support.drawing import bounded
 from mustardgap import settings, status_codes
 from mustardgap.exceptions import SettingsError
 
 EXAMPLES = 2000 if os.environ.get("MUSTARDGAP_LONG") else 150
-BOUNDED = bounds(
-    max_examples=EXAMPLES,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
+BOUNDED = bounded(EXAMPLES)
 EXAMPLE = """// An entry host.
 {
   host: "entry-1",
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -7,24 +7,18 @@
 from collections import Counter
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase
-from hypothesis import settings as bounds
+from hypothesis import Phase
 from hypothesis.stateful import run_state_machine_as_test
 
+from features.support.drawing import bounded
 from mustardgap.exceptions import SlotRefused
 from tools.fake_fleet import FakeExecutors, FakeNetwork, Fleet
 from tools.slots_machine import SlotsMachine
 from tools.virtual_time import VirtualClock, run
 
 LONG = bool(os.environ.get("MUSTARDGAP_LONG"))
-BOUNDED = bounds(
-    max_examples=400 if LONG else 7,
-    stateful_step_count=25 if LONG else 10,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    phases=[Phase.generate],
-    suppress_health_check=list(HealthCheck),
+BOUNDED = bounded(
+    400 if LONG else 7, stateful_step_count=25 if LONG else 10, phases=[Phase.generate]
 )
 HOLD_S = 0.2
 
