Answer a caller whose request's handling ends by an error or a cancellation

Callers saw their connection close or be reset without a byte, and couldn't tell whether the request may be sent again. A cancellation left no line and no counter. Cause: Exchange._run answers only what the session returns. An error that nobody expected, and the cancellation of something that is merely waited for, end the task that owes the answer; a TimeoutError from the session was taken for a caller that takes no more. After a part of a large answer a cancellation closed in order, which an HTTP/1.0 caller takes for its end. Mend: one place (Exchange._make_up_for) turns any such end into the answer that is owed: MG1114 (not run) while no byte has gone to an executor, MG1107 while a key's claim is open, MG1206 (may have run) otherwise; a reset if a part has gone out; nothing if the caller has hung up. Why it holds: all of a request's handling runs under that one place, and what may have run follows from Session._sent, which is set before the first byte, and from the outcome if there was one. `answered` is set only after the head was written, so an answer that can't be written still leaves room for another. The key's end on the log follows from the same rule. Ruled out: reusing MG1102 and MG1200 (no deadline has passed, no executor has broken a connection); answering in Session.run (own pages have no session, and a fault in rendering comes after it).

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -183,3 +183,40 @@
       | kind           |
       | idempotent     |
       | non-idempotent |
+
+  Scenario Outline: a <kind> request whose handling <ends> while it <state> is answered
+    The caller has sent its whole request and waits. A fault of the entry host, or the cancellation of
+    something that several requests wait for, ends the task that owes the answer. The caller saw its
+    connection close without a byte, and couldn't tell whether it may send the request again. It is told
+    that nothing was run only if no executor was given the request.
+
+    When requests of kind <kind> have their handling end as it <ends> while the request <state>
+    Then requests are told <code> after <count> runs
+    And requests without an outcome are counted as <how> once, with a line that names each
+
+    Examples:
+      | kind           | ends               | state            | code | count | how       |
+      | idempotent     | fails              | waits for a slot | 1114 | 0     | failed    |
+      | idempotent     | fails by a timeout | waits for a slot | 1114 | 0     | failed    |
+      | idempotent     | is cancelled       | waits for a slot | 1114 | 0     | cancelled |
+      | non-idempotent | fails              | waits for a slot | 1114 | 0     | failed    |
+      | non-idempotent | is cancelled       | waits for a slot | 1114 | 0     | cancelled |
+      | keyed          | fails              | claims its key   | 1107 | 0     | failed    |
+      | keyed          | is cancelled       | claims its key   | 1107 | 0     | cancelled |
+      | idempotent     | fails              | has run          | 1206 | 1     | failed    |
+      | idempotent     | is cancelled       | has run          | 1206 | 1     | cancelled |
+      | non-idempotent | fails              | has run          | 1206 | 1     | failed    |
+      | non-idempotent | fails by a timeout | has run          | 1206 | 1     | failed    |
+      | non-idempotent | is cancelled       | has run          | 1206 | 1     | cancelled |
+
+  Scenario Outline: a large answer whose handling <ends> after a part of it is never taken for whole
+    Part of the answer has gone out, so no other answer can follow. A caller that reads until the
+    connection closes would take an orderly close for the end of the answer; a reset it can't.
+
+    When requests' handling <ends> after a part of a large answer
+    Then requests' answer ended reset
+
+    Examples:
+      | ends         |
+      | fails        |
+      | is cancelled |
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -12,11 +12,13 @@
 from tornado import httputil, iostream
 from tornado.http1connection import HTTP1Connection
 
-from . import metrics, problems, status_codes
-from .outcomes import BrokenOff, NotRun, Outcome, Streamed
+from . import metrics, problems, status_codes, unanswered
+from .outcomes import BrokenOff, NotRun, Outcome, Streamed, Unknown
 from .problems import Answer
 from .sessions import Session, Sessions
 from .settings import Settings
+from .status_codes import Code
+from .timelines import Timeline
 from .upstreams import Request
 
 READY_PATH = "/-/ready"
@@ -30,6 +32,7 @@
 
     settings: Settings
     sessions: Sessions
+    timeline: Timeline
     draining: bool
     held_bytes: int
 
@@ -157,17 +160,42 @@
     async def _run(self) -> None:
         self._connection.set_close_callback(self._hang_up)
         try:
-            if self._line.path.startswith(OWN_PATHS):
-                await self._send(self._own_answer())
-            else:
-                await self._answer(await self._handle())
-        except asyncio.CancelledError:
-            self._connection.close()
-        except (iostream.StreamClosedError, TimeoutError):
+            await self._reply()
+        except (Exception, asyncio.CancelledError) as exc:
+            await self._make_up_for(exc)
+
+    async def _reply(self) -> None:
+        if self._line.path.startswith(OWN_PATHS):
+            await self._send(self._own_answer())
+        else:
+            await self._answer(await self._handle())
+
+    async def _make_up_for(self, exc: BaseException) -> None:
+        """Give the answer that is still owed when the handling has ended without one.
+
+        The cancellation of something that is only waited for, such as a call on a channel that was
+        closed, ends this task as an error does. The caller's connection would close without a byte,
+        and the caller couldn't tell whether its request may be sent again.
+        """
+        if self._connection.stream.closed():
+            # The caller has hung up, so there is nobody to answer.
             self._connection.close()
-        except Exception:
-            logging.exception("a request failed")
+            return
+        end = unanswered.end_of(exc)
+        self.host.timeline.add(
+            "request.unanswered", cause=end.cause, request=self.request_id, how=end.how
+        )
+        logging.error("no outcome of request %s (%s)", self.request_id, end.how, exc_info=exc)
+        if self.answered:
             self._reset()
+            return
+        outcome = self._given_up(status_codes.GIVEN_UP_BEFORE_RUN)
+        await self._send(problems.answer(outcome, request_id=self.request_id))
+
+    def _given_up(self, refusal: Code) -> NotRun | Unknown:
+        if self._session is None:
+            return NotRun(code=refusal)
+        return self._session.give_up(refusal)
 
     async def _handle(self) -> Outcome:
         request = Request(
@@ -202,9 +230,13 @@
             await self._send(problems.answer(outcome, request_id=self.request_id))
 
     async def _send(self, answer: Answer) -> None:
-        # A caller that takes no more of its answer would keep its connection and what it holds.
-        async with asyncio.timeout(self.host.settings.callers.idle_timeout_s):
-            await self._write(answer, close=self.host.draining)
+        try:
+            # A caller that takes no more of its answer would keep its connection and what it holds.
+            async with asyncio.timeout(self.host.settings.callers.idle_timeout_s):
+                await self._write(answer, close=self.host.draining)
+        except (iostream.StreamClosedError, TimeoutError):
+            self._connection.close()
+            return
         self._finish()
 
     def _finish(self) -> None:
@@ -224,7 +256,6 @@
     def _write_head(
         self, status: int, pairs: list[tuple[str, str]], body: bytes | None, *, close: bool
     ) -> "asyncio.Future[None]":
-        self.answered = True
         self._closing = close
         headers = httputil.HTTPHeaders()
         for name, value in pairs:
@@ -232,7 +263,10 @@
         if close:
             headers["Connection"] = "close"
         line = httputil.ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        return self._connection.write_headers(line, headers, body)
+        written = self._connection.write_headers(line, headers, body)
+        # Only now: nothing has gone out of an answer that can't be written, so another one may.
+        self.answered = True
+        return written
 
     async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begin to pass on an answer that is too large to be held."""
--- a/mustardgap/sessions.py
+++ b/mustardgap/sessions.py
@@ -14,6 +14,7 @@
 from .retries import RetryBudget
 from .routes import Route, Routes
 from .settings import Settings
+from .status_codes import Code
 from .timelines import Timeline
 from .timers import Clock
 from .tries import NotSent, TryResult
@@ -108,6 +109,9 @@
         self._unreached = 0
         self._idempotent = False
         self._sent = False
+        self._is_keyed = "Idempotency-Key" in request.headers
+        self._has_claim = False
+        self._has_outcome = False
         self._deadline = self.started
         self._task: asyncio.Task[Any] | None = None
         self._tried: set[str] = set()
@@ -121,6 +125,7 @@
         """
         self._task = asyncio.current_task()
         outcome = await self._run()
+        self._has_outcome = not isinstance(outcome, NotRun)
         self._note(outcome)
         return outcome
 
@@ -133,6 +138,24 @@
         if self._task is not None and (self._idempotent or not self._sent):
             self._task.cancel()
 
+    def give_up(self, refusal: Code) -> NotRun | Unknown:
+        """The outcome of this request when its handling has ended without one.
+
+        :param refusal: tells why, when no executor was given the request.
+        """
+        outcome = self._given_up(refusal)
+        self._note(outcome)
+        return outcome
+
+    def _given_up(self, refusal: Code) -> NotRun | Unknown:
+        if self._sent or self._has_outcome:
+            return Unknown(code=status_codes.UNKNOWN_GIVEN_UP)
+        if self._is_keyed and not self._has_claim:
+            # An earlier request with this key may have run: sent again without the key, as the
+            # refusal of a request that nothing is known of allows, it could run twice.
+            refusal = status_codes.KEY_UNDECIDED
+        return NotRun(code=refusal, retry_after=judgements.spread(judgements.COME_BACK_S))
+
     async def _run(self) -> Outcome:
         route = self.parts.routes.match(self.request.target)
         if route is None:
@@ -144,7 +167,7 @@
             return refusal
         metrics.active_requests.add(1, {"service": self.service})
         try:
-            if self._idempotent or "Idempotency-Key" not in self.request.headers:
+            if self._idempotent or not self._is_keyed:
                 return await self._try_all(route)
             return await self._run_once(route)
         finally:
@@ -181,16 +204,14 @@
         claim = await self.parts.keys.claim(self.service, self.request, deadline=self._deadline)
         if not isinstance(claim, Claim):
             return claim
-        # What is told of the key when this task ends without an outcome, by a cancel or a fault.
-        outcome: Outcome = NotRun(code=status_codes.DEADLINE_BEFORE_RUN)
+        self._has_claim = True
+        outcome: Outcome | None = None
         try:
             outcome = await self._try_all(route)
             return outcome
-        except BaseException:
-            if self._sent:
-                outcome = Unknown(code=status_codes.UNKNOWN_RESET)
-            raise
         finally:
+            # The key needs an end, also when this task has none, by a cancellation or a fault.
+            outcome = outcome or self._given_up(status_codes.GIVEN_UP_BEFORE_RUN)
             self.parts.keys.finish(claim, outcome)
 
     async def _try_all(self, route: Route) -> Outcome:
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -152,6 +152,14 @@
     "Not run: the service has used up its own budget",
     "Send again after the time in Retry-After.",
 )
+GIVEN_UP_BEFORE_RUN = _code(
+    1114,
+    "given_up_before_run",
+    503,
+    11,
+    "Not run: the entry host failed before it gave the request to an executor",
+    "Send again after the time in Retry-After.",
+)
 UNKNOWN_RESET = _code(
     1200,
     "unknown_reset",
@@ -200,6 +208,14 @@
     "May have run: an earlier request with this key reached an executor and its answer was lost",
     "Look the result up before sending again with a new key.",
 )
+UNKNOWN_GIVEN_UP = _code(
+    1206,
+    "unknown_given_up",
+    502,
+    12,
+    "May have run: the entry host failed or stopped while an executor had the request",
+    "Ask again with the same Idempotency-Key, or look the result up before sending again.",
+)
 
 # 2xxx: settings and start-up.
 SETTINGS_UNREADABLE = _code(
