Refuse a length or target that can't be read, and answer when looking at a head fails

Cause: Python makes no number of more than 4300 digits and urlsplit rejects some targets, both by ValueError; tornado closes the connection when a delegate raises while it takes the head. Mend: such a length is too large (MG1112), such a target malformed (MG1111); any other error in looking at a head is told as MG1114, with the same line and counter as an error in the handling. Nothing has been sent to an executor by then. Ruled out: a larger limit of digits (65536 bytes of head may hold more than any limit).

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -126,6 +126,9 @@
       | POST /quotes HTTP/1.1\r\nHost: a\r\nX-Request-Timeout: soon\r\nConnection: close\r\nContent-Length: 0\r\n\r\n | 400 | 1111 |
       | POST /quotes HTTP/1.1\r\nHost: a\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n | 400 | 1111 |
       | POST /quotes HTTP/1.1\r\nHost: a\r\nContent-Length: <big>\r\n\r\n                              | 413    | 1112 |
+      | POST /quotes HTTP/1.1\r\nHost: a\r\nContent-Length: <huge>\r\n\r\n                             | 413    | 1112 |
+      | GET http://[/quotes HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n                         | 400    | 1111 |
+      | GET http://[1:2]x/quotes HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n                     | 400    | 1111 |
 
   Scenario Outline: an entry host that freezes while it <waits> sends nothing that is over
     It is stopped for 30 s with a request of 5 s in hand. By then the caller has been told or has
@@ -196,6 +199,7 @@
 
     Examples:
       | kind           | ends               | state            | code | count | how       |
+      | idempotent     | fails              | is looked at     | 1114 | 0     | failed    |
       | idempotent     | fails              | waits for a slot | 1114 | 0     | failed    |
       | idempotent     | fails by a timeout | waits for a slot | 1114 | 0     | failed    |
       | idempotent     | is cancelled       | waits for a slot | 1114 | 0     | cancelled |
--- a/features/steps/requests_endings_steps.py
+++ b/features/steps/requests_endings_steps.py
@@ -29,7 +29,9 @@
     async def end_later(*args, **kwargs):
         end()
 
-    if state == "waits for a slot":
+    if state == "is looked at":
+        entry.callers.refusal = end
+    elif state == "waits for a slot":
         entry.slots.acquire = end_later
     elif state == "claims its key":
         entry.keys.claim = end_later
--- a/features/steps/requests_wire_steps.py
+++ b/features/steps/requests_wire_steps.py
@@ -98,7 +98,8 @@
 
 def _unescape(text):
     raw = text.encode().replace(b"\\r", b"\r").replace(b"\\n", b"\n").replace(b"\\0", b"\0")
-    return raw.replace(b"<big>", b"9" * 9)
+    # Python refuses to make a number of more than 4300 digits.
+    return raw.replace(b"<big>", b"9" * 9).replace(b"<huge>", b"9" * 5000)
 
 
 @then("requests are told {code:d} by the entry host")
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -24,6 +24,7 @@
 READY_PATH = "/-/ready"
 OWN_PATHS = "/-/"
 MAX_REQUEST_ID = 128
+MAX_LENGTH_DIGITS = 18
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -83,16 +84,26 @@
         ids = headers.get_list("X-Request-Id")
         if len(ids) == 1 and 0 < len(ids[0]) <= MAX_REQUEST_ID and ids[0].isascii():
             self.request_id = ids[0]
-        refusal = self._check()
+        refusal = self._check_head()
         if refusal is not None:
             self._refuse(refusal)
 
+    def _check_head(self) -> NotRun | None:
+        try:
+            return self._check()
+        except Exception as exc:
+            # Tornado would close the connection without an answer.
+            self._note_end(exc)
+            return NotRun(code=status_codes.GIVEN_UP_BEFORE_RUN)
+
     def _check(self) -> NotRun | None:
         detail = _malformed(self._line, self._headers)
         if detail:
             metrics.malformed_requests.add(1, {"port": "callers"})
             return NotRun(code=status_codes.BAD_REQUEST, detail=detail)
-        if int(self._headers.get("Content-Length", "0")) > self._max_body_bytes():
+        length = self._headers.get("Content-Length", "0")
+        # Python makes no number of thousands of digits, but raises an error.
+        if len(length) > MAX_LENGTH_DIGITS or int(length) > self._max_body_bytes():
             return self._too_large()
         if self._over_limit:
             detail = "too many connections"
@@ -181,17 +192,20 @@
             # The caller has hung up, so there is nobody to answer.
             self._connection.close()
             return
-        end = unanswered.end_of(exc)
-        self.host.timeline.add(
-            "request.unanswered", cause=end.cause, request=self.request_id, how=end.how
-        )
-        logging.error("no outcome of request %s (%s)", self.request_id, end.how, exc_info=exc)
+        self._note_end(exc)
         if self.answered:
             self._reset()
             return
         outcome = self._given_up(status_codes.GIVEN_UP_BEFORE_RUN)
         await self._send(problems.answer(outcome, request_id=self.request_id))
 
+    def _note_end(self, exc: BaseException) -> None:
+        end = unanswered.end_of(exc)
+        self.host.timeline.add(
+            "request.unanswered", cause=end.cause, request=self.request_id, how=end.how
+        )
+        logging.error("no outcome of request %s (%s)", self.request_id, end.how, exc_info=exc)
+
     def _given_up(self, refusal: Code) -> NotRun | Unknown:
         if self._session is None:
             return NotRun(code=refusal)
@@ -315,6 +329,10 @@
         return "more than one Idempotency-Key"
     if line.method == "CONNECT" or not line.path.startswith(("/", "http://", "https://", "*")):
         return "the target is not a path"
+    try:
+        _origin_form(line.path)
+    except ValueError as exc:
+        return f"the target is not a URL: {exc}"
     return ""
 
 
