Answer requests that are under way or unread when an entry host closes its connections

Callers whose requests weren't done at the end of the time to stop, or when a part of the daemon kept failing, saw their connection end without a byte; one that sent its request just before the close saw a reset. Cause: Callers.drain() and close() close the connections under the exchanges. A request that lies in the socket's buffer, or a connection that wasn't accepted yet, isn't an exchange, so nothing waits for it. Daemon.run stops its parts first when it ends by an error. Mend: Callers.cut_off() ends each exchange by a cancellation, whose answer follows the one rule of Exchange._make_up_for (MG1105 or MG1107 if no executor was given the request, MG1206 if one may have run it; counted as `cut`), refuses those whose body still comes, waits up to 1 s for the answers to go out, and closes only when nothing is unread. The daemon does so before it stops the parts, however it ends. Why it holds: between the last look at exchanges, sockets and port and the close no step gives up control. What arrives later can't have been read. Ruled out: answering without cancelling (the request could still be sent to an executor after "not run"); cancelling at once (a task that is cancelled before its first step runs none of its code).

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -224,3 +224,46 @@
       | ends         |
       | fails        |
       | is cancelled |
+
+  Scenario Outline: a <kind> request that still <state> when the time to stop is over is told <code>
+    The entry host was told to stop. It goes on serving, but the request isn't done by the end of its
+    time, and the connections are closed. The caller saw its connection end without a byte, and couldn't
+    tell a request that never left the entry host from one that an executor still runs.
+
+    When requests of kind <kind> are under way while the entry host's time to stop runs out: one <state>
+    Then requests are told <code> after <count> runs
+    And requests without an outcome are counted as cut once, with a line that names each
+
+    Examples:
+      | kind           | state            | code | count |
+      | idempotent     | waits for a slot | 1105 | 0     |
+      | non-idempotent | waits for a slot | 1105 | 0     |
+      | keyed          | claims its key   | 1107 | 0     |
+      | non-idempotent | runs             | 1206 | 1     |
+
+  Scenario: a request that is still being sent when the time to stop is over is refused
+    The caller sends its body slowly, so its request can't have been run. The entry host closes its
+    connections at the end of its time to stop, and the caller has to be told before that.
+
+    When requests' caller still sends a body while the entry host's time to stop runs out
+    Then requests' caller reads 503 with 1105 and the end of the connection
+
+  Scenario Outline: a request that came on a <which> connection just before all close is refused
+    The caller sends its request as the entry host, with nothing under way, closes its port and its
+    connections. The request lay unread, and the caller saw a reset instead of a refusal.
+
+    When requests' caller sends one on a <which> connection just as the entry host closes
+    Then requests' caller reads 503 with 1105 and the end of the connection
+
+    Examples:
+      | which |
+      | kept  |
+      | new   |
+
+  Scenario: a daemon that can't go on answers the requests that are under way
+    A part of the daemon has failed too often, and the process ends. Its callers saw their connections
+    close without a byte, although it still had the time to tell them what became of their requests.
+
+    When requests of kind non-idempotent are under way while a part of the daemon keeps failing: one runs
+    Then requests are told 1206 after 1 runs
+    And requests without an outcome are counted as cut once, with a line that names each
--- a/features/steps/requests_endings_steps.py
+++ b/features/steps/requests_endings_steps.py
@@ -1,12 +1,19 @@
 """Steps for requests whose handling ends early: by a fault, a cancellation or a stop."""
 
 import asyncio
+import socket
 from contextlib import suppress
+from types import SimpleNamespace
 
+import msgspec
 from behave import then, when
 
+from features.steps.requests_steps import until
 from features.support.rigs import Rig
 from mustardgap import metrics
+from mustardgap.daemons import Daemon
+from mustardgap.exceptions import ChildFailed
+from mustardgap.timers import Clock
 
 ENDINGS = {
     "fails": ValueError("a fault of ours"),
@@ -43,24 +50,31 @@
 def end_handling(context, kind, ends, state):
     async def main():
         async with Rig() as r:
-            before = unanswered_counts()
             _end_handling(r.entry, ends, state)
-            headers = {"Idempotency-Key": "k"} if kind == "keyed" else {}
-            context.told = await r.ask(kind, headers=headers)
-            context.runs = r.runs()
-            context.counts = {
-                how: count - before.get(how, 0)
-                for how, count in unanswered_counts().items()
-                if count != before.get(how, 0)
-            }
-            context.events = r.entry.callers.timeline.events(request=context.told.request_id)
-            assert context.told.code, (context.told.resp.code, context.told.resp.error)
-            context.told.check(context.runs, kind == "idempotent")
-            assert r.entry.slots.held == 0
+            await _ask_and_check(context, r, kind)
 
     asyncio.run(main())
 
 
+async def _ask_and_check(context, r, kind, query=""):
+    """Send a request, and hold its answer against what ran; nothing may be left of it."""
+    before = unanswered_counts()
+    headers = {"Idempotency-Key": "k"} if kind == "keyed" else {}
+    context.told = await r.ask(kind, headers=headers, query=query)
+    assert context.told.code, (context.told.resp.code, context.told.resp.error)
+    # What has begun goes on at the executor, and is on record when it has ended.
+    await until(lambda: not any(x.show()["running"] for x in r.upstreams.by_name.values()))
+    context.runs = r.runs()
+    context.told.check(context.runs, kind == "idempotent")
+    context.counts = {
+        how: count - before.get(how, 0)
+        for how, count in unanswered_counts().items()
+        if count != before.get(how, 0)
+    }
+    context.events = r.entry.callers.timeline.events(request=context.told.request_id)
+    assert r.entry.slots.held == 0
+
+
 @then("requests without an outcome are counted as {how} once, with a line that names each")
 def check_counted(context, how):
     assert context.counts == {how: 1}, context.counts
@@ -92,3 +106,145 @@
     except ConnectionResetError:
         return "reset"
     return "closed"
+
+
+def _shorten_stop(entry, stop_s=0.4):
+    """Give an entry host little time to stop."""
+    callers = entry.callers
+    callers.settings = msgspec.structs.replace(callers.settings, stop_timeout_s=stop_s)
+
+
+def _hold(entry, state):
+    """Have requests stay in a state, and tell when one is."""
+    reached = asyncio.Event()
+
+    async def wait(*args, **kwargs):
+        reached.set()
+        await asyncio.Event().wait()
+
+    if state == "waits for a slot":
+        entry.slots.acquire = wait
+    elif state == "claims its key":
+        entry.keys.claim = wait
+    return reached
+
+
+async def _stop_under_way(context, r, kind, state, stop):
+    """Stop an entry host while a request is in a state."""
+    reached = _hold(r.entry, state)
+    query = "run_s=2" if state == "runs" else ""
+    asking = asyncio.create_task(_ask_and_check(context, r, kind, query))
+    if state == "runs":
+        await until(lambda: r.upstreams.by_name["x1"].show()["running"])
+    else:
+        await asyncio.wait_for(reached.wait(), 10)
+    await stop()
+    await asking
+
+
+@when(
+    "requests of kind {kind} are under way while the entry host's time to stop runs out: "
+    "one {state}"
+)
+def stop_in_vain(context, kind, state):
+    async def main():
+        async with Rig() as r:
+            _shorten_stop(r.entry)
+            await _stop_under_way(context, r, kind, state, r.entry.callers.drain)
+
+    asyncio.run(main())
+
+
+@when("requests of kind {kind} are under way while a part of the daemon keeps failing: one {state}")
+def fail_daemon(context, kind, state):
+    async def main():
+        async with Rig() as r:
+            daemon = FailingDaemon(callers=r.entry.callers)
+            running = asyncio.create_task(daemon.run())
+
+            async def fail():
+                daemon.may_fail.set()
+                await asyncio.wait([running], timeout=10)
+
+            await _stop_under_way(context, r, kind, state, fail)
+            assert isinstance(running.exception(), ChildFailed), running
+
+    asyncio.run(main())
+
+
+class FailingDaemon(Daemon):
+    """A daemon whose callers are served by an entry host of a test, and whose only part fails."""
+
+    def __init__(self, *, callers):
+        super().__init__(settings=callers.settings)
+        self.parts = SimpleNamespace(callers=callers, open=lambda: None, close=callers.close)
+        self.may_fail = asyncio.Event()
+        self._root.max_restarts = 0
+
+    def _children(self):
+        return {"part": self._fail}
+
+    async def _start(self):
+        await asyncio.Event().wait()
+
+    async def _fail(self):
+        await self.may_fail.wait()
+        raise ValueError("a fault of ours")
+
+
+@when("requests' caller still sends a body while the entry host's time to stop runs out")
+def stop_within_body(context):
+    async def main():
+        async with Rig() as r:
+            _shorten_stop(r.entry)
+            reader, writer = await asyncio.open_connection("127.0.0.1", r.entry.callers.port)
+            writer.write(b"POST /quotes/slow HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc")
+            await until(lambda: r.entry.callers.held_bytes)
+            await r.entry.callers.drain()
+            context.received = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            context.runs = r.runs()
+
+    asyncio.run(main())
+
+
+class SendingClock(Clock):
+    """A clock that sends a request just as its first sleep ends.
+
+    :param address: where to open a new connection.
+    :param sock: a connection that is open already, used instead of a new one.
+    """
+
+    def __init__(self, address, sock=None):
+        self.sock = sock
+        self._address = address
+        self._has_sent = False
+
+    async def sleep(self, seconds):
+        await super().sleep(seconds)
+        if not self._has_sent:
+            self._has_sent = True
+            self.sock = self.sock or socket.create_connection(self._address)
+            self.sock.sendall(b"GET /quotes/late HTTP/1.1\r\nHost: a\r\n\r\n")
+
+
+@when("requests' caller sends one on a {which} connection just as the entry host closes")
+def send_at_the_end(context, which):
+    async def main():
+        async with Rig() as r:
+            loop = asyncio.get_running_loop()
+            clock = SendingClock(("127.0.0.1", r.entry.callers.port))
+            if which == "kept":
+                clock.sock = socket.create_connection(("127.0.0.1", r.entry.callers.port))
+                clock.sock.setblocking(False)
+                await loop.sock_sendall(clock.sock, b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                await asyncio.wait_for(loop.sock_recv(clock.sock, 1 << 16), 10)
+            r.entry.callers.clock = clock
+            await r.entry.callers.drain()
+            clock.sock.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=clock.sock)
+            context.received = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            context.runs = r.runs()
+
+    asyncio.run(main())
--- a/mustardgap/callers.py
+++ b/mustardgap/callers.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers."""
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 from http.client import responses
@@ -29,6 +30,9 @@
 # What tornado writes when it can't parse a message.
 BARE_400 = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 NO_LIMIT = 1 << 62
+# Time for the last answers to go out before the connections close.
+CUT_OFF_S = 1.0
+UNREAD_CHECK_S = 0.01
 
 
 class _CallerStream(iostream.IOStream):
@@ -124,13 +128,18 @@
         deadline = self.clock.monotonic() + stop_s
         await self.clock.sleep(min(self.settings.callers.linger_s, stop_s / 2))
         self.refusing = True
-        while self._exchanges and self.clock.monotonic() < deadline:
-            self._ended.clear()
-            await self._wait_ended(deadline - self.clock.monotonic())
-        self._stop_listening()
-        self.close()
+        await self._wait_until_quiet(deadline)
+        await self.cut_off()
         self.timeline.add("callers.closed")
 
+    async def cut_off(self) -> None:
+        """Answer what is under way without waiting for its outcome, and close all connections."""
+        self.draining = self.refusing = True
+        for exchange in list(self._exchanges):
+            exchange.cut_off()
+        await self._wait_until_quiet(self.clock.monotonic() + CUT_OFF_S)
+        self.close()
+
     def close(self) -> None:
         """Close the port and all connections at once."""
         self._stop_listening()
@@ -197,6 +206,26 @@
         metrics.callers_connections.add(1)
         connection.start_serving(self)
 
+    async def _wait_until_quiet(self, deadline: float) -> None:
+        """Wait until no request is under way, nor has one come that wasn't read yet.
+
+        Closed with bytes unread, a connection is reset: the caller that has just sent a request
+        would be told nothing, where it could be told that it wasn't run.
+        """
+        while self.clock.monotonic() < deadline:
+            if self._exchanges:
+                self._ended.clear()
+                await self._wait_ended(deadline - self.clock.monotonic())
+            elif self._has_unread():
+                await self.clock.sleep(UNREAD_CHECK_S)
+            else:
+                return
+
+    def _has_unread(self) -> bool:
+        if any(map(_is_readable, self._sockets)):
+            return True
+        return any(_has_bytes(connection.stream) for connection in self._connections)
+
     async def _wait_ended(self, timeout_s: float) -> None:
         try:
             async with asyncio.timeout(timeout_s):
@@ -213,6 +242,24 @@
         self._sockets.clear()
 
 
+def _is_readable(sock: socket.socket) -> bool:
+    """Whether a listening socket has a connection that wasn't accepted yet."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _has_bytes(stream: iostream.IOStream) -> bool:
+    """Whether something has come on a connection that wasn't read yet."""
+    if stream.closed():
+        return False
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        # Nothing has come, or the connection is broken.
+        return False
+
+
 def _malformed_answer(request_id: str) -> bytes:
     outcome = NotRun(code=status_codes.BAD_REQUEST, detail="the request is not valid HTTP/1.1")
     answer = problems.answer(outcome, request_id=request_id)
--- a/mustardgap/daemons.py
+++ b/mustardgap/daemons.py
@@ -51,6 +51,8 @@
             await self._first(self._root.run(), self._stop.wait())
             await self._first(self._root.run(), self._leave())
         finally:
+            # Before the parts stop that know what became of the requests under way.
+            await self.parts.callers.cut_off()
             await self._root.stop()
             self.parts.close()
 
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -62,6 +62,7 @@
         self.host = host
         self.request_id = uuid.uuid4().hex
         self.answered = False
+        self._is_cut = False
         self._connection = connection
         self._over_limit = over_limit
         self._line = httputil.RequestStartLine("", "", "")
@@ -157,6 +158,16 @@
         """The caller went before its request was whole."""
         self._end()
 
+    def cut_off(self) -> None:
+        """End the handling, because this host closes its connections; what is owed is answered."""
+        self._is_cut = True
+        if self._task is not None:
+            # Later than the task's first step: cancelled before it, the task would run no line of
+            # its code, and so give no answer.
+            asyncio.get_running_loop().call_soon(self._task.cancel)
+        elif not self.answered:
+            self._refuse(NotRun(code=status_codes.DRAINING))
+
     def _end(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -196,11 +207,12 @@
         if self.answered:
             self._reset()
             return
-        outcome = self._given_up(status_codes.GIVEN_UP_BEFORE_RUN)
+        code = status_codes.DRAINING if self._is_cut else status_codes.GIVEN_UP_BEFORE_RUN
+        outcome = self._given_up(code)
         await self._send(problems.answer(outcome, request_id=self.request_id))
 
     def _note_end(self, exc: BaseException) -> None:
-        end = unanswered.end_of(exc)
+        end = unanswered.end_of(exc, stopping=self._is_cut)
         self.host.timeline.add(
             "request.unanswered", cause=end.cause, request=self.request_id, how=end.how
         )
