Answer a peer's call whose handler is cancelled

Callers whose entry host asked a peer waited for that call's whole time; a plain handler that read a cancelled result also ended the stream between the two, and with it every other call on it. Cause: Peers._finish and _take answer a handler's Exception, but asyncio.CancelledError isn't one. Raised by something shared that the handler waits for, it ended the task that owed the answer. Mend: both answer Failed for a cancellation as for an error, with one line from one function. Why it holds: the answer is queued by the same task after whatever end; a plain function gives up control nowhere, so a cancellation in it can't be meant for the reading task. Ruled out: telling whose cancellation it was; the call is over either way.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -22,3 +22,18 @@
     When peers take slots while e3 is killed and e2 is frozen for 9 s
     Then slots in use were never more than 8 at an executor, by the processes' own record
     And peers that are left can use every slot
+
+  Scenario Outline: a call whose <handler> at the peer <ends> is told so
+    The peer has read the call, and something that its handler waits for or reads fails or was cancelled.
+    The calling entry host waited for its whole time, and the caller's request with it, although no
+    answer could come any more.
+    Given peers p1 and p2 in one process
+    When peers' call has its <handler> fail as it <ends>
+    Then peers' call is told of a failure, and the next call is answered
+
+    Examples:
+      | handler        | ends         |
+      | plain function | fails        |
+      | plain function | is cancelled |
+      | coroutine      | fails        |
+      | coroutine      | is cancelled |
--- /dev/null
+++ b/features/steps/peers_endings_steps.py
@@ -0,0 +1,188 @@
+"""Steps for peers whose handlers and dials end in ways that nobody expected, in one process."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from unittest import mock
+
+import msgspec
+import trustme
+from behave import given, then, when
+
+from features.support.tls import write_keys
+from mustardgap import channels
+from mustardgap.members import Members, me_from
+from mustardgap.messages import RecordsAsk
+from mustardgap.peers import PeerError, Peers
+from mustardgap.settings import Settings
+from mustardgap.timelines import Timeline
+from mustardgap.timers import Timers
+from tools.processes import free_ports
+
+CALL_S = 4.0
+LIMIT_S = 20.0
+
+
+class Peer:
+    """One entry host's members and streams."""
+
+    def __init__(self, *, host, port, seed, tls):
+        peers = {"port": port, "seeds": [seed], "heartbeat_s": 0.3, "suspect_s": 1.5, "tls": tls}
+        raw = {"host": host, "data_center": "d1", "peers": peers}
+        self.settings = msgspec.convert({**raw, "platform": {"address": "127.0.0.1:1"}}, Settings)
+        self.timers = Timers()
+        self.members = Members(
+            me=me_from(self.settings), settings=self.settings, timers=self.timers
+        )
+        self.members.listed_hosts = frozenset({"p1", "p2"})
+        self.peers = Peers(
+            members=self.members,
+            settings=self.settings,
+            timers=self.timers,
+            timeline=Timeline(member=host),
+        )
+        self.peers.handle(RecordsAsk, lambda member, message: RecordsAsk(message.first + 1))
+        self._tasks = []
+
+    async def __aenter__(self):
+        self._tasks = [asyncio.create_task(p.run()) for p in (self.timers, self.peers)]
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def call(self):
+        """Call the other one."""
+        (other,) = self.members.peers()
+        return await self.peers.call(other.id, RecordsAsk(1), timeout_s=CALL_S)
+
+
+class Pair:
+    """Two peers; dials fail as they are told to."""
+
+    def __init__(self, *, tls=None, key=None):
+        self.key = key
+        self.failure = None
+        self.failed = set()
+        self._stack = AsyncExitStack()
+        self._open = channels.open_channel
+        ports = free_ports(2)
+        self.peers = [
+            Peer(host=f"p{i + 1}", port=ports[i], seed=f"127.0.0.1:{ports[1 - i]}", tls=tls)
+            for i in range(2)
+        ]
+
+    async def __aenter__(self):
+        patch = mock.patch.object(channels, "open_channel", self._open_channel)
+        self._stack.enter_context(patch)
+        for peer in self.peers:
+            await self._stack.enter_async_context(peer)
+        return self
+
+    async def __aexit__(self, *_):
+        await self._stack.aclose()
+
+    def _open_channel(self, address, settings):
+        try:
+            if self.failure is not None:
+                raise self.failure
+            return self._open(address, settings)
+        except BaseException:
+            self.failed.add(address)
+            raise
+
+    def break_dials(self, reason):
+        """Have dials fail."""
+        if reason == "opening fails by a fault":
+            self.failure = ValueError("a fault of ours")
+        elif reason == "opening is cancelled":
+            self.failure = asyncio.CancelledError()
+        else:
+            self.key.rename(self.key.with_suffix(".away"))
+
+    def mend_dials(self):
+        """Have dials work again."""
+        self.failure = None
+        away = self.key.with_suffix(".away")
+        if away.exists():
+            away.rename(self.key)
+
+    def are_connected(self):
+        """Whether both have a stream."""
+        return all(peer.peers.connected() for peer in self.peers)
+
+
+async def until(condition, what):
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+@given("peers p1 and p2 in one process")
+def without_certificates(context):
+    context.make_pair = Pair
+
+
+@given("peers p1 and p2 in one process with certificates")
+def with_certificates(context):
+    folder = context.folder / "keys"
+    tls, _ = write_keys(trustme.CA(), folder)
+    context.make_pair = lambda: Pair(tls=msgspec.to_builtins(tls), key=folder / "key.pem")
+
+
+@when("peers' call has its {handler} fail as it {ends}")
+def fail_handler(context, handler, ends):
+    def fail(member, message):
+        pair.peers[1].peers.handle(RecordsAsk, lambda member, message: RecordsAsk(2))
+        raise ValueError("a fault of ours") if ends == "fails" else asyncio.CancelledError()
+
+    async def fail_later(member, message):
+        fail(member, message)
+
+    async def main():
+        async with pair:
+            await until(pair.are_connected, "the first stream")
+            handle = fail if handler == "plain function" else fail_later
+            pair.peers[1].peers.handle(RecordsAsk, handle)
+            try:
+                context.told = await pair.peers[0].call()
+            except PeerError as exc:
+                context.told = exc
+            context.next = await pair.peers[0].call()
+
+    pair = context.make_pair()
+    asyncio.run(main())
+
+
+@then("peers' call is told of a failure, and the next call is answered")
+def see_failure(context):
+    assert isinstance(context.told, PeerError), context.told
+    assert "no answer" not in context.told.detail, context.told
+    assert context.next == RecordsAsk(2), context.next
+
+
+@when("peers can't open their {which} stream for a while: {reason}")
+def break_dials(context, which, reason):
+    async def main():
+        pair = context.make_pair()
+        if which == "first":
+            pair.break_dials(reason)
+        async with pair:
+            if which == "next":
+                await until(pair.are_connected, "the first stream")
+                pair.break_dials(reason)
+                for peer in pair.peers:
+                    for link in peer.peers.links_by_id.values():
+                        link.close()
+            await until(lambda: len(pair.failed) == 2, "both have dialled in vain")
+            pair.mend_dials()
+            await until(pair.are_connected, "the stream after it")
+            context.next = await pair.peers[0].call()
+
+    asyncio.run(main())
+
+
+@then("peers are connected again, and the next call is answered")
+def see_answer(context):
+    assert context.next == RecordsAsk(2), context.next
--- a/mustardgap/peers.py
+++ b/mustardgap/peers.py
@@ -320,9 +320,10 @@
             return
         try:
             result = handler(m, item.body)
-        except Exception as exc:
-            logging.exception("message %s failed", type(item.body).__name__)
-            result = Failed(f"{type(exc).__name__}: {exc}")
+        except (Exception, asyncio.CancelledError) as exc:
+            # Also a cancellation: this function gives up control nowhere, so it isn't this task's,
+            # but comes from a result that the handler has read, and would end the stream.
+            result = _failed(type(item.body).__name__, exc)
         if inspect.isawaitable(result):
             self._spawn(self._finish(member_id, item.request, result))
         else:
@@ -331,9 +332,10 @@
     async def _finish(self, member_id: str, request: int, result: Awaitable[Any]) -> None:
         try:
             answer = await result
-        except Exception as exc:
-            logging.exception("a call of %s failed", member_id)
-            answer = Failed(f"{type(exc).__name__}: {exc}")
+        except (Exception, asyncio.CancelledError) as exc:
+            # Also a cancellation, of this task or of what it waits for: the peer would otherwise
+            # wait for its whole time, and a caller's request with it.
+            answer = _failed(f"call of {member_id}", exc)
         self._answer(member_id, request, answer)
 
     def _answer(self, member_id: str, request: int, answer: Any) -> None:
@@ -385,6 +387,12 @@
             link.close()
 
 
+def _failed(what: str, exc: BaseException) -> Failed:
+    """The answer to a call whose handler has failed, with a line."""
+    logging.error("%s failed", what, exc_info=exc)
+    return Failed(f"{type(exc).__name__}: {exc}")
+
+
 def _dead(m: Member) -> bool:
     return m.state is MemberState.dead
 
