Tell an operator whether a change may take effect when its handling ends early

Operators whose change met a fault or a cancellation after its record had been handed to the log were told MG9999, which says nothing of whether it takes effect; those with a request under way when the entry host stopped saw the connection end without a byte. Cause: JsonHandler.write_error has one code for whatever nobody expected, and Operators.run closes its connections under the handlers. Mend: MG5001 once a record may have been written; the stop first cancels the handlers under way, and waits up to 1 s for their answers (MG1105 if nothing was written). Each is a line `request.unanswered` in the timeline and counts in mustardgap.requests.unanswered. Why it holds: WritingHandler.append is the only way to the log, and notes it before it writes; each handler's task is noted in prepare. Ruled out: that tornado sends nothing after a CancelledError: this version (RequestHandler._execute) answers it like an error, and a cancellation of the handler's own task as well. So no wrapper of the handlers is needed.

Red before, `.venv/bin/python -m behave features/operators.feature -n "whose handling"`: 6 of 6 failed (MG9999 for changes; no answer for both that were cut off; no count). Green after, `.venv/bin/python -m tools.testing features/operators.feature`: 30 passed, 0 failed.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -103,3 +103,21 @@
     Then operators with a certificate of the authority are served
     When operators replace the key too
     Then operators with a certificate of the new authority are served, and those of the old refused
+
+  Scenario Outline: an operator's <request> whose handling <ends> is answered
+    The operator's request has been read whole. What its handler waits for together with others fails or
+    is cancelled, or the entry host stops meanwhile. The operator waited in vain, or saw the connection
+    end, and couldn't tell whether the change takes effect. It is told MG5001 if it may, something else
+    only if nothing was written.
+    Given operators' entry hosts with clocks off by 0, 0 and 0 seconds
+    When operators send one <request> whose handling <ends>
+    Then operators are told <code> by the entry host, and requests ended early are counted as <how>
+
+    Examples:
+      | request         | ends         | code   | how       |
+      | change          | fails        | MG5001 | failed    |
+      | change          | is cancelled | MG5001 | cancelled |
+      | change          | is cut off   | MG5001 | cut       |
+      | question        | fails        | MG9999 | failed    |
+      | question        | is cancelled | MG9999 | cancelled |
+      | question        | is cut off   | MG1105 | cut       |
--- a/mustardgap/operator_handlers.py
+++ b/mustardgap/operator_handlers.py
@@ -1,5 +1,6 @@
 """What the handlers of the operators' interface share: checks, answers and problems."""
 
+import asyncio
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
@@ -7,7 +8,7 @@
 from tornado.httputil import split_host_and_port
 from tornado.web import HTTPError, RequestHandler
 
-from . import status_codes
+from . import status_codes, unanswered
 from .exceptions import MustardgapError
 from .outcomes import Accepted, Rejected, Verdict
 from .problems import CONTENT_TYPE, TYPE_PREFIX
@@ -29,6 +30,7 @@
     """Answers in JSON, and with problem details when something is wrong."""
 
     SUPPORTED_METHODS = METHODS  # type: ignore[assignment]
+    may_have_written = False
 
     def initialize(self, operators: "Operators") -> None:
         """Keep what the handlers read from."""
@@ -52,6 +54,7 @@
         point here after it was loaded may send anything, but it sends that name along as the host,
         while operators' tools know entry hosts by IP number.
         """
+        self.operators.note_handling(asyncio.current_task())
         if self.request.path.startswith(OPERATORS_PATH) and not _is_number(self.request.host):
             raise MustardgapError(
                 code=status_codes.BAD_REQUEST,
@@ -127,7 +130,24 @@
             detail = exc.log_message or exc.reason or f"HTTP {status_code}"
             self.refuse(code, detail=detail, place=self.request.path, status=status_code)
         else:
-            self.refuse(status_codes.INTERNAL, place=self.request.path)
+            self._give_up(exc)
+
+    def _give_up(self, exc: BaseException | None) -> None:
+        """Tell what is known when the handling has ended early.
+
+        :param exc: what ended it; None if this handler's own task was cancelled, as by a stop.
+        """
+        is_cut = exc is None
+        end = unanswered.end_of(exc or asyncio.CancelledError(), stopping=is_cut)
+        place = self.request.path
+        self.operators.timeline.add("request.unanswered", cause=end.cause, how=end.how, path=place)
+        if self.may_have_written:
+            detail = "the handling ended early; the record may be accepted"
+            self.refuse(status_codes.LOG_ANSWER_LOST, detail=detail, place=place)
+        elif is_cut:
+            self.refuse(status_codes.DRAINING, place=place)
+        else:
+            self.refuse(status_codes.INTERNAL, place=place)
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log only faults of our own; what a client did wrong is in its answer."""
--- a/mustardgap/operator_writes.py
+++ b/mustardgap/operator_writes.py
@@ -26,6 +26,7 @@
         if record_id:
             ids["change"] = record_id
         timeline.add(f"operators.{kind}", cause=str(body.get("reason", "")), **ids)
+        self.may_have_written = True
         verdict: Verdict = await self.log.write(
             kind, body, timeout_s=self._timeout_s(), purpose="operators", record_id=record_id
         )
--- a/mustardgap/operators.py
+++ b/mustardgap/operators.py
@@ -19,6 +19,8 @@
 MAX_CONNECTIONS = 200
 HEADER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
+# Time for the last answers to go out before the connections close.
+CUT_OFF_S = 1.0
 
 Explainer = Callable[[str], Any | Awaitable[Any]]
 
@@ -75,6 +77,7 @@
         self.readiness = readiness
         self.explainers_by_kind = explainers or {}
         self.services_view = services_view or dict
+        self._handling: set[asyncio.Task[Any]] = set()
         self.started = timeline.clock.monotonic()
         self.port = settings.operators.port
         tls = settings.operators.tls
@@ -90,8 +93,22 @@
                     self.certificates.reload()
         finally:
             server.stop()
+            await self._cut_off()
             await asyncio.shield(server.close_all_connections())
 
+    def note_handling(self, task: asyncio.Task[Any] | None) -> None:
+        """Note the task that handles a request, for as long as it runs."""
+        if task is not None:
+            self._handling.add(task)
+            task.add_done_callback(self._handling.discard)
+
+    async def _cut_off(self) -> None:
+        """End the handling of requests, each with an answer, before their connections close."""
+        if self._handling:
+            for task in self._handling:
+                task.cancel()
+            await asyncio.wait(list(self._handling), timeout=CUT_OFF_S)
+
     def listen(self) -> BoundedServer:
         """Open the port.
 
