Keep the line of a fault whose caller has hung up, and name an open key only while it is claimed

Mend: such a fault is logged; MG1107 is told only if the handling ends between the claim of a key and its result. A row more: a keyed request that fails before its claim is told MG1114. The two faults themselves have no test that was red.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -207,6 +207,7 @@
       | non-idempotent | is cancelled       | waits for a slot | 1114 | 0     | cancelled |
       | keyed          | fails              | claims its key   | 1107 | 0     | failed    |
       | keyed          | is cancelled       | claims its key   | 1107 | 0     | cancelled |
+      | keyed          | fails              | is looked at     | 1114 | 0     | failed    |
       | idempotent     | fails              | has run          | 1206 | 1     | failed    |
       | idempotent     | is cancelled       | has run          | 1206 | 1     | cancelled |
       | non-idempotent | fails              | has run          | 1206 | 1     | failed    |
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -200,7 +200,9 @@
         and the caller couldn't tell whether its request may be sent again.
         """
         if self._connection.stream.closed():
-            # The caller has hung up, so there is nobody to answer.
+            # The caller has hung up, which cancels the handling, so there is nobody to answer.
+            if not isinstance(exc, asyncio.CancelledError):
+                logging.error("request %s failed", self.request_id, exc_info=exc)
             self._connection.close()
             return
         self._note_end(exc)
--- a/mustardgap/sessions.py
+++ b/mustardgap/sessions.py
@@ -109,8 +109,7 @@
         self._unreached = 0
         self._idempotent = False
         self._sent = False
-        self._is_keyed = "Idempotency-Key" in request.headers
-        self._has_claim = False
+        self._is_claiming = False
         self._has_outcome = False
         self._deadline = self.started
         self._task: asyncio.Task[Any] | None = None
@@ -150,7 +149,7 @@
     def _given_up(self, refusal: Code) -> NotRun | Unknown:
         if self._sent or self._has_outcome:
             return Unknown(code=status_codes.UNKNOWN_GIVEN_UP)
-        if self._is_keyed and not self._has_claim:
+        if self._is_claiming:
             # An earlier request with this key may have run: sent again without the key, as the
             # refusal of a request that nothing is known of allows, it could run twice.
             refusal = status_codes.KEY_UNDECIDED
@@ -167,7 +166,7 @@
             return refusal
         metrics.active_requests.add(1, {"service": self.service})
         try:
-            if self._idempotent or not self._is_keyed:
+            if self._idempotent or "Idempotency-Key" not in self.request.headers:
                 return await self._try_all(route)
             return await self._run_once(route)
         finally:
@@ -201,10 +200,11 @@
                 code=status_codes.KEY_UNDECIDED,
                 retry_after=judgements.spread(judgements.COME_BACK_S),
             )
+        self._is_claiming = True
         claim = await self.parts.keys.claim(self.service, self.request, deadline=self._deadline)
+        self._is_claiming = False
         if not isinstance(claim, Claim):
             return claim
-        self._has_claim = True
         outcome: Outcome | None = None
         try:
             outcome = await self._try_all(route)
