Run each part in a task of its own, and end one that fails as it is stopped

Operators would see: a stop that never ends, as a part that failed while it was stopped was started again; and a part that is missing without a line once its supervisor had seen a group of tasks fail. Cause: asyncio.TaskGroup of Python 3.11 cancels the task that it fails in and leaves it counted as cancelled (shown by a script: cancelling() is 1 after it). A supervisor that runs its part in its own task takes every later cancellation for its own. Ruled out: asking for the task's own cancellation as a part fails (three rows of before went red: a log's group of tasks). Change: a part has a task of its own; a failure of one that is being stopped leaves a line, and the stop goes on. The test for a task's own cancellation stands once.

--- a/features/steps/supervisors_steps.py
+++ b/features/steps/supervisors_steps.py
@@ -33,7 +33,12 @@
             await cancelled()
         if self.words in ("fails once", "is stopped as it waits to restart") and self.starts == 1:
             raise ValueError("it broke")
-        await asyncio.Event().wait()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            if self.words == "fails as it is stopped":
+                raise ValueError("it broke") from None
+            raise
 
 
 @given("a supervisor with a child that {words}")
@@ -48,7 +53,7 @@
         ending = asyncio.ensure_future(supervisor.run())
         supervisor.start_child("part", context.child.run)
         await asyncio.sleep(0.01)
-        if context.child.words.startswith("is stopped"):
+        if "is stopped" in context.child.words:
             await asyncio.wait_for(supervisor.stop_child("part"), SETTLED_S)
         await asyncio.sleep(SETTLED_S)
         context.ended_by = ending.exception() if ending.done() else None
@@ -64,7 +69,7 @@
 @then("the child was started {times:d} times")
 def started(context, times):
     assert context.child.starts == times, context.child.starts
-    runs = [] if context.child.words.startswith("is stopped") else ["part"]
+    runs = [] if "is stopped" in context.child.words else ["part"]
     assert context.children == runs, context.children
 
 
--- a/features/supervisors.feature
+++ b/features/supervisors.feature
@@ -18,6 +18,7 @@
       | fails once                        | again  | 2     | 1        | 1     |
       | is stopped                        | once   | 1     | 0        | 0     |
       | is stopped as it waits to restart | once   | 1     | 1        | 1     |
+      | fails as it is stopped            | once   | 1     | 0        | 1     |
 
   Scenario: a child that is always cancelled ends its parent
     The part's shared thing can't be had at all. Run again for ever, it would never do its work, and
--- a/mustardgap/cancellations.py
+++ b/mustardgap/cancellations.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from absl import logging
+
 
 class StrayCancellation(Exception):
     """Something that a task awaited was cancelled; nobody cancelled the task itself."""
@@ -25,15 +27,26 @@
 async def run_part(part: Callable[[], Awaitable[None]]) -> None:
     """Run a part of a task, and pass on only cancellations of the task itself.
 
-    :param part: a coroutine function without arguments.
+    The part gets a task of its own: ``asyncio.TaskGroup`` cancels the task that it fails in, and
+    that one counts as cancelled ever after. One that runs the part again wouldn't tell a stray
+    cancellation any more.
+
+    :param part: a function without arguments that returns an awaitable.
     :raises StrayCancellation: the part ended by the cancellation of something that it awaited.
     """
+    task = asyncio.ensure_future(part())
+    name = getattr(part, "__qualname__", repr(part))
     try:
-        await part()
-    except asyncio.CancelledError as exc:
-        if is_own():
-            raise
-        raise StrayCancellation(getattr(part, "__qualname__", repr(part))) from exc
+        await asyncio.wait([task])
+    except asyncio.CancelledError:
+        task.cancel()
+        await asyncio.wait([task])
+        if not task.cancelled() and task.exception() is not None:
+            logging.exception("%s failed as it was stopped", name, exc_info=task.exception())
+        raise
+    if task.cancelled():
+        raise StrayCancellation(name)
+    task.result()
 
 
 def failure_of(task: "asyncio.Task[Any]") -> BaseException | None:
--- a/mustardgap/peers.py
+++ b/mustardgap/peers.py
@@ -10,7 +10,7 @@
 import msgspec
 from absl import logging
 
-from . import channels, status_codes
+from . import cancellations, channels, status_codes
 from .exceptions import MustardgapError
 from .links import Link, Stream
 from .members import Member, Members, MemberState, row_of
@@ -242,7 +242,7 @@
         except (Exception, asyncio.CancelledError):
             # A certificate that is just being replaced, say, or a call that gRPC has cancelled. If
             # the task that dials ended by it, the peer would never be dialled again.
-            if _is_cancelled():
+            if cancellations.is_own():
                 raise
             logging.warning("no stream to %s", address, exc_info=True)
         return False
@@ -405,12 +405,6 @@
     return Failed(f"{type(exc).__name__}: {exc}")
 
 
-def _is_cancelled() -> bool:
-    """Whether it is the present task that was cancelled, and not something that it waits for."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _drop_ended(tasks_by_key: dict[str, asyncio.Task[None]]) -> None:
     """Drop the tasks that have ended: one that is still needed is started anew."""
     for key, task in list(tasks_by_key.items()):
