Show that each request gets its one true answer, whatever happens at any point of its way

Two daemons' way of a request in one process: a real front and gateway, gRPC on loopback, a real owner with its desk, a stand-in store. The coroutine that handles a request is driven step by step, so every point at which it waits is found by itself and hit in turn.

Of two equal requests one may be refused and the other not, as a shard is handed over; the record is then the other's, and the check counts a refusal as untrue only if everybody who asked for the change was refused.

--- /dev/null
+++ b/features/support/answer_cases.py
@@ -0,0 +1,393 @@
+"""Requests that are troubled at one point of their way, and what is wrong with their answers."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+from mustardgap.shard_logs import JOB_KEY, PROGRESS_KEY
+from tools.owner_troubles import TWO_STEPS
+from tools.owner_worlds import QUEUE
+
+from .answer_worlds import PAUSE_S, AnswerWorld, until
+from .suspensions import (
+    Meddle,
+    Suspensions,
+    cancel_task,
+    hold_during,
+    throw_afterwards,
+    throw_at_once,
+)
+
+JOB = "00000000000000a1"
+BODY = b'{"spec":"p","steps":[{"count":1,"cpu":1000,"memMb":500,"estimateMs":500}]}'
+# Shorter than what a desk waits for the store, so that a change isn't put to a silent one twice.
+DEADLINE_MS = 1000
+# A request is unanswered once its handling has been over for so long, or the caller has waited for
+# several times as long as all calls of its handling take together.
+AFTER_S = 2.0
+PATIENCE_S = 15.0
+# While another request's record is on its way to the store.
+SLOW_S = 0.1
+MAX_POINTS = 60
+# Of drawn cases: how often one is hit, and up to which point; few ways have more.
+MAX_HITS = 3
+DRAWN_POINTS = 3
+REFUSED = (429, 503)
+STATUSES = (200, 410, *REFUSED, 504)
+
+
+class Request(NamedTuple):
+    """What a caller sends, and the record that tells whether a change was made."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    record: str = ""
+
+
+REQUESTS = {
+    "new job": Request("POST", QUEUE.path_prefix + JOB, BODY, JOB_KEY + JOB),
+    "cancelling": Request("DELETE", QUEUE.path_prefix + JOB, b"", PROGRESS_KEY + JOB),
+    "question for a job": Request("GET", QUEUE.path_prefix + JOB),
+    "count of a queue": Request("GET", QUEUE.path_prefix),
+}
+
+
+class Situation(NamedTuple):
+    """How things stand when a request comes.
+
+    :param at_owner: whether the asked daemon owns the queue itself.
+    :param is_owner_known: whether the asked daemon knows the queue's owner.
+    :param is_on_record: whether the job has been accepted.
+    :param earlier: requests that were sent just before, and are being handled.
+    """
+
+    at_owner: bool = False
+    is_owner_known: bool = True
+    is_on_record: bool = False
+    earlier: tuple[str, ...] = ()
+
+
+SITUATIONS = {
+    "its job is new": Situation(),
+    "its job is on record": Situation(is_on_record=True),
+    "its job is unknown": Situation(),
+    "its job is being stored": Situation(earlier=("new job",)),
+    "the owner isn't known yet": Situation(is_owner_known=False, is_on_record=True),
+    "the asked daemon is the owner": Situation(at_owner=True, is_on_record=True),
+    "the asked daemon is the owner, its job is new": Situation(at_owner=True),
+    "the owner isn't known yet, its job is new": Situation(is_owner_known=False),
+}
+
+
+def _fault() -> BaseException:
+    return ValueError("a fault of ours")
+
+
+THROWN: dict[str, Meddle] = {
+    "an error is raised": throw_at_once(_fault),
+    "an error is raised afterwards": throw_afterwards(_fault),
+    "a cancellation is raised": throw_at_once(asyncio.CancelledError),
+    "a cancellation is raised afterwards": throw_afterwards(asyncio.CancelledError),
+    "its task is cancelled": cancel_task,
+}
+TROUBLES: dict[str, Callable[[AnswerWorld], Awaitable[None]]] = {
+    "another call's time is over": AnswerWorld.end_another_call,
+    "the channel is closed": AnswerWorld.close_channels,
+    "the shard is given up": AnswerWorld.give_up_shard,
+    "the shard goes to the other daemon": AnswerWorld.hand_shard_over,
+    "a part of the ownership fails": AnswerWorld.end_ownership,
+    "the store gets no calls": AnswerWorld.hold_store,
+    "the store's answers don't come": AnswerWorld.hold_store_answers,
+    "the owner's server stops": AnswerWorld.stop_server,
+    "the front is stopped": AnswerWorld.stop_front,
+    "the front is stopped at once": AnswerWorld.stop_front_at_once,
+}
+
+
+class Hit(NamedTuple):
+    """A trouble, by its name, at a point of the way of a case's requests.
+
+    :param side: whose points are counted, "asked" or "owning".
+    :param point: the point's number, from 1.
+    """
+
+    side: str
+    point: int
+    trouble: str
+
+
+class Case(NamedTuple):
+    """A request in a situation, by their names, and what hits its handling.
+
+    ``stopped_after`` counts turns of the event loop from the request's sending until the front is
+    stopped, None if it isn't.
+    """
+
+    request: str
+    situation: str
+    hits: tuple[Hit, ...] = ()
+    stopped_after: int | None = None
+
+
+class Outcome(NamedTuple):
+    """What one played case showed.
+
+    :param hits: how many of the case's hits met a point.
+    :param was_read: whether the request was read.
+    :param told: what the caller of the request was told.
+    :param problems: what is wrong.
+    """
+
+    case: Case
+    hits: int
+    was_read: bool
+    told: str
+    problems: list[str]
+
+    def __str__(self) -> str:
+        hits = "; ".join(f"at {h.side} point {h.point} {h.trouble}" for h in self.case.hits)
+        if self.case.stopped_after is not None:
+            hits = f"the front stopped {self.case.stopped_after} turns after"
+        problems = ", ".join(self.problems)
+        return f"{self.case.request}, {self.case.situation}, {hits}: {problems} ({self.told})"
+
+
+class Caller:
+    """A caller with a connection of its own."""
+
+    def __init__(self, *, world: AnswerWorld, request: Request) -> None:
+        self.request = request
+        self.status = 0
+        self.code = ""
+        self.problems: list[str] = []
+        # A request that wasn't read, as its connection was ended before, is owed nothing.
+        self.was_read = False
+        self._world = world
+        self._before = 0
+        self._reader: asyncio.StreamReader
+        self._writer: asyncio.StreamWriter
+        self._reading: asyncio.Task[None]
+
+    async def connect(self) -> None:
+        """Connect to the asked daemon."""
+        port = self._world.asked.front_port
+        self._reader, self._writer = await asyncio.open_connection("127.0.0.1", port)
+
+    def send(self) -> None:
+        """Send the request, and begin to read."""
+        self._before = self._world.handling
+        lines = [
+            f"{self.request.method} {self.request.path} HTTP/1.1",
+            f"Host: {QUEUE.host}",
+            f"X-Mustardgap-Request-Deadline: {DEADLINE_MS}",
+            f"Content-Length: {len(self.request.body)}",
+        ]
+        self._writer.write("\r\n".join([*lines, "", ""]).encode() + self.request.body)
+        self._reading = asyncio.ensure_future(self._read())
+
+    async def see_read(self) -> None:
+        """Wait until the request has been read, or the connection has ended."""
+        await until(
+            lambda: self._world.handling > self._before or self._reading.done(),
+            "the request has been read",
+        )
+        # A handling that is cancelled before its first step shows by its answer only.
+        self.was_read = self._world.handling > self._before or self.status > 0
+
+    async def read(self) -> None:
+        """Read the answer, and note what is wrong with it."""
+        waiting = asyncio.ensure_future(self._lose_patience())
+        both = [self._reading, waiting]
+        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+        for task in both:
+            task.cancel()
+        await asyncio.wait(both)
+        if not self.status and self.was_read:
+            self.problems.append("no answer")
+        elif self.status and (self.status not in STATUSES or not self.code):
+            self.problems.append(f"answered {self.status} {self.code or 'without a code'}")
+
+    async def read_end(self) -> None:
+        """Read what comes until the connection ends."""
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                rest = await self._reader.read()
+        except ConnectionError:
+            rest = b""
+        except TimeoutError:
+            self.problems.append("the connection stays open")
+            rest = b""
+        if rest:
+            self.problems.append(f"more than one answer: {rest[:40]!r}")
+        self._writer.close()
+
+    async def _read(self) -> None:
+        try:
+            head = (await self._reader.readuntil(b"\r\n\r\n")).decode()
+            lines = [line for line in head.split("\r\n")[1:] if line]
+            fields = dict(line.split(": ", 1) for line in lines)
+            await self._reader.readexactly(int(fields["Content-Length"]))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        self.status = int(head.split()[1])
+        self.code = fields.get("X-Result-Code", "")
+
+    async def _lose_patience(self) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + PATIENCE_S
+        while loop.time() < end and not self._world.is_handled:
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(AFTER_S)
+
+
+async def play(case: Case) -> Outcome:
+    """Play one case."""
+    situation = SITUATIONS[case.situation]
+    world = AnswerWorld()
+    front, handler = (_suspensions(world, case, side) for side in ("asked", "owning"))
+    await world.start(at_owner=situation.at_owner, front=front, handler=handler)
+    await _arrange(world, situation)
+    names = (*situation.earlier, case.request)
+    callers = [Caller(world=world, request=REQUESTS[name]) for name in names]
+    check = _Check(world=world, callers=callers, was_accepted=situation.is_on_record)
+    for caller in callers:
+        await caller.connect()
+    for caller in callers:
+        caller.send()
+        if case.stopped_after is not None:
+            await _stop_front(world, case.stopped_after)
+        await caller.see_read()
+    await asyncio.gather(*(check.look_at(caller) for caller in callers))
+    check.look_at_refusals("now")
+    await world.settle()
+    left = await world.close()
+    check.look_at_refusals("later")
+    for caller in callers:
+        await caller.read_end()
+    problems = [problem for caller in callers for problem in caller.problems]
+    problems += [f"left open: {one}" for one in left] + world.failures
+    seen_by_side = {"asked": front.seen, "owning": handler.seen}
+    hits = sum(hit.point <= seen_by_side[hit.side] for hit in case.hits)
+    last = callers[-1]
+    return Outcome(case, hits, last.was_read, f"told {last.status} {last.code}", problems)
+
+
+async def _stop_front(world: AnswerWorld, turns: int) -> None:
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    await world.stop_front()
+
+
+def _suspensions(world: AnswerWorld, case: Case, side: str) -> Suspensions:
+    hits = [hit for hit in case.hits if hit.side == side]
+    return Suspensions(meddles_by_point={hit.point: _meddle(world, hit.trouble) for hit in hits})
+
+
+def _meddle(world: AnswerWorld, trouble: str) -> Meddle:
+    return THROWN.get(trouble) or hold_during(lambda: world.strike(TROUBLES[trouble]))
+
+
+async def _arrange(world: AnswerWorld, situation: Situation) -> None:
+    if situation.is_owner_known:
+        await world.asked.owners.refresh()
+    dispatcher = world.owner.dispatcher
+    assert dispatcher is not None
+    if situation.is_on_record:
+        reply = await dispatcher.desk.submit(job_id=JOB, queue=QUEUE, spec=TWO_STEPS)
+        assert reply.code.http_status == 200, reply
+        await until(lambda: JOB in dispatcher.jobs_by_id, "the job is accepted")
+    if situation.earlier:
+        world.store.slow_s = SLOW_S
+
+
+class _Check:
+    """Holds what callers were told against the store's records.
+
+    :param was_accepted: whether the job had been accepted before.
+    """
+
+    def __init__(self, *, world: AnswerWorld, callers: list[Caller], was_accepted: bool) -> None:
+        self._world = world
+        self._callers = callers
+        self._was_accepted = was_accepted
+        self._before = {key for key in self._keys() if world.record(key) is not None}
+
+    def _keys(self) -> list[str]:
+        return sorted({caller.request.record for caller in self._callers} - {""})
+
+    async def look_at(self, caller: Caller) -> None:
+        """Wait for an answer, and look whether it is true."""
+        await caller.read()
+        key = caller.request.record
+        if caller.status == 200 and key and self._world.record(key) is None:
+            caller.problems.append(f"told {caller.code}, and it isn't on record")
+        if caller.status == 410 and self._was_accepted:
+            caller.problems.append("told that no such job exists, and it was accepted before")
+
+    def look_at_refusals(self, when: str) -> None:
+        """Look for changes that are on record although everybody who asked for them was refused.
+
+        Who wasn't even read is taken for refused. Of two callers with one job one may be refused
+        and the other not: the record is the other's.
+        """
+        for key in self._keys():
+            asking = [caller for caller in self._callers if caller.request.record == key]
+            refused = [one for one in asking if one.status in REFUSED or not one.was_read]
+            if key in self._before or self._world.record(key) is None or refused != asking:
+                continue
+            told = f"refused with {refused[0].code}" if refused[0].was_read else "not read"
+            refused[0].problems.append(f"{told}, and on record {when}")
+
+
+async def play_each_point(
+    *, request: str, situation: str, side: str, trouble: str, places: asyncio.Semaphore
+) -> list[Outcome]:
+    """Play a request once for each point of its way on one side, until it ends before the next.
+
+    :param places: bounds how many cases are played at once.
+    """
+    played: list[Outcome] = []
+    for point in range(1, MAX_POINTS + 1):
+        case = Case(request, situation, (Hit(side, point, trouble),))
+        played.append(await play_in(places, case))
+        if not played[-1].hits:
+            return played
+    raise AssertionError(f"{case} has more than {MAX_POINTS} points")
+
+
+async def play_in(places: asyncio.Semaphore, case: Case) -> Outcome:
+    """Play a case when there is a place for it."""
+    async with places:
+        # In a task of its own, as what a world starts belongs to its context.
+        return await asyncio.ensure_future(play(case))
+
+
+def stopping_cases(*, rows: Sequence[tuple[str, str]], turns: int) -> list[Case]:
+    """Cases in which the front is stopped in each turn of the event loop after the sending.
+
+    :param rows: requests with their situations.
+    """
+    return [Case(*row, stopped_after=turn) for row in rows for turn in range(turns)]
+
+
+def draw_cases(*, rows: Sequence[tuple[str, str]], seed: int, count: int) -> list[Case]:
+    """Draw cases whose handling is hit several times.
+
+    :param rows: requests with their situations.
+    """
+    drawn = random.Random(seed)
+    troubles = [*THROWN, *TROUBLES]
+    cases = []
+    for _ in range(count):
+        hits = [
+            Hit(
+                drawn.choice(("asked", "owning")),
+                drawn.randint(1, DRAWN_POINTS),
+                drawn.choice(troubles),
+            )
+            for _ in range(drawn.randint(2, MAX_HITS))
+        ]
+        cases.append(Case(*drawn.choice(rows), tuple(hits)))
+    return cases
--- /dev/null
+++ b/features/support/answer_worlds.py
@@ -0,0 +1,206 @@
+"""Two daemons' way of a caller's request in one process: HTTP, gRPC and the shard's owner."""
+
+import asyncio
+import contextvars
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+from unittest.mock import patch
+
+import grpc
+
+from mustardgap.peer_calls import PeerUnreachable
+from tools.fake_store import FakeStore
+
+from .answer_daemons import SHARD, SHARDS, Daemon, Gate, WatchedServer
+from .suspensions import Suspensions
+
+HELD_CALL_S = 0.05
+# What a daemon that leaves in good order has for the answers that it owes.
+STOP_S = 5.0
+PAUSE_S = 0.01
+# Nothing here takes longer than a few calls' times, 1.5 s each, even on a busy machine.
+REST_S = 20.0
+
+# The world that whatever runs belongs to.
+_world: contextvars.ContextVar["AnswerWorld | None"] = contextvars.ContextVar("world", default=None)
+
+
+def keep_tasks(loop: asyncio.AbstractEventLoop, coroutine: Any, **options: Any) -> Any:
+    """Make a task, and keep it with the world that it belongs to; a loop's task factory."""
+    task = asyncio.Task(coroutine, loop=loop, **options)
+    context = options.get("context")
+    world = context.get(_world) if context else _world.get()
+    if world is not None:
+        world.tasks.add(task)
+    return task
+
+
+def channels_kept() -> Any:
+    """A context in which each world keeps the channels that its daemons open."""
+    insecure_channel = grpc.aio.insecure_channel
+
+    def keep(*args: Any, **kwargs: Any) -> grpc.aio.Channel:
+        channel = insecure_channel(*args, **kwargs)
+        world = _world.get()
+        assert world is not None
+        world.channels.append(channel)
+        return channel
+
+    return patch.object(grpc.aio, "insecure_channel", keep)
+
+
+async def until(met: Callable[[], Any], what: str) -> None:
+    """Wait until something is so."""
+    end = asyncio.get_running_loop().time() + REST_S
+    while not met():
+        assert asyncio.get_running_loop().time() < end, f"not within {REST_S} s: {what}"
+        await asyncio.sleep(PAUSE_S)
+
+
+class AnswerWorld:
+    """The owner of a queue, and another daemon, with what can happen to them."""
+
+    def __init__(self) -> None:
+        _world.set(self)
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.store = FakeStore(shards=SHARDS)
+        self.gate = Gate()
+        self.channels: list[grpc.aio.Channel] = []
+        self.failures: list[str] = []
+        self.owner = Daemon(name="e1", store=self.store, gate=self.gate)
+        self.other = Daemon(name="e2", store=self.store, gate=self.gate)
+        self.handling = 0
+        self.handled = 0
+        self.asked = self.other
+        self._background: list[asyncio.Task[Any]] = []
+
+    @property
+    def is_handled(self) -> bool:
+        """Whether the handling of all requests is over."""
+        return self.handled == self.handling
+
+    async def start(self, *, at_owner: bool, front: Suspensions, handler: Suspensions) -> None:
+        """Start all parts; the owner has its shard then.
+
+        :param at_owner: whether callers ask the owner itself.
+        :param front: counts the points of the asked daemon's handling of HTTP requests.
+        :param handler: counts the points of the owner's handling of other daemons' calls.
+        """
+        if at_owner:
+            self.asked = self.owner
+        watched_server: Any = WatchedServer(server=self.owner.server, suspensions=handler)
+        self.owner.gateway.serve(watched_server)
+        self.other.gateway.serve(self.other.server)
+        for daemon in (self.owner, self.other):
+            await daemon.server.start(daemon.address)
+        self.owner.own()
+        await until(lambda: self.owner.dispatcher, "the owner has its shard")
+        watched = front.watch(self.asked.front.jobs)
+
+        async def answer(request: Any) -> Any:
+            self.handling += 1
+            try:
+                return await watched(request)
+            finally:
+                self.handled += 1
+
+        self.asked.front.listen(f"127.0.0.1:{self.asked.front_port}", answer)
+
+    def record(self, key: str) -> bytes | None:
+        """The newest record of a key that the store has."""
+        return self.store.shards[SHARD].values_by_key.get(key)
+
+    async def settle(self) -> None:
+        """Let all that was held go on, and wait until owners have written what waits."""
+        self.gate.open()
+        for daemon in (self.owner, self.other):
+            daemon.released.set()
+        await until(self._is_settled, "all is written that is going to be")
+
+    def _is_settled(self) -> bool:
+        dispatchers = [*self.owner.dispatchers, *self.other.dispatchers]
+        return all(one.log.durable or one.log.fenced for one in dispatchers)
+
+    async def close(self) -> list[str]:
+        """End all parts.
+
+        :return: what is left open after that.
+        """
+        await self.asked.front.stop(timeout_s=STOP_S)
+        for channel in self.channels:
+            await channel.close()
+        for daemon in (self.other, self.owner):
+            await daemon.close()
+        await until(lambda: self.gate.under_way == 0, "no call of the store is under way")
+        await asyncio.wait([*self._background, asyncio.ensure_future(asyncio.sleep(0))])
+        return await self._open_tasks()
+
+    async def _open_tasks(self) -> list[str]:
+        end = asyncio.get_running_loop().time() + REST_S / 4
+        while True:
+            mine = asyncio.current_task()
+            left = [task for task in self.tasks if task is not mine and not task.done()]
+            if not left or asyncio.get_running_loop().time() > end:
+                return [repr(task.get_coro()) for task in left]
+            await asyncio.sleep(PAUSE_S)
+
+    # What can happen to what a request waits for.
+
+    async def strike(self, trouble: Callable[["AnswerWorld"], Awaitable[None]]) -> None:
+        """Bring a trouble; one that fails to come is a fault of the test's, not of the handling."""
+        try:
+            await trouble(self)
+        except Exception as exc:
+            self.failures.append(f"the trouble itself failed: {exc!r}")
+
+    async def end_another_call(self) -> None:
+        """Another call to the owner over the same client isn't answered in time."""
+        call = self.other.peers.call(self.owner.address, "held", None, timeout_s=HELD_CALL_S)
+        # The channel may have been closed for good by another trouble.
+        with suppress(PeerUnreachable, grpc.aio.UsageError):
+            await call
+
+    async def close_channels(self) -> None:
+        """The channels between daemons are closed under their calls."""
+        for channel in self.channels:
+            await channel.close()
+
+    async def give_up_shard(self) -> None:
+        """The owner gives its shards up, and nobody takes them."""
+        await self.owner.owners.leave()
+
+    async def hand_shard_over(self) -> None:
+        """The other daemon takes the shards that the owner gives up."""
+        self.other.own()
+        await self.owner.owners.leave()
+
+    async def end_ownership(self) -> None:
+        """A part of the ownership fails, and the ownership ends with it."""
+        dispatcher = self.owner.dispatcher
+        if dispatcher is not None:
+            dispatcher.step_down()
+
+    async def hold_store(self) -> None:
+        """The store gets no calls any more."""
+        self.gate.holds_calls = True
+
+    async def hold_store_answers(self) -> None:
+        """The store does what it is asked to, and its answers don't come."""
+        self.gate.holds_answers = True
+
+    async def stop_server(self) -> None:
+        """The owner's process stops answering calls, as when it leaves."""
+        await self.owner.stop_server()
+
+    async def stop_front(self) -> None:
+        """The asked daemon stops its front, as when it leaves."""
+        self._stop_front(STOP_S)
+
+    async def stop_front_at_once(self) -> None:
+        """The asked daemon stops its front, and has no time left."""
+        self._stop_front(0.0)
+
+    def _stop_front(self, timeout_s: float) -> None:
+        stopping = asyncio.ensure_future(self.asked.front.stop(timeout_s=timeout_s))
+        self._background.append(stopping)
