Refuse no job that is on record while its owner hands over

Callers would see: 503, "not run", for a job that was stored by an earlier call under its id and ran: an untrue refusal. Cause: the desk looked at the hand-over before it looked for the job, and for a record of it under way. Ruled out: taking in a new job while handing over: the successor reads its records meanwhile. Change: only what is new is refused then. Beside it: a server for other daemons is stopped once only; two stops at a time ended the process in the fuzz's rig (not in a daemon).

--- a/features/gateways.feature
+++ b/features/gateways.feature
@@ -87,3 +87,18 @@
       | ends              | how       |
       | fails by an error | failed    |
       | is cancelled      | cancelled |
+
+  Scenario Outline: A job that comes again while its owner hands over is told <code> when it is <state>
+    A caller's first call got no answer, and its job comes again, just as the owner gives the shard to another.
+    It was refused as not run, though it was on record, or became so a moment later, and did run.
+
+    When a job comes again that is <state>, and its owner is handing over
+    Then the caller is told <code> by the desk
+
+    Examples:
+      | state                        | code   |
+      | on record                    | MG4020 |
+      | being stored, and is stored  | MG4020 |
+      | being stored, and isn't      | MG4027 |
+      | being stored, nobody knows   | MG4029 |
+      | new to it                    | MG4027 |
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -11,8 +11,10 @@
 from mustardgap import job_replies
 from mustardgap.dispatchers import Dispatcher
 from mustardgap.events import EventLog
+from mustardgap.job_desks import JobDesk
 from mustardgap.job_gateways import JobGateway
 from mustardgap.peer_calls import METHOD, SERVICE, PeerClient, PeerServer, PeerUnreachable
+from mustardgap.shard_logs import Stored, Ticket
 from mustardgap.timers import Clock
 from tools.actor_platforms import HandClock
 from tools.owner_troubles import TWO_STEPS
@@ -145,6 +147,73 @@
     )
 
 
+class HeldLog:
+    """A shard's log whose appends end when they are told to."""
+
+    def __init__(self):
+        self.ticket = None
+
+    def put(self, key, value):
+        self.ticket = Ticket(outcome=asyncio.get_running_loop().create_future())
+        self.ticket.sent = True
+        return self.ticket
+
+    def failing_s(self):
+        return 0.0
+
+
+def _shard(log):
+    return SimpleNamespace(
+        loaded=True,
+        handing_over=False,
+        jobs_by_id={},
+        log=log,
+        spawn=asyncio.ensure_future,
+        shard=1,
+        epoch=1,
+        wake=lambda: None,
+    )
+
+
+STORED_BY_STATE = {
+    "being stored, and is stored": Stored.YES,
+    "being stored, and isn't": Stored.NO,
+    "being stored, nobody knows": Stored.UNKNOWN,
+}
+
+
+@when("a job comes again that is {state}, and its owner is handing over")
+def hand_in_again(context, state):
+    async def main():
+        log = HeldLog()
+        shard = _shard(log)
+        clock = Clock()
+        desk = JobDesk(
+            dispatcher=shard, store=None, clock=clock, events=EventLog(host="e1", clock=clock)
+        )
+        request = {"job_id": "0" * 16, "queue": QUEUE, "spec": TWO_STEPS}
+        calls = []
+        if state != "new to it":
+            calls.append(asyncio.ensure_future(desk.submit(**request)))
+            await asyncio.sleep(0)
+        if state == "on record":
+            log.ticket.outcome.set_result(Stored.YES)
+            await calls[0]
+        shard.handing_over = True
+        calls.append(asyncio.ensure_future(desk.submit(**request)))
+        await asyncio.sleep(0)
+        if state in STORED_BY_STATE:
+            log.ticket.outcome.set_result(STORED_BY_STATE[state])
+        context.reply = (await asyncio.gather(*calls))[-1]
+
+    asyncio.run(main())
+
+
+@then("the caller is told {code} by the desk")
+def check_told_by_desk(context, code):
+    assert str(context.reply.code) == code, context.reply
+
+
 @then("the caller is told {code} within its {wait:g} s")
 def check_told_in_time(context, code, wait):
     assert str(context.reply.code) == code, context.reply
--- a/mustardgap/job_desks.py
+++ b/mustardgap/job_desks.py
@@ -46,12 +46,15 @@
 
         :return: MG4020 stored, MG4027 or MG4028 certainly not stored, MG4029 not known.
         """
-        if not self._shard.loaded or self._shard.handing_over:
-            return job_replies.not_owner("the owner is reading or handing over its jobs")
+        if not self._shard.loaded:
+            return job_replies.not_owner("the owner is reading its jobs")
         if job_id in self._shard.jobs_by_id:
             return job_replies.ACCEPTED
         ticket = self._accepting_by_id.get(job_id)
         if ticket is None:
+            # Only what is new: refused as not run, a job that is on record would run all the same.
+            if self._shard.handing_over:
+                return job_replies.not_owner("the owner is handing over its jobs")
             if self._shard.log.failing_s() > GIVE_UP_S:
                 return job_replies.store_away("the store doesn't answer the owner")
             stored = StoredJob(queue.name, queue.service, self._clock.wall(), spec)
--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -72,8 +72,10 @@
 
     async def stop(self) -> None:
         """End at once."""
-        if self._server is not None:
-            await self._server.stop(0.1)
+        server, self._server = self._server, None
+        if server is not None:
+            # Once only: two stops of gRPC's server at a time have ended the process.
+            await server.stop(0.1)
 
     async def _answer(self, raw: bytes, context: grpc.aio.ServicerContext) -> bytes:
         name, values = msgspec.msgpack.decode(raw)
