--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -83,3 +83,27 @@
     When a front is stopped while a caller waits that has sent its next job already
     Then the caller is told 200 with MG4020, and its connection ends
     And only the first of its jobs has been handled
+
+  Scenario Outline: A daemon answers callers until its time to leave although giving its shards up <ends>
+    The daemon is told to stop, and gives its shards up before it turns to its callers. Where that failed, or was
+    cancelled under it, the front stopped at once: callers were told that nobody knows, and the balancer's next
+    connections were refused. Where it went on for ever, the daemon was killed with requests open.
+
+    When a daemon is told to stop while a caller waits, and giving its shards up <ends>
+    Then the caller is told 200 with MG4020, and its connection stays for the next request
+    And one who asks 1 s after the signal is told 200 with MG4020
+    And the daemon has ended within its grace
+
+    Examples:
+      | ends              |
+      | succeeds          |
+      | fails by an error |
+      | is cancelled      |
+      | goes on for ever  |
+
+  Scenario: A caller is answered although the error that ended its request's handling has no text
+    The line about the handling was written before the answer was given. Where the line failed, the request was no
+    longer known, and its caller got nothing.
+
+    When a caller sends a front a new job, whose handling fails by an error without a text
+    Then the caller is told 504 with MG4029 on its open connection
--- a/features/gateways.feature
+++ b/features/gateways.feature
@@ -102,3 +102,24 @@
       | being stored, and isn't      | MG4027 |
       | being stored, nobody knows   | MG4029 |
       | new to it                    | MG4027 |
+  Scenario Outline: A caller who waits <wait> s is told in that time although reading the owners takes <read> s, when they answer <answers>
+    The store answers this daemon slowly or not at all, so each look for the owner between two tries takes the
+    reading's whole time. The tries are bounded by the caller's time, the looks between them weren't: the caller
+    had gone when it was told.
+
+    When a caller <asks>, waiting <wait> s, as reading the owners takes <read> s and they answer <answers>
+    Then the caller is told <code> within its <wait> s
+
+    Examples:
+      | asks           | wait | read | answers                            | code   |
+      | asks for a job | 3    | 0.8  | silent for ever                    | MG4027 |
+      | hands a job in | 3    | 0.8  | unknown, unknown, silent for ever  | MG4029 |
+      | hands a job in | 3    | 0.8  | nobody, unknown, silent for ever   | MG4029 |
+      | hands a job in | 0.5  | 0.8  | refused for ever                   | MG4027 |
+
+  Scenario: A call goes on when another one times out while a third was told of its handler's failure
+    An owner's handler fails, and its caller is told so at once: the daemon answers. Another call's time-out still
+    closed the channel, as only answers with success counted as signs of life; a job under way was cut off.
+
+    When a daemon puts two calls to another one, and one times out while a third is told of a failure
+    Then the other one is answered, on the only connection
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -381,3 +381,62 @@
     expected = {"certainly not left": False, "perhaps been heard": True}[sent]
     assert isinstance(context.unreachable, PeerUnreachable), repr(context.unreachable)
     assert context.unreachable.sent is expected, context.unreachable
+
+
+@when(
+    "a caller {asks}, waiting {wait:g} s, as reading the owners takes {read:g} s "
+    "and they answer {answers}"
+)
+def ask_beside_slow_reading(context, asks, wait, read, answers):
+    clock = MovingClock()
+    context.peers = ScriptedPeers(answers, clock)
+    owners = SimpleNamespace(
+        owned_by_shard={},
+        members_by_shard={},
+        generation=1,
+        address_of=lambda shard: "10.0.0.1:1",
+        refresh=lambda: clock.sleep(read),
+    )
+    gateway = _gateway(owners, context.peers, clock)
+    began = clock.monotonic()
+    if asks == "asks for a job":
+        asking = gateway.state(queue=QUEUE._replace(timeout_s=wait), job_id="0" * 16)
+    else:
+        asking = gateway.submit(queue=QUEUE, job_id="0" * 16, spec=TWO_STEPS, wait_s=wait)
+    context.reply = asyncio.run(asking)
+    context.took_s = clock.monotonic() - began
+
+
+class FailingDaemon(SlowDaemon):
+    """A slow daemon whose handler of quick calls fails."""
+
+    async def answer(self, raw, context):
+        name, _ = msgspec.msgpack.decode(raw)
+        if name != "quick":
+            return await super().answer(raw, context)
+        self.peers.append(context.peer())
+        await context.abort(grpc.StatusCode.INTERNAL, "the handler of quick gave no answer")
+
+    async def play(self, silent_s):
+        """Put a slow call and a silent one, and a quick one that is told of a failure."""
+        server, address = await _serve(self.answer)
+        client = PeerClient()
+        slow = asyncio.ensure_future(client.call(address, "slow", None, timeout_s=20.0))
+        await self.arrived.wait()
+        silent = asyncio.ensure_future(client.call(address, "silent", None, timeout_s=silent_s))
+        await asyncio.sleep(0)
+        quick = client.call(address, "quick", None, timeout_s=20.0)
+        failures = await asyncio.gather(quick, silent, return_exceptions=True)
+        assert "INTERNAL" in str(failures[0]) and "DEADLINE" in str(failures[1]), failures
+        # The end of the silent call has done by now whatever it does to others.
+        await asyncio.sleep(0.1)
+        self.may_answer.set()
+        result = (await asyncio.gather(slow, return_exceptions=True))[0]
+        await server.stop(0)
+        return result
+
+
+@when("a daemon puts two calls to another one, and one times out while a third is told of a failure")
+def put_calls_beside_failure(context):
+    context.daemon = FailingDaemon()
+    context.result = asyncio.run(context.daemon.play(0.5))
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,143 @@
+"""Steps of a daemon that leaves while callers wait, in this process and on loopback."""
+
+import asyncio
+import json
+import os
+import tempfile
+from pathlib import Path
+
+from behave import then, when
+
+from features.steps.fronts_steps import (
+    ScriptedGateway,
+    _ask,
+    _play,
+    _send_and_begin,
+    _told,
+)
+from mustardgap.platform.daemon import METRICS_VARIABLE, SETTINGS_VARIABLE, PlatformDaemon
+from mustardgap.platform.process_settings import load
+from tools.processes import free_ports
+
+GRACE_S = 6
+STARTED_S = 0.5
+
+
+async def _fail():
+    raise ValueError("a fault of ours")
+
+
+async def _be_cancelled():
+    future = asyncio.get_running_loop().create_future()
+    future.cancel()
+    await future
+
+
+async def _go_on():
+    await asyncio.Event().wait()
+
+
+LEAVE_BY_END = {
+    "fails by an error": _fail,
+    "is cancelled": _be_cancelled,
+    "goes on for ever": _go_on,
+}
+
+
+class DaemonRig:
+    """A daemon whose store is away, with a scripted gateway."""
+
+    def __init__(self, folder):
+        front, ready, peers, scraped, store = free_ports(5)
+        self.port = front
+        fields = {
+            "node": "e1",
+            "ip": "127.0.0.1",
+            "zone": "z",
+            "zones": {"z": "r"},
+            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "platform": {"addr": f"127.0.0.1:{store}"},
+            "portRange": [peers, peers],
+            "bounds": {"graceS": GRACE_S},
+        }
+        file = Path(folder) / "boot.json"
+        file.write_text(json.dumps(fields))
+        os.environ[METRICS_VARIABLE] = str(scraped)
+        os.environ[SETTINGS_VARIABLE] = str(file)
+        self.daemon = PlatformDaemon(settings=load(file))
+        # Keeps its lines.
+        self.daemon.events._descriptor = None
+        self.gateway = ScriptedGateway("goes on until it may end")
+        self.daemon.front._gateway = self.gateway
+
+
+@when("a daemon is told to stop while a caller waits, and giving its shards up {ends}")
+def stop_daemon(context, ends):
+    async def main(folder):
+        rig = DaemonRig(folder)
+        running = asyncio.ensure_future(rig.daemon.run())
+        await asyncio.sleep(STARTED_S)
+        connection = await _send_and_begin(rig)
+        rig.daemon.owners.leave = LEAVE_BY_END.get(ends, rig.daemon.owners.leave)
+        rig.daemon._stopping.set()
+        told_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(1.0)
+        rig.gateway.may_end.set()
+        context.answer = await connection.answer()
+        try:
+            context.later = await _ask(rig, "new job")
+        except OSError as exc:
+            context.later, context.refused = None, exc
+        left_s = told_at + GRACE_S - asyncio.get_running_loop().time()
+        done, _ = await asyncio.wait([running], timeout=left_s)
+        context.ended = bool(done)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    before = dict(os.environ)
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(main(folder))
+    finally:
+        os.environ.clear()
+        os.environ.update(before)
+
+
+@then("the caller is told {status} with {code}, and its connection stays for the next request")
+def check_kept(context, status, code):
+    assert _told(context.answer) == f"{status} {code}", _told(context.answer)
+    assert "Connection" not in context.answer.fields, context.answer.fields
+
+
+@then("one who asks 1 s after the signal is told {status} with {code}")
+def check_later(context, status, code):
+    assert _told(context.later) == f"{status} {code}", _told(context.later)
+
+
+@then("the daemon has ended within its grace")
+def check_ended(context):
+    assert context.ended
+
+
+class WithoutText(Exception):
+    """An error that fails to tell what it is."""
+
+    def __repr__(self):
+        raise ValueError("no text")
+
+
+@when("a caller sends a front a new job, whose handling fails by an error without a text")
+def send_to_failing(context):
+    async def play(rig):
+        async def handle():
+            raise WithoutText
+
+        rig.gateway._handle = handle
+        context.answer = await _ask(rig, "new job")
+
+    _play("goes on", play)
+
+
+@then("the caller is told {status} with {code} on its open connection")
+def check_open(context, status, code):
+    assert _told(context.answer) == f"{status} {code}", _told(context.answer)
