--- a/features/gateways.feature
+++ b/features/gateways.feature
@@ -123,3 +123,11 @@
 
     When a daemon puts two calls to another one, and one times out while a third is told of a failure
     Then the other one is answered, on the only connection
+
+  Scenario: Calls to an owner whose store is slow go on when a question to it times out
+    A store is slow, and the owner says after 1.2 s what became of a job. A caller's question to the same owner waits for
+    0.6 s. Nothing else comes meanwhile, so its time-out closed the channel that all calls to that owner share:
+    jobs whose answer was due in time were cut off, and their callers told that nobody knows.
+
+    When a daemon puts two jobs and a question of 0.6 s to an owner that answers after 1.2 s
+    Then both jobs are answered
--- a/features/owners.feature
+++ b/features/owners.feature
@@ -410,3 +410,16 @@
     Then all jobs have ended as completed
     And no promise was broken
     And a line shard.failed tells why it ended
+
+  Scenario Outline: A daemon leaves the group although handing one shard over <ends>
+    A daemon is told to stop, and gives all of its shards up at once. One of them failed in handing over, or was cancelled
+    under it: the daemon didn't leave the group, no line told of it, and its shards were served by nobody until its
+    membership lapsed.
+
+    When an owner of 3 shards leaves, and handing one over <ends>
+    Then it has left the group, and has handed the other 2 over
+
+    Examples:
+      | ends              |
+      | fails by an error |
+      | is cancelled      |
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -436,7 +436,35 @@
         return result
 
 
-@when("a daemon puts two calls to another one, and one times out while a third is told of a failure")
+@when(
+    "a daemon puts two calls to another one, and one times out while a third is told of a failure"
+)
 def put_calls_beside_failure(context):
     context.daemon = FailingDaemon()
     context.result = asyncio.run(context.daemon.play(0.5))
+
+
+@when(
+    "a daemon puts two jobs and a question of {short:g} s to an owner that answers after {time:g} s"
+)
+def put_jobs_and_question(context, short, time):
+    async def main():
+        async def answer(raw, call):
+            name, _ = msgspec.msgpack.decode(raw)
+            await asyncio.sleep(0.0 if name == "alive" else time)
+            return msgspec.msgpack.encode(name)
+
+        server, address = await _serve(answer)
+        client = PeerClient()
+        await client.call(address, "alive", None, timeout_s=3.0)
+        waits = {"submit": 1.5, "state": short, "cancel": 1.5}
+        calls = [client.call(address, name, None, timeout_s=wait) for name, wait in waits.items()]
+        context.results = await asyncio.gather(*calls, return_exceptions=True)
+        await server.stop(0)
+
+    asyncio.run(main())
+
+
+@then("both jobs are answered")
+def check_both(context):
+    assert context.results[::2] == ["submit", "cancel"], context.results
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -15,8 +15,12 @@
     _send_and_begin,
     _told,
 )
+from mustardgap.events import EventLog
 from mustardgap.platform.daemon import METRICS_VARIABLE, SETTINGS_VARIABLE, PlatformDaemon
 from mustardgap.platform.process_settings import load
+from mustardgap.ports import Done
+from mustardgap.shard_owners import ShardOwners
+from mustardgap.timers import Clock
 from tools.processes import free_ports
 
 GRACE_S = 6
@@ -141,3 +145,64 @@
 @then("the caller is told {status} with {code} on its open connection")
 def check_open(context, status, code):
     assert _told(context.answer) == f"{status} {code}", _told(context.answer)
+
+
+class SharedOut:
+    """An ownership that does nothing, and may not come to hand over."""
+
+    def __init__(self, hand_over, handed_over):
+        self.ended = asyncio.Event()
+        self._hand_over = hand_over
+        self._handed_over = handed_over
+
+    async def run(self):
+        await asyncio.Event().wait()
+
+    async def hand_over(self):
+        if self._hand_over is not None:
+            await self._hand_over()
+        await asyncio.sleep(0.05)
+        self._handed_over.append(self)
+
+
+class LeftStore:
+    """A store that counts who leaves."""
+
+    def __init__(self):
+        self.left = []
+
+    async def leave(self, *, member):
+        self.left.append(member)
+        return Done()
+
+
+@when("an owner of {count:d} shards leaves, and handing one over {ends}")
+def leave_group(context, count, ends):
+    context.store, context.handed_over = LeftStore(), []
+
+    def make(shard, epoch):
+        return SharedOut(LEAVE_BY_END[ends] if shard == 1 else None, context.handed_over)
+
+    async def main():
+        clock = Clock()
+        owners = ShardOwners(
+            store=context.store,
+            member="m",
+            shards=count + 1,
+            make=make,
+            reach=None,
+            clock=clock,
+            events=EventLog(host="e1", clock=clock),
+        )
+        for shard in range(1, count + 1):
+            owners._begin(shard, 1)
+        await asyncio.sleep(0)
+        await asyncio.gather(owners.leave(), return_exceptions=True)
+
+    asyncio.run(main())
+
+
+@then("it has left the group, and has handed the other {count:d} over")
+def check_left(context, count):
+    assert context.store.left == ["m"], context.store.left
+    assert len(context.handed_over) == count, len(context.handed_over)
