--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -107,3 +107,16 @@
 
     When a caller sends a front a new job, whose handling fails by an error without a text
     Then the caller is told 504 with MG4029 on its open connection
+
+  Scenario Outline: One who asks <asks> s after its daemon was told to stop, of what takes <takes> s, is told <status>
+    The balancer sends connections to a daemon for some seconds after it was told to stop. Its front must go on reading
+    until then, say with each answer that the connection ends, and leave what is under way its time within the grace.
+
+    When a caller asks <asks> s after its daemon was told to stop, of what takes <takes> s
+    Then the caller is told <status> with <code>, and its connection ends
+    And the daemon has ended within its grace
+
+    Examples:
+      | asks | takes | status | code   |
+      | 3.0  | 1.5   | 200    | MG4020 |
+      | 3.0  | 60    | 504    | MG4029 |
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -206,3 +206,34 @@
 def check_left(context, count):
     assert context.store.left == ["m"], context.store.left
     assert len(context.handed_over) == count, len(context.handed_over)
+
+
+@when("a caller asks {asks:g} s after its daemon was told to stop, of what takes {takes:g} s")
+def ask_leaving_daemon(context, asks, takes):
+    async def main(folder):
+        rig = DaemonRig(folder)
+        running = asyncio.ensure_future(rig.daemon.run())
+        await asyncio.sleep(STARTED_S)
+        rig.daemon._stopping.set()
+        loop = asyncio.get_running_loop()
+        told_at = loop.time()
+        await asyncio.sleep(asks)
+        connection = await _send_and_begin(rig)
+        loop.call_later(takes, rig.gateway.may_end.set)
+        context.answer = await connection.answer()
+        context.ended = await connection.has_ended()
+        context.told_to_end = context.answer and context.answer.fields.get("Connection")
+        left_s = told_at + GRACE_S - loop.time()
+        done, _ = await asyncio.wait([running], timeout=left_s)
+        context.ended = context.ended and bool(done)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    before = dict(os.environ)
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(main(folder))
+    finally:
+        os.environ.clear()
+        os.environ.update(before)
+    assert context.told_to_end == "close", context.told_to_end
