Let the calls under way on a channel end by their own time when another one times out

Callers saw: jobs at an owner that took 1.2 s for its store were cut off after 0.6 s by a question that had less time, again and again. An owner that has lost power is replaced after 1.8 s at the soonest, so jobs that wait 1.5 s there lose little. Change: a channel on which nothing came is used for no new calls, and closed after 2 s; a failure that the peer tells counts as heard.

--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -27,6 +27,15 @@
 # an owner's usual answer, and less than any call waits but one whose caller's time is nearly over.
 SILENT_S = 0.3
 
+# How long the calls under way keep a retired channel: the longest time of a call, and some.
+RETIRED_S = 2.0
+# Codes that gRPC itself gives a call; any other came from the peer.
+NOT_HEARD = (
+    grpc.StatusCode.DEADLINE_EXCEEDED,
+    grpc.StatusCode.UNAVAILABLE,
+    grpc.StatusCode.CANCELLED,
+)
+
 # How gRPC's text begins when a call was given to no connection.
 UNCONNECTED = "failed to connect to all addresses"
 
@@ -131,9 +140,11 @@
         try:
             answer = await method(raw, timeout=timeout_s)
         except grpc.aio.AioRpcError as exc:
+            if exc.code() not in NOT_HEARD:
+                link.heard_at = asyncio.get_running_loop().time()
             silent = timeout_s >= SILENT_S and link.heard_at < sent_at
             if silent and exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
-                self._drop(address, link)
+                self._retire(address, link)
             # A call that finds no connection never leaves this host. Taken for one that may have
             # arrived, callers were told that nobody knows what became of their jobs, and couldn't
             # try again: 43 of 46 in the 2 s after a busy pool's owner had lost power.
@@ -157,15 +168,16 @@
             self._links_by_address[address] = link
         return link
 
-    def _drop(self, address: str, link: _Link) -> None:
-        """Close a channel on which nothing came while a call waited, and with it all its calls.
+    def _retire(self, address: str, link: _Link) -> None:
+        """Have later calls use a new channel, as nothing came on this one while a call waited.
 
-        The connection may have gone silent while a new one would work. One that carries answers is
-        kept: a call that takes long there says nothing of the others, which closing would cut off.
+        The connection may have gone silent while a new one would work, or the peer may be slow.
+        Closed at once, the channel would cancel the calls that are under way on it, such as jobs
+        whose answers are due. So these keep it for as long as any call may wait.
         """
         if self._links_by_address.get(address) is not link:
             return
         del self._links_by_address[address]
-        task = asyncio.ensure_future(link.channel.close())
+        task = asyncio.ensure_future(link.channel.close(RETIRED_S))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
