Look for an owner between two tries only within the caller's time

Callers saw: an answer after 2.7 to 4.0 s where they wait 0.5 to 3 s, when the store is slow to tell who owns what. Cause: the tries were bounded by the caller's time, the readings between them weren't, and a question was put again without a look at it. Change: the reading ends with the caller's time, and nothing is put again after it.

--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -20,6 +20,7 @@
 from tools.owner_troubles import TWO_STEPS
 from tools.owner_worlds import QUEUE
 from tools.processes import free_ports
+from tools.virtual_time import VirtualClock, run
 
 # What a desk takes until it says that it doesn't know.
 UNKNOWN_S = 1.2
@@ -45,13 +46,13 @@
     async def call(self, address, name, values, *, timeout_s):
         self.tries += 1
         answer = next(self._answers)
-        if answer == "silent":
-            self._clock.now += timeout_s
+        if answer == "silent" or (answer == "unknown" and timeout_s < UNKNOWN_S):
+            await self._clock.sleep(timeout_s)
             raise PeerUnreachable(sent=True, detail="no answer")
         if answer == "refused":
             raise PeerUnreachable(sent=False, detail="connection refused")
         if answer == "unknown":
-            self._clock.now += UNKNOWN_S
+            await self._clock.sleep(UNKNOWN_S)
             return job_replies.UNSETTLED.encode()
         if answer == "nobody":
             return job_replies.not_owner("not any more").encode()
@@ -388,23 +389,27 @@
     "and they answer {answers}"
 )
 def ask_beside_slow_reading(context, asks, wait, read, answers):
-    clock = MovingClock()
-    context.peers = ScriptedPeers(answers, clock)
-    owners = SimpleNamespace(
-        owned_by_shard={},
-        members_by_shard={},
-        generation=1,
-        address_of=lambda shard: "10.0.0.1:1",
-        refresh=lambda: clock.sleep(read),
-    )
-    gateway = _gateway(owners, context.peers, clock)
-    began = clock.monotonic()
-    if asks == "asks for a job":
-        asking = gateway.state(queue=QUEUE._replace(timeout_s=wait), job_id="0" * 16)
-    else:
-        asking = gateway.submit(queue=QUEUE, job_id="0" * 16, spec=TWO_STEPS, wait_s=wait)
-    context.reply = asyncio.run(asking)
-    context.took_s = clock.monotonic() - began
+    async def main():
+        clock = VirtualClock(loop=asyncio.get_running_loop())
+        context.peers = ScriptedPeers(answers, clock)
+        owners = SimpleNamespace(
+            owned_by_shard={},
+            members_by_shard={},
+            generation=1,
+            address_of=lambda shard: "10.0.0.1:1",
+            refresh=lambda: clock.sleep(read),
+        )
+        gateway = _gateway(owners, context.peers, clock)
+        began = clock.monotonic()
+        if asks == "asks for a job":
+            queue = QUEUE._replace(timeout_s=wait)
+            context.reply = await gateway.state(queue=queue, job_id="0" * 16)
+        else:
+            request = {"queue": QUEUE, "job_id": "0" * 16, "spec": TWO_STEPS}
+            context.reply = await gateway.submit(**request, wait_s=wait)
+        context.took_s = clock.monotonic() - began
+
+    run(main())
 
 
 class FailingDaemon(SlowDaemon):
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, NamedTuple
 
 import msgspec
@@ -207,7 +208,9 @@
                 break
             # A shard that is handed over in good order has its new owner within a few tenths.
             await self._clock.sleep(AGAIN_S)
-            await self._refresh()
+            await self._refresh_until(until)
+            if self._clock.monotonic() >= until:
+                break
         if unsettled is not None and reply.code in NOT_DONE:
             # An earlier try may have done it, so that it wasn't done can't be said any more.
             reply = unsettled
@@ -256,9 +259,11 @@
         A change under a job's id may be put any number of times. Told that nobody knows what became
         of it, its caller can neither go on nor put it again.
         """
+        if self._clock.monotonic() + AGAIN_S >= until:
+            return False
         repeats = self._policy.has(Mechanism.REPEATS)
         if repeats and unsettled and reply.code in (status_codes.JOB_UNSETTLED, *NOT_DONE):
-            return self._clock.monotonic() + AGAIN_S < until
+            return True
         return reply.code is status_codes.OWNER_UNAVAILABLE and tried < TRIES
 
     async def _once(
@@ -305,6 +310,12 @@
             return await owned.desk.state(values[0])
         return owned.desk.pending(values[0])
 
+    async def _refresh_until(self, until: float) -> None:
+        """Look for the owner anew; a store that is slow to tell costs no caller its answer."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(until - self._clock.monotonic()):
+                await self._refresh()
+
     async def _refresh(self) -> None:
         # Many requests may find an owner gone at once; one reading serves all of them.
         now = self._clock.monotonic()
