Answer callers to the end of the grace whatever becomes of the shards

Callers would see: 504 at the signal and refused connections, if giving the shards up failed or was cancelled; a killed daemon and no answer, if it never ended. Cause: the daemon gave its shards up before it turned to its callers, unguarded and without a bound. Change: both go on side by side, by times counted from the signal; a line daemon.not_left tells if the group couldn't be left. Before: 3 of 4 rows red (fronts.feature, "although giving its shards up"); after: green.

--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from .. import logs, metrics, policies
+from .. import cancellations, logs, metrics, policies
 from ..boards import ExecutorBoard, OperatorBoard, OperatorRecords
 from ..dispatchers import Bounds, Dispatcher
 from ..events import EventLog
@@ -186,16 +186,32 @@
         began = self.clock.monotonic()
         steps = leaving_steps(self.settings.promises.grace_s)
         self.events.note("daemon.stopping", vital=True, shards=sorted(self.owners.owned_by_shard))
-        await self.owners.leave()
+        # Beside the steps, not before them: whatever becomes of the shards, callers are answered.
+        leaving = asyncio.create_task(cancellations.run_part(self.owners.leave))
         await self._sleep_until(began + steps.close_s)
         self.front.closing = True
         await self._sleep_until(began + steps.stop_s)
-        left_s = began + steps.end_s - self.clock.monotonic()
-        await self.front.stop(timeout_s=max(0.0, left_s))
+        await self.front.stop(timeout_s=self._left_s(began + steps.end_s))
         await self.peer_server.stop()
+        await self._end_leaving(leaving, self._left_s(began + steps.end_s))
+
+    async def _end_leaving(self, leaving: "asyncio.Task[None]", timeout_s: float) -> None:
+        """Wait until the owners' group has been left, and tell if it couldn't be."""
+        await asyncio.wait([leaving], timeout=timeout_s)
+        if not leaving.done():
+            why = "the grace is nearly over"
+        elif (failure := cancellations.failure_of(leaving)) is not None:
+            why = repr(failure)
+        else:
+            return
+        leaving.cancel()
+        self.events.note("daemon.not_left", vital=True, why=why)
+
+    def _left_s(self, until: float) -> float:
+        return max(0.0, until - self.clock.monotonic())
 
     async def _sleep_until(self, when: float) -> None:
-        await self.clock.sleep(max(0.0, when - self.clock.monotonic()))
+        await self.clock.sleep(self._left_s(when))
 
     def _reload(self) -> None:
         # What may change in the file while the process runs are its seeds; all else is learned
