Leave the owners' group although a shard can't be handed over, and take back a renewal that comes after

Callers would see: queues that nobody serves until a membership lapses (1.8 s). Causes: one failing hand-over ended the leaving before the store was told, without a line; and a renewal on its way when a daemon left made it a member again. Change: each shard is given up by itself, its failure told by shard.not_handed_over, its end waited for 1 s; a renewal that is answered after the leaving is followed by another leaving.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -423,3 +423,10 @@
       | ends              |
       | fails by an error |
       | is cancelled      |
+
+  Scenario: A renewal that the store takes in after its daemon has left is taken back
+    A daemon is told to leave while its renewal is on the way, and the store takes the renewal in after the leaving. The
+    daemon was a member again that runs nothing: its shards were served by nobody until the membership lapsed.
+
+    When a daemon leaves while its renewal is on the way, and the store takes that in afterwards
+    Then the store has last heard from it that it leaves
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -18,7 +18,7 @@
 from mustardgap.events import EventLog
 from mustardgap.platform.daemon import METRICS_VARIABLE, SETTINGS_VARIABLE, PlatformDaemon
 from mustardgap.platform.process_settings import load
-from mustardgap.ports import Done
+from mustardgap.ports import Done, Joined
 from mustardgap.shard_owners import ShardOwners
 from mustardgap.timers import Clock
 from tools.processes import free_ports
@@ -179,6 +179,58 @@
         return Done()
 
 
+class HeldStore(LeftStore):
+    """A store that takes renewals in when it may."""
+
+    def __init__(self):
+        super().__init__()
+        self.joining = asyncio.Event()
+        self.may_join = asyncio.Event()
+        self.heard = []
+
+    async def leave(self, *, member):
+        self.heard.append("leaves")
+        return await super().leave(member=member)
+
+    async def join(self, **request):
+        self.joining.set()
+        await self.may_join.wait()
+        self.heard.append("joins")
+        return Joined(generation=1, shards=frozenset())
+
+
+@when("a daemon leaves while its renewal is on the way, and the store takes that in afterwards")
+def leave_beside_renewal(context):
+    async def main():
+        store = context.store = HeldStore()
+        owners = _owners(store, shards=2, make=None)
+        renewing = asyncio.ensure_future(owners.run())
+        await store.joining.wait()
+        await owners.leave()
+        store.may_join.set()
+        await renewing
+
+    asyncio.run(main())
+
+
+@then("the store has last heard from it that it leaves")
+def check_last_heard(context):
+    assert context.store.heard[-2:] == ["joins", "leaves"], context.store.heard
+
+
+def _owners(store, *, shards, make):
+    clock = Clock()
+    return ShardOwners(
+        store=store,
+        member="m",
+        shards=shards,
+        make=make,
+        reach=None,
+        clock=clock,
+        events=EventLog(host="e1", clock=clock),
+    )
+
+
 @when("an owner of {count:d} shards leaves, and handing one over {ends}")
 def leave_group(context, count, ends):
     context.store, context.handed_over = LeftStore(), []
@@ -187,16 +239,7 @@
         return SharedOut(LEAVE_BY_END[ends] if shard == 1 else None, context.handed_over)
 
     async def main():
-        clock = Clock()
-        owners = ShardOwners(
-            store=context.store,
-            member="m",
-            shards=count + 1,
-            make=make,
-            reach=None,
-            clock=clock,
-            events=EventLog(host="e1", clock=clock),
-        )
+        owners = _owners(context.store, shards=count + 1, make=make)
         for shard in range(1, count + 1):
             owners._begin(shard, 1)
         await asyncio.sleep(0)
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -17,6 +17,8 @@
 RENEW_S = 0.45
 RETRY_S = 0.1
 FLEET_SHARD = 0
+# The parts of an ownership end at once when they are told to; longer, and they never may.
+END_S = 1.0
 # A daemon without shards, or that has just let go of some, renews sooner: what is dealt anew is
 # served by nobody until both ends have renewed.
 SOON_S = 0.15
@@ -173,6 +175,9 @@
             member=self.member, generation=self.generation, ttl_s=TTL_S
         )
         if self._leaving:
+            # Taken in after the leaving, it would hold shards that nobody serves until it lapses.
+            if not isinstance(outcome, Refused):
+                await self._store.leave(member=self.member)
             return True
         if not isinstance(outcome, Joined):
             self._failed(outcome)
@@ -246,17 +251,31 @@
             del self.members_by_shard[shard]
         task = self._tasks_by_shard.pop(shard)
         if why in IN_GOOD_ORDER:
-            await owned.hand_over()
+            await self._hand_over(shard, owned)
         task.cancel()
-        await asyncio.wait([task])
-        failure = cancellations.failure_of(task)
-        if failure is not None:
-            self._events.note("shard.failed", vital=True, shard=shard, why=repr(failure))
+        await asyncio.wait([task], timeout=END_S)
+        self._note_end(shard, task)
         metrics.shard_changes.add(1, {"change": "lost"})
         self._events.note(
             "shard.lost", vital=True, shard=shard, epoch=self._epoch_by_shard[shard], why=why
         )
 
+    async def _hand_over(self, shard: int, owned: Owned) -> None:
+        # One shard that can't be handed over mustn't keep the others, and the group, from others.
+        try:
+            await cancellations.run_part(owned.hand_over)
+        except Exception as exc:
+            self._events.note("shard.not_handed_over", vital=True, shard=shard, why=repr(exc))
+
+    def _note_end(self, shard: int, task: "asyncio.Task[None]") -> None:
+        if not task.done():
+            why = f"its parts go on {END_S} s after they were told to end"
+        elif (failure := cancellations.failure_of(task)) is not None:
+            why = repr(failure)
+        else:
+            return
+        self._events.note("shard.failed", vital=True, shard=shard, why=why)
+
     async def _read_owners(self) -> bool:
         """Read who owns what.
 
