Give a caller its answer before the line about it is written

Caller would see: nothing, if the line about its request's handling failed to be written. Change: the answer goes first. Before: fronts.feature, "has no text", red; after: green.

--- a/mustardgap/open_requests.py
+++ b/mustardgap/open_requests.py
@@ -94,8 +94,9 @@
 
     def _give_fallback(self, task: "asyncio.Task[Any]", ending: Ending, exc: BaseException) -> None:
         request, began = self._waiting_by_task.pop(task)
-        self._note(request, ending, exc, began)
+        # The answer first: a line that can't be written costs the caller nothing.
         request.send(request.fallback(ending))
+        self._note(request, ending, exc, began)
 
     def _note(
         self, request: OpenRequest[Any], ending: Ending, exc: BaseException, began: float
