End the connection of an answer that can't be written, and tell of it

Caller would see: an open and silent connection until its own time is over. Any failure in writing counted as a caller who had left, which is also how the fault of HEAD stayed hidden. Change: who has left is known by its closed connection; any other failure ends the connection, with a line answer.unwritten.

--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -120,3 +120,10 @@
       | asks | takes | status | code   |
       | 3.0  | 1.5   | 200    | MG4020 |
       | 3.0  | 60    | 504    | MG4029 |
+
+  Scenario: An answer that can't be written ends its connection, and a line tells of it
+    A header of an answer isn't HTTP. Whatever failed in writing counted as a caller who had left: the caller saw
+    an open and silent connection, and nothing told of it.
+
+    When a front's answer can't be written
+    Then its caller's connection ends, and the front's log tells of the answer that wasn't written
--- a/features/steps/fronts_steps.py
+++ b/features/steps/fronts_steps.py
@@ -9,7 +9,7 @@
 from mustardgap import job_replies, metrics
 from mustardgap.events import EventLog
 from mustardgap.platform.daemon import leaving_steps
-from mustardgap.platform.front import Front
+from mustardgap.platform.front import Answer, Front
 from tools.owner_worlds import QUEUE
 from tools.processes import free_ports
 
@@ -303,6 +303,27 @@
     assert [answer and answer.status for answer in answers] == [status, status], answers
 
 
+@when("a front's answer can't be written")
+def write_in_vain(context):
+    async def play(rig):
+        async def handle(request):
+            return Answer(200, headers={"X-Result-Code": "MG4020\r\nX-Other: 1"})
+
+        [port] = free_ports(1)
+        rig.front.listen(f"127.0.0.1:{port}", handle)
+        connection = await Connection.open(port)
+        connection.send(*REQUESTS["new job"])
+        context.ended = await connection.has_ended()
+        context.lines = [row for row in rig.events.kept if row["event"] == "answer.unwritten"]
+
+    _play("goes on", play)
+
+
+@then("its caller's connection ends, and the front's log tells of the answer that wasn't written")
+def check_unwritten(context):
+    assert context.ended and len(context.lines) == 1, (context.ended, context.lines)
+
+
 def _told(answer):
     if answer is None:
         return "no answer"
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -78,6 +78,7 @@
         self.closing = False
         self._gateway = gateway
         self._ready = ready
+        self._events = events
         self._open = OpenRequests(events=events)
         self._servers: list[_Server] = []
         # The streams of connections with a request that has no answer yet.
@@ -169,9 +170,21 @@
         )
 
     def _send(self, request: httputil.HTTPServerRequest, answer: Answer) -> None:
-        connection = cast(HTTP1Connection, request.connection)
         stream = _stream(request)
         self._busy.discard(stream)
+        if stream.closed():
+            # The caller has left; there is nobody to answer.
+            metrics.lost_answers.add(1, {"error": "closed"})
+            return
+        try:
+            self._write(request, answer, stream)
+        except Exception as exc:
+            # A fault of ours. The caller of an open and silent connection would wait for nothing.
+            self._events.note("answer.unwritten", vital=True, path=request.path, why=repr(exc))
+            stream.close()
+
+    def _write(self, request: httputil.HTTPServerRequest, answer: Answer, stream: IOStream) -> None:
+        connection = cast(HTTP1Connection, request.connection)
         headers = httputil.HTTPHeaders(answer.headers)
         headers["Content-Length"] = str(len(answer.body))
         if self.closing:
@@ -180,17 +193,13 @@
         line = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
         # With the body, an answer to HEAD would be longer than HTTP allows, and be cut off whole.
         body = None if request.method == "HEAD" else answer.body or None
-        try:
-            connection.write_headers(line, headers, body)
-            if self.closing:
-                # Detached, so that no request that has come meanwhile is read behind this answer.
-                connection.detach()
-                stream.write(b"").add_done_callback(lambda _: stream.close())
-            else:
-                connection.finish()
-        except Exception as exc:
-            # The caller has left; there is nobody to answer.
-            metrics.lost_answers.add(1, {"error": type(exc).__name__})
+        connection.write_headers(line, headers, body)
+        if self.closing:
+            # Detached, so that no request that has come meanwhile is read behind this answer.
+            connection.detach()
+            stream.write(b"").add_done_callback(lambda _: stream.close())
+        else:
+            connection.finish()
 
 
 def _stream(request: httputil.HTTPServerRequest) -> IOStream:
