Replay the incident in a test: a job at a slow owner, another call's time-out, a daemon that leaves

The rigs of fronts and of servers for daemons' calls have a place of their own, for the three step files that use them.

--- a/features/fronts.feature
+++ b/features/fronts.feature
@@ -21,6 +21,15 @@
     Then each caller is told as the table says
     And for each the front's log tells why, and its counter counts it
 
+  Scenario: A job at a slow owner is answered although another call to the owner times out and the daemon leaves
+    The incident, as users saw it: a daemon was told to stop; a job was sent to it that waited for its owner, on another host;
+    2.6 s later the connection ended without a byte. A small question to the same owner had timed out beside it, closed
+    the channel that both used, and so ended the job's handling. Proof: by the code of then the caller gets nothing here.
+
+    When a caller's job waits for its owner, another call to that owner times out, and the front is stopped
+    Then the caller is told 200 with MG4020, and its connection ends
+    And no line tells of handling without an answer
+
   Scenario Outline: A request under way when its daemon leaves is told <status> when its handling <ends>
     The daemon is told to stop while a request waits for a slow owner. Its connection ended after 1 s, and at the
     process's end its handling was cancelled; the caller learned nothing. Now the answer is delivered if it comes
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -8,12 +8,13 @@
 import msgspec
 from behave import then, when
 
+from features.support.peer_servers import serve
 from mustardgap import job_replies
 from mustardgap.dispatchers import Dispatcher
 from mustardgap.events import EventLog
 from mustardgap.job_desks import JobDesk
 from mustardgap.job_gateways import JobGateway
-from mustardgap.peer_calls import METHOD, SERVICE, PeerClient, PeerServer, PeerUnreachable
+from mustardgap.peer_calls import PeerClient, PeerServer, PeerUnreachable
 from mustardgap.shard_logs import Stored, Ticket
 from mustardgap.timers import Clock
 from tools.actor_platforms import HandClock
@@ -250,24 +251,13 @@
     return results[1]
 
 
-async def _serve(answer):
-    server = grpc.aio.server()
-    handler = grpc.unary_unary_rpc_method_handler(answer)
-    server.add_generic_rpc_handlers(
-        (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
-    )
-    port = server.add_insecure_port("127.0.0.1:0")
-    await server.start()
-    return server, f"127.0.0.1:{port}"
-
-
 async def _call_silent(call=_call):
     gate = asyncio.Event()
 
     async def hold(request, context):
         await gate.wait()
 
-    server, address = await _serve(hold)
+    server, address = await serve(hold)
     outcome = await call(address)
     await server.stop(0)
     return outcome
@@ -304,7 +294,7 @@
 
     async def play(self, silent_s, *, quick):
         """Put a slow call, a silent one and perhaps, once it is under way, a quick one."""
-        server, address = await _serve(self.answer)
+        server, address = await serve(self.answer)
         client = PeerClient()
         slow = asyncio.ensure_future(client.call(address, "slow", None, timeout_s=20.0))
         await self.arrived.wait()
@@ -424,7 +414,7 @@
 
     async def play(self, silent_s):
         """Put a slow call and a silent one, and a quick one that is told of a failure."""
-        server, address = await _serve(self.answer)
+        server, address = await serve(self.answer)
         client = PeerClient()
         slow = asyncio.ensure_future(client.call(address, "slow", None, timeout_s=20.0))
         await self.arrived.wait()
@@ -459,7 +449,7 @@
             await asyncio.sleep(0.0 if name == "alive" else time)
             return msgspec.msgpack.encode(name)
 
-        server, address = await _serve(answer)
+        server, address = await serve(answer)
         client = PeerClient()
         await client.call(address, "alive", None, timeout_s=3.0)
         waits = {"submit": 1.5, "state": short, "cancel": 1.5}
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -5,22 +5,31 @@
 import os
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
 
+import msgspec
 from behave import then, when
 
-from features.steps.fronts_steps import (
+from features.support.front_rigs import (
+    PATIENCE_S,
     ScriptedGateway,
-    _ask,
-    _play,
-    _send_and_begin,
-    _told,
+    ask,
+    send,
+    send_and_begin,
+    told,
+    with_front,
 )
+from features.support.peer_servers import serve
+from mustardgap import job_replies
 from mustardgap.events import EventLog
+from mustardgap.job_gateways import JobGateway
+from mustardgap.peer_calls import PeerClient, PeerUnreachable
 from mustardgap.platform.daemon import METRICS_VARIABLE, SETTINGS_VARIABLE, PlatformDaemon
 from mustardgap.platform.process_settings import load
 from mustardgap.ports import Done, Joined
 from mustardgap.shard_owners import ShardOwners
 from mustardgap.timers import Clock
+from tools.owner_worlds import QUEUE
 from tools.processes import free_ports
 
 GRACE_S = 6
@@ -81,7 +90,7 @@
         rig = DaemonRig(folder)
         running = asyncio.ensure_future(rig.daemon.run())
         await asyncio.sleep(STARTED_S)
-        connection = await _send_and_begin(rig)
+        connection = await send_and_begin(rig)
         rig.daemon.owners.leave = LEAVE_BY_END.get(ends, rig.daemon.owners.leave)
         rig.daemon._stopping.set()
         told_at = asyncio.get_running_loop().time()
@@ -89,7 +98,7 @@
         rig.gateway.may_end.set()
         context.answer = await connection.answer()
         try:
-            context.later = await _ask(rig, "new job")
+            context.later = await ask(rig, "new job")
         except OSError as exc:
             context.later, context.refused = None, exc
         # A daemon whose process is about to end can't be let off by its loop's going on here.
@@ -111,13 +120,13 @@
 
 @then("the caller is told {status} with {code}, and its connection stays for the next request")
 def check_kept(context, status, code):
-    assert _told(context.answer) == f"{status} {code}", _told(context.answer)
+    assert told(context.answer) == f"{status} {code}", told(context.answer)
     assert "Connection" not in context.answer.fields, context.answer.fields
 
 
 @then("one who asks 1 s after the signal is told {status} with {code}")
 def check_later(context, status, code):
-    assert _told(context.later) == f"{status} {code}", _told(context.later)
+    assert told(context.later) == f"{status} {code}", told(context.later)
     assert context.goes_on, "the daemon has ended"
 
 
@@ -126,6 +135,71 @@
     assert context.ended
 
 
+class SlowOwner:
+    """An owner that answers jobs when it may, and other calls never."""
+
+    def __init__(self):
+        self.asked = asyncio.Event()
+        self.may_answer = asyncio.Event()
+
+    async def answer(self, raw, call):
+        name, _ = msgspec.msgpack.decode(raw)
+        if name != "submit":
+            await asyncio.Event().wait()
+        self.asked.set()
+        await self.may_answer.wait()
+        return msgspec.msgpack.encode(job_replies.ACCEPTED.encode())
+
+
+def _gateway_to(address, peers, events):
+    """A gateway that knows one owner of all queues."""
+    owners = SimpleNamespace(
+        owned_by_shard={},
+        members_by_shard={},
+        generation=1,
+        address_of=lambda shard: address,
+        refresh=lambda: asyncio.sleep(0),
+    )
+    operator = SimpleNamespace(configuration=SimpleNamespace(queue_for=lambda host, path: QUEUE))
+    return JobGateway(
+        owners=owners, operator=operator, peers=peers, shards=4, clock=Clock(), events=events
+    )
+
+
+@when(
+    "a caller's job waits for its owner, another call to that owner times out, "
+    "and the front is stopped"
+)
+def stop_beside_time_out(context):
+    async def scene(rig):
+        owner = SlowOwner()
+        server, address = await serve(owner.answer)
+        peers = PeerClient()
+        rig.front._gateway = _gateway_to(address, peers, rig.events)
+        connection = await send(rig, "new job")
+        await owner.asked.wait()
+        try:
+            await peers.call(address, "pool", None, timeout_s=0.4)
+        except PeerUnreachable:
+            # Whatever its end does to the job, it has done by then.
+            await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(rig.front.stop(timeout_s=PATIENCE_S))
+        await asyncio.sleep(0)
+        owner.may_answer.set()
+        context.answer = await connection.answer()
+        context.ended = await connection.has_ended()
+        await stopping
+        context.lines = rig.unanswered
+        await server.stop(0)
+
+    with_front("goes on", scene)
+
+
+@then("no line tells of handling without an answer")
+def check_no_line(context):
+    assert not context.lines, context.lines
+
+
 class WithoutText(Exception):
     """An error that fails to tell what it is."""
 
@@ -135,19 +209,19 @@
 
 @when("a caller sends a front a new job, whose handling fails by an error without a text")
 def send_to_failing(context):
-    async def play(rig):
+    async def scene(rig):
         async def handle():
             raise WithoutText
 
         rig.gateway._handle = handle
-        context.answer = await _ask(rig, "new job")
+        context.answer = await ask(rig, "new job")
 
-    _play("goes on", play)
+    with_front("goes on", scene)
 
 
 @then("the caller is told {status} with {code} on its open connection")
 def check_open(context, status, code):
-    assert _told(context.answer) == f"{status} {code}", _told(context.answer)
+    assert told(context.answer) == f"{status} {code}", told(context.answer)
 
 
 class SharedOut:
@@ -264,7 +338,7 @@
         loop = asyncio.get_running_loop()
         told_at = loop.time()
         await asyncio.sleep(asks)
-        connection = await _send_and_begin(rig)
+        connection = await send_and_begin(rig)
         loop.call_later(takes, rig.gateway.may_end.set)
         context.answer = await connection.answer()
         context.ended = await connection.has_ended()
