Take every step of a stop, also when one of them fails

Callers would see: MG1206, outcome unknown, for a request that its executor answered; operators: a daemon that ends with an error in a planned stop, claims' ends missing on the log, and a host that stays on the list. Cause: the steps of the stop ran one after another unguarded. A stray cancellation or an unexpected error of one ended the stop, and the daemon with it: callers weren't drained, keys not flushed, the host not withdrawn. Ruled out: catching in each part: the next part would bring the fault back. Change: each step is run by run_part; what it fails by leaves a line with the step's name. run_part takes parts that return something.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -178,6 +178,39 @@
     When requests are in flight while the entry host stops
     Then requests in flight were answered and later ones truly refused
 
+  Scenario Outline: a planned stop of which <step> <ends> cuts off nobody
+    The caller's request runs as the operator stops the entry host. What one step of the stop awaits is closed
+    by another, or fails for a reason that nobody had thought of, and the steps after it were left out: the
+    caller was told that its outcome isn't known, though the executor answered. Others saw ends of claimed keys
+    that never reached the log, and a host that stayed on the list.
+
+    When requests of kind non-idempotent are under way while a stop's <step> <ends>: one runs
+    Then requests are told 1000 after 1 runs
+    And every step of the stop was taken, and a line names <step>
+
+    Examples:
+      | step              | ends         |
+      | readiness.stop    | fails        |
+      | presence.leave    | is cancelled |
+      | presence.leave    | fails        |
+      | enrolment.leave   | is cancelled |
+      | enrolment.leave   | fails        |
+      | keys.flush        | is cancelled |
+      | keys.flush        | fails        |
+      | actors.settle     | is cancelled |
+      | actors.settle     | fails        |
+      | presence.withdraw | is cancelled |
+      | presence.withdraw | fails        |
+
+  Scenario: a stop ends when a part of the daemon fails meanwhile
+    The caller's request runs as the operator stops the entry host, and a part that it needs fails too often.
+    The process is about to end, so the stop itself is cancelled; a step that takes this for a failure of its
+    own would have the daemon take the next steps without the parts they need.
+
+    When requests of kind non-idempotent are under way while a part fails for good during the stop: one runs
+    Then requests are told 1206 after 1 runs
+    And no step of the stop was taken after that
+
   Scenario Outline: a hopeless <kind> request is refused at once
     When requests are given 10 s by a <kind> caller while both executors refuse connections
     Then requests are refused long before their deadline of 10 s
--- a/features/steps/requests_endings_steps.py
+++ b/features/steps/requests_endings_steps.py
@@ -4,11 +4,14 @@
 import socket
 from contextlib import suppress
 from types import SimpleNamespace
+from unittest import mock
 
 import msgspec
+from absl import logging
 from behave import then, when
 
 from features.steps.requests_steps import until
+from features.support.cancelled_parts import cancelled, failed
 from features.support.rigs import Rig
 from mustardgap import metrics
 from mustardgap.daemons import Daemon
@@ -192,6 +195,110 @@
         raise ValueError("a fault of ours")
 
 
+STOP_STEPS = [
+    "readiness.stop",
+    "presence.leave",
+    "enrolment.leave",
+    "keys.flush",
+    "actors.settle",
+    "presence.withdraw",
+]
+
+
+class StoppingDaemon(FailingDaemon):
+    """A daemon that is told to stop; one step of the stop may end otherwise.
+
+    :param callers: the callers of a test's entry host.
+    :param ends_by_step: what a step does that ends otherwise.
+    """
+
+    def __init__(self, *, callers, ends_by_step):
+        super().__init__(callers=callers)
+        self.taken = []
+        self._ends_by_step = ends_by_step
+        self.readiness = SimpleNamespace(stop=self._end_readiness)
+        self.parts.timeline = callers.timeline
+        self.parts.slots = SimpleNamespace(way=None)
+        for step in STOP_STEPS[1:]:
+            part, method = step.split(".")
+            if not hasattr(self.parts, part):
+                setattr(self.parts, part, SimpleNamespace())
+            setattr(getattr(self.parts, part), method, self._step(step))
+
+    async def _start(self):
+        self._stop.set()
+
+    def _end_readiness(self):
+        self.taken.append("readiness.stop")
+        if "readiness.stop" in self._ends_by_step:
+            raise ValueError("it broke")
+
+    def _step(self, name):
+        async def step(*args, **kwargs):
+            self.taken.append(name)
+            if name in self._ends_by_step:
+                await self._ends_by_step[name]()
+
+        return step
+
+
+@when("requests of kind {kind} are under way while a stop's {step} {ends}: one {state}")
+def stop_step_ends(context, kind, step, ends, state):
+    ends_by_step = {step: {"is cancelled": cancelled, "fails": failed}[ends]}
+
+    async def main():
+        async with Rig() as r:
+            daemon = StoppingDaemon(callers=r.entry.callers, ends_by_step=ends_by_step)
+
+            async def stop():
+                running = asyncio.create_task(daemon.run())
+                await asyncio.wait([running], timeout=30)
+                ended_by = asyncio.CancelledError() if running.cancelled() else running.exception()
+                context.ended_by = ended_by
+
+            await _stop_under_way(context, r, kind, state, stop)
+            context.taken = daemon.taken
+
+    with mock.patch.object(logging, "exception") as lines:
+        asyncio.run(main())
+    context.lines = [call.args for call in lines.call_args_list]
+
+
+@then("every step of the stop was taken, and a line names {step}")
+def every_step_taken(context, step):
+    assert context.ended_by is None, repr(context.ended_by)
+    assert context.taken == STOP_STEPS, context.taken
+    assert [step in args for args in context.lines] == [True], context.lines
+
+
+@when(
+    "requests of kind {kind} are under way while a part fails for good during the stop: one {state}"
+)
+def part_fails_in_stop(context, kind, state):
+    async def main():
+        async with Rig() as r:
+            daemon = StoppingDaemon(callers=r.entry.callers, ends_by_step={})
+
+            async def stop():
+                running = asyncio.create_task(daemon.run())
+                await until(lambda: r.entry.callers.draining)
+                context.before = list(daemon.taken)
+                daemon.may_fail.set()
+                await asyncio.wait([running], timeout=10)
+                assert isinstance(running.exception(), ChildFailed), running
+
+            await _stop_under_way(context, r, kind, state, stop)
+            context.taken = daemon.taken
+
+    asyncio.run(main())
+
+
+@then("no step of the stop was taken after that")
+def no_more_steps(context):
+    assert context.before, "the stop had not begun"
+    assert context.taken == context.before, context.taken
+
+
 @when("requests' caller still sends a body while the entry host's time to stop runs out")
 def stop_within_body(context):
     async def main():
--- a/mustardgap/cancellations.py
+++ b/mustardgap/cancellations.py
@@ -24,7 +24,7 @@
     return task is None or task.cancelling() > 0
 
 
-async def run_part(part: Callable[[], Awaitable[None]]) -> None:
+async def run_part(part: Callable[[], Awaitable[object]]) -> None:
     """Run a part of a task, and pass on only cancellations of the task itself.
 
     The part gets a task of its own: ``asyncio.TaskGroup`` cancels the task that it fails in, and
--- a/mustardgap/daemons.py
+++ b/mustardgap/daemons.py
@@ -4,11 +4,12 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import click
 from absl import logging
 
-from . import logs, observers, settings, status_codes
+from . import cancellations, logs, observers, settings, status_codes
 from .__version__ import __version__
 from .brokers import Broker
 from .exceptions import MustardgapError
@@ -122,17 +123,34 @@
                 task.cancel()
 
     async def _leave(self) -> None:
-        """Stop gracefully: unready first, then no new work, then end what is in flight."""
-        self.readiness.stop()
+        """Stop gracefully: unready first, then no new work, then end what is in flight.
+
+        A step that fails leaves a line, and the next ones are taken. Left out, callers would be
+        cut off, ends of claims be missing on the log, and the others send work to a host that is
+        gone. Each step looks for itself at what is to be done, so none needs one before it.
+        """
+        for name, step in self._leaving_steps().items():
+            try:
+                await cancellations.run_part(step)
+            except Exception:
+                logging.exception("%s failed as the daemon was stopping; the stop goes on", name)
+
+    def _leaving_steps(self) -> dict[str, Callable[[], Awaitable[object]]]:
         parts = self.parts
-        parts.timeline.add("daemon.stopping")
-        await parts.presence.leave()
-        await parts.callers.drain()
-        way, stop_s = parts.slots.way, self.settings.stop_timeout_s
-        await parts.enrolment.leave(way, timeout_s=stop_s / 4)
-        await parts.keys.flush(timeout_s=self.settings.stop_timeout_s / 4)
-        await parts.actors.settle()
-        await parts.presence.withdraw()
+        part_s = self.settings.stop_timeout_s / 4
+        return {
+            "readiness.stop": self._stop_readiness,
+            "presence.leave": parts.presence.leave,
+            "callers.drain": parts.callers.drain,
+            "enrolment.leave": partial(parts.enrolment.leave, parts.slots.way, timeout_s=part_s),
+            "keys.flush": partial(parts.keys.flush, timeout_s=part_s),
+            "actors.settle": parts.actors.settle,
+            "presence.withdraw": parts.presence.withdraw,
+        }
+
+    async def _stop_readiness(self) -> None:
+        self.readiness.stop()
+        self.parts.timeline.add("daemon.stopping")
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
