Tell who waits for a record at once when its append ends by an error

Callers would see: MG4029 only when all of their time was over, for a job whose owner had already given its shard up. Cause: only a cancellation of the append ended the tickets of its batch. After any other error nothing did: the batch waits no more, so the close of the log doesn't see it. Ruled out: putting the batch back to what waits: its tickets would end only with the ownership, and a change of the same key could have come since. Catching Exception beside CancelledError: the next kind of end would be missed again. Change: what ends an append, the tickets end with what it returned, or as unknown. Red, the new table without the mend: 2 of 6 rows failed (an error at the first try, an error after a lost answer: three tickets still open); the other rows guard what a cancellation did. Green with it: 6 of 6. (behave features/owners.feature -n "Who waits for a record is told")

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -294,6 +294,24 @@
       | leases  | dispatcher.failed |
       | placing | shard.failed      |
 
+  Scenario Outline: Who waits for a record is told at once when its append <ends> <when>
+    The caller hands a job in or cancels one, and the owner appends the record. The append ends for a reason
+    that nobody had thought of, so nobody can tell whether it was stored. The owner gives the shard up, but the
+    caller waited for all of its time to be told so, although the next owner could have answered it.
+
+    When two changes of a job and a third of another await an append that <ends> <when>
+    Then each of them is told that the outcome is unknown, before the shard is given up
+    And a change that came during the append is told that it isn't stored, as the shard is given up
+
+    Examples:
+      | ends                        | when                |
+      | is cancelled                | at the first try    |
+      | fails                       | at the first try    |
+      | is ended with the ownership | at the first try    |
+      | is cancelled                | after a lost answer |
+      | fails                       | after a lost answer |
+      | is ended with the ownership | after a lost answer |
+
   Scenario Outline: A start that <ends> on its way doesn't keep its task from being done
     The caller's job stays running for good. Its task was given to an executor, and the sending of the
     start ended for a reason that nobody had thought of. Nobody can tell whether the task runs, so no
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -183,14 +183,15 @@
         for ticket in tickets:
             ticket.sent = True
         self._sending = True
+        stored = Stored.UNKNOWN
         try:
             stored = await self._append(records)
-        except asyncio.CancelledError:
-            _resolve_all(tickets, Stored.UNKNOWN)
-            raise
         finally:
+            # Whatever ended the append, its records may have been stored. They wait no more, so
+            # nothing else would end their tickets: callers would be told only when their time is
+            # over.
             self._sending = False
-        _resolve_all(tickets, stored)
+            _resolve_all(tickets, stored)
         if stored is not Stored.YES:
             self.close()
 
