Show that a stop without an answer is repeated though another task of its step is gone

Users of a lasting step would see more of its tasks away than may be. Cause: `ExecutorLink._stop` repeats an order until it is answered; whether the step may miss one more was weighed before the first.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -448,3 +448,11 @@
 
     When a daemon leaves while its renewal is on the way, and the store takes that in afterwards
     Then the store has last heard from it that it leaves
+
+  Scenario: A stop that got no answer isn't repeated once another task of the step is gone
+    A lasting task is moved while all others of its step serve their users, which may miss one. Its stop gets no answer;
+    before it is repeated, another task's executor is lost. It was repeated all the same, and two were away at once.
+
+    Given owners on a fake platform
+    When a lasting task is moved, its stop gets no answer, and the executor of another one is lost
+    Then no promise was broken
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -8,6 +8,7 @@
 from features.support.owner_jobs import START_S, hand_in, job_id_of
 from mustardgap.dispatchers import TICK_S
 from mustardgap.pacing import HIGH_SHARE
+from mustardgap.ports import NoAnswer
 from mustardgap.shard_owners import FLEET_SHARD
 from mustardgap.workloads import TaskId
 from tools.owner_daemons import SERVICE
@@ -318,3 +319,27 @@
 @then("it has left")
 def has_left(context):
     assert context.left, "it waited for the store for 60 s"
+
+
+@when("a lasting task is moved, its stop gets no answer, and the executor of another one is lost")
+def stop_repeated_beside_loss(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        assert await world.submit_until_accepted(job_id_of(1), LASTING)
+        await asyncio.sleep(SETTLED_S)
+        runs = list(world.dispatcher().running())
+        moved = runs[0]
+        other = next(run for run in runs if run.link is not moved.link)
+
+        async def lose():
+            world.fleet.by_address[other.link.entry.address].crash()
+            await asyncio.sleep(0.3)
+            return NoAnswer(sent=True, detail="no answer in time")
+
+        moved.link._port = EndedOnce(moved.link._port, "stop", ends=lose)
+        moved.link.closing = True
+        await asyncio.sleep(2)
+        context.ended = moved.link._port.count
+        assert context.ended, "no stop was sent"
+
+    context.world = play(scene, **context.options)
