Say in one place how a handling ended, and what is known of a call without an answer

Seen in reading the change: three places told a cancelled handling from a failed one and one that a stop cut (open_requests, unanswered, peer_calls), two counted them, and two made the reply to a change or a question that nobody answered (front, job_gateways). Change: unanswered tells the ending and counts it, job_replies.unanswered makes the reply; the others call them. Behaviour is as it was, but for one text: the line of a request that a stop has cut says "this entry host has stopped" as cause, as the own interface does.

--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -216,9 +216,9 @@
     def _note_end(self, exc: BaseException) -> None:
         end = unanswered.end_of(exc, stopping=self._is_cut)
         self.host.timeline.add(
-            "request.unanswered", cause=end.cause, request=self.request_id, how=end.how
+            "request.unanswered", cause=end.cause, request=self.request_id, how=end.how.value
         )
-        logging.error("no outcome of request %s (%s)", self.request_id, end.how, exc_info=exc)
+        logging.error("no outcome of request %s (%s)", self.request_id, end.how.value, exc_info=exc)
 
     def _given_up(self, refusal: Code) -> NotRun | Unknown:
         if self._session is None:
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -279,7 +279,8 @@
                 async with asyncio.timeout(left_s):
                     return await self._local(shard, name, msgspec.to_builtins(values))
             except TimeoutError:
-                return _unanswered(name, "the owner, this daemon, took too long")
+                detail = "the owner, this daemon, took too long"
+                return job_replies.unanswered(detail, is_change=name in CHANGES)
         address = self._owners.address_of(shard)
         if address is None:
             return job_replies.not_owner("nobody owns the queue yet")
@@ -289,7 +290,7 @@
             )
         except PeerUnreachable as exc:
             if exc.sent:
-                return _unanswered(name, str(exc))
+                return job_replies.unanswered(str(exc), is_change=name in CHANGES)
             return job_replies.not_owner(str(exc))
         return job_replies.decode(answer)
 
@@ -322,13 +323,3 @@
         if now - self._refreshed_at > 0.2:
             self._refreshed_at = now
             await self._owners.refresh()
-
-
-def _unanswered(name: str, detail: str) -> JobReply:
-    """What is known of a call that its owner didn't answer.
-
-    An unanswered question can be repeated; an unanswered change may have been made.
-    """
-    if name in CHANGES:
-        return job_replies.UNSETTLED._replace(detail=detail)
-    return job_replies.not_owner(detail)
--- a/mustardgap/job_replies.py
+++ b/mustardgap/job_replies.py
@@ -57,3 +57,11 @@
 def store_away(detail: str) -> JobReply:
     """The store takes no records; the call had no effect."""
     return JobReply(status_codes.STORE_UNAVAILABLE, detail=detail)
+
+
+def unanswered(detail: str, *, is_change: bool) -> JobReply:
+    """What is known of a call that was given no answer.
+
+    An unanswered question can be repeated; an unanswered change may have been made.
+    """
+    return UNSETTLED._replace(detail=detail) if is_change else not_owner(detail)
--- a/mustardgap/open_requests.py
+++ b/mustardgap/open_requests.py
@@ -1,28 +1,19 @@
 """Requests that were read whole and wait for their one answer."""
 
 import asyncio
-import enum
 import traceback
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from pathlib import Path
 from typing import Any, Generic, NamedTuple, TypeVar
 
-from . import metrics
+from . import unanswered
 from .events import EventLog
+from .unanswered import Ending
 
 AnswerT = TypeVar("AnswerT")
 
 
-class Ending(enum.Enum):
-    """How a handling ended that gave no answer."""
-
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-    # The daemon leaves, and the handling goes on.
-    CUT = "cut"
-
-
 class OpenRequest(NamedTuple, Generic[AnswerT]):
     """One request, and what gives its answer.
 
@@ -77,7 +68,7 @@
                     await asyncio.wait(list(self._waiting_by_task))
         for task in list(self._waiting_by_task):
             # Answered first: a handling that is cancelled may take its time to end.
-            self._give_fallback(task, Ending.CUT, TimeoutError("the daemon leaves"))
+            self._give_fallback(task, asyncio.CancelledError(), stopping=True)
             task.cancel()
 
     def _answer(self, task: "asyncio.Task[Any]") -> None:
@@ -85,31 +76,26 @@
             return
         try:
             answer = task.result()
-        except asyncio.CancelledError as exc:
-            self._give_fallback(task, Ending.CANCELLED, exc)
-        except Exception as exc:
-            self._give_fallback(task, Ending.FAILED, exc)
+        except (Exception, asyncio.CancelledError) as exc:
+            self._give_fallback(task, exc)
         else:
             self._waiting_by_task.pop(task).request.send(answer)
 
-    def _give_fallback(self, task: "asyncio.Task[Any]", ending: Ending, exc: BaseException) -> None:
+    def _give_fallback(
+        self, task: "asyncio.Task[Any]", exc: BaseException, *, stopping: bool = False
+    ) -> None:
         request, began = self._waiting_by_task.pop(task)
         # The answer first: a line that can't be written costs the caller nothing.
-        request.send(request.fallback(ending))
-        self._note(request, ending, exc, began)
-
-    def _note(
-        self, request: OpenRequest[Any], ending: Ending, exc: BaseException, began: float
-    ) -> None:
-        metrics.unanswered_requests.add(1, {"how": ending.value})
+        request.send(request.fallback(unanswered.ending_of(exc, stopping=stopping)))
+        end = unanswered.end_of(exc, stopping=stopping)
         self._events.note(
             "request.unanswered",
             vital=True,
             method=request.method,
             path=request.path,
             job=request.job,
-            how=ending.value,
-            why=repr(exc),
+            how=end.how.value,
+            why=end.cause,
             at=_innermost(exc),
             after_s=self._events.clock.monotonic() - began,
         )
--- a/mustardgap/operator_handlers.py
+++ b/mustardgap/operator_handlers.py
@@ -140,7 +140,9 @@
         is_cut = exc is None
         end = unanswered.end_of(exc or asyncio.CancelledError(), stopping=is_cut)
         place = self.request.path
-        self.operators.timeline.add("request.unanswered", cause=end.cause, how=end.how, path=place)
+        self.operators.timeline.add(
+            "request.unanswered", cause=end.cause, how=end.how.value, path=place
+        )
         if self.may_have_written:
             detail = "the handling ended early; the record may be accepted"
             self.refuse(status_codes.LOG_ANSWER_LOST, detail=detail, place=place)
--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -7,7 +7,7 @@
 import grpc
 import msgspec
 
-from . import cancellations
+from . import cancellations, unanswered
 from .events import EventLog
 
 SERVICE = "mustardgap.Owners"
@@ -94,21 +94,17 @@
             raise AssertionError
         try:
             return msgspec.msgpack.encode(await handler(values))
-        except asyncio.CancelledError as exc:
-            if cancellations.is_own():
+        except (Exception, asyncio.CancelledError) as exc:
+            if isinstance(exc, asyncio.CancelledError) and cancellations.is_own():
                 # The caller has given the call up, or this daemon ends.
                 raise
-            self._note(name, "cancelled", exc)
-        except Exception as exc:
-            self._note(name, "failed", exc)
+            how = unanswered.ending_of(exc).value
+            self._events.note("call.unanswered", vital=True, call=name, how=how, why=repr(exc))
         # A cancelled handler would leave the call silent until its time is over, and its caller
         # would take this daemon for one that is gone.
         await context.abort(grpc.StatusCode.INTERNAL, f"the handler of {name} gave no answer")
         raise AssertionError
 
-    def _note(self, name: str, how: str, exc: BaseException) -> None:
-        self._events.note("call.unanswered", vital=True, call=name, how=how, why=repr(exc))
-
 
 class _Link:
     """The channel to one peer, and when an answer last came on it."""
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -16,7 +16,8 @@
 from ..events import EventLog
 from ..job_gateways import JobGateway
 from ..job_replies import JobReply
-from ..open_requests import Ending, OpenRequest, OpenRequests
+from ..open_requests import OpenRequest, OpenRequests
+from ..unanswered import Ending
 from ..workloads import Queue
 from .decoding import InvalidBody, job
 
@@ -209,9 +210,7 @@
 def _fallback(request: httputil.HTTPServerRequest, ending: Ending) -> Answer:
     """What is true of a request whose handling ended without an answer."""
     detail = f"its handling {ending.value}"
-    if request.method in CHANGES:
-        return _encoded(job_replies.UNSETTLED._replace(detail=detail))
-    return _encoded(job_replies.not_owner(detail))
+    return _encoded(job_replies.unanswered(detail, is_change=request.method in CHANGES))
 
 
 def _wait_s(request: httputil.HTTPServerRequest) -> float | None:
--- a/mustardgap/unanswered.py
+++ b/mustardgap/unanswered.py
@@ -1,32 +1,41 @@
-"""Tells of requests whose handling ended before it had an answer for the caller."""
+"""Tells how the handling of a request ended that had no answer for the caller."""
 
 import asyncio
+import enum
 from typing import NamedTuple
 
 from . import metrics
 
 
-class End(NamedTuple):
-    """What ended the handling of a request.
+class Ending(enum.Enum):
+    """How a handling ended that gave no answer."""
 
-    :param how: "failed", "cancelled", or "cut" by a stop of this daemon.
-    :param cause: the error.
-    """
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    # By a stop of this daemon.
+    CUT = "cut"
+
+
+class End(NamedTuple):
+    """What ended the handling of a request; ``cause`` is the error."""
 
-    how: str
+    how: Ending
     cause: str
 
 
-def end_of(exc: BaseException, *, stopping: bool = False) -> End:
-    """What ended the handling of a request, counted.
+def ending_of(exc: BaseException, *, stopping: bool = False) -> Ending:
+    """How the handling of a request ended.
 
     :param exc: the exception that the handling ended with.
     :param stopping: whether this daemon ended it, because it stops.
     """
     if stopping:
-        end = End("cut", "this entry host has stopped")
-    else:
-        how = "cancelled" if isinstance(exc, asyncio.CancelledError) else "failed"
-        end = End(how, repr(exc))
-    metrics.unanswered_requests.add(1, {"how": end.how})
-    return end
+        return Ending.CUT
+    return Ending.CANCELLED if isinstance(exc, asyncio.CancelledError) else Ending.FAILED
+
+
+def end_of(exc: BaseException, *, stopping: bool = False) -> End:
+    """What ended the handling of a request, counted; see ``ending_of``."""
+    how = ending_of(exc, stopping=stopping)
+    metrics.unanswered_requests.add(1, {"how": how.value})
+    return End(how, "this entry host has stopped" if stopping else repr(exc))
