Tell an idle connection by what its stream does, without a list of busy ones

Seen in reading the change: the front kept the streams with a request under way, to leave them alone as it stops. The list is gone.

--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import re
-from collections.abc import Callable, Container, Coroutine
+from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any, NamedTuple, cast
 
@@ -53,17 +53,16 @@
 class _Server(HTTPServer):
     """An HTTP server that can end the connections that nothing is under way on."""
 
-    async def close_idle(self, busy: Container[IOStream]) -> None:
-        """Close all connections but those whose streams are busy, or still write an answer.
+    async def close_idle(self) -> None:
+        """Close all connections but those with a request under way, or an answer not yet written.
 
-        One that doesn't wait for bytes may have just got some; whether they are a whole request
-        shows within some turns of the event loop.
+        Tornado reads nothing on these. Nor does one wait for bytes that has just got some; whether
+        they are a whole request shows within some turns of the event loop.
         """
         for _ in range(READ_TURNS):
             for connection in list(self._connections):
-                stream = connection.stream
-                if stream not in busy and stream.reading():
-                    stream.close()
+                if connection.stream.reading():
+                    connection.stream.close()
             await asyncio.sleep(0)
 
 
@@ -82,8 +81,6 @@
         self._events = events
         self._open = OpenRequests(events=events)
         self._servers: list[_Server] = []
-        # The streams of connections with a request that has no answer yet.
-        self._busy: set[IOStream] = set()
 
     def listen(self, address: str, answer: Handler) -> None:
         """Serve an address with one of this object's ways to answer."""
@@ -108,7 +105,7 @@
             # A request that came on an idle connection would be read, and cut off unanswered when
             # the process ends; on a closed one it isn't read, and goes to another daemon. The other
             # connections end with their answers, so nothing new is read from now on.
-            await server.close_idle(self._busy)
+            await server.close_idle()
         await self._open.settle(timeout_s=timeout_s)
         for server in self._servers:
             await server.close_all_connections()
@@ -157,7 +154,6 @@
         return Answer(200, metrics.render(), {"Content-Type": metrics.CONTENT_TYPE})
 
     def _begin(self, request: httputil.HTTPServerRequest, answer: Handler) -> None:
-        self._busy.add(_stream(request))
         name = request.path.rpartition("/")[2]
         self._open.begin(
             OpenRequest(
@@ -172,7 +168,6 @@
 
     def _send(self, request: httputil.HTTPServerRequest, answer: Answer) -> None:
         stream = _stream(request)
-        self._busy.discard(stream)
         if stream.closed():
             # The caller has left; there is nobody to answer.
             metrics.lost_answers.add(1, {"error": "closed"})
