Say in one place why a task that was told to end hasn't

The daemon's leaving and a shard's end each waited for a task and told why it didn't end in order: still going on, failed, or cancelled by something else. cancellations.why_not_ended serves both, and StrayCancellation takes its argument by keyword, as the house rules ask.

--- a/mustardgap/cancellations.py
+++ b/mustardgap/cancellations.py
@@ -14,7 +14,7 @@
 class StrayCancellation(Exception):
     """Something that a task awaited was cancelled; nobody cancelled the task itself."""
 
-    def __init__(self, what: str) -> None:
+    def __init__(self, *, what: str) -> None:
         super().__init__(f"{what} ended by a cancellation that nobody asked for")
 
 
@@ -45,7 +45,7 @@
             logging.exception("%s failed as it was stopped", name, exc_info=task.exception())
         raise
     if task.cancelled():
-        raise StrayCancellation(name)
+        raise StrayCancellation(what=name)
     task.result()
 
 
@@ -55,4 +55,17 @@
         return task.exception()
     if task.cancelling() > 0:
         return None
-    return StrayCancellation(getattr(task.get_coro(), "__qualname__", task.get_name()))
+    return StrayCancellation(what=getattr(task.get_coro(), "__qualname__", task.get_name()))
+
+
+async def why_not_ended(task: "asyncio.Task[Any]", *, timeout_s: float) -> str:
+    """Wait for a task that was told to end, or is about to.
+
+    :param timeout_s: seconds to wait.
+    :return: why it hasn't ended in order, "" if it has.
+    """
+    await asyncio.wait([task], timeout=timeout_s)
+    if not task.done():
+        return f"it goes on after {timeout_s:.1f} s"
+    failure = failure_of(task)
+    return repr(failure) if failure is not None else ""
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -197,15 +197,10 @@
 
     async def _end_leaving(self, leaving: "asyncio.Task[None]", timeout_s: float) -> None:
         """Wait until the owners' group has been left, and tell if it couldn't be."""
-        await asyncio.wait([leaving], timeout=timeout_s)
-        if not leaving.done():
-            why = "the grace is nearly over"
-        elif (failure := cancellations.failure_of(leaving)) is not None:
-            why = repr(failure)
-        else:
-            return
-        leaving.cancel()
-        self.events.note("daemon.not_left", vital=True, why=why)
+        why = await cancellations.why_not_ended(leaving, timeout_s=timeout_s)
+        if why:
+            leaving.cancel()
+            self.events.note("daemon.not_left", vital=True, why=why)
 
     def _left_s(self, until: float) -> float:
         return max(0.0, until - self.clock.monotonic())
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -253,8 +253,8 @@
         if why in IN_GOOD_ORDER:
             await self._hand_over(shard, owned)
         task.cancel()
-        await asyncio.wait([task], timeout=END_S)
-        self._note_end(shard, task)
+        if why_failed := await cancellations.why_not_ended(task, timeout_s=END_S):
+            self._events.note("shard.failed", vital=True, shard=shard, why=why_failed)
         metrics.shard_changes.add(1, {"change": "lost"})
         self._events.note(
             "shard.lost", vital=True, shard=shard, epoch=self._epoch_by_shard[shard], why=why
@@ -267,15 +267,6 @@
         except Exception as exc:
             self._events.note("shard.not_handed_over", vital=True, shard=shard, why=repr(exc))
 
-    def _note_end(self, shard: int, task: "asyncio.Task[None]") -> None:
-        if not task.done():
-            why = f"its parts go on {END_S} s after they were told to end"
-        elif (failure := cancellations.failure_of(task)) is not None:
-            why = repr(failure)
-        else:
-            return
-        self._events.note("shard.failed", vital=True, shard=shard, why=why)
-
     async def _read_owners(self) -> bool:
         """Read who owns what.
 
