--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -6,10 +6,12 @@
 import tempfile
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 import msgspec
 from behave import then, when
 
+from features.support.cancelled_parts import cancelled, failed
 from features.support.front_rigs import (
     PATIENCE_S,
     ScriptedGateway,
@@ -36,23 +38,13 @@
 STARTED_S = 0.5
 
 
-async def _fail():
-    raise ValueError("a fault of ours")
-
-
-async def _be_cancelled():
-    future = asyncio.get_running_loop().create_future()
-    future.cancel()
-    await future
-
-
 async def _go_on():
     await asyncio.Event().wait()
 
 
 LEAVE_BY_END = {
-    "fails by an error": _fail,
-    "is cancelled": _be_cancelled,
+    "fails by an error": failed,
+    "is cancelled": cancelled,
     "goes on for ever": _go_on,
 }
 
@@ -84,12 +76,24 @@
         self.daemon.front._gateway = self.gateway
 
 
-@when("a daemon is told to stop while a caller waits, and giving its shards up {ends}")
-def stop_daemon(context, ends):
+def _play_daemon(scene):
+    """Play something with a daemon that runs, and end it."""
+
     async def main(folder):
         rig = DaemonRig(folder)
         running = asyncio.ensure_future(rig.daemon.run())
         await asyncio.sleep(STARTED_S)
+        await scene(rig, running)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    with mock.patch.dict(os.environ), tempfile.TemporaryDirectory() as folder:
+        asyncio.run(main(folder))
+
+
+@when("a daemon is told to stop while a caller waits, and giving its shards up {ends}")
+def stop_daemon(context, ends):
+    async def scene(rig, running):
         connection = await send_and_begin(rig)
         rig.daemon.owners.leave = LEAVE_BY_END.get(ends, rig.daemon.owners.leave)
         rig.daemon._stopping.set()
@@ -106,16 +110,8 @@
         left_s = told_at + GRACE_S - asyncio.get_running_loop().time()
         done, _ = await asyncio.wait([running], timeout=left_s)
         context.ended = bool(done)
-        running.cancel()
-        await asyncio.gather(running, return_exceptions=True)
 
-    before = dict(os.environ)
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            asyncio.run(main(folder))
-    finally:
-        os.environ.clear()
-        os.environ.update(before)
+    _play_daemon(scene)
 
 
 @then("the caller is told {status} with {code}, and its connection stays for the next request")
@@ -330,10 +326,7 @@
 
 @when("a caller asks {asks:g} s after its daemon was told to stop, of what takes {takes:g} s")
 def ask_leaving_daemon(context, asks, takes):
-    async def main(folder):
-        rig = DaemonRig(folder)
-        running = asyncio.ensure_future(rig.daemon.run())
-        await asyncio.sleep(STARTED_S)
+    async def scene(rig, running):
         rig.daemon._stopping.set()
         loop = asyncio.get_running_loop()
         told_at = loop.time()
@@ -346,14 +339,6 @@
         left_s = told_at + GRACE_S - loop.time()
         done, _ = await asyncio.wait([running], timeout=left_s)
         context.ended = context.ended and bool(done)
-        running.cancel()
-        await asyncio.gather(running, return_exceptions=True)
 
-    before = dict(os.environ)
-    try:
-        with tempfile.TemporaryDirectory() as folder:
-            asyncio.run(main(folder))
-    finally:
-        os.environ.clear()
-        os.environ.update(before)
+    _play_daemon(scene)
     assert context.told_to_end == "close", context.told_to_end
