Look again at what is away before a stop without an answer is sent once more

A lasting task is moved; its stop gets no answer, and before the repeat another task's executor is lost. Cause: `ExecutorLink._stop` repeated an order until it was answered; what may be missed was weighed once, before the first try. Ruled out: asking again with what is believed at that moment only. Red still: the lost executor's report was 0.4 s old and it counted as at work, as a look waits up to 1 s. So before a repeat only executors that have reported since the failed try count. Change: the link asks its owner before each send of a stop; a run that is moved needs leave, one that is over, draining or not lasting doesn't. `features/owners.feature` "repeated once": red before, green now; beside it one that the repeat does come when all others serve on (green before, too).

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -456,3 +456,12 @@
     Given owners on a fake platform
     When a lasting task is moved, its stop gets no answer, and the executor of another one is lost
     Then no promise was broken
+
+  Scenario: A stop that got no answer is sent again while all others of the step are at work
+    A lasting task is moved and its stop is lost on the way. It is sent again as soon as the other executors have reported
+    since; without a repeat the machine would never be empty, and its wave late.
+
+    Given owners on a fake platform
+    When a lasting task is moved, its stop gets no answer, and all others of its step serve on
+    Then the task has left its executor in the end
+    And no promise was broken
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -321,25 +321,48 @@
     assert context.left, "it waited for the store for 60 s"
 
 
+async def _move_unanswered(context, world, meanwhile):
+    """Move a lasting task; its first stop gets no answer after something else has happened."""
+    await asyncio.sleep(START_S)
+    assert await world.submit_until_accepted(job_id_of(1), LASTING)
+    await asyncio.sleep(SETTLED_S)
+    runs = list(world.dispatcher().running())
+    moved = runs[0]
+    other = next(run for run in runs if run.link is not moved.link)
+
+    async def unanswered():
+        meanwhile(world, other)
+        await asyncio.sleep(0.3)
+        return NoAnswer(sent=True, detail="no answer in time")
+
+    moved.link._port = EndedOnce(moved.link._port, "stop", ends=unanswered)
+    moved.link.closing = True
+    await asyncio.sleep(2)
+    context.ended = moved.link._port.count
+    assert context.ended, "no stop was sent"
+    return moved
+
+
 @when("a lasting task is moved, its stop gets no answer, and the executor of another one is lost")
 def stop_repeated_beside_loss(context):
     async def scene(world):
-        await asyncio.sleep(START_S)
-        assert await world.submit_until_accepted(job_id_of(1), LASTING)
-        await asyncio.sleep(SETTLED_S)
-        runs = list(world.dispatcher().running())
-        moved = runs[0]
-        other = next(run for run in runs if run.link is not moved.link)
+        await _move_unanswered(
+            context, world, lambda w, other: w.fleet.by_address[other.link.entry.address].crash()
+        )
+
+    context.world = play(scene, **context.options)
 
-        async def lose():
-            world.fleet.by_address[other.link.entry.address].crash()
-            await asyncio.sleep(0.3)
-            return NoAnswer(sent=True, detail="no answer in time")
 
-        moved.link._port = EndedOnce(moved.link._port, "stop", ends=lose)
-        moved.link.closing = True
-        await asyncio.sleep(2)
-        context.ended = moved.link._port.count
-        assert context.ended, "no stop was sent"
+@when("a lasting task is moved, its stop gets no answer, and all others of its step serve on")
+def stop_repeated_alone(context):
+    async def scene(world):
+        moved = await _move_unanswered(context, world, lambda w, other: None)
+        await asyncio.sleep(SETTLED_S)
+        context.left = [run for run in moved.link.runs_by_key.values() if run is moved]
 
     context.world = play(scene, **context.options)
+
+
+@then("the task has left its executor in the end")
+def has_left(context):
+    assert not context.left, context.left
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -228,6 +228,13 @@
         """For how many more seconds leases may be given."""
         return AUTHORITY_S - self._fresh_s()
 
+    def may_stop(self, run: Run) -> bool:
+        """Whether a run that is to be stopped may be stopped at this moment."""
+        job = self.jobs_by_id.get(run.task.task_id.job)
+        if job is None or job.phase is not JobPhase.LIVE:
+            return True
+        return self.evacuations.may_stop(run, self._clock.monotonic())
+
     def on_report(self, link: ExecutorLink) -> None:
         """An executor has answered."""
         self.roster.heard(link.entry.executor)
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -16,6 +16,8 @@
 FINISH_S = 3.0
 # Beyond the platform's bound for a stop: the order's way, and a look at most a second old.
 STOP_SLACK_S = 1.2
+# Why a run is stopped that has to make room; such a stop needs leave each time it is sent.
+EVACUATED = "evacuated"
 
 
 class Evacuations:
@@ -40,7 +42,19 @@
                 continue
             for run in list(link.runs_by_key.values()):
                 if run.phase is RunPhase.RUNNING and self._may_stop(link, run, now):
-                    link.end(run, "draining" if link.entry.draining else "evacuated")
+                    link.end(run, "draining" if link.entry.draining else EVACUATED)
+
+    def may_stop(self, run: Run, now: float) -> bool:
+        """Whether a stop may be sent, for the first time or again, by what is away now.
+
+        A stop that got no answer is sent again. If another executor is lost meanwhile, that would
+        end one more task than the step may miss, though there was leave for the first try. So
+        before a repeat only those count as at work whose executors have reported since that try.
+        """
+        if run.why_stopped != EVACUATED or not run.task.step.lasting or run.link.entry.draining:
+            return True
+        siblings = self._dispatcher.job_of(run.task.task_id).siblings(run.task)
+        return self._may_miss_one(run.task, siblings, now, heard_since=run.unanswered_at)
 
     def _may_stop(self, link: ExecutorLink, run: Run, now: float) -> bool:
         step = run.task.step
@@ -52,20 +66,24 @@
             return False
         return self._has_room_elsewhere(run.task, siblings, now)
 
-    def _may_miss_one(self, task: Task, siblings: list[Task], now: float) -> bool:
+    def _may_miss_one(
+        self, task: Task, siblings: list[Task], now: float, heard_since: float = float("-inf")
+    ) -> bool:
         """Whether one more task of the step may be away, counting those that are for any cause."""
         others = [other for other in siblings if other is not task]
-        away = sum(1 for other in others if not self.is_at_work(other, now))
+        away = sum(1 for other in others if not self.is_at_work(other, now, heard_since))
         allowed = task.step.may_miss
         # Without a promise they are moved one at a time all the same.
         return away < (allowed if allowed is not None else 1)
 
-    def is_at_work(self, task: Task, now: float) -> bool:
+    def is_at_work(self, task: Task, now: float, heard_since: float = float("-inf")) -> bool:
         """Whether a lasting task serves its users now, as far as is known.
 
         A run that was adopted from a former owner may be on its way to a stop which that owner
         ordered: it is listed at work until the stop takes effect, and another task would be stopped
         beside it. A run that is known for longer than a stop takes would have ended by one.
+
+        :param heard_since: steady time since which its executor has to have reported.
         """
         run = task.run
         return (
@@ -74,6 +92,7 @@
             and run.percent >= AT_WORK_PERCENT
             and run.started_at <= now - self._settle_s
             and run.link.up
+            and run.link.heard_at >= heard_since
         )
 
     def _has_room_elsewhere(self, task: Task, siblings: list[Task], now: float) -> bool:
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -75,6 +75,9 @@
     def authority_s(self) -> float:
         """For how many more seconds leases may be given."""
 
+    def may_stop(self, run: Run) -> bool:
+        """Whether a run that is to be stopped may be stopped at this moment."""
+
 
 class ExecutorLink:
     """Keeps one executor's lease, and its reports up to date.
@@ -122,6 +125,8 @@
         self.slow_jobs: set[str] = set()
         # The time of the executor's steady clock that its last report tells of.
         self.seen_s = 0.0
+        # Steady time at which its last report came.
+        self.heard_at = float("-inf")
         self._port = port
         self._owner = owner
         self._clock = clock
@@ -258,6 +263,7 @@
         now = self._clock.monotonic()
         self._executor_clock.observe(report.clock_ms, now=now)
         self.seen_s = report.clock_ms / 1000
+        self.heard_at = now
         if self._silent or not self.audited:
             self._events.note(
                 "executor.up",
@@ -471,6 +477,9 @@
         if pause_s:
             await self._clock.sleep(pause_s)
         while run is None or (task_id, number) in self.runs_by_key:
+            if run is not None and not self._owner.may_stop(run):
+                await self._clock.sleep(RETRY_S)
+                continue
             outcome = await self._port.stop(self.entry, task=task_id, run=number, fence=self.fence)
             if isinstance(outcome, Stopped):
                 if run is not None and run.confirmed_at is None:
@@ -491,6 +500,8 @@
                 )
             if run is None and self.lapsed:
                 return
+            if run is not None:
+                run.unanswered_at = self._clock.monotonic()
             await self._clock.sleep(RETRY_S)
 
     async def _pace(self, run: Run, percent: int) -> None:
--- a/mustardgap/runs.py
+++ b/mustardgap/runs.py
@@ -37,6 +37,7 @@
         "phase",
         "started_at",
         "task",
+        "unanswered_at",
         "why_stopped",
     )
 
@@ -57,6 +58,8 @@
         self.load = 0
         self.pace = 100
         self.why_stopped = ""
+        # When a try to stop it last ended without an answer, in steady seconds.
+        self.unanswered_at = float("-inf")
 
     def note_begun(self, clock_s: float) -> None:
         """Note that the executor has the run, at a time of its clock."""
