Keep a shard's records in a failover partition while its own one is turned away

What callers saw: the store turns 3 of 24 partitions away for 6 s; all jobs of one kind are refused by an owner that is well, with executors free. Cause: accepted jobs, ends and orders are on record in the one partition of their shard only. Weighed: an owner of another partition holds records for it (a takeover then needs that owner, and a message; two owners to fence); any partition by rendezvous (a takeover has to read all); a second topic whose partition `shard + half` belongs to that shard alone, written by the shard's own owner under its own epoch. The last: fenced by the store, one writer, two reads at a takeover. Change: `ShardLog` writes to two `PartitionLog`s. After 0.3 s without an append what waits goes to the failover partition, with versions; it goes home when that takes appends again, and is dropped there once the primary one has it. A new owner fences and reads both, unless the last owner's record, itself in the primary partition, says that it left in good order and left nothing there. An owner diverts only once its own record stands at home. Costs nothing while the store is well, two calls at a takeover after a crash. Left: a takeover after a crash waits while either partition is away. Owners' troubles and their random series got partitions away, in turn, and with the owner killed.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -21,6 +21,9 @@
       | owner stopped                 | 3     | completed           |
       | all killed                    | 2     | completed           |
       | store down                    | 1     | completed           |
+      | partition away                | 1     | completed           |
+      | partition away and owner killed | 1   | completed           |
+      | partitions in turn            | 1     | completed           |
       | store slow                    | 1     | completed           |
       | store loses answers           | 2     | completed           |
       | owner cut from store          | 1     | completed           |
--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -16,11 +16,12 @@
 from mustardgap.events import EventLog
 from mustardgap.fleet_moves import LEARNED_KEY
 from mustardgap.fleet_orders import RECENT_KEY
+from mustardgap.owner_records import OWNER_KEY
 from mustardgap.platform.daemon import decode_entry
 from mustardgap.platform.decoding import newest_page
 from mustardgap.platform.store_client import _records
 from mustardgap.ports import Entries, Invalid
-from mustardgap.shard_logs import EXECUTOR_KEY, JOB_KEY, OWNER_KEY, PROGRESS_KEY
+from mustardgap.shard_logs import EXECUTOR_KEY, JOB_KEY, PROGRESS_KEY
 from mustardgap.shard_owners import FLEET_SHARD, shard_of
 from mustardgap.timers import Clock
 from mustardgap.workloads import EndKind
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -12,8 +12,8 @@
 from mustardgap.fleet_waves import FleetWaves
 from mustardgap.pool_views import ExecutorView, PoolRequest, PoolView
 from mustardgap.ports import Done, NoAnswer
-from mustardgap.shard_logs import Stored, Ticket
 from mustardgap.shard_owners import FLEET_SHARD
+from mustardgap.tickets import Stored, Ticket
 from mustardgap.workloads import Configuration, Machine, Room, Service, Wave
 from tools.actor_platforms import HandClock
 from tools.owner_daemons import SERVICE
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -12,7 +12,7 @@
 from mustardgap.job_desks import JobDesk
 from mustardgap.job_gateways import JobGateway
 from mustardgap.peer_calls import PeerUnreachable
-from mustardgap.shard_logs import Stored, Ticket
+from mustardgap.tickets import Stored, Ticket
 from mustardgap.timers import Clock
 from tools.actor_platforms import HandClock
 from tools.owner_troubles import TWO_STEPS
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -21,8 +21,8 @@
 
 
 def _cancel_appends(owned):
-    owned.log._store = EndedOnce(owned.log._store, "append")
-    return [owned.log._store]
+    owned.log._primary._store = EndedOnce(owned.log._primary._store, "append")
+    return [owned.log._primary._store]
 
 
 def _cancel_ticks(owned):
@@ -200,8 +200,8 @@
 
 
 def _end_fleet_appends(fleet, ends):
-    fleet.log._store = EndedOnce(fleet.log._store, "append", ends=ends)
-    return fleet.log._store
+    fleet.log._primary._store = EndedOnce(fleet.log._primary._store, "append", ends=ends)
+    return fleet.log._primary._store
 
 
 def _end_fleet_orders(fleet, ends):
--- a/features/steps/shard_logs_steps.py
+++ b/features/steps/shard_logs_steps.py
@@ -7,7 +7,8 @@
 from features.support.cancelled_parts import cancelled, failed
 from mustardgap.events import EventLog
 from mustardgap.ports import NoAnswer
-from mustardgap.shard_logs import ShardLog, Stored
+from mustardgap.shard_logs import ShardLog
+from mustardgap.tickets import Stored
 from tools.virtual_time import VirtualClock, run
 
 # Long enough for each try of an append to be made.
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -18,16 +18,18 @@
     exhausted,
     note_end,
 )
+from .owner_records import OWNER_KEY, encode_owner
 from .pacing import Pacing
 from .placing import objective_s
 from .policies import WHOLE, Policy
 from .pool_views import PoolRequest, PoolView, view
 from .ports import Advice, Executors, Store
 from .runs import Run, RunPhase
-from .shard_logs import JOB_KEY, OWNER_KEY, PROGRESS_KEY, ShardLog, Ticket
-from .shard_records import encode_owner, read_records
+from .shard_logs import JOB_KEY, PROGRESS_KEY, ShardLog
+from .shard_records import read_records
 from .suspicions import Suspicions
 from .task_starters import TaskStarter
+from .tickets import Ticket
 from .timers import Clock
 from .workloads import (
     Configuration,
@@ -147,11 +149,13 @@
             return
         self.handing_over = True
         self.roster.close()
-        ticket = self.log.put(OWNER_KEY, encode_owner(self.epoch, closed=True))
+        record = encode_owner(self.epoch, closed=True, diverted=self.log.seal())
+        ticket = self.log.put(OWNER_KEY, record)
         await asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
 
     async def _serve(self) -> None:
         self.spawn(self.log.run())
+        self.spawn(self.log.run_failover())
         self.spawn(self._tick())
         self.spawn(self.advices.run())
         self.spawn(self._place_when_advised())
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -18,7 +18,7 @@
     Stopped,
 )
 from .runs import Run, RunPhase
-from .shard_logs import Ticket
+from .tickets import Ticket
 from .timers import Clock
 from .workloads import EndRow, ExecutorEntry, Report, Room, RunRow
 
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -7,9 +7,10 @@
 from .boards import OperatorBoard
 from .events import EventLog
 from .fleet_moves import LEARNED_KEY, WORD_S, FleetMoves
-from .fleet_orders import RECENT_KEY, REOPEN_PAUSE_S, FleetOrders
+from .fleet_orders import HAND_OVER_S, RECENT_KEY, REOPEN_PAUSE_S, FleetOrders
 from .fleet_states import UP, Closing, EndedLife, FleetState, Times, executor_in, is_back
 from .fleet_waves import WAVE_KEY, FleetWaves
+from .owner_records import OWNER_KEY, encode_owner
 from .policies import WHOLE, Mechanism, Policy
 from .pool_views import PoolRequest, PoolView
 from .ports import Boards, Machines, NoAnswer, Refused, Store
@@ -80,6 +81,7 @@
         self._clock = clock
         self._events = events
         self._policy = policy
+        self._loaded = False
         self._listed_at = float("-inf")
         # When the list last had every machine; only such a list shows that one is gone.
         self._listed_whole_at = float("-inf")
@@ -128,22 +130,24 @@
 
     async def run(self) -> None:
         """Take the shard over, and order machines about until fenced off or cancelled."""
-        writing: asyncio.Task[None] | None = None
+        writing: list[asyncio.Task[None]] = []
         try:
             if not await self.log.open():
                 return
             await self._load()
-            writing = asyncio.create_task(self.log.run())
-            writing.add_done_callback(self._ended_writing)
+            writing = [
+                asyncio.create_task(part) for part in (self.log.run(), self.log.run_failover())
+            ]
+            for task in writing:
+                task.add_done_callback(self._ended_writing)
             while not self.orders.ended and not self.log.fenced:
                 await self._round()
                 await self._clock.sleep(ROUND_S)
         finally:
             self.ended.set()
             self.log.close()
-            for task in (*self.state.orders_by_machine.values(), writing):
-                if task is not None:
-                    task.cancel()
+            for task in (*self.state.orders_by_machine.values(), *writing):
+                task.cancel()
 
     def _ended_writing(self, task: asyncio.Task[None]) -> None:
         failure = cancellations.failure_of(task)
@@ -155,10 +159,18 @@
 
     async def hand_over(self) -> None:
         """Send no more orders, and leave a record of those that were sent."""
+        if not self._loaded:
+            return
+        record = encode_owner(self.log.epoch, closed=True, diverted=self.log.seal())
+        ticket = self.log.put(OWNER_KEY, record)
         await self.orders.hand_over()
+        await asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
 
     async def _load(self) -> None:
-        for key, value in (await self.log.read()).items():
+        values = await self.log.read()
+        self.log.put(OWNER_KEY, encode_owner(self.log.epoch, closed=False))
+        self._loaded = True
+        for key, value in values.items():
             if not value:
                 continue
             try:
--- a/mustardgap/fleet_orders.py
+++ b/mustardgap/fleet_orders.py
@@ -10,7 +10,8 @@
 from .events import EventLog
 from .fleet_states import Away, Closing, FleetState, Times
 from .ports import Done, Fenced, Machines, NoAnswer, NotInWave, Order, Refused, Throttled
-from .shard_logs import ShardLog, Ticket
+from .shard_logs import ShardLog
+from .tickets import Ticket
 from .timers import Clock
 from .workloads import Machine
 
--- a/mustardgap/job_desks.py
+++ b/mustardgap/job_desks.py
@@ -8,7 +8,8 @@
 from .job_replies import JobReply
 from .job_states import Job, JobPhase, StoredJob, encode_job
 from .ports import Appended, Fenced, Store
-from .shard_logs import JOB_KEY, PROGRESS_KEY, Stored, Ticket
+from .shard_logs import JOB_KEY, PROGRESS_KEY
+from .tickets import Stored, Ticket
 from .timers import Clock
 from .workloads import JobSpec, Queue
 
--- /dev/null
+++ b/mustardgap/partition_logs.py
@@ -0,0 +1,159 @@
+"""Appends to one partition of the store under one epoch, and reads of it."""
+
+from collections.abc import Callable, Sequence
+
+from . import metrics
+from .events import EventLog
+from .ports import Appended, Entries, Fenced, NoAnswer, Record, Refused, Store, WrongSequence
+from .tickets import Stored
+from .timers import Clock
+
+# The pause before an append that failed is repeated.
+RETRY_S = 0.1
+# The pause before a whole partition, which may be large, is read again.
+READ_RETRY_S = 0.2
+
+
+class PartitionLog:
+    """Writes to one of a shard's two partitions.
+
+    One append is under way at a time, numbered, and repeated until it is answered. So a lost answer
+    can't store a record twice, and an append that arrives late can't overwrite a newer record: its
+    sequence number has been used, or its epoch is fenced off.
+
+    :param store: the platform's store.
+    :param shard: the shard's number.
+    :param failover: whether this is the shard's failover partition.
+    :param epoch: the generation at which this daemon got the shard.
+    :param on_failing: called when appends begin to fail.
+    :param clock: the clocks to read.
+    :param events: the process's log.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        shard: int,
+        failover: bool,
+        epoch: int,
+        on_failing: Callable[[], None],
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        self.failing_since: float | None = None
+        self._store = store
+        self._shard = shard
+        self._failover = failover
+        self._epoch = epoch
+        self._on_failing = on_failing
+        self._clock = clock
+        self._events = events
+        self._sequence = 0
+
+    def failing_s(self) -> float:
+        """For how many seconds appends have failed, 0 when the last one was answered."""
+        if self.failing_since is None:
+            return 0.0
+        return self._clock.monotonic() - self.failing_since
+
+    async def fence(self) -> bool:
+        """Fence off earlier owners.
+
+        :return: False when a later owner has done so to this one.
+        """
+        while True:
+            outcome = await self._store.fence(
+                shard=self._shard, epoch=self._epoch, failover=self._failover
+            )
+            if isinstance(outcome, Appended):
+                return True
+            if isinstance(outcome, Fenced):
+                return False
+            await self._clock.sleep(RETRY_S)
+
+    async def newest(self) -> dict[str, bytes | None]:
+        """Read the newest value of each key, again and again until the store answers."""
+        while True:
+            outcome = await self._store.newest(shard=self._shard, failover=self._failover)
+            if isinstance(outcome, Entries):
+                for why in outcome.invalid:
+                    self._events.note("record.invalid", vital=True, shard=self._shard, why=why)
+                return outcome.values_by_key
+            self._events.note(
+                "shard.unread",
+                vital=True,
+                shard=self._shard,
+                failover=self._failover,
+                why=outcome.detail,
+            )
+            await self._clock.sleep(READ_RETRY_S)
+
+    async def append(self, records: Sequence[Record]) -> Stored:
+        """Append records, again and again until the store answers.
+
+        :return: anything but YES tells that another owner writes the shard.
+        """
+        unanswered = False
+        while True:
+            sent_at = self._clock.monotonic()
+            outcome = await self._store.append(
+                shard=self._shard,
+                epoch=self._epoch,
+                sequence=self._sequence,
+                records=records,
+                failover=self._failover,
+            )
+            metrics.append_duration.record(self._clock.monotonic() - sent_at)
+            metrics.store_appends.add(1, {"outcome": type(outcome).__name__})
+            if isinstance(outcome, Appended):
+                self._sequence += 1
+                self._recovered()
+                return Stored.YES
+            if isinstance(outcome, Fenced):
+                self._events.note("shard.fenced", vital=True, shard=self._shard, epoch=self._epoch)
+                # An earlier try that got no answer may have been stored before the fence.
+                return Stored.UNKNOWN if unanswered else Stored.NO
+            if isinstance(outcome, WrongSequence):
+                self._note_sequence(outcome)
+                if not unanswered and outcome.expected >= 0:
+                    self._sequence = outcome.expected
+                    continue
+                return Stored.UNKNOWN
+            unanswered = unanswered or isinstance(outcome, NoAnswer)
+            self._failed(outcome)
+            await self._clock.sleep(RETRY_S)
+
+    def _note_sequence(self, outcome: WrongSequence) -> None:
+        self._events.note(
+            "shard.sequence",
+            vital=True,
+            shard=self._shard,
+            epoch=self._epoch,
+            sent=self._sequence,
+            expected=outcome.expected,
+        )
+
+    def _failed(self, outcome: Refused | NoAnswer) -> None:
+        if self.failing_since is None:
+            self.failing_since = self._clock.monotonic()
+            self._events.note(
+                "store.lost",
+                vital=True,
+                shard=self._shard,
+                failover=self._failover,
+                epoch=self._epoch,
+                why=outcome.detail,
+            )
+            self._on_failing()
+
+    def _recovered(self) -> None:
+        if self.failing_since is not None:
+            self._events.note(
+                "store.regained",
+                vital=True,
+                shard=self._shard,
+                failover=self._failover,
+                lasted_s=self.failing_s(),
+            )
+            self.failing_since = None
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -85,7 +85,7 @@
         self.clock = Clock()
         self.events = EventLog(host=settings.host, clock=self.clock, descriptor=1)
         pool = HttpPool()
-        self.store = StoreClient(pool=pool, address=settings.store)
+        self.store = StoreClient(pool=pool, address=settings.store, shards=settings.shards)
         self.executors = ExecutorClient(pool=pool)
         self.machines = MachineClient(pool=pool, address=settings.machines)
         self.advice = AdviceClient(pool=pool, address=settings.advice)
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -21,9 +21,11 @@
     Refused,
     WrongSequence,
 )
+from ..shard_owners import failover_partition
 from .decoding import InvalidBody, fields_of, newest_page
 
 JOBS = "keyed.mustardgap-jobs"
+JOBS_FAILOVER = "keyed.mustardgap-failover"
 OPERATOR = "keyed.op"
 EXECUTORS = "keyed.servers"
 STATUS = "keyed.status"
@@ -52,30 +54,47 @@
 
     :param pool: the process's connections.
     :param address: the store's ``ip:port``.
+    :param shards: how many shards there are.
     """
 
-    def __init__(self, *, pool: HttpPool, address: str) -> None:
+    def __init__(self, *, pool: HttpPool, address: str, shards: int) -> None:
         self._pool = pool
         self._address = address
+        self._shards = shards
         self._patience_s = FIRST_CALL_S
 
-    async def fence(self, *, shard: int, epoch: int) -> Appended | Fenced | Refused | NoAnswer:
-        """Raise a shard's epoch; the call is an append without records."""
-        outcome = await self._append(JOBS, shard, b"", {"producer": PRODUCER, "epoch": epoch})
+    async def fence(
+        self, *, shard: int, epoch: int, failover: bool = False
+    ) -> Appended | Fenced | Refused | NoAnswer:
+        """Raise a partition's epoch; the call is an append without records."""
+        topic, part = self._place(shard, failover)
+        outcome = await self._append(topic, part, b"", {"producer": PRODUCER, "epoch": epoch})
         assert not isinstance(outcome, WrongSequence)
         return outcome
 
     async def append(
-        self, *, shard: int, epoch: int, sequence: int, records: Sequence[Record]
+        self,
+        *,
+        shard: int,
+        epoch: int,
+        sequence: int,
+        records: Sequence[Record],
+        failover: bool = False,
     ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
         """Append records under an epoch."""
         query = {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
         body = b"".join(_keyed(record) for record in records)
-        return await self._append(JOBS, shard, body, query)
+        return await self._append(*self._place(shard, failover), body, query)
 
-    async def newest(self, *, shard: int) -> Entries | Refused | NoAnswer:
-        """Read the newest record of each key of a shard."""
-        return await self._newest(JOBS, shard)
+    async def newest(self, *, shard: int, failover: bool = False) -> Entries | Refused | NoAnswer:
+        """Read the newest record of each key of a partition."""
+        return await self._newest(*self._place(shard, failover))
+
+    def _place(self, shard: int, failover: bool) -> tuple[str, int]:
+        """The topic and the partition that hold a shard's records."""
+        if not failover:
+            return JOBS, shard
+        return JOBS_FAILOVER, failover_partition(shard, self._shards)
 
     async def join(
         self, *, member: str, generation: int, ttl_s: float
--- a/mustardgap/ports.py
+++ b/mustardgap/ports.py
@@ -145,18 +145,29 @@
 
 
 class Store(Protocol):
-    """The platform's durable keyed log, split into shards, and the group that deals them out."""
+    """The platform's durable keyed log, split into shards, and the group that deals them out.
 
-    async def fence(self, *, shard: int, epoch: int) -> Appended | Fenced | Refused | NoAnswer:
-        """Let no append of a lower epoch into a shard any more."""
+    A shard has two partitions, of which the store may turn one away while it serves the other.
+    """
+
+    async def fence(
+        self, *, shard: int, epoch: int, failover: bool = False
+    ) -> Appended | Fenced | Refused | NoAnswer:
+        """Let no append of a lower epoch into a partition of a shard any more."""
 
     async def append(
-        self, *, shard: int, epoch: int, sequence: int, records: Sequence[Record]
+        self,
+        *,
+        shard: int,
+        epoch: int,
+        sequence: int,
+        records: Sequence[Record],
+        failover: bool = False,
     ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
         """Store records, all or none; a repeat with the same sequence has no further effect."""
 
-    async def newest(self, *, shard: int) -> Entries | Refused | NoAnswer:
-        """The newest record of each key of a shard."""
+    async def newest(self, *, shard: int, failover: bool = False) -> Entries | Refused | NoAnswer:
+        """The newest record of each key of a partition of a shard."""
 
     async def join(
         self, *, member: str, generation: int, ttl_s: float
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -304,3 +304,13 @@
         return FLEET_SHARD
     digest = hashlib.blake2b(service.encode(), digest_size=8).digest()
     return 1 + int.from_bytes(digest) % (shards - 1)
+
+
+def failover_partition(shard: int, shards: int) -> int:
+    """The partition that takes a shard's records while its own one takes none.
+
+    Half of all lie between the two, so that neighbours that are away together aren't both.
+
+    :param shards: how many shards there are.
+    """
+    return (shard + shards // 2) % shards
--- a/mustardgap/shard_records.py
+++ b/mustardgap/shard_records.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from .job_states import Job, decode_job
-from .shard_logs import EXECUTOR_KEY, JOB_KEY, OWNER_KEY, PROGRESS_KEY
+from .owner_records import OWNER_KEY, decode_owner
+from .shard_logs import EXECUTOR_KEY, JOB_KEY, PROGRESS_KEY
 from .workloads import ExecutorEntry, ExecutorId
 
 # What decoding raises: bytes of another form, or a form with values that can't be.
@@ -27,11 +28,6 @@
     invalid: list[str]
 
 
-def encode_owner(epoch: int, *, closed: bool) -> bytes:
-    """The durable form of who owns the shard, and whether it leaves in good order."""
-    return msgspec.msgpack.encode((epoch, closed))
-
-
 def read_records(values: Mapping[str, bytes | None]) -> ShardRecords:
     """Decode a shard's newest records.
 
@@ -89,7 +85,7 @@
     if raw is None:
         return True
     try:
-        return bool(msgspec.msgpack.decode(raw, type=tuple[int, bool])[1])
+        return decode_owner(raw).closed
     except UNREADABLE as exc:
         # An owner that can't be told to have left may still give leases.
         invalid.append(told(OWNER_KEY, exc))
--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -64,6 +64,9 @@
         self.cut_hosts: set[str] = set()
         self.random = random.Random(seed)
         self.shards = {number: _Shard() for number in range(shards)}
+        self.failovers = {number: _Shard() for number in range(shards)}
+        # Partitions that are turned away, as shard and whether its failover partition is meant.
+        self.away: set[tuple[int, bool]] = set()
         self.operator: list[tuple[str, bytes]] = []
         self.entries: list[tuple[str, bytes | None]] = []
         self.statuses: list[tuple[int, bool]] = []
@@ -154,11 +157,20 @@
                 self.holders_by_shard[shard] = wanted
                 self.generation += 1
 
+    def place(self, shard: int, failover: bool) -> _Shard:
+        """One of a shard's two partitions."""
+        return (self.failovers if failover else self.shards)[shard]
+
     def append(
-        self, shard: int, epoch: int, sequence: int | None, records: Sequence[Record]
+        self,
+        shard: int,
+        epoch: int,
+        sequence: int | None,
+        records: Sequence[Record],
+        failover: bool = False,
     ) -> Appended | Fenced | WrongSequence:
         """Append under an epoch."""
-        place = self.shards[shard]
+        place = self.place(shard, failover)
         if epoch < place.epoch:
             return Fenced()
         if epoch > place.epoch:
@@ -194,18 +206,32 @@
         self.store = store
         self.host = host
 
-    async def fence(self, *, shard: int, epoch: int) -> Appended | Fenced | Refused | NoAnswer:
-        return await self._do(lambda: self.store.append(shard, epoch, None, ()))  # type: ignore
+    async def fence(
+        self, *, shard: int, epoch: int, failover: bool = False
+    ) -> Appended | Fenced | Refused | NoAnswer:
+        return await self._do(  # type: ignore[no-any-return]
+            lambda: self.store.append(shard, epoch, None, (), failover), (shard, failover)
+        )
 
     async def append(
-        self, *, shard: int, epoch: int, sequence: int, records: Sequence[Record]
+        self,
+        *,
+        shard: int,
+        epoch: int,
+        sequence: int,
+        records: Sequence[Record],
+        failover: bool = False,
     ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
-        return await self._do(lambda: self.store.append(shard, epoch, sequence, records))
+        return await self._do(  # type: ignore[no-any-return]
+            lambda: self.store.append(shard, epoch, sequence, records, failover),
+            (shard, failover),
+        )
 
-    async def newest(self, *, shard: int) -> Entries | Refused | NoAnswer:
-        place = self.store.shards[shard]
-        return await self._do(
-            lambda: Entries(values_by_key=dict(place.values_by_key), end=place.end)
+    async def newest(self, *, shard: int, failover: bool = False) -> Entries | Refused | NoAnswer:
+        place = self.store.place(shard, failover)
+        return await self._do(  # type: ignore[no-any-return]
+            lambda: Entries(values_by_key=dict(place.values_by_key), end=place.end),
+            (shard, failover),
         )
 
     async def join(
@@ -263,13 +289,15 @@
     def _reached(self) -> bool:
         return not self.store.down and self.host not in self.store.cut_hosts
 
-    async def _do(self, work):  # type: ignore[no-untyped-def]
+    async def _do(self, work, partition=None):  # type: ignore[no-untyped-def]
         self.store.calls += 1
         slow_s = self.store.slow_s + self.store.slow_hosts.get(self.host, 0.0)
         await asyncio.sleep(ANSWER_S / 2 + slow_s)
         if not self._reached():
             await asyncio.sleep(TIMEOUT_S)
             return NoAnswer(sent=True, detail="the store is away")
+        if partition in self.store.away:
+            return Refused(detail="503 this partition is away")
         outcome = work()
         if self.store.random.random() < self.store.lost_share:
             await asyncio.sleep(TIMEOUT_S)
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -88,6 +88,35 @@
     world.store.down = False
 
 
+def partition_of_pool(*, failover: bool) -> tuple[int, bool]:
+    """One of the two partitions of the pool's queues, as the fake store names it."""
+    return shard_of(SERVICE, SHARDS), failover
+
+
+async def partition_away(world: OwnerWorld) -> None:
+    """The store turns the partition of the pool's queues away, and serves all others."""
+    world.store.away = {partition_of_pool(failover=False)}
+    await asyncio.sleep(6)
+    world.store.away = set()
+
+
+async def partition_away_and_owner_killed(world: OwnerWorld) -> None:
+    """The owner dies while the partition of its queues is away."""
+    world.store.away = {partition_of_pool(failover=False)}
+    await asyncio.sleep(2)
+    await owner_killed(world)
+    world.store.away = set()
+
+
+async def partitions_in_turn(world: OwnerWorld) -> None:
+    """First one partition of the pool's queues is away, then the other, and the owner dies."""
+    for failover in (False, True):
+        world.store.away = {partition_of_pool(failover=failover)}
+        await asyncio.sleep(2)
+    await owner_killed(world)
+    world.store.away = set()
+
+
 async def store_slow(world: OwnerWorld) -> None:
     """Each answer of the store takes a quarter of a second."""
     world.store.slow_s = 0.25
@@ -284,6 +313,9 @@
         owner_stopped,
         all_killed,
         store_down,
+        partition_away,
+        partition_away_and_owner_killed,
+        partitions_in_turn,
         store_slow,
         store_loses_answers,
         owner_cut_from_store,
