Tell of an executor that isn't listed any more only where its pool is owned

Hosts times executors; nothing bounds it. Cause: the line was written by the reading of entries, which every owning host does, not by whoever believes something else from then on. Change: the owner's roster tells, with how many runs it takes to be there. Test: "Only who owns its pool tells ...": three lines before, one now.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -452,6 +452,14 @@
     When a daemon leaves while its renewal is on the way, and the store takes that in afterwards
     Then the store has last heard from it that it leaves
 
+  Scenario: Only who owns its pool tells that an executor isn't listed any more
+    Each host that owns anything reads all entries. With a line from each of them, a third of a day's lines told of
+    executors that others own, and lines grew with hosts times executors.
+
+    Given owners on a fake platform
+    When an executor ends and its entry lapses
+    Then one line tells that it isn't listed any more
+
   Scenario: A stop that got no answer isn't repeated once another task of the step is gone
     A lasting task is moved while all others of its step serve their users, which may miss one. Its stop gets no answer;
     before it is repeated, another task's executor is lost. It was repeated all the same, and two were away at once.
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -321,6 +321,27 @@
     assert context.left, "it waited for the store for 60 s"
 
 
+@when("an executor ends and its entry lapses")
+def entry_lapses(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        next(iter(world.fleet.by_address.values())).crash()
+        await asyncio.sleep(SETTLED_S)
+        context.unlisted = [
+            line
+            for daemon in world.daemons_by_address.values()
+            for line in daemon.events.kept
+            if line["event"] == "executor.unlisted"
+        ]
+
+    context.world = play(scene, **context.options)
+
+
+@then("one line tells that it isn't listed any more")
+def told_once(context):
+    assert len(context.unlisted) == 1, context.unlisted
+
+
 async def _move_unanswered(context, world, meanwhile):
     """Move a lasting task; its first stop gets no answer after something else has happened."""
     await asyncio.sleep(START_S)
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -275,7 +275,6 @@
         for executor in list(self._missing_by_id):
             del self._missing_by_id[executor]
             self.entries_by_id.pop(executor, None)
-            self._events.note("executor.unlisted", executor=executor)
 
     def _failed(self, outcome: Refused | NoAnswer) -> None:
         if not self._failing:
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -72,6 +72,10 @@
             link.listed = True
         for executor, link in list(self.links_by_executor.items()):
             if executor not in self.entries_by_id:
+                if link.listed:
+                    self._events.note(
+                        "executor.unlisted", executor=executor, runs=len(link.runs_by_key)
+                    )
                 link.listed = False
                 if link.lapsed:
                     self.drop(link, "not listed any more")
