Empty machines with lasting tasks side by side where one after another is too late for their wave

Change: the time that one after another would take, over the time that is left, says how many are emptied side by side. What a step may miss is kept by the evacuation of each task, as before. Tests: fleet.feature's table over 30, 150 and 900 machines, 3 of 4 rows red before; the rows of a risen pool are as they were.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -42,6 +42,20 @@
       | 19   | 2   | 0      |
       | 6    | 2   | 2      |
 
+  Scenario Outline: Of <size> machines <due> with lasting tasks are due in 28 s: <closed> are emptied side by side
+    A wave takes machines that hold lasting tasks one after another, some 3 s for each task. With 8 of them in each
+    pool the last was due for maintenance 4 s after the wave's end, and the operator's work waited for it.
+
+    When a wave is due in 28 s for <due> of <size> machines that a risen pool has lasting tasks on
+    Then <closed> of its machines are being emptied
+
+    Examples: enough to be done in time, and no more
+      | size | due | closed |
+      | 30   | 8   | 1      |
+      | 30   | 20  | 2      |
+      | 150  | 40  | 5      |
+      | 900  | 150 | 19     |
+
   Scenario Outline: <machine> is ordered <ordered> while the store takes <record> s to record it
     A pool rises while the store is slow. Each order was given up as its record took too long, and made
     again a second later; ten idle machines stayed on standby for 4 s, and the pool's jobs were late.
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -248,7 +248,7 @@
         state.machines_by_id[machine.machine] = machine
     executors = [ExecutorView(f"x{number}", 1, 1, 1, 1, True, False) for number in range(size)]
     state.views_by_service["quotes"] = PoolView("quotes", size, 0, 0, executors)
-    wave = Wave(1, tuple(f"m{number}" for number in range(due)), left, 10)
+    wave = Wave(1, tuple(f"m{number}" for number in range(due)), left, max(due, 10))
     waves = FleetWaves(
         state=state,
         log=SimpleNamespace(put=lambda key, value: None),
--- a/mustardgap/fleet_waves.py
+++ b/mustardgap/fleet_waves.py
@@ -22,6 +22,8 @@
 # The same for machines with lasting tasks. These move one after another, so how long that takes is
 # known better; it is begun in time, one machine at once, also in a pool that has none to spare.
 LASTING_HURRY = 1.2
+# A wave that is due, or overdue, counts as having this long.
+LEAST_LEFT_S = 1.0
 WAVE_KEY = "w/"
 
 OrderIdle = Callable[[Machine, int], None]
@@ -156,18 +158,23 @@
     def _left_s(self, wave: Wave) -> float:
         return self._known_at_by_wave[wave.number] + wave.finish_by_s - self._clock.wall()
 
-    def _would_be_late(self, wave: Wave, pool: str) -> bool:
-        """Whether a pool's lasting tasks have to move now, for their machines to be done in time.
+    def _lasting_rounds(self, wave: Wave, pool: str) -> float:
+        """How many times over the time left is needed to move a pool's lasting tasks one by one.
 
-        A pool that had risen for 11 s was left alone until the wave's last rounds. Its five
-        machines with lasting tasks then took 2.5 s each, and four of the wave's 98 were late.
+        From 1 on they have to move now, for their machines to be done in time: a pool that had
+        risen for 11 s was left alone until the wave's last rounds, its five machines with lasting
+        tasks then took 2.5 s each, and four of the wave's 98 were late. From 2 on one machine after
+        another isn't enough: eight of them took until after the wave's end, although most tasks are
+        of different steps, which may miss one each.
         """
         view = self._state.views_by_service[pool]
         machines = [self._state.machines_by_id.get(name) for name in self.remaining(wave)]
         due = {machine.executor for machine in machines if machine is not None}
         runs = sum(e.lasting_runs for e in view.executors if e.executor in due)
+        if not runs:
+            return 0.0
         needed_s = runs * EMPTYING_S + self._times.maintenance_s
-        return runs > 0 and self._left_s(wave) < needed_s * LASTING_HURRY
+        return needed_s * LASTING_HURRY / max(self._left_s(wave), LEAST_LEFT_S)
 
     def _wave_order(self, machine: Machine, configuration: Configuration) -> tuple[int, int, int]:
         if self._state.is_standby(machine.pool, configuration):
@@ -184,12 +191,13 @@
             return False
         hosts_lasting = self._state.hosts_lasting(machine)
         can_wait = not hurried and self._needed(machine.pool)
-        if can_wait and not (hosts_lasting and self._would_be_late(wave, machine.pool)):
+        rounds = self._lasting_rounds(wave, machine.pool) if hosts_lasting else 0.0
+        if can_wait and rounds <= 1.0:
             return False
         closing = [c for c in self._state.closing_by_machine.values() if c.source == machine.pool]
         lasting = {e.executor for e in view.executors if e.lasting_runs}
         hosts = sum(1 for c in closing if c.executor in lasting)
-        if hosts_lasting and hosts and not hurried:
+        if hosts_lasting and hosts >= max(int(rounds), 1) and not hurried:
             # Lasting tasks move one at a time, and into what their pool has left.
             return False
         closed = len(closing)
