Give each topic of the stand-in platform partitions of its own

Cause: the stand-in took every topic of ours for the same partitions, so a failover partition was another shard's primary one, and its fence ended that shard's owner.

--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -27,7 +27,9 @@
 from .fake_executors import FakeExecutor, FakeExecutors, RunRecord
 from .fake_store import FakeStore
 
-JOBS_PREFIX = "keyed.mustardgap"
+# The system's own topics. Each has partitions of its own, of the same numbers.
+JOBS_TOPIC, FAILOVER_TOPIC = "keyed.mustardgap-jobs", "keyed.mustardgap-failover"
+OWN_TOPICS = (JOBS_TOPIC, FAILOVER_TOPIC)
 HEARTBEAT_S = 0.5
 SHARDS = 4
 # What another writer puts among the executors' entries.
@@ -162,7 +164,7 @@
 
     async def _do_log_append(self, request: httputil.HTTPServerRequest) -> Answer:
         topic = _query(request, "topic")
-        if not topic.startswith(JOBS_PREFIX):
+        if topic not in OWN_TOPICS:
             for record in _split(request.body):
                 self.status.append((record.key, record.value))
             return _json(200, {"offset": 0, "end": len(self.status)})
@@ -172,6 +174,7 @@
             int(_query(request, "epoch")),
             int(sequence) if sequence else None,
             _split(request.body),
+            failover=topic == FAILOVER_TOPIC,
         )
         if isinstance(outcome, Appended):
             return _json(200, {"offset": 0, "end": outcome.end})
@@ -194,8 +197,8 @@
 
     async def _do_log_newest(self, request: httputil.HTTPServerRequest) -> Answer:
         topic = _query(request, "topic")
-        if topic.startswith(JOBS_PREFIX):
-            place = self.store.shards[int(_query(request, "part"))]
+        if topic in OWN_TOPICS:
+            place = self.store.place(int(_query(request, "part")), topic == FAILOVER_TOPIC)
             values, end = place.values_by_key, place.end
         else:
             rows = self._rows(topic)
@@ -219,8 +222,7 @@
         return _json(200, {})
 
     async def _do_log_owners(self, request: httputil.HTTPServerRequest) -> Answer:
-        topic = f"{JOBS_PREFIX}-jobs"
-        rows = [[topic, s, m, 0] for s, m in self.store.holders_by_shard.items()]
+        rows = [[JOBS_TOPIC, s, m, 0] for s, m in self.store.holders_by_shard.items()]
         return _json(200, {"owners": rows})
 
     async def _do_machines(self, request: httputil.HTTPServerRequest) -> Answer:
