--- a/features/support/answer_daemons.py
+++ b/features/support/answer_daemons.py
@@ -83,18 +83,18 @@
         super().__init__(store=store, host=host)
         self._gate = gate
 
-    async def _do(self, work: Callable[[], Any]) -> Any:
-        carried = asyncio.ensure_future(self._carry(work))
+    async def _do(self, work: Callable[[], Any], partition: Any = None) -> Any:
+        carried = asyncio.ensure_future(self._carry(work, partition))
         await asyncio.wait([carried], timeout=TIMEOUT_S)
         if carried.done():
             return carried.result()
         return NoAnswer(sent=True, detail="the store is silent")
 
-    async def _carry(self, work: Callable[[], Any]) -> Any:
+    async def _carry(self, work: Callable[[], Any], partition: Any) -> Any:
         self._gate.under_way += 1
         try:
             await self._gate.pass_by(self._gate.holds_calls)
-            outcome = await super()._do(work)
+            outcome = await super()._do(work, partition)
             await self._gate.pass_by(self._gate.holds_answers)
         finally:
             self._gate.under_way -= 1
