--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -235,7 +235,7 @@
 def end_while_down(context):
     async def main():
         k = context.keyed
-        sending = asyncio.create_task(k.send(query="run_s=0.4", timeout_s=0.6))
+        sending = asyncio.create_task(k.send(query="run_s=0.4", timeout_s=3.0))
         await asyncio.sleep(0.2)
         k.log_faults("down, unread")
         assert (await sending).code == 1000
