--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -256,7 +256,7 @@
         )
         if isinstance(outcome, Report):
             self._looks_again = False
-            # Answered early, as something ended: how long the answer took isn't known.
+            # An answer that came before the wait was over, as something ended, counts as prompt.
             self._patience.note_answered(max(self._clock.monotonic() - sent_at - wait_s, 0.0))
             self._take_in(outcome, sent_at)
             if behind:
