Turn partitions of the store away in the soak, too

Beside each seed's series of troubles, which stays as it was, a second one from numbers of its own turns up to half of all primary and failover partitions away, time and again.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,7 +18,7 @@
 from .fake_executors import FleetRecord
 from .owner_oracle import Asked, problems
 from .soak_callers import FINAL_STATES, Caller
-from .soak_troubles import TROUBLES
+from .soak_troubles import TROUBLES, turn_partitions_away
 from .soak_world import PLATFORM, SoakWorld
 from .wire_platform import History
 
@@ -71,7 +71,11 @@
         for caller in calling:
             caller.start()
         checking = asyncio.create_task(_check(world, calling, found))
+        # Numbers of their own, so that the other troubles of a seed stay as they were.
+        outages = random.Random(f"partitions {seed}")
+        turning_away = asyncio.create_task(turn_partitions_away(world, outages, seconds, brought))
         await _bring_troubles(world, rng, seconds, brought)
+        await turning_away
         for caller in calling:
             caller.stopping.set()
         for caller in calling:
--- a/tools/soak_troubles.py
+++ b/tools/soak_troubles.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from .links import Link, Way
 from .soak_world import SoakWorld
+from .wire_platform import SHARDS
 
 Trouble = Callable[[SoakWorld, random.Random], Coroutine[Any, Any, None]]
 SHORT_S, LONG_S = 0.3, 5.0
@@ -114,6 +116,20 @@
         link.silence()
 
 
+async def turn_partitions_away(
+    world: SoakWorld, rng: random.Random, seconds: float, brought: list[str]
+) -> None:
+    """The store turns some partitions away and serves the others, time and again."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+        places = [(part, failover) for part in range(SHARDS) for failover in (False, True)]
+        brought.append(turn_partitions_away.__name__)
+        await world.control(away=rng.sample(places, rng.randint(1, len(places) // 2)))
+        await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+        await world.control(away=[])
+
+
 TROUBLES: tuple[Trouble, ...] = (
     daemon_killed,
     daemon_stopped,
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -142,6 +142,8 @@
     async def _store(self, request: httputil.HTTPServerRequest) -> Answer:
         if request.path == "/control":
             fields = msgspec.json.decode(request.body)
+            if "away" in fields:
+                fields["away"] = {(part, failover) for part, failover in fields["away"]}
             for name, value in fields.items():
                 setattr(self.store, name, value)
             return 200, b"{}"
@@ -158,10 +160,19 @@
             await asyncio.sleep(2)
             return 503, b"{}"
         await asyncio.sleep(self.store.slow_s)
+        if self._is_away(request):
+            return 503, b"{}"
         verb = request.path.removeprefix("/mustardgap/").replace("-", "_")
         handler = getattr(self, f"_do_{verb}", None)
         return await handler(request) if handler else (404, b"{}")
 
+    def _is_away(self, request: httputil.HTTPServerRequest) -> bool:
+        """Whether a call is for a partition that is turned away."""
+        topic, part = _query(request, "topic"), _query(request, "part")
+        if topic not in OWN_TOPICS:
+            return False
+        return (int(part), topic == FAILOVER_TOPIC) in self.store.away
+
     async def _do_log_append(self, request: httputil.HTTPServerRequest) -> Answer:
         topic = _query(request, "topic")
         if topic not in OWN_TOPICS:
