--- a/features/steps/failovers_steps.py
+++ b/features/steps/failovers_steps.py
@@ -1,7 +1,6 @@
 """Steps of a shard's failover partition: drawn plays, with a part of it broken too, and jobs."""
 
 import asyncio
-from contextlib import contextmanager
 from unittest import mock
 
 from behave import given, then, when
@@ -77,12 +76,6 @@
 }
 
 
-@contextmanager
-def _broken(words):
-    with BREAK_BY_WORDS[words]():
-        yield
-
-
 def _first_broken(plays):
     return next((found for seed in range(plays) if (found := failover_plays.play(seed))), [])
 
@@ -94,7 +87,7 @@
 
 @then("some play finds out an owner that {words}")
 def play_finds(context, words):
-    with _broken(words):
+    with BREAK_BY_WORDS[words]():
         assert _first_broken(PLAYS), "no play broke a promise"
 
 
--- a/features/support/failover_plays.py
+++ b/features/support/failover_plays.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 
 from mustardgap.events import EventLog
-from mustardgap.owner_records import OWNER_KEY, encode_owner
 from mustardgap.ports import NoAnswer
 from mustardgap.shard_logs import ShardLog
 from mustardgap.tickets import Stored, Ticket
@@ -42,11 +41,10 @@
 
 @dataclass
 class Reading:
-    """What a new owner read, after so many writes."""
+    """What a new owner read."""
 
     epoch: int
     values: dict[str, bytes]
-    writes: int
 
 
 @dataclass
@@ -118,7 +116,6 @@
         self._count = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._ports: list[HarshPort] = []
-        self._stopped: set[int] = set()
 
     async def run(self) -> list[str]:
         """Play, let the store heal, and have one more owner read everything."""
@@ -157,7 +154,7 @@
     async def _own(self, epoch: int) -> ShardLog:
         """Take the shard over, write for a while, and leave in one way or another."""
         log = await self._read(epoch)
-        log.put(OWNER_KEY, encode_owner(epoch, closed=False))
+        log.put_owner(closed=False)
         parts = [self._spawn(log.run()), self._spawn(log.run_failover())]
         writing = self._spawn(self._write(epoch, log))
         await asyncio.sleep(self._random.uniform(0.2, 6.0))
@@ -166,7 +163,7 @@
             return log
         writing.cancel()
         if leaves == "in good order":
-            ticket = log.put(OWNER_KEY, encode_owner(epoch, closed=True, diverted=log.seal()))
+            ticket = log.put_owner(closed=True)
             await asyncio.wait([ticket.outcome], timeout=0.3)
         for part in parts:
             part.cancel()
@@ -181,7 +178,7 @@
         log = ShardLog(store=port, shard=SHARD, epoch=epoch, clock=self._clock, events=events)
         await log.open()
         values = {key: value for key, value in (await log.read()).items() if value}
-        self.history.readings.append(Reading(epoch, values, len(self.history.writes)))
+        self.history.readings.append(Reading(epoch, values))
         return log
 
     async def _write(self, epoch: int, log: ShardLog) -> None:
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -18,7 +18,6 @@
     exhausted,
     note_end,
 )
-from .owner_records import OWNER_KEY, encode_owner
 from .pacing import Pacing
 from .placing import objective_s
 from .policies import WHOLE, Policy
@@ -149,8 +148,7 @@
             return
         self.handing_over = True
         self.roster.close()
-        record = encode_owner(self.epoch, closed=True, diverted=self.log.seal())
-        ticket = self.log.put(OWNER_KEY, record)
+        ticket = self.log.put_owner(closed=True)
         await asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
 
     async def _serve(self) -> None:
@@ -195,7 +193,7 @@
         for why in records.invalid:
             self._events.note("record.invalid", vital=True, shard=self.shard, why=why)
         self.roster.closed_before = records.closed
-        self.log.put(OWNER_KEY, encode_owner(self.epoch, closed=False))
+        self.log.put_owner(closed=False)
         self.jobs_by_id.update(records.jobs_by_id)
         for entry in records.executors:
             self.roster.open(entry, inherited=True)
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -10,7 +10,6 @@
 from .fleet_orders import HAND_OVER_S, RECENT_KEY, REOPEN_PAUSE_S, WORD_S, FleetOrders
 from .fleet_states import UP, Closing, EndedLife, FleetState, Times, is_back
 from .fleet_waves import WAVE_KEY, FleetWaves
-from .owner_records import OWNER_KEY, encode_owner
 from .policies import WHOLE, Mechanism, Policy
 from .pool_views import PoolRequest, PoolView
 from .ports import Boards, Machines, NoAnswer, Refused, Store
@@ -161,14 +160,13 @@
         """Send no more orders, and leave a record of those that were sent."""
         if not self._loaded:
             return
-        record = encode_owner(self.log.epoch, closed=True, diverted=self.log.seal())
-        ticket = self.log.put(OWNER_KEY, record)
-        await self.orders.hand_over()
-        await asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
+        ticket = self.log.put_owner(closed=True)
+        recorded = asyncio.wait([ticket.outcome], timeout=HAND_OVER_S)
+        await asyncio.gather(self.orders.hand_over(), recorded)
 
     async def _load(self) -> None:
         values = await self.log.read()
-        self.log.put(OWNER_KEY, encode_owner(self.log.epoch, closed=False))
+        self.log.put_owner(closed=False)
         self._loaded = True
         for key, value in values.items():
             if not value:
--- a/mustardgap/fleet_moves.py
+++ b/mustardgap/fleet_moves.py
@@ -9,7 +9,7 @@
 
 from .events import EventLog
 from .fleet_orders import WORD_S
-from .fleet_states import FleetState, Times, has_arrived
+from .fleet_states import FleetState, Times
 from .policies import WHOLE, Mechanism, Policy
 from .pool_demands import Balance, Forecast, PoolDemand
 from .pool_uses import PoolTally
@@ -177,10 +177,8 @@
     def _balance(self, service: str, view: PoolView, now: float) -> Balance:
         ordered = [
             away
-            for name, away in self._state.away_by_machine.items()
-            if away.pool == service
-            and name not in self._state.closing_by_machine
-            and not has_arrived(name, away, view)
+            for name, away in self._state.on_the_way(service).items()
+            if name not in self._state.closing_by_machine
         ]
         returning = sum(1 for away in ordered if away.wave is not None)
         closings = self._state.closing_by_machine.values()
--- a/mustardgap/fleet_states.py
+++ b/mustardgap/fleet_states.py
@@ -1,6 +1,7 @@
 """What the fleet's owner knows: machines, pools, what is being emptied and what is away."""
 
 import asyncio
+from collections import defaultdict
 from typing import NamedTuple
 
 from .events import EventLog
@@ -99,7 +100,23 @@
         if viewed_at <= closing.since or viewed_at < since:
             return False
         view = executor_in(self.views_by_service[closing.source], closing.executor)
-        return view is not None and view.settled and not view.short_runs + view.lasting_runs
+        return view is not None and view.settled and not (view.short_runs or view.lasting_runs)
+
+    def on_the_way(self, pool: str) -> dict[str, Away]:
+        """The machines that were ordered to a pool and don't work there yet, by their names.
+
+        A machine's new executor serves up to a second before the list of machines shows it. Counted
+        as there and as on its way, a pool let machines go that it had, and asked for none that it
+        lacked.
+        """
+        lives_by_machine: defaultdict[str, set[str]] = defaultdict(set)
+        for executor in self.views_by_service[pool].executors:
+            lives_by_machine[executor.machine].add(executor.executor)
+        return {
+            name: away
+            for name, away in self.away_by_machine.items()
+            if away.pool == pool and not lives_by_machine[name] - {away.executor}
+        }
 
     def hosts_lasting(self, machine: Machine) -> bool:
         """Whether lasting tasks run on a machine."""
@@ -121,15 +138,6 @@
     return machine.state == UP and machine.pool == away.pool and another_life
 
 
-def has_arrived(name: str, away: Away, view: PoolView) -> bool:
-    """Whether a machine that was ordered to a pool works there, whatever the list of machines says.
-
-    Its executor serves up to a second before the list shows it. Counted as there and as on its way,
-    a pool let machines go that it had, and asked for none that it lacked.
-    """
-    return any(e.machine == name and e.executor != away.executor for e in view.executors)
-
-
 def executor_in(view: PoolView, executor: str) -> ExecutorView | None:
     """A pool's view of one executor."""
     return next((e for e in view.executors if e.executor == executor), None)
--- a/mustardgap/fleet_waves.py
+++ b/mustardgap/fleet_waves.py
@@ -6,7 +6,7 @@
 
 from .boards import OperatorBoard
 from .events import EventLog
-from .fleet_states import FleetState, Times, executor_in, has_arrived
+from .fleet_states import FleetState, Times, executor_in
 from .ports import Boards, NoAnswer, Refused
 from .shard_logs import ShardLog
 from .timers import Clock
@@ -200,12 +200,7 @@
         if hosts_lasting and hosts >= max(int(rounds), 1) and not hurried:
             # Lasting tasks move one at a time, and into what their pool has left.
             return False
-        closed = len(closing)
-        closed += sum(
-            1
-            for name, away in self._state.away_by_machine.items()
-            if away.pool == machine.pool and not has_arrived(name, away, view)
-        )
+        closed = len(closing) + len(self._state.on_the_way(machine.pool))
         size = len(view.executors)
         idle = size - closed - 1 > self._demand(machine.pool)
         return idle or closed < max(1, int(size * CLOSED_SHARE))
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from .events import EventLog
-from .owner_records import OWNER_KEY, may_have_diverted
+from .owner_records import OWNER_KEY, encode_owner, may_have_diverted
 from .partition_logs import PartitionLog
 from .ports import Record, Store
 from .tickets import Stored, Ticket
@@ -59,13 +59,16 @@
         self.fenced = False
         self._clock = clock
         self._events = events
+        self._wake = asyncio.Event()
+        # Set when there may be something to divert or to clear.
+        self._changed = asyncio.Event()
         self._primary, self._failover = (
             PartitionLog(
                 store=store,
                 shard=shard,
                 failover=failover,
                 epoch=epoch,
-                on_failing=self._on_failing,
+                on_failing=self._changed.set,
                 clock=clock,
                 events=events,
             )
@@ -82,14 +85,16 @@
         # wouldn't look into the failover one.
         self._recorded = False
         self._sealed = False
-        self._wake = asyncio.Event()
-        self._changed = asyncio.Event()
 
     @property
     def durable(self) -> bool:
         """Whether all that was put is stored."""
-        pending = {**self._sending_by_key, **self._waiting_by_key}
-        return not self.fenced and not any(self._is_behind(k, w) for k, w in pending.items())
+        return not self.fenced and not any(self._is_behind(k, w) for k, w in self._pending.items())
+
+    @property
+    def _pending(self) -> dict[str, _Waiting]:
+        """The newest value of each key of which the primary partition has an older one, or none."""
+        return {**self._sending_by_key, **self._waiting_by_key}
 
     def failing_s(self) -> float:
         """For how many seconds no partition has taken records, 0 when the last append went well."""
@@ -113,9 +118,19 @@
         self._writes += 1
         self._waiting_by_key[key] = _Waiting(value, self._writes, tickets)
         self._wake.set()
-        self._changed.set()
+        if self._primary.failing_since is not None:
+            self._changed.set()
         return ticket
 
+    def put_owner(self, *, closed: bool) -> Ticket:
+        """Leave the owner's own record.
+
+        :param closed: whether the owner leaves in good order, and begins no use of the failover
+            partition any more.
+        """
+        diverted = self.seal() if closed else True
+        return self.put(OWNER_KEY, encode_owner(self.epoch, closed=closed, diverted=diverted))
+
     def withdraw(self, key: str, ticket: Ticket) -> bool:
         """Take back a record that no append has carried yet.
 
@@ -239,7 +254,8 @@
             self.close()
             return
         self._recorded = self._recorded or OWNER_KEY in batch
-        self._changed.set()
+        if self._diverted_by_key:
+            self._changed.set()
 
     def _record(self, key: str, waiting: _Waiting) -> Record:
         """The form for the primary partition.
@@ -259,9 +275,6 @@
 
     # The failover partition.
 
-    def _on_failing(self) -> None:
-        self._changed.set()
-
     def _can_divert(self) -> bool:
         return self._recorded and not self._sealed
 
@@ -277,10 +290,9 @@
         """
         if not self._can_divert() or self._primary.failing_s() < DIVERT_AFTER_S:
             return {}
-        pending = {**self._sending_by_key, **self._waiting_by_key}
         return {
             key: waiting
-            for key, waiting in pending.items()
+            for key, waiting in self._pending.items()
             if self._is_behind(key, waiting) and (waiting.value or key in self._diverted_by_key)
         }
 
@@ -305,22 +317,20 @@
         """Keys of which the primary partition has the newest value, and the other one an older."""
         if self._primary.failing_since is not None:
             return []
-        return [
-            key
-            for key in self._diverted_by_key
-            if key not in self._waiting_by_key and key not in self._sending_by_key
-        ]
+        pending = self._pending
+        return [key for key in self._diverted_by_key if key not in pending]
 
     async def _clear(self, keys: list[str]) -> None:
         """Drop from the failover partition what the primary one has."""
         if await self._failover.append([Record(key, b"") for key in keys]) is not Stored.YES:
             self.close()
             return
+        pending = self._pending
         for key in keys:
             del self._diverted_by_key[key]
             if key in self._removed_keys:
                 self._removed_keys.discard(key)
-                if key not in self._waiting_by_key and key not in self._sending_by_key:
+                if key not in pending:
                     self.put(key, b"")
         if not self._diverted_by_key:
             self._note_diverted("failover.cleared", len(keys))
