Tell a closed connection from silence, and a machine that was ordered away from one that was replaced

An executor that closed its connections and one that fell silent differed only in an error's text; 'ordered away' stood for each executor that the list of machines doesn't name any more, ours or not; run.lost didn't say whether the run had done anything. Change: NoAnswer carries 'closed' (refused, reset, ended; not timeouts or routes that are away), executor.lost tells it; executor.gone says 'replaced' unless the machine was being emptied; run.lost has percent and age. Red before: http_pools, 4 of 8 failed (the four new rows). Green after: 8 passed. No decision depends on it yet.

--- a/features/http_pools.feature
+++ b/features/http_pools.feature
@@ -15,3 +15,16 @@
       | comes in 8 parts, 0.1 s apart    | whole    |
       | stops after 2 parts              | given up |
       | never begins                     | given up |
+
+  Scenario Outline: A call tells a connection that was <ended> from silence
+    Guards against taking a host without power for a process that has crashed, or the other way round.
+
+    When a call with 0.3 s for its answer meets a connection that was <ended>
+    Then the call without an answer tells that the connection was <told>
+
+    Examples:
+      | ended                     | told       |
+      | refused                   | closed     |
+      | closed before the answer  | closed     |
+      | reset amid the answer     | closed     |
+      | left silent               | not closed |
--- a/features/steps/http_pools_steps.py
+++ b/features/steps/http_pools_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when
 
 from mustardgap.http_pools import HttpAnswer, HttpPool
+from mustardgap.ports import NoAnswer
 
 PART = b"x" * 1000
 PARTS = 8
@@ -55,3 +56,40 @@
         assert isinstance(got, HttpAnswer) and got.body == PART * PARTS, got
     else:
         assert not isinstance(got, HttpAnswer) and got.sent, got
+
+
+@when("a call with {seconds:g} s for its answer meets a connection that was {ended}")
+def call_ends(context, seconds, ended):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if ended == "left silent":
+            with contextlib.suppress(asyncio.CancelledError):
+                await reader.read()
+        elif ended == "reset amid the answer":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+            await writer.drain()
+            writer.transport.abort()
+            return
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        if ended == "refused":
+            server.close()
+            await server.wait_closed()
+        pool = HttpPool()
+        context.answer = await pool.call(
+            address=f"127.0.0.1:{port}", method="GET", target="/", timeout_s=seconds
+        )
+        pool.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+@then("the call without an answer tells that the connection was {told}")
+def tells_closed(context, told):
+    got = context.answer
+    assert isinstance(got, NoAnswer), got
+    assert got.closed is (told == "closed"), got
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -354,6 +354,8 @@
             run=run.number,
             executor=link.entry.executor,
             why=why,
+            percent=run.percent,
+            ran_s=self._clock.monotonic() - run.started_at,
         )
         if run.task.run is run:
             run.task.run = None
@@ -421,7 +423,7 @@
                 # look, the next one tells. Its tasks would be run twice.
                 continue
             if link is not None:
-                self.roster.drop(link, "ordered away")
+                self.roster.drop(link, "ordered away" if link.closing else "replaced")
             self.roster.departed.add(executor)
         for executor, link in self.roster.links_by_executor.items():
             if link.entry.service == request.service:
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -395,6 +395,7 @@
                 executor=self.entry.executor,
                 service=self.entry.service,
                 why=outcome.detail,
+                closed=isinstance(outcome, NoAnswer) and outcome.closed,
                 runs=len(self.runs_by_key),
             )
         lapsed_at = self._executor_clock.lapsed_at() if self.audited else self._lapse_at
--- a/mustardgap/http_pools.py
+++ b/mustardgap/http_pools.py
@@ -133,13 +133,13 @@
         except TimeoutError:
             return _lost(stream, sent, "no answer in time")
         except (OSError, iostream.StreamClosedError, httputil.HTTPInputError) as exc:
-            return _lost(stream, sent, f"{type(exc).__name__}: {exc}")
+            return _lost(stream, sent, f"{type(exc).__name__}: {exc}", closed=_is_closed(exc))
         except asyncio.CancelledError:
             if stream is not None:
                 stream.close()
             raise
         if not collector.whole:
-            return _lost(stream, sent, "the connection ended before the answer did")
+            return _lost(stream, sent, "the connection ended before the answer did", closed=True)
         self._keep(address, stream)
         return HttpAnswer(
             status=collector.status, headers=collector.headers, body=b"".join(collector.chunks)
@@ -200,7 +200,16 @@
         connection.finish()
 
 
-def _lost(stream: iostream.IOStream | None, sent: bool, detail: str) -> NoAnswer:
+def _is_closed(exc: Exception) -> bool:
+    """Whether the other side closed or refused a connection, rather than its host being away."""
+    if isinstance(exc, iostream.StreamClosedError) and exc.real_error is not None:
+        return isinstance(exc.real_error, ConnectionError)
+    return isinstance(exc, ConnectionError | iostream.StreamClosedError)
+
+
+def _lost(
+    stream: iostream.IOStream | None, sent: bool, detail: str, *, closed: bool = False
+) -> NoAnswer:
     if stream is not None:
         stream.close()
-    return NoAnswer(sent=sent, detail=detail)
+    return NoAnswer(sent=sent, detail=detail, closed=closed)
--- a/mustardgap/ports.py
+++ b/mustardgap/ports.py
@@ -13,10 +13,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NoAnswer:
-    """No answer came; ``sent`` tells whether a byte may have gone out."""
+    """No answer came; ``sent`` tells whether a byte may have gone out.
+
+    ``closed`` tells that the other side closed or refused the connection: its system is up, the
+    process may be gone. Else it was silent.
+    """
 
     sent: bool
     detail: str
+    closed: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
