--- a/tools/fake_executors.py
+++ b/tools/fake_executors.py
@@ -80,6 +80,8 @@
         self.record = record
         self.rate = rate
         self.alive = True
+        # Without power its system answers nothing, not even that nobody listens.
+        self.dark = False
         self.speed = 1.0
         self.fails = False
         self.hangs = False
@@ -123,6 +125,9 @@
         work = self._work(task)
         index = self.record.begin(task, run, self.entry.executor, fence, payload)
         self.runs[task, run] = _Run(work_s=work or 1e9, now=_now(), index=index)
+        crash_s = self.record.crash_after(task)
+        if crash_s is not None:
+            asyncio.get_running_loop().call_later(crash_s, self._crash_by, (task, run))
         return Started(clock_ms=self.clock_ms())
 
     def stop(self, task: TaskId, run: int, fence: int):  # type: ignore[no-untyped-def]
@@ -179,12 +184,23 @@
             if run.done_s >= run.work_s:
                 self._end(key, EndKind.FAILED if self.fails else EndKind.DONE)
 
-    def crash(self) -> None:
-        """End at once, with all that runs."""
+    def crash(self, *, dark: bool = False) -> None:
+        """End at once, with all that runs.
+
+        :param dark: whether its machine loses power, so that nothing closes its connections.
+        """
         self.alive = False
+        self.dark = dark
         for run in self.runs.values():
             self.record.finish(run.index, None)
         self.runs.clear()
+        self.changed.set()
+
+    def _crash_by(self, key: tuple[TaskId, int]) -> None:
+        """Go down by a task, if it still runs here."""
+        if key in self.runs:
+            self.crash()
+            self.record.on_crash(self)
 
     def _percent(self, task: TaskId, run: _Run) -> int:
         if self._work(task) is None:
@@ -220,6 +236,10 @@
         self.room_of: Callable[[TaskId], Room] = lambda task: Room()
         # Told of each stop of a lasting task that is at work on a sound executor.
         self.on_stop: Callable[[TaskId], None] = lambda task: None
+        # How many seconds after its start a task crashes its executor; None for a sound one.
+        self.crash_after: Callable[[TaskId], float | None] = lambda task: None
+        # Told of each executor that a task has crashed.
+        self.on_crash: Callable[[FakeExecutor], None] = lambda executor: None
 
     def begin(self, task: TaskId, run: int, executor: str, fence: int, payload: str) -> int:
         self.runs.append(RunRecord(task, run, executor, _now(), fence, payload, None, None))
@@ -363,8 +383,11 @@
             await asyncio.sleep(TIMEOUT_S)
             return NoAnswer(sent=True, detail="no path")
         target = self.fleet.by_address.get(entry.address)
+        if target is not None and target.dark:
+            await asyncio.sleep(TIMEOUT_S)
+            return NoAnswer(sent=True, detail="no power")
         if target is None or not target.alive:
-            return NoAnswer(sent=False, detail="connection refused")
+            return NoAnswer(sent=False, detail="connection refused", closed=True)
         if target.entry.executor != entry.executor:
             return OtherIncarnation()
         return target
@@ -375,7 +398,7 @@
             await asyncio.sleep(TIMEOUT_S)
             return NoAnswer(sent=True, detail="no answer came back")
         if not target.alive:
-            return NoAnswer(sent=True, detail="connection reset")
+            return NoAnswer(sent=True, detail="connection reset", closed=not target.dark)
         return None
 
     def _is_cut(self, executor: str) -> bool:
--- a/tools/owner_oracle.py
+++ b/tools/owner_oracle.py
@@ -1,7 +1,8 @@
 """Checks what callers were told and what executors truly did; it knows nothing of the product."""
 
 import itertools
-from collections import defaultdict
+from collections import Counter, defaultdict
+from collections.abc import Collection
 from typing import NamedTuple
 
 from mustardgap.workloads import EndKind, JobSpec, TaskId
@@ -10,6 +11,8 @@
 
 # A cancelled job's tasks aren't started later than this after its cancelling was answered.
 CANCEL_S = 3.0
+# After so many executors have crashed under a task, it is started at most so many times more.
+CRASHES, STARTS_MORE = 3, 2
 
 
 class Asked(NamedTuple):
@@ -44,6 +47,19 @@
     return found
 
 
+def crash_problems(record: FleetRecord, crashing: Collection[TaskId]) -> list[str]:
+    """Tasks that were started too often after they had crashed executors.
+
+    :param crashing: the tasks that crash each executor that starts them.
+    """
+    starts_by_task = Counter(run.task for run in record.runs if run.task in crashing)
+    return [
+        f"{task} crashes its executors, and was started {starts} times"
+        for task, starts in starts_by_task.items()
+        if starts > CRASHES + STARTS_MORE
+    ]
+
+
 def _overlaps(task: TaskId, runs: list[RunRecord]) -> list[str]:
     found = []
     ordered = sorted(runs, key=lambda run: run.started_at)
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -151,7 +151,17 @@
         return
     executor.crash()
     await asyncio.sleep(5)
-    _bear_again(world, executor.entry.machine)
+    world.bear_again(executor.entry.machine)
+
+
+async def executor_loses_power(world: OwnerWorld) -> None:
+    """An executor's machine goes dark with what it runs, and is back later with another life."""
+    executor = _some_executor(world)
+    if executor is None:
+        return
+    executor.crash(dark=True)
+    await asyncio.sleep(5)
+    world.bear_again(executor.entry.machine)
 
 
 async def address_reused(world: OwnerWorld) -> None:
@@ -160,7 +170,7 @@
     if executor is None:
         return
     executor.crash()
-    _bear_again(world, executor.entry.machine)
+    world.bear_again(executor.entry.machine)
 
 
 async def executor_cut(world: OwnerWorld) -> None:
@@ -233,7 +243,7 @@
     executor.crash()
     world.store.write_entry(executor.entry.executor, None)
     await asyncio.sleep(2)
-    _bear_again(world, executor.entry.machine)
+    world.bear_again(executor.entry.machine)
 
 
 async def all_fails_and_configuration_late(world: OwnerWorld) -> None:
@@ -297,12 +307,6 @@
     return next(iter(busy or living), None)
 
 
-def _bear_again(world: OwnerWorld, machine: str) -> None:
-    place = world.machines.places[machine]
-    if place.state == "up" and place.executor is not None and not place.executor.alive:
-        place.executor = world.bear(machine, place.pool)
-
-
 BY_NAME: dict[str, Trouble] = {
     trouble.__name__.replace("_", " "): trouble
     for trouble in (
@@ -321,6 +325,7 @@
         owner_cut_from_store,
         dealt_anew,
         executor_crashes,
+        executor_loses_power,
         address_reused,
         executor_cut,
         executor_cut_and_owner_killed,
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -24,7 +24,7 @@
 from .fake_machines import FakeMachines
 from .fake_store import FakeStore
 from .owner_daemons import ADVICE_VALID_S, ADVISE_S, SERVICE, SHARDS, FakeDaemon
-from .owner_oracle import Asked, problems
+from .owner_oracle import Asked, crash_problems, problems
 from .virtual_time import VirtualLoop
 
 ATTEMPTS = 2
@@ -43,6 +43,8 @@
 CAPACITY = Room(cpu=8_000, memory_mb=16_000, gpus=0)
 HEARTBEAT_S = 1.5
 FULL_LINK_S = 0.5
+# An executor that a task has crashed is back after this.
+REBORN_S = 3.0
 
 
 class OwnerWorld:
@@ -88,6 +90,10 @@
         self.fleet.record.room_of = self._room_of
         self.fleet.record.on_stop = self._check_stop
         self.cancelling: set[str] = set()
+        # Tasks that crash each executor that starts them, by how many seconds after their start.
+        self.crashing: dict[TaskId, float] = {}
+        self.fleet.record.crash_after = self.crashing.get
+        self.fleet.record.on_crash = self._bear_later
         self.names = [f"e{number}" for number in range(1, daemons + 1)]
         services = {
             SERVICE: Service(SERVICE, "/", 64, True, False),
@@ -189,6 +195,15 @@
         self.publish(executor)
         return executor
 
+    def bear_again(self, machine: str) -> None:
+        """Let a machine whose executor has gone down have its next one."""
+        place = self.machines.places[machine]
+        if place.state == "up" and place.executor is not None and not place.executor.alive:
+            place.executor = self.bear(machine, place.pool)
+
+    def _bear_later(self, executor: FakeExecutor) -> None:
+        self.loop.call_later(REBORN_S, self.bear_again, executor.entry.machine)
+
     def publish(self, executor: FakeExecutor) -> None:
         """Write an executor's entry."""
         raw = msgspec.msgpack.encode(executor.entry)
@@ -293,6 +308,7 @@
         return (
             self.found
             + problems(self.fleet.record, self.asked_by_job, ATTEMPTS)
+            + crash_problems(self.fleet.record, self.crashing)
             + self.machines.problems
         )
 
