Hold a start that waited its turn against its executor's capacity once more before it's sent

Cause: a start is decided by the capacity of that moment and may wait for its turn, or for a repeat; the executor's entry may show less room meanwhile. One that doesn't guard its capacity starts it all the same (LIMIT), another turns it away. Change: a start whose executor holds less than it has been given is taken back, as not sent; one that may have arrived is stopped instead of repeated. The fake executors learn to resize, and to start whatever they are told; the worlds' oracle knows the room and its 4.5 s of grace. Red before: 3 starts sent to an executor of capacity 0 ('wait their turn'); after: none.

--- /dev/null
+++ b/features/steps/capacities_steps.py
@@ -0,0 +1,83 @@
+"""Steps of executors whose capacity shrinks and grows, on virtual time."""
+
+import asyncio
+
+from behave import then, when
+
+from features.support.owner_jobs import START_S, hand_in, job_id_of
+from mustardgap.executor_links import STARTS_AN_EXECUTOR
+from mustardgap.workloads import Room
+from tools.owner_troubles import BY_NAME, TWO_STEPS
+from tools.owner_worlds import CAPACITY, play
+
+STEP = TWO_STEPS.steps[0]
+WHOLE = TWO_STEPS._replace(steps=(STEP._replace(width=3, cpu=CAPACITY.cpu),))
+
+
+@when(
+    "{count:d} jobs come while executors {guards} and the trouble "
+    '"{name}" comes, {times:d} times in a row'
+)
+def jobs_come(context, count, guards, name, times):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        spec = TWO_STEPS._replace(steps=(STEP._replace(width=6), *TWO_STEPS.steps[1:]))
+        work = asyncio.ensure_future(hand_in(world, context.states, count, 0.3, spec))
+        for _ in range(times):
+            await asyncio.sleep(0.9)
+            await BY_NAME[name](world)
+        await work
+
+    context.states = {}
+    context.world = play(scene, executors=3, guards=guards == "refuse what is large")
+
+
+@when("a job of whole executors is cancelled, its owner killed, and another job is handed in")
+def cancelled(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        spec = WHOLE._replace(steps=(WHOLE.steps[0]._replace(lasting=True),))
+        assert await world.submit_until_accepted(job_id_of(1), spec)
+        await asyncio.sleep(1)
+        owner = world.owner()
+        # Its stops don't arrive; its successor's do, and take 1.5 s at each executor.
+        names = [executor.entry.executor for executor in world.fleet.by_address.values()]
+        world.fleet.cut |= {(owner, name) for name in names}
+        assert await world.cancel(job_id_of(1), owner) == 200
+        world.kill(owner)
+        assert await world.submit_until_accepted(job_id_of(2), WHOLE)
+        context.states[job_id_of(2)] = await world.final_state(job_id_of(2), 30)
+
+    context.states = {}
+    context.world = play(scene, executors=3, guards=False)
+
+
+@when("starts wait their turn at an executor whose capacity shrinks to nothing meanwhile")
+def starts_wait(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        (executor,) = world.fleet.by_address.values()
+        (link,) = world.dispatcher().roster.links_by_executor.values()
+        for _ in range(STARTS_AN_EXECUTOR):
+            await link._starting_here.acquire()
+        assert await world.submit_until_accepted(job_id_of(1), TWO_STEPS)
+        await asyncio.sleep(0.1)
+        assert len(link.runs_by_key) == TWO_STEPS.steps[0].width, "no start waits"
+        executor.resize(Room())
+        world.publish(executor)
+        await asyncio.sleep(1.5)
+        for _ in range(STARTS_AN_EXECUTOR):
+            link._starting_here.release()
+        await asyncio.sleep(1)
+        runs = world.fleet.record.runs
+        context.sent = sum(run.executor == executor.entry.executor for run in runs)
+        executor.resize(CAPACITY)
+        context.states[job_id_of(1)] = await world.final_state(job_id_of(1), 20)
+
+    context.states = {}
+    context.world = play(scene, executors=1, daemons=1, guards=False)
+
+
+@then("nothing was sent to it before its capacity had grown again")
+def nothing_sent(context):
+    assert context.sent == 0, context.sent
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -456,11 +456,12 @@
                     return
                 if run.phase is not RunPhase.STARTING:
                     return
-                if self._silent and not unanswered:
-                    # It certainly didn't happen, so its task needn't wait for the lease to lapse;
-                    # and each try would stretch the time for which the lease may last.
+                if not self.free.holds(Room()) and unanswered:
+                    break
+                why_not = self._why_not_sent()
+                if why_not and not unanswered:
                     self.remove(run)
-                    self._owner.on_lost(self, run, "not sent")
+                    self._owner.on_lost(self, run, why_not)
                     return
                 outcome = await self._order_start(run, payload, ticket)
             metrics.run_starts.add(1, {"outcome": type(outcome).__name__})
@@ -493,6 +494,17 @@
         # listed, or the start is turned down when it arrives.
         self.end(run, "start unanswered")
 
+    def _why_not_sent(self) -> str:
+        """Why a start whose turn has come had better not be sent; empty if it may be."""
+        if self._silent:
+            # It certainly didn't happen, so its task needn't wait for the lease to lapse; and each
+            # try would stretch the time for which the lease may last.
+            return "not sent"
+        if not self.free.holds(Room()):
+            # The capacity has shrunk since; an executor that doesn't guard it would start it.
+            return "no room any more"
+        return ""
+
     async def _order_start(
         self, run: Run, payload: str, ticket: str
     ) -> Started | StartRefused | Fenced | OtherIncarnation | Refused | NoAnswer:
--- a/tools/fake_executors.py
+++ b/tools/fake_executors.py
@@ -30,6 +30,8 @@
 AT_WORK_S = 0.5
 STEP_S = 0.02
 GANG_S = 3.0
+# A capacity that has shrunk has to be known this long after: contact and one heartbeat.
+SHRUNK_S = 4.5
 
 
 class RunRecord(NamedTuple):
@@ -83,6 +85,10 @@
         # Without power its system answers nothing, not even that nobody listens.
         self.dark = False
         self.speed = 1.0
+        # Whether it refuses what doesn't fit.
+        self.guards = True
+        self.resized_at = float("-inf")
+        self.capacity_before = entry.capacity
         self.fails = False
         self.hangs = False
         # Acknowledgements don't reach it.
@@ -105,10 +111,26 @@
 
     @property
     def free(self) -> Room:
+        return self.entry.capacity.minus(self._used())
+
+    def _used(self) -> Room:
         used = Room()
         for task, _ in self.runs:
             used = used.plus(self.record.room_of(task))
-        return self.entry.capacity.minus(used)
+        return used
+
+    def resize(self, capacity: Room) -> None:
+        """Have another capacity from now on; its next entry shows it."""
+        self.capacity_before = self._may_know_capacity()
+        self.resized_at = _now()
+        self.entry = self.entry._replace(capacity=capacity)
+
+    def _may_know_capacity(self) -> Room:
+        """The most that an owner may still take for its capacity."""
+        now, before = self.entry.capacity, self.capacity_before
+        if _now() - self.resized_at > SHRUNK_S:
+            return now
+        return Room(*(max(one, other) for one, other in zip(now, before, strict=True)))
 
     def start(self, task: TaskId, run: int, payload: str, until_ms: int, fence: int):  # type: ignore
         if (refusal := self._fenced(fence)) is not None:
@@ -120,8 +142,11 @@
         self._extend(until_ms)
         if run <= self.stopped_by_task.get(task, 0):
             return StartRefused(reason="old", clock_ms=self.clock_ms())
-        if not self.free.holds(self.record.room_of(task)):
+        room = self.record.room_of(task)
+        if self.guards and not self.free.holds(room):
             return StartRefused(reason="room", clock_ms=self.clock_ms())
+        if not self._may_know_capacity().minus(self._used()).holds(room):
+            self.record.on_overload(task, self.entry.executor)
         work = self._work(task)
         index = self.record.begin(task, run, self.entry.executor, fence, payload)
         self.runs[task, run] = _Run(work_s=work or 1e9, now=_now(), index=index)
@@ -238,6 +263,8 @@
         self.on_stop: Callable[[TaskId], None] = lambda task: None
         # How many seconds after its start a task crashes its executor; None for a sound one.
         self.crash_after: Callable[[TaskId], float | None] = lambda task: None
+        # Told of each start that brings an executor over its capacity.
+        self.on_overload: Callable[[TaskId, str], None] = lambda task, executor: None
         # Told of each executor that a task has crashed.
         self.on_crash: Callable[[FakeExecutor], None] = lambda executor: None
 
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -8,10 +8,10 @@
 
 from mustardgap.dispatchers import Dispatcher
 from mustardgap.shard_owners import shard_of
-from mustardgap.workloads import JobSpec, Step, Wave
+from mustardgap.workloads import JobSpec, Room, Step, Wave
 
 from .owner_daemons import SERVICE, SHARDS, HeldClock
-from .owner_worlds import OwnerWorld
+from .owner_worlds import CAPACITY, OwnerWorld
 
 # No record of any kind, in any format.
 UNREADABLE = b"\xc1{"
@@ -251,6 +251,35 @@
     executor.hangs = False
 
 
+async def capacities_shrink(world: OwnerWorld) -> None:
+    """Every executor's capacity shrinks by half, one's to nothing, and grows again."""
+    living = _living(world)
+    for number, executor in enumerate(living):
+        share = 0.0 if number == 0 else 0.5
+        executor.resize(Room(*(int(amount * share) for amount in executor.entry.capacity)))
+    await asyncio.sleep(6)
+    for executor in living:
+        executor.resize(CAPACITY)
+
+
+async def capacities_shrink_unseen(world: OwnerWorld) -> None:
+    """Every executor's capacity shrinks to nothing while the store, which shows it, is away."""
+    world.store.down = True
+    living = _living(world)
+    for executor in living:
+        executor.resize(Room())
+    await asyncio.sleep(7.5)
+    world.store.down = False
+    await asyncio.sleep(3)
+    for executor in living:
+        executor.resize(CAPACITY)
+
+
+async def capacities_shrink_and_owner_killed(world: OwnerWorld) -> None:
+    """Capacities shrink, and the owner dies meanwhile."""
+    await asyncio.gather(capacities_shrink(world), owner_killed(world))
+
+
 async def executor_drains(world: OwnerWorld) -> None:
     """An executor announces that it leaves, and is gone some seconds later."""
     executor = _some_executor(world)
@@ -361,6 +390,9 @@
         executor_fails_all,
         all_fails_and_configuration_late,
         executor_hangs,
+        capacities_shrink,
+        capacities_shrink_unseen,
+        capacities_shrink_and_owner_killed,
         executor_drains,
         entries_overwritten,
         wave_comes,
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -57,6 +57,7 @@
     :param seed: draws losses and delays.
     :param advised: whether the queue's policy allows only some executors.
     :param small: daemons whose hosts are small.
+    :param guards: whether executors refuse what doesn't fit.
     """
 
     def __init__(
@@ -69,8 +70,10 @@
         seed: int = 0,
         advised: bool = False,
         small: Sequence[str] = (),
+        guards: bool = True,
     ) -> None:
         self.loop = loop
+        self.guards = guards
         self.small = frozenset(small)
         # Hosts whose calls of other hosts get no answer.
         self.hosts_unheard: set[str] = set()
@@ -96,9 +99,10 @@
         self.crashing: dict[TaskId, float] = {}
         self.fleet.record.crash_after = self.crashing.get
         self.fleet.record.on_crash = self._bear_later
+        self.fleet.record.on_overload = self._note_overload
         self.names = [f"e{number}" for number in range(1, daemons + 1)]
         services = {
-            SERVICE: Service(SERVICE, "/", 64, True, False),
+            SERVICE: Service(SERVICE, "/", 64, guards, False),
             STANDBY: Service(STANDBY, "/", 64, True, True),
         }
         policy = AdvicePolicy(ADVISE_S, 0.0, ADVICE_VALID_S) if advised else None
@@ -193,6 +197,7 @@
             work=self._work,
             rate=0.98 + 0.04 * self.fleet.random.random() / 2,
         )
+        executor.guards = self.guards
         self.fleet.add(executor)
         self.publish(executor)
         return executor
@@ -249,6 +254,9 @@
                 f"{task} was stopped at {self.loop.time():.2f} while {away} were away"
             )
 
+    def _note_overload(self, task: TaskId, executor: str) -> None:
+        self.found.append(f"{task} brought {executor} over its room at {self.loop.time():.2f}")
+
     # Callers.
 
     async def submit(self, job_id: str, spec: JobSpec, host: str) -> JobReply | None:
