Count what an executor lists beside an owner's runs against its capacity until its end is listed

Cause: a successor has the tasks of jobs that are over stopped as strays, which aren't among its runs; their room counted as free at once, while a stop takes its time and what is being stopped still takes room (LIMIT). An executor that doesn't guard its capacity started more beside them. Change: each report sums what it lists and isn't the owner's; while something of unknown size is there, nothing new is started. Ruled out: counting strays from the order of their stop to its answer: the answer comes before the end does.

--- a/features/capacities.feature
+++ b/features/capacities.feature
@@ -20,6 +20,13 @@
       | executors lose answers             | start everything     | 2     |
       | wave comes                         | start everything     | 1     |
 
+  Scenario: What is being stopped counts for as long as it is listed
+    Guards against a start into the room of a task that another owner's job had, and that ends slowly.
+
+    When a job of whole executors is cancelled, its owner killed, and another job is handed in
+    Then all jobs have ended as completed
+    And no promise was broken
+
   Scenario: Starts that wait their turn are held against the capacity once more
     Guards against a start that was decided before its executor shrank, and sent after.
 
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -38,6 +38,7 @@
     EndRow,
     ExecutorEntry,
     Queue,
+    Room,
     RunRow,
     TaskId,
 )
@@ -277,6 +278,12 @@
             )
         self.step_down()
 
+    def room_of(self, task_id: TaskId) -> Room | None:
+        """What a task takes of its executor's capacity; None if the task isn't known."""
+        job = self.jobs_by_id.get(task_id.job)
+        task = job.task(task_id) if job is not None else None
+        return task.step.room if task is not None else None
+
     def on_unknown_row(self, link: ExecutorLink, row: RunRow) -> Run | None:
         """Adopt a run of a former owner, if its task is still wanted and runs nowhere else."""
         job = self.jobs_by_id.get(row.task.job)
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -22,7 +22,7 @@
 from .runs import Run, RunPhase
 from .tickets import Ticket
 from .timers import Clock
-from .workloads import EndRow, ExecutorEntry, Report, Room, RunRow
+from .workloads import EndRow, ExecutorEntry, Report, Room, RunRow, TaskId
 
 # How long what runs goes on without hearing from its owner. It outlasts a takeover (some 2 s), and
 # what ran on a crashed executor is started elsewhere after little more than this.
@@ -55,6 +55,7 @@
 BEHIND_S = 0.06
 # An executor lists this many ends at once at the most.
 MAX_LISTED_ENDS = 500
+NOTHING = Room()
 
 
 class LinkOwner(Protocol):
@@ -63,6 +64,9 @@
     def on_end(self, link: "ExecutorLink", end: EndRow, run: Run | None) -> Ticket | None:
         """A run has ended; the ticket, if any, must be durable before it is acknowledged."""
 
+    def room_of(self, task_id: TaskId) -> Room | None:
+        """What a task takes of its executor's capacity; None if the task isn't known."""
+
     def on_unknown_row(self, link: "ExecutorLink", row: RunRow) -> Run | None:
         """A run is there that wasn't started by this owner; it is stopped unless adopted."""
 
@@ -140,6 +144,8 @@
         self.durable: Ticket | None = None
         self.runs_by_key: dict[tuple[Any, int], Run] = {}
         self.used = Room()
+        # What runs there that isn't this owner's, by the last report; None if its size isn't known.
+        self.foreign: Room | None = NOTHING
         self.lasting_runs = 0
         self.pause_until = 0.0
         self.failures_in_a_row = 0
@@ -184,11 +190,15 @@
     @property
     def free(self) -> Room:
         """What is left of the executor's capacity."""
-        return self.entry.capacity.minus(self.used)
+        return self.entry.capacity.minus(self.used).minus(self.foreign or NOTHING)
 
     def holds(self, room: Room) -> bool:
         """Whether an amount fits into what is left of the capacity."""
+        if self.foreign is None:
+            return False
         capacity, used = self.entry.capacity, self.used
+        if self.foreign != NOTHING:
+            used = used.plus(self.foreign)
         return (
             capacity.cpu - used.cpu >= room.cpu
             and capacity.memory_mb - used.memory_mb >= room.memory_mb
@@ -348,6 +358,7 @@
         listed = {(row.task, row.run) for row in report.running}
         for row in report.running:
             self._take_row(row, now)
+        self.foreign = self._room_of_foreign(report)
         if len(report.ended) < MAX_LISTED_ENDS:
             self._drop_missing(listed, sent_at)
         self.up = True
@@ -393,6 +404,22 @@
             run.task.checkpoint = row.checkpoint
         run.load = row.load
 
+    def _room_of_foreign(self, report: Report) -> Room | None:
+        """What is listed and isn't this owner's: it takes room until its end is listed.
+
+        A successor has the tasks of jobs that are over stopped, which takes as long as a stop may.
+        Not counted, others would be started into their room at once.
+        """
+        room = NOTHING
+        for row in report.running:
+            if (row.task, row.run) in self.runs_by_key:
+                continue
+            taken = self._owner.room_of(row.task)
+            if taken is None:
+                return None
+            room = room.plus(taken)
+        return room
+
     def _drop_missing(self, listed: set[tuple[Any, int]], sent_at: float) -> None:
         for key, run in list(self.runs_by_key.items()):
             if key in listed or run.confirmed_at is None or run.confirmed_at >= sent_at:
@@ -456,7 +483,7 @@
                     return
                 if run.phase is not RunPhase.STARTING:
                     return
-                if not self.free.holds(Room()) and unanswered:
+                if not self.free.holds(NOTHING) and unanswered:
                     break
                 why_not = self._why_not_sent()
                 if why_not and not unanswered:
@@ -500,7 +527,7 @@
             # It certainly didn't happen, so its task needn't wait for the lease to lapse; and each
             # try would stretch the time for which the lease may last.
             return "not sent"
-        if not self.free.holds(Room()):
+        if not self.free.holds(NOTHING):
             # The capacity has shrunk since; an executor that doesn't guard it would start it.
             return "no room any more"
         return ""
