Start nothing more on an executor that doesn't guard its capacity and hasn't told of it for long

Cause: capacities are known by the executors' entries alone. While the store is away, and for a beat after its return, they are those of before the outage; an executor that shrank meanwhile and starts whatever it is told to was brought over its room (LIMIT). Change: the board keeps when each executor was last seen to write; on one that doesn't guard its capacity nothing new is started once that is contactMs and a beat ago, less 0.3 s. Executors that refuse what is too much go on as before, so outages cost those nothing. Price: a pool of executors that don't guard starts nothing more from 4.2 s of an outage on; a new owner waits there for one beat.

--- a/features/capacities.feature
+++ b/features/capacities.feature
@@ -13,6 +13,7 @@
       | trouble                            | guards               | times |
       | capacities shrink                  | refuse what is large | 2     |
       | capacities shrink                  | start everything     | 2     |
+      | capacities shrink unseen           | start everything     | 1     |
       | capacities shrink and owner killed | start everything     | 2     |
       | owner killed                       | start everything     | 2     |
       | all killed                         | start everything     | 2     |
--- a/features/support/answer_daemons.py
+++ b/features/support/answer_daemons.py
@@ -215,6 +215,7 @@
             events=self.events,
             bounds=Bounds(),
             fresh_s=self.owners.fresh_s,
+            entry_age_s=lambda _: 0.0,
             settled=self.owners.settled,
         )
         dispatcher.update(
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -185,6 +185,8 @@
         self._events = events
         self._offset: int | None = None
         self._failing = False
+        # When each executor was last seen to write its entry.
+        self._written_at_by_id: dict[str, float] = {}
         self._returned_at = float("-inf")
         self._missing_by_id: dict[str, float] = {}
         # What was wrong with the newest records of those that can't be read.
@@ -195,6 +197,14 @@
         """Call back after each change."""
         self._subscribers.append(callback)
 
+    def age_s(self, executor: str) -> float:
+        """How many seconds ago an executor was seen to write its entry, at the latest.
+
+        One that was there already when the entries were first read may be of any age: while the
+        store is away, nobody writes.
+        """
+        return self._clock.monotonic() - self._written_at_by_id.get(executor, float("-inf"))
+
     async def run(self) -> None:
         """Follow the entries until cancelled."""
         while True:
@@ -225,6 +235,8 @@
         _note_invalid(self._events, entries)
         for executor, raw in entries.values_by_key.items():
             self._take(executor, raw, now)
+            if not whole:
+                self._written_at_by_id[executor] = now
         if whole:
             for executor in self.entries_by_id.keys() - entries.values_by_key.keys():
                 self._missing_by_id.setdefault(executor, now)
@@ -275,6 +287,7 @@
         for executor in list(self._missing_by_id):
             del self._missing_by_id[executor]
             self.entries_by_id.pop(executor, None)
+            self._written_at_by_id.pop(executor, None)
 
     def _failed(self, outcome: Refused | NoAnswer) -> None:
         if not self._failing:
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -37,6 +37,7 @@
     EndKind,
     EndRow,
     ExecutorEntry,
+    ExecutorId,
     Queue,
     Room,
     RunRow,
@@ -58,6 +59,9 @@
 # needs some 6 s to go on, and an order without an answer may arrive meanwhile.
 FLEET_S = 6.0
 
+# How long before the time is over for which a shrunk capacity may be overlooked starts end: an
+# order's way, and a pass of placing.
+ROOM_SLACK_S = 0.3
 # How long a leaving owner waits for its last record; without it the successor is more careful.
 HAND_OVER_S = 0.3
 
@@ -67,6 +71,8 @@
 
     status_kept_s: float = 120.0
     stop_timeout_s: float = 0.4
+    # How long after an executor's capacity has shrunk more may be started there.
+    shrunk_s: float = 4.5
 
 
 class Dispatcher:
@@ -81,6 +87,7 @@
     :param events: the process's log.
     :param bounds: the deployment's bounds.
     :param fresh_s: seconds since the store last confirmed this daemon's membership.
+    :param entry_age_s: how many seconds ago an executor wrote its entry, at the latest.
     :param settled: whether that was so recent that nobody else can own the shard.
     :param policy: what takes part in its decisions.
     """
@@ -97,6 +104,7 @@
         events: EventLog,
         bounds: Bounds,
         fresh_s: Callable[[], float],
+        entry_age_s: Callable[[ExecutorId], float],
         settled: Callable[[], bool],
         policy: Policy = WHOLE,
     ) -> None:
@@ -127,6 +135,7 @@
         self._events = events
         self._bounds = bounds
         self._fresh_s = fresh_s
+        self._entry_age_s = entry_age_s
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._reaped_at = 0.0
@@ -427,6 +436,19 @@
             self.log.put(JOB_KEY + job_id, b"")
             self.log.put(PROGRESS_KEY + job_id, b"")
 
+    def knows_room(self, entry: ExecutorEntry) -> bool:
+        """Whether an executor's capacity is known well enough to start more there.
+
+        One that doesn't guard its capacity starts what it is told to, though it may have shrunk
+        since it last wrote its entry.
+        """
+        if self.configuration is None:
+            return False
+        service = self.configuration.services_by_name.get(entry.service)
+        if service is not None and service.guards_capacity:
+            return True
+        return self._entry_age_s(entry.executor) < self._bounds.shrunk_s - ROOM_SLACK_S
+
     def queue_of(self, job: Job) -> Queue | None:
         """The queue that a job was handed in to, None if it isn't configured any more."""
         if self.configuration is None:
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -140,6 +140,8 @@
         # Set while the executor is kept for tasks that may crash it, and what was last started
         # there of these.
         self.reserved = False
+        # Whether its capacity is known well enough to start more.
+        self.room_known = True
         self.trial: Run | None = None
         self.durable: Ticket | None = None
         self.runs_by_key: dict[tuple[Any, int], Run] = {}
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -139,6 +139,7 @@
     return (
         link.up
         and link.listed
+        and link.room_known
         and not link.closing
         and not link.entry.draining
         and link.entry.readable
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -251,8 +251,13 @@
             advice=self.advice,
             clock=self.clock,
             events=self.events,
-            bounds=Bounds(promises.status_kept_s, promises.stop_timeout_s),
+            bounds=Bounds(
+                promises.status_kept_s,
+                promises.stop_timeout_s,
+                promises.contact_s + self.settings.executor_heartbeat_s,
+            ),
             fresh_s=self.owners.fresh_s,
+            entry_age_s=self.board.age_s,
             settled=self.owners.settled,
             policy=self.policy,
         )
--- a/mustardgap/platform/process_settings.py
+++ b/mustardgap/platform/process_settings.py
@@ -33,6 +33,7 @@
 
 
 class _Bounds(msgspec.Struct):
+    contact_ms: float = msgspec.field(default=3000, name="contactMs")
     drain_ms: float = msgspec.field(default=2000, name="drainMs")
     grace_s: float = msgspec.field(default=6, name="graceS")
     hold_max_ms: float = msgspec.field(default=10_000, name="holdMaxMs")
@@ -68,6 +69,7 @@
 class Promises(NamedTuple):
     """Bounds that the platform sets for this deployment, in seconds unless named otherwise."""
 
+    contact_s: float
     drain_s: float
     grace_s: float
     longest_lease_s: float
@@ -145,6 +147,7 @@
         memory_mb=fields.limits.memory_mb,
         cores=fields.limits.cpu_share * fields.limits.cores,
         promises=Promises(
+            contact_s=bounds.contact_ms / 1000,
             drain_s=bounds.drain_ms / 1000,
             grace_s=bounds.grace_s,
             longest_lease_s=bounds.hold_max_ms / 1000,
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -49,6 +49,8 @@
             if job.phase is JobPhase.LIVE and not job.held
         ]
         self._shard.isolation.look(waiting)
+        for link in self._shard.roster.links_by_executor.values():
+            link.room_known = self._shard.knows_room(link.entry)
         openings = Openings(links=self._shard.roster.links_by_executor.values(), now=now)
         cores_by_service = self._cores_by_service(now)
         policy = self._shard.policy
--- a/tools/owner_daemons.py
+++ b/tools/owner_daemons.py
@@ -188,6 +188,7 @@
                 events=self.events,
                 bounds=Bounds(stop_timeout_s=1.6),
                 fresh_s=self.owners.fresh_s,
+                entry_age_s=self.board.age_s,
                 settled=self.owners.settled,
             )
             self._update_one(dispatcher)
