Read a capacity of nothing as such, and not as an entry that can't be read

Cause: decoding asked for amounts above 0, so an executor that has shrunk to nothing counted as one whose record is broken: it kept its capacity of before, a line told of an invalid record, and a list of machines with one such row wasn't whole.

--- a/features/entries.feature
+++ b/features/entries.feature
@@ -50,7 +50,6 @@
       | capacity    | null                  |
       | capacity    | {}                    |
       | capacity    | "much"                |
-      | capacity    | {"cpu":0,"memMb":1}   |
       | capacity    | {"cpu":-5,"memMb":1}  |
       | capacity    | {"cpu":"5","memMb":1} |
       | capacity    | {"cpu":5}             |
@@ -63,6 +62,18 @@
       | remainingMs | "soon"                |
       | remainingMs | -1                    |
 
+  Scenario Outline: An executor with the capacity <capacity> is known, and holds <held>
+    Guards against an executor that has shrunk to nothing and is used by its capacity of before.
+
+    Then an executor's entry with the capacity <capacity> holds <held>
+
+    Examples:
+      | capacity                        | held        |
+      | {"cpu":0,"memMb":0,"gpu":0}     | nothing     |
+      | {"cpu":0,"memMb":1}             | nothing     |
+      | {"cpu":500,"memMb":0,"gpu":0}   | nothing     |
+      | {"cpu":500,"memMb":512,"gpu":0} | a half core |
+
   Scenario Outline: An entry that is <bytes> names no executor
     Then an entry that is <bytes> is invalid
 
--- a/mustardgap/platform/decoding.py
+++ b/mustardgap/platform/decoding.py
@@ -114,8 +114,9 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: _Amount
-    mem_mb: _Amount = msgspec.field(name="memMb")
+    # An executor that has shrunk to nothing says so.
+    cpu: _Count
+    mem_mb: _Count = msgspec.field(name="memMb")
     gpu: _Count = 0
 
 
