Count executors that have shrunk to nothing as no machines that their pool has

Cause: a pool's size was its executors, whatever they hold; with one of four at nothing and work for four it asked for none. Red before: 2 of 5 rows ('A pool with work for 4 of its 4 executors lacks 1' and 2: missing=0); after: green, with moves, fleet and bounds. Those that shrank in part were right before, by the mean size. What is emptied is still chosen by its use; one at nothing may go first.

--- a/features/capacities.feature
+++ b/features/capacities.feature
@@ -35,3 +35,17 @@
     Then nothing was sent to it before its capacity had grown again
     And all jobs have ended as completed
     And no promise was broken
+
+  Scenario Outline: A pool with work for <work> of its 4 executors lacks <missing>: <capacities>
+    Guards against executors that have shrunk and count as whole machines of their pool.
+
+    When a pool has work for <work> executors, and its 4 hold <capacities> of theirs
+    Then the pool lacks <missing> machines
+
+    Examples:
+      | work | capacities        | missing |
+      | 4    | 1,1,1,1           | 0       |
+      | 4    | 1,1,1,0           | 1       |
+      | 4    | 1,1,0,0           | 2       |
+      | 4    | 0.5,0.5,0.5,0.5   | 4       |
+      | 2    | 1,1,0,0           | 0       |
--- a/features/steps/capacities_steps.py
+++ b/features/steps/capacities_steps.py
@@ -6,6 +6,8 @@
 
 from features.support.owner_jobs import START_S, hand_in, job_id_of
 from mustardgap.executor_links import STARTS_AN_EXECUTOR
+from mustardgap.pool_demands import FILL_SHARE, Forecast, PoolDemand
+from mustardgap.pool_views import ExecutorView, PoolView
 from mustardgap.workloads import Room
 from tools.owner_troubles import BY_NAME, TWO_STEPS
 from tools.owner_worlds import CAPACITY, play
@@ -81,3 +83,21 @@
 @then("nothing was sent to it before its capacity had grown again")
 def nothing_sent(context):
     assert context.sent == 0, context.sent
+
+
+@when("a pool has work for {work:d} executors, and its 4 hold {capacities} of theirs")
+def pool_has_work(context, work, capacities):
+    executors = [
+        ExecutorView(f"x{n}", int(CAPACITY.cpu * float(share)), 0, 0, 0, True, False)
+        for n, share in enumerate(capacities.split(","))
+    ]
+    running = int(work * CAPACITY.cpu * FILL_SHARE)
+    demand = PoolDemand(given=4)
+    view = PoolView("quoting", 0, running, 0, executors)
+    demand.note(view, 0.0)
+    context.balance = demand.balance(view, Forecast(True, False), coming=0, returning=0, leaving=0)
+
+
+@then("the pool lacks {missing:d} machines")
+def pool_lacks(context, missing):
+    assert context.balance.missing == missing, context.balance
--- a/mustardgap/pool_demands.py
+++ b/mustardgap/pool_demands.py
@@ -117,7 +117,8 @@
         :param returning: those among them that a wave has, and gives back.
         :param leaving: machines of the pool that are being emptied.
         """
-        present = [e for e in view.executors if e.settled and not e.draining]
+        # One that has shrunk to nothing does no work, and is no machine that its pool has.
+        present = [e for e in view.executors if e.settled and not e.draining and e.capacity_cpu]
         machine_cpu = _machine_cpu(view)
         size = len(present) + coming - leaving
         needed = self._needed(view, forecast)
