--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -68,6 +68,14 @@
                 continue
             if entry.draining and not link.entry.draining:
                 self._events.note("executor.draining", executor=entry.executor)
+            if entry.capacity != link.entry.capacity:
+                self._events.note(
+                    "executor.resized",
+                    executor=entry.executor,
+                    capacity=entry.capacity,
+                    before=link.entry.capacity,
+                    used=link.used,
+                )
             link.entry = entry
             link.listed = True
         for executor, link in list(self.links_by_executor.items()):
