Let tasks crash executors, and capacities shrink, on the platform's stand-in and in the soak

The stand-in's executors close their connections when a job's task crashes them, leave the list, and are back as other incarnations; they start whatever they are told to, and their capacity shrinks to 0, 0.03 or 0.1 of the whole and grows again. 4 of 100 jobs of the soak's callers have such a task. Held against: the budget of crashes, starts beyond the room, sound jobs shown as failed.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -16,9 +16,9 @@
 import click
 
 from .fake_executors import FleetRecord
-from .owner_oracle import Asked, problems
+from .owner_oracle import Asked, crash_problems, problems
 from .soak_callers import FINAL_STATES, Caller
-from .soak_troubles import TROUBLES, turn_partitions_away
+from .soak_troubles import TROUBLES, resize_executors, turn_partitions_away
 from .soak_world import PLATFORM, SoakWorld
 from .wire_platform import History
 
@@ -74,8 +74,11 @@
         # Numbers of their own, so that the other troubles of a seed stay as they were.
         outages = random.Random(f"partitions {seed}")
         turning_away = asyncio.create_task(turn_partitions_away(world, outages, seconds, brought))
+        sizes = random.Random(f"capacities {seed}")
+        resizing = asyncio.create_task(resize_executors(world, sizes, seconds, brought))
         await _bring_troubles(world, rng, seconds, brought)
         await turning_away
+        await resizing
         for caller in calling:
             caller.stopping.set()
         for caller in calling:
@@ -132,7 +135,9 @@
     record.runs = history.runs
     record.acknowledged = history.acknowledged
     record.lapses = history.lapses
-    return problems(record, _asked(callers), ATTEMPTS)
+    found = problems(record, _asked(callers), ATTEMPTS)
+    found += crash_problems(record, history.crashing)
+    return found + [f"{task} brought {name} over its room" for task, name in history.overloads]
 
 
 def _settle(callers: list[Caller], found: list[str]) -> None:
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -11,6 +11,7 @@
 
 from .owner_oracle import Asked
 from .soak_world import HOST, SoakWorld
+from .wire_platform import CRASHING
 
 ANSWER_S = 3.0
 PAUSE_S = (0.02, 0.4)
@@ -19,6 +20,8 @@
 SUBMIT, ASK, CANCEL, REPEAT = 45, 40, 8, 7
 CERTAINLY_REFUSED = (429, 503)
 UNKNOWN_JOB = 410
+# How many of its jobs have a task that crashes its executors.
+CRASHING_SHARE = 0.04
 FINAL_STATES = ("completed", "failed", "canceled")
 
 
@@ -39,6 +42,8 @@
         self._number = number
         self._world = world
         self._rng = random.Random(f"{seed}/{number}")
+        # Numbers of their own, so that all else of a seed stays as it was.
+        self._crash_rng = random.Random(f"crashes {seed}/{number}")
         self._connections: dict[str, http.client.HTTPConnection] = {}
 
     def run(self) -> None:
@@ -78,7 +83,11 @@
 
     def _submit(self) -> None:
         job_id = f"{self._number:04x}{len(self.asked_by_job):012x}"
-        self.asked_by_job[job_id] = Asked(_draw_spec(self._rng), [], [])
+        spec = _draw_spec(self._rng)
+        if self._crash_rng.random() < CRASHING_SHARE:
+            task = self._crash_rng.randrange(spec.steps[0].width)
+            spec = spec._replace(payload=f"{CRASHING}{task}")
+        self.asked_by_job[job_id] = Asked(spec, [], [])
         for _ in range(self._rng.randint(1, 8)):
             if self._send(job_id) not in (0, 502, 504, *CERTAINLY_REFUSED):
                 return
@@ -105,7 +114,8 @@
             self.found.append(f"{job_id} was accepted, and said not to exist")
         state = fields.get("state", "") if isinstance(fields, dict) else ""
         cancelling = self.asked_by_job[job_id].cancelled_at
-        if state == "failed" or (state == "canceled" and not cancelling):
+        crashes = self.asked_by_job[job_id].spec.payload.startswith(CRASHING)
+        if (state == "failed" and not crashes) or (state == "canceled" and not cancelling):
             self.found.append(f"{job_id} was shown as {state} without cause")
         return str(state)
 
--- a/tools/soak_troubles.py
+++ b/tools/soak_troubles.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from .links import Link, Way
-from .soak_world import SoakWorld
+from .soak_world import EXECUTORS, SoakWorld
 from .wire_platform import SHARDS
 
 Trouble = Callable[[SoakWorld, random.Random], Coroutine[Any, Any, None]]
@@ -15,6 +15,8 @@
 # A process that ended is started again after this.
 RESTART_S = (0.1, 3.0)
 DELAYS_S = (0.02, 0.4)
+# To what share of its whole capacity an executor shrinks; a task takes a fortieth of it.
+SHARES = (0.0, 0.03, 0.1)
 
 
 async def daemon_killed(world: SoakWorld, rng: random.Random) -> None:
@@ -130,6 +132,21 @@
         await world.control(away=[])
 
 
+async def resize_executors(
+    world: SoakWorld, rng: random.Random, seconds: float, brought: list[str]
+) -> None:
+    """Executors' capacities shrink, some to nothing, and grow again, time and again."""
+    machines = [f"m{number}" for number in range(1, EXECUTORS + 1)]
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+        chosen = rng.sample(machines, rng.randint(1, len(machines)))
+        brought.append(resize_executors.__name__)
+        await world.control(resize={machine: rng.choice(SHARES) for machine in chosen})
+        await asyncio.sleep(rng.uniform(SHORT_S, 2 * LONG_S))
+        await world.control(resize=dict.fromkeys(machines, 1.0))
+
+
 TROUBLES: tuple[Trouble, ...] = (
     daemon_killed,
     daemon_stopped,
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -31,6 +31,14 @@
 JOBS_TOPIC, FAILOVER_TOPIC = "keyed.mustardgap-jobs", "keyed.mustardgap-failover"
 OWN_TOPICS = (JOBS_TOPIC, FAILOVER_TOPIC)
 HEARTBEAT_S = 0.5
+# An executor that has crashed is off the list after this, and back as another one.
+UNLISTED_S, REBORN_S = 1.5, 2.5
+# A job with this payload and a number has one task, of its first step, that crashes its executors.
+CRASHING = "crashes "
+CRASH_S = 0.01
+CAPACITY = Room(8_000, 16_000, 0)
+# What each task takes of an executor.
+TASK_ROOM = Room(200, 50, 0)
 SHARDS = 4
 # What another writer puts among the executors' entries.
 FOREIGN = (
@@ -53,6 +61,8 @@
     runs: list[RunRecord]
     acknowledged: list[tuple[float, str, EndRow]]
     lapses: list[tuple[str, float]]
+    overloads: list[tuple[TaskId, str]]
+    crashing: list[TaskId]
 
 
 class WirePlatform:
@@ -80,6 +90,14 @@
         # How many records another writer has written.
         self._foreign = 0
         self.status: list[tuple[str, bytes]] = []
+        self.overloads: list[tuple[TaskId, str]] = []
+        self.crashing: set[TaskId] = set()
+        self.fleet.record.room_of = lambda task: TASK_ROOM
+        self.fleet.record.on_overload = lambda task, name: self.overloads.append((task, name))
+        self.fleet.record.crash_after = lambda task: CRASH_S if task in self.crashing else None
+        self.fleet.record.on_crash = self._on_crash
+        self._servers_by_machine: dict[str, HTTPServer] = {}
+        self._restarting: set[asyncio.Task[None]] = set()
         self.executors = [self._executor(number) for number in range(1, executors + 1)]
         self.operator.append(("config", msgspec.json.encode(self._configuration())))
 
@@ -87,8 +105,7 @@
         """Serve until ended."""
         _serve(self.ip, self.port, self._store)
         for executor in self.executors:
-            port = int(executor.entry.address.rpartition(":")[2])
-            _serve(self.ip, port - self.announced + self.port, self._orders(executor))
+            self._listen(executor)
         ticking = asyncio.create_task(self.fleet.run())
         while True:
             for executor in self.executors:
@@ -100,6 +117,36 @@
             await asyncio.sleep(HEARTBEAT_S / 2)
             assert not ticking.done()
 
+    def _listen(self, executor: FakeExecutor) -> None:
+        port = int(executor.entry.address.rpartition(":")[2]) - self.announced + self.port
+        server = _serve(self.ip, port, self._orders(executor))
+        self._servers_by_machine[executor.entry.machine] = server
+
+    def _on_crash(self, executor: FakeExecutor) -> None:
+        restarting = asyncio.create_task(self._restart(executor))
+        self._restarting.add(restarting)
+        restarting.add_done_callback(self._restarting.discard)
+
+    async def _restart(self, executor: FakeExecutor) -> None:
+        """Close a crashed executor's connections, and let its machine have another one later."""
+        entry = executor.entry
+        server = self._servers_by_machine[entry.machine]
+        server.stop()
+        await server.close_all_connections()
+        await asyncio.sleep(UNLISTED_S)
+        self.entries.append((entry.executor, b""))
+        await asyncio.sleep(REBORN_S - UNLISTED_S)
+        place = self.executors.index(executor)
+        self.executors[place] = self._executor(place + 1, life=len(self.entries))
+        self._listen(self.executors[place])
+
+    def _resize(self, shares_by_machine: dict[str, float]) -> None:
+        """Give executors a share of the whole capacity."""
+        for executor in self.executors:
+            share = shares_by_machine.get(executor.entry.machine)
+            if share is not None:
+                executor.resize(Room(*(int(amount * share) for amount in CAPACITY)))
+
     def _write_foreign(self) -> None:
         """Write as somebody else would: over an executor's entry, and one of nobody."""
         executor = self.executors[self._foreign % len(self.executors)].entry.executor
@@ -107,14 +154,14 @@
         self._foreign += 1
         self.entries += [(executor, raw), ("x-of-nobody", raw)]
 
-    def _executor(self, number: int) -> FakeExecutor:
+    def _executor(self, number: int, life: int = 0) -> FakeExecutor:
         entry = ExecutorEntry(
-            executor=f"x{number}",
+            executor=f"x{number}-{life}" if life else f"x{number}",
             service="quoting",
             address=f"{self.ip}:{self.announced + number}",
             data_centre="d1",
             draining=False,
-            capacity=Room(8_000, 16_000, 0),
+            capacity=CAPACITY,
             labels=("a", "r1"),
             machine=f"m{number}",
         )
@@ -123,6 +170,7 @@
             record=self.fleet.record,
             work=lambda task: None if task.job in self.lasting else self.work_s,
         )
+        executor.guards = False
         self.fleet.add(executor)
         return executor
 
@@ -144,6 +192,7 @@
             fields = msgspec.json.decode(request.body)
             if "away" in fields:
                 fields["away"] = {(part, failover) for part, failover in fields["away"]}
+            self._resize(fields.pop("resize", {}))
             for name, value in fields.items():
                 setattr(self.store, name, value)
             return 200, b"{}"
@@ -153,7 +202,11 @@
         if request.path == "/history":
             record = self.fleet.record
             history = History(
-                runs=record.runs, acknowledged=record.acknowledged, lapses=record.lapses
+                runs=record.runs,
+                acknowledged=record.acknowledged,
+                lapses=record.lapses,
+                overloads=self.overloads,
+                crashing=sorted(self.crashing),
             )
             return 200, msgspec.json.encode(history)
         if self.store.down:
@@ -215,7 +268,7 @@
             rows = self._rows(topic)
             values, end = dict(rows), len(rows)
         after = _query(request, "dependsOn")
-        keys = sorted(key for key in values if not after or key > after)
+        keys = sorted(key for key in values if values[key] and (not after or key > after))
         items = [
             {"key": key, "value": base64.b64encode(values[key]).decode(), "offset": 0}
             for key in keys[:3]
@@ -266,6 +319,9 @@
             if verb == "run-start":
                 if fields["spec"] == "lasting":
                     self.lasting.add(task.job)
+                if fields["spec"].startswith(CRASHING):
+                    number = int(fields["spec"].removeprefix(CRASHING))
+                    self.crashing.add(TaskId(task.job, 0, 0, number))
                 outcome = executor.start(
                     task, fields["run"], fields["spec"], fields["untilMs"], fields["fence"]
                 )
@@ -378,7 +434,7 @@
     return status, msgspec.json.encode(fields)
 
 
-def _serve(ip: str, port: int, handler: Handler) -> None:
+def _serve(ip: str, port: int, handler: Handler) -> HTTPServer:
     tasks: set[asyncio.Task[None]] = set()
 
     async def answer(request: httputil.HTTPServerRequest) -> None:
@@ -398,7 +454,9 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    HTTPServer(handle).listen(port, ip)
+    server = HTTPServer(handle)
+    server.listen(port, ip)
+    return server
 
 
 @click.command()
