Send a stop that got no answer no more once its machine is kept

What callers see: a lasting task at work is ended and moved for a machine that stays; one more of its step may then be missed by a real wave. Change: before each send of an evacuation's stop the run is kept if its executor isn't being emptied any more; a line run.kept. A run whose stop got no answer counts as at work only once that stop would have ended it, as the late stop may still arrive. Red before: 'isn't repeated once its machine is kept' (moved away); after: green. The rig of the two scenarios beside it set 'closing' by hand, which the fleet's next view took back within 0.3 s; it has a wave take the machine now, which is the case they are about.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -485,3 +485,11 @@
     When a lasting task is moved, its stop gets no answer, and all others of its step serve on
     Then the task has left its executor in the end
     And no promise was broken
+
+  Scenario: A stop that got no answer isn't repeated once its machine is kept
+    Guards against a lasting task that is stopped for a move which has been called off.
+
+    Given owners on a fake platform
+    When a lasting task is moved, its stop gets no answer, and its machine is kept after all
+    Then the task is at work where it was
+    And no promise was broken
--- a/features/steps/owners_parts_steps.py
+++ b/features/steps/owners_parts_steps.py
@@ -9,6 +9,7 @@
 from mustardgap.dispatchers import TICK_S
 from mustardgap.pacing import HIGH_SHARE
 from mustardgap.ports import NoAnswer
+from mustardgap.runs import RunPhase
 from mustardgap.shard_owners import FLEET_SHARD
 from mustardgap.workloads import TaskId
 from tools.owner_daemons import SERVICE
@@ -18,6 +19,8 @@
 
 # Long enough for a shard to be given up, dealt anew and read, and for its jobs to end.
 SETTLED_S = 10.0
+# By then a wave has begun with its machines.
+WAVE_S = 25.0
 
 
 def _cancel_appends(owned):
@@ -357,7 +360,10 @@
 
 
 async def _move_unanswered(context, world, meanwhile):
-    """Move a lasting task; its first stop gets no answer after something else has happened."""
+    """Have a wave take a lasting task's machine.
+
+    Its first stop gets no answer after something else has happened.
+    """
     await asyncio.sleep(START_S)
     assert await world.submit_until_accepted(job_id_of(1), LASTING)
     await asyncio.sleep(SETTLED_S)
@@ -371,10 +377,11 @@
         return NoAnswer(sent=True, detail="no answer in time")
 
     moved.link._port = EndedOnce(moved.link._port, "stop", ends=unanswered)
-    moved.link.closing = True
+    publish_wave(world, [moved.link.entry.machine])
+    async with asyncio.timeout(WAVE_S):
+        while not moved.link._port.count:
+            await asyncio.sleep(0.01)
     await asyncio.sleep(2)
-    context.ended = moved.link._port.count
-    assert context.ended, "no stop was sent"
     return moved
 
 
@@ -398,6 +405,81 @@
     context.world = play(scene, **context.options)
 
 
+def _call_off(world):
+    """Let the fleet's owner want no machine emptied any more."""
+    for daemon in world.daemons_by_address.values():
+        fleet = daemon.owners.owned_by_shard.get(FLEET_SHARD)
+        if fleet is not None:
+            fleet.waves.plan = lambda configuration: None
+            fleet.state.closing_by_machine.clear()
+
+
+@when("a lasting task is moved, its stop gets no answer, and its machine is kept after all")
+def stop_called_off(context):
+    async def scene(world):
+        moved = await _move_unanswered(context, world, lambda w, other: _call_off(w))
+        await asyncio.sleep(SETTLED_S)
+        context.stayed = moved in moved.link.runs_by_key.values()
+        context.at_work = world.fleet.is_at_work(moved.task.task_id)
+        context.phase = moved.phase
+
+    context.world = play(scene, **context.options)
+
+
+@then("the task is at work where it was")
+def at_work_where_it_was(context):
+    assert context.stayed and context.at_work, (context.stayed, context.at_work)
+    assert context.phase is RunPhase.RUNNING, context.phase
+
+
+class UnansweredPort:
+    """Carries starts out and loses their answers; loses stops until these are let through."""
+
+    def __init__(self, port):
+        self._port = port
+        self.lets_stops_through = False
+
+    async def start(self, entry, **fields):
+        await self._port.start(entry, **fields)
+        return NoAnswer(sent=True, detail="no answer in time")
+
+    async def stop(self, entry, **fields):
+        if self.lets_stops_through:
+            return await self._port.stop(entry, **fields)
+        await asyncio.sleep(0.3)
+        return NoAnswer(sent=True, detail="no answer in time")
+
+    def __getattr__(self, name):
+        return getattr(self._port, name)
+
+
+def _runs_apart(world):
+    """Two runs on different executors."""
+    links = world.dispatcher().roster.links_by_executor.values()
+    runs = [run for link in links for run in link.runs_by_key.values()]
+    return runs[0], next(run for run in runs if run.link is not runs[0].link)
+
+
+@when(
+    "a lasting task's start and stops get no answer, "
+    "and the executor of another one is lost meanwhile"
+)
+def start_unanswered_beside_loss(context):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        for link in world.dispatcher().roster.links_by_executor.values():
+            link._port = UnansweredPort(link._port)
+        assert await world.submit_until_accepted(job_id_of(1), LASTING)
+        await asyncio.sleep(SETTLED_S)
+        unsure, other = _runs_apart(world)
+        assert world.fleet.is_at_work(unsure.task.task_id), "it isn't at work"
+        world.fleet.by_address[other.link.entry.address].crash()
+        unsure.link._port.lets_stops_through = True
+        await asyncio.sleep(2)
+
+    context.world = play(scene, **context.options)
+
+
 @then("the task has left its executor in the end")
 def has_left(context):
     assert not context.left, context.left
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -53,6 +53,9 @@
         """
         if run.why_stopped != EVACUATED or not run.task.step.lasting or run.link.entry.draining:
             return True
+        if not run.link.closing:
+            run.link.keep(run, "its machine is kept")
+            return False
         siblings = self._dispatcher.job_of(run.task.task_id).siblings(run.task)
         return self._may_miss_one(run.task, siblings, now, heard_since=run.unanswered_at)
 
@@ -80,8 +83,8 @@
         """Whether a lasting task serves its users now, as far as is known.
 
         A run that was adopted from a former owner may be on its way to a stop which that owner
-        ordered: it is listed at work until the stop takes effect, and another task would be stopped
-        beside it. A run that is known for longer than a stop takes would have ended by one.
+        ordered, or one whose stop got no answer: it is listed at work until the stop takes effect,
+        and another task would be stopped beside it. After what a stop takes it would have ended.
 
         :param heard_since: steady time since which its executor has to have reported.
         """
@@ -90,7 +93,7 @@
             run is not None
             and run.phase is RunPhase.RUNNING
             and run.percent >= AT_WORK_PERCENT
-            and run.started_at <= now - self._settle_s
+            and max(run.started_at, run.unanswered_at) <= now - self._settle_s
             and run.link.up
             and run.link.heard_at >= heard_since
         )
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -240,6 +240,18 @@
         )
         self._order_stop(run.task.task_id, run.number, run)
 
+    def keep(self, run: Run, why: str) -> None:
+        """Send no stop of a run any more."""
+        run.phase = RunPhase.RUNNING
+        self._events.note(
+            "run.kept",
+            job=run.task.task_id.job,
+            task=run.task.task_id,
+            run=run.number,
+            executor=self.entry.executor,
+            why=why,
+        )
+
     def pace(self, run: Run, percent: int) -> None:
         """Let a run work at a share of its speed."""
         run.pace = percent
@@ -606,6 +618,8 @@
             await self._clock.sleep(pause_s)
         while run is None or (task_id, number) in self.runs_by_key:
             if run is not None and not self._owner.may_stop(run):
+                if run.phase is not RunPhase.STOPPING:
+                    return
                 await self._clock.sleep(RETRY_S)
                 continue
             outcome = await self._port.stop(self.entry, task=task_id, run=number, fence=self.fence)
