Keep a lasting task whose start got no answer once it is seen at work

What callers see: a task at work is ended, without regard to how many others of its step are away (AVAIL). Change: at work by its executor's report, it is known to be there, and no further stop is sent; a line run.kept tells so. Ruled out: asking for leave instead, as for a move: the task would still be ended for nothing once the others are back. Red before: 'isn't stopped once it's at work and another one is gone', task 2 stopped at 1016.37 while 0 and 1 were away; after: green. Other stops without a second look: of jobs that are over, of what stands still (never lasting) and of what is done elsewhere: none needs leave.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -493,3 +493,10 @@
     When a lasting task is moved, its stop gets no answer, and its machine is kept after all
     Then the task is at work where it was
     And no promise was broken
+
+  Scenario: A task whose start got no answer isn't stopped once it's at work and another one is gone
+    Guards against a stop that was meant to settle a start, and ends a task that serves its users.
+
+    Given owners on a fake platform
+    When a lasting task's start and stops get no answer, and the executor of another one is lost meanwhile
+    Then no promise was broken
--- a/mustardgap/evacuations.py
+++ b/mustardgap/evacuations.py
@@ -51,8 +51,14 @@
         end one more task than the step may miss, though there was leave for the first try. So
         before a repeat only those count as at work whose executors have reported since that try.
         """
-        if run.why_stopped != EVACUATED or not run.task.step.lasting or run.link.entry.draining:
+        if not run.task.step.lasting or run.link.entry.draining:
             return True
+        if run.why_stopped != EVACUATED:
+            # Its start got no answer, and the stop is to settle whether it is there.
+            if run.percent < AT_WORK_PERCENT:
+                return True
+            run.link.keep(run, "it is at work")
+            return False
         if not run.link.closing:
             run.link.keep(run, "its machine is kept")
             return False
