Give no lasting task up for what crashes beside it, and give each prime suspect a trial of its own

Cause: four crashes of any kind ended a job. Change: a job is given up after two crashes that nothing else explains, after four if nothing else was there at the last, after five in any case, tasks that last aside: these need a crash with nothing beside them. A prime suspect has its executor to itself for 2 s, 10 s after four crashes; beside lasting tasks if none is empty, and then it is the one blamed. More executors are kept for suspects the longer one waits. While crashes are frequent, short tasks are kept off executors with lasting ones. Red before: 'After the crashes AT_WORK x4 ... runs alone' and 'Tasks that last go on beside ...'; after: green.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -96,6 +96,8 @@
       | was answered 1 s ago     | runs at work          | AT_WORK        |
       | was never sent           | nothing               | no crash       |
       | was never sent           | runs at work          | no crash       |
+      | was at work              | a prime suspect       | BESIDE_STARTED |
+      | is the prime suspect     | runs at work          | ONLY_AT_WORK   |
 
   Scenario Outline: After the crashes <crashes> a task <fate>
     Guards against a sound task that is given up, and one that is started too often.
@@ -119,8 +121,10 @@
       | STARTED,ONLY_STARTED                                        | is given up         |
       | ONLY_STARTED,ONLY_STARTED                                   | is given up         |
       | ONLY_AT_WORK,ONLY_AT_WORK                                   | is given up         |
-      | AT_WORK,AT_WORK,AT_WORK,AT_WORK                             | is given up         |
-      | BESIDE_STARTED,BESIDE_STARTED,BESIDE_STARTED,BESIDE_STARTED | is given up         |
+      | AT_WORK,AT_WORK,AT_WORK,AT_WORK                             | runs alone          |
+      | AT_WORK,AT_WORK,AT_WORK,ONLY_AT_WORK                        | is given up         |
+      | AT_WORK,AT_WORK,AT_WORK,AT_WORK,AT_WORK                     | is given up         |
+      | BESIDE_STARTED,BESIDE_STARTED,BESIDE_STARTED,BESIDE_STARTED,BESIDE_STARTED | is given up |
 
   Scenario: A task isn't started again before its crash is on record
     Guards against a start that the next owner, after power is lost, wouldn't know to count.
@@ -150,3 +154,15 @@
       | 120  | 0.08 | one in six    |
       | 60   | 0.1  | one in three  |
       | 120  | 0.05 | one in twelve |
+
+  Scenario Outline: Tasks that last go on beside <each> that crash executors <when>
+    Guards against a task that lasts and is given up for what is started beside it in its time.
+
+    When <jobs> jobs come at one each 0.1 s, one in <each> crashing executors <when>, beside 3 that last
+    Then the jobs that last are running, all sound jobs have completed, and no promise was broken
+
+    Examples:
+      | jobs | each | when             |
+      | 60   | six  | as they start it |
+      | 60   | six  | late in its work |
+      | 60   | three | as they start it |
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -66,6 +66,26 @@
     assert not outcome.problems, outcome.problems
 
 
+@when(
+    "{jobs:d} jobs come at one each {gap:g} s, one in {each} crashing executors {moment}, "
+    "beside {count:d} that last"
+)
+def jobs_beside_lasting(context, jobs, gap, each, moment, count):
+    planned = CrashPlay(
+        jobs=jobs, gap_s=gap, crashing_each=EACH[each], crash_s=CRASH_S[moment], lasting=count
+    )
+    context.outcome = run(planned)
+
+
+@then("the jobs that last are running, all sound jobs have completed, and no promise was broken")
+def lasting_running(context):
+    outcome = context.outcome
+    assert set(outcome.lasting) == {"running"}, outcome.lasting
+    assert set(outcome.sound) == {"completed"}, outcome.sound
+    assert set(outcome.crashing) == {"failed"}, outcome.crashing
+    assert not outcome.problems, outcome.problems
+
+
 NOW_S = 100.0
 TASK = TaskId(job_id_of(1), 0, 0, 0)
 
@@ -76,7 +96,7 @@
     task = Task(task_id=TASK, step=TWO_STEPS.steps[0])
     made = Run(task=task, number=1, link=link, now=NOW_S - 1)
     made.sent = was != "was never sent"
-    made.at_work = was == "was at work"
+    made.at_work = was in ("was at work", "is the prime suspect")
     if was == "had just been started":
         made.confirmed_at = NOW_S - 0.05
     elif was == "was answered 1 s ago":
@@ -86,6 +106,7 @@
 
 OTHERS = {
     "nothing": [],
+    "a prime suspect": ["is the prime suspect"],
     "runs at work": ["was at work"] * 2,
     "others just started": ["had just been started"] * 2,
 }
@@ -95,7 +116,9 @@
 def closes(context, was, others):
     context.run = _run(was)
     runs = [context.run, *(_run(other) for other in OTHERS[others])]
-    context.crash_by_run = {id(run): crash for run, crash in stands(runs, NOW_S)}
+    words = [was, *OTHERS[others]]
+    trial = runs[words.index("is the prime suspect")] if "is the prime suspect" in words else None
+    context.crash_by_run = {id(run): crash for run, crash in stands(runs, NOW_S, trial)}
 
 
 @then("the crash counts as {stood} for that run")
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -24,17 +24,19 @@
 PROVEN_S = 30.0
 # So many crashes of a pool's executors within this time aren't chance.
 FREQUENT, FREQUENT_S = 2, 10.0
-# Crashes after which a task has to run with nothing beside it; of those that another task explains
-# one more.
-CRASHES_SERIOUS = 2
-# So many end its job, whatever else may have caused them.
-CRASHES_AT_MOST = 4
+# Crashes after which a task has to run with nothing beside it, and the same where another task that
+# had just been started explains them.
+CRASHES_SERIOUS, CRASHES_EXPLAINED = 2, 3
+# So many end its job if nothing else was there at the last, and so many whatever else was.
+CRASHES_MANY, CRASHES_AT_MOST = 4, 5
+# For so long a prime suspect has an executor to itself, and so long after many crashes.
+TRIAL_S, LONGEST_TRIAL_S = 2.0, 10.0
 
 
 class Crash(enum.IntEnum):
     """How a task's run stood when its executor crashed."""
 
-    # It had been at work, and others had just been started, which explains the crash.
+    # It had been at work; what explains the crash had just been started, or was on trial.
     BESIDE_STARTED = 0
     # It had been at work, like all others.
     AT_WORK = 1
@@ -46,7 +48,9 @@
     ONLY_STARTED = 4
 
 
-def stands(runs: Iterable[Run], now: float) -> Iterator[tuple[Run, Crash]]:
+def stands(
+    runs: Iterable[Run], now: float, trial: Run | None = None
+) -> Iterator[tuple[Run, Crash]]:
     """How each run stood that may have crashed an executor.
 
     Most tasks that crash their executor do so as they begin to work. But each run counts: a task
@@ -54,11 +58,14 @@
 
     :param runs: what the executor was known to run, or had been sent.
     :param now: steady seconds.
+    :param trial: a prime suspect that had the executor to itself, but for what lasts there.
     """
     sent = [run for run in runs if run.sent]
     fresh = [run for run in sent if _is_fresh(run, now)]
     for run in sent:
-        if run in fresh:
+        if trial in sent and not fresh:
+            yield run, Crash.ONLY_AT_WORK if run is trial else Crash.BESIDE_STARTED
+        elif run in fresh:
             yield run, Crash.ONLY_STARTED if len(fresh) == 1 else Crash.STARTED
         elif fresh:
             yield run, Crash.BESIDE_STARTED
@@ -81,18 +88,33 @@
 
 def is_prime_suspect(task: "Task") -> bool:
     """Whether a task has to run with nothing beside it."""
-    return len(task.crashes) > CRASHES_SERIOUS or _serious(task) >= CRASHES_SERIOUS
+    # Tasks that last meet the crashes of all that is started beside them in their time.
+    many = CRASHES_MANY if task.step.lasting else CRASHES_EXPLAINED
+    return len(task.crashes) >= many or _serious(task) >= CRASHES_SERIOUS
+
+
+def trial_s(task: "Task") -> float:
+    """For how long a prime suspect has its executor to itself, in seconds.
+
+    One that crashed later than that would be found beside others again and again.
+    """
+    return TRIAL_S if len(task.crashes) < CRASHES_MANY else LONGEST_TRIAL_S
 
 
 def is_given_up(task: "Task") -> bool:
     """Whether so many executors have crashed under a task that it isn't started again."""
-    if len(task.crashes) >= CRASHES_AT_MOST:
-        return True
-    if _serious(task) < CRASHES_SERIOUS:
+    crashes = [task.crashes[run] for run in sorted(task.crashes)]
+    if not crashes:
         return False
+    alone = sum(crash is Crash.ONLY_AT_WORK for crash in crashes)
     # One crash of a task at work may be the executor's own; two with nothing else there aren't.
-    alone = sum(crash is Crash.ONLY_AT_WORK for crash in task.crashes.values())
-    return task.crashes[max(task.crashes)] is Crash.ONLY_STARTED or alone >= CRASHES_SERIOUS
+    if alone >= CRASHES_SERIOUS:
+        return True
+    if crashes[-1] is Crash.ONLY_STARTED and _serious(task) >= CRASHES_SERIOUS:
+        return True
+    if crashes[-1] >= Crash.ONLY_AT_WORK and len(crashes) >= CRASHES_MANY:
+        return True
+    return len(crashes) >= CRASHES_AT_MOST and not task.step.lasting
 
 
 def _serious(task: "Task") -> int:
@@ -129,7 +151,8 @@
         if link.closing or link.entry.draining:
             # It was to end.
             return
-        counted = list(stands(link.runs_by_key.values(), self._clock.monotonic()))
+        trial = link.trial if link.on_trial else None
+        counted = list(stands(link.runs_by_key.values(), self._clock.monotonic(), trial))
         self._counted_by_executor[link.entry.executor] = [run for run, _ in counted]
         if any(crash >= Crash.STARTED for _, crash in counted):
             self._recent_by_service[link.entry.service].append(self._clock.monotonic())
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from . import cancellations, metrics
-from .crashes import is_prime_suspect
+from .crashes import is_prime_suspect, trial_s
 from .events import EventLog
 from .executor_clocks import ExecutorClock
 from .patience import OrdersUnderWay, Patience
@@ -44,8 +44,6 @@
 BUSY_WAIT_S = 0.3
 # The same where a task runs of which it has to be seen whether it crashes its executor.
 TRIAL_WAIT_S = 0.1
-# For so long a task under which several executors have crashed has its executor to itself.
-TRIAL_S = 2.0
 # The pause between looks at an executor that doesn't answer, and between repeated orders.
 RETRY_S = 0.15
 # How long a look's successor waits for the ends to be durable, so that it can acknowledge them: a
@@ -187,7 +185,7 @@
             return False
         if not run.at_work:
             return True
-        return is_prime_suspect(run.task) and not run.is_at_work(self.seen_s, TRIAL_S)
+        return is_prime_suspect(run.task) and not run.is_at_work(self.seen_s, trial_s(run.task))
 
     @property
     def free(self) -> Room:
--- a/mustardgap/isolation.py
+++ b/mustardgap/isolation.py
@@ -3,7 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from .crashes import is_prime_suspect, is_suspect
 from .executor_links import ExecutorLink
@@ -19,17 +19,26 @@
 POOL_SHARE = 8
 # A pool of fewer executors keeps none, until a suspect has waited for long.
 SMALLEST_POOL = 3
+# For suspects that last, one each is kept, up to one of so many.
+LASTING_SHARE = 4
 # A suspect that has waited for so long is started beside others: a task may not lie idle for 3 s.
 PATIENCE_S = 2.0
 
 
+class _Waiting(NamedTuple):
+    """The suspects of a service that wait: for how long one has, and how many of them last."""
+
+    longest_s: float
+    lasting: int
+
+
 class Isolation:
     """Chooses executors for tasks under which executors have crashed.
 
     After one crash a task is started where all others are at work, so that a further crash tells
     whether it is the cause, and beside other suspects only, so that nothing else is lost. After two
-    it has an executor to itself. Started among others, each crash would make suspects of them, and
-    take their work.
+    it has an executor to itself, or beside tasks that last if there is no other. Started among
+    others, each crash would make suspects of them, and take their work.
 
     :param dispatcher: the owner of the tasks.
     :param clock: the clocks to read.
@@ -42,16 +51,13 @@
 
     def look(self, jobs: Iterable[Job]) -> None:
         """Keep executors for the suspects that wait, and let those go that none needs."""
-        waiting = self._waits_by_service(jobs)
-        by_service: dict[str, list[ExecutorLink]] = {}
-        for link in self._shard.roster.links_by_executor.values():
-            by_service.setdefault(link.entry.service, []).append(link)
-        for service, links in by_service.items():
-            if service in waiting:
-                self._reserve(links, has_waited=waiting[service] > PATIENCE_S)
-                continue
-            for link in links:
-                link.reserved = link.reserved and link.on_trial
+        waiting_by_service = self._waiting_by_service(jobs)
+        links = self._shard.roster.links_by_executor.values()
+        for service, waiting in waiting_by_service.items():
+            _reserve((link for link in links if link.entry.service == service), waiting)
+        for link in links:
+            if link.reserved and link.entry.service not in waiting_by_service:
+                link.reserved = link.on_trial
 
     def choose(
         self, task: Task, job: Job, siblings: Sequence[Task], links: Sequence[ExecutorLink]
@@ -75,11 +81,12 @@
         has_waited = self._has_waited(task)
         if is_prime_suspect(task):
             apart = [link for link in fitting if not link.runs_by_key]
-            has_waited = has_waited and step.lasting
+            others = [link for link in fitting if len(link.runs_by_key) == link.lasting_runs]
         else:
             apart = [link for link in fitting if _runs_suspects_only(link)]
+            others = fitting
         if not apart and has_waited:
-            apart = fitting
+            apart = others
         return min(apart, key=lambda link: _preference(link, task), default=None)
 
     def links_for_gang(
@@ -99,31 +106,38 @@
         """Note that a suspect has been started on an executor."""
         link.trial = task.run
 
-    def _waits_by_service(self, jobs: Iterable[Job]) -> dict[str, float]:
-        """For how many seconds the suspects of each service have waited that do, at the longest."""
+    def _waiting_by_service(self, jobs: Iterable[Job]) -> dict[str, _Waiting]:
         now = self._clock.monotonic()
-        waits_by_service: dict[str, float] = {}
+        waiting_by_service: dict[str, _Waiting] = {}
         since_by_task: dict[TaskId, float] = {}
         for job in jobs:
             for task in _waiting_suspects(job):
                 since = self._waiting_since.get(task.task_id, now)
                 since_by_task[task.task_id] = since
-                longest = waits_by_service.get(job.service, 0.0)
-                waits_by_service[job.service] = max(longest, now - since)
+                earlier = waiting_by_service.get(job.service, _Waiting(0.0, 0))
+                waiting_by_service[job.service] = _Waiting(
+                    max(earlier.longest_s, now - since), earlier.lasting + task.step.lasting
+                )
         self._waiting_since = since_by_task
-        return waits_by_service
-
-    def _reserve(self, links: list[ExecutorLink], *, has_waited: bool) -> None:
-        living = [link for link in links if link.up and link.listed and not link.closing]
-        wanted = math.ceil(len(living) / POOL_SHARE)
-        if len(living) < SMALLEST_POOL and not has_waited:
-            wanted = 0
-        reserved = [link for link in living if link.reserved]
-        others = sorted((link for link in living if not link.reserved), key=_work_at_risk)
-        for link in others[: max(wanted - len(reserved), 0)]:
-            link.reserved = True
-        for link in reserved[wanted:]:
-            link.reserved = False
+        return waiting_by_service
+
+
+def _reserve(links: Iterable[ExecutorLink], waiting: _Waiting) -> None:
+    """Keep as many of a pool's executors for its suspects as these need, those with least work."""
+    living = [link for link in links if link.up and link.listed and not link.closing]
+    wanted = math.ceil(len(living) / POOL_SHARE)
+    # A task that lasts serves its users, and may not wait for its turn among many.
+    wanted = max(wanted, min(waiting.lasting, len(living) // LASTING_SHARE))
+    # The longer one has waited, the more are kept: those kept first may each be taken for long.
+    wanted = min(wanted + int(waiting.longest_s / PATIENCE_S), max(len(living) // 2, 1))
+    if len(living) < SMALLEST_POOL and waiting.longest_s <= PATIENCE_S:
+        wanted = 0
+    reserved = [link for link in living if link.reserved]
+    others = sorted((link for link in living if not link.reserved), key=_work_at_risk)
+    for link in others[: max(wanted - len(reserved), 0)]:
+        link.reserved = True
+    for link in reserved[wanted:]:
+        link.reserved = False
 
 
 def _waiting_suspects(job: Job) -> Iterator[Task]:
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -241,7 +241,7 @@
 
 def _preference(
     link: ExecutorLink, task: Task, planned: frozenset[str], spread: bool
-) -> tuple[bool, bool, bool, bool, bool, int]:
+) -> tuple[bool, bool, bool, bool, bool, bool, int]:
     step = task.step
     free_cpu = link.entry.capacity.cpu - link.used.cpu
     leaves_soon = link.entry.executor in planned
@@ -253,6 +253,8 @@
         bool(step.data_rack) and link.entry.rack != step.data_rack,
         # Lasting tasks share few machines, so that the others can leave the pool.
         step.lasting and not link.lasting_runs,
+        # What lasts is best left alone by what may crash its executor.
+        spread and not step.lasting and link.lasting_runs > 0,
         # The fullest machine that fits: the emptiest ones can leave the pool. But a task that
         # crashes its executor takes all that runs there, so then the emptiest.
         -free_cpu if spread and not step.lasting else free_cpu,
--- a/tools/crash_plays.py
+++ b/tools/crash_plays.py
@@ -7,17 +7,20 @@
 from mustardgap.policies import WHOLE, Policy
 from mustardgap.workloads import JobSpec, Step, TaskId
 
-from .owner_troubles import BY_NAME
+from .owner_troubles import BY_NAME, LASTING
 from .owner_worlds import OwnerWorld, play
 
 START_S = 6.0
 STATE_WAIT_S = 60.0
+# Jobs that last have no final state.
+LASTING_WAIT_S = 3.0
 SPEC = JobSpec("payload", (Step(4, 1_000, 500, 0, 0.6),))
 
 
 class CrashPlay(NamedTuple):
     """What is handed in: ``jobs`` at one each ``gap_s``, of which each ``crashing_each``-th crashes
-    its executors ``crash_s`` after their start, amid a trouble."""
+    its executors ``crash_s`` after their start, amid a trouble; ``lasting`` jobs run all the while.
+    """
 
     jobs: int = 60
     gap_s: float = 0.1
@@ -27,6 +30,7 @@
     executors: int = 12
     seed: int = 0
     policy: Policy = WHOLE
+    lasting: int = 0
 
 
 class CrashOutcome(NamedTuple):
@@ -40,12 +44,14 @@
     lost: int
     waits_s: list[float]
     problems: list[str]
+    lasting: Counter[str]
 
 
 def run(planned: CrashPlay) -> CrashOutcome:
     """Play one load on virtual time."""
     sound: Counter[str] = Counter()
     crashing: Counter[str] = Counter()
+    lasting: Counter[str] = Counter()
     waits_s: list[float] = []
 
     async def hand_in(world: OwnerWorld, number: int) -> None:
@@ -63,14 +69,21 @@
 
     async def scene(world: OwnerWorld) -> None:
         await asyncio.sleep(START_S)
+        lasting_ids = [f"{number + 1:x}".rjust(16, "f") for number in range(planned.lasting)]
+        for job_id in lasting_ids:
+            assert await world.submit_until_accepted(job_id, LASTING), "no host accepted the job"
         work = asyncio.gather(*(hand_in(world, number) for number in range(planned.jobs)))
         await asyncio.sleep(planned.jobs * planned.gap_s / 2)
         await BY_NAME[planned.trouble](world)
         await work
+        for job_id in lasting_ids:
+            lasting[await world.final_state(job_id, LASTING_WAIT_S)] += 1
 
     world = play(scene, executors=planned.executors, seed=planned.seed, policy=planned.policy)
     lost = sum(
         run.ended_at is not None and run.how is None and run.task not in world.crashing
         for run in world.fleet.record.runs
     )
-    return CrashOutcome(sound, crashing, world.crashes, lost, sorted(waits_s), world.problems())
+    return CrashOutcome(
+        sound, crashing, world.crashes, lost, sorted(waits_s), world.problems(), lasting
+    )
