--- a/features/events.feature
+++ b/features/events.feature
@@ -35,6 +35,13 @@
     Then the page names both owners of shard 3 with their epochs, what was lost, and lines left out
     And its plots show jobs, answers, runs and the owners
 
+  Scenario: A day's page names the tasks under which executors crashed
+    Guards against a report that shows lost runs, and not which task takes the executors down.
+
+    Given logs in which executors crashed under two tasks, and one of them answered again
+    When a page is drawn from the logs
+    Then the page says of each task how many executors crashed under it, without the one that answered
+
   Scenario Outline: No page is drawn from logs that <flaw>
     When a page is drawn from logs that <flaw>
     Then the report ends in <code>, which names <text>
--- a/features/steps/events_steps.py
+++ b/features/steps/events_steps.py
@@ -103,6 +103,31 @@
         path.write_text(text)
 
 
+CRASH_LOG = """{"time":10.0,"host":"e1","event":"shard.gained","shard":3,"epoch":7}
+{"time":11.0,"host":"e1","event":"run.crashed","job":"a1","task":["a1",0,0,2],"run":1,"stood":"STARTED"}
+{"time":11.0,"host":"e1","event":"run.crashed","job":"b2","task":["b2",0,0,0],"run":2,"stood":"STARTED"}
+{"time":14.0,"host":"e1","event":"run.crashed","job":"a1","task":["a1",0,0,2],"run":3,"stood":"ONLY_STARTED"}
+{"time":15.0,"host":"e1","event":"run.crashed","job":"b2","task":["b2",0,0,0],"run":4,"stood":"AT_WORK"}
+{"time":16.0,"host":"e1","event":"crash.retracted","job":"b2","task":["b2",0,0,0],"run":4}
+"""
+
+
+@given("logs in which executors crashed under two tasks, and one of them answered again")
+def crash_logs(context):
+    context.logs = [context.folder / "e1.log"]
+    context.logs[0].write_text(CRASH_LOG)
+
+
+@then(
+    "the page says of each task how many executors crashed under it, without the one that answered"
+)
+def page_names_crashes(context):
+    text = context.page.read_text()
+    rows = "<td>{}</td><td>{}</td><td>{}</td>"
+    assert rows.format("a1.0.0.2", 2, "ONLY_STARTED, STARTED") in text, text[:3000]
+    assert rows.format("b2.0.0.0", 1, "STARTED") in text, text[:3000]
+
+
 def _draw(context, logs):
     context.page = context.folder / "day.html"
     options = [part for path in logs for part in ("--logs", str(path))]
--- a/mustardgap/day_reports.py
+++ b/mustardgap/day_reports.py
@@ -27,6 +27,8 @@
 {plots}
 <h2>Where most callers weren't served in time</h2>
 <p>Windows of {window:g} s by when jobs were handed in, the worst first.</p>{worst}
+<h2>Tasks under which executors crashed</h2>
+<p>How each task's runs stood, the last one first; the most crashes first.</p>{crashes}
 <h2>What the pools' machines were for, in machine-seconds</h2>{uses}
 <h2>Counts</h2>{counts}
 <h2>Shards gained and lost</h2>{shards}
@@ -59,6 +61,7 @@
     trouble: list[Line]
     worst: list[Window]
     uses_by_pool: dict[str, PoolUse]
+    crashes_by_task: dict[str, list[str]]
 
 
 def make(lines: Sequence[Line]) -> Report:
@@ -93,6 +96,7 @@
         trouble=[line for line in lines if line.event in _TROUBLE][:MAX_ROWS],
         worst=worst_windows(lines),
         uses_by_pool=uses_by_pool(lines),
+        crashes_by_task=_crashes_by_task(lines),
     )
 
 
@@ -109,6 +113,13 @@
             ("from second", "queue", "jobs", "not in time", "why"),
             [(f"{w.since:.0f}", w.queue, w.fates.total(), w.lost, _whys(w)) for w in report.worst],
         ),
+        crashes=_table(
+            ("task", "crashes", "its runs stood"),
+            [
+                (task, len(stood), ", ".join(reversed(stood)))
+                for task, stood in _worst_first(report.crashes_by_task)
+            ],
+        ),
         uses=_table(
             ("pool", *(name.replace("_", " ") for name in PoolUse._fields)),
             [
@@ -189,6 +200,27 @@
         yield _owned(gained, last_by_host[host], start)
 
 
+def _crashes_by_task(lines: Iterable[Line]) -> dict[str, list[str]]:
+    """How the runs of tasks stood whose executors crashed, but for those that came back."""
+    stood_by_run: dict[tuple[str, int], str] = {}
+    for line in lines:
+        if line.event not in ("run.crashed", "crash.retracted"):
+            continue
+        run = (".".join(str(part) for part in line.fields["task"]), line.fields["run"])
+        stood_by_run.pop(run, None)
+        if line.event == "run.crashed":
+            stood_by_run[run] = line.fields["stood"]
+    by_task: dict[str, list[str]] = {}
+    for (task, _), stood in stood_by_run.items():
+        by_task.setdefault(task, []).append(stood)
+    return by_task
+
+
+def _worst_first(crashes_by_task: dict[str, list[str]]) -> list[tuple[str, list[str]]]:
+    ordered = sorted(crashes_by_task.items(), key=lambda item: (-len(item[1]), item[0]))
+    return ordered[:MAX_ROWS]
+
+
 def _owned(gained: Line, until: float, start: float) -> Ownership:
     fields = gained.fields
     return Ownership(
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -614,10 +614,14 @@
     async def _stop(self, task_id: Any, number: int, run: Run | None, pause_s: float) -> None:
         if pause_s:
             await self._clock.sleep(pause_s)
+        told = False
         while run is None or (task_id, number) in self.runs_by_key:
             if run is not None and not self._owner.may_stop(run):
                 if run.phase is not RunPhase.STOPPING:
                     return
+                if not told:
+                    self._note_stop("run.stop_waits", task_id, number, run.why_stopped)
+                told = True
                 await self._clock.sleep(RETRY_S)
                 continue
             outcome = await self._port.stop(self.entry, task=task_id, run=number, fence=self.fence)
@@ -629,21 +633,25 @@
             if isinstance(outcome, Fenced | OtherIncarnation):
                 self._end_use(outcome)
                 return
-            if isinstance(outcome, Refused):
-                self._events.note(
-                    "run.stop_refused",
-                    vital=True,
-                    task=task_id,
-                    run=number,
-                    executor=self.entry.executor,
-                    why=outcome.detail,
-                )
+            event = "run.stop_refused" if isinstance(outcome, Refused) else "run.stop_unanswered"
+            self._note_stop(event, task_id, number, outcome.detail)
             if run is None and self.lapsed:
                 return
             if run is not None:
                 run.unanswered_at = self._clock.monotonic()
             await self._clock.sleep(RETRY_S)
 
+    def _note_stop(self, event: str, task_id: TaskId, number: int, why: str) -> None:
+        self._events.note(
+            event,
+            vital=event == "run.stop_refused",
+            job=task_id.job,
+            task=task_id,
+            run=number,
+            executor=self.entry.executor,
+            why=why,
+        )
+
     async def _pace(self, run: Run, percent: int) -> None:
         outcome = await self._port.pace(
             self.entry, task=run.task.task_id, run=run.number, percent=percent, fence=self.fence
