Carry nothing out on a stand-in's executor that has crashed

The product was right; the stand-in wasn't. Change: an executor that is down answers nothing and closes the connection. Also: run.stop_unanswered is told once a run, not each 0.15 s.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,3 +18,7 @@
     Examples: 115 failed: a reload ended a daemon that was still loading its libraries
       | seed | seconds |
       | 115  | 15      |
+
+    Examples: 438645 failed: the stand-in's crashed executors began what was still on its way to them
+      | seed   | seconds |
+      | 438645 | 15      |
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -614,7 +614,7 @@
     async def _stop(self, task_id: Any, number: int, run: Run | None, pause_s: float) -> None:
         if pause_s:
             await self._clock.sleep(pause_s)
-        told = False
+        told = unanswered = False
         while run is None or (task_id, number) in self.runs_by_key:
             if run is not None and not self._owner.may_stop(run):
                 if run.phase is not RunPhase.STOPPING:
@@ -633,8 +633,12 @@
             if isinstance(outcome, Fenced | OtherIncarnation):
                 self._end_use(outcome)
                 return
-            event = "run.stop_refused" if isinstance(outcome, Refused) else "run.stop_unanswered"
-            self._note_stop(event, task_id, number, outcome.detail)
+            if isinstance(outcome, Refused):
+                self._note_stop("run.stop_refused", task_id, number, outcome.detail)
+            elif not unanswered:
+                # Repeated each 0.15 s; one line tells of all.
+                self._note_stop("run.stop_unanswered", task_id, number, outcome.detail)
+            unanswered = True
             if run is None and self.lapsed:
                 return
             if run is not None:
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -52,7 +52,8 @@
     b'"coldLeftMs":0,"seq":1,"capacity":{"cpu":-1,"memMb":16000},"labels":["a","r1"]}',
 )
 Answer = tuple[int, bytes]
-Handler = Callable[[httputil.HTTPServerRequest], Awaitable[Answer]]
+# No answer closes the connection, as the end of a process does.
+Handler = Callable[[httputil.HTTPServerRequest], Awaitable[Answer | None]]
 
 
 class History(msgspec.Struct):
@@ -308,13 +309,16 @@
         return self.operator if topic == "keyed.op" else self.entries
 
     def _orders(self, executor: FakeExecutor) -> Handler:
-        async def handle(request: httputil.HTTPServerRequest) -> Answer:
+        async def handle(request: httputil.HTTPServerRequest) -> Answer | None:
+            if not executor.alive:
+                return None
             if request.headers.get("X-Mustardgap-Expect-Instance") != executor.entry.executor:
                 return 421, b"{}"
             fields = msgspec.json.decode(request.body)
             verb = request.path.removeprefix("/mustardgap/")
             if verb == "hold":
-                return await _hold(executor, fields)
+                held = await _hold(executor, fields)
+                return held if executor.alive else None
             task = _task(fields["task"])
             if verb == "run-start":
                 if fields["spec"] == "lasting":
@@ -438,7 +442,11 @@
     tasks: set[asyncio.Task[None]] = set()
 
     async def answer(request: httputil.HTTPServerRequest) -> None:
-        status, body = await handler(request)
+        answered = await handler(request)
+        if answered is None:
+            request.connection.close()  # type: ignore[union-attr]
+            return
+        status, body = answered
         headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
         connection = request.connection
         assert connection is not None
