--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -1,7 +1,9 @@
 """Steps for the log: outages, lost answers, peers, start-up and retention."""
 
 import asyncio
+import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from unittest import mock
 
@@ -9,6 +11,8 @@
 
 from features.support.log_worlds import LogWorld, change
 from mustardgap import appends, checkpoints, records, snapshots, states, status_codes
+from mustardgap.adapters import Platform
+from mustardgap.calls import Calls
 from mustardgap.exceptions import MustardgapError, PlatformError, RecordRejected
 from mustardgap.outcomes import Accepted, Rejected
 
@@ -369,3 +373,36 @@
 def check_refused(context, count):
     assert sum(isinstance(verdict, Accepted) for verdict in context.verdicts) == count
     assert context.verdicts[3].code.number == 5003, context.verdicts[3]
+
+
+CALL_S = 1.0
+
+
+@when("{what} calls the platform while the process's threads are taken")
+def call_without_threads(context, what):
+    world = context.world
+    address = world.control.address
+
+    async def call():
+        release = threading.Event()
+        loop = asyncio.get_running_loop()
+        with ThreadPoolExecutor(max_workers=1) as threads:
+            loop.set_default_executor(threads)
+            taken = loop.run_in_executor(None, release.wait)
+            try:
+                if what == "the log":
+                    platform = Platform(address=address, timeout_s=CALL_S)
+                    context.called = await platform.read("mustardgap", 0, limit=1)
+                else:
+                    calls = Calls(entries=[address], timeout_s=CALL_S)
+                    context.called = await calls.call("GET", "/log/mustardgap?from=0&limit=1")
+            finally:
+                release.set()
+                await taken
+
+    world.run(call())
+
+
+@then("that call was answered")
+def call_answered(context):
+    assert context.called is not None
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -35,6 +35,18 @@
       | silent POST          | 5001 | it is not in force |
       | lost POST + down GET | 5001 | it is in force     |
 
+  Scenario Outline: a call of <what> goes out while no thread of the process is free
+    Guards against calls to IP numbers that wait for a thread to look the number up.
+
+    Given a log with the daemons A, B
+    When <what> calls the platform while the process's threads are taken
+    Then that call was answered
+
+    Examples:
+      | what       |
+      | the log    |
+      | a command  |
+
   Scenario: two operators race
     Two operators change the same key on the same version through two daemons at the same moment.
     The log puts one first; the other must be told which key has changed, on both daemons alike.
--- a/mustardgap/adapters.py
+++ b/mustardgap/adapters.py
@@ -14,6 +14,7 @@
 from . import status_codes
 from .exceptions import AnswerLost, LogExpired, PlatformError
 from .models import HostEntry, JobSpec, LogRecord, Page, TaskInfo, WorkerInfo
+from .resolvers import NumericFirstResolver
 
 OperationKind = Literal["drain", "undrain", "reboot", "assign"]
 TaskStep = Literal["renew", "throttle", "resume", "checkpoint", "stop"]
@@ -68,7 +69,10 @@
         self.address = address
         self.timeout_s = timeout_s
         self._client = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CALLS, max_body_size=MAX_BODY_BYTES
+            force_instance=True,
+            max_clients=MAX_CALLS,
+            max_body_size=MAX_BODY_BYTES,
+            resolver=NumericFirstResolver(),
         )
 
     def close(self) -> None:
--- a/mustardgap/calls.py
+++ b/mustardgap/calls.py
@@ -13,6 +13,7 @@
 from . import status_codes
 from .certificates import Certificates
 from .exceptions import MustardgapError
+from .resolvers import NumericFirstResolver
 from .settings import TlsSettings
 
 MAX_BODY_BYTES = 256 * 1024 * 1024
@@ -70,7 +71,10 @@
         self._connect_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)
         self._ssl = Certificates(settings=tls).client_context() if tls else None
         self._http = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CALLS, max_body_size=MAX_BODY_BYTES
+            force_instance=True,
+            max_clients=MAX_CALLS,
+            max_body_size=MAX_BODY_BYTES,
+            resolver=NumericFirstResolver(),
         )
 
     def close(self) -> None:
