Tell of crashes in one way, and call the test's server in one place

The three lines of a crash named the same five fields each; the steps of the connections made the same server and pool twice. Behaviour and lines stay.

--- a/features/steps/http_pools_steps.py
+++ b/features/steps/http_pools_steps.py
@@ -36,17 +36,23 @@
             await reader.read()
         writer.close()
 
-    async def main():
-        server = await asyncio.start_server(answer, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        pool = HttpPool()
-        context.answer = await pool.call(
-            address=f"127.0.0.1:{port}", method="GET", target="/", timeout_s=seconds
-        )
-        pool.close()
-        server.close()
+    context.answer = asyncio.run(_call(answer, seconds))
+
 
-    asyncio.run(main())
+async def _call(answer, seconds, *, listens=True):
+    """Call a server on a port of its own, which may have stopped listening."""
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    if not listens:
+        server.close()
+        await server.wait_closed()
+    pool = HttpPool()
+    answered = await pool.call(
+        address=f"127.0.0.1:{port}", method="GET", target="/", timeout_s=seconds
+    )
+    pool.close()
+    server.close()
+    return answered
 
 
 @then("the call's answer was {taken}")
@@ -72,20 +78,7 @@
             return
         writer.close()
 
-    async def main():
-        server = await asyncio.start_server(answer, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        if ended == "refused":
-            server.close()
-            await server.wait_closed()
-        pool = HttpPool()
-        context.answer = await pool.call(
-            address=f"127.0.0.1:{port}", method="GET", target="/", timeout_s=seconds
-        )
-        pool.close()
-        server.close()
-
-    asyncio.run(main())
+    context.answer = asyncio.run(_call(answer, seconds, listens=ended != "refused"))
 
 
 @then("the call without an answer tells that the connection was {told}")
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -196,14 +196,7 @@
         if not task.crashes or task.crash_cleared:
             return
         task.crash_cleared = True
-        self._events.note(
-            "crash.cleared",
-            job=task.task_id.job,
-            task=task.task_id,
-            run=run.number,
-            executor=run.link.entry.executor,
-            crashes=len(task.crashes),
-        )
+        self._note("crash.cleared", run, vital=False, crashes=len(task.crashes))
         self._shard.wake()
 
     def look(self, runs: Iterable[Run]) -> None:
@@ -226,13 +219,9 @@
         task.avoided.add(link.entry.machine)
         self._put_on_record(job, task)
         metrics.task_crashes.add(1, {"stood": crash.name.lower()})
-        self._events.note(
+        self._note(
             "run.crashed",
-            vital=True,
-            job=job.job_id,
-            task=task.task_id,
-            run=run.number,
-            executor=link.entry.executor,
+            run,
             machine=link.entry.machine,
             stood=crash.name,
             crashes=len(task.crashes),
@@ -246,15 +235,19 @@
             if job is None or task.crashes.pop(run.number, None) is None:
                 continue
             self._put_on_record(job, task)
-            self._events.note(
-                "crash.retracted",
-                vital=True,
-                job=job.job_id,
-                task=task.task_id,
-                run=run.number,
-                executor=link.entry.executor,
-                why=why,
-            )
+            self._note("crash.retracted", run, why=why)
+
+    def _note(self, event: str, run: Run, *, vital: bool = True, **fields: object) -> None:
+        task_id = run.task.task_id
+        self._events.note(
+            event,
+            vital=vital,
+            job=task_id.job,
+            task=task_id,
+            run=run.number,
+            executor=run.link.entry.executor,
+            **fields,
+        )
 
     def _put_on_record(self, job: "Job", task: "Task") -> None:
         job.has_crashes = True
