--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -614,16 +614,8 @@
     async def _stop(self, task_id: Any, number: int, run: Run | None, pause_s: float) -> None:
         if pause_s:
             await self._clock.sleep(pause_s)
-        told = unanswered = False
-        while run is None or (task_id, number) in self.runs_by_key:
-            if run is not None and not self._owner.may_stop(run):
-                if run.phase is not RunPhase.STOPPING:
-                    return
-                if not told:
-                    self._note_stop("run.stop_waits", task_id, number, run.why_stopped)
-                told = True
-                await self._clock.sleep(RETRY_S)
-                continue
+        unanswered = False
+        while run is None or await self._has_leave_to_stop(run):
             outcome = await self._port.stop(self.entry, task=task_id, run=number, fence=self.fence)
             if isinstance(outcome, Stopped):
                 if run is not None and run.confirmed_at is None:
@@ -645,6 +637,20 @@
                 run.unanswered_at = self._clock.monotonic()
             await self._clock.sleep(RETRY_S)
 
+    async def _has_leave_to_stop(self, run: Run) -> bool:
+        """Wait until a run may be stopped; False once it's gone, or isn't to be stopped any more."""
+        told = False
+        while (run.task.task_id, run.number) in self.runs_by_key:
+            if self._owner.may_stop(run):
+                return True
+            if run.phase is not RunPhase.STOPPING:
+                return False
+            if not told:
+                self._note_stop("run.stop_waits", run.task.task_id, run.number, run.why_stopped)
+            told = True
+            await self._clock.sleep(RETRY_S)
+        return False
+
     def _note_stop(self, event: str, task_id: TaskId, number: int, why: str) -> None:
         self._events.note(
             event,
