--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -638,7 +638,7 @@
             await self._clock.sleep(RETRY_S)
 
     async def _has_leave_to_stop(self, run: Run) -> bool:
-        """Wait until a run may be stopped; False once it's gone, or isn't to be stopped any more."""
+        """Wait until a run may be stopped; False once it is gone, or is kept."""
         told = False
         while (run.task.task_id, run.number) in self.runs_by_key:
             if self._owner.may_stop(run):
