--- a/tools/links.py
+++ b/tools/links.py
@@ -78,7 +78,8 @@
         task.add_done_callback(self._carrying.discard)
         try:
             far, out = await asyncio.open_connection("127.0.0.1", self.target)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # Reset while it connects, it is cancelled, which asyncio's streams report as an error.
             back.transport.abort()
             return
         writers = {back, out}
