Wait for a key's claim before its test takes the log away

Cause: the test gave the claim 0.2 s to reach the log; taken away before, the request is refused, truly. It waits until the other host has read the claim now; its assertions are as they were.

--- a/features/steps/keys_steps.py
+++ b/features/steps/keys_steps.py
@@ -236,10 +236,12 @@
     async def main():
         k = context.keyed
         sending = asyncio.create_task(k.send(query="run_s=0.4", timeout_s=3.0))
-        await asyncio.sleep(0.2)
+        ledger = k.entries[1].keys._log.ledger
+        while not ledger.by_key:
+            await asyncio.sleep(0.005)
         k.log_faults("down, unread")
         assert (await sending).code == 1000
-        entries = k.entries[1].keys._log.ledger.by_key.values()
+        entries = ledger.by_key.values()
         async with asyncio.timeout(20):
             while not entries or k.entries[1].keys.is_usable():
                 await asyncio.sleep(0.05)
