Give a job up only for crashes whose machines are seen to be back

Change: an executor that is back (another incarnation at its address, or an entry of its machine in the same service) confirms the crash; one that is gone for good doesn't. Unconfirmed crashes still have a task started apart, and count for the bound of five, so the budget holds.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -119,6 +119,8 @@
       | AT_WORK,AT_WORK,seen at work                                | runs alone          |
       | AT_WORK,AT_WORK,ONLY_AT_WORK                                | runs alone          |
       | STARTED,ONLY_STARTED                                        | is given up         |
+      | STARTED,perhaps ONLY_STARTED                                | runs alone          |
+      | perhaps ONLY_AT_WORK,perhaps ONLY_AT_WORK                   | runs alone          |
       | ONLY_STARTED,ONLY_STARTED                                   | is given up         |
       | ONLY_AT_WORK,ONLY_AT_WORK                                   | is given up         |
       | AT_WORK,AT_WORK,AT_WORK,AT_WORK                             | runs alone          |
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -134,7 +134,9 @@
         if word == "seen at work":
             context.task.crash_cleared = True
         else:
-            context.task.crashes[number] = Crash[word]
+            context.task.crashes[number] = Crash[word.removeprefix("perhaps ")]
+            if not word.startswith("perhaps "):
+                context.task.crashes_confirmed.add(number)
 
 
 FATES = {
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -29,6 +29,8 @@
 CRASHES_SERIOUS, CRASHES_EXPLAINED = 2, 3
 # So many end its job if nothing else was there at the last, and so many whatever else was.
 CRASHES_MANY, CRASHES_AT_MOST = 4, 5
+# Executors that are gone and whose machines aren't back, beyond which the oldest are forgotten.
+MAX_UNSETTLED = 256
 # For so long a prime suspect has an executor to itself, and so long after many crashes.
 TRIAL_S, LONGEST_TRIAL_S = 2.0, 10.0
 
@@ -103,18 +105,21 @@
 
 def is_given_up(task: "Task") -> bool:
     """Whether so many executors have crashed under a task that it isn't started again."""
-    crashes = [task.crashes[run] for run in sorted(task.crashes)]
+    if len(task.crashes) >= CRASHES_AT_MOST and not task.step.lasting:
+        return True
+    # An executor that is taken away closes its connections, too, and its notice may come late.
+    sure = sorted(task.crashes_confirmed & task.crashes.keys())
+    crashes = [task.crashes[run] for run in sure]
     if not crashes:
         return False
     alone = sum(crash is Crash.ONLY_AT_WORK for crash in crashes)
     # One crash of a task at work may be the executor's own; two with nothing else there aren't.
     if alone >= CRASHES_SERIOUS:
         return True
-    if crashes[-1] is Crash.ONLY_STARTED and _serious(task) >= CRASHES_SERIOUS:
-        return True
-    if crashes[-1] >= Crash.ONLY_AT_WORK and len(crashes) >= CRASHES_MANY:
+    serious = sum(crash is not Crash.BESIDE_STARTED for crash in crashes)
+    if crashes[-1] is Crash.ONLY_STARTED and serious >= CRASHES_SERIOUS:
         return True
-    return len(crashes) >= CRASHES_AT_MOST and not task.step.lasting
+    return crashes[-1] >= Crash.ONLY_AT_WORK and len(crashes) >= CRASHES_MANY
 
 
 def _serious(task: "Task") -> int:
@@ -154,6 +159,8 @@
         trial = link.trial if link.on_trial else None
         counted = list(stands(link.runs_by_key.values(), self._clock.monotonic(), trial))
         self._counted_by_executor[link.entry.executor] = [run for run, _ in counted]
+        while len(self._counted_by_executor) > MAX_UNSETTLED:
+            del self._counted_by_executor[next(iter(self._counted_by_executor))]
         if any(crash >= Crash.STARTED for _, crash in counted):
             self._recent_by_service[link.entry.service].append(self._clock.monotonic())
         for run, crash in counted:
@@ -172,11 +179,29 @@
         """Take a crash back: the executor answers, so it was only out of reach."""
         self._take_back(link, "the executor answers")
 
-    def on_gone(self, link: "ExecutorLink") -> None:
-        """Take a crash back if the executor's address has gone to another machine."""
+    def on_gone(self, link: "ExecutorLink", *, answered: bool) -> None:
+        """Settle a crash, as an executor is gone.
+
+        :param answered: whether another incarnation answers at its address.
+        """
         if self._is_given_away(link.entry):
             self._take_back(link, "its address was given away")
-        self._counted_by_executor.pop(link.entry.executor, None)
+        elif answered:
+            self._confirm(link.entry.executor)
+
+    def on_listed(self, entry: ExecutorEntry) -> None:
+        """Confirm a crash: the machine of an executor that went down has its next one."""
+        for executor, runs in list(self._counted_by_executor.items()):
+            gone = runs[0].link.entry if runs else None
+            if gone is None or not gone.machine or executor == entry.executor:
+                continue
+            if (gone.machine, gone.service) == (entry.machine, entry.service):
+                self._confirm(executor)
+
+    def _confirm(self, executor: str) -> None:
+        for run in self._counted_by_executor.pop(executor, ()):
+            run.task.crashes_confirmed.add(run.number)
+        self._shard.wake()
 
     def _is_given_away(self, gone: ExecutorEntry) -> bool:
         return any(
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -10,7 +10,7 @@
 from .evacuations import Evacuations
 from .events import EventLog
 from .executor_links import ExecutorLink
-from .executor_rosters import AUTHORITY_S, ExecutorRoster
+from .executor_rosters import AUTHORITY_S, OTHER_ANSWERS, ExecutorRoster
 from .isolation import Isolation
 from .job_desks import JobDesk
 from .job_states import (
@@ -273,7 +273,7 @@
 
     def on_gone(self, link: ExecutorLink) -> None:
         """Another executor answers at the address."""
-        self.roster.drop(link, "another incarnation answers")
+        self.roster.drop(link, OTHER_ANSWERS)
 
     def on_fenced(self, link: ExecutorLink) -> None:
         """A later owner is at work: step down."""
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -21,6 +21,9 @@
 # top, what runs outlasts a store that is away for 11 s.
 AUTHORITY_S = 8.0
 
+# Why an executor is dropped whose machine is certain to have another one.
+OTHER_ANSWERS = "another incarnation answers"
+
 
 class ExecutorRoster:
     """Keeps a link to each executor that runs, or may run, tasks of one shard.
@@ -95,6 +98,7 @@
         :param inherited: whether a former owner used it, so that it may run tasks of this shard.
         """
         now = self._clock.monotonic()
+        self._shard.crashes.on_listed(entry)
         link = ExecutorLink(
             entry=entry,
             fence=self._shard.epoch,
@@ -141,7 +145,7 @@
         self._events.note(
             "executor.gone", vital=True, executor=executor, why=why, runs=len(link.runs_by_key)
         )
-        self._shard.crashes.on_gone(link)
+        self._shard.crashes.on_gone(link, answered=why == OTHER_ANSWERS)
         for run in list(link.runs_by_key.values()):
             link.remove(run)
             self._shard.on_lost(link, run, why)
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -36,6 +36,7 @@
         "crash_cleared",
         "crash_record",
         "crashes",
+        "crashes_confirmed",
         "done",
         "failed_runs",
         "inherited",
@@ -58,6 +59,8 @@
         self.avoided: set[str] = set()
         # How it stood, by run, when an executor crashed under it.
         self.crashes: dict[int, Crash] = {}
+        # Those whose machines were seen to be back; the other executors may have left.
+        self.crashes_confirmed: set[int] = set()
         # Whether it has been seen at work since the last of them.
         self.crash_cleared = False
         # The record of its crashes: started before that is durable, it could be started once too
