Count serious crashes in one place, and put a comment back beside its fields

Found on reading the whole change once more. is_given_up summed what _serious sums, for the confirmed ones; _serious takes the crashes now and serves both. In ExecutorLink a field had come between 'reserved' and 'trial', which one comment explains.

--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -92,7 +92,7 @@
     """Whether a task has to run with nothing beside it."""
     # Tasks that last meet the crashes of all that is started beside them in their time.
     many = CRASHES_MANY if task.step.lasting else CRASHES_EXPLAINED
-    return len(task.crashes) >= many or _serious(task) >= CRASHES_SERIOUS
+    return len(task.crashes) >= many or _serious(task.crashes.values()) >= CRASHES_SERIOUS
 
 
 def trial_s(task: "Task") -> float:
@@ -116,15 +116,14 @@
     # One crash of a task at work may be the executor's own; two with nothing else there aren't.
     if alone >= CRASHES_SERIOUS:
         return True
-    serious = sum(crash is not Crash.BESIDE_STARTED for crash in crashes)
-    if crashes[-1] is Crash.ONLY_STARTED and serious >= CRASHES_SERIOUS:
+    if crashes[-1] is Crash.ONLY_STARTED and _serious(crashes) >= CRASHES_SERIOUS:
         return True
     return crashes[-1] >= Crash.ONLY_AT_WORK and len(crashes) >= CRASHES_MANY
 
 
-def _serious(task: "Task") -> int:
+def _serious(crashes: Iterable[Crash]) -> int:
     """How many crashes of a task nothing else explains."""
-    return sum(crash is not Crash.BESIDE_STARTED for crash in task.crashes.values())
+    return sum(crash is not Crash.BESIDE_STARTED for crash in crashes)
 
 
 class CrashTracker:
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -138,9 +138,9 @@
         # Set while the executor is kept for tasks that may crash it, and what was last started
         # there of these.
         self.reserved = False
+        self.trial: Run | None = None
         # Whether its capacity is known well enough to start more.
         self.room_known = True
-        self.trial: Run | None = None
         self.durable: Ticket | None = None
         self.runs_by_key: dict[tuple[Any, int], Run] = {}
         self.used = Room()
