--- a/features/steps/executors_steps.py
+++ b/features/steps/executors_steps.py
@@ -98,7 +98,7 @@
             else:
                 self.fault(on=name, **FAULTS[sick])
 
-    async def send_requests(self, kind, count, max_concurrent=12, timeout_s=20.0):
+    async def send_requests(self, kind, count, max_concurrent=12, timeout_s=2.0):
         gate = asyncio.Semaphore(max_concurrent)
 
         async def send_one():
