Number the streams between entry hosts, and log what was written and read on each

A call on a stream that had just opened got no answer, and no line could tell whether the message was written, read or answered. The dialer numbers its streams and says the number in its Hello message, so both ends name a stream alike; lines tell which stream is used in place of which, which one isn't used, and at its end how many messages were written and read. A lost message shows as a difference.

--- a/mustardgap/links.py
+++ b/mustardgap/links.py
@@ -27,22 +27,30 @@
 
     :param call: the gRPC call or context to read from and write to.
     :param dialer: the id of the member that opened it.
+    :param number: the dialer's number of the stream.
     """
 
-    def __init__(self, call: Any, *, dialer: str) -> None:
+    def __init__(self, call: Any, *, dialer: str, number: int) -> None:
         self.call = call
         self.dialer = dialer
+        self.number = number
         self.closed = asyncio.Event()
         self.clock = Clock()
         self.last_read = self.last_write = self.clock.monotonic()
+        self.items_read = self.items_written = 0
 
-    def record_read(self) -> None:
-        """Record the time of a read."""
+    def __str__(self) -> str:
+        return f"{self.dialer}/{self.number}"
+
+    def record_read(self, items: int) -> None:
+        """Record the time of a read, and the messages that it brought."""
         self.last_read = self.clock.monotonic()
+        self.items_read += items
 
-    def record_write(self) -> None:
-        """Record the time of a write."""
+    def record_write(self, items: int) -> None:
+        """Record the time of a write, and the messages that it carries."""
         self.last_write = self.clock.monotonic()
+        self.items_written += items
 
     def silent_for(self) -> float:
         """Return the seconds since the last read."""
--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -46,10 +46,14 @@
 
 
 class Hello(Message, tag=1, frozen=True, array_like=True):
-    """The first message on a stream, from both ends: who I am and whom I mean to talk to."""
+    """The first message on a stream, from both ends: who I am and whom I mean to talk to.
+
+    ``stream`` is the dialer's number of the stream; the acceptor returns it.
+    """
 
     me: MemberRow
     network: str = ""
+    stream: int = 0
 
 
 class Gossip(Message, tag=2, frozen=True, array_like=True):
--- a/mustardgap/peers.py
+++ b/mustardgap/peers.py
@@ -79,6 +79,7 @@
         self._open_callbacks: list[Callable[[Member], None]] = []
         self._pending_answers: dict[int, tuple[str, asyncio.Future[AnyMessage]]] = {}
         self._last_request = 0
+        self._last_stream = 0
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
         self._dials_by_address: dict[str, asyncio.Task[None]] = {}
         self._seeds: set[str] = set(settings.peers.seeds)
@@ -253,14 +254,15 @@
 
     async def _open(self, address: str, member_id: str) -> bool:
         channel = channels.open_channel(address, self.settings.peers)
+        self._last_stream += 1
+        number = self._last_stream
         try:
             call = channel.stream_stream(f"/{channels.SERVICE}/{METHOD}")()
             async with asyncio.timeout(self.settings.peers.connect_timeout_s):
-                await call.write(self._hello())
+                await call.write(self._hello(number))
                 hello = _hello_of(await call.read())
-            return await self._exchange_frames(
-                hello, Stream(call, dialer=self.members.me.id), member_id
-            )
+            stream = Stream(call, dialer=self.members.me.id, number=number)
+            return await self._exchange_frames(hello, stream, member_id)
         finally:
             await channel.close()
 
@@ -268,11 +270,12 @@
         try:
             async with asyncio.timeout(self.settings.peers.connect_timeout_s):
                 hello = _hello_of(await context.read())
-                await context.write(self._hello())
+                await context.write(self._hello(hello.stream))
         except (TimeoutError, msgspec.DecodeError):
             return
         dialer_id = f"{hello.me.host}@{hello.me.incarnation:x}"
-        await self._exchange_frames(hello, Stream(context, dialer=dialer_id), "")
+        stream = Stream(context, dialer=dialer_id, number=hello.stream)
+        await self._exchange_frames(hello, stream, "")
 
     async def _exchange_frames(self, hello: Hello, stream: Stream, expected: str) -> bool:
         member_id = f"{hello.me.host}@{hello.me.incarnation:x}"
@@ -280,8 +283,11 @@
         if member_id not in self.members.by_id or member_id == self.members.me.id:
             return False
         link = self._link(member_id)
+        replaced = link.stream
         if not link.attach(stream, self._heartbeat_interval_s() * 1.5):
+            logging.info("not using stream %s to %s beside %s", stream, member_id, link.stream)
             return True
+        logging.info("using stream %s to %s in place of %s", stream, member_id, replaced)
         for callback in self._open_callbacks:
             callback(self.members.by_id[member_id])
         reader = asyncio.create_task(self._read(member_id, stream), name=f"read:{member_id}")
@@ -295,6 +301,11 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             link.detach(stream)
+            # A message that is lost with its stream shows as a difference between the two ends.
+            logging.info(
+                *("stream %s to %s has ended: %d messages written, %d read", stream, member_id),
+                *(stream.items_written, stream.items_read),
+            )
         return not expected or expected == member_id
 
     async def _read(self, member_id: str, stream: Stream) -> None:
@@ -304,7 +315,7 @@
                 return
             self.received_bytes += len(data)
             frame = decode(data)
-            stream.record_read()
+            stream.record_read(len(frame.items))
             self.members.record_contact(member_id)
             self.timeline.witness(frame.stamp)
             for item in frame.items:
@@ -314,10 +325,11 @@
         while True:
             await link.wake.wait()
             link.wake.clear()
-            data = encode(Frame(self.timeline.stamp, link.next_items()))
+            items = link.next_items()
+            data = encode(Frame(self.timeline.stamp, items))
             self.sent_bytes += len(data)
             self.sent_frames += 1
-            stream.record_write()
+            stream.record_write(len(items))
             await stream.call.write(data)
             if link.items:
                 link.wake.set()
@@ -376,8 +388,9 @@
             link = self.links_by_id[member_id] = Link(member_id=member_id, clock=self.timers.clock)
         return link
 
-    def _hello(self) -> bytes:
-        return encode(Frame(self.timeline.stamp, [Item(0, Hello(row_of(self.members.me)))]))
+    def _hello(self, stream: int) -> bytes:
+        hello = Hello(row_of(self.members.me), stream=stream)
+        return encode(Frame(self.timeline.stamp, [Item(0, hello)]))
 
     def _heartbeat_interval_s(self) -> float:
         return min(self.settings.peers.heartbeat_s, self.settings.peers.suspect_s / 2)
