Read what the peer has written to a stream before ending it, when another stream is used

Callers saw the first call between two entry hosts get no answer, now and then, for its full timeout: at starts, and wherever two hosts dial each other at once. Change: a stream that isn't kept is retired. Its writer finishes the write under way and says so in a last frame, the dialer ends its direction, and both ends read until the other one has finished, within peers.suspect_s. Nothing is repeated: a call without an answer may still have been processed. An old build ignores the field and closes the stream as before.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -38,6 +38,21 @@
       | coroutine      | fails        |
       | coroutine      | is cancelled |
 
+  Scenario Outline: calls of <callers> are answered while both dial and <first> learns of its stream first
+    # Guards against a message that is lost on a stream which the other end refuses or replaces.
+    Given peers p1 and p2 in one process
+    When peers have dialled each other, <callers> call, and <first> learns of its stream first
+    Then peers' calls are all answered by handlers that ran once for each
+
+    Examples:
+      | callers   | first |
+      | p1        | p1    |
+      | p1        | p2    |
+      | p2        | p1    |
+      | p2        | p2    |
+      | p1 and p2 | p1    |
+      | p1 and p2 | p2    |
+
   Scenario Outline: peers whose <which> stream can't be opened for a while connect later: <reason>
     Opening a stream fails unexpectedly: the certificate's file is just being replaced, the code has a
     bug, or gRPC has cancelled the call. The task that opens the stream ended, yet counted as running, so
--- a/features/steps/peers_endings_steps.py
+++ b/features/steps/peers_endings_steps.py
@@ -8,6 +8,7 @@
 import trustme
 from behave import given, then, when
 
+from features.support.gated_streams import GatedChannel
 from features.support.tls import write_keys
 from mustardgap import channels
 from mustardgap.members import Members, me_from
@@ -61,10 +62,12 @@
 class Pair:
     """Two peers whose dials fail on request."""
 
-    def __init__(self, *, tls=None, key=None):
+    def __init__(self, *, tls=None, key=None, gated=False):
         self.key = key
         self.failure = None
         self.failed = set()
+        self.gated = gated
+        self.gates_by_address = {}
         self._stack = AsyncExitStack()
         self._open = channels.open_channel
         ports = free_ports(2)
@@ -87,11 +90,25 @@
         try:
             if self.failure is not None:
                 raise self.failure
-            return self._open(address, settings)
+            channel = self._open(address, settings)
+            return self._gate(address, channel) if self.gated else channel
         except BaseException:
             self.failed.add(address)
             raise
 
+    def _gate(self, address, channel):
+        """Gate the first stream to an address."""
+        if address in self.gates_by_address:
+            return channel
+        channel = GatedChannel(channel)
+        self.gates_by_address[address] = channel.gate
+        return channel
+
+    def let_learn(self, host):
+        """Open the gate of the first stream that a peer has dialled."""
+        dialled = {"p1": self.peers[1], "p2": self.peers[0]}[host]
+        self.gates_by_address[dialled.members.me.peers_address].set()
+
     def break_dials(self, reason):
         """Make dials fail."""
         if reason == "opening raises an error":
@@ -170,6 +187,38 @@
     assert context.next_answer == RecordsAsk(2), context.next_answer
 
 
+@when("peers have dialled each other, {callers} call, and {first} learns of its stream first")
+def call_while_both_dial(context, callers, first):
+    def count(member, message):
+        context.runs += 1
+        return RecordsAsk(2)
+
+    async def main():
+        async with context.make_pair(gated=True) as pair:
+            for peer in pair.peers:
+                peer.peers.handle(RecordsAsk, count)
+            # Each uses the stream that the other has dialled, as it has accepted that one.
+            await until(pair.are_connected, "streams of both")
+            calling = [peer for peer in pair.peers if peer.settings.host in callers]
+            calls = [asyncio.create_task(peer.call()) for peer in calling]
+            written = [link for peer in calling for link in peer.peers.links_by_id.values()]
+            await until(lambda: not any(link.items for link in written), "requests are written")
+            pair.let_learn(first)
+            second = {"p1": "p2", "p2": "p1"}[first]
+            await asyncio.sleep(0.05)
+            pair.let_learn(second)
+            context.answers = await asyncio.gather(*calls, return_exceptions=True)
+
+    context.runs = 0
+    asyncio.run(main())
+
+
+@then("peers' calls are all answered by handlers that ran once for each")
+def check_answers(context):
+    assert all(answer == RecordsAsk(2) for answer in context.answers), context.answers
+    assert context.runs == len(context.answers), context.runs
+
+
 @when("peers can't open their {which} stream for a while: {reason}")
 def break_dials(context, which, reason):
     async def main():
--- a/mustardgap/links.py
+++ b/mustardgap/links.py
@@ -25,6 +25,10 @@
 class Stream:
     """One open gRPC stream, opened by either end.
 
+    A stream that isn't to be used any more is retired: this end finishes the write under way, tells
+    the other end, and reads on until the other end has finished as well. ``closed`` is set if it
+    has to end at once.
+
     :param call: the gRPC call or context to read from and write to.
     :param dialer: the id of the member that opened it.
     :param number: the dialer's number of the stream.
@@ -34,7 +38,10 @@
         self.call = call
         self.dialer = dialer
         self.number = number
+        self.wake = asyncio.Event()
+        self.wake.set()
         self.closed = asyncio.Event()
+        self.retired_at: float | None = None
         self.clock = Clock()
         self.last_read = self.last_write = self.clock.monotonic()
         self.items_read = self.items_written = 0
@@ -52,6 +59,16 @@
         self.last_write = self.clock.monotonic()
         self.items_written += items
 
+    def retire(self) -> None:
+        """Write no more messages, but read those that the other end has written."""
+        if self.retired_at is None:
+            self.retired_at = self.clock.monotonic()
+            self.wake.set()
+
+    def retired_for(self) -> float:
+        """Return the seconds since the stream was retired, 0 if it is in use."""
+        return 0.0 if self.retired_at is None else self.clock.monotonic() - self.retired_at
+
     def silent_for(self) -> float:
         """Return the seconds since the last read."""
         return self.clock.monotonic() - self.last_read
@@ -72,8 +89,8 @@
         self.member_id = member_id
         self.clock = clock
         self.items: deque[Item] = deque()
-        self.wake = asyncio.Event()
         self.stream: Stream | None = None
+        self.retired_streams: set[Stream] = set()
         self.known_by_peer: dict[Any, Any] = {}
         self.dropped = 0
         self._queued_at = clock.monotonic()
@@ -89,9 +106,14 @@
             self.dropped += 1
             return False
         self.items.append(item)
-        self.wake.set()
+        self.wake_writer()
         return True
 
+    def wake_writer(self) -> None:
+        """Have the current stream write what is queued, or an empty frame."""
+        if self.stream is not None:
+            self.stream.wake.set()
+
     def next_items(self) -> list[Item]:
         """Remove and return the messages for the next frame."""
         count = min(len(self.items), MAX_ITEMS_PER_FRAME)
@@ -100,31 +122,52 @@
     def attach(self, stream: Stream, silent_s: float) -> bool:
         """Use a stream, in place of the current one.
 
-        When both ends dial at once, both keep the stream of the lower id, unless it is silent.
+        When both ends dial at once, both keep the stream of the lower id, unless it is silent. The
+        other stream is retired.
 
         :return: False if the current stream is kept.
         """
+        # The end that isn't ready yet may have written to the stream that isn't kept; when that
+        # stream was closed at once, those messages were lost without an error at either end.
         old = self.stream
         if old is not None:
             if stream.dialer > old.dialer and old.silent_for() < silent_s:
+                self._retire(stream)
                 return False
-            old.closed.set()
+            self._retire(old)
         self.stream = stream
         self.known_by_peer.clear()
         self._failing_since = None
-        self.wake.set()
         return True
 
+    def retire(self, stream: Stream) -> None:
+        """Stop using a stream, as the other end writes no more on it."""
+        if self.stream is stream:
+            self.stream = None
+            self._retire(stream)
+
+    def _retire(self, stream: Stream) -> None:
+        self.retired_streams.add(stream)
+        stream.retire()
+
     def detach(self, stream: Stream) -> None:
         """Mark a stream as closed and stop using it."""
         stream.closed.set()
+        self.retired_streams.discard(stream)
         if self.stream is stream:
             self.stream = None
 
     def close(self) -> None:
-        """Close the current stream."""
-        if self.stream is not None:
-            self.detach(self.stream)
+        """Close the current stream and the retired ones."""
+        for stream in [self.stream, *self.retired_streams]:
+            if stream is not None:
+                self.detach(stream)
+
+    def close_overdue(self, limit_s: float) -> None:
+        """Close the retired streams that the other end hasn't finished in time."""
+        for stream in list(self.retired_streams):
+            if stream.retired_for() > limit_s:
+                self.detach(stream)
 
     def record_failure(self) -> None:
         """Record that no stream could be opened."""
--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -225,11 +225,13 @@
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """All messages that were queued for a peer at one moment; empty for a heartbeat.
 
-    ``stamp`` is the sender's hybrid logical time.
+    ``stamp`` is the sender's hybrid logical time. After a frame with ``last`` the sender writes no
+    more on this stream.
     """
 
     stamp: tuple[int, int]
     items: list[Item] = []
+    last: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/mustardgap/peers.py
+++ b/mustardgap/peers.py
@@ -284,16 +284,15 @@
             return False
         link = self._link(member_id)
         replaced = link.stream
-        if not link.attach(stream, self._heartbeat_interval_s() * 1.5):
+        if link.attach(stream, self._heartbeat_interval_s() * 1.5):
+            logging.info("using stream %s to %s in place of %s", stream, member_id, replaced)
+            for callback in self._open_callbacks:
+                callback(self.members.by_id[member_id])
+        else:
             logging.info("not using stream %s to %s beside %s", stream, member_id, link.stream)
-            return True
-        logging.info("using stream %s to %s in place of %s", stream, member_id, replaced)
-        for callback in self._open_callbacks:
-            callback(self.members.by_id[member_id])
-        reader = asyncio.create_task(self._read(member_id, stream), name=f"read:{member_id}")
-        writer = asyncio.create_task(self._write(link, stream), name=f"write:{member_id}")
+        transfers = asyncio.gather(self._read(link, stream), self._write(link, stream))
         closed = asyncio.create_task(stream.closed.wait())
-        tasks = (reader, writer, closed)
+        tasks = (transfers, closed)
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -308,31 +307,44 @@
             )
         return not expected or expected == member_id
 
-    async def _read(self, member_id: str, stream: Stream) -> None:
+    async def _read(self, link: Link, stream: Stream) -> None:
+        """Read until the other end has ended the stream."""
         while True:
             data = await stream.call.read()
             if data is grpc.aio.EOF:
+                link.retire(stream)
                 return
             self.received_bytes += len(data)
             frame = decode(data)
             stream.record_read(len(frame.items))
-            self.members.record_contact(member_id)
+            self.members.record_contact(link.member_id)
             self.timeline.witness(frame.stamp)
             for item in frame.items:
-                self._dispatch(member_id, item)
+                self._dispatch(link.member_id, item)
+            if frame.last:
+                link.retire(stream)
 
     async def _write(self, link: Link, stream: Stream) -> None:
-        while True:
-            await link.wake.wait()
-            link.wake.clear()
-            items = link.next_items()
-            data = encode(Frame(self.timeline.stamp, items))
-            self.sent_bytes += len(data)
-            self.sent_frames += 1
-            stream.record_write(len(items))
-            await stream.call.write(data)
+        """Write what is queued until the stream is retired, and tell the other end of that."""
+        while stream.retired_at is None:
+            await stream.wake.wait()
+            stream.wake.clear()
+            if stream.retired_at is None:
+                await self._write_frame(stream, link.next_items())
             if link.items:
-                link.wake.set()
+                stream.wake.set()
+        await self._write_frame(stream, [], last=True)
+        if stream.dialer == self.members.me.id:
+            # Only a dialer can end its direction of a gRPC stream and go on reading; an acceptor's
+            # direction ends when its handler returns, once it has read all that the dialer wrote.
+            await stream.call.done_writing()
+
+    async def _write_frame(self, stream: Stream, items: list[Item], *, last: bool = False) -> None:
+        data = encode(Frame(self.timeline.stamp, items, last))
+        self.sent_bytes += len(data)
+        self.sent_frames += 1
+        stream.record_write(len(items))
+        await stream.call.write(data)
 
     def _dispatch(self, member_id: str, item: Item) -> None:
         m = self.members.by_id.get(member_id)
@@ -402,6 +414,7 @@
         sends heartbeats, silence shows the loss, and a new stream uses a new connection.
         """
         for link in list(self.links_by_id.values()):
+            link.close_overdue(self.settings.peers.suspect_s)
             stream = link.stream
             if stream is None:
                 continue
@@ -410,7 +423,7 @@
                 link.close()
                 self.members.suspect(link.member_id)
             elif stream.unwritten_for() > self._heartbeat_interval_s() * 0.9:
-                link.wake.set()
+                link.wake_writer()
 
     def _on_gap(self, lost_s: float) -> None:
         """Close all streams after a pause: messages received on them may be out of date."""
