Wait for the confirmation of a crash before a suspect that it would give up is started again

Each crashing task took 3 or 4 executors, though two crashes suffice to give it up. Cause, from the owners' lines: the fleet's owner tells that an executor is gone up to 0.5 s before its machine's next one is seen; only that confirms the crash. In between the task was started a third time. Red first: executors that answer 0.3, 0.9, 1.5 s after the list of machines shows them; 3 starts each before, 2 after.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -136,6 +136,21 @@
     Then the task was started once
     And no promise was broken
 
+  Scenario Outline: A task isn't started a third time before its second crash can be confirmed
+    Guards against a third executor lost to each crashing task, with all that runs beside it.
+
+    Given owners on a fake platform
+    When a job of 6 tasks, one of which crashes its executors at the start, runs while new executors answer <delay> s late
+    Then the task was started twice
+    And all jobs have ended as failed
+    And no promise was broken
+
+    Examples:
+      | delay |
+      | 0.3   |
+      | 0.9   |
+      | 1.5   |
+
   Scenario: Each host reports why a job failed, before and after a takeover
     Guards against reporting only "failed" to a caller, or different reasons on different hosts.
 
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -176,9 +176,28 @@
     context.world = play(scene, executors=6, **context.options)
 
 
-@then("the task was started once")
-def started_once(context):
-    assert context.starts == 1, context.starts
+@then("the task was started {count}")
+def started(context, count):
+    assert context.starts == {"once": 1, "twice": 2}[count], context.starts
+
+
+@when(
+    "a job of {width:d} tasks, one of which crashes its executors at the start, "
+    "runs while new executors answer {delay:g} s late"
+)
+def run_with_late_executors(context, width, delay):
+    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        world.start_delay_s = delay
+        task_id = TaskId(job_id_of(1), 0, 0, 0)
+        world.crashing[task_id] = CRASH_S["at the start"]
+        assert await world.submit_until_accepted(job_id_of(1), spec)
+        context.states[job_id_of(1)] = await world.final_state(job_id_of(1), ENDED_S)
+        context.starts = sum(run.task == task_id for run in world.fleet.record.runs)
+
+    context.world = play(scene, executors=6, **context.options)
 
 
 @when(
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections import defaultdict, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from . import metrics
@@ -112,12 +112,20 @@
 
 def is_given_up(task: "Task") -> bool:
     """Whether a task has crashed too many executors to be started again."""
-    if len(task.crashes) >= CRASH_LIMIT and not task.step.lasting:
-        return True
     # Only crashes whose machines are known to be back count here: an executor that is taken out of
     # service closes its connections, too, and the notice of that may come late.
-    confirmed = sorted(task.crashes_confirmed & task.crashes.keys())
-    crashes = [task.crashes[run] for run in confirmed]
+    return _is_given_up(task, task.crashes_confirmed & task.crashes.keys())
+
+
+def is_given_up_if_confirmed(task: "Task") -> bool:
+    """Whether a task is given up once all of its crashes are confirmed."""
+    return _is_given_up(task, task.crashes.keys())
+
+
+def _is_given_up(task: "Task", confirmed: Collection[int]) -> bool:
+    if len(task.crashes) >= CRASH_LIMIT and not task.step.lasting:
+        return True
+    crashes = [task.crashes[run] for run in sorted(confirmed)]
     if not crashes:
         return False
     alone = sum(crash is Crash.ONLY_AT_WORK for crash in crashes)
--- a/mustardgap/isolation.py
+++ b/mustardgap/isolation.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
-from .crashes import is_suspect, must_run_alone
+from .crashes import is_given_up_if_confirmed, is_suspect, must_run_alone
 from .executor_links import ExecutorLink
 from .job_states import Job, Task
 from .placing import is_eligible
@@ -103,6 +103,15 @@
         now = self._clock.monotonic()
         return now - self._waiting_since.get(task.task_id, now) > MAX_ISOLATION_WAIT_S
 
+    def awaits_confirmation(self, task: Task) -> bool:
+        """Whether a task should wait for the confirmation of a crash that gives it up.
+
+        The word that an executor is gone comes up to half a second before its machine is seen to
+        have a new one. Started in between, each crashing task took one executor more, with all
+        that ran there. A crash that is never confirmed delays its task for MAX_ISOLATION_WAIT_S.
+        """
+        return is_given_up_if_confirmed(task) and not self._has_waited_long(task)
+
     def note_started(self, task: Task, link: ExecutorLink) -> None:
         """Record that a suspect has been started on an executor."""
         link.trial = task.run
@@ -115,6 +124,8 @@
             for task in _waiting_suspects(job):
                 since = self._waiting_since.get(task.task_id, now)
                 since_by_task[task.task_id] = since
+                if self.awaits_confirmation(task):
+                    continue
                 earlier = waiting_by_service.get(job.service, _SuspectDemand(0.0, 0))
                 waiting_by_service[job.service] = _SuspectDemand(
                     max(earlier.longest_wait_s, now - since), earlier.lasting + task.step.lasting
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -104,12 +104,15 @@
             for task in tasks:
                 if task.done or not is_suspect(task):
                     continue
-                if task.is_waiting and task.crashes_durable:
+                if task.is_waiting and self._may_start_suspect(task):
                     self._place_suspect(job, task, tasks)
                 is_at_work = task.run is not None and task.run.at_work
                 others_wait = others_wait or not (is_at_work or task.step.lasting or task.step.gang)
         return others_wait
 
+    def _may_start_suspect(self, task: Task) -> bool:
+        return task.crashes_durable and not self._dispatcher.isolation.awaits_confirmation(task)
+
     def _place_suspect(self, job: Job, task: Task, tasks: list[Task]) -> None:
         links = list(self._dispatcher.roster.links_by_executor.values())
         queue = self._dispatcher.queue_of(job)
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -99,6 +99,8 @@
         self.fleet.record.room_of = self._room_of
         self.fleet.record.on_stop = self._check_stop
         self.cancelling: set[str] = set()
+        # How many seconds after the list of machines shows it an executor answers and is listed.
+        self.start_delay_s = 0.0
         # Tasks that crash each executor that starts them, by how many seconds after their start.
         self.crashing: dict[TaskId, float] = {}
         self.fleet.record.crash_after = self.crashing.get
@@ -202,9 +204,15 @@
             rate=0.98 + 0.04 * self.fleet.random.random() / 2,
         )
         executor.guards = self.guards
+        if self.start_delay_s > 0:
+            self.loop.call_later(self.start_delay_s, self._serve, executor)
+        else:
+            self._serve(executor)
+        return executor
+
+    def _serve(self, executor: FakeExecutor) -> None:
         self.fleet.add(executor)
         self.publish(executor)
-        return executor
 
     def bear_again(self, machine: str) -> None:
         """Let a machine whose executor has gone down have its next one."""
