Keep across takeovers which crashes are confirmed, and where the others happened

And a link that finds a crashed executor closed once more overwrote what was awaited there, within one owner. Change: a job's progress holds which crashes are confirmed and, for the others, executor, machine and service; the new owner goes on waiting. What an older build stored has neither and counts as unconfirmed, as before; an older build ignores both fields. Red first: owner killed 1 to 4 s after the first or 1 to 2 s after the second crash: 3 or 4 starts before in all five rows, 2 after.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -151,6 +151,23 @@
       | 0.9   |
       | 1.5   |
 
+  Scenario Outline: A task isn't started a third time though its owner is killed <count> s after crash <number>
+    Guards against a takeover that forgets which crashes are confirmed, or where the others were.
+
+    Given owners on a fake platform
+    When a job of 6 tasks, one of which crashes its executors at the start, runs while its owner is killed <count> s after crash <number>
+    Then the task was started twice
+    And all jobs have ended as failed
+    And no promise was broken
+
+    Examples:
+      | count | number |
+      | 1     | 1      |
+      | 2     | 1      |
+      | 4     | 1      |
+      | 1     | 2      |
+      | 2     | 2      |
+
   Scenario: Each host reports why a job failed, before and after a takeover
     Guards against reporting only "failed" to a caller, or different reasons on different hosts.
 
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -200,6 +200,28 @@
     context.world = play(scene, executors=6, **context.options)
 
 
+@when(
+    "a job of {width:d} tasks, one of which crashes its executors at the start, "
+    "runs while its owner is killed {count:d} s after crash {number:d}"
+)
+def run_with_owner_killed(context, width, count, number):
+    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        task_id = TaskId(job_id_of(1), 0, 0, 0)
+        world.crashing[task_id] = CRASH_S["at the start"]
+        assert await world.submit_until_accepted(job_id_of(1), spec)
+        while world.crashes < number:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(count)
+        await BY_NAME["owner killed"](world)
+        context.states[job_id_of(1)] = await world.final_state(job_id_of(1), ENDED_S)
+        context.starts = sum(run.task == task_id for run in world.fleet.record.runs)
+
+    context.world = play(scene, executors=6, **context.options)
+
+
 @when(
     "a job of {width:d} tasks, one of which crashes its executors at the start, "
     "has its state read at each host"
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -3,7 +3,7 @@
 import enum
 from collections import defaultdict, deque
 from collections.abc import Collection, Iterable, Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from . import metrics
 from .events import EventLog
@@ -54,6 +54,21 @@
     ONLY_STARTED = 4
 
 
+class CrashSite(NamedTuple):
+    """The executor that crashed, and its machine and service."""
+
+    executor: str
+    machine: str
+    service: str
+
+
+class _UnconfirmedCrash(NamedTuple):
+    """A crash under a run that isn't confirmed or retracted yet."""
+
+    task: "Task"
+    number: int
+
+
 def classify_crashes(
     runs: Iterable[Run], now: float, trial: Run | None = None
 ) -> Iterator[tuple[Run, Crash]]:
@@ -166,8 +181,20 @@
         self._policy = policy
         # Times of crashes, by service, under runs that had just been started or were alone.
         self._recent_crash_times_by_service: defaultdict[str, deque[float]] = defaultdict(deque)
-        # Runs whose crashes aren't confirmed yet, by the executor that crashed.
-        self._unconfirmed_by_executor: dict[str, list[Run]] = {}
+        self._unconfirmed_by_site: dict[CrashSite, list[_UnconfirmedCrash]] = {}
+
+    def inherit(self, jobs: Iterable["Job"]) -> None:
+        """Go on waiting for the confirmation of the crashes that a former owner stored.
+
+        Forgotten at a takeover, each crashing task took one or two more executors with it.
+        """
+        for job in jobs:
+            if job.phase or not job.has_crashes:
+                continue
+            for task in job.tasks():
+                for number, site in task.crash_sites.items():
+                    crash = _UnconfirmedCrash(task, number)
+                    self._unconfirmed_by_site.setdefault(site, []).append(crash)
 
     def on_closed(self, link: "ExecutorLink") -> None:
         """Record a crash: an executor has closed its connections and doesn't answer."""
@@ -179,13 +206,18 @@
         classified = list(
             classify_crashes(link.runs_by_key.values(), self._clock.monotonic(), trial)
         )
-        self._unconfirmed_by_executor[link.entry.executor] = [run for run, _ in classified]
-        while len(self._unconfirmed_by_executor) > MAX_UNCONFIRMED_EXECUTORS:
-            del self._unconfirmed_by_executor[next(iter(self._unconfirmed_by_executor))]
+        if not classified:
+            return
+        site = CrashSite(link.entry.executor, link.entry.machine, link.entry.service)
+        # What a former owner ran there counts as well, so its crashes are kept.
+        unconfirmed = self._unconfirmed_by_site.setdefault(site, [])
+        unconfirmed += [_UnconfirmedCrash(run.task, run.number) for run, _ in classified]
+        while len(self._unconfirmed_by_site) > MAX_UNCONFIRMED_EXECUTORS:
+            del self._unconfirmed_by_site[next(iter(self._unconfirmed_by_site))]
         if any(crash >= Crash.STARTED for _, crash in classified):
             self._recent_crash_times_by_service[link.entry.service].append(self._clock.monotonic())
         for run, crash in classified:
-            self._record_crash(link, run, crash)
+            self._record_crash(site, run, crash)
 
     def are_frequent(self, service: str) -> bool:
         """Whether executors of a service have crashed often under tasks just started."""
@@ -198,7 +230,7 @@
 
     def on_answered(self, link: "ExecutorLink") -> None:
         """Retract a crash: the executor answers, so it was only unreachable."""
-        self._retract(link, "the executor answers")
+        self._retract(link.entry.executor, "the executor answers")
 
     def on_gone(self, link: "ExecutorLink", *, answered: bool) -> None:
         """Confirm or retract a crash, as an executor is gone.
@@ -206,24 +238,28 @@
         :param answered: whether another incarnation answers at its address.
         """
         if self._is_address_reused(link.entry):
-            self._retract(link, "its address was given away")
+            self._retract(link.entry.executor, "its address was given away")
         elif answered:
             self._confirm(link.entry.executor)
 
     def on_listed(self, entry: ExecutorEntry) -> None:
         """Confirm a crash: the machine of a crashed executor runs a new one."""
-        for executor, runs in list(self._unconfirmed_by_executor.items()):
-            gone = runs[0].link.entry if runs else None
-            if gone is None or not gone.machine or executor == entry.executor:
+        for site in list(self._unconfirmed_by_site):
+            if not site.machine or site.executor == entry.executor:
                 continue
-            if (gone.machine, gone.service) == (entry.machine, entry.service):
-                self._confirm(executor)
+            if (site.machine, site.service) == (entry.machine, entry.service):
+                self._confirm(site.executor)
 
     def _confirm(self, executor: str) -> None:
-        for run in self._unconfirmed_by_executor.pop(executor, ()):
-            run.task.crashes_confirmed.add(run.number)
+        for crash in self._pop_unconfirmed(executor):
+            crash.task.crashes_confirmed.add(crash.number)
+            crash.task.crash_sites.pop(crash.number, None)
         self._dispatcher.wake()
 
+    def _pop_unconfirmed(self, executor: str) -> list[_UnconfirmedCrash]:
+        sites = [site for site in self._unconfirmed_by_site if site.executor == executor]
+        return [crash for site in sites for crash in self._unconfirmed_by_site.pop(site)]
+
     def _is_address_reused(self, gone: ExecutorEntry) -> bool:
         return any(
             entry.address == gone.address
@@ -233,7 +269,7 @@
 
     def on_run_reported(self, job: "Job", task: "Task", number: int) -> None:
         """Retract a crash: an executor reports the run that was thought to have crashed it."""
-        if task.crashes.pop(number, None) is not None:
+        if _forget(task, number):
             self._store_crashes(job, task)
 
     def on_at_work(self, run: Run) -> None:
@@ -242,7 +278,11 @@
         if not task.crashes or task.crash_cleared:
             return
         task.crash_cleared = True
-        self._note("crash.cleared", run, vital=False, crashes=len(task.crashes))
+        self._note(
+            *("crash.cleared", task, run.number, run.link.entry.executor),
+            vital=False,
+            crashes=len(task.crashes),
+        )
         self._dispatcher.wake()
 
     def update(self, runs: Iterable[Run]) -> None:
@@ -253,45 +293,54 @@
                 continue
             if run.link.up and run.link.report_clock_s - run.first_seen_s >= FORGET_CRASHES_AFTER_S:
                 task.crashes.clear()
+                task.crashes_confirmed.clear()
+                task.crash_sites.clear()
                 self._store_crashes(self._dispatcher.job_of(task.task_id), task)
 
-    def _record_crash(self, link: "ExecutorLink", run: Run, crash: Crash) -> None:
+    def _record_crash(self, site: CrashSite, run: Run, crash: Crash) -> None:
         task = run.task
         job = self._dispatcher.jobs_by_id.get(task.task_id.job)
         if job is None or job.phase:
             return
         task.crashes[run.number] = crash
+        task.crash_sites[run.number] = site
         task.crash_cleared = False
-        task.avoided.add(link.entry.machine)
+        task.avoided.add(site.machine)
         self._store_crashes(job, task)
         metrics.task_crashes.add(1, {"stood": crash.name.lower()})
         self._note(
-            "run.crashed",
-            run,
-            machine=link.entry.machine,
+            *("run.crashed", task, run.number, site.executor),
+            machine=site.machine,
             stood=crash.name,
             crashes=len(task.crashes),
             percent=run.percent,
         )
 
-    def _retract(self, link: "ExecutorLink", why: str) -> None:
-        for run in self._unconfirmed_by_executor.pop(link.entry.executor, ()):
-            task = run.task
-            job = self._dispatcher.jobs_by_id.get(task.task_id.job)
-            if job is None or task.crashes.pop(run.number, None) is None:
+    def _retract(self, executor: str, why: str) -> None:
+        for crash in self._pop_unconfirmed(executor):
+            job = self._dispatcher.jobs_by_id.get(crash.task.task_id.job)
+            if job is None or not _forget(crash.task, crash.number):
                 continue
-            self._store_crashes(job, task)
-            self._note("crash.retracted", run, why=why)
-
-    def _note(self, event: str, run: Run, *, vital: bool = True, **fields: object) -> None:
-        task_id = run.task.task_id
+            self._store_crashes(job, crash.task)
+            self._note("crash.retracted", crash.task, crash.number, executor, why=why)
+
+    def _note(
+        self,
+        event: str,
+        task: "Task",
+        number: int,
+        executor: str,
+        *,
+        vital: bool = True,
+        **fields: object,
+    ) -> None:
         self._events.note(
             event,
             vital=vital,
-            job=task_id.job,
-            task=task_id,
-            run=run.number,
-            executor=run.link.entry.executor,
+            job=task.task_id.job,
+            task=task.task_id,
+            run=number,
+            executor=executor,
             **fields,
         )
 
@@ -301,3 +350,12 @@
             return
         task.crash_ticket = self._dispatcher.store_progress(job)
         task.crash_ticket.outcome.add_done_callback(lambda _: self._dispatcher.wake())
+
+
+def _forget(task: "Task", number: int) -> bool:
+    """Forget a crash under a run of a task.
+
+    :return: whether it was known.
+    """
+    task.crash_sites.pop(number, None)
+    return task.crashes.pop(number, None) is not None
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -215,6 +215,7 @@
         self.roster.previous_closed_cleanly = records.closed
         self.log.put_owner(closed=False)
         self.jobs_by_id.update(records.jobs_by_id)
+        self.crashes.inherit(self.jobs_by_id.values())
         for entry in records.executors:
             self.roster.open(entry, inherited=True)
         for executor in records.unreadable_executors:
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .crashes import Crash
+from .crashes import Crash, CrashSite
 from .tickets import Ticket
 from .workloads import EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
 
@@ -34,6 +34,7 @@
         "avoided",
         "checkpoint",
         "crash_cleared",
+        "crash_sites",
         "crash_ticket",
         "crashes",
         "crashes_confirmed",
@@ -62,6 +63,8 @@
         # The crashes, by run number, after which the machine was seen to have a new executor. In
         # the other cases the executor may have left instead of crashing.
         self.crashes_confirmed: set[int] = set()
+        # Where the crashes happened that aren't confirmed, by run number.
+        self.crash_sites: dict[int, CrashSite] = {}
         # Whether the task has been seen at work since its last crash.
         self.crash_cleared = False
         # The ticket of the record of its crashes. Until it is durable the task isn't started again:
@@ -94,6 +97,8 @@
     failed_runs: dict[str, dict[int, list[int]]] = {}
     checkpoints: dict[str, dict[int, str]] = {}
     crashes: dict[str, dict[int, dict[int, int]]] = {}
+    crashes_confirmed: dict[str, dict[int, list[int]]] = {}
+    crash_sites: dict[str, dict[int, dict[int, CrashSite]]] = {}
 
 
 class StoredJob(msgspec.Struct):
@@ -304,8 +309,17 @@
                 crashes = {t.task_id.number: dict(t.crashes) for t in tasks if t.crashes}
                 if crashes:
                     progress.crashes[name] = crashes  # type: ignore[assignment]
+                    self._add_crash_evidence(progress, name, tasks)
         return msgspec.msgpack.encode(progress)
 
+    @staticmethod
+    def _add_crash_evidence(progress: Progress, name: str, tasks: list[Task]) -> None:
+        """Add which crashes of a step's tasks are confirmed, and where the others happened."""
+        confirmed = {t.task_id.number: sorted(t.crashes_confirmed) for t in tasks if t.crashes}
+        progress.crashes_confirmed[name] = {n: runs for n, runs in confirmed.items() if runs}
+        sites = {t.task_id.number: t.crash_sites for t in tasks if t.crashes and t.crash_sites}
+        progress.crash_sites[name] = sites
+
     def restore(self, raw: bytes) -> None:
         """Restore the progress that former owners stored."""
         progress = msgspec.msgpack.decode(raw, type=Progress)
@@ -330,6 +344,10 @@
             for task in self._tasks_of_step(name):
                 by_run = crashes.get(task.task_id.number, {})
                 task.crashes = {run: Crash(how) for run, how in by_run.items()}
+                confirmed = progress.crashes_confirmed.get(name, {})
+                task.crashes_confirmed = set(confirmed.get(task.task_id.number, ()))
+                sites = progress.crash_sites.get(name, {})
+                task.crash_sites = dict(sites.get(task.task_id.number, {}))
             self.has_started = self.has_crashes = True
 
     def end(self, phase: JobPhase, wall: float, why: str = "") -> None:
