Tell a stall of executors from a slow drain before refusing requests as hopeless

Callers were refused within 0.01 s (MG1100, MG1101, come back in 4 to 5 s) by hosts that could have served them a moment later. Cause: the drain rate decays while nothing is served, so the queue's length over it promises seconds, though the executors don't drain slowly but stand still. Change: the rate at the last request served counts; only a stall that has lasted for as long as a request may wait has those with others ahead refused at once.

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -48,6 +48,20 @@
       | 3    | 1        | 1.0    |
       | 3    | 0.3      | 0.3    |
 
+  Scenario Outline: slot requests wait for executors that stall for less than the maximum wait
+    # Guards against refusing requests at once because a stall of executors is taken for a slow drain.
+    Given slots are shared by 4 entry hosts on a network that is orderly
+    When slots are requested at <load> times capacity with a maximum wait of 2 s, and none is released for <stall> s
+    Then slots were refused to nobody
+
+    Examples:
+      | load | stall |
+      | 0.3  | 1.0   |
+      | 0.3  | 1.6   |
+      | 0.6  | 0.6   |
+      | 0.6  | 1.0   |
+      | 0.6  | 1.4   |
+
   Scenario: slots of one service are not taken by another's overload
     # One service gets five times its capacity. With a shared queue or a shared limit, callers of
     # another service would wait although its executors are idle.
--- a/features/steps/slots_steps.py
+++ b/features/steps/slots_steps.py
@@ -100,8 +100,11 @@
     assert all(set(live.values()) == {1} for live in context.live), context.live
 
 
-async def offer_load(context, loads, max_wait_s, seconds=6.0):
-    """Send requests of several services at multiples of their capacity, urgency 1 or 8."""
+async def offer_load(context, loads, max_wait_s, seconds=6.0, stall=(0.0, 0.0)):
+    """Send requests of several services at multiples of their capacity, urgency 1 or 8.
+
+    No slot is released in the time between the two values of ``stall``, in seconds from the start.
+    """
     loop = asyncio.get_running_loop()
     executors = FakeExecutors(services=2, executors=2)
     network = FakeNetwork(delay_s=lambda: 0.0005)
@@ -111,6 +114,7 @@
     entries = [fleet.add(f"e{i}") for i in range(context.entries)]
     await asyncio.sleep(5)
     rng = random.Random(7)
+    began = loop.time()
     context.waits, context.refusals, context.outcomes = {}, [], Counter()
 
     async def request(service):
@@ -126,6 +130,9 @@
         context.waits.setdefault(service, []).append(loop.time() - asked)
         context.outcomes[service, urgency, True] += 1
         await asyncio.sleep(rng.expovariate(1 / HOLD_S))
+        since_s = loop.time() - began
+        if stall[0] <= since_s < stall[1]:
+            await asyncio.sleep(stall[1] - since_s)
         entry.slots.release(slot)
 
     async def stream(service, load):
@@ -162,6 +169,20 @@
     assert share[1] > share[8] + 0.2, share
 
 
+@when(
+    "slots are requested at {load:g} times capacity with a maximum wait of {max_wait:g} s, "
+    "and none is released for {stall_s:g} s"
+)
+def offer_with_stall(context, load, max_wait, stall_s):
+    random.seed(3)
+    run(offer_load(context, {"s0": load}, max_wait, stall=(2.0, 2.0 + stall_s)))
+
+
+@then("slots were refused to nobody")
+def check_none_refused(context):
+    assert not context.refusals, (len(context.refusals), context.refusals[:5])
+
+
 @when("slots of service s0 are requested at {much:g} times capacity and of s1 at {little:g}")
 def overload_one(context, much, little):
     random.seed(3)
--- a/mustardgap/queues.py
+++ b/mustardgap/queues.py
@@ -24,6 +24,8 @@
 class Rate:
     """An exponentially decaying rate of events per second.
 
+    ``last_per_s`` is the rate as it was at the last event.
+
     :param clock: the clocks to read.
     :param window_s: the time constant of the decay in seconds.
     """
@@ -32,20 +34,28 @@
         self.clock = clock
         self.window_s = window_s
         self.counted = 0
+        self.last_per_s = 0.0
         self._count = 0.0
-        self._started = self._at = clock.monotonic()
+        self._started = self._at = self._last_at = clock.monotonic()
 
     def restart(self) -> None:
         """Reset the count."""
         self.counted = 0
+        self.last_per_s = 0.0
         self._count = 0.0
-        self._started = self._at = self.clock.monotonic()
+        self._started = self._at = self._last_at = self.clock.monotonic()
 
     def add(self) -> None:
         """Count an event that happens now."""
         self._decay()
         self.counted += 1
         self._count += 1.0
+        self._last_at = self._at
+        self.last_per_s = self.per_s()
+
+    def idle_s(self) -> float:
+        """Seconds since the last event, or since the count was started or reset."""
+        return self.clock.monotonic() - self._last_at
 
     def age_s(self) -> float:
         """Seconds since the count was started or reset."""
@@ -119,10 +129,17 @@
         return sum(len(waiters) for waiters in self._by_urgency[: urgency + 1])
 
     def expected_wait_s(self, ahead: int) -> float:
-        """Seconds until a request with so many ahead is served, by the recent drain rate."""
+        """Seconds until a request with so many ahead is served, by the recent drain rate.
+
+        It is the rate at the last request served: while none is served the executors stall, and
+        how long they will is unknown. Taken for a slow drain, a stall of 0.6 s had requests refused
+        that could have been served a moment later.
+        """
         if ahead <= 0 or not self._knows_rate():
             return 0.0
-        return ahead / max(self.drain.per_s(), 1.0 / self.drain.age_s())
+        if not self.drain.counted:
+            return ahead * self.drain.age_s()
+        return ahead / self.drain.last_per_s
 
     def push(self, waiter: Waiter) -> None:
         """Add a request to the queue.
@@ -207,5 +224,8 @@
 
     def _would_expire(self, waiter: Waiter, ahead: int) -> bool:
         now = self.clock.monotonic()
+        if ahead > 0 and self.drain.idle_s() > waiter.until - waiter.since:
+            # The executors have stalled for longer than a request may wait.
+            return True
         turn = now + self.expected_wait_s(ahead)
         return turn > waiter.until or turn + self.mean_hold_s > waiter.deadline
