--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -151,17 +151,17 @@
       | 0.9   |
       | 1.5   |
 
-  Scenario Outline: A task isn't started a third time though its owner is killed <count> s after crash <number>
+  Scenario Outline: A task isn't started a third time though its owner is killed <after> s after crash <number>
     Guards against a takeover that forgets which crashes are confirmed, or where the others were.
 
     Given owners on a fake platform
-    When a job of 6 tasks, one of which crashes its executors at the start, runs while its owner is killed <count> s after crash <number>
+    When a job of 6 tasks, one of which crashes its executors at the start, runs while its owner is killed <after> s after crash <number>
     Then the task was started twice
     And all jobs have ended as failed
     And no promise was broken
 
     Examples:
-      | count | number |
+      | after | number |
       | 1     | 1      |
       | 2     | 1      |
       | 4     | 1      |
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -202,9 +202,9 @@
 
 @when(
     "a job of {width:d} tasks, one of which crashes its executors at the start, "
-    "runs while its owner is killed {count:d} s after crash {number:d}"
+    "runs while its owner is killed {after_s:d} s after crash {number:d}"
 )
-def run_with_owner_killed(context, width, count, number):
+def run_with_owner_killed(context, width, after_s, number):
     spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
 
     async def scene(world):
@@ -214,7 +214,7 @@
         assert await world.submit_until_accepted(job_id_of(1), spec)
         while world.crashes < number:
             await asyncio.sleep(0.05)
-        await asyncio.sleep(count)
+        await asyncio.sleep(after_s)
         await BY_NAME["owner killed"](world)
         context.states[job_id_of(1)] = await world.final_state(job_id_of(1), ENDED_S)
         context.starts = sum(run.task == task_id for run in world.fleet.record.runs)
