Keep unconfirmed crashes by executor, so that one is found without a search

Kept by site, each executor that answered or was gone had all sites searched for its name; the executor names the crash alone. The two places that added runs share one function. Behaviour as before: crashes.feature, 87 passed.

--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -62,13 +62,20 @@
     service: str
 
 
-class _UnconfirmedCrash(NamedTuple):
-    """A crash under a run that isn't confirmed or retracted yet."""
+class _CrashedRun(NamedTuple):
+    """A run of a task, by its number, under which an executor has crashed."""
 
     task: "Task"
     number: int
 
 
+class _UnconfirmedCrash(NamedTuple):
+    """A crash that isn't confirmed or retracted yet, and the runs that it counts for."""
+
+    site: CrashSite
+    runs: list[_CrashedRun]
+
+
 def classify_crashes(
     runs: Iterable[Run], now: float, trial: Run | None = None
 ) -> Iterator[tuple[Run, Crash]]:
@@ -181,7 +188,7 @@
         self._policy = policy
         # Times of crashes, by service, under runs that had just been started or were alone.
         self._recent_crash_times_by_service: defaultdict[str, deque[float]] = defaultdict(deque)
-        self._unconfirmed_by_site: dict[CrashSite, list[_UnconfirmedCrash]] = {}
+        self._unconfirmed_by_executor: dict[str, _UnconfirmedCrash] = {}
 
     def inherit(self, jobs: Iterable["Job"]) -> None:
         """Go on waiting for the confirmation of the crashes that a former owner stored.
@@ -193,8 +200,7 @@
                 continue
             for task in job.tasks():
                 for number, site in task.crash_sites.items():
-                    crash = _UnconfirmedCrash(task, number)
-                    self._unconfirmed_by_site.setdefault(site, []).append(crash)
+                    self._unconfirmed_at(site).append(_CrashedRun(task, number))
 
     def on_closed(self, link: "ExecutorLink") -> None:
         """Record a crash: an executor has closed its connections and doesn't answer."""
@@ -210,10 +216,11 @@
             return
         site = CrashSite(link.entry.executor, link.entry.machine, link.entry.service)
         # What a former owner ran there counts as well, so its crashes are kept.
-        unconfirmed = self._unconfirmed_by_site.setdefault(site, [])
-        unconfirmed += [_UnconfirmedCrash(run.task, run.number) for run, _ in classified]
-        while len(self._unconfirmed_by_site) > MAX_UNCONFIRMED_EXECUTORS:
-            del self._unconfirmed_by_site[next(iter(self._unconfirmed_by_site))]
+        self._unconfirmed_at(site).extend(
+            _CrashedRun(run.task, run.number) for run, _ in classified
+        )
+        while len(self._unconfirmed_by_executor) > MAX_UNCONFIRMED_EXECUTORS:
+            del self._unconfirmed_by_executor[next(iter(self._unconfirmed_by_executor))]
         if any(crash >= Crash.STARTED for _, crash in classified):
             self._recent_crash_times_by_service[link.entry.service].append(self._clock.monotonic())
         for run, crash in classified:
@@ -244,21 +251,25 @@
 
     def on_listed(self, entry: ExecutorEntry) -> None:
         """Confirm a crash: the machine of a crashed executor runs a new one."""
-        for site in list(self._unconfirmed_by_site):
+        for site in [crash.site for crash in self._unconfirmed_by_executor.values()]:
             if not site.machine or site.executor == entry.executor:
                 continue
             if (site.machine, site.service) == (entry.machine, entry.service):
                 self._confirm(site.executor)
 
     def _confirm(self, executor: str) -> None:
-        for crash in self._pop_unconfirmed(executor):
-            crash.task.crashes_confirmed.add(crash.number)
-            crash.task.crash_sites.pop(crash.number, None)
+        for task, number in self._pop_unconfirmed(executor):
+            task.crashes_confirmed.add(number)
+            task.crash_sites.pop(number, None)
         self._dispatcher.wake()
 
-    def _pop_unconfirmed(self, executor: str) -> list[_UnconfirmedCrash]:
-        sites = [site for site in self._unconfirmed_by_site if site.executor == executor]
-        return [crash for site in sites for crash in self._unconfirmed_by_site.pop(site)]
+    def _unconfirmed_at(self, site: CrashSite) -> list[_CrashedRun]:
+        crash = _UnconfirmedCrash(site, [])
+        return self._unconfirmed_by_executor.setdefault(site.executor, crash).runs
+
+    def _pop_unconfirmed(self, executor: str) -> list[_CrashedRun]:
+        crash = self._unconfirmed_by_executor.pop(executor, None)
+        return crash.runs if crash is not None else []
 
     def _is_address_reused(self, gone: ExecutorEntry) -> bool:
         return any(
@@ -317,12 +328,12 @@
         )
 
     def _retract(self, executor: str, why: str) -> None:
-        for crash in self._pop_unconfirmed(executor):
-            job = self._dispatcher.jobs_by_id.get(crash.task.task_id.job)
-            if job is None or not _forget(crash.task, crash.number):
+        for task, number in self._pop_unconfirmed(executor):
+            job = self._dispatcher.jobs_by_id.get(task.task_id.job)
+            if job is None or not _forget(task, number):
                 continue
-            self._store_crashes(job, crash.task)
-            self._note("crash.retracted", crash.task, crash.number, executor, why=why)
+            self._store_crashes(job, task)
+            self._note("crash.retracted", task, number, executor, why=why)
 
     def _note(
         self,
