Let the steps of crashing jobs share their beginning, and replace a pause by what it waited for

The steps of two dials waited 0.05 s between them; they wait until the first dialer has read its Hello message.

--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -21,20 +21,30 @@
 ENDED_S = 60
 
 
+async def submit_crashing_job(world, width, *, number=0, moment="at the start"):
+    """Submit a job, one task of which crashes its executors; return the id of that task."""
+    await asyncio.sleep(START_S)
+    task_id = TaskId(job_id_of(1), 0, 0, number)
+    world.crashing[task_id] = CRASH_S[moment]
+    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
+    assert await world.submit_until_accepted(task_id.job, spec)
+    return task_id
+
+
+def count_starts(world, task_id):
+    """Return how often a task was started."""
+    return sum(run.task == task_id for run in world.fleet.record.runs)
+
+
 @when(
     "a job of {width:d} tasks, one of which crashes its executors {moment}, "
     'runs with the fault "{name}"'
 )
 def job_with_crashing_task(context, width, moment, name):
-    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
-
     async def scene(world):
-        await asyncio.sleep(START_S)
-        job_id = job_id_of(1)
-        world.crashing[TaskId(job_id, 0, 0, width // 2)] = CRASH_S[moment]
-        assert await world.submit_until_accepted(job_id, spec)
+        task_id = await submit_crashing_job(world, width, number=width // 2, moment=moment)
         fault = asyncio.ensure_future(BY_NAME[name](world))
-        context.states[job_id] = await world.final_state(job_id, ENDED_S)
+        context.states[task_id.job] = await world.final_state(task_id.job, ENDED_S)
         await fault
 
     context.world = play(scene, executors=6, **context.options)
@@ -160,18 +170,13 @@
     "runs while no crash can be stored"
 )
 def run_without_storing(context, width):
-    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
-
     async def scene(world):
-        await asyncio.sleep(START_S)
-        context.task_id = TaskId(job_id_of(1), 0, 0, 0)
-        world.crashing[context.task_id] = CRASH_S["at the start"]
-        assert await world.submit_until_accepted(job_id_of(1), spec)
+        task_id = await submit_crashing_job(world, width)
         owner = world.owner()
         world.store.away = {partition_of_pool(failover=failover) for failover in (False, True)}
         await asyncio.sleep(7)
         assert world.owner() == owner, "the owner has changed"
-        context.starts = sum(run.task == context.task_id for run in world.fleet.record.runs)
+        context.starts = count_starts(world, task_id)
 
     context.world = play(scene, executors=6, **context.options)
 
@@ -186,16 +191,11 @@
     "runs while new executors answer {delay:g} s late"
 )
 def run_with_late_executors(context, width, delay):
-    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
-
     async def scene(world):
-        await asyncio.sleep(START_S)
+        task_id = await submit_crashing_job(world, width)
         world.start_delay_s = delay
-        task_id = TaskId(job_id_of(1), 0, 0, 0)
-        world.crashing[task_id] = CRASH_S["at the start"]
-        assert await world.submit_until_accepted(job_id_of(1), spec)
-        context.states[job_id_of(1)] = await world.final_state(job_id_of(1), ENDED_S)
-        context.starts = sum(run.task == task_id for run in world.fleet.record.runs)
+        context.states[task_id.job] = await world.final_state(task_id.job, ENDED_S)
+        context.starts = count_starts(world, task_id)
 
     context.world = play(scene, executors=6, **context.options)
 
@@ -205,19 +205,14 @@
     "runs while its owner is killed {after_s:d} s after crash {number:d}"
 )
 def run_with_owner_killed(context, width, after_s, number):
-    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
-
     async def scene(world):
-        await asyncio.sleep(START_S)
-        task_id = TaskId(job_id_of(1), 0, 0, 0)
-        world.crashing[task_id] = CRASH_S["at the start"]
-        assert await world.submit_until_accepted(job_id_of(1), spec)
+        task_id = await submit_crashing_job(world, width)
         while world.crashes < number:
             await asyncio.sleep(0.05)
         await asyncio.sleep(after_s)
         await BY_NAME["owner killed"](world)
-        context.states[job_id_of(1)] = await world.final_state(job_id_of(1), ENDED_S)
-        context.starts = sum(run.task == task_id for run in world.fleet.record.runs)
+        context.states[task_id.job] = await world.final_state(task_id.job, ENDED_S)
+        context.starts = count_starts(world, task_id)
 
     context.world = play(scene, executors=6, **context.options)
 
@@ -227,23 +222,18 @@
     "has its state read at each host"
 )
 def read_state_at_each_host(context, width):
-    spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=width),))
-    job_id = job_id_of(1)
-
-    async def read_states(world):
+    async def read_states(world, job_id):
         for name in world.names:
             reply = await world.daemon(name).gateway.state(queue=QUEUE, job_id=job_id)
             context.replies.append((reply.state, reply.detail))
 
     async def scene(world):
-        await asyncio.sleep(START_S)
-        world.crashing[TaskId(job_id, 0, 0, 0)] = CRASH_S["at the start"]
-        assert await world.submit_until_accepted(job_id, spec)
-        await world.final_state(job_id, ENDED_S)
-        await read_states(world)
+        task_id = await submit_crashing_job(world, width)
+        await world.final_state(task_id.job, ENDED_S)
+        await read_states(world, task_id.job)
         await BY_NAME["owner killed"](world)
         await asyncio.sleep(5)
-        await read_states(world)
+        await read_states(world, task_id.job)
 
     context.replies = []
     context.world = play(scene, executors=6, **context.options)
--- a/features/steps/peers_endings_steps.py
+++ b/features/steps/peers_endings_steps.py
@@ -67,7 +67,7 @@
         self.failure = None
         self.failed = set()
         self.gated = gated
-        self.gates_by_address = {}
+        self.gated_by_address = {}
         self._stack = AsyncExitStack()
         self._open = channels.open_channel
         ports = free_ports(2)
@@ -98,16 +98,16 @@
 
     def _gate(self, address, channel):
         """Gate the first stream to an address."""
-        if address in self.gates_by_address:
+        if address in self.gated_by_address:
             return channel
-        channel = GatedChannel(channel)
-        self.gates_by_address[address] = channel.gate
-        return channel
+        return self.gated_by_address.setdefault(address, GatedChannel(channel))
 
-    def let_learn(self, host):
-        """Open the gate of the first stream that a peer has dialled."""
+    async def let_learn(self, host):
+        """Let a peer learn that the first stream which it has dialled is open."""
         dialled = {"p1": self.peers[1], "p2": self.peers[0]}[host]
-        self.gates_by_address[dialled.members.me.peers_address].set()
+        channel = self.gated_by_address[dialled.members.me.peers_address]
+        channel.gate.set()
+        await until(channel.has_read.is_set, f"{host} has read of its stream")
 
     def break_dials(self, reason):
         """Make dials fail."""
@@ -203,10 +203,8 @@
             calls = [asyncio.create_task(peer.call()) for peer in calling]
             written = [link for peer in calling for link in peer.peers.links_by_id.values()]
             await until(lambda: not any(link.items for link in written), "requests are written")
-            pair.let_learn(first)
-            second = {"p1": "p2", "p2": "p1"}[first]
-            await asyncio.sleep(0.05)
-            pair.let_learn(second)
+            await pair.let_learn(first)
+            await pair.let_learn({"p1": "p2", "p2": "p1"}[first])
             context.answers = await asyncio.gather(*calls, return_exceptions=True)
 
     context.runs = 0
