Serve queues that aren't public only to callers with a key of a client account

Cause: tenants, apiKeys, maxCount and a route's public weren't decoded; every call was served whatever key it carried.

Ruled out: checking at the front alone. A host that the store turns away learns of a key that was taken away from its peers only after some tenths of a second; so each call carries the account, the key's digest and the version by which it was checked, and the queue's owner checks again if it knows a newer one. Ruled out: sending keys between hosts, or keeping them: a digest serves.

Change: mustardgap/accounts (credentials, directories), access (the owner's check), credential_refusals (a line a second, a counter), MG4030 to MG4032; a job keeps its account. A job is its account's alone: another account's key gets 403, which says nothing of the job. Room moved to resources, which accounts may import. Deployments without accounts send the same messages between hosts as before; where there are some, an older daemon can't take a submission from a newer one (504, truthful).

Three stubs of tests got the configuration or the method that the real parts have; their assertions are as before.

--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -161,6 +161,7 @@
 def _dispatcher(log):
     return SimpleNamespace(
         loaded=True,
+        configuration=None,
         handing_over=False,
         jobs_by_id={},
         log=log,
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -31,6 +31,7 @@
 from mustardgap.ports import Done, Joined
 from mustardgap.shard_owners import ShardOwners
 from mustardgap.timers import Clock
+from mustardgap.workloads import Configuration
 from tools.owner_worlds import QUEUE
 from tools.processes import free_ports
 
@@ -156,7 +157,7 @@
         address_of=lambda shard: address,
         refresh=lambda: asyncio.sleep(0),
     )
-    operator = SimpleNamespace(configuration=SimpleNamespace(queue_for=lambda host, path: QUEUE))
+    operator = SimpleNamespace(configuration=Configuration(1, {QUEUE.name: QUEUE}, {}))
     return JobGateway(
         owners=owners, operator=operator, peers=peers, shards=4, clock=Clock(), events=events
     )
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,6 +6,7 @@
 import time
 from http.client import HTTPConnection
 from pathlib import Path
+from urllib.request import urlopen
 
 from behave import given, then, when
 from click.testing import CliRunner
@@ -23,6 +24,7 @@
     r"|rejectsOverload|keyed\.|X-Mustardgap|pathPrefix|sloMs|finishByS|memMb|longRunning"
 )
 HOST = "stairs.example"
+KEY_HEADER = "X-Mustardgap-Credential"
 JOB = "00000000000000a1"
 STEPS = [
     {"count": 3, "cpu": 1000, "memMb": 500, "estimateMs": 500},
@@ -39,11 +41,11 @@
 }
 
 
-def _call(port, method, path, body=None, ip="127.0.0.1"):
+def _call(port, method, path, body=None, ip="127.0.0.1", headers=None):
     connection = HTTPConnection(ip, port, timeout=10)
     try:
         text = body if body is None or isinstance(body, str) else json.dumps(body)
-        connection.request(method, path, text, {"Host": HOST})
+        connection.request(method, path, text, {"Host": HOST, **(headers or {})})
         answer = connection.getresponse()
         raw = answer.read()
         return answer.status, json.loads(raw) if raw else {}, answer.headers
@@ -137,6 +139,57 @@
     _until(accepted, "the job wasn't accepted")
 
 
+def _call_with_key(context, number, method, key, body=None):
+    """Call a daemon with a key, again while the queue has no owner."""
+
+    def answered():
+        context.answer = _call(
+            context.ports[f"f{number}"], method, f"/quotes/{JOB}", body, headers={KEY_HEADER: key}
+        )
+        return context.answer[0] != 503
+
+    _until(answered, "nobody came to own the queue")
+
+
+@when("the operator gives account {account} the keys {keys} by version {version:d}")
+def give_keys(context, account, keys, version):
+    context.keys = [*getattr(context, "keys", []), *keys.split(", ")]
+    accounts = {account: keys.split(", ")}
+    _call(context.store_port, "POST", "/control", {"accounts": [version, accounts]})
+    for number in range(1, context.count + 1):
+        applied = f'"event":"config.applied","version":{version}'
+        _until(
+            lambda n=number, text=applied: text in context.processes.output(f"e{n}"),
+            "the version isn't in force",
+        )
+
+
+@when("a job is handed in through daemon {number:d} with the key {key}")
+def hand_in_with_key(context, number, key):
+    _call_with_key(context, number, "POST", key, {"spec": "p", "steps": STEPS})
+
+
+@when("the job is asked for through daemon {number:d} with the key {key}")
+def ask_with_key(context, number, key):
+    _call_with_key(context, number, "GET", key)
+
+
+def _metrics(context, number):
+    with urlopen(f"http://127.0.0.1:{context.ports[f'm{number}']}/metrics", timeout=10) as answer:
+        return answer.read().decode()
+
+
+@then("no key stands in the daemons' output, their metrics or their answers")
+def no_keys_told(context):
+    told = [str(context.answer)]
+    for number in range(1, context.count + 1):
+        told.append(context.processes.output(f"e{number}"))
+        told.append(_metrics(context, number))
+    assert all(told), "nothing was searched"
+    found = [key for key in context.keys for text in told if key in text]
+    assert not found, found
+
+
 @when("callers send {what}")
 def send(context, what):
     def answered():
--- a/features/support/front_rigs.py
+++ b/features/support/front_rigs.py
@@ -38,6 +38,9 @@
     def queue_for(self, host, path):
         return QUEUE if path.startswith(PATH) else job_replies.UNKNOWN_QUEUE
 
+    def identify(self, queue, keys):
+        return None
+
     async def submit(self, **request):
         return await self._handle()
 
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -1,14 +1,16 @@
 """Forwards callers' requests to the owner of their queue, here or on another daemon."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from typing import Any, NamedTuple
 
 import msgspec
 
 from . import job_replies, metrics, pool_views, status_codes
+from .accounts import CredentialProblem, Identity
 from .boards import OperatorBoard
+from .credential_refusals import RefusalTally
 from .dispatchers import Dispatcher
 from .events import EventLog
 from .job_replies import JobReply
@@ -82,6 +84,7 @@
         self._clock = clock
         self._events = events
         self._refreshed_at = float("-inf")
+        self._refusals = RefusalTally(clock=clock, events=events)
 
     def queue_for(self, host: str, path: str) -> Queue | JobReply:
         """Return the queue that a request is for, or the reply when there is none."""
@@ -90,34 +93,71 @@
             return job_replies.NO_CONFIGURATION
         return configuration.queue_for(host, path) or job_replies.UNKNOWN_QUEUE
 
+    def identify(self, queue: Queue, keys: Sequence[str]) -> Identity | JobReply | None:
+        """Identify the client account of a request.
+
+        :param keys: the keys that the request carries, which should be one.
+        :return: the identity, None where no key is needed, or the reply without a valid key.
+        """
+        configuration = self._operator.configuration
+        if configuration is None:
+            return job_replies.NO_CONFIGURATION
+        if configuration.accounts is None or not configuration.needs_key(queue.name):
+            return None
+        identity = configuration.accounts.identify(keys, configuration.version)
+        if isinstance(identity, CredentialProblem):
+            self._refusals.note(identity, queue.name, configuration.version)
+            return job_replies.credential_refused(identity)
+        return identity
+
     async def submit(
-        self, *, queue: Queue, job_id: str, spec: JobSpec, wait_s: float | None = None
+        self,
+        *,
+        queue: Queue,
+        job_id: str,
+        spec: JobSpec,
+        identity: Identity | None = None,
+        wait_s: float | None = None,
     ) -> JobReply:
         """Submit a job.
 
+        :param identity: the caller's, None where no key is needed.
         :param wait_s: seconds that the caller waits, by default the queue's timeout.
         """
-        values = [job_id, queue, spec]
+        values = _with_identity([job_id, queue, spec], identity)
         return await self._call(
             "submit", queue, values, CHANGE_TIMEOUT_S, job_id=job_id, wait_s=wait_s
         )
 
-    async def cancel(self, *, queue: Queue, job_id: str, wait_s: float | None = None) -> JobReply:
+    async def cancel(
+        self,
+        *,
+        queue: Queue,
+        job_id: str,
+        identity: Identity | None = None,
+        wait_s: float | None = None,
+    ) -> JobReply:
         """Cancel a job.
 
+        :param identity: the caller's, None where no key is needed.
         :param wait_s: seconds that the caller waits, by default the queue's timeout.
         """
+        values = _with_identity([job_id], identity)
         return await self._call(
-            "cancel", queue, [job_id], CHANGE_TIMEOUT_S, job_id=job_id, wait_s=wait_s
+            "cancel", queue, values, CHANGE_TIMEOUT_S, job_id=job_id, wait_s=wait_s
         )
 
-    async def state(self, *, queue: Queue, job_id: str) -> JobReply:
+    async def state(
+        self, *, queue: Queue, job_id: str, identity: Identity | None = None
+    ) -> JobReply:
         """Query a job's state."""
-        return await self._call("state", queue, [job_id], QUERY_TIMEOUT_S, job_id=job_id)
+        values = _with_identity([job_id], identity)
+        return await self._call("state", queue, values, QUERY_TIMEOUT_S, job_id=job_id)
 
-    async def pending(self, *, queue: Queue) -> JobReply:
+    async def pending(self, *, queue: Queue, identity: Identity | None = None) -> JobReply:
         """Query how many jobs of a queue haven't started."""
-        return await self._call("pending", queue, [queue.name], QUERY_TIMEOUT_S, job_id="")
+        values = _with_identity([queue.name], identity)
+        return await self._call("pending", queue, values, QUERY_TIMEOUT_S, job_id="")
 
     async def pool(self, request: PoolRequest) -> PoolView | None:
         """Query the owner of a service's queues for its pool.
@@ -307,18 +347,22 @@
         owned = self._owners.owned_by_shard.get(shard)
         if not isinstance(owned, Dispatcher) or owned.ended.is_set():
             return job_replies.owner_unavailable("this daemon doesn't own the queue")
+        handler = owned.job_request_handler
         if name == "submit":
-            job_id, queue, spec = values
-            return await owned.job_request_handler.submit(
+            job_id, queue, spec, *rest = values
+            return await handler.submit(
                 job_id=job_id,
                 queue=msgspec.convert(queue, Queue),
                 spec=msgspec.convert(spec, JobSpec),
+                identity=_decode_identity(rest),
             )
+        subject, *rest = values
+        identity = _decode_identity(rest)
         if name == "cancel":
-            return await owned.job_request_handler.cancel(values[0])
+            return await handler.cancel(subject, identity)
         if name == "state":
-            return await owned.job_request_handler.state(values[0])
-        return owned.job_request_handler.pending(values[0])
+            return await handler.state(subject, identity)
+        return handler.pending(subject, identity)
 
     async def _refresh_by(self, deadline: float) -> None:
         """Read the owners again; a slow store mustn't cost the caller its reply."""
@@ -332,3 +376,12 @@
         if now - self._refreshed_at > 0.2:
             self._refreshed_at = now
             await self._owners.refresh()
+
+
+def _with_identity(values: list[Any], identity: Identity | None) -> list[Any]:
+    """Append the caller's identity; without accounts, older daemons understand the call as well."""
+    return values if identity is None else [*values, identity]
+
+
+def _decode_identity(rest: list[Any]) -> Identity | None:
+    return msgspec.convert(rest[0], Identity) if rest else None
--- a/mustardgap/job_replies.py
+++ b/mustardgap/job_replies.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from . import status_codes
+from .accounts import CredentialProblem
 from .job_states import JobPhase
 from .status_codes import Code
 
@@ -47,6 +48,13 @@
 UNKNOWN_QUEUE = JobReply(status_codes.QUEUE_UNKNOWN)
 NO_CONFIGURATION = JobReply(status_codes.CONFIGURATION_MISSING)
 UNSETTLED = JobReply(status_codes.JOB_UNSETTLED)
+# Says nothing of the job, not even whether there is one.
+OTHER_ACCOUNT = JobReply(status_codes.JOB_OF_OTHER_ACCOUNT)
+
+
+def credential_refused(problem: CredentialProblem) -> JobReply:
+    """Return the reply for a request without a valid key; it had no effect."""
+    return JobReply(status_codes.CREDENTIAL_REFUSED, detail=problem.value)
 
 
 def owner_unavailable(detail: str) -> JobReply:
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -1,9 +1,11 @@
 """The requests of callers to the owner of a shard: to submit, cancel or query jobs."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from . import job_replies, status_codes
+from .access import check_identity, may_use
+from .accounts import Identity
 from .events import EventLog
 from .job_replies import JobReply
 from .job_states import Job, JobPhase, StoredJob, encode_job
@@ -24,6 +26,13 @@
 MAX_STORE_FAILING_S = 0.6
 
 
+class AcceptingJob(NamedTuple):
+    """A job whose record isn't stored yet: its account, and the ticket of the record."""
+
+    account: str
+    ticket: Ticket
+
+
 class JobRequestHandler:
     """Answers requests for the jobs of one shard from what is durably stored.
 
@@ -40,37 +49,52 @@
         self._store = store
         self._clock = clock
         self._events = events
-        self._accepting_by_id: dict[str, Ticket] = {}
+        self._accepting_by_id: dict[str, AcceptingJob] = {}
 
-    async def submit(self, *, job_id: str, queue: Queue, spec: JobSpec) -> JobReply:
+    async def submit(
+        self, *, job_id: str, queue: Queue, spec: JobSpec, identity: Identity | None = None
+    ) -> JobReply:
         """Accept a job durably; submitting an id again changes nothing.
 
-        :return: MG4020 if stored, MG4027 or MG4028 if certainly not, MG4029 if unknown.
+        :param identity: the caller's, None where no key is needed.
+        :return: MG4020 if stored, MG4027, MG4028 or MG4030 to MG4032 if certainly not, MG4029 if
+            unknown.
         """
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
+        checked = self._check_identity(identity, queue.name)
+        if isinstance(checked, JobReply):
+            return checked
+        if not may_use(self._account_of(job_id), checked):
+            return job_replies.OTHER_ACCOUNT
         if job_id in self._dispatcher.jobs_by_id:
             return job_replies.ACCEPTED
-        ticket = self._accepting_by_id.get(job_id)
-        if ticket is None:
+        accepting = self._accepting_by_id.get(job_id)
+        if accepting is None:
             # Only new jobs are rejected: a stored one would run although reported as not run.
             if self._dispatcher.handing_over:
                 return job_replies.owner_unavailable("the owner is handing over its jobs")
             if self._dispatcher.log.failing_s() > MAX_STORE_FAILING_S:
                 return job_replies.store_unavailable("the store doesn't answer the owner")
-            stored = StoredJob(queue.name, queue.service, self._clock.wall(), spec)
+            account = checked.account if checked is not None else ""
+            stored = StoredJob(queue.name, queue.service, self._clock.wall(), spec, account)
             ticket = self._dispatcher.log.put(JOB_KEY + job_id, encode_job(stored))
-            self._accepting_by_id[job_id] = ticket
+            accepting = AcceptingJob(account, ticket)
+            self._accepting_by_id[job_id] = accepting
             self._dispatcher.spawn(self._add_when_stored(job_id, stored, ticket))
-        return await self._reply_when_stored(ticket, JOB_KEY + job_id, job_replies.ACCEPTED)
+        key = JOB_KEY + job_id
+        return await self._reply_when_stored(accepting.ticket, key, job_replies.ACCEPTED)
 
-    async def cancel(self, job_id: str) -> JobReply:
+    async def cancel(self, job_id: str, identity: Identity | None = None) -> JobReply:
         """Cancel a job durably and stop its runs."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
+        refusal = self._refuse_job(job_id, identity)
+        if refusal is not None:
+            return refusal
         accepting = self._accepting_by_id.get(job_id)
         if accepting is not None:
-            await asyncio.wait([accepting.outcome], timeout=STORE_WAIT_S)
+            await asyncio.wait([accepting.ticket.outcome], timeout=STORE_WAIT_S)
         job = self._dispatcher.jobs_by_id.get(job_id)
         if job is None:
             return await self._reply_to_unknown_job()
@@ -81,10 +105,13 @@
             return job_replies.CANCELLED
         return await self._reply_when_stored(ticket, PROGRESS_KEY + job_id, job_replies.CANCELLED)
 
-    async def state(self, job_id: str) -> JobReply:
+    async def state(self, job_id: str, identity: Identity | None = None) -> JobReply:
         """Return a job's state; its end is reported only once it is durable."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
+        refusal = self._refuse_job(job_id, identity)
+        if refusal is not None:
+            return refusal
         job = self._dispatcher.jobs_by_id.get(job_id)
         if job is None:
             if job_id in self._accepting_by_id:
@@ -96,10 +123,13 @@
         name = "running" if job.has_started else "queued"
         return JobReply(status_codes.JOB_STATE, state=name)
 
-    def pending(self, queue_name: str) -> JobReply:
+    def pending(self, queue_name: str, identity: Identity | None = None) -> JobReply:
         """Return how many accepted jobs of a queue haven't started."""
         if not self._dispatcher.loaded or not self._dispatcher.is_membership_valid():
             return job_replies.owner_unavailable("the owner isn't sure of its jobs")
+        checked = self._check_identity(identity, queue_name)
+        if isinstance(checked, JobReply):
+            return checked
         count = sum(
             1
             for job in self._dispatcher.jobs_by_id.values()
@@ -107,6 +137,35 @@
         )
         return JobReply(status_codes.JOB_STATE, pending=count)
 
+    def _refuse_job(self, job_id: str, identity: Identity | None) -> JobReply | None:
+        """Return the reply for a caller who may not use a job, None for one who may."""
+        job = self._dispatcher.jobs_by_id.get(job_id)
+        checked = self._check_identity(identity, job.queue_name if job is not None else None)
+        if isinstance(checked, JobReply):
+            return checked
+        if not may_use(self._account_of(job_id), checked):
+            return job_replies.OTHER_ACCOUNT
+        return None
+
+    def _check_identity(
+        self, identity: Identity | None, queue_name: str | None
+    ) -> Identity | JobReply | None:
+        configuration = self._dispatcher.configuration
+        needs_key = (
+            configuration is not None
+            and queue_name is not None
+            and configuration.needs_key(queue_name)
+        )
+        return check_identity(configuration, identity, needs_key=needs_key)
+
+    def _account_of(self, job_id: str) -> str:
+        """The account that submitted a job; empty for a job without one, or an unknown job."""
+        job = self._dispatcher.jobs_by_id.get(job_id)
+        if job is not None:
+            return job.account
+        accepting = self._accepting_by_id.get(job_id)
+        return accepting.account if accepting is not None else ""
+
     async def _reply_to_unknown_job(self) -> JobReply:
         # The shard may have been assigned to another daemon that has accepted the job; the caller
         # mustn't be told that it doesn't exist. The store knows the current owner.
@@ -144,6 +203,7 @@
             job=job_id,
             queue=stored.queue,
             service=stored.service,
+            account=stored.account or None,
             shard=self._dispatcher.shard,
             epoch=self._dispatcher.epoch,
             stored=outcome.value,
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -102,12 +102,13 @@
 
 
 class StoredJob(msgspec.Struct):
-    """The durable form of an accepted job."""
+    """The durable form of an accepted job; ``account`` is empty for a job without one."""
 
     queue: str
     service: str
     accepted_at: float
     spec: JobSpec
+    account: str = ""
 
 
 class _RemainingWork(NamedTuple):
@@ -134,6 +135,7 @@
         self.job_id = job_id
         self.queue_name = stored.queue
         self.service = stored.service
+        self.account = stored.account
         self.accepted_at = stored.accepted_at
         self.spec = stored.spec
         self.phase = JobPhase.LIVE
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -224,6 +224,12 @@
 job_call_duration = _duration_histogram(
     "mustardgap.job_call.duration", "Time to answer a caller", "call"
 )
+refused_credentials = _counter(
+    "mustardgap.credentials.refused",
+    "{request}",
+    "Requests refused for their credentials",
+    "problem",
+)
 dispatched_jobs = _counter(
     "mustardgap.dispatched_jobs.ended", "{job}", "Jobs ended by their owner", "phase"
 )
--- a/mustardgap/platform/decoding.py
+++ b/mustardgap/platform/decoding.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..accounts import Account, AccountDirectory, digest_of
 from ..workloads import (
     AdvicePolicy,
     Configuration,
@@ -54,6 +55,8 @@
     max_attempts: int = msgspec.field(default=1, name="maxAttempts")
     stretch: float = 1.0
     advice: _Advice | None = None
+    # Whether its callers need no key.
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -71,11 +74,29 @@
     idle_ms: float = msgspec.field(default=15_000, name="idleTimeoutMs")
 
 
+class _MaxCount(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = msgspec.field(default=0, name="memMb")
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct):
+    """A client account."""
+
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list, name="apiKeys")
+    weight: float = 1.0
+    # What it may have running on all executors together, not a number of anything.
+    max_count: _MaxCount = msgspec.field(default_factory=_MaxCount, name="maxCount")
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # None where the deployment has no client accounts.
+    tenants: list[_Tenant] | None = None
 
 
 class _Step(msgspec.Struct):
@@ -248,6 +269,26 @@
             header_timeout_s=fields.limits.header_ms / 1000,
             idle_timeout_s=fields.limits.idle_ms / 1000,
         ),
+        accounts=None if fields.tenants is None else _accounts(fields.tenants),
+        public_queues=frozenset(route.name for route in fields.routes if route.public),
+    )
+
+
+def _accounts(tenants: list[_Tenant]) -> AccountDirectory:
+    return AccountDirectory(
+        by_name={tenant.name: _account(tenant) for tenant in tenants},
+        names_by_digest={
+            digest_of(key): tenant.name for tenant in tenants for key in tenant.api_keys
+        },
+    )
+
+
+def _account(tenant: _Tenant) -> Account:
+    most = tenant.max_count
+    return Account(
+        name=tenant.name,
+        weight=tenant.weight,
+        limit=Room(most.cpu, most.mem_mb, most.gpu),
     )
 
 
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -13,6 +13,7 @@
 from tornado.iostream import IOStream
 
 from .. import job_replies, metrics, status_codes
+from ..accounts import Identity
 from ..events import EventLog
 from ..job_gateways import JobGateway
 from ..job_replies import JobReply
@@ -29,6 +30,9 @@
 # In whole milliseconds; a number of more digits, 28 hours and more, is no time to wait.
 WAIT_HEADER = "X-Mustardgap-Request-Deadline"
 MAX_WAIT_DIGITS = 8
+CREDENTIAL_HEADER = "X-Mustardgap-Credential"
+# A 401 has to name how to authenticate.
+CHALLENGE = {"WWW-Authenticate": "ApiKey"}
 # Turns of the event loop that a request may take from its last byte to its handling, usually three.
 READ_TURNS = 20
 
@@ -118,19 +122,31 @@
         found = self._gateway.queue_for(host, request.path)
         if isinstance(found, JobReply):
             return _encoded(found)
+        identity = self._gateway.identify(found, request.headers.get_list(CREDENTIAL_HEADER))
+        if isinstance(identity, JobReply):
+            return _encoded(identity)
         name = request.path[len(found.path_prefix) :]
         if request.method == "GET" and not name:
-            return _encoded(await self._gateway.pending(queue=found))
+            return _encoded(await self._gateway.pending(queue=found, identity=identity))
         if not _JOB_ID.fullmatch(name):
             detail = "an id has 16 hexadecimal digits"
             return _encoded(JobReply(status_codes.JOB_INVALID, detail=detail))
-        return await self._job(request, found, name)
-
-    async def _job(self, request: httputil.HTTPServerRequest, queue: Queue, job_id: str) -> Answer:
+        return await self._job(request, found, name, identity)
+
+    async def _job(
+        self,
+        request: httputil.HTTPServerRequest,
+        queue: Queue,
+        job_id: str,
+        identity: Identity | None,
+    ) -> Answer:
         if request.method == "GET":
-            return _encoded(await self._gateway.state(queue=queue, job_id=job_id))
+            reply = await self._gateway.state(queue=queue, job_id=job_id, identity=identity)
+            return _encoded(reply)
         if request.method == "DELETE":
-            reply = await self._gateway.cancel(queue=queue, job_id=job_id, wait_s=_wait_s(request))
+            reply = await self._gateway.cancel(
+                queue=queue, job_id=job_id, identity=identity, wait_s=_wait_s(request)
+            )
             return _encoded(reply)
         if request.method != "POST":
             return Answer(_METHOD_NOT_ALLOWED, headers={"Allow": "GET, POST, DELETE"})
@@ -139,7 +155,7 @@
         except InvalidBody as exc:
             return _encoded(JobReply(status_codes.JOB_INVALID, detail=str(exc)))
         reply = await self._gateway.submit(
-            queue=queue, job_id=job_id, spec=spec, wait_s=_wait_s(request)
+            queue=queue, job_id=job_id, spec=spec, identity=identity, wait_s=_wait_s(request)
         )
         return _encoded(reply)
 
@@ -229,6 +245,8 @@
     if status >= 400:
         fields["code"] = str(reply.code)
         fields["detail"] = reply.detail or reply.code.title
+    if status == 401:
+        headers.update(CHALLENGE)
     if status in (503, 504):
         headers["Retry-After"] = str(job_replies.RETRY_AFTER_S)
     return Answer(status, msgspec.json.encode(fields), headers)
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -425,6 +425,30 @@
     "May have been accepted: the store or the owner didn't answer in time",
     "Send again with the same id; it stays one job.",
 )
+CREDENTIAL_REFUSED = _code(
+    4030,
+    "credential_refused",
+    401,
+    49,
+    "Not run: the request carries no valid key of a client account",
+    "Send one key that is in force.",
+)
+JOB_OF_OTHER_ACCOUNT = _code(
+    4031,
+    "job_of_other_account",
+    403,
+    49,
+    "Not run: the key's client account may not use this job id",
+    "Use a key of the account that submitted the job, or another id.",
+)
+LIMIT_NEVER_HOLDS = _code(
+    4032,
+    "limit_never_holds",
+    429,
+    43,
+    "Not run: a part of the job is larger than all that its account may have running",
+    "Submit smaller tasks, or ask for a higher limit.",
+)
 
 # 5xxx: the platform and the peers.
 LOG_UNAVAILABLE = _code(
--- a/mustardgap/workloads.py
+++ b/mustardgap/workloads.py
@@ -3,6 +3,9 @@
 import enum
 from typing import NamedTuple
 
+from .accounts import AccountDirectory
+from .resources import Room
+
 JobId = str
 ExecutorId = str
 MachineId = str
@@ -55,12 +58,22 @@
 
 
 class Configuration(NamedTuple):
-    """The operator's configuration in full; the highest ``version`` is in force."""
+    """The operator's configuration in full; the highest ``version`` is in force.
+
+    Where there are no ``accounts``, anybody may use any queue. Where there are, only the queues in
+    ``public_queues`` may be used without a key.
+    """
 
     version: int
     queues_by_name: dict[str, Queue]
     services_by_name: dict[str, Service]
     limits: Limits = Limits()
+    accounts: AccountDirectory | None = None
+    public_queues: frozenset[str] = frozenset()
+
+    def needs_key(self, queue_name: str) -> bool:
+        """Whether calls on a queue have to carry the key of a client account."""
+        return self.accounts is not None and queue_name not in self.public_queues
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """The queue of a host with the longest prefix of a path, or None.
@@ -76,28 +89,6 @@
         return max(fitting, key=lambda queue: len(queue.path_prefix), default=None)
 
 
-class Room(NamedTuple):
-    """An amount of an executor's resources; processor time in thousandths of a core."""
-
-    cpu: int = 0
-    memory_mb: int = 0
-    gpus: int = 0
-
-    def plus(self, other: "Room") -> "Room":
-        """The sum of both amounts."""
-        return Room(self.cpu + other.cpu, self.memory_mb + other.memory_mb, self.gpus + other.gpus)
-
-    def minus(self, other: "Room") -> "Room":
-        """What is left after subtracting the other amount."""
-        return Room(self.cpu - other.cpu, self.memory_mb - other.memory_mb, self.gpus - other.gpus)
-
-    def holds(self, other: "Room") -> bool:
-        """Whether the other amount fits into this one."""
-        return (
-            self.cpu >= other.cpu and self.memory_mb >= other.memory_mb and self.gpus >= other.gpus
-        )
-
-
 class Step(NamedTuple):
     """The equal tasks, ``width`` of them, that one step of a job consists of.
 
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mustardgap.accounts import AccountDirectory
 from mustardgap.dispatchers import Dispatcher
 from mustardgap.job_replies import JobReply
 from mustardgap.policies import WHOLE, Policy
@@ -182,6 +183,11 @@
         raw = msgspec.msgpack.encode(self._configuration._replace(version=version))
         self.store.write_operator("config", raw)
 
+    def publish_accounts(self, accounts: AccountDirectory, version: int) -> None:
+        """Publish a configuration with client accounts."""
+        self._configuration = self._configuration._replace(accounts=accounts)
+        self.publish_configuration(version)
+
     # Executors.
 
     def bear(self, machine: str, pool: str) -> FakeExecutor:
@@ -271,8 +277,13 @@
 
     # Callers.
 
-    async def submit(self, job_id: str, spec: JobSpec, host: str) -> JobReply | None:
-        """Hand a job in through a host; None when the host is dead."""
+    async def submit(
+        self, job_id: str, spec: JobSpec, host: str, keys: Sequence[str] = ()
+    ) -> JobReply | None:
+        """Hand a job in through a host; None when the host is dead.
+
+        :param keys: the keys that the request carries.
+        """
         asked = self.asked_by_job.setdefault(job_id, JobHistory(spec, [], []))
         daemon = self.daemons_by_address.get(f"{host}:1")
         if daemon is None:
@@ -280,7 +291,13 @@
         # Until it is answered, nobody can say that it was refused.
         asked.statuses.append(0)
         place = len(asked.statuses) - 1
-        reply = await daemon.gateway.submit(queue=QUEUE, job_id=job_id, spec=spec)
+        identity = daemon.gateway.identify(QUEUE, keys)
+        if isinstance(identity, JobReply):
+            reply = identity
+        else:
+            reply = await daemon.gateway.submit(
+                queue=QUEUE, job_id=job_id, spec=spec, identity=identity
+            )
         asked.statuses[place] = reply.code.http_status
         return reply
 
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -87,6 +87,8 @@
         self.fleet = FakeExecutors()
         self.lasting: set[str] = set()
         self.operator: list[tuple[str, bytes]] = []
+        # The keys of each client account; None if the deployment has no accounts.
+        self.keys_by_account: dict[str, list[str]] | None = None
         self.entries: list[tuple[str, bytes]] = []
         # How many records another writer has written.
         self._foreign = 0
@@ -186,7 +188,27 @@
             "stretch": 1.6,
             "newField": True,
         }
-        return {"version": 3, "routes": [route], "services": [{"name": "quoting"}], "limits": {}}
+        fields = {
+            "version": 3,
+            "routes": [route],
+            "services": [{"name": "quoting"}],
+            "limits": {},
+        }
+        if self.keys_by_account is None:
+            return fields
+        return {
+            **fields,
+            "tenants": [
+                {"name": name, "apiKeys": keys, "weight": 2, "maxCount": {"cpu": 64_000}}
+                for name, keys in self.keys_by_account.items()
+            ],
+        }
+
+    def publish_accounts(self, version: int, keys_by_account: dict[str, list[str]]) -> None:
+        """Publish a configuration with client accounts, as the operator does."""
+        self.keys_by_account = keys_by_account
+        fields = {**self._configuration(), "version": version}
+        self.operator.append(("config", msgspec.json.encode(fields)))
 
     async def _store(self, request: httputil.HTTPServerRequest) -> Answer:
         if request.path == "/control":
@@ -194,6 +216,8 @@
             if "away" in fields:
                 fields["away"] = {(part, failover) for part, failover in fields["away"]}
             self._resize(fields.pop("resize", {}))
+            if "accounts" in fields:
+                self.publish_accounts(*fields.pop("accounts"))
             for name, value in fields.items():
                 setattr(self.store, name, value)
             return 200, b"{}"
