Keep the limits of client accounts by allowances that the fleet's owner shares out

Change: accounts/allowances (granter, pools' allowances), account_limits (what a pool's owner counts: runs, runs being stopped, and after a takeover every unfinished task until all executors have reported). One task may go beyond a limit that is smaller than it, while less than half of it is in use. A job with a part that its limit never holds is refused at once (MG4032). job.limited tells what waits, and so does explain.

A stub of gateways.feature got the part that owners have; its assertions are as before.

--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -7,6 +7,7 @@
 from behave import then, when
 
 from mustardgap import job_replies
+from mustardgap.account_limits import AccountLimits
 from mustardgap.dispatchers import Dispatcher
 from mustardgap.events import EventLog
 from mustardgap.job_gateways import JobGateway
@@ -159,7 +160,7 @@
 
 
 def _dispatcher(log):
-    return SimpleNamespace(
+    dispatcher = SimpleNamespace(
         loaded=True,
         configuration=None,
         handing_over=False,
@@ -170,6 +171,8 @@
         epoch=1,
         wake=lambda: None,
     )
+    dispatcher.account_limits = AccountLimits(dispatcher=dispatcher, events=EventLog(host="e1"))
+    return dispatcher
 
 
 STORED_BY_STATE = {
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from . import cancellations, metrics
+from .account_limits import AccountLimits
 from .advices import AdviceTicketCache, StepKey
 from .crashes import CrashTracker
 from .evacuations import Evacuations
@@ -132,6 +133,7 @@
         self.roster = ExecutorRoster(
             dispatcher=self, executors=executors, clock=clock, events=events
         )
+        self.account_limits = AccountLimits(dispatcher=self, events=events)
         self.starter = TaskStarter(dispatcher=self, clock=clock, events=events)
         self.is_membership_valid = is_membership_valid
         self.handing_over = False
@@ -430,6 +432,7 @@
         )
         metrics.dispatched_jobs.add(1, {"phase": phase.name.lower()})
         self.advices.forget(job.job_id)
+        self.account_limits.forget(job.job_id)
         for task in job.tasks():
             if task.run is not None:
                 task.run.link.stop_run(task.run, phase.name.lower())
@@ -478,6 +481,9 @@
         if not self.loaded or self.handing_over or not self.is_membership_valid():
             return None
         self._fleet_request_at = self._clock.monotonic()
+        if request.grant is not None:
+            self.account_limits.apply(request.service, request.grant)
+            self.wake()
         closing = frozenset(request.closing)
         self.evacuations.planned = frozenset(request.planned)
         for executor in request.gone:
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -157,6 +157,8 @@
         self.used = Room()
         # Resources used by runs of other owners in the last report; None if unknown.
         self.foreign: Room | None = NO_RESOURCES
+        # The tasks of those runs.
+        self.foreign_tasks: tuple[TaskId, ...] = ()
         self.lasting_runs = 0
         self.pause_until = 0.0
         self.consecutive_failures = 0
@@ -393,7 +395,10 @@
         listed = {(row.task, row.run) for row in report.running}
         for row in report.running:
             self._apply_row(row, now)
-        self.foreign = self._sum_foreign(report)
+        self.foreign_tasks = tuple(
+            row.task for row in report.running if (row.task, row.run) not in self.runs_by_key
+        )
+        self.foreign = self._sum_foreign()
         if len(report.ended) < MAX_LISTED_ENDS:
             self._drop_missing(listed, sent_at)
         self.up = True
@@ -439,7 +444,7 @@
             run.task.checkpoint = row.checkpoint
         run.load = row.load
 
-    def _sum_foreign(self, report: Report) -> Room | None:
+    def _sum_foreign(self) -> Room | None:
         """The resources of reported runs that aren't this owner's.
 
         They are in use until their end is reported: a new owner stops the tasks of ended jobs,
@@ -449,10 +454,8 @@
         :return: the sum, None if the size of one is unknown.
         """
         room = NO_RESOURCES
-        for row in report.running:
-            if (row.task, row.run) in self.runs_by_key:
-                continue
-            taken = self._owner.room_of(row.task)
+        for task_id in self.foreign_tasks:
+            taken = self._owner.room_of(task_id)
             if taken is None:
                 return None
             room = room.plus(taken)
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from . import cancellations
+from .accounts import AllowanceGranter, Grant
 from .boards import OperatorBoard
 from .events import EventLog
 from .fleet_moves import LEARNED_KEY, FleetMoves
@@ -94,6 +95,8 @@
         self._unconfirmed_ends: dict[str, EndedExecutor] = {}
         # Executors that have ended. Pools are told for some time, as their owners may change.
         self._ended_executors: dict[str, EndedExecutor] = {}
+        # Shares the limits of client accounts among the pools.
+        self._granter = AllowanceGranter(epoch=epoch)
         self.orders = FleetOrders(
             state=self.state,
             log=self.log,
@@ -233,15 +236,30 @@
 
     async def _query_pools(self, configuration: Configuration) -> None:
         services = [s for s in configuration.services_by_name.values() if not s.standby]
-        await asyncio.gather(*(self._query_pool(service) for service in services))
-
-    async def _query_pool(self, service: Service) -> None:
+        grants = self._plan_grants(configuration, services)
+        await asyncio.gather(*(self._query_pool(s, grants.get(s.name)) for s in services))
+
+    def _plan_grants(
+        self, configuration: Configuration, services: list[Service]
+    ) -> dict[str, Grant]:
+        if configuration.accounts is None:
+            return {}
+        limited = [a for a in configuration.accounts.by_name.values() if a.is_limited]
+        if not limited:
+            return {}
+        return self._granter.plan([service.name for service in services], limited)
+
+    async def _query_pool(self, service: Service, grant: Grant | None) -> None:
         closing = [c.executor for c in self.state.closing_by_machine.values()]
         gone = [e for e, end in self._ended_executors.items() if end.pool == service.name]
-        request = PoolRequest(service.name, closing, self._executors_due(), gone)
+        request = PoolRequest(service.name, closing, self._executors_due(), gone, grant)
+        if grant is not None:
+            self._granter.note_sent(service.name, grant)
         view = await self._ask(request)
         if view is None:
             return
+        if grant is not None:
+            self._granter.note(service.name, view.uses_by_account)
         now = self._clock.monotonic()
         self.state.views_by_service[service.name] = view
         self.state.viewed_at_by_service[service.name] = now
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -171,9 +171,8 @@
         if address is None:
             return None
         try:
-            answer = await self._peers.call(
-                address, "pool", [shard, request], timeout_s=POOL_VIEW_TIMEOUT_S
-            )
+            values = [shard, pool_views.encode_request(request)]
+            answer = await self._peers.call(address, "pool", values, timeout_s=POOL_VIEW_TIMEOUT_S)
         except PeerUnreachable as exc:
             self._events.note("pool.unreachable", service=request.service, why=str(exc))
             await self._refresh()
@@ -186,9 +185,10 @@
             return None
         return owned.pool_view(request)
 
-    async def _answer_pool(self, values: list[Any]) -> PoolView | None:
+    async def _answer_pool(self, values: list[Any]) -> tuple[Any, ...] | None:
         shard, request = values
-        return self._local_pool_view(shard, msgspec.convert(request, PoolRequest))
+        view = self._local_pool_view(shard, msgspec.convert(request, PoolRequest))
+        return pool_views.encode_view(view) if view is not None else None
 
     async def reach(self, address: str) -> bool:
         """Call the daemon at an address and return whether it answered."""
--- a/mustardgap/job_replies.py
+++ b/mustardgap/job_replies.py
@@ -48,6 +48,7 @@
 UNKNOWN_QUEUE = JobReply(status_codes.QUEUE_UNKNOWN)
 NO_CONFIGURATION = JobReply(status_codes.CONFIGURATION_MISSING)
 UNSETTLED = JobReply(status_codes.JOB_UNSETTLED)
+LIMIT_NEVER_HOLDS = JobReply(status_codes.LIMIT_NEVER_HOLDS)
 # Says nothing of the job, not even whether there is one.
 OTHER_ACCOUNT = JobReply(status_codes.JOB_OF_OTHER_ACCOUNT)
 
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -77,6 +77,8 @@
             if self._dispatcher.log.failing_s() > MAX_STORE_FAILING_S:
                 return job_replies.store_unavailable("the store doesn't answer the owner")
             account = checked.account if checked is not None else ""
+            if self._dispatcher.account_limits.never_holds(account, spec):
+                return job_replies.LIMIT_NEVER_HOLDS
             stored = StoredJob(queue.name, queue.service, self._clock.wall(), spec, account)
             ticket = self._dispatcher.log.put(JOB_KEY + job_id, encode_job(stored))
             accepting = AcceptingJob(account, ticket)
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -230,6 +230,9 @@
     "Requests refused for their credentials",
     "problem",
 )
+limited_jobs = _counter(
+    "mustardgap.jobs.limited", "{job}", "Jobs that had to wait for the limit of their account"
+)
 dispatched_jobs = _counter(
     "mustardgap.dispatched_jobs.ended", "{job}", "Jobs ended by their owner", "phase"
 )
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .accounts import Grant, PoolUse
 from .job_states import Job
 from .placing import TOO_LATE, timeliness_of
 from .workloads import ExecutorId
@@ -41,7 +42,8 @@
 
     ``lasting_unplaced`` says that a lasting task finds no executor. The cause needn't be processor
     time; it may be memory, or the limit of its step's tasks per executor. ``arriving_cpu`` is what
-    jobs would keep busy if they kept arriving at the recent rate.
+    jobs would keep busy if they kept arriving at the recent rate. ``uses_by_account`` tells what
+    client accounts with a limit use.
     """
 
     service: str
@@ -51,19 +53,21 @@
     executors: list[ExecutorView]
     lasting_unplaced: bool = False
     arriving_cpu: int = 0
+    uses_by_account: dict[str, PoolUse] = {}
 
 
 class PoolRequest(NamedTuple):
     """A request of the fleet's owner to the owner of a pool.
 
     ``closing`` are the executors to be emptied, ``planned`` those that will be taken away soon, and
-    ``gone`` those that have ended.
+    ``gone`` those that have ended. ``grant`` has the allowances of client accounts with a limit.
     """
 
     service: str
     closing: list[ExecutorId]
     planned: list[ExecutorId]
     gone: list[ExecutorId] = []
+    grant: Grant | None = None
 
 
 def build_pool_view(dispatcher: "Dispatcher", service: str, wall: float) -> PoolView:
@@ -97,7 +101,8 @@
     executors = _executor_views(dispatcher, service)
     jobs = (job for job in dispatcher.jobs_by_id.values() if job.service == service)
     arriving = arriving_cpu(jobs, wall)
-    return PoolView(service, lasting, running, waiting, executors, lasting_unplaced, arriving)
+    uses = dispatcher.account_limits.uses(service)
+    return PoolView(service, lasting, running, waiting, executors, lasting_unplaced, arriving, uses)
 
 
 def arriving_cpu(jobs: Iterable[Job], wall: float) -> int:
@@ -142,6 +147,16 @@
     return views
 
 
+def encode_request(request: PoolRequest) -> tuple[Any, ...]:
+    """Return a request as plain values; without a grant, older daemons can read it as well."""
+    return tuple(request) if request.grant is not None else tuple(request[:-1])
+
+
+def encode_view(view: PoolView) -> tuple[Any, ...]:
+    """Return a view as plain values; without uses, older daemons can read it as well."""
+    return tuple(view) if view.uses_by_account else tuple(view[:-1])
+
+
 def decode(values: Any) -> PoolView:
     """Decode a view from plain values."""
     return msgspec.convert(values, PoolView)
--- a/mustardgap/resources.py
+++ b/mustardgap/resources.py
@@ -26,6 +26,10 @@
         """The larger of both amounts, of each resource."""
         return Room(*map(max, self, other))
 
+    def smaller(self, other: "Room") -> "Room":
+        """The smaller of both amounts, of each resource."""
+        return Room(*map(min, self, other))
+
     def holds(self, other: "Room") -> bool:
         """Whether the other amount fits into this one."""
         return (
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -49,6 +49,7 @@
             if job.phase is JobPhase.LIVE and not job.progress_unreadable
         ]
         self._dispatcher.isolation.update(waiting)
+        self._dispatcher.account_limits.begin_pass()
         for link in self._dispatcher.roster.links_by_executor.values():
             link.room_known = self._dispatcher.is_capacity_known(link.entry)
         cache = PlacementCache(links=self._dispatcher.roster.links_by_executor.values(), now=now)
@@ -122,6 +123,8 @@
             gang_links = self._dispatcher.isolation.links_for_gang(tasks, job, links)
             self._place_gang(job, tasks, gang_links)
             return
+        if not self._dispatcher.account_limits.startable(job, [task]):
+            return
         link = self._dispatcher.isolation.choose(task, job, tasks, links)
         if link is not None:
             self._start(job, task, link, self._next_run_number())
@@ -142,6 +145,8 @@
         if policy is None and cache.is_too_large(step, job.service):
             return
         startable = [task for task in tasks if _may_start(task)]
+        if startable and not step.gang:
+            startable = self._dispatcher.account_limits.startable(job, startable)
         if not startable:
             return
         links = cache.usable(step, job.service)
@@ -190,6 +195,8 @@
         # A gang is restarted as a whole, after all its earlier runs have ended.
         if not all(task.is_waiting and task.crashes_durable for task in tasks):
             return
+        if not self._dispatcher.account_limits.holds_gang(job, tasks):
+            return
         chosen = choose_gang_executors(tasks, links)
         if chosen is None:
             return
@@ -202,6 +209,7 @@
         run = Run(task=task, number=number, link=link, now=now)
         task.run = run
         job.has_started = True
+        self._dispatcher.account_limits.note_started(job, task.step)
         waited_s = self._clock.wall() - job.due_at(task.task_id.occurrence)
         self._events.note(
             "run.start",
