Tell slow executors by the runs of one step on other executors, not by declared estimates

Cause: a run counted as slow at less than 0.4 of its declared speed, which assumed that estimates are off by a fifth.

Change: run_speeds; a task keeps the speed of the run that has done it.

--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -1,7 +1,7 @@
 """Dispatches the jobs of one shard: accepts them, places their tasks and processes their ends."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any, NamedTuple
 
 from . import cancellations, metrics
@@ -121,7 +121,9 @@
         self.configuration: Configuration | None = None
         self.jobs_by_id: dict[str, Job] = {}
         self.log = ShardLog(store=store, shard=shard, epoch=epoch, clock=clock, events=events)
-        self.suspicions = Suspicions(clock=clock, events=events, policy=policy)
+        self.suspicions = Suspicions(
+            siblings_of=self.siblings_of, clock=clock, events=events, policy=policy
+        )
         self.evacuations = Evacuations(dispatcher=self, stop_timeout_s=bounds.stop_timeout_s)
         self.pacing = Pacing(clock=clock)
         self.crashes = CrashTracker(dispatcher=self, clock=clock, events=events, policy=policy)
@@ -550,6 +552,11 @@
         """The job of a task; the job has to be known."""
         return self.jobs_by_id[task_id.job]
 
+    def siblings_of(self, task: Task) -> Sequence[Task]:
+        """The tasks of a task's step and occurrence; none if its job isn't known any more."""
+        job = self.jobs_by_id.get(task.task_id.job)
+        return job.siblings(task) if job is not None else ()
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
         """Run a background task that ends with the ownership and ends it when it fails."""
         task = asyncio.create_task(work)
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -11,6 +11,7 @@
 from .workloads import EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
 
 if TYPE_CHECKING:
+    from .run_speeds import RunSpeed
     from .runs import Run
 
 
@@ -42,6 +43,7 @@
         "failed_runs",
         "inherited",
         "run",
+        "speed",
         "step",
         "task_id",
     )
@@ -53,6 +55,8 @@
         self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.run: Run | None = None
+        # How fast the run was that has done it, if this owner saw it.
+        self.speed: RunSpeed | None = None
         # Whether a former owner may have started it on an executor that hasn't reported since.
         self.inherited = False
         # Executors on which it failed or stalled, and machines whose executors crashed while
--- a/mustardgap/suspicions.py
+++ b/mustardgap/suspicions.py
@@ -1,12 +1,13 @@
 """Detects executors that fail, refuse, stall or are slow, by how their runs progress and end."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from . import metrics
 from .events import EventLog
 from .executor_links import ExecutorLink
 from .job_states import Task
 from .policies import WHOLE, Mechanism, Policy
+from .run_speeds import is_slow, measure, measure_done
 from .runs import Run
 from .timers import Clock
 from .workloads import EndKind
@@ -26,11 +27,6 @@
 REFUSED_PAUSE_S = 0.3
 # Failures of this many different jobs with no success in between are the executor's fault.
 FAILED_JOBS_BEFORE_PAUSE = 3
-# A run is slow if it progresses at less than this share of its estimated speed. Estimates are off
-# by about a fifth.
-SLOW_SPEED_RATIO = 0.4
-# A run is judged as slow or not only after it has run for this long.
-SLOW_MIN_RUN_S = 1.0
 # An executor gets no new runs for SLOW_PAUSE_S once it has slow runs of this many jobs.
 SLOW_PAUSE_S = 4.0
 SLOW_JOBS_BEFORE_PAUSE = 2
@@ -39,12 +35,21 @@
 class Suspicions:
     """Marks and pauses executors that fail their runs, stall or are slow.
 
+    :param siblings_of: returns the tasks of a task's step and occurrence.
     :param clock: the clocks to read.
     :param events: the process's event log.
     :param policy: the mechanisms that are enabled.
     """
 
-    def __init__(self, *, clock: Clock, events: EventLog, policy: Policy = WHOLE) -> None:
+    def __init__(
+        self,
+        *,
+        siblings_of: Callable[[Task], Sequence[Task]],
+        clock: Clock,
+        events: EventLog,
+        policy: Policy = WHOLE,
+    ) -> None:
+        self._siblings_of = siblings_of
         self._policy = policy
         self._clock = clock
         self._events = events
@@ -54,9 +59,8 @@
         if how is EndKind.DONE:
             link.consecutive_failures = 0
             link.failed_jobs.clear()
-            if run is not None and not self._was_slow(run):
-                link.slow_marks = 0
-                link.slow_jobs.clear()
+            if run is not None:
+                self._judge_done(link, run)
             return
         if how is not EndKind.FAILED:
             return
@@ -94,7 +98,9 @@
                 > STALL_S + STALL_ESTIMATE_RATIO * step.estimate_s
             ):
                 self._handle_stall(run)
-            elif self._is_slow(run, run.progress_changed_s - run.first_seen_s):
+                continue
+            speed = measure(run)
+            if speed is not None and is_slow(speed, self._siblings_of(run.task)):
                 self._handle_slow_run(run)
 
     def _handle_stall(self, run: Run) -> None:
@@ -106,8 +112,8 @@
             self._pause(link, PAUSE_S, "runs stand still")
 
     def _handle_slow_run(self, run: Run) -> None:
-        # One job may look slow because of its own estimate; several jobs are slow because of their
-        # executor.
+        # One task may have more work than its siblings; runs of several jobs are slow because of
+        # their executor.
         link = run.link
         link.slow_jobs.add(run.task.task_id.job)
         if len(link.slow_jobs) < SLOW_JOBS_BEFORE_PAUSE:
@@ -116,16 +122,11 @@
         link.slow_marks = max(link.slow_marks, 1)
         self._pause(link, SLOW_PAUSE_S, "slow")
 
-    def _is_slow(self, run: Run, ran_s: float) -> bool:
-        if ran_s < SLOW_MIN_RUN_S or run.task.checkpoint or not run.task.step.estimate_s:
-            return False
-        return run.percent / 100 * run.task.step.estimate_s < SLOW_SPEED_RATIO * ran_s
-
-    def _was_slow(self, run: Run) -> bool:
-        if run.first_seen_s is None or run.task.checkpoint:
-            return False
-        ran_s = run.link.report_clock_s - run.first_seen_s
-        return ran_s >= SLOW_MIN_RUN_S and run.task.step.estimate_s < SLOW_SPEED_RATIO * ran_s
+    def _judge_done(self, link: ExecutorLink, run: Run) -> None:
+        speed = run.task.speed = measure_done(run)
+        if speed is not None and is_slow(speed, self._siblings_of(run.task)) is False:
+            link.slow_marks = 0
+            link.slow_jobs.clear()
 
     def _pause(self, link: ExecutorLink, pause_s: float, why: str) -> None:
         if not self._policy.has(Mechanism.PAUSES):
