Hold an account that was removed to its last limit while its jobs run

Cause: without any account with a limit in the configuration neither granter nor pools went by allowances, and jobs accepted under a limit of 2 cores all ran at once, 24 cores, as soon as the account was removed. Ruled out: no allowance for it, as its jobs were accepted and have to run.

Change: the granter keeps a removed account's limit while the account uses or waits for something; a pool bounds it while the last grant does. A later fleet's owner doesn't know the limit: such jobs run unbounded then. Sums of amounts stood twice; they are resources.total and largest.

The scenarios wait for the stored end of jobs at their owner, as nobody can ask for a removed account's job.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -44,6 +44,19 @@
       | a gang of 3 tasks of 1000     | MG4032 |
       | 3 tasks of 1000 mCPU          | MG4020 |
 
+  Scenario Outline: Jobs of an account that <change> while they wait <outcome>
+    Guards against accepted jobs that never run, or all run at once, when their account's limit goes.
+
+    When joiners, limited to 2000 mCPU, submit 6 jobs, and the account <change>
+    Then joiners never had more than <most> mCPU running, and at some time at least 2000 mCPU
+    And all their jobs have ended, and no promise is broken
+
+    Examples:
+      | change                       | outcome                    | most |
+      | is removed                   | run within the last limit  | 2000 |
+      | is limited to 4000 mCPU      | run within the new limit   | 4000 |
+      | is limited to 1000 mCPU      | end all the same           | 3000 |
+
   Scenario: What waits for a limit is told by the log, once a job
     Guards against work that waits without a reason that anybody can find.
 
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -4,16 +4,22 @@
 
 from behave import then, when
 
-from features.support.account_cases import JOINERS_KEY, directory
-from mustardgap.job_replies import JobReply
+from features.support.account_cases import FITTERS_KEY, JOINERS_KEY, directory
+from mustardgap.job_states import JobPhase
 from mustardgap.resources import Room
 from mustardgap.shard_owners import FLEET_SHARD
 from mustardgap.workloads import JobSpec, Step
 from tools.limit_plays import play as play_limits
 from tools.owner_troubles import TWO_STEPS
-from tools.owner_worlds import QUEUE, play
+from tools.owner_worlds import play
 
 CONFIGURED_S = 4.0
+CHANGES = {
+    # The key goes to fitters, so that the job's state can be asked for by nobody else.
+    "the account is removed": directory({FITTERS_KEY: "fitters"}),
+    "the account is limited to 4000 mCPU": directory(limit=Room(cpu=4000)),
+    "the account is limited to 1000 mCPU": directory(limit=Room(cpu=1000)),
+}
 END_S = 60.0
 SPECS = {
     "a task of 2000 mCPU": JobSpec("p", (Step(1, 2000, 0, 0, 0.6),)),
@@ -55,6 +61,9 @@
     if trouble == "nothing happens":
         return
     await asyncio.sleep(0.4)
+    if trouble in CHANGES:
+        world.publish_accounts(CHANGES[trouble], 3)
+        return
     if trouble == "all hosts are killed":
         names = list(world.names)
     elif trouble == "the pool's owner is killed":
@@ -73,20 +82,20 @@
 
 
 async def _wait_for_ends(world, count):
+    """Wait until the queue's owner has stored the end of all jobs.
+
+    :return: the numbers of the jobs that have ended.
+    """
     ended = set()
     for _ in range(int(END_S / 0.2)):
-        for number in range(count):
-            for host in world.names:
-                daemon = world.daemons_by_address.get(f"{host}:1")
-                identity = daemon and daemon.gateway.identify(QUEUE, [JOINERS_KEY])
-                if daemon is None or isinstance(identity, JobReply):
-                    continue
-                reply = await daemon.gateway.state(
-                    queue=QUEUE, job_id=_job_id(number), identity=identity
-                )
-                if reply.state == "completed":
-                    ended.add(number)
-                break
+        if world.owner() is not None:
+            jobs_by_id = world.dispatcher().jobs_by_id
+            ended = {
+                number
+                for number in range(count)
+                if (job := jobs_by_id.get(_job_id(number))) is not None
+                and job.durable_phase is JobPhase.COMPLETED
+            }
         if len(ended) == count:
             break
         await asyncio.sleep(0.2)
--- a/mustardgap/account_limits.py
+++ b/mustardgap/account_limits.py
@@ -1,14 +1,14 @@
 """Keeps one owner's starts of tasks within the allowances of client accounts."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 from . import metrics
 from .accounts import Grant, PoolAllowances, PoolUse, fits
 from .events import EventLog
 from .job_states import Job, JobPhase, Task
-from .resources import NO_ROOM, Room
+from .resources import NO_ROOM, Room, largest, total
 from .workloads import JobSpec, Step
 
 if TYPE_CHECKING:
@@ -32,10 +32,7 @@
 
 def largest_unit(spec: JobSpec) -> Room:
     """The most that has to be started at once: of each resource, by any task or gang of a job."""
-    largest = NO_ROOM
-    for step in spec.steps:
-        largest = largest.larger(charge(step).times(step.width if step.gang else 1))
-    return largest
+    return largest(charge(step).times(step.width if step.gang else 1) for step in spec.steps)
 
 
 class AccountLimits:
@@ -55,10 +52,12 @@
 
     @property
     def are_set(self) -> bool:
-        """Whether the configuration has accounts with a limit."""
+        """Whether any account has a limit, or had one and is still held to it."""
         configuration = self._dispatcher.configuration
         if configuration is None or configuration.accounts is None:
             return False
+        if any(any(a.accounts()) for a in self._allowances_by_service.values()):
+            return True
         return any(account.is_limited for account in configuration.accounts.by_name.values())
 
     def apply(self, service: str, grant: Grant) -> None:
@@ -112,14 +111,14 @@
         }
         waiting_by_account = self._waiting_units(service)
         uses: dict[str, PoolUse] = {}
-        for account in self._limited_accounts():
+        for account in sorted({*self._limited_accounts(), *allowances.accounts()}):
             units = waiting_by_account.get(account, [])
             use = PoolUse(
                 used=used_by_account.get(account, NO_ROOM),
                 ceiling=allowances.granted(account),
-                waiting=_sum(unit.room for unit in units),
-                unit=_largest(unit.room for unit in units),
-                task=_largest(unit.room for unit in units if not unit.gang),
+                waiting=total(unit.room for unit in units),
+                unit=largest(unit.room for unit in units),
+                task=largest(unit.room for unit in units if not unit.gang),
             )
             if use != PoolUse():
                 uses[account] = use
@@ -141,7 +140,17 @@
         return found.limit if found is not None and found.is_limited else None
 
     def _is_limited(self, job: Job) -> bool:
-        return bool(job.account) and self._limit(job.account) is not None
+        """Whether a job's starts are bounded.
+
+        The jobs of an account that was removed go by the last limit for as long as the fleet's
+        owner remembers it. Afterwards they aren't bounded: they were accepted and have to run.
+        """
+        configuration = self._dispatcher.configuration
+        if not job.account or configuration is None or configuration.accounts is None:
+            return False
+        if job.account in configuration.accounts.by_name:
+            return self._limit(job.account) is not None
+        return job.account in self._allowances_by_service[job.service].accounts()
 
     def _fits(self, job: Job, pending: Room, added: Room) -> bool:
         key = _PoolAccount(job.service, job.account)
@@ -221,17 +230,3 @@
 
     room: Room
     gang: bool
-
-
-def _sum(rooms: Iterable[Room]) -> Room:
-    total = NO_ROOM
-    for room in rooms:
-        total = total.plus(room)
-    return total
-
-
-def _largest(rooms: Iterable[Room]) -> Room:
-    largest = NO_ROOM
-    for room in rooms:
-        largest = largest.larger(room)
-    return largest
--- a/mustardgap/accounts/allowances.py
+++ b/mustardgap/accounts/allowances.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from ..resources import NO_ROOM, Room
+from ..resources import NO_ROOM, Room, total
 from .directories import Account
 
 
@@ -87,6 +87,10 @@
             self._allowances_by_account = dict(grant.allowances_by_account)
         return True
 
+    def accounts(self) -> Iterable[str]:
+        """Return the accounts that the last grant has allowances for."""
+        return self._allowances_by_account.keys()
+
     def granted(self, account: str) -> Room:
         """Return the most that the last grant allows an account to use of the pool."""
         allowance = self._allowances_by_account.get(account)
@@ -139,6 +143,9 @@
         # What each pool may hold at most, by all that it may have received, by account.
         self._held_by_pool: dict[str, dict[str, Room]] = {}
         self._uses_by_pool: dict[str, dict[str, PoolUse]] = {}
+        # Accounts that were removed keep their limit while they use or hold anything.
+        self._removed_by_name: dict[str, Account] = {}
+        self._known_by_name: dict[str, Account] = {}
 
     def note(self, pool: str, uses_by_account: Mapping[str, PoolUse]) -> None:
         """Note what a pool's owner reports of its use, after it has applied the last grant."""
@@ -161,11 +168,29 @@
         if any(pool not in self._uses_by_pool for pool in names):
             return {pool: Grant(number, None) for pool in names}
         by_pool: dict[str, dict[str, Allowance]] = {pool: {} for pool in names}
-        for account in accounts:
+        for account in self._with_removed(list(accounts)):
             for pool, allowance in self._share_out(account, names).items():
                 by_pool[pool][account.name] = allowance
         return {pool: Grant(number, allowances) for pool, allowances in by_pool.items()}
 
+    def _with_removed(self, accounts: list[Account]) -> list[Account]:
+        """Add the accounts that were removed and still use or wait for something."""
+        present = {account.name: account for account in accounts}
+        for name, account in self._known_by_name.items():
+            if name not in present:
+                self._removed_by_name[name] = account
+        self._known_by_name = present
+        busy = {
+            name
+            for uses in self._uses_by_pool.values()
+            for name, use in uses.items()
+            if any(use.used) or any(use.waiting)
+        }
+        for name in list(self._removed_by_name):
+            if name in present or name not in busy:
+                del self._removed_by_name[name]
+        return [*accounts, *self._removed_by_name.values()]
+
     def note_sent(self, pool: str, grant: Grant) -> None:
         """Note that a grant is being sent, which the pool may apply even if it doesn't answer."""
         held = self._held_by_pool.setdefault(pool, {})
@@ -186,7 +211,7 @@
             targets = _targets(limit, uses)
         allowances: dict[str, Allowance] = {}
         for pool in sorted(pools, key=lambda name: uses[name].used):
-            others = _sum(held[other] for other in pools if other != pool)
+            others = total(held[other] for other in pools if other != pool)
             ceiling = targets[pool].smaller(limit.minus(others).larger(NO_ROOM))
             overrun = NO_ROOM
             if pool == oversized_pool and fits(others, uses[pool].used, _half(limit), limit):
@@ -205,7 +230,7 @@
     that most tasks can start without waiting for a grant.
     """
     targets = {pool: use.used for pool, use in uses.items()}
-    free = limit.minus(_sum(targets.values())).larger(NO_ROOM)
+    free = limit.minus(total(targets.values())).larger(NO_ROOM)
     by_use = sorted(uses, key=lambda name: uses[name].used)
     for pool in by_use:
         unit = uses[pool].unit
@@ -216,7 +241,7 @@
         pool: use.used.plus(use.waiting).minus(targets[pool]).larger(NO_ROOM)
         for pool, use in uses.items()
     }
-    all_wanted = _sum(wanted.values())
+    all_wanted = total(wanted.values())
     spread = free.minus(all_wanted).larger(NO_ROOM)
     given = free.smaller(all_wanted)
     for pool, want in wanted.items():
@@ -237,7 +262,7 @@
     while the account uses hardly anything. It would wait for ever; it is started as the only one
     beyond the limit, while the account uses less than half of it.
     """
-    used = _sum(use.used for use in uses.values())
+    used = total(use.used for use in uses.values())
     if not fits(NO_ROOM, used, _half(limit), limit):
         return None
     left = limit.minus(used)
@@ -250,10 +275,3 @@
 
 def _half(room: Room) -> Room:
     return Room(*(amount // 2 for amount in room))
-
-
-def _sum(rooms: Iterable[Room]) -> Room:
-    total = NO_ROOM
-    for room in rooms:
-        total = total.plus(room)
-    return total
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -245,8 +245,6 @@
         if configuration.accounts is None:
             return {}
         limited = [a for a in configuration.accounts.by_name.values() if a.is_limited]
-        if not limited:
-            return {}
         return self._granter.plan([service.name for service in services], limited)
 
     async def _query_pool(self, service: Service, grant: Grant | None) -> None:
--- a/mustardgap/resources.py
+++ b/mustardgap/resources.py
@@ -1,5 +1,6 @@
 """Amounts of an executor's resources."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -38,3 +39,19 @@
 
 
 NO_ROOM = Room()
+
+
+def total(rooms: Iterable[Room]) -> Room:
+    """The sum of amounts."""
+    result = NO_ROOM
+    for room in rooms:
+        result = result.plus(room)
+    return result
+
+
+def largest(rooms: Iterable[Room]) -> Room:
+    """The largest of amounts, of each resource."""
+    result = NO_ROOM
+    for room in rooms:
+        result = result.larger(room)
+    return result
