Learn by queue how far declared durations are off, and size pools by what tasks take

Cause: a pool's demand (arrivals and what waits) stood on declared durations. Those of the shifted deployment's short jobs are off by far, and a mean of wrong estimates isn't the mean of the work: machines were ordered for work that didn't come.

Ways: declared durations as they are (stood); the ratio of true to declared seconds by queue, over some 300 declared seconds, starting at 1 (kept). Not tried: by step or image, quantiles. Only runs count that this owner saw from their start, on executors not marked as slow.

Test: durations.feature names the load, no network; on the code before, 16 jobs declared as 2 s a task count as 128 cores whatever their tasks took.

--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from mustardgap.duration_corrections import DurationCorrections
 from mustardgap.events import EventLog
 from mustardgap.fleet_moves import FleetMoves
 from mustardgap.fleet_states import Away, FleetState, OrderTimes
@@ -155,7 +156,7 @@
     lasting = step._replace(lasting=True)
     stored = StoredJob("q", "quotes", 1000.0, JobSpec("", (step, step, lasting)))
     jobs = [Job(job_id=f"j{number}", stored=stored) for number in range(count)]
-    context.cores = arriving_cpu(jobs, 1000.0 + ago) / 1000
+    context.cores = arriving_cpu(jobs, 1000.0 + ago, DurationCorrections()) / 1000
 
 
 @when(
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -8,6 +8,7 @@
 from .account_limits import AccountLimits
 from .advices import AdviceTicketCache, StepKey
 from .crashes import CrashTracker
+from .duration_corrections import DurationCorrections
 from .evacuations import Evacuations
 from .events import EventLog
 from .executor_links import ExecutorLink
@@ -125,6 +126,7 @@
             siblings_of=self.siblings_of, clock=clock, events=events, policy=policy
         )
         self.evacuations = Evacuations(dispatcher=self, stop_timeout_s=bounds.stop_timeout_s)
+        self.durations = DurationCorrections()
         self.pacing = Pacing(clock=clock)
         self.crashes = CrashTracker(dispatcher=self, clock=clock, events=events, policy=policy)
         self.isolation = Isolation(dispatcher=self, clock=clock)
@@ -351,6 +353,7 @@
             task.inherited = False
         if current or inherited:
             self.suspicions.on_end(link, task, end.how, run)
+            self._note_duration(link, job, task)
         if job.phase is not JobPhase.LIVE:
             # If this end were acknowledged before the job's own end is durable, neither would be
             # recorded. The next owner would find the job live and start finished tasks again.
@@ -368,6 +371,14 @@
             return self.end_tickets_by_id.get(job.job_id)
         return self.store_progress(job)
 
+    def _note_duration(self, link: ExecutorLink, job: Job, task: Task) -> None:
+        # An executor under suspicion would teach that all tasks take as long as there.
+        if task.speed is None or link.slow_marks or not task.step.estimate_s:
+            return
+        self.durations.note(
+            job.queue_name, declared_s=task.step.estimate_s, true_s=task.speed.ran_s
+        )
+
     def store_progress(self, job: Job) -> Ticket:
         """Store a job's progress."""
         return self.log.put(PROGRESS_KEY + job.job_id, job.progress())
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .accounts import Grant, PoolUse
+from .duration_corrections import DurationCorrections
 from .job_states import Job
 from .placing import TOO_LATE, timeliness_of
 from .workloads import ExecutorId
@@ -83,6 +84,7 @@
         if job.service != service or job.phase:
             continue
         queue = dispatcher.queue_of(job)
+        correction = dispatcher.durations.factor(job.queue_name)
         hopeless = queue is None or timeliness_of(job, queue, wall).category == TOO_LATE
         for tasks in job.ready_steps():
             step = tasks[0].step
@@ -96,16 +98,16 @@
                 continue
             running += step.cpu * running_tasks
             if not hopeless:
-                share = min(1.0, step.estimate_s / BACKLOG_HORIZON_S)
+                share = min(1.0, step.estimate_s * correction / BACKLOG_HORIZON_S)
                 waiting += int(step.cpu * waiting_tasks * share)
     executors = _executor_views(dispatcher, service)
     jobs = (job for job in dispatcher.jobs_by_id.values() if job.service == service)
-    arriving = arriving_cpu(jobs, wall)
+    arriving = arriving_cpu(jobs, wall, dispatcher.durations)
     uses = dispatcher.account_limits.uses(service)
     return PoolView(service, lasting, running, waiting, executors, lasting_unplaced, arriving, uses)
 
 
-def arriving_cpu(jobs: Iterable[Job], wall: float) -> int:
+def arriving_cpu(jobs: Iterable[Job], wall: float, durations: DurationCorrections) -> int:
     """Estimate what jobs would keep busy if they kept arriving at the recent rate.
 
     Running and waiting work shows a rise only as jobs add up. Jobs of two steps of 1.3 s need 2.6 s
@@ -113,11 +115,14 @@
     over.
 
     :param wall: seconds since the epoch.
+    :param durations: corrects the declared durations.
     :return: thousandths of a core, from one standard deviation below the number of arrivals, so
         that single jobs don't count as a rise.
     """
     job_cpu_s = [
-        job.batch_cpu_s for job in jobs if 0.0 <= wall - job.accepted_at < ARRIVAL_WINDOW_S
+        job.batch_cpu_s * durations.factor(job.queue_name)
+        for job in jobs
+        if 0.0 <= wall - job.accepted_at < ARRIVAL_WINDOW_S
     ]
     if not job_cpu_s:
         return 0
