Let client accounts share a full pool by their weights

Cause: under overload the newest jobs went first, whoever sent them: an account that floods a pool takes all of it, and the one job of a small account waits behind the flood.

Ways: newest first (stood); start-time fair queueing by the accounts' weights over what they have at work and what waits, inside an account the newest first (kept). Where there is one account, or none, the order is as before. Not tried: dominant resources, work beyond an account's weight behind all owed work.

Kept for what small accounts get.

--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -483,6 +483,14 @@
             return None
         return self.configuration.queues_by_name.get(job.queue_name)
 
+    def weight_of(self, account: str) -> float:
+        """An account's share when everything is full; 1 for one that isn't configured."""
+        configuration = self.configuration
+        if configuration is None or configuration.accounts is None:
+            return 1.0
+        found = configuration.accounts.by_name.get(account)
+        return found.weight if found is not None and found.weight > 0 else 1.0
+
     # The fleet.
 
     def pool_view(self, request: PoolRequest) -> PoolView | None:
--- a/mustardgap/placing.py
+++ b/mustardgap/placing.py
@@ -72,6 +72,7 @@
     cores_by_service: Mapping[str, float],
     wall: float,
     policy: Policy = WHOLE,
+    weight_of: Callable[[str], float] = lambda account: 1.0,
 ) -> list[Job]:
     """Sort jobs by the order in which they get capacity.
 
@@ -79,14 +80,15 @@
     overload, the job with the least work left goes first, unless another has hardly any slack: so
     most jobs, also wide ones, are in time. Under overload, this order would starve wide jobs and
     start each job when its time is nearly over. Then jobs that have begun go first, the one with
-    the least slack leading, followed by those that haven't begun, the newest first, whatever their
-    size.
+    the least slack leading, followed by those that haven't begun: client accounts take turns by
+    their weights, and the newest job of an account goes first, whatever its size.
 
     :param jobs: the jobs that wait for capacity.
     :param queue_of: returns a job's queue, None if it isn't configured any more.
     :param cores_by_service: the cores of each service's usable executors.
     :param wall: seconds since the epoch.
     :param policy: the mechanisms that are enabled.
+    :param weight_of: returns an account's share when everything is full.
     """
     ordered = list(jobs)
     timeliness_by_job = {
@@ -97,6 +99,9 @@
     overloaded = set()
     if policy.has(Mechanism.OVERLOAD_ORDER):
         overloaded = _overloaded_services(ordered, timeliness_by_job, cores_by_service)
+    turns = fair_turns(
+        [job for job in ordered if job.service in overloaded], timeliness_by_job, weight_of
+    )
 
     def key(job: Job) -> PlacementKey:
         queue = queue_of(job)
@@ -106,7 +111,7 @@
             return PlacementKey(LASTING, queue.priority, False, job.accepted_at)
         timeliness = timeliness_by_job[job.job_id]
         if job.service in overloaded and timeliness.category == IN_TIME:
-            rank = -job.accepted_at if not job.has_started else timeliness.slack_s
+            rank = turns[job.job_id] if not job.has_started else timeliness.slack_s
             return PlacementKey(IN_TIME, queue.priority, not job.has_started, rank)
         critical = timeliness.category == IN_TIME and timeliness.slack_s < CRITICAL_SLACK_S
         return PlacementKey(timeliness.category, queue.priority, not critical, timeliness.work)
@@ -114,6 +119,42 @@
     return sorted(ordered, key=key)
 
 
+def fair_turns(
+    jobs: Iterable[Job],
+    timeliness_by_job: Mapping[str, Timeliness],
+    weight_of: Callable[[str], float],
+) -> dict[str, float]:
+    """Return the turns of jobs that haven't begun, the smallest first.
+
+    This is start-time fair queueing (Goyal, Vin and Cheng, 1996): a job's turn comes when its
+    account has had the work of its earlier jobs, by its weight. An account that floods a pool waits
+    for itself; a small account beside it doesn't. The newest job of an account goes first, as the
+    others are nearer to being late.
+
+    :param jobs: the jobs of overloaded services.
+    :param timeliness_by_job: the remaining work of each job that isn't lasting.
+    :param weight_of: returns an account's weight.
+    """
+    work_by_account: dict[tuple[str, str], float] = {}
+    waiting: list[Job] = []
+    for job in jobs:
+        timeliness = timeliness_by_job.get(job.job_id)
+        if timeliness is None:
+            continue
+        if job.has_started:
+            key = (job.service, job.account)
+            work_by_account[key] = work_by_account.get(key, 0.0) + timeliness.work
+        else:
+            waiting.append(job)
+    turns: dict[str, float] = {}
+    for job in sorted(waiting, key=lambda job: -job.accepted_at):
+        key = (job.service, job.account)
+        work = work_by_account.get(key, 0.0)
+        turns[job.job_id] = work / weight_of(job.account)
+        work_by_account[key] = work + timeliness_by_job[job.job_id].work
+    return turns
+
+
 def _overloaded_services(
     jobs: Iterable[Job],
     timeliness_by_job: Mapping[str, Timeliness],
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -56,7 +56,12 @@
         cores_by_service = self._cores_by_service(now)
         policy = self._dispatcher.policy
         for job in sort_for_placement(
-            waiting, self._dispatcher.queue_of, cores_by_service, wall, policy
+            waiting,
+            self._dispatcher.queue_of,
+            cores_by_service,
+            wall,
+            policy,
+            self._dispatcher.weight_of,
         ):
             steps = job.ready_steps()
             if self._end_if_exhausted(job, steps) or self._end_if_given_up(job, steps):
