Let other pools start nothing beside a task that goes beyond its account's limit

Cause: while one task larger than the limit was let through, other pools kept allowances for what they used, and started a task in the place of each that ended: a second start beyond the limit.

Change: the others' allowances are nothing, and have to be confirmed as such, before the task is let through.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -13,6 +13,8 @@
       | 26    | 50   |
       | 51    | 75   |
       | 76    | 100  |
+      | 1019  | 1019 |
+      | 1435  | 1435 |
 
   Scenario Outline: An account with a limit of <limit> mCPU runs <jobs> jobs while <trouble>
     Guards against a takeover that starts as much again as its predecessor has running.
--- a/mustardgap/accounts/allowances.py
+++ b/mustardgap/accounts/allowances.py
@@ -205,17 +205,26 @@
         uses = {pool: self._uses_by_pool[pool].get(account.name, PoolUse()) for pool in pools}
         held = {pool: self._held_by_pool[pool].get(account.name, NO_ROOM) for pool in pools}
         oversized_pool = _find_oversized(limit, uses)
-        if oversized_pool is not None:
-            targets = {pool: use.used for pool, use in uses.items()}
-        else:
+        if oversized_pool is None:
             targets = _targets(limit, uses)
+        else:
+            # Other pools start nothing: beside a task that is larger than the limit, one that takes
+            # the place of another would be a second one beyond it.
+            targets = dict.fromkeys(pools, NO_ROOM)
+            targets[oversized_pool] = uses[oversized_pool].used
         allowances: dict[str, Allowance] = {}
         for pool in sorted(pools, key=lambda name: uses[name].used):
             others = total(held[other] for other in pools if other != pool)
             ceiling = targets[pool].smaller(limit.minus(others).larger(NO_ROOM))
             overrun = NO_ROOM
             if pool == oversized_pool and fits(others, uses[pool].used, _half(limit), limit):
-                overrun = uses[pool].task
+                # The others have to have confirmed that they start nothing.
+                others_wait = all(
+                    not any(uses[other].ceiling) and held[other] == uses[other].used
+                    for other in pools
+                    if other != pool
+                )
+                overrun = uses[pool].task if others_wait else NO_ROOM
             allowances[pool] = Allowance(ceiling, limit, overrun)
             held[pool] = held[pool].larger(ceiling.plus(overrun))
         return allowances
