Say once what the change for client accounts said twice

Change: one _check_access, one place for the identity, Dispatcher.accounts, NO_ROOM, one _speed, one dictionary of granted accounts. Behaviour as before; the tests keep their assertions. The stub of an owner in gateways.feature has accounts, too.

Left: submit and cancel of the gateway are alike in shape, not in logic; owners count what accounts use once for each pool's view and each pass, as the counts are of different moments.

--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -163,6 +163,7 @@
     dispatcher = SimpleNamespace(
         loaded=True,
         configuration=None,
+        accounts=None,
         handing_over=False,
         jobs_by_id={},
         log=log,
--- a/mustardgap/access.py
+++ b/mustardgap/access.py
@@ -7,7 +7,7 @@
 
 
 def check_identity(
-    configuration: Configuration | None, identity: Identity | None, *, needs_key: bool
+    configuration: Configuration | None, identity: Identity | None, queue_name: str | None
 ) -> Identity | JobReply | None:
     """Check a caller's identity again by this host's configuration, if that is the newer one.
 
@@ -16,13 +16,13 @@
 
     :param configuration: the configuration that this host knows.
     :param identity: as the caller's host determined it.
-    :param needs_key: whether the call has to carry a key by this host's configuration.
+    :param queue_name: the queue that the call is about, None if it isn't known.
     :return: the identity that holds, None for anybody, or the reply that refuses the call.
     """
     if configuration is None or configuration.accounts is None:
         return identity
     if identity is None:
-        if needs_key:
+        if queue_name is not None and configuration.needs_key(queue_name):
             return job_replies.owner_unavailable("the caller's daemon has checked no key")
         return None
     if identity.version >= configuration.version:
--- a/mustardgap/account_limits.py
+++ b/mustardgap/account_limits.py
@@ -53,12 +53,11 @@
     @property
     def are_set(self) -> bool:
         """Whether any account has a limit, or had one and is still held to it."""
-        configuration = self._dispatcher.configuration
-        if configuration is None or configuration.accounts is None:
+        if self._dispatcher.accounts is None:
             return False
-        if any(any(a.accounts()) for a in self._allowances_by_service.values()):
+        if any(a.accounts() for a in self._allowances_by_service.values()):
             return True
-        return any(account.is_limited for account in configuration.accounts.by_name.values())
+        return any(self._limited_accounts())
 
     def apply(self, service: str, grant: Grant) -> None:
         """Apply a grant of the fleet's owner for the pool of a service."""
@@ -97,9 +96,7 @@
 
     def note_started(self, job: Job, step: Step) -> None:
         """Count a task that is being started."""
-        key = _PoolAccount(job.service, job.account)
-        if key in self._used or self._is_limited(job):
-            self._used[key] = self._used.get(key, NO_ROOM).plus(charge(step))
+        _add(self._used, job, step)
 
     def uses(self, service: str) -> dict[str, PoolUse]:
         """Return each account's use of the pool of a service, for the fleet's owner."""
@@ -125,18 +122,15 @@
         return uses
 
     def _limited_accounts(self) -> Iterator[str]:
-        configuration = self._dispatcher.configuration
-        assert configuration is not None and configuration.accounts is not None
-        for account in configuration.accounts.by_name.values():
+        accounts = self._dispatcher.accounts
+        for account in accounts.by_name.values() if accounts is not None else ():
             if account.is_limited:
                 yield account.name
 
     def _limit(self, account: str) -> Room | None:
         """An account's limit, None if it has none or isn't in the configuration."""
-        configuration = self._dispatcher.configuration
-        if configuration is None or configuration.accounts is None:
-            return None
-        found = configuration.accounts.by_name.get(account)
+        accounts = self._dispatcher.accounts
+        found = accounts.by_name.get(account) if accounts is not None else None
         return found.limit if found is not None and found.is_limited else None
 
     def _is_limited(self, job: Job) -> bool:
@@ -145,19 +139,22 @@
         The jobs of an account that was removed go by the last limit for as long as the fleet's
         owner remembers it. Afterwards they aren't bounded: they were accepted and have to run.
         """
-        configuration = self._dispatcher.configuration
-        if not job.account or configuration is None or configuration.accounts is None:
+        accounts = self._dispatcher.accounts
+        if not job.account or accounts is None:
             return False
-        if job.account in configuration.accounts.by_name:
+        if job.account in accounts.by_name:
             return self._limit(job.account) is not None
         return job.account in self._allowances_by_service[job.service].accounts()
 
     def _fits(self, job: Job, pending: Room, added: Room) -> bool:
-        key = _PoolAccount(job.service, job.account)
-        used = self._used.get(key, NO_ROOM).plus(pending)
+        used = self._used_by(job).plus(pending)
         allowances = self._allowances_by_service[job.service]
         return allowances.may_start(job.account, used, added, self._limit(job.account))
 
+    def _used_by(self, job: Job) -> Room:
+        """What a job's account uses of the job's pool."""
+        return self._used.get(_PoolAccount(job.service, job.account), NO_ROOM)
+
     def _note_waiting(self, job: Job, *, waits: bool) -> None:
         if not waits:
             self._waiting_jobs.discard(job.job_id)
@@ -171,7 +168,7 @@
             job=job.job_id,
             account=job.account,
             service=job.service,
-            used=self._used.get(_PoolAccount(job.service, job.account), NO_ROOM),
+            used=self._used_by(job),
             allowed=self._allowances_by_service[job.service].granted(job.account),
             limit=self._limit(job.account),
         )
@@ -187,26 +184,20 @@
         any of them may be at work. If they didn't count, a takeover would start as much again.
         """
         used: dict[_PoolAccount, Room] = {}
-
-        def add(job: Job | None, step: Step) -> None:
-            if job is not None and job.account:
-                key = _PoolAccount(job.service, job.account)
-                used[key] = used.get(key, NO_ROOM).plus(charge(step))
-
         jobs_by_id = self._dispatcher.jobs_by_id
         for link in self._dispatcher.roster.links_by_executor.values():
             for run in link.runs_by_key.values():
-                add(jobs_by_id.get(run.task.task_id.job), run.task.step)
+                _add(used, jobs_by_id.get(run.task.task_id.job), run.task.step)
             for task_id in link.foreign_tasks:
                 job = jobs_by_id.get(task_id.job)
                 task = job.task(task_id) if job is not None else None
                 if task is not None:
-                    add(job, task.step)
+                    _add(used, job, task.step)
         if self._dispatcher.roster.awaiting_report:
             for job in jobs_by_id.values():
                 for task in job.tasks() if job.account else ():
                     if task.inherited:
-                        add(job, task.step)
+                        _add(used, job, task.step)
         return used
 
     def _waiting_units(self, service: str) -> dict[str, list["_Unit"]]:
@@ -225,6 +216,13 @@
         return units
 
 
+def _add(used: dict[_PoolAccount, Room], job: Job | None, step: Step) -> None:
+    """Count one task of a job; a job without an account, or that isn't known, counts for nobody."""
+    if job is not None and job.account:
+        key = _PoolAccount(job.service, job.account)
+        used[key] = used.get(key, NO_ROOM).plus(charge(step))
+
+
 class _Unit(NamedTuple):
     """What has to be started at once: a task, or a whole gang."""
 
--- a/mustardgap/accounts/allowances.py
+++ b/mustardgap/accounts/allowances.py
@@ -7,7 +7,7 @@
 on clocks.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from ..resources import NO_ROOM, Room, total
@@ -75,19 +75,15 @@
         self.number = NO_GRANT
         self._allowances_by_account: dict[str, Allowance] = {}
 
-    def apply(self, grant: Grant) -> bool:
-        """Apply a grant unless a later one has been applied.
-
-        :return: whether it was applied.
-        """
+    def apply(self, grant: Grant) -> None:
+        """Apply a grant unless a later one has been applied."""
         if grant.number <= self.number:
-            return False
+            return
         self.number = grant.number
         if grant.allowances_by_account is not None:
             self._allowances_by_account = dict(grant.allowances_by_account)
-        return True
 
-    def accounts(self) -> Iterable[str]:
+    def accounts(self) -> Collection[str]:
         """Return the accounts that the last grant has allowances for."""
         return self._allowances_by_account.keys()
 
@@ -143,9 +139,8 @@
         # What each pool may hold at most, by all that it may have received, by account.
         self._held_by_pool: dict[str, dict[str, Room]] = {}
         self._uses_by_pool: dict[str, dict[str, PoolUse]] = {}
-        # Accounts that were removed keep their limit while they use or hold anything.
-        self._removed_by_name: dict[str, Account] = {}
-        self._known_by_name: dict[str, Account] = {}
+        # The accounts of the last grants, those that were removed among them.
+        self._granted_by_name: dict[str, Account] = {}
 
     def note(self, pool: str, uses_by_account: Mapping[str, PoolUse]) -> None:
         """Note what a pool's owner reports of its use, after it has applied the last grant."""
@@ -168,28 +163,22 @@
         if any(pool not in self._uses_by_pool for pool in names):
             return {pool: Grant(number, None) for pool in names}
         by_pool: dict[str, dict[str, Allowance]] = {pool: {} for pool in names}
-        for account in self._with_removed(list(accounts)):
+        for account in self._with_removed(accounts):
             for pool, allowance in self._share_out(account, names).items():
                 by_pool[pool][account.name] = allowance
         return {pool: Grant(number, allowances) for pool, allowances in by_pool.items()}
 
-    def _with_removed(self, accounts: list[Account]) -> list[Account]:
+    def _with_removed(self, accounts: Iterable[Account]) -> list[Account]:
         """Add the accounts that were removed and still use or wait for something."""
-        present = {account.name: account for account in accounts}
-        for name, account in self._known_by_name.items():
-            if name not in present:
-                self._removed_by_name[name] = account
-        self._known_by_name = present
         busy = {
             name
             for uses in self._uses_by_pool.values()
             for name, use in uses.items()
             if any(use.used) or any(use.waiting)
         }
-        for name in list(self._removed_by_name):
-            if name in present or name not in busy:
-                del self._removed_by_name[name]
-        return [*accounts, *self._removed_by_name.values()]
+        removed = {name: a for name, a in self._granted_by_name.items() if name in busy}
+        self._granted_by_name = removed | {account.name: account for account in accounts}
+        return list(self._granted_by_name.values())
 
     def note_sent(self, pool: str, grant: Grant) -> None:
         """Note that a grant is being sent, which the pool may apply even if it doesn't answer."""
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -6,6 +6,7 @@
 
 from . import cancellations, metrics
 from .account_limits import AccountLimits
+from .accounts import AccountDirectory
 from .advices import AdviceTicketCache, StepKey
 from .crashes import CrashTracker
 from .duration_corrections import DurationCorrections
@@ -483,12 +484,15 @@
             return None
         return self.configuration.queues_by_name.get(job.queue_name)
 
+    @property
+    def accounts(self) -> AccountDirectory | None:
+        """The configured client accounts, None if the deployment has none."""
+        return self.configuration.accounts if self.configuration is not None else None
+
     def weight_of(self, account: str) -> float:
         """An account's share when everything is full; 1 for one that isn't configured."""
-        configuration = self.configuration
-        if configuration is None or configuration.accounts is None:
-            return 1.0
-        found = configuration.accounts.by_name.get(account)
+        accounts = self.accounts
+        found = accounts.by_name.get(account) if accounts is not None else None
         return found.weight if found is not None and found.weight > 0 else 1.0
 
     # The fleet.
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -19,10 +19,11 @@
     StartRefused,
     Stopped,
 )
+from .resources import NO_ROOM, Room
 from .runs import Run, RunPhase
 from .tickets import Ticket
 from .timers import Clock
-from .workloads import EndRow, ExecutorEntry, Report, Room, RunRow, TaskId
+from .workloads import EndRow, ExecutorEntry, Report, RunRow, TaskId
 
 # How long runs continue without a lease renewal. The lease has to outlast a takeover of the shard
 # (about 2 s); tasks of a crashed executor are restarted elsewhere shortly after it lapses.
@@ -57,7 +58,6 @@
 BACKLOG_POLL_S = 0.06
 # The maximum number of ended runs in one report.
 MAX_LISTED_ENDS = 500
-NO_RESOURCES = Room()
 
 
 class LinkOwner(Protocol):
@@ -156,7 +156,7 @@
         self.runs_by_key: dict[tuple[Any, int], Run] = {}
         self.used = Room()
         # Resources used by runs of other owners in the last report; None if unknown.
-        self.foreign: Room | None = NO_RESOURCES
+        self.foreign: Room | None = NO_ROOM
         # The tasks of those runs.
         self.foreign_tasks: tuple[TaskId, ...] = ()
         self.lasting_runs = 0
@@ -205,14 +205,14 @@
     @property
     def free(self) -> Room:
         """The unused capacity of the executor."""
-        return self.entry.capacity.minus(self.used).minus(self.foreign or NO_RESOURCES)
+        return self.entry.capacity.minus(self.used).minus(self.foreign or NO_ROOM)
 
     def holds(self, room: Room) -> bool:
         """Whether an amount of resources fits into the unused capacity."""
         if self.foreign is None:
             return False
         capacity, used = self.entry.capacity, self.used
-        if self.foreign != NO_RESOURCES:
+        if self.foreign != NO_ROOM:
             used = used.plus(self.foreign)
         return (
             capacity.cpu - used.cpu >= room.cpu
@@ -453,7 +453,7 @@
 
         :return: the sum, None if the size of one is unknown.
         """
-        room = NO_RESOURCES
+        room = NO_ROOM
         for task_id in self.foreign_tasks:
             taken = self._owner.room_of(task_id)
             if taken is None:
@@ -526,7 +526,7 @@
                     return
                 if run.phase is not RunPhase.STARTING:
                     return
-                if not self.free.holds(NO_RESOURCES) and unanswered:
+                if not self.free.holds(NO_ROOM) and unanswered:
                     break
                 reason_not_sent = self._reason_not_to_send()
                 if reason_not_sent and not unanswered:
@@ -571,7 +571,7 @@
             # An unsent start can't have happened, so its task needn't wait for the lease to lapse.
             # Each attempt would also extend the time by which the lease is known to have lapsed.
             return "not sent"
-        if not self.free.holds(NO_RESOURCES):
+        if not self.free.holds(NO_ROOM):
             # The capacity has shrunk since, and not every executor enforces it.
             return "no room any more"
         return ""
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -124,9 +124,9 @@
         :param identity: the caller's, None where no key is needed.
         :param wait_s: seconds that the caller waits, by default the queue's timeout.
         """
-        values = _with_identity([job_id, queue, spec], identity)
+        values = [job_id, queue, spec]
         return await self._call(
-            "submit", queue, values, CHANGE_TIMEOUT_S, job_id=job_id, wait_s=wait_s
+            "submit", queue, values, identity, CHANGE_TIMEOUT_S, job_id=job_id, wait_s=wait_s
         )
 
     async def cancel(
@@ -142,22 +142,21 @@
         :param identity: the caller's, None where no key is needed.
         :param wait_s: seconds that the caller waits, by default the queue's timeout.
         """
-        values = _with_identity([job_id], identity)
         return await self._call(
-            "cancel", queue, values, CHANGE_TIMEOUT_S, job_id=job_id, wait_s=wait_s
+            "cancel", queue, [job_id], identity, CHANGE_TIMEOUT_S, job_id=job_id, wait_s=wait_s
         )
 
     async def state(
         self, *, queue: Queue, job_id: str, identity: Identity | None = None
     ) -> JobReply:
         """Query a job's state."""
-        values = _with_identity([job_id], identity)
-        return await self._call("state", queue, values, QUERY_TIMEOUT_S, job_id=job_id)
+        return await self._call("state", queue, [job_id], identity, QUERY_TIMEOUT_S, job_id=job_id)
 
     async def pending(self, *, queue: Queue, identity: Identity | None = None) -> JobReply:
         """Query how many jobs of a queue haven't started."""
-        values = _with_identity([queue.name], identity)
-        return await self._call("pending", queue, values, QUERY_TIMEOUT_S, job_id="")
+        return await self._call(
+            "pending", queue, [queue.name], identity, QUERY_TIMEOUT_S, job_id=""
+        )
 
     async def pool(self, request: PoolRequest) -> PoolView | None:
         """Query the owner of a service's queues for its pool.
@@ -221,11 +220,15 @@
         name: str,
         queue: Queue,
         values: list[Any],
+        identity: Identity | None,
         timeout_s: float,
         *,
         job_id: str,
         wait_s: float | None = None,
     ) -> JobReply:
+        # Left out where there are no accounts, so that older daemons understand the call as well.
+        if identity is not None:
+            values = [*values, identity]
         shard = shard_of(queue.service, self._shards)
         began = self._clock.monotonic()
         deadline = began + (queue.timeout_s if wait_s is None else wait_s) - REPLY_MARGIN_S
@@ -378,10 +381,5 @@
             await self._owners.refresh()
 
 
-def _with_identity(values: list[Any], identity: Identity | None) -> list[Any]:
-    """Append the caller's identity; without accounts, older daemons understand the call as well."""
-    return values if identity is None else [*values, identity]
-
-
 def _decode_identity(rest: list[Any]) -> Identity | None:
     return msgspec.convert(rest[0], Identity) if rest else None
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -62,11 +62,9 @@
         """
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
-        checked = self._check_identity(identity, queue.name)
+        checked = self._check_access(job_id, queue.name, identity)
         if isinstance(checked, JobReply):
             return checked
-        if not may_use(self._account_of(job_id), checked):
-            return job_replies.OTHER_ACCOUNT
         if job_id in self._dispatcher.jobs_by_id:
             return job_replies.ACCEPTED
         accepting = self._accepting_by_id.get(job_id)
@@ -91,9 +89,9 @@
         """Cancel a job durably and stop its runs."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
-        refusal = self._refuse_job(job_id, identity)
-        if refusal is not None:
-            return refusal
+        checked = self._check_access(job_id, self._queue_of(job_id), identity)
+        if isinstance(checked, JobReply):
+            return checked
         accepting = self._accepting_by_id.get(job_id)
         if accepting is not None:
             await asyncio.wait([accepting.ticket.outcome], timeout=STORE_WAIT_S)
@@ -111,9 +109,9 @@
         """Return a job's state; its end is reported only once it is durable."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
-        refusal = self._refuse_job(job_id, identity)
-        if refusal is not None:
-            return refusal
+        checked = self._check_access(job_id, self._queue_of(job_id), identity)
+        if isinstance(checked, JobReply):
+            return checked
         job = self._dispatcher.jobs_by_id.get(job_id)
         if job is None:
             if job_id in self._accepting_by_id:
@@ -129,7 +127,7 @@
         """Return how many accepted jobs of a queue haven't started."""
         if not self._dispatcher.loaded or not self._dispatcher.is_membership_valid():
             return job_replies.owner_unavailable("the owner isn't sure of its jobs")
-        checked = self._check_identity(identity, queue_name)
+        checked = check_identity(self._dispatcher.configuration, identity, queue_name)
         if isinstance(checked, JobReply):
             return checked
         count = sum(
@@ -139,26 +137,24 @@
         )
         return JobReply(status_codes.JOB_STATE, pending=count)
 
-    def _refuse_job(self, job_id: str, identity: Identity | None) -> JobReply | None:
-        """Return the reply for a caller who may not use a job, None for one who may."""
-        job = self._dispatcher.jobs_by_id.get(job_id)
-        checked = self._check_identity(identity, job.queue_name if job is not None else None)
+    def _check_access(
+        self, job_id: str, queue_name: str | None, identity: Identity | None
+    ) -> Identity | JobReply | None:
+        """Check a caller who wants to submit or use a job.
+
+        :param queue_name: the job's queue, None if the job isn't known.
+        :return: the identity that holds, None for anybody, or the reply that refuses the call.
+        """
+        checked = check_identity(self._dispatcher.configuration, identity, queue_name)
         if isinstance(checked, JobReply):
             return checked
         if not may_use(self._account_of(job_id), checked):
             return job_replies.OTHER_ACCOUNT
-        return None
+        return checked
 
-    def _check_identity(
-        self, identity: Identity | None, queue_name: str | None
-    ) -> Identity | JobReply | None:
-        configuration = self._dispatcher.configuration
-        needs_key = (
-            configuration is not None
-            and queue_name is not None
-            and configuration.needs_key(queue_name)
-        )
-        return check_identity(configuration, identity, needs_key=needs_key)
+    def _queue_of(self, job_id: str) -> str | None:
+        job = self._dispatcher.jobs_by_id.get(job_id)
+        return job.queue_name if job is not None else None
 
     def _account_of(self, job_id: str) -> str:
         """The account that submitted a job; empty for a job without one, or an unknown job."""
--- a/mustardgap/run_speeds.py
+++ b/mustardgap/run_speeds.py
@@ -35,19 +35,23 @@
 
 def measure(run: "Run") -> RunSpeed | None:
     """Measure a run that is at work, None if nothing can be said yet."""
-    if run.first_seen_s is None or run.task.checkpoint or run.pace < 100:
-        return None
-    return _speed(run, run.percent / 100, run.progress_changed_s - run.first_seen_s)
+    return _speed(run, run.percent / 100, run.progress_changed_s)
 
 
 def measure_done(run: "Run") -> RunSpeed | None:
     """Measure a run that has just ended with its task done."""
-    if run.first_seen_s is None or run.task.checkpoint or run.pace < 100:
-        return None
-    return _speed(run, 1.0, run.link.report_clock_s - run.first_seen_s)
+    return _speed(run, 1.0, run.link.report_clock_s)
 
 
-def _speed(run: "Run", share: float, ran_s: float) -> RunSpeed | None:
+def _speed(run: "Run", share: float, at_s: float) -> RunSpeed | None:
+    """Return a run's speed.
+
+    :param share: the share of its task that it had done at a time.
+    :param at_s: that time, by the executor's monotonic clock.
+    """
+    if run.first_seen_s is None or run.task.checkpoint or run.pace < 100:
+        return None
+    ran_s = at_s - run.first_seen_s
     if ran_s <= 0:
         return None
     entry = run.link.entry
