--- a/review/1/play.py
+++ b/review/1/play.py
@@ -10,7 +10,7 @@
 
 from review.world import World, play
 
-FOLDER = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"
 PREFIX = "/settle/"
 JOB = "00000000000000d1"
 TASKS = 4
@@ -67,4 +67,4 @@
 
 
 if __name__ == "__main__":
-    play(FOLDER, script)
+    play(RECORD, script)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -11,7 +11,7 @@
 
 from review.world import Machine, World, play
 
-FOLDER = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"
 PREFIX = "/recon/"
 JOB = "00000000000000a1"
 CONFIGURATION = {
@@ -88,4 +88,4 @@
 
 
 if __name__ == "__main__":
-    play(FOLDER, script)
+    play(RECORD, script)
--- a/review/world.py
+++ b/review/world.py
@@ -557,12 +557,12 @@
 class World:
     """The platform, its machines and the daemons of one script.
 
-    :param folder: where the script's record is written.
+    :param record: the file to which the script's record is written.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, record: Path) -> None:
         self.ip = "127.0.0.1"
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record)
         self.store = Store()
         self.machines: dict[str, Machine] = {}
         self.daemons: dict[str, subprocess.Popen[bytes]] = {}
@@ -875,16 +875,17 @@
         return ""
 
 
-def play(folder: Path, script: Callable[[World, bool], Awaitable[bool]]) -> None:
+def play(record: Path, script: Callable[[World, bool], Awaitable[bool]]) -> None:
     """Run a script's play and exit with 0 if the rule held, 1 if it was broken, 2 if it can't run.
 
+    :param record: the file for what was sent, answered and run.
     :param script: the play; it gets the world and whether to cause the disruption, and returns
         whether the rule held.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
-        world = World(folder)
+        world = World(record)
         task = asyncio.current_task()
         assert task is not None
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
