--- a/review/stand_in_2.py
+++ b/review/stand_in_2.py
@@ -373,6 +373,7 @@
         rows = [row for pool in self.machines for row in pool()]
         return json_response(200, {"machines": rows, "nextToken": None})
 
+    # No order to a machine came in any run of a case; one that comes is noted and refused.
     async def _do_machine_move(self, request: Request) -> Response:
         self._record(f"machine-move {request.body.decode()}")
         return json_response(409, {"reason": "busy"})
