--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -36,6 +36,8 @@
     "a job with a step of no tasks": (f"/quotes/{JOB}", {"steps": [{"count": 0}]}),
     "a job whose steps depend in rings": (f"/quotes/{JOB}", {"steps": [{"dependsOn": [0]}]}),
     "a job with a payload too long": (f"/quotes/{JOB}", {"spec": "p" * 4001, "steps": STEPS}),
+    "a job that is nested too deeply": (f"/quotes/{JOB}", '{"notes":' + "[" * 20_000),
+    "a job with a number of 70 bits": (f"/quotes/{JOB}", {"steps": [{"count": 1, "cpu": 2**70}]}),
     "a job under a bad id": ("/quotes/zz", {"spec": "p", "steps": STEPS}),
     "a job for an unknown queue": (f"/unknown/{JOB}", {"spec": "p", "steps": STEPS}),
 }
--- a/mustardgap/adapters.py
+++ b/mustardgap/adapters.py
@@ -12,6 +12,7 @@
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
 
 from . import status_codes
+from .codecs import Undecodable, decode_json
 from .exceptions import AnswerLost, LogExpired, PlatformError
 from .models import HostEntry, JobSpec, LogRecord, Page, TaskInfo, WorkerInfo
 from .resolvers import NumericFirstResolver
@@ -220,14 +221,15 @@
     if resp.code == 599:
         raise _unanswered_error(method, path, str(resp.error))
     try:
-        value = msgspec.json.decode(resp.body) if resp.body else {}
-    except msgspec.DecodeError:
+        value = decode_json(resp.body) if resp.body else {}
+    except Undecodable:
         raise _unanswered_error(method, path, "the answer is not JSON") from None
     if resp.code < 300:
         return value
-    detail = str(value.get("error", resp.reason))
-    if resp.code == 410 and "oldest" in value:
-        raise LogExpired(oldest=value["oldest"], detail=detail, place=path)
+    fields = value if isinstance(value, dict) else {}
+    detail = str(fields.get("error", resp.reason))
+    if resp.code == 410 and "oldest" in fields:
+        raise LogExpired(oldest=fields["oldest"], detail=detail, place=path)
     if resp.code == 404:
         raise PlatformError(code=status_codes.NOT_FOUND, detail=detail, place=path)
     if resp.code == 409 and "stale" in detail:
--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -1,8 +1,10 @@
 """Follows the records that operators and executors publish in the platform's store."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
+from absl import logging
+
 from .events import EventLog
 from .ports import Boards, Entries, Expired, Invalid, NoAnswer, Refused
 from .timers import Clock
@@ -114,7 +116,22 @@
 
     def apply_records(self, values: dict[str, bytes | None], *, source: str) -> None:
         """Apply records; a configuration older than the one in force is ignored."""
-        records = self._decode(values)
+        changed = False
+        for key, value in values.items():
+            changed |= self._apply_record(key, value, source)
+        if changed:
+            self.raw_by_key.update(values)
+            notify(self._subscribers, self._events)
+
+    def _apply_record(self, key: str, value: bytes | None, source: str) -> bool:
+        """Apply one record; one that can't be decoded has no effect on the others.
+
+        :return: whether anything has changed.
+        """
+        try:
+            records = self._decode({key: value})
+        except Exception as exc:
+            records = OperatorRecords(None, [], [f"{key}: {exc!r}"])
         for why in records.invalid:
             self._events.note("operator.invalid", vital=True, why=why, source=source)
         new = records.configuration
@@ -138,10 +155,7 @@
                 )
                 self.waves_by_number[wave.number] = wave
                 changed = True
-        if changed:
-            self.raw_by_key.update(values)
-            for callback in self._subscribers:
-                callback()
+        return changed
 
     def _apply_entries(self, entries: Entries) -> None:
         self._offset = self._read_end = entries.end
@@ -242,8 +256,7 @@
                 self._missing_by_id.setdefault(executor, now)
         self._drop_missing(now)
         if self.entries_by_id != before:
-            for callback in self._subscribers:
-                callback()
+            notify(self._subscribers, self._events)
 
     def _apply_entry(self, executor: str, raw: bytes | None, now: float) -> None:
         if not raw:
@@ -251,7 +264,10 @@
             if executor in self.entries_by_id:
                 self._missing_by_id.setdefault(executor, now)
             return
-        entry = self._decode(executor, raw)
+        try:
+            entry = self._decode(executor, raw)
+        except Exception as exc:
+            entry = Invalid(detail=repr(exc))
         if isinstance(entry, Invalid):
             self._handle_invalid(executor, entry)
             return
@@ -296,6 +312,20 @@
             self._events.note("executors.lost", vital=True, why=outcome.detail)
 
 
+def notify(subscribers: Sequence[Callable[[], None]], events: EventLog) -> None:
+    """Call all subscribers of a change; one that fails has no effect on the others.
+
+    A board that ended with it would be restarted, read the same records and end again, until its
+    daemon was ended, and all daemons at the same time.
+    """
+    for callback in subscribers:
+        try:
+            callback()
+        except Exception as exc:
+            logging.exception("a change of the records wasn't applied")
+            events.note("records.unapplied", vital=True, why=repr(exc))
+
+
 def _note_invalid(events: EventLog, entries: Entries) -> None:
     """Log records without a readable key, which have no effect on other records."""
     if entries.invalid:
--- a/mustardgap/calls.py
+++ b/mustardgap/calls.py
@@ -12,6 +12,7 @@
 
 from . import status_codes
 from .certificates import Certificates
+from .codecs import Undecodable, decode_json
 from .exceptions import MustardgapError
 from .resolvers import NumericFirstResolver
 from .settings import TlsSettings
@@ -204,8 +205,8 @@
 
 def _decode(entry: str, resp: HTTPResponse) -> Any:
     try:
-        value = msgspec.json.decode(resp.body)
-    except msgspec.DecodeError:
+        value = decode_json(resp.body)
+    except Undecodable:
         raise EffectUnknown(f"HTTP {resp.code} {resp.reason}, not JSON") from None
     if resp.code < 300:
         return value
--- a/mustardgap/checkpoints.py
+++ b/mustardgap/checkpoints.py
@@ -11,6 +11,7 @@
 
 from . import metrics, records, snapshots
 from .adapters import Platform
+from .codecs import Undecodable, convert
 from .exceptions import AnswerLost, LogExpired, PlatformError, RecordRejected
 from .models import CheckpointBody, LogRecord, Record
 from .outcomes import Verdict
@@ -248,7 +249,7 @@
 def _decode_chunk(record: LogRecord) -> ChunkBody | None:
     try:
         value = records.check(record.value)
-        body = msgspec.convert(value["body"], ChunkBody)
-    except (RecordRejected, msgspec.ValidationError):
+        body = convert(value["body"], ChunkBody)
+    except (RecordRejected, Undecodable):
         return None
     return body if 0 <= body.chunk < body.chunks <= MAX_CHUNKS else None
--- a/mustardgap/claims.py
+++ b/mustardgap/claims.py
@@ -12,6 +12,7 @@
 import msgspec
 from xxhash import xxh3_128_hexdigest
 
+from .codecs import Undecodable, convert
 from .models import LogRecord
 from .outcomes import Answered, NotRun, Outcome, Streamed
 
@@ -108,8 +109,8 @@
 def decode(value: Any) -> KeyRecord | None:
     """Decode a record of the log; return None if it isn't one of a key."""
     try:
-        return msgspec.convert(value, KeyRecord)  # type: ignore[arg-type]
-    except msgspec.ValidationError:
+        return convert(value, KeyRecord)
+    except Undecodable:
         return None
 
 
--- a/mustardgap/commands_jobs.py
+++ b/mustardgap/commands_jobs.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import click
-import msgspec
 
 from . import status_codes
 from .clients import Client
+from .codecs import Undecodable, convert
 from .command_options import NameType, SecondsType, cli, emit, options, run
 from .exceptions import MustardgapError
 from .explanations import explain_job
@@ -102,8 +102,8 @@
 
 def _read_spec(file: str) -> JobSpec:
     try:
-        return msgspec.convert(read_json(file), JobSpec)
-    except msgspec.ValidationError as exc:
+        return convert(read_json(file), JobSpec)
+    except Undecodable as exc:
         detail, _, where = str(exc).partition(" - at `$")
         place = f"{file}:{where.rstrip('`').lstrip('.')}".rstrip(":")
         raise MustardgapError(
--- a/mustardgap/declarations.py
+++ b/mustardgap/declarations.py
@@ -4,9 +4,8 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 from . import schemas, setting_checks, status_codes
+from .codecs import Undecodable
 from .exceptions import SettingsError
 from .models import Change, Declaration
 from .settings import read_json
@@ -62,11 +61,11 @@
         raise _invalid(f"no kind {kind}; it is one of {', '.join(schemas.SCHEMAS_BY_KIND)}", place)
     try:
         schemas.check_name(name)
-    except msgspec.ValidationError:
+    except Undecodable:
         raise _invalid(f"{name!r} is no name: letters, digits, '_', '.' and '-'", place) from None
     try:
         schemas.check_value(kind, value)
-    except msgspec.ValidationError as exc:
+    except Undecodable as exc:
         detail, _, value_path = str(exc).partition(" - at `$")
         detail = setting_checks.hint(detail, schemas.SCHEMAS_BY_KIND[kind])
         raise _invalid(detail, place + value_path.rstrip("`")) from None
--- a/mustardgap/events.py
+++ b/mustardgap/events.py
@@ -177,6 +177,16 @@
         metrics.log_lines.add(1, {"result": "suppressed"})
         metrics.omitted_lines.add(1, {"class": kind.value})
 
+    def _encode(self, row: dict[str, Any]) -> bytes:
+        """Encode a line; fields that JSON can't hold, such as half a character, are escaped.
+
+        What explains an unreadable input may be as unreadable, and mustn't end what it explains.
+        """
+        try:
+            return self._encoder.encode(row)
+        except Exception:
+            return self._encoder.encode({key: _to_ascii(value) for key, value in row.items()})
+
     def _write(self, row: dict[str, Any]) -> bool:
         """Write a line as far as the reader takes it.
 
@@ -185,7 +195,7 @@
         if self._descriptor is None:
             self.captured.append(row)
             return True
-        line = self._encoder.encode(row) + b"\n"
+        line = self._encode(row) + b"\n"
         if len(self._unwritten) + len(line) > MAX_UNWRITTEN_BYTES:
             return False
         self._unwritten += line
@@ -202,6 +212,15 @@
         return True
 
 
+def _to_ascii(value: Any) -> Any:
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    try:
+        return _shorten(value if isinstance(value, str) and value.isascii() else ascii(value))
+    except Exception as exc:
+        return f"a {type(value).__name__} that can't be shown: {type(exc).__name__}"
+
+
 def _shorten(value: Any) -> Any:
     if isinstance(value, str):
         return value[:MAX_TEXT]
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -71,37 +71,15 @@
 
     def update(self) -> None:
         """Apply the current list of executors."""
-        for listed in list(self.entries_by_id.values()):
-            entry = listed
-            link = self.links_by_executor.get(entry.executor)
-            if link is None:
-                if entry.service in self.services and not self.is_removed(entry):
-                    self.open(entry, inherited=False)
-                continue
-            incarnation = compare_starts(link.entry.started_ms, entry.started_ms)
-            if incarnation is Incarnation.NEWER:
-                if link.is_acknowledging:
-                    link.newer_start_ms = entry.started_ms
-                else:
-                    self.replace(link, entry, ends_hidden=link.may_hide_ends)
-                continue
-            if incarnation is Incarnation.OLDER:
-                # A report of the newer one came first.
-                link.listed = True
-                continue
-            entry = self._with_start(link, entry)
-            if entry.draining and not link.entry.draining:
-                self._events.note("executor.draining", executor=entry.executor)
-            if entry.capacity != link.entry.capacity:
+        for entry in list(self.entries_by_id.values()):
+            try:
+                self._apply_entry(entry)
+            except Exception as exc:
+                # An entry may come from another writer. One that can't be used has no effect on the
+                # others, which are unreachable for the shard's jobs if they aren't applied.
                 self._events.note(
-                    "executor.resized",
-                    executor=entry.executor,
-                    capacity=entry.capacity,
-                    before=link.entry.capacity,
-                    used=link.used,
+                    "executor.unapplied", vital=True, executor=entry.executor, why=repr(exc)
                 )
-            link.entry = entry
-            link.listed = True
         for executor, link in list(self.links_by_executor.items()):
             if executor not in self.entries_by_id:
                 if link.listed:
@@ -112,6 +90,37 @@
                 if link.lapsed:
                     self.drop(link, "not listed any more")
 
+    def _apply_entry(self, entry: ExecutorEntry) -> None:
+        link = self.links_by_executor.get(entry.executor)
+        if link is None:
+            if entry.service in self.services and not self.is_removed(entry):
+                self.open(entry, inherited=False)
+            return
+        incarnation = compare_starts(link.entry.started_ms, entry.started_ms)
+        if incarnation is Incarnation.NEWER:
+            if link.is_acknowledging:
+                link.newer_start_ms = entry.started_ms
+            else:
+                self.replace(link, entry, ends_hidden=link.may_hide_ends)
+            return
+        if incarnation is Incarnation.OLDER:
+            # A report of the newer one came first.
+            link.listed = True
+            return
+        entry = self._with_start(link, entry)
+        if entry.draining and not link.entry.draining:
+            self._events.note("executor.draining", executor=entry.executor)
+        if entry.capacity != link.entry.capacity:
+            self._events.note(
+                "executor.resized",
+                executor=entry.executor,
+                capacity=entry.capacity,
+                before=link.entry.capacity,
+                used=link.used,
+            )
+        link.entry = entry
+        link.listed = True
+
     def _with_start(self, link: ExecutorLink, entry: ExecutorEntry) -> ExecutorEntry:
         """Return an entry of a link's incarnation with the start that is known from either."""
         if link.entry.started_ms is None and entry.started_ms is not None:
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -18,7 +18,7 @@
 from .ports import Boards, Machines, NoAnswer, Refused, Store
 from .room_observations import DEMANDS_KEY
 from .shard_logs import ShardLog
-from .shard_records import DECODE_ERRORS, describe_error
+from .shard_records import describe_error
 from .timers import Clock
 from .workloads import Configuration, Service
 
@@ -191,7 +191,7 @@
                 continue
             try:
                 self._restore(key, value)
-            except DECODE_ERRORS as exc:
+            except Exception as exc:
                 # Pools' demand is learned again, and a repeated order for maintenance is answered
                 # as done.
                 self._events.note("record.invalid", vital=True, why=describe_error(key, exc))
--- a/mustardgap/fleet_moves.py
+++ b/mustardgap/fleet_moves.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from . import load_metrics, metrics
+from .codecs import decode_msgpack
 from .demand_rises import DemandRises, Rise
 from .events import EventLog
 from .fleet_orders import VIEW_VALID_S
@@ -96,7 +97,7 @@
 
     def restore(self, raw: bytes) -> None:
         """Restore what a former owner of the shard had learned."""
-        self._learned = msgspec.msgpack.decode(raw, type=Learned)
+        self._learned = decode_msgpack(raw, Learned)
         self._rises.seen = list(self._learned.rises)
         self._rises.peak_by_service = dict(self._learned.peaks)
 
--- a/mustardgap/fleet_orders.py
+++ b/mustardgap/fleet_orders.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from . import cancellations, metrics
+from .codecs import decode_msgpack
 from .events import EventLog
 from .fleet_states import Away, Closing, FleetState, OrderTimes
 from .ports import Done, Fenced, Machines, NoAnswer, NotInWave, Order, Refused, Throttled
@@ -113,7 +114,7 @@
     def restore(self, raw: bytes) -> None:
         """Restore the orders that a former owner may have sent just before the takeover."""
         now = self._clock.monotonic()
-        for row in msgspec.msgpack.decode(raw, type=list[RecentOrder]):
+        for row in decode_msgpack(raw, list[RecentOrder]):
             self._recent_by_machine[row.machine] = row
             sent_at = self._sent_at_by_machine[row.machine] = now - row.age_s
             self._state.not_before_by_machine[row.machine] = sent_at + self.holder_gap_s
--- a/mustardgap/fleet_waves.py
+++ b/mustardgap/fleet_waves.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from .boards import OperatorBoard
+from .codecs import decode_msgpack
 from .events import EventLog
 from .fleet_states import FleetState, OrderTimes, executor_in
 from .ports import Boards, NoAnswer, Refused
@@ -78,7 +79,7 @@
 
     def restore(self, number: int, raw: bytes) -> None:
         """Restore the progress of a wave under a former owner."""
-        first_seen_at, done = msgspec.msgpack.decode(raw)
+        first_seen_at, done = decode_msgpack(raw, tuple[float, list[str]])
         self._first_seen_at_by_wave[number] = first_seen_at
         self.done_by_wave[number] = set(done)
 
--- a/mustardgap/folds.py
+++ b/mustardgap/folds.py
@@ -6,8 +6,6 @@
 
 from typing import Any, NamedTuple
 
-import msgspec
-
 from . import (
     checkpoint_rules,
     config_rules,
@@ -18,6 +16,7 @@
     status_codes,
     wave_rules,
 )
+from .codecs import Undecodable, convert
 from .exceptions import RecordRejected
 from .models import (
     CheckpointBody,
@@ -136,8 +135,8 @@
     if rule is None:
         return Rejected(code=status_codes.UNKNOWN_KIND, detail=f"kind {kind}")
     try:
-        step: Any = msgspec.convert(body, rule.body)
-    except msgspec.ValidationError as exc:
+        step: Any = convert(body, rule.body)
+    except Undecodable as exc:
         return Rejected(code=status_codes.RECORD_INVALID, detail=str(exc))
     rejected: Rejected | None = rule.check(state, step)
     if rejected is None and apply_at is not None:
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -10,6 +10,7 @@
 from . import job_replies, load_metrics, metrics, owner_hints, pool_views, status_codes
 from .accounts import CredentialProblem, Identity
 from .boards import OperatorBoard
+from .codecs import Undecodable, convert
 from .credential_refusals import RefusalTally
 from .dispatchers import Dispatcher
 from .events import EventLog
@@ -193,11 +194,11 @@
         try:
             values = [shard, pool_views.encode_request(request)]
             answer = await self._peers.call(address, "pool", values, timeout_s=POOL_VIEW_TIMEOUT_S)
-        except PeerUnreachable as exc:
+            return pool_views.decode(answer) if answer is not None else None
+        except (PeerUnreachable, Undecodable) as exc:
             self._events.note("pool.unreachable", service=request.service, why=str(exc))
             await self._refresh()
             return None
-        return pool_views.decode(answer) if answer is not None else None
 
     def _local_pool_view(self, shard: int, request: PoolRequest) -> PoolView | None:
         owned = self._owners.owned_by_shard.get(shard)
@@ -207,7 +208,7 @@
 
     async def _answer_pool(self, values: list[Any]) -> tuple[Any, ...] | None:
         shard, request = values
-        view = self._local_pool_view(shard, msgspec.convert(request, PoolRequest))
+        view = self._local_pool_view(shard, convert(request, PoolRequest))
         return pool_views.encode_view(view) if view is not None else None
 
     async def reach(self, address: str) -> bool:
@@ -388,7 +389,11 @@
             if exc.sent:
                 return job_replies.unanswered(str(exc), is_change=name in CHANGE_CALLS)
             return job_replies.owner_unavailable(str(exc))
-        return job_replies.decode(answer)
+        try:
+            return job_replies.decode(answer)
+        except Undecodable as exc:
+            detail = f"unreadable answer: {exc}"
+            return job_replies.unanswered(detail, is_change=name in CHANGE_CALLS)
 
     async def _call_local_owner(self, shard: int, name: str, values: list[Any]) -> JobReply:
         owned = self._owners.owned_by_shard.get(shard)
@@ -399,8 +404,8 @@
             job_id, queue, spec, *rest = values
             return await handler.submit(
                 job_id=job_id,
-                queue=msgspec.convert(queue, Queue),
-                spec=msgspec.convert(spec, JobSpec),
+                queue=convert(queue, Queue),
+                spec=convert(spec, JobSpec),
                 identity=_decode_identity(rest),
                 wait_s=float(rest[1]) if len(rest) > 1 else None,
             )
@@ -439,5 +444,5 @@
 
 
 def _decode_identity(rest: list[Any]) -> Identity | None:
-    identity = msgspec.convert(rest[0], Identity) if rest else None
+    identity = convert(rest[0], Identity) if rest else None
     return identity if identity != NOBODY else None
--- a/mustardgap/job_histories.py
+++ b/mustardgap/job_histories.py
@@ -4,9 +4,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-import msgspec
-
 from . import status_codes
+from .codecs import Undecodable, decode_json
 from .exceptions import SettingsError
 
 # Keys of a line that have their own field in Line.
@@ -104,9 +103,9 @@
         if start < 0:
             return None
         try:
-            row: dict[str, Any] = msgspec.json.decode(raw[start:])
-        except msgspec.DecodeError:
+            row: dict[str, Any] = decode_json(raw[start:], dict[str, Any])
+        except Undecodable:
             continue
-        if isinstance(row["time"], int | float):
+        if isinstance(row.get("time"), int | float):
             return row
     return None
--- a/mustardgap/job_replies.py
+++ b/mustardgap/job_replies.py
@@ -4,6 +4,7 @@
 
 from . import status_codes
 from .accounts import CredentialProblem
+from .codecs import Undecodable, total
 from .job_states import JobPhase
 from .status_codes import Code
 
@@ -29,8 +30,12 @@
         return values if self.retry_after_s is None else [*values, self.retry_after_s]
 
 
+@total(Undecodable)
 def decode(values: list[str | int | None]) -> JobReply:
-    """Return the reply for its plain values."""
+    """Return the reply for its plain values.
+
+    :raises Undecodable: what is wrong with them.
+    """
     number, state, pending, detail, *rest = values
     assert isinstance(number, int)
     return JobReply(
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .codecs import decode_msgpack
 from .crashes import Crash, CrashSite
 from .tickets import Ticket
 from .workloads import EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
@@ -419,7 +420,7 @@
 
     def restore(self, raw: bytes) -> None:
         """Restore the progress that former owners stored."""
-        progress = msgspec.msgpack.decode(raw, type=Progress)
+        progress = decode_msgpack(raw, Progress)
         self.phase = self.durable_phase = JobPhase(progress.phase)
         self.ended_at = progress.ended_at
         self.end_reason = progress.why
@@ -510,7 +511,7 @@
 
 def decode_job(job_id: JobId, raw: bytes) -> Job:
     """Decode a job from its durable form."""
-    return Job(job_id=job_id, stored=msgspec.msgpack.decode(raw, type=StoredJob))
+    return Job(job_id=job_id, stored=decode_msgpack(raw, StoredJob))
 
 
 def batch_cpu_s(steps: tuple[Step, ...]) -> float:
--- a/mustardgap/json_files.py
+++ b/mustardgap/json_files.py
@@ -23,7 +23,7 @@
     text = _read_text(Path(path))
     try:
         value = json5.loads(text, allow_duplicate_keys=False)
-    except (ValueError, RecursionError) as exc:
+    except Exception as exc:
         detail = " ".join(str(exc).split())[:200] or "nested too deeply"
         raise _error(status_codes.SETTINGS_SYNTAX, detail, path) from None
     fault = _fault(value, MAX_DEPTH)
--- a/mustardgap/messages.py
+++ b/mustardgap/messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from .codecs import Undecodable, total
+
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 
@@ -243,9 +245,10 @@
     return _encoder.encode(frame)
 
 
+@total(Undecodable)
 def decode(data: bytes) -> Frame:
     """Decode a frame.
 
-    :raises msgspec.DecodeError: it is no frame.
+    :raises Undecodable: it is no frame.
     """
     return _decoder.decode(data)
--- a/mustardgap/operator_handlers.py
+++ b/mustardgap/operator_handlers.py
@@ -9,6 +9,7 @@
 from tornado.web import HTTPError, RequestHandler
 
 from . import status_codes, unanswered
+from .codecs import Undecodable, decode_json
 from .exceptions import MustardgapError
 from .outcomes import Accepted, Rejected, Verdict
 from .problems import CONTENT_TYPE, TYPE_PREFIX
@@ -111,8 +112,8 @@
         :raises MustardgapError: MG1111 with the key.
         """
         try:
-            return msgspec.json.decode(self.request.body, type=body_type)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            return decode_json(self.request.body, body_type)
+        except Undecodable as exc:
             detail, _, where = str(exc).partition(" - at `$")
             raise MustardgapError(
                 code=status_codes.BAD_REQUEST,
--- a/mustardgap/owner_hints.py
+++ b/mustardgap/owner_hints.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable, Collection
 from typing import Any, NamedTuple
 
-import msgspec
-
-from . import metrics
+from . import codecs, metrics
 from .events import EventLog
 from .peer_calls import PeerClient, PeerUnreachable
 from .shard_owners import ShardOwners
@@ -83,8 +81,8 @@
         if answer is None:
             return None
         try:
-            view = msgspec.convert(answer, OwnersView)
-        except msgspec.ValidationError:
+            view = codecs.convert(answer, OwnersView)
+        except codecs.Undecodable:
             # A later version may answer in another form.
             return None
         # The call's own time counts as age, so that a delayed answer can't pass for a newer one.
--- a/mustardgap/owner_records.py
+++ b/mustardgap/owner_records.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from .codecs import Undecodable, decode_msgpack
+
 OWNER_KEY = "o"
 
 
@@ -25,9 +27,9 @@
 def decode_owner(raw: bytes) -> OwnerRecord:
     """Decode a stored owner record.
 
-    :raises msgspec.DecodeError: when it can't be decoded.
+    :raises Undecodable: what is wrong with it.
     """
-    return msgspec.msgpack.decode(raw, type=OwnerRecord)
+    return decode_msgpack(raw, OwnerRecord)
 
 
 def may_have_diverted(raw: bytes | None) -> bool:
@@ -40,6 +42,6 @@
         return False
     try:
         owner = decode_owner(raw)
-    except msgspec.DecodeError:
+    except Undecodable:
         return True
     return not owner.closed or owner.diverted
--- a/mustardgap/peer_calls.py
+++ b/mustardgap/peer_calls.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from . import cancellations, grpc_threads, unanswered
+from .codecs import Undecodable, decode_msgpack
 from .events import EventLog
 
 SERVICE = "mustardgap.Owners"
@@ -89,7 +90,12 @@
             await server.stop(0.1)
 
     async def _answer(self, raw: bytes, context: grpc.aio.ServicerContext) -> bytes:
-        name, values = msgspec.msgpack.decode(raw)
+        try:
+            name, values = decode_msgpack(raw, tuple[str, Any])
+        except Undecodable as exc:
+            self._events.note("call.invalid", vital=True, why=str(exc))
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "no call that can be read")
+            raise AssertionError from None
         handler = self._handlers_by_name.get(name)
         if handler is None:
             await context.abort(grpc.StatusCode.UNIMPLEMENTED, f"no call {name}")
@@ -157,7 +163,10 @@
                 raise
             raise PeerUnreachable(sent=True, detail="the connection was given up") from None
         link.last_answer_at = asyncio.get_running_loop().time()
-        return msgspec.msgpack.decode(answer)
+        try:
+            return decode_msgpack(answer)
+        except Undecodable as exc:
+            raise PeerUnreachable(sent=True, detail=f"unreadable answer: {exc}") from None
 
     def _link(self, address: str) -> _Link:
         link = self._links_by_address.get(address)
--- a/mustardgap/peers.py
+++ b/mustardgap/peers.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 import grpc
-import msgspec
 from absl import logging
 
 from . import cancellations, channels, status_codes
+from .codecs import Undecodable
 from .exceptions import MustardgapError
 from .links import Link, Stream
 from .members import Member, Members, MemberState, row_of
@@ -242,7 +242,7 @@
         """
         try:
             return await self._open(address, member_id)
-        except (TimeoutError, grpc.RpcError, grpc.aio.UsageError, msgspec.DecodeError) as exc:
+        except (TimeoutError, grpc.RpcError, grpc.aio.UsageError, Undecodable) as exc:
             logging.debug("failed to open a stream to %s: %s", address, exc)
         except (Exception, asyncio.CancelledError):
             # For example, a certificate is just being replaced, or gRPC has cancelled the call. If
@@ -271,7 +271,7 @@
             async with asyncio.timeout(self.settings.peers.connect_timeout_s):
                 hello = _hello_of(await context.read())
                 await context.write(self._hello(hello.stream))
-        except (TimeoutError, msgspec.DecodeError):
+        except (TimeoutError, Undecodable):
             return
         dialer_id = f"{hello.me.host}@{hello.me.incarnation:x}"
         stream = Stream(call=context, dialer=dialer_id, number=hello.stream)
@@ -456,8 +456,8 @@
 
 def _hello_of(data: Any) -> Hello:
     if data is grpc.aio.EOF:
-        raise msgspec.DecodeError("the stream ended before its Hello message")
+        raise Undecodable("the stream ended before its Hello message")
     items = decode(data).items
     if not items or not isinstance(items[0].body, Hello):
-        raise msgspec.DecodeError("the stream doesn't start with a Hello message")
+        raise Undecodable("the stream doesn't start with a Hello message")
     return items[0].body
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -6,11 +6,13 @@
 import random
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
 from .. import cancellations, load_features, logs, metrics, policies
-from ..boards import ExecutorBoard, OperatorBoard, OperatorRecords
+from ..boards import ExecutorBoard, OperatorBoard, OperatorRecords, notify
+from ..codecs import Undecodable, convert
 from ..dispatchers import Bounds, Dispatcher
 from ..events import EventLog
 from ..exceptions import MustardgapError
@@ -291,9 +293,12 @@
     def _update(self) -> None:
         if any(entry.started_ms is not None for entry in self.board.entries_by_id.values()):
             self.features.note_starts_stated()
-        for owned in self.owners.owned_by_shard.values():
-            if isinstance(owned, Dispatcher):
-                self._update_one(owned)
+        updates = [
+            partial(self._update_one, owned)
+            for owned in self.owners.owned_by_shard.values()
+            if isinstance(owned, Dispatcher)
+        ]
+        notify(updates, self.events)
 
     def _update_one(self, dispatcher: Dispatcher) -> None:
         configuration = self.operator.configuration
@@ -326,10 +331,10 @@
         address = random.choice(sorted(addresses))
         try:
             values = await self.peers.call(address, "configuration", None, timeout_s=PEER_S)
-        except PeerUnreachable as exc:
+            return convert(values, dict[str, bytes | None])
+        except (PeerUnreachable, Undecodable) as exc:
             self.events.note("peer.unreachable", peer=address, why=str(exc))
             return {}
-        return dict(values)
 
 
 def decode_operator(values: dict[str, bytes | None]) -> OperatorRecords:
--- a/mustardgap/platform/decoding.py
+++ b/mustardgap/platform/decoding.py
@@ -1,6 +1,5 @@
 """Bodies and records of the platform, decoded once into the product's types and back."""
 
-import binascii
 from base64 import b64decode
 from collections.abc import Mapping
 from enum import StrEnum
@@ -10,6 +9,14 @@
 import msgspec
 
 from ..accounts import Account, AccountDirectory, digest_of
+from ..codecs import (
+    MAX_EXACT_INT,
+    Undecodable,
+    convert,
+    decode_json,
+    total,
+    without_deep_rows,
+)
 from ..workloads import (
     AdvicePolicy,
     Configuration,
@@ -32,6 +39,7 @@
 MAX_PAYLOAD_BYTES = 4_000
 MAX_TASKS = 10_000
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 # So much of a record that can't be read is shown beside the reason.
 MAX_SHOWN_BYTES = 100
 
@@ -99,41 +107,41 @@
     tenants: list[_Tenant] | None = None
 
 
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+# Whole numbers are kept as MessagePack, which takes 64 bits, and passed on as JSON.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INT)]
+_Amount = Annotated[int, msgspec.Meta(gt=0, le=MAX_EXACT_INT)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_EXACT_INT)]
+_Moment = _Count
+
+
 class _Step(msgspec.Struct):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = msgspec.field(default=0, name="memMb")
-    gpu: int = 0
-    estimate_ms: float = msgspec.field(default=0, name="estimateMs")
-    depends_on: list[int] = msgspec.field(default_factory=list, name="dependsOn")
+    count: _Count = 1
+    cpu: _Count = 0
+    mem_mb: _Count = msgspec.field(default=0, name="memMb")
+    gpu: _Count = 0
+    estimate_ms: _Milliseconds = msgspec.field(default=0, name="estimateMs")
+    depends_on: list[_Count] = msgspec.field(default_factory=list, name="dependsOn")
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = msgspec.field(default=False, name="sameRack")
     requires: str = ""
     data_rack: str = msgspec.field(default="", name="dataRack")
-    anti_affinity: int = msgspec.field(default=0, name="antiAffinity")
+    anti_affinity: _Count = msgspec.field(default=0, name="antiAffinity")
     speculative: bool = False
     long_running: bool = msgspec.field(default=False, name="longRunning")
     image: str = ""
-    target_ms: float = msgspec.field(default=0, name="targetMs")
+    target_ms: _Milliseconds = msgspec.field(default=0, name="targetMs")
     fills: bool = False
-    may_miss: int | None = msgspec.field(default=None, name="mayMiss")
+    may_miss: _Count | None = msgspec.field(default=None, name="mayMiss")
 
 
 class _Job(msgspec.Struct):
     steps: list[_Step]
     spec: str = ""
-    repeats: int = 0
-    first_ms: float = msgspec.field(default=0, name="firstMs")
-    interval_ms: float = msgspec.field(default=0, name="intervalMs")
-
-
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
-_Amount = Annotated[int, msgspec.Meta(gt=0)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
-# A larger whole number isn't exact in every JSON reader, and over 64 bits it can't be stored.
-_Moment = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+    repeats: _Count = 0
+    first_ms: _Milliseconds = msgspec.field(default=0, name="firstMs")
+    interval_ms: _Milliseconds = msgspec.field(default=0, name="intervalMs")
 
 
 class _Capacity(msgspec.Struct):
@@ -226,33 +234,70 @@
 
 class _RunningRow(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: _Count
     saved: str
     percent: float
     load: float = 0
 
 
 class _EndedRow(msgspec.Struct, array_like=True):
-    number: int
+    number: _Count
     task: str
-    run: int
+    run: _Count
     how: Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
     saved: str
 
 
 class _Report(msgspec.Struct):
-    clock_ms: int = msgspec.field(name="clockMs")
+    clock_ms: _Count = msgspec.field(name="clockMs")
     running: list[_RunningRow] = []
     ended: list[_EndedRow] = []
     born: _Moment | None = None
 
 
-class InvalidBody(ValueError):
+class _PartRow(msgspec.Struct, array_like=True):
+    topic: str
+    part: _Count
+
+
+class _JoinReply(msgspec.Struct):
+    generation: _Count
+    parts: list[_PartRow]
+
+
+class _OwnerRow(msgspec.Struct, array_like=True):
+    topic: str
+    part: _Count
+    member: str | None = None
+
+
+class _GrantRow(msgspec.Struct, array_like=True):
+    executor: str
+    ticket: str
+
+
+class _Grants(msgspec.Struct):
+    granted: list[_GrantRow] = []
+    valid_ms: _Milliseconds = msgspec.field(default=0, name="validMs")
+
+
+class JoinReply(NamedTuple):
+    """The store's reply to a member of a group: its generation, and its partitions of a topic."""
+
+    generation: int
+    parts: frozenset[int]
+
+
+class InvalidBody(Undecodable):
     """A body that isn't what the platform's page says; the text tells why."""
 
 
+@total(InvalidBody)
 def configuration(raw: bytes) -> Configuration:
-    """Decode the operator's configuration."""
+    """Decode the operator's configuration.
+
+    :raises InvalidBody: what is wrong with it.
+    """
     fields = _decode(raw, _Config)
     return Configuration(
         version=fields.version,
@@ -318,6 +363,7 @@
     )
 
 
+@total(InvalidBody)
 def job(raw: bytes) -> JobSpec:
     """Decode a job that a caller hands in.
 
@@ -367,6 +413,7 @@
     )
 
 
+@total(InvalidBody)
 def executor_entry(executor: str, raw: bytes) -> ExecutorEntry:
     """Decode what an executor says of itself.
 
@@ -398,10 +445,12 @@
         IPv4Address(ip)
     except AddressValueError as exc:
         raise InvalidBody(f"the address {address!r}: {exc}") from None
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not (is_number and 0 < int(port) <= MAX_PORT):
         raise InvalidBody(f"the address {address!r} has no port from 1 to {MAX_PORT}")
 
 
+@total(InvalidBody)
 def wave(raw: bytes) -> Wave:
     """Decode a wave of maintenance.
 
@@ -411,12 +460,13 @@
     return Wave(fields.wave, tuple(fields.machines), fields.finish_by_s, fields.max_count)
 
 
+@total(InvalidBody)
 def machine_page(raw: bytes) -> MachinePage:
     """Decode one page of machines; a row that can't be read costs that row only.
 
     :raises InvalidBody: the page itself can't be read.
     """
-    page = _decode(raw, _MachinePage)
+    page = _decode_page(raw, _MachinePage)
     machines: list[Machine] = []
     invalid: list[str] = []
     for row in page.machines:
@@ -439,6 +489,7 @@
     )
 
 
+@total(InvalidBody)
 def newest_page(raw: bytes) -> NewestPage:
     """Decode one page of the newest records; one that can't be read costs that record only.
 
@@ -447,7 +498,7 @@
 
     :raises InvalidBody: the page itself can't be read.
     """
-    page = _decode(raw, _NewestPage)
+    page = _decode_page(raw, _NewestPage)
     values: dict[str, bytes] = {}
     invalid: list[str] = []
     for raw_item in page.items:
@@ -458,11 +509,12 @@
             continue
         try:
             values[item.key] = b64decode(item.value, validate=True)
-        except (binascii.Error, ValueError):
+        except ValueError:
             values[item.key] = item.value.encode()
     return NewestPage(values, invalid, page.end, page.has_more)
 
 
+@total(InvalidBody)
 def report(raw: bytes) -> Report:
     """Decode what an executor answers when it is asked what it runs.
 
@@ -480,6 +532,7 @@
     return Report(fields.clock_ms, running, ended, fields.born)
 
 
+@total(InvalidBody)
 def task_id(name: str) -> TaskId:
     """Decode a task's name.
 
@@ -497,11 +550,63 @@
     return f"{task.job}.{task.occurrence}.{task.step}.{task.number}"
 
 
+@total(InvalidBody)
+def join_reply(raw: bytes, topic: str) -> JoinReply:
+    """Decode the store's reply to a member of a group.
+
+    It holds as a whole or not at all: a partition that was left out would be given up.
+
+    :raises InvalidBody: what is wrong with it.
+    """
+    fields = _decode(raw, _JoinReply)
+    parts = frozenset(row.part for row in fields.parts if row.topic == topic)
+    return JoinReply(fields.generation, parts)
+
+
+@total(InvalidBody)
+def owner_rows(raw: bytes, topic: str) -> dict[int, str]:
+    """Decode the members that hold a topic's partitions; a row that can't be read is left out.
+
+    :raises InvalidBody: the reply itself can't be read.
+    """
+    value = _decode(raw, Any)
+    lists = value.values() if isinstance(value, dict) else [value]
+    rows = next((rows for rows in lists if isinstance(rows, list)), [])
+    members: dict[int, str] = {}
+    for row in rows:
+        try:
+            fields = convert(row, _OwnerRow)
+        except Undecodable:
+            continue
+        if fields.topic == topic and fields.member:
+            members[fields.part] = fields.member
+    return members
+
+
+@total(InvalidBody)
+def granted_tickets(raw: bytes) -> tuple[dict[str, str], float]:
+    """Decode advice: tickets by executor, and for how many seconds they are valid.
+
+    :raises InvalidBody: what is wrong with it.
+    """
+    fields = _decode(raw, _Grants)
+    tickets = {row.executor: row.ticket for row in fields.granted}
+    return tickets, fields.valid_ms / 1000
+
+
+def count_of(fields: Mapping[str, Any], name: str) -> int | None:
+    """A field of a JSON object that is a whole number, None if it isn't one."""
+    value = fields.get(name)
+    if not isinstance(value, int) or isinstance(value, bool):
+        return None
+    return value if 0 <= value <= MAX_EXACT_INT else None
+
+
 def fields_of(raw: bytes) -> Mapping[str, Any]:
     """A JSON object's fields, none if it isn't one."""
     try:
-        value = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        value = decode_json(raw)
+    except Undecodable:
         return {}
     return value if isinstance(value, dict) else {}
 
@@ -510,8 +615,14 @@
     return Room(fields.cpu, fields.mem_mb, fields.gpu)
 
 
-def _decode(raw: bytes, kind: type[Any]) -> Any:
+def _decode_page(raw: bytes, kind: type[Any]) -> Any:
+    """Decode a page of rows that are still to be decoded, even where one is nested too deeply."""
     try:
-        return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise InvalidBody(str(exc)) from None
+        return _decode(raw, kind)
+    except InvalidBody:
+        return _decode(without_deep_rows(raw), kind)
+
+
+@total(InvalidBody)
+def _decode(raw: bytes, kind: type[Any]) -> Any:
+    return decode_json(raw, kind)
--- a/mustardgap/platform/executor_client.py
+++ b/mustardgap/platform/executor_client.py
@@ -7,7 +7,7 @@
 from ..http_pools import HttpAnswer, HttpPool
 from ..ports import Fenced, NoAnswer, OtherIncarnation, Refused, Started, StartRefused, Stopped
 from ..workloads import ExecutorEntry, Report, TaskId
-from .decoding import InvalidBody, fields_of, report, task_name
+from .decoding import InvalidBody, count_of, fields_of, report, task_name
 
 # An executor answers within a few milliseconds; orders that it left unanswered are repeated.
 ORDER_S = 0.5
@@ -77,7 +77,7 @@
         if not isinstance(answer, HttpAnswer):
             return answer
         fields = fields_of(answer.body)
-        clock_ms = fields.get("clockMs")
+        clock_ms = count_of(fields, "clockMs")
         if answer.status == 200:
             return Started(clock_ms=clock_ms or 0)
         if answer.status in (429, 503):
@@ -124,7 +124,7 @@
     if not isinstance(answer, HttpAnswer):
         return answer
     if answer.status == 200:
-        return Stopped(clock_ms=fields_of(answer.body).get("clockMs", 0))
+        return Stopped(clock_ms=count_of(fields_of(answer.body), "clockMs") or 0)
     return _refusal(answer)
 
 
--- a/mustardgap/platform/machine_client.py
+++ b/mustardgap/platform/machine_client.py
@@ -19,7 +19,7 @@
     Throttled,
 )
 from ..workloads import ExecutorId, Machine, TaskId
-from .decoding import InvalidBody, fields_of, machine_page
+from .decoding import InvalidBody, fields_of, granted_tickets, machine_page
 
 # Both services answer in milliseconds on a calm day and some 50 times slower on a bad one.
 CALL_S = 1.0
@@ -132,6 +132,8 @@
             return answer
         if answer.status != 200:
             return Refused(detail=str(answer.status))
-        fields = fields_of(answer.body)
-        tickets = {row[0]: row[1] for row in fields.get("granted", [])}
-        return Granted(tickets_by_executor=tickets, valid_s=fields.get("validMs", 0) / 1000)
+        try:
+            tickets, valid_s = granted_tickets(answer.body)
+        except InvalidBody as exc:
+            return Refused(detail=f"advice that can't be read: {exc}")
+        return Granted(tickets_by_executor=tickets, valid_s=valid_s)
--- a/mustardgap/platform/process_settings.py
+++ b/mustardgap/platform/process_settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .. import status_codes
+from ..codecs import Undecodable, decode_lenient_json
 from ..exceptions import SettingsError
 
 # The part of the platform's rules that is about overload.
@@ -125,8 +126,8 @@
             code=status_codes.SETTINGS_UNREADABLE, detail=str(exc), place=str(path)
         ) from None
     try:
-        fields = msgspec.json.decode(raw, type=_File, strict=False)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        fields = decode_lenient_json(raw, _File)
+    except Undecodable as exc:
         raise SettingsError(
             code=status_codes.SETTINGS_SYNTAX, detail=str(exc), place=str(path)
         ) from None
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -3,7 +3,6 @@
 import struct
 import time
 from collections.abc import Mapping, Sequence
-from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
@@ -22,7 +21,7 @@
     WrongSequence,
 )
 from ..shard_owners import failover_partition
-from .decoding import InvalidBody, fields_of, newest_page
+from .decoding import InvalidBody, count_of, fields_of, join_reply, newest_page, owner_rows
 
 JOBS = "keyed.mustardgap-jobs"
 JOBS_FAILOVER = "keyed.mustardgap-failover"
@@ -69,7 +68,8 @@
         """Raise a partition's epoch; the call is an append without records."""
         topic, part = self._place(shard, failover)
         outcome = await self._append(topic, part, b"", {"producer": PRODUCER, "epoch": epoch})
-        assert not isinstance(outcome, WrongSequence)
+        if isinstance(outcome, WrongSequence):
+            return Refused(detail="a sequence number is asked for where none is used")
         return outcome
 
     async def append(
@@ -107,11 +107,17 @@
             "ttlMs": int(ttl_s * 1000),
             "generation": generation,
         }
-        fields = await self._post("/mustardgap/log-join", body, self._patience_s)
-        if isinstance(fields, Refused | NoAnswer):
-            return fields
-        shards = frozenset(row[1] for row in fields["parts"] if row[0] == JOBS)
-        return Joined(generation=fields["generation"], shards=shards)
+        raw = msgspec.json.encode(body)
+        answer = await self._call("POST", "/mustardgap/log-join", raw, self._patience_s)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        if answer.status != 200:
+            return _refused(answer)
+        try:
+            reply = join_reply(answer.body, JOBS)
+        except InvalidBody as exc:
+            return Refused(detail=f"a reply that can't be read: {exc}")
+        return Joined(generation=reply.generation, shards=reply.parts)
 
     async def leave(self, *, member: str) -> Done | Refused | NoAnswer:
         """Leave the owners' group."""
@@ -131,9 +137,10 @@
             return answer
         if answer.status != 200:
             return _refused(answer)
-        value = msgspec.json.decode(answer.body)
-        rows = value if isinstance(value, list) else next(iter(_lists(value)), [])
-        return {row[1]: row[2] for row in rows if row[0] == JOBS and row[2]}
+        try:
+            return owner_rows(answer.body, JOBS)
+        except InvalidBody as exc:
+            return Refused(detail=f"a reply that can't be read: {exc}")
 
     async def read_operator(
         self, *, offset: int | None, wait_s: float
@@ -222,24 +229,14 @@
             return answer
         fields = fields_of(answer.body)
         if answer.status == 200:
-            return Appended(end=fields.get("end", 0))
+            return Appended(end=count_of(fields, "end") or 0)
         if answer.status == 409 and fields.get("reason") == "fenced":
             return Fenced(detail="a higher epoch writes this shard")
         if answer.status == 409:
-            expected = [value for key, value in fields.items() if isinstance(value, int)]
+            expected = [count for key in fields if (count := count_of(fields, key)) is not None]
             return WrongSequence(expected=expected[0] if expected else -1)
         return _refused(answer)
 
-    async def _post(
-        self, path: str, body: dict[str, Any], timeout_s: float
-    ) -> dict[str, Any] | Refused | NoAnswer:
-        answer = await self._call("POST", path, msgspec.json.encode(body), timeout_s)
-        if not isinstance(answer, HttpAnswer):
-            return answer
-        if answer.status != 200:
-            return _refused(answer)
-        return dict(fields_of(answer.body))
-
     async def _call(
         self, method: str, target: str, body: bytes | None, timeout_s: float
     ) -> HttpAnswer | NoAnswer:
@@ -298,9 +295,5 @@
     return content[1:key_end].decode(), content[key_end:] or None
 
 
-def _lists(fields: dict[str, Any]) -> list[list[Any]]:
-    return [value for value in fields.values() if isinstance(value, list)]
-
-
 def _refused(answer: HttpAnswer) -> Refused:
     return Refused(detail=f"{answer.status} {answer.body[:200].decode(errors='replace')}")
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -4,9 +4,8 @@
 from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import msgspec
-
 from .accounts import NO_GRANT, Grant, GrantNumber, PoolUse
+from .codecs import convert
 from .duration_corrections import DurationCorrections
 from .job_states import Job
 from .load_features import Feature
@@ -215,5 +214,8 @@
 
 
 def decode(values: Any) -> PoolView:
-    """Decode a view from plain values."""
-    return msgspec.convert(values, PoolView)
+    """Decode a view from plain values.
+
+    :raises Undecodable: what is wrong with them.
+    """
+    return convert(values, PoolView)
--- a/mustardgap/records.py
+++ b/mustardgap/records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from . import status_codes
+from .codecs import Undecodable, convert
 from .exceptions import RecordRejected
 from .models import RULES_VERSION, Record
 
@@ -67,6 +68,6 @@
         detail = f"the record needs rules {rules}, this daemon has {RULES_VERSION}"
         raise RecordRejected(code=status_codes.RULES_TOO_NEW, detail=detail)
     try:
-        return msgspec.convert(value, Record)
-    except msgspec.ValidationError as exc:
+        return convert(value, Record)
+    except Undecodable as exc:
         raise RecordRejected(code=status_codes.RECORD_INVALID, detail=str(exc)) from None
--- a/mustardgap/room_observations.py
+++ b/mustardgap/room_observations.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .codecs import decode_msgpack
 from .pool_demands import FILL_SHARE, RESERVE_SHARE, SHRINK_WINDOW_S, PoolDemand, machine_cpu_of
 from .pool_views import PoolView
 
@@ -102,7 +103,7 @@
 
     def restore(self, raw: bytes) -> None:
         """Restore the demands that a former owner of the shard has stored."""
-        rows = msgspec.msgpack.decode(raw, type=list[StoredDemand])
+        rows = decode_msgpack(raw, list[StoredDemand])
         self.by_service = {row.service: PoolObservation(row) for row in rows}
 
     def of(self, service: str) -> PoolObservation:
--- a/mustardgap/schemas.py
+++ b/mustardgap/schemas.py
@@ -5,6 +5,8 @@
 import msgspec
 from msgspec import Meta
 
+from .codecs import convert
+
 Hosts = Annotated[int, Meta(ge=0, le=100_000)]
 Seconds = Annotated[float, Meta(ge=0, le=366 * 86_400)]
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
@@ -118,9 +120,9 @@
 def check_name(name: str) -> None:
     """Check a declaration's name.
 
-    :raises msgspec.ValidationError: it has characters that a name can't have.
+    :raises Undecodable: it has characters that a name can't have.
     """
-    msgspec.convert({"name": name}, NameSchema)
+    convert({"name": name}, NameSchema)
 
 
 def check_value(kind: str, value: Any) -> None:
@@ -128,6 +130,6 @@
 
     :param kind: a key of ``SCHEMAS_BY_KIND``.
     :param value: the value, a map.
-    :raises msgspec.ValidationError: with the place in the value.
+    :raises Undecodable: with the place in the value.
     """
-    msgspec.convert(value, SCHEMAS_BY_KIND[kind])
+    convert(value, SCHEMAS_BY_KIND[kind])
--- a/mustardgap/settings.py
+++ b/mustardgap/settings.py
@@ -11,6 +11,7 @@
 from msgspec import Meta
 
 from . import status_codes
+from .codecs import Undecodable, convert
 from .exceptions import SettingsError
 from .json_files import read_json
 from .setting_checks import find_clashes, find_non_finite, hint
@@ -248,8 +249,8 @@
     if key:
         raise _invalid(path, key, "not a finite number")
     try:
-        return msgspec.convert(raw, section)
-    except msgspec.ValidationError as exc:
+        return convert(raw, section)
+    except Undecodable as exc:
         message, _, where = str(exc).partition(" - at `$")
         raise _invalid(path, where.rstrip("`").lstrip("."), hint(message, section)) from None
 
--- a/mustardgap/shard_records.py
+++ b/mustardgap/shard_records.py
@@ -3,16 +3,12 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-import msgspec
-
+from .codecs import decode_msgpack, describe
 from .job_states import Job, decode_job
 from .owner_records import OWNER_KEY, decode_owner
 from .shard_logs import EXECUTOR_KEY, JOB_KEY, PROGRESS_KEY
 from .workloads import ExecutorEntry, ExecutorId
 
-# Raised by decoding: the bytes have another format, or contain invalid values.
-DECODE_ERRORS = (msgspec.DecodeError, ValueError, KeyError, IndexError, TypeError)
-
 
 class ShardRecords(NamedTuple):
     """The records of one shard.
@@ -49,14 +45,14 @@
 
 def describe_error(key: str, exc: Exception) -> str:
     """Describe why a record couldn't be decoded, for the log."""
-    return f"{key}: {type(exc).__name__}: {exc}"
+    return f"{key}: {describe(exc)}"
 
 
 def _read_job(records: ShardRecords, key: str, value: bytes) -> None:
     job_id = key.removeprefix(JOB_KEY)
     try:
         records.jobs_by_id[job_id] = decode_job(job_id, value)
-    except DECODE_ERRORS as exc:
+    except Exception as exc:
         records.invalid.append(describe_error(key, exc))
 
 
@@ -66,7 +62,7 @@
         return
     try:
         job.restore(value)
-    except DECODE_ERRORS as exc:
+    except Exception as exc:
         # Which of its tasks are done is unknown; if started again, some would run twice.
         job.progress_unreadable = True
         records.invalid.append(describe_error(key, exc))
@@ -74,8 +70,8 @@
 
 def _read_executor(records: ShardRecords, key: str, value: bytes) -> None:
     try:
-        records.executors.append(msgspec.msgpack.decode(value, type=ExecutorEntry))
-    except DECODE_ERRORS as exc:
+        records.executors.append(decode_msgpack(value, ExecutorEntry))
+    except Exception as exc:
         records.unreadable_executors.append(key.removeprefix(EXECUTOR_KEY))
         records.invalid.append(describe_error(key, exc))
 
@@ -86,7 +82,7 @@
         return True
     try:
         return decode_owner(raw).closed
-    except DECODE_ERRORS as exc:
+    except Exception as exc:
         # An owner that isn't known to have left may still grant leases.
         invalid.append(describe_error(OWNER_KEY, exc))
         return False
--- a/mustardgap/snapshots.py
+++ b/mustardgap/snapshots.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from . import status_codes
+from .codecs import Undecodable, decode_msgpack
 from .exceptions import RecordRejected
 from .models import RULES_VERSION, Declaration, EntryState, HostState, JobState, WaveState
 from .states import RecordDecision, State
@@ -87,12 +88,12 @@
         raw = inflater.decompress(data, MAX_SNAPSHOT_BYTES)
         if not inflater.eof:
             raise RecordRejected(code=status_codes.RECORD_INVALID, detail="cut short or too large")
-        header = msgspec.msgpack.decode(raw, type=Header)
+        header = decode_msgpack(raw, Header)
         if header.format > FORMAT or header.rules > RULES_VERSION:
             detail = f"a snapshot of rules {header.rules}, this daemon has {RULES_VERSION}"
             raise RecordRejected(code=status_codes.RULES_TOO_NEW, detail=detail)
-        snapshot = msgspec.msgpack.decode(raw, type=Snapshot)
-    except (zlib.error, msgspec.DecodeError) as exc:
+        snapshot = decode_msgpack(raw, Snapshot)
+    except (zlib.error, Undecodable) as exc:
         raise RecordRejected(code=status_codes.RECORD_INVALID, detail=str(exc)) from None
     return _restore_state(snapshot)
 
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -50,6 +50,7 @@
     b'"coldLeftMs":0,"seq":1,"capacity":{"cpu":8000,"memMb":16000},"labels":["a","r1"]}',
     b'{"service":"quoting","addr":"127.0.0.1:1","zone":"d1","version":"v1","slots":8,"state":"gone",'
     b'"coldLeftMs":0,"seq":1,"capacity":{"cpu":-1,"memMb":16000},"labels":["a","r1"]}',
+    b'{"service":"quoting","notes":' + b"[" * 20_000,
 )
 Answer = tuple[int, bytes]
 # No answer closes the connection, as the end of a process does.
