A job stays one job when its path goes to another service

Every daemon answered a question for a job that was accepted before by 410, and the job's submission, which arrived again, was accepted a second time: two runs side by side.

Cause: a job's shard was taken from the service to which the newest version sends its path, and the owner of that shard decided from its own shard alone that a job is new, or doesn't exist. GET, DELETE and pending had the same cause, as had routes that are dropped and come back, exchange their services or move twice, and daemons that have different versions.

Evidence: in the case all daemons answer alike 3.5 s after the version, the former owner runs the job on, and the lines of the second submission name another shard.

Change: a shard takes a path before it accepts jobs for it. It writes that to a list in the store that all shards share, then reads from it who has held the path; of two shards the later one knows of the earlier one. Only after each former holder has said that it doesn't know a job, and has stored that it accepts none any more for the path, the job is accepted as new. What can't be asked is answered 503. Versions decide who holds a path, so a daemon with an old one can't take it back. GET and DELETE of an unknown job ask all shards that share a path with this one; pending adds up. "Unknown" from an owner with an older version than the asker's doesn't count. It lies in the store, so it holds after all daemons were restarted.

--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -16,6 +16,7 @@
 from mustardgap.job_request_handlers import JobRequestHandler
 from mustardgap.load_features import LoadFeatures
 from mustardgap.owner_hints import OwnerHints
+from mustardgap.path_holders import Holding
 from mustardgap.peer_calls import PeerUnreachable
 from mustardgap.tickets import Stored, Ticket
 from mustardgap.timers import Clock
@@ -144,7 +145,7 @@
 def _gateway(owners, peers, clock, hints=None):
     return JobGateway(
         owners=owners,
-        operator=None,
+        operator=SimpleNamespace(configuration=None),
         peers=peers,
         shards=4,
         clock=clock,
@@ -186,9 +187,20 @@
     dispatcher.account_limits = AccountLimits(dispatcher=dispatcher, events=events)
     dispatcher.account_shares = AccountShares(dispatcher=dispatcher, clock=Clock(), events=events)
     dispatcher.admission = JobAdmission(dispatcher=dispatcher, clock=Clock(), events=events)
+    dispatcher.paths = HeldPaths()
     return dispatcher
 
 
+class HeldPaths:
+    """Paths that no other shard has ever held."""
+
+    async def hold(self, path):
+        return Holding(1)
+
+    def may_accept(self, path):
+        return True
+
+
 STORED_BY_STATE = {
     "being stored, and is stored": Stored.YES,
     "being stored, and isn't": Stored.NO,
--- a/features/support/answer_daemons.py
+++ b/features/support/answer_daemons.py
@@ -217,6 +217,7 @@
             seconds_since_confirmed=self.owners.seconds_since_confirmed,
             entry_age_s=lambda _: 0.0,
             is_membership_valid=self.owners.is_membership_valid,
+            owners=self.gateway,
         )
         dispatcher.update(
             configuration=CONFIGURATION, entries_by_id={}, services=frozenset({QUEUE.service})
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -30,6 +30,7 @@
 )
 from .load_features import Feature, LoadFeatures
 from .pacing import Pacing
+from .path_holders import OwnersOfShards, PathHolders
 from .placing import objective_s
 from .policies import WHOLE, Policy
 from .pool_views import PoolRequest, PoolView, build_pool_view
@@ -112,6 +113,7 @@
         other daemon can own the shard.
     :param policy: the mechanisms that are enabled.
     :param features: the decisions for hard load that take part; by default none.
+    :param owners: calls the owners of other shards.
     """
 
     def __init__(
@@ -130,6 +132,7 @@
         is_membership_valid: Callable[[], bool],
         policy: Policy = WHOLE,
         features: LoadFeatures | None = None,
+        owners: OwnersOfShards,
     ) -> None:
         self.policy = policy
         self.features = features or LoadFeatures()
@@ -154,6 +157,9 @@
         self.crashes = CrashTracker(dispatcher=self, clock=clock, events=events, policy=policy)
         self.isolation = Isolation(dispatcher=self, clock=clock)
         self.advices = AdviceTicketCache(advice=advice, clock=clock, events=events)
+        self.paths = PathHolders(
+            dispatcher=self, store=store, owners=owners, clock=clock, events=events
+        )
         self.job_request_handler = JobRequestHandler(
             dispatcher=self, store=store, clock=clock, events=events
         )
@@ -214,6 +220,7 @@
         self.spawn(self.log.run_failover())
         self.spawn(self._tick())
         self.spawn(self.advices.run())
+        self.spawn(self.paths.run())
         self.spawn(self._wake_when_advised())
         took_s = 0.0
         while not self.log.fenced:
@@ -253,6 +260,7 @@
         self.roster.previous_closed_cleanly = records.closed
         self.log.put_owner(closed=False)
         self.jobs_by_id.update(records.jobs_by_id)
+        self.paths.restore(values)
         self.crashes.inherit(self.jobs_by_id.values())
         for entry in records.executors:
             self.roster.open(entry, inherited=True)
@@ -279,6 +287,7 @@
         :param services: the services whose queues belong to this shard.
         """
         self.configuration = configuration
+        self.paths.update(configuration)
         self.roster.entries_by_id = entries_by_id
         self.roster.services = services
         if self.loaded:
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -17,6 +17,7 @@
 from .job_replies import JobReply
 from .load_features import Feature, LoadFeatures
 from .owner_hints import OwnerHints
+from .path_holders import FormerCall, FormerReply
 from .peer_calls import PeerClient, PeerServer, PeerUnreachable
 from .policies import WHOLE, Mechanism, Policy
 from .pool_views import PoolRequest, PoolView
@@ -48,6 +49,9 @@
 USUAL_READ_S = 0.1
 
 CHANGE_CALLS = ("submit", "cancel")
+FORMER_HOLDER_CALL = "former_holder"
+# The owner of another shard that may know a job answers within the time that its caller's try has.
+FORMER_HOLDER_TIMEOUT_S = 0.4
 # The values of a submit call that are always there. The caller's identity and how long it waits may
 # follow.
 SUBMIT_VALUES = ("job_id", "queue", "spec")
@@ -229,13 +233,15 @@
             server.handle(name, self._handler(name))
         server.handle("pool", self._answer_pool)
         server.handle("alive", self._answer_alive)
+        server.handle(FORMER_HOLDER_CALL, self._answer_former)
         if self._hints is not None:
             server.handle(owner_hints.CALL, self._hints.answer)
 
     def _handler(self, name: str) -> Callable[[Any], Any]:
         async def handle(values: list[Any]) -> list[Any]:
             shard, arguments = values
-            return (await self._call_local_owner(shard, name, arguments)).encode()
+            reply = await self._call_local_owner(shard, name, arguments)
+            return job_replies.encode_with_version(reply, self._version)
 
         return handle
 
@@ -390,10 +396,20 @@
                 return job_replies.unanswered(str(exc), is_change=name in CHANGE_CALLS)
             return job_replies.owner_unavailable(str(exc))
         try:
-            return job_replies.decode(answer)
+            reply, version = job_replies.decode_with_version(answer)
         except Undecodable as exc:
             detail = f"unreadable answer: {exc}"
             return job_replies.unanswered(detail, is_change=name in CHANGE_CALLS)
+        if version is not None and version < self._version:
+            # It doesn't know yet which paths its shard has taken, so the job may lie in another.
+            return job_replies.owner_unavailable("the owner has an older configuration")
+        return reply
+
+    @property
+    def _version(self) -> int:
+        """The version of the known configuration, 0 without one."""
+        configuration = self._operator.configuration
+        return configuration.version if configuration is not None else 0
 
     async def _call_local_owner(self, shard: int, name: str, values: list[Any]) -> JobReply:
         owned = self._owners.owned_by_shard.get(shard)
@@ -415,7 +431,46 @@
             return await handler.cancel(subject, identity)
         if name == "state":
             return await handler.state(subject, identity)
-        return handler.pending(subject, identity)
+        return await handler.pending(subject, identity)
+
+    def shard_of(self, service: str) -> int:
+        """The shard that holds a service's jobs."""
+        return shard_of(service, self._shards)
+
+    async def ask_former(self, shard: int, call: FormerCall) -> FormerReply:
+        """Ask the owner of a shard that holds, or held, a path of another one."""
+        if shard in self._owners.owned_by_shard:
+            return await self._answer_former_here(shard, call)
+        address = self._owners.address_of(shard)
+        if address is None:
+            await self._refresh()
+            return _no_former_reply("nobody owns the other shard of the path yet")
+        try:
+            answer = await self._peers.call(
+                address, FORMER_HOLDER_CALL, [shard, call], timeout_s=FORMER_HOLDER_TIMEOUT_S
+            )
+            encoded, is_empty = convert(answer, tuple[list[Any], bool])
+            reply = job_replies.decode(encoded)
+            if reply.code is status_codes.OWNER_UNAVAILABLE:
+                # Perhaps the shard has another owner by now, which the next try will ask.
+                await self._refresh()
+            return FormerReply(reply, is_empty)
+        except PeerUnreachable as exc:
+            await self._refresh()
+            return _no_former_reply(str(exc), may_have_cancelled=exc.sent and call.name == "cancel")
+        except Undecodable as exc:
+            return _no_former_reply(str(exc), may_have_cancelled=call.name == "cancel")
+
+    async def _answer_former_here(self, shard: int, call: FormerCall) -> FormerReply:
+        owned = self._owners.owned_by_shard.get(shard)
+        if not isinstance(owned, Dispatcher) or owned.ended.is_set():
+            return _no_former_reply("this daemon doesn't own the other shard of the path")
+        return await owned.job_request_handler.answer_former(call)
+
+    async def _answer_former(self, values: list[Any]) -> tuple[Any, bool]:
+        shard, call = values
+        reply, is_empty = await self._answer_former_here(shard, convert(call, FormerCall))
+        return reply.encode(), is_empty
 
     async def _refresh_by(self, deadline: float) -> None:
         """Read the owners again; a slow store mustn't cost the caller its reply."""
@@ -443,6 +498,12 @@
             await asyncio.wait([read])
 
 
+def _no_former_reply(detail: str, *, may_have_cancelled: bool = False) -> FormerReply:
+    if may_have_cancelled:
+        return FormerReply(job_replies.unanswered(detail, is_change=True), is_empty=False)
+    return FormerReply(job_replies.owner_unavailable(detail), is_empty=False)
+
+
 def _decode_identity(rest: list[Any]) -> Identity | None:
     identity = convert(rest[0], Identity) if rest else None
     return identity if identity != NOBODY else None
--- a/mustardgap/job_replies.py
+++ b/mustardgap/job_replies.py
@@ -47,6 +47,29 @@
     )
 
 
+def encode_with_version(reply: JobReply, version: int) -> list[str | int | None]:
+    """Return a reply as plain values, with the version of the configuration where it matters.
+
+    That a job is unknown, or how many jobs of a queue wait, may be wrong by an older configuration.
+
+    :param version: the version that the replying daemon knows.
+    """
+    values = reply.encode()
+    if reply.code is not status_codes.SUBMITTED_JOB_UNKNOWN and reply.pending is None:
+        return values
+    return [*values[:4], reply.retry_after_s, version]
+
+
+@total(Undecodable)
+def decode_with_version(values: list[str | int | None]) -> tuple[JobReply, int | None]:
+    """Return the reply for its plain values, and the version if it has one.
+
+    :raises Undecodable: what is wrong with them.
+    """
+    version = values[5] if len(values) > 5 else None
+    return decode(values), version if isinstance(version, int) else None
+
+
 STATE_NAMES = {
     JobPhase.COMPLETED: "completed",
     JobPhase.FAILED: "failed",
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -1,6 +1,7 @@
 """The requests of callers to the owner of a shard: to submit, cancel or query jobs."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 from . import job_replies, status_codes
@@ -9,6 +10,7 @@
 from .events import EventLog
 from .job_replies import JobReply
 from .job_states import Job, JobPhase, StoredJob, encode_job
+from .path_holders import FormerCall, FormerReply, path_of
 from .ports import Appended, Fenced, Store
 from .shard_logs import JOB_KEY, PROGRESS_KEY
 from .tickets import Stored, Ticket
@@ -27,9 +29,9 @@
 
 
 class AcceptingJob(NamedTuple):
-    """A job whose record isn't stored yet: its account, and the ticket of the record."""
+    """A job whose record isn't stored yet, and the ticket of the record."""
 
-    account: str
+    stored: StoredJob
     ticket: Ticket
 
 
@@ -69,6 +71,10 @@
         """
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
+        path = path_of(queue)
+        elsewhere = await self._ask_former_holders(job_id, path, identity)
+        if elsewhere is not None:
+            return elsewhere
         checked = self._check_access(job_id, queue.name, identity)
         if isinstance(checked, JobReply):
             return checked
@@ -76,6 +82,8 @@
             return job_replies.ACCEPTED
         accepting = self._accepting_by_id.get(job_id)
         if accepting is None:
+            if not self._dispatcher.paths.may_accept(path):
+                return job_replies.owner_unavailable("another service holds the path")
             # Only new jobs are rejected: a stored one would run although reported as not run.
             if self._dispatcher.handing_over:
                 return job_replies.owner_unavailable("the owner is handing over its jobs")
@@ -86,13 +94,21 @@
                 return job_replies.LIMIT_NEVER_HOLDS
             self._dispatcher.account_shares.note_arrival(job_id, queue, account, spec)
             wall = self._clock.wall()
-            stored = StoredJob(queue.name, queue.service, wall, spec, account, queue.max_attempts)
+            stored = StoredJob(
+                queue=queue.name,
+                service=queue.service,
+                accepted_at=wall,
+                spec=spec,
+                account=account,
+                max_attempts=queue.max_attempts,
+                path=path,
+            )
             refusal = self._dispatcher.admission.refuse(job_id, stored, wait_s)
             if refusal is not None:
                 return refusal
             self._dispatcher.admission.note_storing(job_id, stored)
             ticket = self._dispatcher.log.put(JOB_KEY + job_id, encode_job(stored))
-            accepting = AcceptingJob(account, ticket)
+            accepting = AcceptingJob(stored, ticket)
             self._accepting_by_id[job_id] = accepting
             self._dispatcher.spawn(self._add_when_stored(job_id, stored, ticket))
         key = JOB_KEY + job_id
@@ -102,6 +118,13 @@
         """Cancel a job durably and stop its runs."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
+        if not self._knows(job_id):
+            elsewhere = await self._ask_related_shards("cancel", job_id, identity)
+            if elsewhere is not None:
+                return elsewhere
+        return await self._cancel_here(job_id, identity)
+
+    async def _cancel_here(self, job_id: str, identity: Identity | None) -> JobReply:
         checked = self._check_access(job_id, self._queue_of(job_id), identity)
         if isinstance(checked, JobReply):
             return checked
@@ -122,6 +145,13 @@
         """Return a job's state; its end is reported only once it is durable."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
+        if not self._knows(job_id):
+            elsewhere = await self._ask_related_shards("state", job_id, identity)
+            if elsewhere is not None:
+                return elsewhere
+        return await self._state_here(job_id, identity)
+
+    async def _state_here(self, job_id: str, identity: Identity | None) -> JobReply:
         checked = self._check_access(job_id, self._queue_of(job_id), identity)
         if isinstance(checked, JobReply):
             return checked
@@ -136,17 +166,151 @@
         name = "running" if job.has_started else "queued"
         return JobReply(status_codes.JOB_STATE, state=name, detail=job.degraded)
 
-    def pending(self, queue_name: str, identity: Identity | None = None) -> JobReply:
+    async def pending(self, queue_name: str, identity: Identity | None = None) -> JobReply:
         """Return how many accepted jobs of a queue haven't started."""
+        path = self._path_of(queue_name)
+        own = self._pending_here(queue_name, path, identity)
+        if own.pending is None or not path:
+            return own
+        holding = await self._dispatcher.paths.hold(path)
+        if holding is None:
+            return job_replies.owner_unavailable("it isn't known who holds the path")
+        if not holding.former:
+            return own
+        call = self._former_call("pending", queue_name, identity, path)
+        count = own.pending
+        for reply in await self._dispatcher.paths.ask_former(holding, call):
+            if reply.pending is None:
+                return reply
+            count += reply.pending
+        return JobReply(status_codes.JOB_STATE, pending=count)
+
+    async def answer_former(self, call: FormerCall) -> FormerReply:
+        """Answer the owner of a shard that holds, or held, a path which this one held or holds.
+
+        Only this shard is looked into. A new job is said to be unknown only once it is stored that
+        this shard accepts nothing new for the path, as the other shard may accept it then.
+        """
+        if not self._dispatcher.loaded:
+            unloaded = job_replies.owner_unavailable("the owner is reading its jobs")
+            return FormerReply(unloaded, is_empty=False)
+        if call.name == "pending":
+            own = self._pending_here(call.subject, call.path, call.identity)
+            return FormerReply(own, is_empty=False)
+        if call.name == "cancel":
+            return FormerReply(await self._cancel_here(call.subject, call.identity), is_empty=False)
+        if call.name == "state":
+            return FormerReply(await self._state_here(call.subject, call.identity), is_empty=False)
+        return await self._answer_submission(call)
+
+    async def _answer_submission(self, call: FormerCall) -> FormerReply:
+        """Answer whether a job that was submitted to another shard is one of this one."""
+        if not self._knows(call.subject):
+            refusal = await self._release(call)
+            if refusal is not None:
+                return FormerReply(refusal, is_empty=False)
+        if self._knows(call.subject):
+            reply = await self._resubmit(call.subject, call.identity)
+            return FormerReply(reply, is_empty=False)
+        reply = await self._reply_to_unknown_job()
+        is_unknown = reply.code is status_codes.SUBMITTED_JOB_UNKNOWN
+        return FormerReply(reply, is_empty=is_unknown and not self._has_jobs_of(call.path))
+
+    async def _resubmit(self, job_id: str, identity: Identity | None) -> JobReply:
+        """Answer the submission of a job that is known, or being accepted."""
+        checked = self._check_access(job_id, self._queue_of(job_id), identity)
+        if isinstance(checked, JobReply):
+            return checked
+        accepting = self._accepting_by_id.get(job_id)
+        if accepting is None:
+            return job_replies.ACCEPTED
+        return await self._reply_when_stored(
+            accepting.ticket, JOB_KEY + job_id, job_replies.ACCEPTED
+        )
+
+    async def _release(self, call: FormerCall) -> JobReply | None:
+        """Release a path durably.
+
+        :return: None once it is stored, else what the caller is told.
+        """
+        paths = self._dispatcher.paths
+        if paths.is_released(call):
+            return None
+        ticket = paths.release(call)
+        if ticket is None:
+            return job_replies.owner_unavailable("a later version holds the path here")
+        await asyncio.wait([ticket.outcome], timeout=STORE_WAIT_S)
+        if ticket.durable:
+            return None
+        return job_replies.owner_unavailable("it isn't stored that the path was released")
+
+    async def _ask_former_holders(
+        self, job_id: str, path: str, identity: Identity | None
+    ) -> JobReply | None:
+        """Ask the shards that held a path before for a submitted job that isn't known here.
+
+        :return: the reply for the caller, None if no other shard knows the job, or will.
+        """
+        if self._knows(job_id):
+            return None
+        holding = await self._dispatcher.paths.hold(path)
+        if holding is None:
+            return job_replies.owner_unavailable("it isn't known who holds the path")
+        if not holding.former:
+            return None
+        call = self._former_call("submit", job_id, identity, path)
+        return _reply_elsewhere(await self._dispatcher.paths.ask_former(holding, call))
+
+    async def _ask_related_shards(
+        self, name: str, job_id: str, identity: Identity | None
+    ) -> JobReply | None:
+        """Ask all shards that share a path with this one for a job that isn't known here.
+
+        :return: the reply for the caller, None if no other shard knows the job.
+        """
+        related = await self._dispatcher.paths.related_shards()
+        if related is None:
+            return job_replies.owner_unavailable("it isn't known who held the paths before")
+        if not related:
+            return None
+        call = self._former_call(name, job_id, identity)
+        replies_by_shard = await self._dispatcher.paths.ask(related, call)
+        return _reply_elsewhere([answer.reply for answer in replies_by_shard.values()])
+
+    def _former_call(
+        self, name: str, subject: str, identity: Identity | None, path: str = ""
+    ) -> FormerCall:
+        holding = self._dispatcher.paths.by_path.get(path)
+        version = holding.version if holding is not None else 0
+        return FormerCall(name, subject, self._dispatcher.shard, identity, path, version)
+
+    def _path_of(self, queue_name: str) -> str:
+        """The path of a queue, empty if the queue isn't configured."""
+        configuration = self._dispatcher.configuration
+        queue = configuration.queues_by_name.get(queue_name) if configuration else None
+        return path_of(queue) if queue is not None else ""
+
+    def _knows(self, job_id: str) -> bool:
+        return job_id in self._dispatcher.jobs_by_id or job_id in self._accepting_by_id
+
+    def _has_jobs_of(self, path: str) -> bool:
+        """Whether the shard has, or may get, a job that was submitted to a path."""
+        jobs = (job.stored for job in self._dispatcher.jobs_by_id.values())
+        accepting = (job.stored for job in self._accepting_by_id.values())
+        return any(stored.is_of(path) for stored in (*jobs, *accepting))
+
+    def _pending_here(self, queue_name: str, path: str, identity: Identity | None) -> JobReply:
+        """Return how many accepted jobs of a path this shard has that haven't started."""
         if not self._dispatcher.loaded or not self._dispatcher.is_membership_valid():
             return job_replies.owner_unavailable("the owner isn't sure of its jobs")
         checked = check_identity(self._dispatcher.configuration, identity, queue_name)
         if isinstance(checked, JobReply):
             return checked
         count = sum(
-            1
+            job.phase is JobPhase.LIVE
+            and not job.has_started
+            and job.stored.is_of(path, queue_name)
             for job in self._dispatcher.jobs_by_id.values()
-            if job.queue_name == queue_name and job.phase is JobPhase.LIVE and not job.has_started
         )
         return JobReply(status_codes.JOB_STATE, pending=count)
 
@@ -175,7 +339,7 @@
         if job is not None:
             return job.account
         accepting = self._accepting_by_id.get(job_id)
-        return accepting.account if accepting is not None else ""
+        return accepting.stored.account if accepting is not None else ""
 
     async def _reply_to_unknown_job(self) -> JobReply:
         # The shard may have been assigned to another daemon that has accepted the job; the caller
@@ -230,3 +394,11 @@
         if job is not None:
             self._dispatcher.jobs_by_id[job_id] = job
             self._dispatcher.wake()
+
+
+def _reply_elsewhere(replies: Sequence[JobReply]) -> JobReply | None:
+    """Choose among the replies of other shards; None if none of them knows the job."""
+    known = [r for r in replies if r.code is not status_codes.SUBMITTED_JOB_UNKNOWN]
+    # A shard that knows the job answers for it, whether the others can be asked or not.
+    known.sort(key=lambda reply: reply.code is status_codes.OWNER_UNAVAILABLE)
+    return known[0] if known else None
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -119,7 +119,8 @@
     """The durable form of an accepted job.
 
     ``account`` is empty for a job without one. ``max_attempts`` is what its queue allowed then; 0
-    in records of older versions, which don't hold it.
+    in records of older versions, which don't hold it. ``path`` is the short name of the path that
+    it was submitted to; empty in records of older versions.
     """
 
     queue: str
@@ -128,6 +129,16 @@
     spec: JobSpec
     account: str = ""
     max_attempts: int = 0
+    path: str = ""
+
+    def is_of(self, path: str, queue_name: str | None = None) -> bool:
+        """Whether the job was, or may have been, submitted to a path.
+
+        :param queue_name: the path's queue, which a job without a path may be of; None for any.
+        """
+        if self.path and path:
+            return self.path == path
+        return queue_name is None or self.queue == queue_name
 
 
 class _RemainingWork(NamedTuple):
@@ -154,6 +165,7 @@
 
     def __init__(self, *, job_id: JobId, stored: StoredJob) -> None:
         self.job_id = job_id
+        self.stored = stored
         self.queue_name = stored.queue
         self.service = stored.service
         self.account = stored.account
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -404,6 +404,12 @@
 executor_restarts = _counter(
     "mustardgap.executor.restarts", "{restart}", "Executors that restarted under the same id"
 )
+former_holder_calls = _counter(
+    "mustardgap.paths.former_holder_calls",
+    "{call}",
+    "Calls of owners whose shards held a path before another one",
+    "call",
+)
 executor_speed_changes = _counter(
     "mustardgap.executor.speed_changes",
     "{change}",
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -286,6 +286,7 @@
             is_membership_valid=self.owners.is_membership_valid,
             policy=self.policy,
             features=self.features,
+            owners=self.gateway,
         )
         self._update_one(dispatcher)
         return dispatcher
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -28,6 +28,7 @@
 OPERATOR = "keyed.op"
 EXECUTORS = "keyed.servers"
 STATUS = "keyed.status"
+PATHS = "keyed.mustardgap-paths"
 GROUP = "mustardgap-owners"
 PRODUCER = "mustardgap-owner"
 
@@ -159,9 +160,23 @@
         value = msgspec.json.encode(
             {"wave": wave, "state": "completed" if completed else "running"}
         )
-        outcome = await self._append(STATUS, 0, _keyed(Record(f"wave/{wave}", value)), {})
+        return await self._append_unfenced(STATUS, [Record(f"wave/{wave}", value)])
+
+    async def append_paths(self, records: Sequence[Record]) -> Appended | Refused | NoAnswer:
+        """Write to the list of paths."""
+        return await self._append_unfenced(PATHS, records)
+
+    async def newest_paths(self) -> Entries | Refused | NoAnswer:
+        """Read the list of paths."""
+        return await self._newest(PATHS, 0)
+
+    async def _append_unfenced(
+        self, topic: str, records: Sequence[Record]
+    ) -> Appended | Refused | NoAnswer:
+        body = b"".join(_keyed(record) for record in records)
+        outcome = await self._append(topic, 0, body, {})
         if isinstance(outcome, Fenced | WrongSequence):
-            return Refused(detail="the status topic knows no epochs")
+            return Refused(detail="this topic knows no epochs")
         return outcome
 
     async def _read(
--- a/mustardgap/ports.py
+++ b/mustardgap/ports.py
@@ -185,6 +185,12 @@
     async def owners(self) -> dict[int, str] | Refused | NoAnswer:
         """The member that holds each shard."""
 
+    async def append_paths(self, records: Sequence[Record]) -> Appended | Refused | NoAnswer:
+        """Write to the list of paths that all shards share; anybody may write at any time."""
+
+    async def newest_paths(self) -> Entries | Refused | NoAnswer:
+        """The newest record of each key of the list of paths."""
+
 
 class Boards(Protocol):
     """What operators and executors publish, and what the operator reads."""
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -22,9 +22,9 @@
 # wait for 1.2 s.
 DIVERT_AFTER_S = 0.3
 
-# Prefixes of the keys of accepted jobs, of their progress, and of the executors that may run a
-# shard's tasks.
-JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY = "j/", "p/", "e/"
+# Prefixes of the keys of accepted jobs, of their progress, of the executors that may run a
+# shard's tasks, and of the paths that a shard holds.
+JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY, PATH_KEY = "j/", "p/", "e/", "h/"
 
 
 class _PendingWrite(NamedTuple):
@@ -108,6 +108,11 @@
             return 0.0
         return self._primary.failing_s()
 
+    def is_pending(self, key: str) -> bool:
+        """Whether the newest value of a key isn't known to be stored."""
+        write = self._pending.get(key)
+        return self.fenced or (write is not None and self._is_unstored(key, write))
+
     def put(self, key: str, value: bytes) -> Ticket:
         """Queue a record; a later one of the same key may replace it before it is sent.
 
--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -69,6 +69,9 @@
         self.away: set[tuple[int, bool]] = set()
         self.operator: list[tuple[str, bytes]] = []
         self.entries: list[tuple[str, bytes | None]] = []
+        # The list of paths, and whether its partition is turned away.
+        self.list_away = False
+        self.paths_by_key: dict[str, bytes | None] = {}
         self.statuses: list[tuple[int, bool]] = []
         self.generation = 0
         self.members_by_name: dict[str, _Member] = {}
@@ -268,6 +271,21 @@
 
         return await self._do(work)
 
+    async def append_paths(self, records: Sequence[Record]) -> Appended | Refused | NoAnswer:
+        def work() -> Appended | Refused:
+            if self.store.list_away:
+                return Refused(detail="503 this partition is away")
+            self.store.paths_by_key.update((record.key, record.value) for record in records)
+            return Appended(end=len(self.store.paths_by_key))
+
+        return await self._do(work)  # type: ignore[no-any-return]
+
+    async def newest_paths(self) -> Entries | Refused | NoAnswer:
+        paths = self.store.paths_by_key
+        return await self._do(  # type: ignore[no-any-return]
+            lambda: Entries(values_by_key=dict(paths), end=len(paths))
+        )
+
     async def _read(self, rows, offset, wait_s):  # type: ignore[no-untyped-def]
         until = _now() + wait_s
         while offset is not None and len(rows) <= offset and _now() < until and self._reached():
--- a/tools/owner_daemons.py
+++ b/tools/owner_daemons.py
@@ -193,6 +193,7 @@
                 is_membership_valid=self.owners.is_membership_valid,
                 policy=world.policy,
                 features=world.features,
+                owners=self.gateway,
             )
             self._update_one(dispatcher)
             return dispatcher
