A job that is cancelled before it is known to be accepted doesn't run

Cause: JobRequestHandler.cancel waited 1.2 s for a record that is being stored. If it wasn't settled by then it went on as if there were no such job, and asked the store only whether this owner still is the owner. "Not known to be stored" was taken for "doesn't exist". A DELETE that overtook its POST, a repeated POST beside a DELETE, and a next owner that finds the record had the same cause.

Evidence: the 410 comes after the wait that only the accepting owner makes, and the same owner starts the job.

Change: a job that isn't known to be stored is cancelled by a record of its own, c/ID. Only once that is stored the caller is told 200 (while the job is being accepted) or 410; 504 if that isn't known in time. The owner goes by it from the DELETE on, and each later one: a later submission is refused (MG4035), a record that is stored later is that of a cancelled job, a job that is found with such a record is ended and never started. Being cancelled is a fact of its own, and doesn't depend on whether the job's record is there. The record is kept as long as an ended job. A question whose job was accepted while the store was asked gets the job's state in place of 410.

Cost: cancelling an unknown job takes one call of the store, as before (the record in place of an empty append; features/paths.feature).

Tests: features/answers.feature asked only of a 200 whether it is stored.

--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -188,6 +188,7 @@
     dispatcher.account_shares = AccountShares(dispatcher=dispatcher, clock=Clock(), events=events)
     dispatcher.admission = JobAdmission(dispatcher=dispatcher, clock=Clock(), events=events)
     dispatcher.paths = HeldPaths()
+    dispatcher.cancelled = ()
     return dispatcher
 
 
--- a/features/support/answer_cases.py
+++ b/features/support/answer_cases.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
-from mustardgap.shard_logs import JOB_KEY, PROGRESS_KEY
+from mustardgap.shard_logs import CANCELLED_KEY, JOB_KEY, PROGRESS_KEY
 from tools.owner_troubles import TWO_STEPS
 from tools.owner_worlds import QUEUE
 
@@ -39,17 +39,19 @@
 
 
 class Request(NamedTuple):
-    """What a caller sends, and the key of the record that shows whether a change was made."""
+    """What a caller sends, and the keys of the records that show, each, that a change was made."""
 
     method: str
     path: str
     body: bytes = b""
-    record: str = ""
+    records: tuple[str, ...] = ()
 
 
 REQUESTS = {
-    "new job": Request("POST", QUEUE.path_prefix + JOB, BODY, JOB_KEY + JOB),
-    "job cancellation": Request("DELETE", QUEUE.path_prefix + JOB, b"", PROGRESS_KEY + JOB),
+    "new job": Request("POST", QUEUE.path_prefix + JOB, BODY, (JOB_KEY + JOB,)),
+    "job cancellation": Request(
+        "DELETE", QUEUE.path_prefix + JOB, b"", (PROGRESS_KEY + JOB, CANCELLED_KEY + JOB)
+    ),
     "job query": Request("GET", QUEUE.path_prefix + JOB),
     "queue count": Request("GET", QUEUE.path_prefix),
 }
@@ -313,16 +315,21 @@
         self._world = world
         self._callers = callers
         self._was_accepted = was_accepted
-        self._before = {key for key in self._keys() if world.record(key) is not None}
+        self._before = {keys for keys in self._changes() if self._is_stored(keys)}
 
-    def _keys(self) -> list[str]:
-        return sorted({caller.request.record for caller in self._callers} - {""})
+    def _changes(self) -> list[tuple[str, ...]]:
+        """The keys of the records of each change that callers ask for."""
+        return sorted({caller.request.records for caller in self._callers} - {()})
+
+    def _is_stored(self, keys: tuple[str, ...]) -> bool:
+        return any(self._world.record(key) is not None for key in keys)
 
     async def check_answer(self, caller: Caller) -> None:
         """Wait for an answer, and check that it is correct."""
         await caller.read()
-        key = caller.request.record
-        if caller.status == 200 and key and self._world.record(key) is None:
+        keys = caller.request.records
+        # A job that was said not to exist, as it was cancelled, mustn't be accepted later.
+        if caller.status in (200, 410) and keys and not self._is_stored(keys):
             caller.problems.append(f"told {caller.code}, and it isn't stored")
         if caller.status == 410 and self._was_accepted:
             caller.problems.append("told that no such job exists, and it was accepted before")
@@ -333,14 +340,14 @@
         A caller whose request wasn't read counts as refused. Of two callers with the same job one
         may be refused and the other not; the record then belongs to the other.
         """
-        for key in self._keys():
-            asking = [caller for caller in self._callers if caller.request.record == key]
+        for keys in self._changes():
+            asking = [caller for caller in self._callers if caller.request.records == keys]
             refused = [
                 caller
                 for caller in asking
                 if caller.status in REFUSAL_STATUSES or not caller.was_read
             ]
-            if key in self._before or self._world.record(key) is None or refused != asking:
+            if keys in self._before or not self._is_stored(keys) or refused != asking:
                 continue
             reply = f"refused with {refused[0].code}" if refused[0].was_read else "not read"
             refused[0].problems.append(f"{reply}, and stored {when}")
--- a/features/support/answer_daemons.py
+++ b/features/support/answer_daemons.py
@@ -83,7 +83,9 @@
         super().__init__(store=store, host=host)
         self._gate = gate
 
-    async def _do(self, work: Callable[[], Any], partition: Any = None) -> Any:
+    async def _do(
+        self, work: Callable[[], Any], partition: Any = None, is_lost: bool = False
+    ) -> Any:
         work_task = asyncio.ensure_future(self._do_gated(work, partition))
         await asyncio.wait([work_task], timeout=TIMEOUT_S)
         if work_task.done():
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -9,6 +9,7 @@
 from .account_shares import AccountShares
 from .accounts import AccountDirectory
 from .advices import AdviceTicketCache, StepKey
+from .cancelled_jobs import CancelledJobs
 from .crashes import CrashTracker
 from .duration_corrections import DurationCorrections
 from .evacuations import Evacuations
@@ -20,7 +21,7 @@
 from .job_admission import JobAdmission
 from .job_events import JobEventLog
 from .job_failures import JobFailures
-from .job_request_handlers import JobRequestHandler
+from .job_request_handlers import CANCELLED, JobRequestHandler
 from .job_states import (
     Job,
     JobPhase,
@@ -160,6 +161,7 @@
         self.paths = PathHolders(
             dispatcher=self, store=store, owners=owners, clock=clock, events=events
         )
+        self.cancelled = CancelledJobs(log=self.log, clock=clock, events=events)
         self.job_request_handler = JobRequestHandler(
             dispatcher=self, store=store, clock=clock, events=events
         )
@@ -261,6 +263,7 @@
         self.log.put_owner(closed=False)
         self.jobs_by_id.update(records.jobs_by_id)
         self.paths.restore(values)
+        self.cancelled.restore(values)
         self.crashes.inherit(self.jobs_by_id.values())
         for entry in records.executors:
             self.roster.open(entry, inherited=True)
@@ -274,6 +277,16 @@
             for job in self.jobs_by_id.values():
                 if job.phase is JobPhase.LIVE:
                     job.inherit(self._clock.wall())
+        self._end_cancelled()
+
+    def _end_cancelled(self) -> None:
+        """End the jobs that were stored, and cancelled before a former owner knew that."""
+        for job_id in self.cancelled.cancelled_at_by_id:
+            job = self.jobs_by_id.get(job_id)
+            if job is not None and job.phase is JobPhase.LIVE:
+                self.finish(job, JobPhase.CANCELLED, CANCELLED)
+                # It is stored that the job is cancelled, though its progress isn't yet.
+                job.durable_phase = job.phase
 
     def update(
         self,
@@ -544,6 +557,7 @@
             del self.jobs_by_id[job_id]
             self.log.put(JOB_KEY + job_id, b"")
             self.log.put(PROGRESS_KEY + job_id, b"")
+        self.cancelled.reap(wall - retention_s, self.job_request_handler.knows)
 
     @property
     def longest_lease_s(self) -> float:
--- a/mustardgap/job_replies.py
+++ b/mustardgap/job_replies.py
@@ -84,6 +84,7 @@
 UNSETTLED = JobReply(status_codes.JOB_UNSETTLED)
 LIMIT_NEVER_HOLDS = JobReply(status_codes.LIMIT_NEVER_HOLDS)
 TOO_LATE_TO_RETRY = JobReply(status_codes.POOL_OVERLOADED_LONGER)
+CANCELLED_BEFORE_ACCEPTED = JobReply(status_codes.CANCELLED_BEFORE_ACCEPTED)
 # Says nothing of the job, not even whether there is one.
 OTHER_ACCOUNT = JobReply(status_codes.JOB_OF_OTHER_ACCOUNT)
 
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -12,7 +12,7 @@
 from .job_states import Job, JobPhase, StoredJob, encode_job
 from .path_holders import FormerCall, FormerReply, path_of
 from .ports import Appended, Fenced, Store
-from .shard_logs import JOB_KEY, PROGRESS_KEY
+from .shard_logs import CANCELLED_KEY, JOB_KEY, PROGRESS_KEY
 from .tickets import Stored, Ticket
 from .timers import Clock
 from .workloads import JobSpec, Queue
@@ -26,6 +26,8 @@
 # New jobs are rejected at once when the store has taken no records for this long. A single lost
 # answer, after which the append is repeated within about 0.3 s, isn't enough.
 MAX_STORE_FAILING_S = 0.6
+# Why a job has ended that its caller cancelled.
+CANCELLED = "cancelled"
 
 
 class AcceptingJob(NamedTuple):
@@ -82,6 +84,8 @@
             return job_replies.ACCEPTED
         accepting = self._accepting_by_id.get(job_id)
         if accepting is None:
+            if job_id in self._dispatcher.cancelled:
+                return job_replies.CANCELLED_BEFORE_ACCEPTED
             if not self._dispatcher.paths.may_accept(path):
                 return job_replies.owner_unavailable("another service holds the path")
             # Only new jobs are rejected: a stored one would run although reported as not run.
@@ -118,7 +122,7 @@
         """Cancel a job durably and stop its runs."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
-        if not self._knows(job_id):
+        if not self.knows(job_id):
             elsewhere = await self._ask_related_shards("cancel", job_id, identity)
             if elsewhere is not None:
                 return elsewhere
@@ -128,24 +132,44 @@
         checked = self._check_access(job_id, self._queue_of(job_id), identity)
         if isinstance(checked, JobReply):
             return checked
-        accepting = self._accepting_by_id.get(job_id)
-        if accepting is not None:
-            await asyncio.wait([accepting.ticket.outcome], timeout=STORE_WAIT_S)
         job = self._dispatcher.jobs_by_id.get(job_id)
         if job is None:
-            return await self._reply_to_unknown_job()
+            return await self._cancel_unaccepted(job_id)
         if job.phase is JobPhase.LIVE:
-            self._dispatcher.finish(job, JobPhase.CANCELLED, "cancelled")
+            self._dispatcher.finish(job, JobPhase.CANCELLED, CANCELLED)
         ticket = self._dispatcher.end_tickets_by_id.get(job_id)
         if ticket is None:
             return job_replies.CANCELLED
         return await self._reply_when_stored(ticket, PROGRESS_KEY + job_id, job_replies.CANCELLED)
 
+    async def _cancel_unaccepted(self, job_id: str) -> JobReply:
+        """Cancel a job that isn't known to be accepted, so that it isn't accepted any more.
+
+        That it doesn't exist is only said once that is stored under this owner's epoch, which also
+        shows that no other daemon owns the shard.
+        """
+        accepting = self._accepting_by_id.get(job_id)
+        if accepting is None and self._dispatcher.log.failing_s() > MAX_STORE_FAILING_S:
+            return job_replies.store_unavailable("the store doesn't answer the owner")
+        ticket = self._dispatcher.cancelled.add(job_id)
+        self._events.note(
+            "job.cancelled_early",
+            vital=accepting is not None,
+            job=job_id,
+            shard=self._dispatcher.shard,
+            epoch=self._dispatcher.epoch,
+            accepting=accepting is not None,
+        )
+        reply = job_replies.CANCELLED if accepting is not None else job_replies.UNKNOWN_JOB
+        if ticket is None:
+            return reply
+        return await self._reply_when_stored(ticket, CANCELLED_KEY + job_id, reply)
+
     async def state(self, job_id: str, identity: Identity | None = None) -> JobReply:
         """Return a job's state; its end is reported only once it is durable."""
         if not self._dispatcher.loaded:
             return job_replies.owner_unavailable("the owner is reading its jobs")
-        if not self._knows(job_id):
+        if not self.knows(job_id):
             elsewhere = await self._ask_related_shards("state", job_id, identity)
             if elsewhere is not None:
                 return elsewhere
@@ -155,11 +179,20 @@
         checked = self._check_access(job_id, self._queue_of(job_id), identity)
         if isinstance(checked, JobReply):
             return checked
+        if not self.knows(job_id):
+            reply = await self._reply_to_unknown_job()
+            is_unknown = reply.code is status_codes.SUBMITTED_JOB_UNKNOWN
+            # It may have been accepted while the store was asked.
+            if not (is_unknown and self.knows(job_id)):
+                return reply
+        return self._state_of_known(job_id)
+
+    def _state_of_known(self, job_id: str) -> JobReply:
         job = self._dispatcher.jobs_by_id.get(job_id)
         if job is None:
-            if job_id in self._accepting_by_id:
-                return JobReply(status_codes.JOB_STATE, state="queued")
-            return await self._reply_to_unknown_job()
+            is_cancelled = self._dispatcher.cancelled.is_durable(job_id)
+            name = job_replies.STATE_NAMES[JobPhase.CANCELLED] if is_cancelled else "queued"
+            return JobReply(status_codes.JOB_STATE, state=name)
         if job.durable_phase is not JobPhase.LIVE:
             name = job_replies.STATE_NAMES[job.durable_phase]
             return JobReply(status_codes.JOB_STATE, state=name, detail=job.end_reason)
@@ -205,11 +238,13 @@
 
     async def _answer_submission(self, call: FormerCall) -> FormerReply:
         """Answer whether a job that was submitted to another shard is one of this one."""
-        if not self._knows(call.subject):
+        if call.subject in self._dispatcher.cancelled and not self.knows(call.subject):
+            return FormerReply(job_replies.CANCELLED_BEFORE_ACCEPTED, is_empty=False)
+        if not self.knows(call.subject):
             refusal = await self._release(call)
             if refusal is not None:
                 return FormerReply(refusal, is_empty=False)
-        if self._knows(call.subject):
+        if self.knows(call.subject):
             reply = await self._resubmit(call.subject, call.identity)
             return FormerReply(reply, is_empty=False)
         reply = await self._reply_to_unknown_job()
@@ -251,7 +286,7 @@
 
         :return: the reply for the caller, None if no other shard knows the job, or will.
         """
-        if self._knows(job_id):
+        if self.knows(job_id):
             return None
         holding = await self._dispatcher.paths.hold(path)
         if holding is None:
@@ -290,11 +325,15 @@
         queue = configuration.queues_by_name.get(queue_name) if configuration else None
         return path_of(queue) if queue is not None else ""
 
-    def _knows(self, job_id: str) -> bool:
+    def knows(self, job_id: str) -> bool:
+        """Whether a job is known, or is being accepted."""
         return job_id in self._dispatcher.jobs_by_id or job_id in self._accepting_by_id
 
     def _has_jobs_of(self, path: str) -> bool:
         """Whether the shard has, or may get, a job that was submitted to a path."""
+        if self._dispatcher.cancelled:
+            # Their paths aren't known.
+            return True
         jobs = (job.stored for job in self._dispatcher.jobs_by_id.values())
         accepting = (job.stored for job in self._accepting_by_id.values())
         return any(stored.is_of(path) for stored in (*jobs, *accepting))
@@ -393,6 +432,8 @@
         )
         if job is not None:
             self._dispatcher.jobs_by_id[job_id] = job
+            if job_id in self._dispatcher.cancelled:
+                self._dispatcher.finish(job, JobPhase.CANCELLED, CANCELLED)
             self._dispatcher.wake()
 
 
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -23,8 +23,9 @@
 DIVERT_AFTER_S = 0.3
 
 # Prefixes of the keys of accepted jobs, of their progress, of the executors that may run a
-# shard's tasks, and of the paths that a shard holds.
-JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY, PATH_KEY = "j/", "p/", "e/", "h/"
+# shard's tasks, of the paths that a shard holds, and of jobs that were cancelled before they were
+# known to be accepted.
+JOB_KEY, PROGRESS_KEY, EXECUTOR_KEY, PATH_KEY, CANCELLED_KEY = "j/", "p/", "e/", "h/", "c/"
 
 
 class _PendingWrite(NamedTuple):
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -465,6 +465,14 @@
     "Not run: the job would end too late to be of use, also if its caller retried in time",
     "Don't send it again within the time that its caller waits.",
 )
+CANCELLED_BEFORE_ACCEPTED = _code(
+    4035,
+    "cancelled_before_accepted",
+    429,
+    43,
+    "Not run: the job was cancelled before it was accepted",
+    "Submit it under another id if it is wanted after all.",
+)
 
 # 5xxx: the platform and the peers.
 LOG_UNAVAILABLE = _code(
--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -59,6 +59,8 @@
         # Hosts whose open reads get no answer any more, while new ones do.
         self.silenced_hosts: set[str] = set()
         self.lost_share = 0.0
+        # Whether appends that carry records are carried out and not answered.
+        self.loses_records = False
         # Whether somebody else writes among the executors' entries.
         self.foreign_writer = False
         self.cut_hosts: set[str] = set()
@@ -228,6 +230,7 @@
         return await self._do(  # type: ignore[no-any-return]
             lambda: self.store.append(shard, epoch, sequence, records, failover),
             (shard, failover),
+            is_lost=self.store.loses_records and bool(records),
         )
 
     async def newest(self, *, shard: int, failover: bool = False) -> Entries | Refused | NoAnswer:
@@ -307,7 +310,7 @@
     def _reached(self) -> bool:
         return not self.store.down and self.host not in self.store.cut_hosts
 
-    async def _do(self, work, partition=None):  # type: ignore[no-untyped-def]
+    async def _do(self, work, partition=None, is_lost=False):  # type: ignore[no-untyped-def]
         self.store.calls += 1
         slow_s = self.store.slow_s + self.store.slow_hosts.get(self.host, 0.0)
         await asyncio.sleep(ANSWER_S / 2 + slow_s)
@@ -317,7 +320,7 @@
         if partition in self.store.away:
             return Refused(detail="503 this partition is away")
         outcome = work()
-        if self.store.random.random() < self.store.lost_share:
+        if is_lost or self.store.random.random() < self.store.lost_share:
             await asyncio.sleep(TIMEOUT_S)
             return NoAnswer(sent=True, detail="the answer was lost")
         await asyncio.sleep(ANSWER_S / 2)
