The stand-in of the platform keeps each topic by itself

Records of topics that it didn't know went to the status topic, and a reading of the newest gave the executors' entries for all topics but the operator's. The list of paths that brought was thus written and never read there: the soak and the system's tests ran without it.

--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -94,6 +94,11 @@
         # How many records another writer has written.
         self._foreign = 0
         self.status: list[tuple[str, bytes]] = []
+        self._rows_by_topic = {
+            "keyed.op": self.operator,
+            "keyed.servers": self.entries,
+            "keyed.status": self.status,
+        }
         self.overloads: list[tuple[TaskId, str]] = []
         self.crashing: set[TaskId] = set()
         self.fleet.record.room_of = lambda task: TASK_ROOM
@@ -255,9 +260,9 @@
     async def _do_log_append(self, request: httputil.HTTPServerRequest) -> Answer:
         topic = _query(request, "topic")
         if topic not in OWN_TOPICS:
-            for record in _split(request.body):
-                self.status.append((record.key, record.value))
-            return _json(200, {"offset": 0, "end": len(self.status)})
+            rows = self._rows(topic)
+            rows += [(record.key, record.value) for record in _split(request.body)]
+            return _json(200, {"offset": 0, "end": len(rows)})
         sequence = _query(request, "seq")
         outcome = self.store.append(
             int(_query(request, "part")),
@@ -331,7 +336,7 @@
         return _json(200, {"machines": rows, "nextToken": None})
 
     def _rows(self, topic: str) -> list[tuple[str, bytes]]:
-        return self.operator if topic == "keyed.op" else self.entries
+        return self._rows_by_topic.setdefault(topic, [])
 
     def _orders(self, executor: FakeExecutor) -> Handler:
         async def handle(request: httputil.HTTPServerRequest) -> Answer | None:
