Refuse jobs at once that the store can't take, or that outgrow a host

A job of 10^9 repetitions that are due at once was accepted; each owner would open them all before it does anything else.

Cause: a job's cost was bounded by the tasks of one repetition alone.

Change: the owner refuses a job whose record the store wouldn't take, the adapter one of over 100,000 tasks in all its repetitions; 400, MG4025.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -29,6 +29,8 @@
       | a job with a payload too long     | 400    | MG4025 |
       | a job that is nested too deeply   | 400    | MG4025 |
       | a job with a number of 70 bits    | 400    | MG4025 |
+      | a job larger than a record        | 400    | MG4025 |
+      | a job that is repeated too often  | 400    | MG4025 |
       | a job under a bad id              | 400    | MG4025 |
       | a job for an unknown queue        | 404    | MG4024 |
       | a question for an unknown job     | 410    | MG4023 |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -30,6 +30,7 @@
     {"count": 3, "cpu": 1000, "memMb": 500, "estimateMs": 500},
     {"count": 2, "cpu": 1000, "memMb": 500, "estimateMs": 500, "dependsOn": [0]},
 ]
+LONG_STEP = {"cpu": 1000, "memMb": 500, "estimateMs": 500, "image": "quoting-image-1"}
 BODIES = {
     "a body that isn't JSON": (f"/quotes/{JOB}", "steps"),
     "a job without steps": (f"/quotes/{JOB}", {"spec": "p", "steps": []}),
@@ -38,6 +39,8 @@
     "a job with a payload too long": (f"/quotes/{JOB}", {"spec": "p" * 4001, "steps": STEPS}),
     "a job that is nested too deeply": (f"/quotes/{JOB}", '{"notes":' + "[" * 20_000),
     "a job with a number of 70 bits": (f"/quotes/{JOB}", {"steps": [{"count": 1, "cpu": 2**70}]}),
+    "a job larger than a record": (f"/quotes/{JOB}", {"steps": [LONG_STEP] * 9_000}),
+    "a job that is repeated too often": (f"/quotes/{JOB}", {"steps": STEPS, "repeats": 10**9}),
     "a job under a bad id": ("/quotes/zz", {"spec": "p", "steps": STEPS}),
     "a job for an unknown queue": (f"/unknown/{JOB}", {"spec": "p", "steps": STEPS}),
 }
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -21,7 +21,7 @@
 from .job_admission import JobAdmission
 from .job_events import JobEventLog
 from .job_failures import JobFailures
-from .job_request_handlers import CANCELLED, JobRequestHandler
+from .job_request_handlers import CANCELLED, MAX_RECORD_BYTES, JobRequestHandler
 from .job_states import (
     Job,
     JobPhase,
@@ -86,7 +86,7 @@
 
 
 class Bounds(NamedTuple):
-    """Time limits of the deployment that a dispatcher has to know, in seconds."""
+    """Limits of the deployment that a dispatcher has to know; times are in seconds."""
 
     status_kept_s: float = 120.0
     stop_timeout_s: float = 0.4
@@ -94,6 +94,8 @@
     shrink_grace_s: float = 4.5
     # The longest lease that an executor grants.
     longest_lease_s: float = 10.0
+    # The largest record that the store takes.
+    record_bytes: int = MAX_RECORD_BYTES
 
 
 class Dispatcher:
@@ -163,7 +165,11 @@
         )
         self.cancelled = CancelledJobs(log=self.log, clock=clock, events=events)
         self.job_request_handler = JobRequestHandler(
-            dispatcher=self, store=store, clock=clock, events=events
+            dispatcher=self,
+            store=store,
+            clock=clock,
+            events=events,
+            record_bytes=bounds.record_bytes,
         )
         self.roster = ExecutorRoster(
             dispatcher=self, executors=executors, clock=clock, events=events
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -280,6 +280,7 @@
                 promises.stop_timeout_s,
                 promises.contact_s + self.settings.executor_heartbeat_s,
                 promises.longest_lease_s,
+                self.settings.record_bytes,
             ),
             seconds_since_confirmed=self.owners.seconds_since_confirmed,
             entry_age_s=self.board.age_s,
--- a/mustardgap/platform/decoding.py
+++ b/mustardgap/platform/decoding.py
@@ -38,6 +38,8 @@
 
 MAX_PAYLOAD_BYTES = 4_000
 MAX_TASKS = 10_000
+# Of all its repetitions together, which may be due at the same time; a host has 300 MB.
+MAX_REPEATED_TASKS = 100_000
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 # So much of a record that can't be read is shown beside the reason.
@@ -376,6 +378,8 @@
         raise InvalidBody("a job needs a step")
     if sum(step.count for step in fields.steps) > MAX_TASKS:
         raise InvalidBody("the job has too many tasks")
+    if fields.repeats * sum(step.count for step in fields.steps) > MAX_REPEATED_TASKS:
+        raise InvalidBody("the job has too many tasks in all its repetitions")
     for number, step in enumerate(fields.steps):
         if step.count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
             raise InvalidBody(f"step {number} has a size that can't be")
--- a/mustardgap/platform/process_settings.py
+++ b/mustardgap/platform/process_settings.py
@@ -21,6 +21,7 @@
 class _PlatformFields(msgspec.Struct):
     addr: str
     parts: int = 12
+    record_bytes: int = msgspec.field(default=262_144, name="recordBytes")
 
 
 class _CloudFields(msgspec.Struct):
@@ -102,6 +103,8 @@
     executor_heartbeat_s: float
     store: str
     shards: int
+    # The largest record that the store takes.
+    record_bytes: int
     machines: str
     machine_calls_per_s: float
     machine_reads_per_s: float
@@ -147,6 +150,7 @@
         executor_heartbeat_s=fields.heartbeat_ms / 1000,
         store=fields.platform.addr,
         shards=fields.platform.parts,
+        record_bytes=fields.platform.record_bytes,
         machines=fields.cloud_api.addr,
         machine_calls_per_s=fields.cloud_api.duty_per_s,
         machine_reads_per_s=fields.cloud_api.rate_per_s,
