Count jobs as pending whose starts never arrived

Cause: pending left out jobs with has_started, which is set as a start is ordered. Nothing takes it back when the start gets no answer.

Evidence: run.start and then run.unanswered in the log, no run.end. The new scenario of features/owners.feature reads 0, 0, 0 in place of 8 each on the code before.

Change: a job has begun once an executor is known to have, or to have had, a run of it, by a start's answer, a report or an end. pending, and "running" in place of "queued", go by that; placing goes by ordered starts, as before.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -281,6 +281,13 @@
       | all killed   |
       | dealt anew   |
 
+  Scenario: Jobs whose starts got no answer count as pending
+    Guards against callers who are told that nothing waits while no executor has begun a job.
+
+    Given owners on a fake platform
+    When 8 jobs are submitted while all executors have lost power
+    Then each host reports 8 pending jobs
+
   Scenario: A daemon that is stopped while shards are reassigned leaves cleanly
     Another daemon has just joined, so this one is handing shards over when it is stopped. It must
     finish that and leave. If an error ended it, its shards would have no owner and callers would be
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -203,6 +203,23 @@
     context.world = play(scene, **context.options)
 
 
+@when("{count:d} jobs are submitted while all executors have lost power")
+def submit_without_power(context, count):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        for executor in list(world.fleet.by_address.values()):
+            executor.crash(dark=True)
+        for number in range(count):
+            assert await world.submit_until_accepted(job_id_of(number), TWO_STEPS)
+        # Starts have been sent, and no other machine has come to the pool yet.
+        await asyncio.sleep(1.5)
+        assert any(job.has_started for job in world.dispatcher().jobs_by_id.values())
+        replies = [await world.daemon(host).gateway.pending(queue=QUEUE) for host in world.names]
+        context.pending = [reply.pending for reply in replies]
+
+    context.world = play(scene, **context.options)
+
+
 def _drain_executors(world):
     """Publish a draining entry for every executor."""
     for executor in world.fleet.by_address.values():
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -409,6 +409,7 @@
         task.run = run
         task.inherited = False
         job.has_started = True
+        job.note_begun()
         return run
 
     def on_end(self, link: ExecutorLink, end: EndRow, run: Run | None) -> Ticket | None:
@@ -424,6 +425,9 @@
             return None
         metrics.run_ends.add(1, {"how": end.how.name.lower()})
         self.crashes.on_run_reported(job, task, end.run)
+        if end.how is not EndKind.STOPPED:
+            # A stop may be listed of a run that never came.
+            job.note_begun()
         current = run is not None and task.run is run
         inherited = run is None and task.run is None and task.inherited
         self._events.note(
@@ -520,6 +524,9 @@
         )
         if run.task.run is run:
             run.task.run = None
+        job = self.jobs_by_id.get(run.task.task_id.job)
+        if job is not None and run.first_seen_s is not None:
+            job.note_begun()
         self.wake()
 
     # Ending jobs.
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -213,7 +213,7 @@
         if job.durable_phase is not JobPhase.LIVE:
             name = job_replies.STATE_NAMES[job.durable_phase]
             return JobReply(status_codes.JOB_STATE, state=name, detail=job.end_reason)
-        name = "running" if job.has_started else "queued"
+        name = "running" if job.has_begun else "queued"
         return JobReply(status_codes.JOB_STATE, state=name, detail=job.degraded)
 
     async def pending(self, queue_name: str, identity: Identity | None = None) -> JobReply:
@@ -363,9 +363,7 @@
         if isinstance(checked, JobReply):
             return checked
         count = sum(
-            job.phase is JobPhase.LIVE
-            and not job.has_started
-            and job.stored.is_of(path, queue_name)
+            job.phase is JobPhase.LIVE and not job.has_begun and job.stored.is_of(path, queue_name)
             for job in self._dispatcher.jobs_by_id.values()
         )
         return JobReply(status_codes.JOB_STATE, pending=count)
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -179,6 +179,7 @@
         # owner could otherwise run a job again whose caller was told that it had ended.
         self.durable_phase = JobPhase.LIVE
         self.has_started = False
+        self._begun = False
         # Set when the job's stored progress can't be read; none of its tasks may be started then.
         self.progress_unreadable = False
         # The estimated duration of the longest chain of dependent steps of the whole job, in
@@ -312,6 +313,18 @@
         tasks = steps[task_id.step]
         return tasks[task_id.number] if 0 <= task_id.number < len(tasks) else None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether an executor is known to have had a run of it; a start may never have arrived."""
+        if not self._begun and self.has_started:
+            runs = (task.run for task in self.tasks())
+            self._begun = any(run is not None and run.first_seen_s is not None for run in runs)
+        return self._begun
+
+    def note_begun(self) -> None:
+        """Note that an executor has, or had, a run of one of its tasks."""
+        self._begun = True
+
     def tasks(self) -> Iterator[Task]:
         """All tasks of the occurrences that have been opened."""
         for steps in self._occurrences.values():
@@ -441,6 +454,7 @@
             for task in self._tasks_of_step(name):
                 task.done = bool(number >> task.task_id.number & 1)
                 self.has_started = self.has_started or task.done
+                self._begun = self._begun or task.done
         for name, bits in progress.restarted.items():
             number = int(bits, 16)
             for task in self._tasks_of_step(name):
@@ -450,6 +464,7 @@
             for task in self._tasks_of_step(name):
                 task.failed_runs = set(failed.get(task.task_id.number, ()))
                 self.has_started = self.has_started or task.failures > 0
+                self._begun = self._begun or task.failures > 0
                 self.has_failures = self.has_failures or task.failures > 0
         for name, saved in progress.checkpoints.items():
             for task in self._tasks_of_step(name):
@@ -462,7 +477,7 @@
                 task.crashes_confirmed = set(confirmed.get(task.task_id.number, ()))
                 sites = progress.crash_sites.get(name, {})
                 task.crash_sites = dict(sites.get(task.task_id.number, {}))
-            self.has_started = self.has_crashes = True
+            self.has_started = self.has_crashes = self._begun = True
         if progress.batch_failure and self.phase is JobPhase.LIVE:
             self.fail_batch(progress.batch_failure)
             self.durable_phase = JobPhase.FAILED
