Want no path any more that has gone elsewhere

A shard that couldn't reach the list of paths went on wanting a path that a later version had sent to another shard, and answered 503 for every unknown job meanwhile. What a version doesn't send to the shard isn't wanted. The shards that share paths are found anew only after a change, also where there are none: it was one walk over all paths for each unknown job.

--- a/mustardgap/path_holders.py
+++ b/mustardgap/path_holders.py
@@ -143,8 +143,8 @@
         self._wake = asyncio.Event()
         self._taken = asyncio.Event()
         self._failing = False
-        # Of all paths; empty when it has to be found anew.
-        self._related: frozenset[int] = frozenset()
+        # Of all paths; None when it has to be found anew.
+        self._related: frozenset[int] | None = None
 
     def restore(self, values: Mapping[str, bytes | None]) -> None:
         """Restore what former owners of the shard have stored."""
@@ -153,6 +153,7 @@
                 continue
             try:
                 self.by_path[key.removeprefix(PATH_KEY)] = decode_msgpack(raw, Holding)
+                self._related = None
             except Undecodable as exc:
                 # The path is taken anew, which asks all shards that ever held it.
                 self._events.note("record.invalid", vital=True, why=f"{key}: {exc}")
@@ -169,6 +170,8 @@
         for queue in configuration.queues_by_name.values():
             shard = self._owners.shard_of(queue.service)
             self._shards_by_path.setdefault(path_of(queue), shard)
+        # A path that has gone elsewhere isn't wanted any more.
+        self._wanted_by_path.clear()
         for path, shard in self._shards_by_path.items():
             if shard == self._dispatcher.shard:
                 self._want(path, configuration.version)
@@ -199,7 +202,7 @@
             await self._wait_until_taken(list(self._wanted_by_path))
         if self._wanted_by_path:
             return None
-        if not self._related:
+        if self._related is None:
             self._related = frozenset(s for h in self.by_path.values() for s in h.related)
         return self._related
 
@@ -319,7 +322,7 @@
 
     def _store_holding(self, path: str, holding: Holding) -> Ticket:
         self.by_path[path] = holding
-        self._related = frozenset()
+        self._related = None
         return self._dispatcher.log.put(PATH_KEY + path, msgspec.msgpack.encode(holding))
 
     def _is_held_by_newer_configuration(self, call: FormerCall) -> bool:
