A signal that comes as a daemon ends doesn't end it as by a crash

What operators saw: a daemon that was told to stop, and whose settings file changed as it ended, ended with status -1, as if it had crashed.

Cause: the loop takes its handlers with it as it is closed, which sets the default actions, and the interpreter takes some tenths of a second to end. SIGTERM was ignored once main had returned, SIGHUP wasn't.

Change: as its last step, before the loop is closed, the daemon ignores SIGTERM, SIGINT and SIGHUP.

Evidence: the new scenario sends the signal each millisecond until the process has ended; with SIGHUP it fails on the code before, with both it passes now.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -70,6 +70,18 @@
       | SIGHUP  | serves             |
       | SIGTERM | ends with status 0 |
 
+  Scenario Outline: A daemon that ends while it gets <name> again and again has status 0
+    Guards against a planned stop that looks like a crash, as a signal comes after the loop's end.
+
+    Given the platform's stand-in and 1 daemons on it
+    When daemon 1 is told to stop, and gets <name> each millisecond until it has ended
+    Then it ends with status 0
+
+    Examples:
+      | name    |
+      | SIGHUP  |
+      | SIGTERM |
+
   Scenario Outline: A settings file that <flaw>
     Given the platform's stand-in and 0 daemons on it
     When a daemon starts with a settings file that <flaw>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -268,6 +268,16 @@
     context.status = context.processes.stop(f"e{number}")
 
 
+@when("daemon {number:d} is told to stop, and gets {name} each millisecond until it has ended")
+def stop_with_signals(context, number, name):
+    process = context.processes.by_name[f"e{number}"]
+    process.send_signal(signal.SIGTERM)
+    until = time.monotonic() + 30.0
+    while process.poll() is None and time.monotonic() < until:
+        process.send_signal(signal.Signals[name])
+        time.sleep(0.001)
+
+
 @when("a daemon starts with a settings file that {flaw}")
 def flawed_settings(context, flaw):
     fields = _settings(context, 1)
--- a/mustardgap/platform/__main__.py
+++ b/mustardgap/platform/__main__.py
@@ -17,5 +17,3 @@
 from .daemon import main  # noqa: E402
 
 main()
-# The loop's handlers went with it, and the interpreter takes a while to end.
-signal.signal(signal.SIGTERM, signal.SIG_IGN)
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -185,6 +185,7 @@
             await self.front.stop(timeout_s=0.0)
             await root.stop()
             self.events.note("daemon.stop", vital=True)
+            _ignore_signals(loop)
 
     async def _first(self, root: Supervisor) -> None:
         failing = asyncio.ensure_future(root.run())
@@ -339,6 +340,17 @@
             return {}
 
 
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore the signals that a process gets while it ends.
+
+    The loop takes its handlers with it, and the interpreter needs some tenths of a second after
+    that. A signal would end the process by its default action then, which looks like a crash.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def decode_operator(values: dict[str, bytes | None]) -> OperatorRecords:
     """Decode records of the operator."""
     configuration: Configuration | None = None
