Say how old an owner's "unknown" is by the version at its beginning

An owner that learned of a version while it looked for a job stamped its reply with that version, though it had looked by the one before; the daemon that asked then believed that the job doesn't exist: 410 for an accepted job. A submission is refused, too, if its path was lost and taken again while former holders were asked, as others may have held it meanwhile (read, not played).

--- a/features/paths.feature
+++ b/features/paths.feature
@@ -58,6 +58,12 @@
     Then every daemon answers its submission, a question for it and its cancelling by 503
     And a job of another path is accepted at once
 
+  Scenario: An owner that learns of a version while it looks for a job doesn't say that there is none
+    Guards against an "unknown" that was found by an older version than it is said to be.
+
+    When a job is accepted, its route is replaced, and the new owner learns of that while it is asked for the job
+    Then the question is never answered by 410, and in the end by the job's state
+
   Scenario: A job whose path has gone to another service can be cancelled
     When a job is accepted, its route is replaced, and it is cancelled through another daemon
     Then the job is shown as canceled at every daemon
--- a/features/steps/paths_steps.py
+++ b/features/steps/paths_steps.py
@@ -356,6 +356,35 @@
     assert context.beside == [200] * 3, context.beside
 
 
+@when(
+    "a job is accepted, its route is replaced, and the new owner learns of that while it is asked "
+    "for the job"
+)
+def learn_while_asked(context):
+    async def scene(world):
+        paths = await begin(world)
+        assert (await paths.submit("e1", JOB)).code.http_status == 200
+        new_owner = paths.owner_of(OTHER)
+        asker = next(name for name in world.names if name != new_owner.name)
+        delay(world, [new_owner.name])
+        paths.publish([MOVED, BESIDE])
+        await asyncio.sleep(LATE_S - 0.1)
+        # The owner's own look into the store takes longer than until it learns of the version.
+        world.store.slow_s = 0.3
+        context.replies = [await paths.state(asker, JOB) for _ in range(2)]
+        world.store.slow_s = 0.0
+        context.replies.append(await paths.answered(paths.state, asker, JOB))
+
+    context.world = play(scene)
+
+
+@then("the question is never answered by 410, and in the end by the job's state")
+def check_never_unknown(context):
+    statuses = [reply.code.http_status for reply in context.replies]
+    assert 410 not in statuses, context.replies
+    assert context.replies[-1].state == "queued", context.replies
+
+
 @when("a job is accepted, its route is replaced, and it is cancelled through another daemon")
 def cancel_moved(context):
     async def scene(world):
--- a/mustardgap/job_gateways.py
+++ b/mustardgap/job_gateways.py
@@ -240,8 +240,10 @@
     def _handler(self, name: str) -> Callable[[Any], Any]:
         async def handle(values: list[Any]) -> list[Any]:
             shard, arguments = values
+            # The version at the beginning, as a later one may come while the owner looks.
+            version = self._version
             reply = await self._call_local_owner(shard, name, arguments)
-            return job_replies.encode_with_version(reply, self._version)
+            return job_replies.encode_with_version(reply, version)
 
         return handle
 
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -311,7 +311,12 @@
         if not holding.former:
             return None
         call = self._former_call("submit", job_id, identity, path)
-        return _reply_elsewhere(await self._dispatcher.paths.ask_former(holding, call))
+        elsewhere = _reply_elsewhere(await self._dispatcher.paths.ask_former(holding, call))
+        current = self._dispatcher.paths.by_path[path]
+        if elsewhere is None and current.version != holding.version:
+            # The path was lost and taken again meanwhile, so others may have held it.
+            return job_replies.owner_unavailable("another service held the path meanwhile")
+        return elsewhere
 
     async def _ask_related_shards(
         self, name: str, job_id: str, identity: Identity | None
