The log tells when the event loop has no time left, and what it works on

Change: a selector that measures for how long the loop waits; once a second loop.busy with the share of time in which it didn't (0.5 and above), the lateness of its timers, and how long and how often its parts worked; a single stretch of 0.15 s or more as loop.delayed. The lines count among those of pools, whose budget runs don't use up. The work of a fleet's round that isn't waiting, and an owner's periodic checks, are functions of their own for that; what they do is unchanged.

--- a/mustardgap/boards.py
+++ b/mustardgap/boards.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from .events import EventLog
+from .loop_monitors import work_times
 from .ports import Boards, Entries, Expired, Invalid, NoAnswer, Refused
 from .timers import Clock
 from .workloads import Configuration, ExecutorEntry, Wave
@@ -85,7 +86,8 @@
             outcome = await self._boards.read_operator(offset=self._offset, wait_s=wait_s)
             if isinstance(outcome, Entries):
                 written = outcome.end - self._read_end if self._read_end is not None else 0
-                self._apply_entries(outcome)
+                with work_times.measure("configuration"):
+                    self._apply_entries(outcome)
                 if written > 1:
                     took_s = self._clock.monotonic() - began
                     await self._pause_reading(took_s if newest_only else took_s / written)
@@ -229,7 +231,8 @@
                 offset=self._offset, wait_s=EXECUTORS_POLL_WAIT_S
             )
             if isinstance(outcome, Entries):
-                self._apply_entries(outcome)
+                with work_times.measure("entries"):
+                    self._apply_entries(outcome)
                 await self._clock.sleep(EXECUTORS_READ_INTERVAL_S)
             elif isinstance(outcome, Expired):
                 self._offset = None
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -30,6 +30,7 @@
     attempts_exhausted,
 )
 from .load_features import Feature, LoadFeatures
+from .loop_monitors import work_times
 from .pacing import Pacing
 from .path_holders import OwnersOfShards, PathHolders
 from .placing import objective_s
@@ -236,7 +237,8 @@
             await self._clock.sleep(max(PLACING_DELAY_S, took_s * PLACING_PAUSE_FACTOR))
             self._wake.clear()
             began = self._clock.monotonic()
-            self.starter.place()
+            with work_times.measure("placing"):
+                self.starter.place()
             took_s = self._clock.monotonic() - began
 
     async def _wake_when_advised(self) -> None:
@@ -310,7 +312,8 @@
         self.roster.entries_by_id = entries_by_id
         self.roster.services = services
         if self.loaded:
-            self.roster.update()
+            with work_times.measure("roster"):
+                self.roster.update()
             self.wake()
 
     # Callbacks of the executor links.
@@ -648,7 +651,8 @@
         for executor, link in self.roster.links_by_executor.items():
             if link.entry.service == request.service:
                 link.closing = executor in closing
-        return build_pool_view(self, request.service, self._clock.wall())
+        with work_times.measure("pool view"):
+            return build_pool_view(self, request.service, self._clock.wall())
 
     def _may_have_ended(self, link: ExecutorLink) -> bool:
         """Whether a notice that an executor has ended may be about a link's incarnation.
@@ -675,26 +679,30 @@
     async def _tick(self) -> None:
         while not self.log.fenced:
             await self._clock.sleep(TICK_S)
-            now, wall = self._clock.monotonic(), self._clock.wall()
-            for job in self.jobs_by_id.values():
-                if job.spec.repeats and job.phase is JobPhase.LIVE:
-                    job.open_due_occurrences(wall)
-            running = self.running()
-            self.suspicions.update(running)
-            self.speeds.update(running)
-            self.crashes.update(running)
-            self.pacing.update(self.roster.links_by_executor.values(), now)
-            self._expire_closing(now)
-            if self.admission.enabled:
-                self.admission.measure(now)
-            self._watch_racks(now)
-            self.evacuations.update(now)
-            self.stragglers.update(self.running(), now)
-            if now - self._reaped_at > REAP_INTERVAL_S:
-                self._reaped_at = now
-                self._reap_ended_jobs(wall)
+            with work_times.measure("checks"):
+                self._check_all()
             self.wake()
 
+    def _check_all(self) -> None:
+        now, wall = self._clock.monotonic(), self._clock.wall()
+        for job in self.jobs_by_id.values():
+            if job.spec.repeats and job.phase is JobPhase.LIVE:
+                job.open_due_occurrences(wall)
+        running = self.running()
+        self.suspicions.update(running)
+        self.speeds.update(running)
+        self.crashes.update(running)
+        self.pacing.update(self.roster.links_by_executor.values(), now)
+        self._expire_closing(now)
+        if self.admission.enabled:
+            self.admission.measure(now)
+        self._watch_racks(now)
+        self.evacuations.update(now)
+        self.stragglers.update(self.running(), now)
+        if now - self._reaped_at > REAP_INTERVAL_S:
+            self._reaped_at = now
+            self._reap_ended_jobs(wall)
+
     def _watch_racks(self, now: float) -> None:
         if not self.features.has(Feature.RACKS):
             return
--- a/mustardgap/events.py
+++ b/mustardgap/events.py
@@ -77,7 +77,7 @@
     if event.startswith("job."):
         return LineClass.JOBS
     # pool.unreachable is written for each failed query, and tells nothing of why a pool waits.
-    if event.startswith(("pool.", "fleet.", "account.")) and event != "pool.unreachable":
+    if event.startswith(("pool.", "fleet.", "account.", "loop.")) and event != "pool.unreachable":
         return LineClass.POOLS
     return LineClass.OTHER
 
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -16,6 +16,7 @@
     compare_starts,
 )
 from .executor_speeds import SpeedEstimate
+from .loop_monitors import work_times
 from .ports import (
     Executors,
     Fenced,
@@ -465,7 +466,8 @@
             self._poll_unanswered = False
             # An answer that came early, because a run ended, counts as immediate.
             self._answer_timeout.note_answered(max(self._clock.monotonic() - sent_at - wait_s, 0.0))
-            self._apply_report(outcome, sent_at)
+            with work_times.measure("reports"):
+                self._apply_report(outcome, sent_at)
             if has_backlog:
                 # The store isn't accepting records; the executor keeps the ends until it does.
                 await self._clock.sleep(BACKLOG_POLL_S if self._is_busy else RETRY_S)
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -13,6 +13,7 @@
 from .fleet_states import UP, Closing, EndedExecutor, FleetState, OrderTimes, has_returned
 from .fleet_waves import WAVE_KEY, FleetWaves
 from .load_features import Feature, LoadFeatures
+from .loop_monitors import work_times
 from .policies import WHOLE, Mechanism, Policy
 from .pool_views import PoolRequest, PoolView
 from .ports import Boards, Machines, NoAnswer, Refused, Store
@@ -217,6 +218,13 @@
         if self._clock.monotonic() - self._listed_at >= LIST_INTERVAL_S:
             await self._list_machines()
         await self._query_pools(configuration)
+        with work_times.measure("fleet"):
+            self._plan(configuration)
+        if self.orders.stopped:
+            return
+        await self.waves.report_progress()
+
+    def _plan(self, configuration: Configuration) -> None:
         self._remove_returned()
         self._find_ended_executors()
         if self.orders.stopped:
@@ -225,7 +233,6 @@
         self._order_empty_machines()
         self.moves.plan(configuration, self._machines_due())
         self.waves.plan(configuration)
-        await self.waves.report_progress()
 
     # State of machines and pools.
 
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -385,6 +385,12 @@
 append_duration = _duration_histogram(
     "mustardgap.store.append_duration", "Time until an append is answered"
 )
+loop_lateness = _duration_histogram(
+    "mustardgap.loop.lateness", "How late the event loop gets to a timer that is due"
+)
+loop_busy_time = _counter(
+    "mustardgap.loop.busy_time", "s", "Time in which the event loop didn't wait for anything"
+)
 machine_orders = _counter(
     "mustardgap.machine.orders",
     "{order}",
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -21,6 +21,7 @@
 from ..http_pools import HttpPool
 from ..job_gateways import JobGateway
 from ..load_features import DEFAULTS, Feature, FeatureSettings, LoadFeatures
+from ..loop_monitors import LoopMonitor, TimedSelector, run_timed
 from ..owner_hints import OwnerHints
 from ..peer_calls import PeerClient, PeerServer, PeerUnreachable
 from ..policies import WHOLE, Policy
@@ -84,6 +85,7 @@
     :param settings: what the platform tells this process.
     :param policy: what takes part in its decisions.
     :param features: the switches of the decisions for hard load.
+    :param selector: the selector of the event loop, if its waiting is measured.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         settings: ProcessSettings,
         policy: Policy = WHOLE,
         features: FeatureSettings = DEFAULTS,
+        selector: TimedSelector | None = None,
     ) -> None:
         self.settings = settings
         self.policy = policy
@@ -148,6 +151,9 @@
             hints=hints,
             features=self.features,
         )
+        self._monitor = None
+        if selector is not None:
+            self._monitor = LoopMonitor(selector=selector, clock=self.clock, events=self.events)
         self.front = Front(gateway=self.gateway, ready=self._is_ready, events=self.events)
         self._stopping = asyncio.Event()
         metrics.observe("mustardgap.configuration.version", self._version)
@@ -176,6 +182,8 @@
         root.start_child("ask", self.operator.poll_peers)
         root.start_child("board", self.board.run)
         root.start_child("owners", self.owners.run)
+        if self._monitor is not None:
+            root.start_child("monitor", self._monitor.run)
         try:
             await self._first(root)
             await self._leave()
@@ -388,4 +396,8 @@
         sys.exit(exc.code.exit_status)
     logs.set_up(host=settings.host)
     gc.freeze()
-    asyncio.run(PlatformDaemon(settings=settings, policy=policy, features=features).run())
+    run_timed(
+        lambda selector: PlatformDaemon(
+            settings=settings, policy=policy, features=features, selector=selector
+        ).run()
+    )
