An entry under an odd name makes no executor, and ends no shard's service

Cause: the body of an entry was checked, and not the name under which it stands. The name goes into keys of records (255 bytes at most, "e/" before it) and into the head of each order.

Change: the name is checked with the rest: visible ASCII, at most 200 characters. It is the only text of other writers that gets into keys; ids of jobs have 16 digits, paths are digests.

--- a/features/http_pools.feature
+++ b/features/http_pools.feature
@@ -54,3 +54,17 @@
       | that ends with its connection        | is followed by a new one     | 2           |
       | and a second one that nobody awaits  | is followed by a new one     | 2           |
       | in single bytes                      | leaves the connection usable | 1           |
+
+  Scenario Outline: A request whose <part> has <characters> isn't sent
+    Guards against an owner that ends, and against requests in disguise, by what others have written.
+
+    When an HTTP call is made whose <part> has <characters>
+    Then the HTTP call was certainly not sent
+
+    Examples:
+      | part    | characters    |
+      | header  | a line break  |
+      | header  | a null        |
+      | header  | a euro sign   |
+      | target  | a line break  |
+      | target  | a euro sign   |
--- a/features/steps/unreadable_steps.py
+++ b/features/steps/unreadable_steps.py
@@ -135,6 +135,32 @@
     await asyncio.gather(task, failing, done, return_exceptions=True)
 
 
+ODD_NAMES = {
+    "of 254 characters": "x" * 254,
+    "of 201 characters": "x" * 201,
+    "with a line break": "x\r\nX: y",
+    "with a null": "x\0",
+    "with a euro sign": "x€",
+    "with a space": "x y",
+    "without characters": "",
+}
+
+
+@when("the list of executors has a sound entry under a name {flaw}")
+def read_odd_name(context, flaw):
+    reads = [{"x1": ENTRY, ODD_NAMES[flaw]: ENTRY, "x2": ENTRY}]
+    asyncio.run(
+        _follow(context, ExecutorBoard, reads, flaw, decode=decode_entry, needed=lambda: True)
+    )
+
+
+@then("it makes no executor, is logged, and the other entries are in force")
+def check_odd_name(context):
+    assert context.ended is None and context.restarts == 0, context.ended
+    assert context.board.entries_by_id.keys() == {"x1", "x2"}, context.board.entries_by_id
+    assert [line["event"] for line in context.events.captured] == ["executor.invalid"]
+
+
 @when(
     "a supervised board of executors reads {times:d} times records of another writer that are "
     "{flaw}"
--- a/features/unreadable.feature
+++ b/features/unreadable.feature
@@ -36,6 +36,22 @@
       | with a port of 5000 digits |
       | with a number of 70 bits   |
 
+  Scenario Outline: A sound entry under a name <flaw> makes no executor
+    Guards against an owner that ends again and again as it records an executor, or sends it orders.
+
+    When the list of executors has a sound entry under a name <flaw>
+    Then it makes no executor, is logged, and the other entries are in force
+
+    Examples:
+      | flaw                         |
+      | of 254 characters            |
+      | of 201 characters            |
+      | with a line break            |
+      | with a null                  |
+      | with a euro sign             |
+      | with a space                 |
+      | without characters           |
+
   Scenario: Each decoder has one error for all that can't be read
     Guards against errors that a decoder's callers don't expect.
 
--- a/mustardgap/platform/decoding.py
+++ b/mustardgap/platform/decoding.py
@@ -1,5 +1,6 @@
 """Bodies and records of the platform, decoded once into the product's types and back."""
 
+import re
 from base64 import b64decode
 from collections.abc import Mapping
 from enum import StrEnum
@@ -42,6 +43,9 @@
 MAX_REPEATED_TASKS = 100_000
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
+# An executor's name is part of the keys of records, of 255 bytes at most, and of requests' heads.
+MAX_NAME_LENGTH = 200
+_NAME = re.compile("[!-~]+")
 # So much of a record that can't be read is shown beside the reason.
 MAX_SHOWN_BYTES = 100
 
@@ -424,8 +428,10 @@
     Others may write to the list, too. A record with a field that is missing or can't be would pass
     for an executor that has no room, or can't be reached, and tasks would wait for it.
 
+    :param executor: the name under which it stands in the list.
     :raises InvalidBody: what is wrong with it.
     """
+    _check_name(executor)
     fields = _decode(raw, _Entry)
     _check_address(fields.addr)
     return ExecutorEntry(
@@ -443,6 +449,13 @@
     )
 
 
+def _check_name(executor: str) -> None:
+    if len(executor) > MAX_NAME_LENGTH:
+        raise InvalidBody(f"a name of {len(executor)} characters")
+    if not _NAME.fullmatch(executor):
+        raise InvalidBody(f"the name {executor!r} has characters that no request can carry")
+
+
 def _check_address(address: str) -> None:
     ip, _, port = address.rpartition(":")
     try:
