--- a/mustardgap/http_pools.py
+++ b/mustardgap/http_pools.py
@@ -77,7 +77,7 @@
             if isinstance(opened, NoAnswer):
                 return opened
             connection = opened
-        exchange = _Exchange(connection, loop, began, timeout_s)
+        exchange = _Exchange(connection=connection, loop=loop, began=began, timeout_s=timeout_s)
         try:
             answer = await exchange.run(raw)
         except TimeoutError:
@@ -143,6 +143,7 @@
 
     def __init__(
         self,
+        *,
         connection: HttpConnection,
         loop: asyncio.AbstractEventLoop,
         began: float,
--- a/mustardgap/loop_monitors.py
+++ b/mustardgap/loop_monitors.py
@@ -82,7 +82,7 @@
 
     __slots__ = ("_began", "_part", "_times")
 
-    def __init__(self, times: "WorkTimes", part: str) -> None:
+    def __init__(self, *, times: "WorkTimes", part: str) -> None:
         self._times = times
         self._part = part
         self._began = 0.0
@@ -113,7 +113,7 @@
 
     def measure(self, part: str) -> _Stretch:
         """Measure a stretch of work of a part, as a context manager."""
-        return _Stretch(self, part)
+        return _Stretch(times=self, part=part)
 
     def add(self, part: str, took_s: float) -> None:
         """Add a stretch of work of a part."""
--- a/mustardgap/run_speeds.py
+++ b/mustardgap/run_speeds.py
@@ -70,7 +70,7 @@
     :param siblings: the tasks of the step and occurrence.
     """
 
-    def __init__(self, siblings: Iterable["Task"]) -> None:
+    def __init__(self, *, siblings: Iterable["Task"]) -> None:
         speeds = [
             speed
             for speed in map(_speed_of, siblings)
@@ -127,7 +127,7 @@
     :param speed: the run's speed.
     :param siblings: the tasks of the same step and occurrence.
     """
-    return False if speed.ran_s < MIN_RUN_S else PeerSpeeds(siblings).is_slow(speed)
+    return False if speed.ran_s < MIN_RUN_S else PeerSpeeds(siblings=siblings).is_slow(speed)
 
 
 def _speed_of(task: "Task") -> RunSpeed | None:
--- a/mustardgap/suspicions.py
+++ b/mustardgap/suspicions.py
@@ -143,7 +143,7 @@
         """The speeds of a task's step, at most as old as the last update."""
         key = task.task_id[:-1]
         if key not in self._peers_by_step:
-            self._peers_by_step[key] = PeerSpeeds(self._siblings_of(task))
+            self._peers_by_step[key] = PeerSpeeds(siblings=self._siblings_of(task))
         return self._peers_by_step[key]
 
     def _pause(self, link: ExecutorLink, pause_s: float, why: str) -> None:
