A daemon that gets SIGTERM in a destructor while it starts ends all the same

Cause: the handler raised SystemExit. Where the signal interrupts a destructor, or a callback of a weak reference such as importlib's _get_module_lock, Python reports what is raised there and goes on.

Change: the handler ends the process itself, with status 0; nothing is under way yet that would need more.

Evidence: the new scenario sends the signal in a destructor; before, "Exception ignored in ... SystemExit: 0" and the daemon ran, now it ends.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -70,6 +70,12 @@
       | SIGHUP  | serves             |
       | SIGTERM | ends with status 0 |
 
+  Scenario: A daemon that gets SIGTERM in a destructor while it starts ends with status 0
+    Guards against a stop that is lost: what a signal's handler raises in a destructor is ignored.
+
+    When a daemon gets SIGTERM in a destructor while it loads its libraries
+    Then it has ended with status 0, and has run nothing
+
   Scenario Outline: A daemon that ends while it gets <name> again and again has status 0
     Guards against a planned stop that looks like a crash, as a signal comes after the loop's end.
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,8 @@
 import json
 import re
 import signal
+import subprocess
+import sys
 import time
 from http.client import HTTPConnection
 from pathlib import Path
@@ -268,6 +270,40 @@
     context.status = context.processes.stop(f"e{number}")
 
 
+# Stands in for the daemon's module: as it is loaded, an object's destructor gets the signal.
+_LOADED_WITH_SIGNAL = """
+import os, runpy, signal, sys, types
+
+class Dropped:
+    def __del__(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+        for _ in range(1000):
+            pass
+
+def load(name):
+    Dropped()
+    return lambda: print("the daemon runs")
+
+module = types.ModuleType("mustardgap.platform.daemon")
+module.__getattr__ = load
+sys.modules[module.__name__] = module
+runpy.run_module("mustardgap.platform", run_name="__main__", alter_sys=True)
+"""
+
+
+@when("a daemon gets SIGTERM in a destructor while it loads its libraries")
+def signal_in_destructor(context):
+    context.ended = subprocess.run(
+        [sys.executable, "-c", _LOADED_WITH_SIGNAL], capture_output=True, timeout=30, check=False
+    )
+
+
+@then("it has ended with status 0, and has run nothing")
+def check_ended_at_once(context):
+    assert context.ended.returncode == 0, context.ended
+    assert not context.ended.stdout, context.ended
+
+
 @when("daemon {number:d} is told to stop, and gets {name} each millisecond until it has ended")
 def stop_with_signals(context, number, name):
     process = context.processes.by_name[f"e{number}"]
--- a/mustardgap/platform/__main__.py
+++ b/mustardgap/platform/__main__.py
@@ -1,11 +1,13 @@
 """Runs a daemon on the platform."""
 
+import os
 import signal
-import sys
 
 
 def _end(*_: object) -> None:
-    sys.exit(0)
+    # An exception of the handler would be swallowed where it interrupts a destructor or a callback
+    # of the garbage collector, and the daemon would go on to serve.
+    os._exit(0)
 
 
 # The imports take half a second, in which a signal would end the process as by a crash: a settings
