Runs too young to be judged cost no comparison of their step

Found by reading the change before: the speeds of a step were sorted once a pass even where all of its runs were younger than the second from which runs are judged, which most tasks never reach; before such a run cost nothing. Not measured; what is judged, and how, is unchanged.

--- a/mustardgap/suspicions.py
+++ b/mustardgap/suspicions.py
@@ -7,7 +7,7 @@
 from .executor_links import ExecutorLink
 from .job_states import Task
 from .policies import WHOLE, Mechanism, Policy
-from .run_speeds import PeerSpeeds, RunSpeed, is_slow, measure, measure_done
+from .run_speeds import MIN_RUN_S, PeerSpeeds, RunSpeed, is_slow, measure, measure_done
 from .runs import Run
 from .timers import Clock
 from .workloads import EndKind
@@ -105,7 +105,9 @@
                 self._handle_stall(run)
                 continue
             speed = measure(run)
-            if speed is not None and self._peers_of(run.task).is_slow(speed):
+            if speed is None or speed.ran_s < MIN_RUN_S:
+                continue
+            if self._peers_of(run.task).is_slow(speed):
                 self._handle_slow_run(run)
 
     def _handle_stall(self, run: Run) -> None:
