The monitor of the event loop ticks by the timer service

Its loop measured how late a tick of 0.1 s comes, which Timers.run does already; now it subscribes there, on each tick and once a second. Its selector passed every call on to another one only for the sake of its test; it is the default selector itself now, and the test puts its passing of time below it.

What is told and when is as before, but that a report comes a second after the one before ended, not with the first tick after a second. The test keeps its rows and checks.

--- a/features/steps/loop_monitor_steps.py
+++ b/features/steps/loop_monitor_steps.py
@@ -28,26 +28,32 @@
         return self.now_s
 
 
-class HostSelector(selectors.SelectSelector):
-    """Passes the time of a clock in place of waiting.
+class PassingSelector(selectors.DefaultSelector):
+    """Passes the time of a clock in place of waiting."""
 
-    :param clock: the clock.
-    """
-
-    def __init__(self, *, clock: HostClock) -> None:
-        super().__init__()
-        self._clock = clock
+    clock: HostClock
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait for the timeout."""
-        self._clock.now_s += max(timeout or 0.0, 0.0)
+        self.clock.now_s += max(timeout or 0.0, 0.0)
         return super().select(0)
 
 
+class HostSelector(TimedSelector, PassingSelector):
+    """Measures the time that it passes.
+
+    :param clock: the clock.
+    """
+
+    def __init__(self, *, clock: HostClock) -> None:
+        super().__init__(now=clock.monotonic)
+        self.clock = clock
+
+
 @given("an event loop whose waiting is measured")
 def step_loop(context: Any) -> None:
     clock = HostClock()
-    selector = TimedSelector(now=clock.monotonic, selector=HostSelector(clock=clock))
+    selector = HostSelector(clock=clock)
     context.loop = asyncio.SelectorEventLoop(selector)
     context.loop.time = clock.monotonic
     context.clock = clock
--- a/mustardgap/loop_monitors.py
+++ b/mustardgap/loop_monitors.py
@@ -9,15 +9,14 @@
 import selectors
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 from types import TracebackType
 from typing import Any
 
 from . import metrics
 from .events import EventLog
-from .timers import Clock
+from .timers import Clock, Timers
 
-INTERVAL_S = 0.1
 # A lateness from which the log tells of a delay: orders and looks wait for their answers for this
 # long at least, so a shorter one makes none of them late.
 MIN_DELAY_S = 0.15
@@ -26,52 +25,26 @@
 MIN_BUSY_SHARE = 0.5
 
 
-class TimedSelector(selectors.BaseSelector):
+class TimedSelector(selectors.DefaultSelector):
     """Waits for the sockets of an event loop, and measures for how long it has waited.
 
     :param now: returns monotonic seconds.
-    :param selector: the selector that waits.
     """
 
-    def __init__(
-        self,
-        *,
-        now: Callable[[], float] = time.monotonic,
-        selector: selectors.BaseSelector | None = None,
-    ) -> None:
+    def __init__(self, *, now: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
         self.waited_s = 0.0
         self._now = now
-        self._selector = selector or selectors.DefaultSelector()
-
-    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
-        """Watch a file object."""
-        return self._selector.register(fileobj, events, data)
-
-    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
-        """Watch a file object no longer."""
-        return self._selector.unregister(fileobj)
-
-    def modify(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
-        """Watch a file object for other events."""
-        return self._selector.modify(fileobj, events, data)
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait until a file object is ready, or the timeout is over."""
         if timeout is not None and timeout <= 0:
-            return self._selector.select(timeout)
+            return super().select(timeout)
         began = self._now()
-        ready = self._selector.select(timeout)
+        ready = super().select(timeout)
         self.waited_s += self._now() - began
         return ready
 
-    def close(self) -> None:
-        """Release what the selector holds."""
-        self._selector.close()
-
-    def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
-        """Return the watched file objects."""
-        return self._selector.get_map()
-
 
 class _Stretch:
     """Measures one stretch of work, as a context manager.
@@ -153,6 +126,9 @@
     ) -> None:
         self._selector = selector
         self._clock = clock
+        # Each tick calls back, however late it is.
+        self._timers = Timers(clock=clock, gap_s=0.0)
+        self._timers.on_gap(self._note_lateness)
         self._events = events
         self._times = times
         self._cpu_s = cpu_s
@@ -163,13 +139,11 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
-        while True:
-            began = self._clock.monotonic()
-            await self._clock.sleep(INTERVAL_S)
-            now = self._clock.monotonic()
-            self._note_lateness(max(now - began - INTERVAL_S, 0.0))
-            if now - self._reported_at >= REPORT_INTERVAL_S:
-                self._report(now)
+        self._timers.subscribe("loop report", REPORT_INTERVAL_S, self._report)
+        try:
+            await self._timers.run()
+        finally:
+            self._timers.close()
 
     def _note_lateness(self, late_s: float) -> None:
         self._latest_s = max(self._latest_s, late_s)
@@ -182,8 +156,9 @@
                 longest_s=_rounded(self._times.longest_s_by_part),
             )
 
-    def _report(self, now: float) -> None:
+    def _report(self) -> None:
         """Log how busy the loop was; far less processor time says that the host was short of it."""
+        now = self._clock.monotonic()
         span_s = now - self._reported_at
         waited_s = self._selector.waited_s - self._reported_waited_s
         cpu_s = self._cpu_s()
