--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -219,21 +219,16 @@
             await self._list_machines()
         await self._query_pools(configuration)
         with work_times.measure("fleet"):
-            self._plan(configuration)
-        if self.orders.stopped:
-            return
+            self._remove_returned()
+            self._find_ended_executors()
+            if self.orders.stopped:
+                return
+            self._drop_stale_closings()
+            self._order_empty_machines()
+            self.moves.plan(configuration, self._machines_due())
+            self.waves.plan(configuration)
         await self.waves.report_progress()
 
-    def _plan(self, configuration: Configuration) -> None:
-        self._remove_returned()
-        self._find_ended_executors()
-        if self.orders.stopped:
-            return
-        self._drop_stale_closings()
-        self._order_empty_machines()
-        self.moves.plan(configuration, self._machines_due())
-        self.waves.plan(configuration)
-
     # State of machines and pools.
 
     async def _list_machines(self) -> None:
