A crowd of callers that don't behave ends no daemon: their bytes, requests, connections and time are bounded

What callers saw: a daemon ended, out of memory, or answered nobody, while many clients sent large bodies, stopped just short of their end and stayed; sent chunked bodies of any size, in large or very small chunks; or just stayed connected.

Cause: the front had bounds of its own, a connection each (1 MB a body, 64 KB a head, 60 s of idling), and the operator's `limits` were decoded and read by nobody. Nothing counted what all clients hold together, nothing ended a body that doesn't arrive, and tornado works through small chunks of one connection without giving another a turn. The class: state that grows with what strangers send, at ports that trust them.

Change: one server of the product (`http_servers`, `server_connections`) reads what strangers send; the adapter only translates. `client_bounds` counts bytes, requests and connections of all clients of a port, with bounds from `memoryMb` and `maxFds`; a request's own are the configuration's `limits`. Who has sent nothing for 1 s gives way when there is no room, and small bodies have a part of it to themselves, so that ordinary callers are served beside a crowd that stays. A refusal is sent before the body is read, what comes after it is dropped for `headerTimeoutMs`, and only then the connection is closed: a reset could overtake it. New codes MG1115 (503), MG1116 (408), MG1117 (431). Ready and metrics ports have small bounds of their own. A bad request is answered 400 now, where its connection just ended; a body of form data isn't parsed.

Evidence: crowds.feature, on a machine of 128 MB and 1,000 descriptors (of which 800 for sockets), crowd and bounds fixed on.

Tests changed: the rig's way to see that a front has taken a job from the socket (tornado's stream is gone) asks the new connection the same. The stand-in states `maxBodyBytes` of 1 MB, as the front took before whatever was stated, so that a job can still be larger than a record. Features tagged @alone run while no other does.

--- /dev/null
+++ b/features/steps/crowds_steps.py
@@ -0,0 +1,116 @@
+"""Steps of the crowds' feature: real daemons that are called by clients that don't behave."""
+
+import json
+import time
+from http.client import HTTPConnection, HTTPException
+
+from behave import given, then, when
+
+from features.support.crowds import (
+    LEGAL_BODY_BYTES,
+    MEGABYTE,
+    RESERVED_DESCRIPTORS,
+    Crowd,
+    Watch,
+)
+from tools.processes import free_ports, wait_http
+from tools.wire_platform import process_settings
+
+HOST = "stairs.example"
+STEPS = [{"count": 1, "cpu": 1000, "memMb": 500, "estimateMs": 500}]
+# Without an answer for so long the daemon hangs; one that is well answers within milliseconds.
+ANSWER_TIMEOUT_S = 30.0
+RETRY_INTERVAL_S = 0.2
+# The daemon has taken by then what it takes of a crowd, and has noticed that one has left.
+SETTLE_S = 3.0
+
+
+def _number(text):
+    return int(text.replace(",", ""))
+
+
+@given(
+    "the platform's stand-in and a daemon on a machine of {megabytes:d} MB "
+    "and {descriptors} descriptors"
+)
+def start_daemon(context, megabytes, descriptors):
+    context.megabytes, context.descriptors = megabytes, _number(descriptors)
+    ports = sorted(free_ports(60))
+    store = next(a for a, b in zip(ports, ports[3:], strict=False) if b == a + 3)
+    front, ready, peer, scraped = [port for port in ports if port > store + 3][:4]
+    context.processes.start(
+        "platform",
+        "tools.wire_platform",
+        f"--port={store}",
+        f"--max-body-bytes={LEGAL_BODY_BYTES}",
+    )
+    wait_http(f"http://127.0.0.1:{store}/record")
+    settings = process_settings(
+        host="e1", front=front, ready=ready, peer=peer, store=store, status_s=120
+    )
+    settings["limits"] = {
+        "cpuShare": 1,
+        "cores": 1,
+        "memoryMb": megabytes,
+        "maxFds": _number(descriptors),
+    }
+    file = context.folder / "settings.json"
+    file.write_text(json.dumps(settings))
+    variables = {"MUSTARDGAP_CONFIG": str(file), "MUSTARDGAP_METRICS_PORT": str(scraped)}
+    process = context.processes.start("e1", "mustardgap.platform", variables=variables)
+    wait_http(f"http://127.0.0.1:{ready}/mustardgap/ready")
+    context.port = front
+    context.job = 0
+    _accept_job(context)
+    context.watch = Watch(pid=process.pid, ports=[front])
+
+
+def _accept_job(context):
+    """Hand a job in as an ordinary caller does, who comes back when refused."""
+    context.job += 1
+    path = f"/quotes/{0xA000 + context.job:016x}"
+    until = time.monotonic() + ANSWER_TIMEOUT_S
+    seen = []
+    while time.monotonic() < until:
+        connection = HTTPConnection("127.0.0.1", context.port, timeout=ANSWER_TIMEOUT_S)
+        try:
+            body = json.dumps({"spec": "p", "steps": STEPS})
+            connection.request("POST", path, body, {"Host": HOST})
+            seen.append(connection.getresponse().status)
+        except (OSError, HTTPException) as exc:
+            seen.append(repr(exc))
+        finally:
+            connection.close()
+        if seen[-1] == 200:
+            return
+        time.sleep(RETRY_INTERVAL_S)
+    raise AssertionError(f"no ordinary job was accepted, the last answers: {seen[-5:]}")
+
+
+@when("a crowd of {connections} sends {what}")
+def send(context, connections, what):
+    context.crowd = Crowd(port=context.port, connections=_number(connections), what=what)
+    context.crowd.send()
+
+
+@then("the daemon lives, and has stayed within its machine's memory and descriptors")
+def check_bounds(context):
+    watch = context.watch
+    watch.end()
+    print(f"at most {watch.most_bytes / MEGABYTE:.0f} MB, {watch.most_sockets} sockets")
+    assert context.processes.is_running("e1"), "the daemon has ended"
+    assert watch.most_bytes <= context.megabytes * MEGABYTE, watch.most_bytes
+    assert watch.most_sockets <= context.descriptors - RESERVED_DESCRIPTORS, watch.most_sockets
+
+
+@then("an ordinary job is accepted while they stay connected")
+def accept_beside(context):
+    _accept_job(context)
+    time.sleep(SETTLE_S)
+
+
+@then("an ordinary job is accepted after they have left")
+def accept_after(context):
+    context.crowd.leave()
+    time.sleep(SETTLE_S)
+    _accept_job(context)
--- a/features/steps/fronts_steps.py
+++ b/features/steps/fronts_steps.py
@@ -96,7 +96,7 @@
         assert (await connection.answer()).status == 404
         rig.gateway.may_end.set()
         connection.send(*REQUESTS["new job"])
-        while rig.stream().reading():
+        while rig.connection().is_idle:
             await asyncio.sleep(0)
         assert not rig.gateway.count, "the job is being handled already"
         await rig.front.stop(timeout_s=ANSWER_TIMEOUT_S)
--- a/features/support/front_rigs.py
+++ b/features/support/front_rigs.py
@@ -5,11 +5,13 @@
 from types import SimpleNamespace
 
 from mustardgap import job_replies
+from mustardgap.client_bounds import RequestLimits
 from mustardgap.events import EventLog
-from mustardgap.platform.front import Front
+from mustardgap.platform.front import DEFAULT_LIMITS, Front
 from tools.owner_worlds import QUEUE
 from tools.processes import free_ports
 
+DEFAULT_REQUEST_LIMITS = RequestLimits()
 JOB = "00000000000000a1"
 PATH = QUEUE.path_prefix
 BODY = b'{"spec":"p","steps":[{"count":1,"cpu":1000,"memMb":500,"estimateMs":500}]}'
@@ -111,18 +113,24 @@
 class FrontRig:
     """A front with a scripted gateway, on loopback."""
 
-    def __init__(self, handling):
+    def __init__(self, handling, *, limits=DEFAULT_REQUEST_LIMITS, shared=DEFAULT_LIMITS):
         self.gateway = ScriptedGateway(handling)
         self.events = EventLog(host="e1")
-        self.front = Front(gateway=self.gateway, ready=lambda: True, events=self.events)
+        self.front = Front(
+            gateway=self.gateway,
+            ready=lambda: True,
+            events=self.events,
+            limits=lambda: limits,
+            shared=shared,
+        )
         self.port, self.metrics_port = free_ports(2)
         self.front.listen(f"127.0.0.1:{self.port}", self.front.jobs)
         self.front.listen(f"127.0.0.1:{self.metrics_port}", self.front.metrics)
 
-    def stream(self):
+    def connection(self):
         """The front's end of its only connection."""
-        [connection] = self.front._servers[0]._connections
-        return connection.stream
+        [connection] = self.front._servers[0].connections
+        return connection
 
     @property
     def unanswered(self):
@@ -130,11 +138,14 @@
         return [row for row in self.events.captured if row["event"] == "request.unanswered"]
 
 
-def with_front(handling, scene: Callable):
-    """Play something with a front, and stop it."""
+def with_front(handling, scene: Callable, **bounds):
+    """Play something with a front, and stop it.
+
+    :param bounds: ``limits`` and ``shared`` of the front, where they matter.
+    """
 
     async def main():
-        rig = FrontRig(handling)
+        rig = FrontRig(handling, **bounds)
         try:
             return await scene(rig)
         finally:
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -231,6 +231,13 @@
 refused_connections = _counter(
     "mustardgap.connections.refused", "{connection}", "Connections closed at the limit", "port"
 )
+refused_requests = _counter(
+    "mustardgap.requests.refused",
+    "{request}",
+    "Requests refused by the bounds on what clients may send",
+    "port",
+    "mustardgap.code",
+)
 malformed_requests = _counter(
     "mustardgap.requests.malformed", "{request}", "Requests that aren't valid HTTP", "port"
 )
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -12,6 +12,7 @@
 
 from .. import cancellations, load_features, logs, metrics, policies
 from ..boards import ExecutorBoard, OperatorBoard, OperatorRecords, notify
+from ..client_bounds import RequestLimits, SharedLimits
 from ..codecs import Undecodable, convert
 from ..dispatchers import Bounds, Dispatcher
 from ..events import EventLog
@@ -33,7 +34,7 @@
 from ..workloads import Configuration, ExecutorEntry, Wave
 from . import decoding
 from .executor_client import ExecutorClient
-from .front import Front
+from .front import MONITOR_LIMITS, Front
 from .machine_client import AdviceClient, MachineClient
 from .process_settings import ProcessSettings, load
 from .store_client import StoreClient
@@ -154,7 +155,15 @@
         self._monitor = None
         if selector is not None:
             self._monitor = LoopMonitor(selector=selector, clock=self.clock, events=self.events)
-        self.front = Front(gateway=self.gateway, ready=self._is_ready, events=self.events)
+        self.front = Front(
+            gateway=self.gateway,
+            ready=self._is_ready,
+            events=self.events,
+            limits=self._request_limits,
+            shared=SharedLimits.of_machine(
+                memory_mb=settings.memory_mb, descriptors=settings.descriptors
+            ),
+        )
         self._stopping = asyncio.Event()
         metrics.observe("mustardgap.configuration.version", self._version)
         self.operator.on_change(self._update)
@@ -210,9 +219,9 @@
         if settings.front:
             self.front.listen(settings.front, self.front.jobs)
         if settings.ready:
-            self.front.listen(settings.ready, self.front.readiness)
+            self.front.listen(settings.ready, self.front.readiness, shared=MONITOR_LIMITS)
         port = os.environ.get(METRICS_VARIABLE) or METRICS_PORT
-        self.front.listen(f"{settings.ip}:{port}", self.front.metrics)
+        self.front.listen(f"{settings.ip}:{port}", self.front.metrics, shared=MONITOR_LIMITS)
 
     async def _leave(self) -> None:
         began = self.clock.monotonic()
@@ -254,6 +263,10 @@
         configuration = self.operator.configuration
         return float(configuration.version) if configuration else 0.0
 
+    def _request_limits(self) -> RequestLimits:
+        configuration = self.operator.configuration
+        return configuration.limits if configuration else RequestLimits()
+
     def _is_ready(self) -> bool:
         return self.operator.configuration is not None and not self._stopping.is_set()
 
--- a/mustardgap/platform/decoding.py
+++ b/mustardgap/platform/decoding.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..accounts import Account, AccountDirectory, digest_of
+from ..client_bounds import RequestLimits
 from ..codecs import (
     MAX_EXACT_INT,
     Undecodable,
@@ -25,7 +26,6 @@
     EndRow,
     ExecutorEntry,
     JobSpec,
-    Limits,
     Machine,
     Queue,
     Report,
@@ -318,10 +318,11 @@
             )
             for service in fields.services
         },
-        limits=Limits(
+        limits=RequestLimits(
             header_bytes=fields.limits.header,
             body_bytes=fields.limits.body,
             header_timeout_s=fields.limits.header_ms / 1000,
+            body_timeout_s=fields.limits.idle_ms / 1000,
             idle_timeout_s=fields.limits.idle_ms / 1000,
         ),
         accounts=None if fields.tenants is None else _accounts(fields.tenants),
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -1,40 +1,37 @@
 """The platform's HTTP interface for callers, its readiness check, and the metrics page."""
 
-import asyncio
 import re
 from collections.abc import Callable, Coroutine
 from functools import partial
-from typing import Any, NamedTuple, cast
+from typing import Any
 
 import msgspec
-from tornado import httputil
-from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
 
 from .. import job_replies, metrics, status_codes
 from ..accounts import Identity
+from ..client_bounds import Refusal, RequestLimits, SharedLimits
 from ..events import EventLog
+from ..http_servers import HttpServer
 from ..job_gateways import JobGateway
 from ..job_replies import JobReply
 from ..open_requests import OpenRequest, OpenRequests
+from ..server_connections import Answer, Request
 from ..unanswered import FailureKind
 from ..workloads import Queue
 from .decoding import InvalidBody, job
 
 READY_PATH = "/mustardgap/ready"
 METRICS_PATH = "/metrics"
-MAX_BODY_BYTES = 1024 * 1024
-MAX_HEADER_BYTES = 64 * 1024
-IDLE_S = 60.0
+# The balancer and who reads the metrics need a few connections, and send no bodies.
+MONITOR_LIMITS = SharedLimits(bytes=1_000_000, requests=32, connections=32)
+# What a small host bears, where nobody says how large it is.
+DEFAULT_LIMITS = SharedLimits.of_machine(memory_mb=300, descriptors=4_100)
 # In whole milliseconds; a number of more digits, 28 hours and more, is no time to wait.
 WAIT_HEADER = "X-Mustardgap-Request-Deadline"
 MAX_WAIT_DIGITS = 8
 CREDENTIAL_HEADER = "X-Mustardgap-Credential"
 # A 401 has to name how to authenticate.
-CHALLENGE = {"WWW-Authenticate": "ApiKey"}
-# Turns of the event loop that a request may take from its last byte to its handling, usually three.
-READ_TURNS = 20
+CHALLENGE = {"Www-Authenticate": "ApiKey"}
 
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 _METHOD_NOT_ALLOWED = 405
@@ -43,31 +40,7 @@
 CHANGES = ("POST", "DELETE")
 
 
-class Answer(NamedTuple):
-    """One HTTP answer."""
-
-    status: int
-    body: bytes = b""
-    headers: dict[str, str] = {}
-
-
-Handler = Callable[[httputil.HTTPServerRequest], Coroutine[Any, Any, Answer]]
-
-
-class _Server(HTTPServer):
-    """An HTTP server that can end the connections that nothing is under way on."""
-
-    async def close_idle(self) -> None:
-        """Close all connections but those with a request under way, or an answer not yet written.
-
-        Tornado reads nothing on these. Nor does one wait for bytes that has just got some; whether
-        they are a whole request shows within some turns of the event loop.
-        """
-        for _ in range(READ_TURNS):
-            for connection in list(self._connections):
-                if connection.stream.reading():
-                    connection.stream.close()
-            await asyncio.sleep(0)
+Handler = Callable[[Request], Coroutine[Any, Any, Answer]]
 
 
 class Front:
@@ -76,26 +49,43 @@
     :param gateway: knows what to answer.
     :param ready: whether the balancer may send connections here.
     :param events: the process's log.
+    :param limits: reads the bounds on one request that are in force.
+    :param shared: the bounds on all callers together.
     """
 
-    def __init__(self, *, gateway: JobGateway, ready: Callable[[], bool], events: EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        gateway: JobGateway,
+        ready: Callable[[], bool],
+        events: EventLog,
+        limits: Callable[[], RequestLimits] = RequestLimits,
+        shared: SharedLimits = DEFAULT_LIMITS,
+    ) -> None:
         self.closing = False
         self._gateway = gateway
         self._ready = ready
         self._events = events
+        self._limits = limits
+        self._shared = shared
         self._open = OpenRequests(events=events)
-        self._servers: list[_Server] = []
+        self._servers: list[HttpServer] = []
+
+    def listen(self, address: str, answer: Handler, *, shared: SharedLimits | None = None) -> None:
+        """Serve an address with one of this object's ways to answer.
 
-    def listen(self, address: str, answer: Handler) -> None:
-        """Serve an address with one of this object's ways to answer."""
+        :param shared: the bounds on all clients of this address, if they aren't callers.
+        :raises OSError: the address is in use.
+        """
         ip, _, port = address.rpartition(":")
-        server = _Server(
-            partial(self._begin, answer=answer),
-            idle_connection_timeout=IDLE_S,
-            max_body_size=MAX_BODY_BYTES,
-            max_header_size=MAX_HEADER_BYTES,
+        server = HttpServer(
+            name="callers" if shared is None else "monitors",
+            handle=partial(self._begin, answer=answer),
+            refuse=_refused,
+            limits=self._limits,
+            shared=shared or self._shared,
         )
-        server.listen(int(port), ip)
+        server.listen(ip, int(port))
         self._servers.append(server)
 
     async def stop(self, *, timeout_s: float) -> None:
@@ -109,12 +99,12 @@
             # A request that came on an idle connection would be read, and cut off unanswered when
             # the process ends; on a closed one it isn't read, and goes to another daemon. The other
             # connections end with their answers, so nothing new is read from now on.
-            await server.close_idle()
+            server.close_idle()
         await self._open.drain(timeout_s=timeout_s)
         for server in self._servers:
-            await server.close_all_connections()
+            await server.close_all()
 
-    async def jobs(self, request: httputil.HTTPServerRequest) -> Answer:
+    async def jobs(self, request: Request) -> Answer:
         """Answer a caller of the job interface."""
         if request.path == READY_PATH:
             return await self.readiness(request)
@@ -135,7 +125,7 @@
 
     async def _job(
         self,
-        request: httputil.HTTPServerRequest,
+        request: Request,
         queue: Queue,
         job_id: str,
         identity: Identity | None,
@@ -159,21 +149,21 @@
         )
         return _encoded(reply)
 
-    async def readiness(self, request: httputil.HTTPServerRequest) -> Answer:
+    async def readiness(self, request: Request) -> Answer:
         """Answer the balancer."""
         return Answer(200 if self._ready() else 503)
 
-    async def metrics(self, request: httputil.HTTPServerRequest) -> Answer:
+    async def metrics(self, request: Request) -> Answer:
         """Answer a scrape of the metrics."""
         if request.path != METRICS_PATH:
             return Answer(404)
         return Answer(200, metrics.render(), {"Content-Type": metrics.CONTENT_TYPE})
 
-    def _begin(self, request: httputil.HTTPServerRequest, answer: Handler) -> None:
+    def _begin(self, request: Request, answer: Handler) -> None:
         name = request.path.rpartition("/")[2]
         self._open.start_handling(
             OpenRequest(
-                method=request.method or "",
+                method=request.method,
                 path=request.path,
                 job=name if _JOB_ID.fullmatch(name) else None,
                 handle=partial(answer, request),
@@ -182,49 +172,29 @@
             )
         )
 
-    def _send(self, request: httputil.HTTPServerRequest, answer: Answer) -> None:
-        stream = _stream(request)
-        if stream.closed():
-            # The caller has left; there is nobody to answer.
-            metrics.lost_answers.add(1, {"error": "closed"})
-            return
+    def _send(self, request: Request, answer: Answer) -> None:
         try:
-            self._write(request, answer, stream)
+            if not request.connection.answer(answer, close=self.closing):
+                # The caller has left; there is nobody to answer.
+                metrics.lost_answers.add(1, {"error": "closed"})
         except Exception as exc:
             # A fault of ours. The caller of an open and silent connection would wait for nothing.
             self._events.note("answer.unwritten", vital=True, path=request.path, why=repr(exc))
-            stream.close()
-
-    def _write(self, request: httputil.HTTPServerRequest, answer: Answer, stream: IOStream) -> None:
-        connection = cast(HTTP1Connection, request.connection)
-        headers = httputil.HTTPHeaders(answer.headers)
-        headers["Content-Length"] = str(len(answer.body))
-        if self.closing:
-            headers["Connection"] = "close"
-        reason = httputil.responses.get(answer.status, "Unknown")
-        line = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
-        # With the body, an answer to HEAD would be longer than HTTP allows, and be cut off whole.
-        body = None if request.method == "HEAD" else answer.body or None
-        connection.write_headers(line, headers, body)
-        if self.closing:
-            # Detached, so that no request that has come meanwhile is read behind this answer.
-            connection.detach()
-            stream.write(b"").add_done_callback(lambda _: stream.close())
-        else:
-            connection.finish()
-
-
-def _stream(request: httputil.HTTPServerRequest) -> IOStream:
-    return cast(HTTP1Connection, request.connection).stream
-
-
-def _fallback(request: httputil.HTTPServerRequest, ending: FailureKind) -> Answer:
+            request.connection.close()
+
+
+def _fallback(request: Request, ending: FailureKind) -> Answer:
     """What is true of a request whose handling ended without an answer."""
     detail = f"its handling {ending.value}"
     return _encoded(job_replies.unanswered(detail, is_change=request.method in CHANGES))
 
 
-def _wait_s(request: httputil.HTTPServerRequest) -> float | None:
+def _refused(refusal: Refusal) -> Answer:
+    """What a caller is told whose request is beyond the bounds, and hasn't been handled."""
+    return _encoded(JobReply(refusal.code, detail=refusal.detail))
+
+
+def _wait_s(request: Request) -> float | None:
     """How long the caller waits for its answer, None if it doesn't say so in a way that can be."""
     text = request.headers.get(WAIT_HEADER, "")
     if not (text.isascii() and text.isdigit() and len(text) <= MAX_WAIT_DIGITS):
--- a/mustardgap/platform/process_settings.py
+++ b/mustardgap/platform/process_settings.py
@@ -35,6 +35,7 @@
     cpu_share: float = msgspec.field(default=1.0, name="cpuShare")
     cores: float = 1.0
     memory_mb: int = msgspec.field(default=300, name="memoryMb")
+    max_fds: int = msgspec.field(default=4_100, name="maxFds")
 
 
 class _Bounds(msgspec.Struct):
@@ -110,6 +111,8 @@
     machine_reads_per_s: float
     advice: str
     memory_mb: int
+    # How many files and sockets may be open.
+    descriptors: int
     # How many cores' work the host does.
     cores: float
     promises: Promises
@@ -156,6 +159,7 @@
         machine_reads_per_s=fields.cloud_api.rate_per_s,
         advice=fields.advice or "",
         memory_mb=fields.limits.memory_mb,
+        descriptors=fields.limits.max_fds,
         cores=fields.limits.cpu_share * fields.limits.cores,
         promises=Promises(
             contact_s=bounds.contact_ms / 1000,
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -160,6 +160,30 @@
     "Not run: the entry host failed before it gave the request to an executor",
     "Send again after the time in Retry-After.",
 )
+CLIENTS_OVER_LIMIT = _code(
+    1115,
+    "clients_over_limit",
+    503,
+    11,
+    "Not run: all clients together send more than this host can hold",
+    "Send again after the time in Retry-After.",
+)
+REQUEST_TIMED_OUT = _code(
+    1116,
+    "request_timed_out",
+    408,
+    11,
+    "Not run: the request didn't arrive whole in time",
+    "Send it faster, or on a better connection.",
+)
+HEAD_TOO_LARGE = _code(
+    1117,
+    "head_too_large",
+    431,
+    11,
+    "Not run: the request's head is larger than allowed",
+    "Send fewer or shorter headers.",
+)
 UNKNOWN_RESET = _code(
     1200,
     "unknown_reset",
--- a/mustardgap/workloads.py
+++ b/mustardgap/workloads.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from .accounts import AccountDirectory
+from .client_bounds import RequestLimits
 from .resources import Room
 
 JobId = str
@@ -48,15 +49,6 @@
     standby: bool
 
 
-class Limits(NamedTuple):
-    """Bounds on what callers may send."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 262_144
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 class Configuration(NamedTuple):
     """The operator's configuration in full; the highest ``version`` is in force.
 
@@ -67,7 +59,7 @@
     version: int
     queues_by_name: dict[str, Queue]
     services_by_name: dict[str, Service]
-    limits: Limits = Limits()
+    limits: RequestLimits = RequestLimits()
     accounts: AccountDirectory | None = None
     public_queues: frozenset[str] = frozenset()
 
--- a/tools/testing.py
+++ b/tools/testing.py
@@ -26,6 +26,8 @@
 # Sets of names are walked in an order that follows the hash seed: with a seed of its own in each
 # run, the drawn histories differ although hypothesis' own seed is fixed, and so does the verdict.
 HASH_SEED = {"PYTHONHASHSEED": "0"}
+# The tag of a feature that measures what others beside it would disturb.
+ALONE = "@alone"
 CRASHED = "(the whole feature)"
 
 
@@ -175,18 +177,30 @@
 
 
 async def run_all(root: Path, paths: Iterable[Path], *, timeout_s: float) -> list[FeatureResult]:
-    """Run features, a few at once, and print each as it ends."""
+    """Run features, a few at once and then those that run alone, and print each as it ends."""
     places = asyncio.Semaphore(AT_ONCE)
 
-    async def run(path: Path) -> FeatureResult:
+    async def run_beside_others(path: Path) -> FeatureResult:
         async with places:
-            result = await run_feature(root, path, timeout_s=timeout_s)
+            return await run(path)
+
+    async def run(path: Path) -> FeatureResult:
+        result = await run_feature(root, path, timeout_s=timeout_s)
         failed = len(result.failures())
         passed = len(result.scenarios) - failed
         click.echo(f"{path.name}: {passed} passed, {failed} failed ({result.took_s:.1f} s)")
         return result
 
-    return list(await asyncio.gather(*(run(path) for path in paths)))
+    alone = [path for path in paths if runs_alone(path)]
+    others = [path for path in paths if path not in alone]
+    results = list(await asyncio.gather(*map(run_beside_others, others)))
+    return results + [await run(path) for path in alone]
+
+
+def runs_alone(path: Path) -> bool:
+    """Whether a feature is to run while no other does; its first line says so."""
+    with path.open(encoding="utf-8") as lines:
+        return ALONE in lines.readline().split()
 
 
 def report(results: list[FeatureResult], known: list[KnownRed]) -> tuple[int, int]:
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -40,6 +40,8 @@
 # What each task takes of an executor.
 TASK_ROOM = Room(200, 50, 0)
 SHARDS = 4
+# Larger than a record, so that a job can be too large for one.
+MAX_BODY_BYTES = 1024 * 1024
 # What another writer puts among the executors' entries.
 FOREIGN = (
     b"not JSON",
@@ -75,15 +77,24 @@
     :param executors: how many executors there are.
     :param work_s: how long a task takes.
     :param announced: the port that executors' announced ports follow, where links lie between.
+    :param max_body_bytes: how large a caller's body may be.
     """
 
     def __init__(
-        self, *, ip: str, port: int, executors: int, work_s: float, announced: int | None = None
+        self,
+        *,
+        ip: str,
+        port: int,
+        executors: int,
+        work_s: float,
+        announced: int | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self.ip = ip
         self.port = port
         self.announced = announced or port
         self.work_s = work_s
+        self.max_body_bytes = max_body_bytes
         self.store = FakeStore(shards=SHARDS)
         self.fleet = FakeExecutors()
         self.lasting: set[str] = set()
@@ -198,7 +209,7 @@
             "version": 3,
             "routes": [route],
             "services": [{"name": "quoting"}],
-            "limits": {},
+            "limits": {"maxBodyBytes": self.max_body_bytes},
         }
         if self.keys_by_account is None:
             return fields
@@ -503,12 +514,20 @@
 @click.option("--executors", type=int, default=3, help="How many executors there are.")
 @click.option("--work-s", type=float, default=0.5, help="How long a task takes, in seconds.")
 @click.option("--announce", "announced", type=int, help="The port that announced ones follow.")
-def main(ip: str, port: int, executors: int, work_s: float, announced: int | None) -> None:
+@click.option("--max-body-bytes", type=int, default=MAX_BODY_BYTES, help="A body's limit.")
+def main(
+    ip: str, port: int, executors: int, work_s: float, announced: int | None, max_body_bytes: int
+) -> None:
     """Run the stand-in."""
 
     async def run() -> None:
         platform = WirePlatform(
-            ip=ip, port=port, executors=executors, work_s=work_s, announced=announced
+            ip=ip,
+            port=port,
+            executors=executors,
+            work_s=work_s,
+            announced=announced,
+            max_body_bytes=max_body_bytes,
         )
         await platform.run()
 
