An owner accepts no more jobs than its memory holds

What callers saw: a daemon ended, out of memory, after a crowd had handed in whole jobs that are each within the limits.

Cause: what an owner keeps of a job doesn't follow its body: a step takes some 280 bytes and a task some 1,100 until it has run (tracemalloc, 3,800 steps of a task: 5.4 MB for a body of 224 KB; one step of 6,000 tasks: 6.3 MB for a body of 100 bytes). Nothing summed this up, so that a few hundred legal requests fill any small machine.

Change: the owner refuses a new job (503, MG4036) while the jobs of all its shards, those that are being stored too, take a quarter of `memoryMb` by an estimate; the last quarter of that is for jobs of up to 64 KB, so that ordinary ones are accepted beside large ones. A single job may be larger than the room: each valid one is accepted in calm. Jobs that are stored already are never refused.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -23,3 +23,4 @@
       | 150         | chunks of 64 KB up to 1 MB without an end           |
       | 700         | 40,000 chunks of 2 bytes without the last one       |
       | 1,200       | one byte each                                       |
+      | 100         | whole jobs of 3,800 steps                           |
--- /dev/null
+++ b/features/steps/job_memory_steps.py
@@ -0,0 +1,44 @@
+"""Steps of the feature on the memory that an owner's jobs may take."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from mustardgap.job_memory import JobMemory
+from mustardgap.timers import Clock
+
+
+class _Clock(Clock):
+    def monotonic(self):
+        return 100.0
+
+
+def _spec(tasks, steps):
+    widths = [tasks - steps + 1] + [1] * (steps - 1)
+    return SimpleNamespace(steps=[SimpleNamespace(width=width) for width in widths], repeats=0)
+
+
+@given("an owner on a machine of {megabytes:d} MB that holds jobs of {held} in all")
+def given_owner(context, megabytes, held):
+    held_bytes = int(held.replace(",", ""))
+    context.memory = JobMemory(memory_mb=megabytes, held_bytes=lambda: held_bytes, clock=_Clock())
+
+
+@when("a job of {tasks:d} tasks in {steps:d} steps is submitted")
+def submit(context, tasks, steps):
+    context.outcome = "taken" if context.memory.take(_spec(tasks, steps)) else "refused"
+
+
+@then("the owner's memory is {outcome}")
+def check_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+@when("{count:d} jobs of {tasks:d} tasks are submitted at once")
+def submit_many(context, count, tasks):
+    context.taken = sum(context.memory.take(_spec(tasks, 1)) for _ in range(count))
+
+
+@then("{count:d} of them are accepted")
+def check_count(context, count):
+    assert context.taken == count, context.taken
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -52,6 +52,7 @@
     EndRow,
     ExecutorEntry,
     ExecutorId,
+    JobSpec,
     Queue,
     Room,
     RunRow,
@@ -118,6 +119,7 @@
     :param policy: the mechanisms that are enabled.
     :param features: the decisions for hard load that take part; by default none.
     :param owners: calls the owners of other shards.
+    :param has_memory_for: tells whether the process has room for one more job, and takes it.
     """
 
     def __init__(
@@ -137,6 +139,7 @@
         policy: Policy = WHOLE,
         features: LoadFeatures | None = None,
         owners: OwnersOfShards,
+        has_memory_for: Callable[[JobSpec], bool] = lambda spec: True,
     ) -> None:
         self.policy = policy
         self.features = features or LoadFeatures()
@@ -187,6 +190,7 @@
         self.starter = TaskStarter(dispatcher=self, clock=clock, events=events)
         self.failures = JobFailures(dispatcher=self, events=events)
         self.is_membership_valid = is_membership_valid
+        self.has_memory_for = has_memory_for
         self.handing_over = False
         # Tickets of the records of job ends that aren't durable yet, by job id.
         self.end_tickets_by_id: dict[str, Ticket] = {}
@@ -575,6 +579,11 @@
             self.log.put(PROGRESS_KEY + job_id, b"")
         self.cancelled.reap(wall - retention_s, self.job_request_handler.knows)
 
+    def held_job_bytes(self) -> int:
+        """About how many bytes this shard's jobs need, those that are being accepted too."""
+        known = sum(job.memory_bytes for job in self.jobs_by_id.values())
+        return known + self.job_request_handler.accepting_bytes()
+
     @property
     def longest_lease_s(self) -> float:
         """The longest lease that an executor grants, in seconds."""
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -8,6 +8,7 @@
 from .access import check_identity, may_use
 from .accounts import Identity
 from .events import EventLog
+from .job_memory import job_bytes
 from .job_replies import JobReply
 from .job_states import Job, JobPhase, StoredJob, encode_job
 from .path_holders import FormerCall, FormerReply, path_of
@@ -127,6 +128,8 @@
             refusal = self._dispatcher.admission.refuse(job_id, stored, wait_s)
             if refusal is not None:
                 return refusal
+            if not self._dispatcher.has_memory_for(spec):
+                return job_replies.NO_MEMORY
             self._dispatcher.admission.note_storing(job_id, stored)
             ticket = self._dispatcher.log.put(key, record)
             accepting = AcceptingJob(stored, ticket)
@@ -347,6 +350,10 @@
         queue = configuration.queues_by_name.get(queue_name) if configuration else None
         return path_of(queue) if queue is not None else ""
 
+    def accepting_bytes(self) -> int:
+        """About how many bytes the jobs need whose records aren't stored yet."""
+        return sum(job_bytes(job.stored.spec) for job in self._accepting_by_id.values())
+
     def knows(self, job_id: str) -> bool:
         """Whether a job is known, or is being accepted."""
         return job_id in self._dispatcher.jobs_by_id or job_id in self._accepting_by_id
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -8,6 +8,7 @@
 
 from .codecs import decode_msgpack
 from .crashes import Crash, CrashSite
+from .job_memory import job_bytes
 from .tickets import Ticket
 from .workloads import EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
 
@@ -173,6 +174,7 @@
         self.max_attempts = stored.max_attempts
         self.accepted_at = stored.accepted_at
         self.spec = stored.spec
+        self.memory_bytes = job_bytes(stored.spec)
         self.phase = JobPhase.LIVE
         self.ended_at = 0.0
         # The phase that callers are told. A final phase is set here only once it is durable: a new
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -21,6 +21,7 @@
 from ..fleet_states import OrderTimes
 from ..http_pools import HttpPool
 from ..job_gateways import JobGateway
+from ..job_memory import JobMemory
 from ..load_features import DEFAULTS, Feature, FeatureSettings, LoadFeatures
 from ..loop_monitors import LoopMonitor, TimedSelector, run_timed
 from ..owner_hints import OwnerHints
@@ -152,6 +153,9 @@
             hints=hints,
             features=self.features,
         )
+        self.job_memory = JobMemory(
+            memory_mb=settings.memory_mb, held_bytes=self._held_job_bytes, clock=self.clock
+        )
         self._monitor = None
         if selector is not None:
             self._monitor = LoopMonitor(selector=selector, clock=self.clock, events=self.events)
@@ -310,10 +314,15 @@
             policy=self.policy,
             features=self.features,
             owners=self.gateway,
+            has_memory_for=self.job_memory.take,
         )
         self._update_one(dispatcher)
         return dispatcher
 
+    def _held_job_bytes(self) -> int:
+        owned = self.owners.owned_by_shard.values()
+        return sum(part.held_job_bytes() for part in owned if isinstance(part, Dispatcher))
+
     def _update(self) -> None:
         if any(entry.started_ms is not None for entry in self.board.entries_by_id.values()):
             self.features.note_starts_stated()
--- a/mustardgap/status_codes.py
+++ b/mustardgap/status_codes.py
@@ -489,6 +489,14 @@
     "Not run: the job would end too late to be of use, also if its caller retried in time",
     "Don't send it again within the time that its caller waits.",
 )
+JOBS_OVER_MEMORY = _code(
+    4036,
+    "jobs_over_memory",
+    503,
+    43,
+    "Not run: the queue's owner has no memory for another job of this size",
+    "Send again after the time in Retry-After, to have it accepted once others have ended.",
+)
 CANCELLED_BEFORE_ACCEPTED = _code(
     4035,
     "cancelled_before_accepted",
