Questions for jobs that nobody knows share a call to the store

What callers saw: while a crowd asked for jobs one after the other and read no answer, a daemon had a connection to the store open for each question that was under way, far beyond its descriptors, and answered others late or not.

Cause: "no such job" is said only after an empty append has shown that the owner still is, and each question made one of its own: as many calls and connections as strangers ask for.

Change: the questions of a shard share a check (`SharedCheck`): one is under way at a time, or a further one each 0.1 s while the store is slow, and each question is answered by one that began after it came, so that what is said held at a moment of its wait.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -24,3 +24,4 @@
       | 700         | 40,000 chunks of 2 bytes without the last one       |
       | 1,200       | one byte each                                       |
       | 100         | whole jobs of 3,800 steps                           |
+      | 600         | 300 questions each and read no answer               |
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -14,6 +14,7 @@
 from .path_holders import FormerCall, FormerReply, path_of
 from .ports import Appended, Fenced, Store
 from .shard_logs import CANCELLED_KEY, JOB_KEY, PROGRESS_KEY
+from .shared_checks import SharedCheck
 from .tickets import Stored, Ticket
 from .timers import Clock
 from .workloads import JobSpec, Queue
@@ -67,6 +68,8 @@
         self._clock = clock
         self._events = events
         self._accepting_by_id: dict[str, AcceptingJob] = {}
+        # Each question with a call of its own would use up the store's rate, and a connection.
+        self._ownership_check = SharedCheck(run=self._check_ownership)
 
     async def submit(
         self,
@@ -408,6 +411,9 @@
         return accepting.stored.account if accepting is not None else ""
 
     async def _reply_to_unknown_job(self) -> JobReply:
+        return await self._ownership_check.result()
+
+    async def _check_ownership(self) -> JobReply:
         # The shard may have been assigned to another daemon that has accepted the job; the caller
         # mustn't be told that it doesn't exist. The store knows the current owner.
         outcome = await self._store.fence(
