Large jobs leave the room of small ones alone, and bounds are shares of what a process has free

Cause: a large job was accepted as long as any room was left, went beyond it, and took the part that is kept for small ones; and the shares were of the whole memory, although some 60 MB of it are the process itself.

Change: small and large jobs are summed up by themselves, each with a room of its own; a large one is accepted if it fits, or if it is the only one. Shares are of `memoryMb` less 60 MB: a 24th for requests' bytes, a quarter for jobs.

--- a/features/steps/job_memory_steps.py
+++ b/features/steps/job_memory_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from mustardgap.job_memory import JobMemory
+from mustardgap.job_memory import HeldJobs, JobMemory
 from mustardgap.timers import Clock
 
 
@@ -18,10 +18,13 @@
     return SimpleNamespace(steps=[SimpleNamespace(width=width) for width in widths], repeats=0)
 
 
-@given("an owner on a machine of {megabytes:d} MB that holds jobs of {held} in all")
-def given_owner(context, megabytes, held):
-    held_bytes = int(held.replace(",", ""))
-    context.memory = JobMemory(memory_mb=megabytes, held_bytes=lambda: held_bytes, clock=_Clock())
+@given(
+    "an owner on a machine of {megabytes:d} MB that holds small jobs of {small} "
+    "and large ones of {large}"
+)
+def given_owner(context, megabytes, small, large):
+    held = HeldJobs(*(int(text.replace(",", "")) for text in (small, large)))
+    context.memory = JobMemory(memory_mb=megabytes, held=lambda: held, clock=_Clock())
 
 
 @when("a job of {tasks:d} tasks in {steps:d} steps is submitted")
--- a/mustardgap/client_bounds.py
+++ b/mustardgap/client_bounds.py
@@ -7,11 +7,14 @@
 from .status_codes import Code
 
 MEGABYTE = 1_000_000
+# What a process takes before it serves anybody.
+PROCESS_BYTES = 60 * MEGABYTE
+MIN_FREE_SHARE = 1 / 4
 # Descriptors of a process that its files need; sockets and pipes share the others.
 FILE_DESCRIPTORS = 200
 # Parsed, forwarded and kept until it is answered, a body takes up to eleven times its bytes.
-BODIES_SHARE_OF_MEMORY = 1 / 32
-REQUESTS_PER_MEGABYTE = 4
+BODIES_SHARE_OF_FREE = 1 / 24
+REQUESTS_PER_MEGABYTE = 5
 # The others are for peers, the store and executors.
 CLIENTS_SHARE_OF_SOCKETS = 1 / 2
 # Connections beyond the limit that are told why they are refused, as a share of the limit.
@@ -24,6 +27,15 @@
 STALLED_AFTER_S = 1.0
 
 
+def free_bytes(memory_mb: int) -> int:
+    """Return the memory that is left for what clients send and ask for.
+
+    :param memory_mb: the memory that the process may use, in megabytes.
+    """
+    total = memory_mb * MEGABYTE
+    return max(total - PROCESS_BYTES, int(total * MIN_FREE_SHARE))
+
+
 class RequestLimits(NamedTuple):
     """Bounds on one request.
 
@@ -53,10 +65,11 @@
         :param memory_mb: the memory that the process may use, in megabytes.
         :param descriptors: how many files and sockets it may have open.
         """
+        free = free_bytes(memory_mb)
         sockets = max(0, descriptors - FILE_DESCRIPTORS)
         return cls(
-            bytes=int(memory_mb * MEGABYTE * BODIES_SHARE_OF_MEMORY),
-            requests=max(1, memory_mb * REQUESTS_PER_MEGABYTE),
+            bytes=int(free * BODIES_SHARE_OF_FREE),
+            requests=max(1, free * REQUESTS_PER_MEGABYTE // MEGABYTE),
             connections=max(1, int(sockets * CLIENTS_SHARE_OF_SOCKETS)),
         )
 
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -1,7 +1,7 @@
 """Dispatches the jobs of one shard: accepts them, places their tasks and processes their ends."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from typing import Any, NamedTuple
 
 from . import cancellations, metrics
@@ -579,10 +579,10 @@
             self.log.put(PROGRESS_KEY + job_id, b"")
         self.cancelled.reap(wall - retention_s, self.job_request_handler.knows)
 
-    def held_job_bytes(self) -> int:
-        """About how many bytes this shard's jobs need, those that are being accepted too."""
-        known = sum(job.memory_bytes for job in self.jobs_by_id.values())
-        return known + self.job_request_handler.accepting_bytes()
+    def job_sizes(self) -> Iterator[int]:
+        """About how many bytes each of this shard's jobs needs, those being accepted too."""
+        yield from (job.memory_bytes for job in self.jobs_by_id.values())
+        yield from self.job_request_handler.accepting_sizes()
 
     @property
     def longest_lease_s(self) -> float:
--- a/mustardgap/job_memory.py
+++ b/mustardgap/job_memory.py
@@ -1,17 +1,18 @@
 """Bounds the memory of the jobs that a process owns."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
-from .client_bounds import MEGABYTE
+from .client_bounds import free_bytes
 from .timers import Clock
 from .workloads import JobSpec
 
 # What an owner keeps of each step, and of each of its tasks before they have run.
 STEP_BYTES = 400
 TASK_BYTES = 1_200
-JOBS_SHARE_OF_MEMORY = 1 / 4
-# Jobs up to this, some 50 tasks, have the last part of the room to themselves, so that ordinary
-# ones are accepted while large ones fill the rest.
+JOBS_SHARE_OF_FREE = 1 / 4
+# Jobs up to this, some 50 tasks, have a part of the room to themselves, so that ordinary ones are
+# accepted while large ones fill the rest.
 SMALL_JOB_BYTES = 64_000
 SMALL_JOBS_SHARE = 1 / 4
 # The jobs are counted again after this; meanwhile, accepted ones are added.
@@ -24,19 +25,39 @@
     return STEP_BYTES * len(spec.steps) + TASK_BYTES * tasks
 
 
+class HeldJobs(NamedTuple):
+    """About how many bytes the jobs of an owner need, small and large ones by themselves."""
+
+    small: int = 0
+    large: int = 0
+
+    @classmethod
+    def of(cls, sizes: Iterable[int]) -> "HeldJobs":
+        """Sum up the bytes of jobs."""
+        small = large = 0
+        for size in sizes:
+            if size <= SMALL_JOB_BYTES:
+                small += size
+            else:
+                large += size
+        return cls(small, large)
+
+
 class JobMemory:
     """Decides whether there is room for a new job, by an estimate of those that are held.
 
     :param memory_mb: the memory that the process may use, in megabytes.
-    :param held_bytes: sums up the jobs that the process owns.
+    :param held: sums up the jobs that the process owns.
     :param clock: the clocks to read.
     """
 
-    def __init__(self, *, memory_mb: int, held_bytes: Callable[[], int], clock: Clock) -> None:
-        self._limit = int(memory_mb * MEGABYTE * JOBS_SHARE_OF_MEMORY)
-        self._held_bytes = held_bytes
+    def __init__(self, *, memory_mb: int, held: Callable[[], HeldJobs], clock: Clock) -> None:
+        room = int(free_bytes(memory_mb) * JOBS_SHARE_OF_FREE)
+        self._small_room = int(room * SMALL_JOBS_SHARE)
+        self._large_room = room - self._small_room
+        self._sum_up = held
         self._clock = clock
-        self._held = 0
+        self._held = HeldJobs()
         self._counted_at = float("-inf")
 
     def take(self, spec: JobSpec) -> bool:
@@ -48,12 +69,15 @@
         """
         now = self._clock.monotonic()
         if now - self._counted_at > COUNT_INTERVAL_S:
-            self._held, self._counted_at = self._held_bytes(), now
+            self._held, self._counted_at = self._sum_up(), now
+        small, large = self._held
         needed = job_bytes(spec)
-        limit = self._limit
-        if needed > SMALL_JOB_BYTES:
-            limit -= int(limit * SMALL_JOBS_SHARE)
-        if self._held >= limit:
-            return False
-        self._held += needed
-        return True
+        if needed <= SMALL_JOB_BYTES:
+            small += needed
+            has_room = small <= self._small_room
+        else:
+            has_room = not large or large + needed <= self._large_room
+            large += needed
+        if has_room:
+            self._held = HeldJobs(small, large)
+        return has_room
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -1,7 +1,7 @@
 """The requests of callers to the owner of a shard: to submit, cancel or query jobs."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 from . import job_replies, status_codes
@@ -353,9 +353,9 @@
         queue = configuration.queues_by_name.get(queue_name) if configuration else None
         return path_of(queue) if queue is not None else ""
 
-    def accepting_bytes(self) -> int:
-        """About how many bytes the jobs need whose records aren't stored yet."""
-        return sum(job_bytes(job.stored.spec) for job in self._accepting_by_id.values())
+    def accepting_sizes(self) -> Iterator[int]:
+        """About how many bytes each job needs whose record isn't stored yet."""
+        return (job_bytes(job.stored.spec) for job in self._accepting_by_id.values())
 
     def knows(self, job_id: str) -> bool:
         """Whether a job is known, or is being accepted."""
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from functools import partial
+from itertools import chain
 from pathlib import Path
 from typing import NamedTuple
 
@@ -21,7 +22,7 @@
 from ..fleet_states import OrderTimes
 from ..http_pools import HttpPool
 from ..job_gateways import JobGateway
-from ..job_memory import JobMemory
+from ..job_memory import HeldJobs, JobMemory
 from ..load_features import DEFAULTS, Feature, FeatureSettings, LoadFeatures
 from ..loop_monitors import LoopMonitor, TimedSelector, run_timed
 from ..owner_hints import OwnerHints
@@ -154,7 +155,7 @@
             features=self.features,
         )
         self.job_memory = JobMemory(
-            memory_mb=settings.memory_mb, held_bytes=self._held_job_bytes, clock=self.clock
+            memory_mb=settings.memory_mb, held=self._held_jobs, clock=self.clock
         )
         self._monitor = None
         if selector is not None:
@@ -319,9 +320,10 @@
         self._update_one(dispatcher)
         return dispatcher
 
-    def _held_job_bytes(self) -> int:
+    def _held_jobs(self) -> HeldJobs:
         owned = self.owners.owned_by_shard.values()
-        return sum(part.held_job_bytes() for part in owned if isinstance(part, Dispatcher))
+        dispatchers = (part for part in owned if isinstance(part, Dispatcher))
+        return HeldJobs.of(chain.from_iterable(part.job_sizes() for part in dispatchers))
 
     def _update(self) -> None:
         if any(entry.started_ms is not None for entry in self.board.entries_by_id.values()):
