A caller that reads no answer holds one of them at most, and refusals by the bounds leave a line

What callers saw: nothing yet. A connection that sends question after question and reads nothing was kept up to 64 KB of answers, beside what the kernel holds, and half of all descriptors may be such connections: 125 MB on a machine of 300.

Cause: asyncio's default for what may be written ahead. Change: the next request waits until the answer before is with the kernel. Evidence: http_servers.feature, "reads no answer": 65,628 bytes kept before, within one answer now.

Besides: a request that the bounds refuse leaves a line (`request.refused`), and the end of a front waits 0.2 s for connections that don't take their answers, as it has three ports and its grace.

--- a/features/http_servers.feature
+++ b/features/http_servers.feature
@@ -78,6 +78,7 @@
 
     When a caller asks a front again and again and reads no answer
     Then the front ends its connection
+    And it has never kept more than an answer for it
 
   Scenario: Room for small bodies is kept beside large ones
     Guards against ordinary callers that are refused while large bodies fill the room.
--- a/features/steps/http_servers_steps.py
+++ b/features/steps/http_servers_steps.py
@@ -17,6 +17,8 @@
 PIECE_BYTES = 65_536
 LARGE_BYTES = 100_000
 WAIT_S = 10.0
+# More than one answer of a front takes, and less than two do.
+ANSWER_BYTES = 200
 START = f"POST {PATH}{JOB} HTTP/1.1"
 HOST = f"Host: {QUEUE.host}"
 CHUNKED = "Transfer-Encoding: chunked"
@@ -276,7 +278,12 @@
 
         asking = asyncio.create_task(ask())
         await _until(lambda: rig.front._servers[0].connections)
-        await _until(lambda: not rig.front._servers[0].connections)
+        context.most_unsent = 0
+        async with asyncio.timeout(2 * WAIT_S):
+            while rig.front._servers[0].connections:
+                unsent = rig.connection()._transport.get_write_buffer_size()
+                context.most_unsent = max(context.most_unsent, unsent)
+                await asyncio.sleep(0.01)
         context.ended = True
         asking.cancel()
 
@@ -288,6 +295,11 @@
     assert context.ended
 
 
+@then("it has never kept more than an answer for it")
+def check_unsent(context):
+    assert 0 < context.most_unsent <= ANSWER_BYTES, context.most_unsent
+
+
 @when("large bodies hold the room of a front, and a caller sends a job")
 def send_beside_large(context):
     async def scene(rig):
--- a/mustardgap/http_servers.py
+++ b/mustardgap/http_servers.py
@@ -19,7 +19,7 @@
 RECEIVE_WINDOW_BYTES = 32 * 1024
 BACKLOG = 128
 SWEEP_INTERVAL_S = 0.5
-CLOSE_TIMEOUT_S = 0.5
+CLOSE_TIMEOUT_S = 0.2
 
 
 class HttpServer:
--- a/mustardgap/platform/front.py
+++ b/mustardgap/platform/front.py
@@ -81,7 +81,7 @@
         server = HttpServer(
             name="callers" if shared is None else "monitors",
             handle=partial(self._begin, answer=answer),
-            refuse=_refused,
+            refuse=self._refuse,
             limits=self._limits,
             shared=shared or self._shared,
         )
@@ -172,6 +172,11 @@
             )
         )
 
+    def _refuse(self, refusal: Refusal) -> Answer:
+        """Make the answer to a request beyond the bounds, which hasn't been handled."""
+        self._events.note("request.refused", code=str(refusal.code), why=refusal.detail)
+        return _encoded(JobReply(refusal.code, detail=refusal.detail))
+
     def _send(self, request: Request, answer: Answer) -> None:
         try:
             if not request.connection.answer(answer, close=self.closing):
@@ -189,11 +194,6 @@
     return _encoded(job_replies.unanswered(detail, is_change=request.method in CHANGES))
 
 
-def _refused(refusal: Refusal) -> Answer:
-    """What a caller is told whose request is beyond the bounds, and hasn't been handled."""
-    return _encoded(JobReply(refusal.code, detail=refusal.detail))
-
-
 def _wait_s(request: Request) -> float | None:
     """How long the caller waits for its answer, None if it doesn't say so in a way that can be."""
     text = request.headers.get(WAIT_HEADER, "")
--- a/mustardgap/server_connections.py
+++ b/mustardgap/server_connections.py
@@ -184,6 +184,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # A client that reads nothing is given one answer more than the kernel holds, not many.
+        transport.set_write_buffer_limits(high=0)
         self._server.connections[self] = None
         self._progressed_at = self._server.now()
         self._enter(_Phase.HEAD, self._limits.idle_timeout_s)
