A refusal before a head is known follows no earlier request, and a connection just answered isn't idle

Found by reading. What callers saw: nothing yet. On a kept connection whose last request was a HEAD, a refusal of the next before its head was read had no body, though its length said so; and a connection whose request took over a second gave way the moment it was answered, as the time since its last byte counted, not since its answer.

--- a/mustardgap/server_connections.py
+++ b/mustardgap/server_connections.py
@@ -409,6 +409,8 @@
         self._chunks = None
 
     def _next_request(self) -> None:
+        # Its method says nothing of a next request that is refused before its head is known.
+        self._head = None
         if not self._pending:
             self._await_request()
             return
@@ -422,6 +424,7 @@
             self.close()
             return
         self._enter(_Phase.HEAD, self._limits.idle_timeout_s)
+        self._progressed_at = self._server.now()
         self._bounds.note_idle(self)
         self._resume_reading()
 
