--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -176,6 +176,7 @@
         configuration=None,
         accounts=None,
         handing_over=False,
+        has_memory_for=lambda spec: True,
         jobs_by_id={},
         log=log,
         spawn=asyncio.ensure_future,
