--- a/features/steps/crowds_steps.py
+++ b/features/steps/crowds_steps.py
@@ -121,6 +121,8 @@
 @when("a crowd of {connections} sends {what}")
 def send(context, connections, what):
     context.crowd = Crowd(port=context.port, connections=_number(connections), what=what)
+    # A crowd that a failed check leaves behind would keep the test's process from ending.
+    context.add_cleanup(context.crowd.leave)
     context.crowd.send()
 
 
