One check of where a request ends, and one way to bound receive windows, for both interfaces

The platform's front had been given a second copy of the checks against ambiguous heads (lengths, codings, hosts) that `exchanges` has: `request_heads.framing_problem` is both's now, with the texts and the order that the own interface had; what is refused is the same. The receive window of listening sockets is set in one place (`limit_receive_window`); where a socket doesn't take it, the own interface listens all the same, as the front does. Besides: an eviction that was written as the value of an `or` is an `if`, and a docstring of the crowds' watch said more than is done.

No test or bound is changed.

--- a/features/support/crowds.py
+++ b/features/support/crowds.py
@@ -154,7 +154,7 @@
         self._thread.start()
 
     def end(self) -> None:
-        """Take a last sample."""
+        """Follow the process no longer."""
         self._ending.set()
         self._thread.join()
 
--- a/mustardgap/callers.py
+++ b/mustardgap/callers.py
@@ -17,7 +17,7 @@
 from . import metrics, problems, status_codes
 from .exceptions import MustardgapError
 from .exchanges import Exchange
-from .http_servers import RECEIVE_WINDOW_BYTES
+from .http_servers import limit_receive_window
 from .outcomes import NotRun
 from .readiness import Readiness
 from .sessions import Sessions
@@ -116,8 +116,7 @@
                 code=status_codes.ADDRESS_IN_USE, detail=exc.strerror or "", place=place
             ) from None
         for sock in self._sockets:
-            # Inherited by the connections: what a caller sends and nobody reads yet is bounded.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
+            limit_receive_window(sock)
             self._stop_accepting.append(netutil.add_accept_handler(sock, self._accept))
         self.port = self._sockets[0].getsockname()[1]
         self.timeline.add("callers.open", port=self.port)
--- a/mustardgap/client_bounds.py
+++ b/mustardgap/client_bounds.py
@@ -160,8 +160,8 @@
 
     def take_connection(self) -> bool:
         """Count a connection; return whether it may stay at all, and be it to be refused."""
-        if self.connections >= self.limits.connections:
-            self._evict(self._idle) or self._evict(self._receiving)
+        if self.connections >= self.limits.connections and not self._evict(self._idle):
+            self._evict(self._receiving)
         self.connections += 1
         return self.connections <= self.limits.connections + self._spare_connections
 
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -15,6 +15,7 @@
 from . import metrics, problems, status_codes, unanswered
 from .outcomes import BrokenOff, NotRun, Outcome, Streamed, Unknown
 from .problems import Answer
+from .request_heads import framing_problem
 from .sessions import Session, Sessions
 from .settings import Settings
 from .status_codes import Code
@@ -329,25 +330,10 @@
 
 
 def _malformation(line: httputil.RequestStartLine, headers: httputil.HTTPHeaders) -> str:
-    """Return what is wrong with a request's head, "" for nothing.
-
-    If two servers disagree on where a request ends, one request can pass as two (request
-    smuggling), so whatever is ambiguous is refused.
-    """
-    lengths = headers.get_list("Content-Length")
-    codings = headers.get_list("Transfer-Encoding")
-    if len(lengths) > 1 or (lengths and not (lengths[0].isascii() and lengths[0].isdigit())):
-        return "Content-Length must be one number"
-    if lengths and codings:
-        return "both Content-Length and Transfer-Encoding"
-    if len(codings) > 1 or (codings and codings[0].lower() != "chunked"):
-        return "the only Transfer-Encoding taken is chunked"
-    if codings and line.version != "HTTP/1.1":
-        return "chunked needs HTTP/1.1"
-    if len(headers.get_list("Host")) > 1:
-        return "more than one Host"
-    if line.version == "HTTP/1.1" and "Host" not in headers:
-        return "no Host"
+    """Return what is wrong with a request's head, "" for nothing."""
+    problem = framing_problem(headers, line.version)
+    if problem:
+        return problem
     if len(headers.get_list("Idempotency-Key")) > 1:
         return "more than one Idempotency-Key"
     if line.method == "CONNECT" or not line.path.startswith(("/", "http://", "https://", "*")):
--- a/mustardgap/http_servers.py
+++ b/mustardgap/http_servers.py
@@ -22,6 +22,12 @@
 CLOSE_TIMEOUT_S = 0.2
 
 
+def limit_receive_window(sock: socket.socket) -> None:
+    """Bound what the kernel takes for each connection that a listening socket accepts."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
+
+
 class HttpServer:
     """Listens on one address and bounds what its clients may send.
 
@@ -65,9 +71,7 @@
         """
         self._sockets = netutil.bind_sockets(port, address=ip, backlog=BACKLOG)
         for sock in self._sockets:
-            # Inherited by the connections that it accepts.
-            with suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
+            limit_receive_window(sock)
             self._listening.append(asyncio.create_task(self._accept(sock)))
         self._end_sweeps = self._timers.subscribe("sweep", SWEEP_INTERVAL_S, self._sweep)
 
--- a/mustardgap/request_heads.py
+++ b/mustardgap/request_heads.py
@@ -77,14 +77,17 @@
     if not collector.is_complete or collector.has_body or collector.messages != 1:
         raise MalformedRequest("it isn't clear where the head ends")
     headers = _headers(collector.headers)
-    version = parser.get_http_version()
-    _check_hosts(headers, version)
+    version = f"HTTP/{parser.get_http_version()}"
+    problem = framing_problem(headers, version)
+    if problem:
+        raise MalformedRequest(problem)
+    is_chunked = "Transfer-Encoding" in headers
     return RequestHead(
         method=parser.get_method().decode("latin-1"),
         target=collector.url.decode("latin-1"),
-        version=f"HTTP/{version}",
+        version=version,
         headers=headers,
-        content_length=_content_length(headers, version),
+        content_length=None if is_chunked else int(headers.get("Content-Length", "0")),
         keep_alive=parser.should_keep_alive() and not parser.should_upgrade(),
     )
 
@@ -99,23 +102,26 @@
     return headers
 
 
-def _check_hosts(headers: httputil.HTTPHeaders, version: str) -> None:
-    hosts = headers.get_list("Host")
-    if len(hosts) > 1:
-        raise MalformedRequest("more than one Host")
-    if not hosts and version == "1.1":
-        raise MalformedRequest("no Host")
+def framing_problem(headers: httputil.HTTPHeaders, version: str) -> str:
+    """Return what leaves open where a request ends or whom it asks, "" for nothing.
 
+    If two servers disagree on where a request ends, one request can pass as two (request
+    smuggling), so whatever is ambiguous is refused.
 
-def _content_length(headers: httputil.HTTPHeaders, version: str) -> int | None:
+    :param version: as in the start line, such as ``HTTP/1.1``.
+    """
     lengths = headers.get_list("Content-Length")
     codings = headers.get_list("Transfer-Encoding")
     if len(lengths) > 1 or (lengths and not (lengths[0].isascii() and lengths[0].isdigit())):
-        raise MalformedRequest("Content-Length must be one number")
+        return "Content-Length must be one number"
     if lengths and codings:
-        raise MalformedRequest("both Content-Length and Transfer-Encoding")
-    if not codings:
-        return int(lengths[0]) if lengths else 0
-    if len(codings) > 1 or codings[0].lower() != "chunked" or version != "1.1":
-        raise MalformedRequest("the only Transfer-Encoding taken is chunked, in HTTP/1.1")
-    return None
+        return "both Content-Length and Transfer-Encoding"
+    if len(codings) > 1 or (codings and codings[0].lower() != "chunked"):
+        return "the only Transfer-Encoding taken is chunked"
+    if codings and version != "HTTP/1.1":
+        return "chunked needs HTTP/1.1"
+    if len(headers.get_list("Host")) > 1:
+        return "more than one Host"
+    if version == "HTTP/1.1" and "Host" not in headers:
+        return "no Host"
+    return ""
