--- a/review/9/case.py
+++ b/review/9/case.py
@@ -17,6 +17,7 @@
     Room,
     World,
     configuration,
+    part_of,
     run_case,
     send,
     starts_twice,
@@ -124,11 +125,4 @@
     return 1 if twice else 0
 
 
-def part_of(service: str) -> int:
-    """The partition that holds a service's jobs."""
-    from mustardgap.shard_owners import shard_of
-
-    return shard_of(service, 12)
-
-
 run_case(main)
--- a/review/stand_in_3.py
+++ b/review/stand_in_3.py
@@ -270,6 +270,10 @@
         rows = [[self._topic, part, member, 0] for part, member in self.holder.items()]
         return reply(200, {"owners": rows})
 
+    def lapse(self) -> None:
+        """Let all memberships expire, as they may while the store is down."""
+        self._remove(list(self.members))
+
     def _drop_silent(self, now: float) -> None:
         self._remove([m for m, at in self.members.items() if now - at > self.ttls[m]])
 
@@ -333,6 +337,8 @@
         self.task = task
         self.number = number
         self.executor = executor
+        # The pool of its machine at its start.
+        self.pool = executor.machine.pool
         self.spec = spec
         self.started_at = time.monotonic()
         self.ended_at: float | None = None
@@ -558,6 +564,7 @@
     def __init__(self, *, standby: frozenset[str] = frozenset()) -> None:
         self.store = Store()
         self.machines: dict[str, Machine] = {}
+        self.servers: dict[str, HttpServer] = {}
         self.runs: list[Run] = []
         self.rooms: dict[str, Room] = {}
         self.standby = standby
@@ -588,7 +595,8 @@
         await HttpServer(self.store.handle).listen(PLATFORM_IP, self.store_port)
         await HttpServer(self._cloud).listen(PLATFORM_IP, self.cloud_port)
         for machine in self.machines.values():
-            await HttpServer(self._orders_of(machine)).listen(PLATFORM_IP, machine.port)
+            server = self.servers[machine.name] = HttpServer(self._orders_of(machine))
+            await server.listen(PLATFORM_IP, machine.port)
             if machine.pool not in self.standby:
                 self.bear(machine)
         self._tasks += [asyncio.create_task(self._beat()), asyncio.create_task(self._watch())]
@@ -607,6 +615,25 @@
             self.store.write("keyed.servers", machine.executor.name, b"")
             machine.executor = None
 
+    def crash(self, machine: Machine, *, down_s: float) -> None:
+        """Let a machine's executor crash; another one comes after some seconds.
+
+        Its entry goes after three heartbeats of silence.
+        """
+        executor = machine.executor
+        assert executor is not None
+        executor.die()
+        machine.executor = None
+        self.servers[machine.name].close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * HEARTBEAT_S, self.store.write, "keyed.servers", executor.name, b"")
+        loop.call_later(down_s, lambda: self._tasks.append(loop.create_task(self._revive(machine))))
+
+    async def _revive(self, machine: Machine) -> None:
+        server = self.servers[machine.name] = HttpServer(self._orders_of(machine))
+        await server.listen(PLATFORM_IP, machine.port)
+        self.bear(machine)
+
     def _orders_of(self, machine: Machine) -> Handler:
         async def handle(call: Call) -> Reply | None:
             await asyncio.sleep(EXECUTOR_WAY_S)
@@ -886,42 +913,80 @@
     }
 
 
+class Client:
+    """A client with one connection to a daemon, which it keeps.
+
+    :param ip: the daemon's address.
+    :param port: its port.
+    """
+
+    def __init__(self, *, ip: str, port: int) -> None:
+        self._ip = ip
+        self._port = port
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def open(self) -> None:
+        """Connect.
+
+        :raises OSError: it couldn't.
+        """
+        self._reader, self._writer = await asyncio.open_connection(self._ip, self._port)
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        *,
+        host: str = "jobs.example",
+        body: object = None,
+        timeout_s: float = 3.0,
+    ) -> tuple[int, Any] | None:
+        """Send one request, connecting first if need be.
+
+        :param timeout_s: seconds to wait for the answer, which the request states.
+        :return: the status and the decoded body, None without a complete answer.
+        """
+        raw = b"" if body is None else json.dumps(body).encode()
+        head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n"
+        head += f"X-Mustardgap-Request-Deadline: {int(timeout_s * 1000)}\r\n"
+        head += f"Content-Length: {len(raw)}\r\n\r\n"
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._writer is None:
+                    await self.open()
+                assert self._reader is not None and self._writer is not None
+                self._writer.write(head.encode() + raw)
+                first, *lines = (await self._reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
+                sizes = [int(li[15:]) for li in lines if li.lower().startswith(b"content-length:")]
+                rest = await self._reader.readexactly(sizes[0] if sizes else 0)
+            return int(first.split(b" ")[1]), json.loads(rest) if rest else None
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            self.close()
+            return None
+
+
 async def send(
     ip: str,
     port: int,
     method: str,
     target: str,
     *,
-    host: str = "jobs.example",
     body: object = None,
     timeout_s: float = 3.0,
 ) -> tuple[int, Any] | None:
-    """Send one request on a connection of its own, as a client.
-
-    :param timeout_s: seconds to wait for the answer, which the request states.
-    :return: the status and the decoded body, None without a complete answer.
-    """
-    raw = b"" if body is None else json.dumps(body).encode()
-    head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n"
-    head += f"X-Mustardgap-Request-Deadline: {int(timeout_s * 1000)}\r\n"
-    head += f"Content-Length: {len(raw)}\r\n\r\n"
-    writer = None
+    """Send one request on a connection of its own; see ``Client.send``."""
+    client = Client(ip=ip, port=port)
     try:
-        async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(ip, port)
-            writer.write(head.encode() + raw)
-            first, *lines = (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")
-            sizes = [int(li[15:]) for li in lines if li.lower().startswith(b"content-length:")]
-            rest = await reader.readexactly(sizes[0] if sizes else 0)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
-        return None
+        return await client.send(method, target, body=body, timeout_s=timeout_s)
     finally:
-        if writer is not None:
-            writer.close()
-    try:
-        return int(first.split(b" ")[1]), json.loads(rest) if rest else None
-    except ValueError:
-        return None
+        client.close()
 
 
 def configuration(
@@ -1011,6 +1076,13 @@
     return found
 
 
+def part_of(service: str) -> int:
+    """The partition that holds a service's jobs."""
+    from mustardgap.shard_owners import shard_of
+
+    return shard_of(service, PARTS)
+
+
 def run_case(main: Callable[[], Awaitable[int]]) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     try:
