--- a/review/stand_in_3.py
+++ b/review/stand_in_3.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from pathlib import Path
@@ -383,6 +384,8 @@
         self.lapses: list[float] = []
         self.changed = asyncio.Event()
         self.sequence = 0
+        # How many orders it has refused, by the reason.
+        self.refused: Counter[str] = Counter()
         self._used = Room(0, 0)
 
     @property
@@ -435,6 +438,8 @@
         return self._reply(200)
 
     def _reply(self, status: int, **fields: object) -> Reply:
+        if status == 409:
+            self.refused[str(fields["reason"])] += 1
         return reply(status, {"clockMs": self.clock_ms, **fields})
 
     def _extend(self, until_ms: int) -> None:
@@ -463,6 +468,8 @@
         self._extend(fields["untilMs"])
         if there is not None or number <= self.highest.get(task, 0):
             return self._reply(409, reason="old")
+        if not self.world.has_ticket(task, self.name, fields.get("ticket", "")):
+            return self._reply(409, reason="ticket")
         room, free = self.world.room_of(task), self.free
         if room.cpu > free.cpu or room.mem_mb > free.mem_mb:
             return self._reply(409, reason="room")
@@ -476,14 +483,15 @@
         self.world.on_start(run)
         return self._reply(200)
 
-    def finish_after(self, run: Run, work_s: float) -> None:
-        """Let a run end as done after some more seconds of work."""
-        run.timer = asyncio.get_running_loop().call_later(work_s, self._finish, run)
+    def finish_after(self, run: Run, work_s: float, *, how: str = "done") -> None:
+        """Let a run end after some more seconds of work."""
+        run.timer = asyncio.get_running_loop().call_later(work_s, self.end_run, run, how)
 
-    def _finish(self, run: Run) -> None:
+    def end_run(self, run: Run, how: str) -> None:
+        """Let a run end now, unless it has ended or is being stopped."""
         self._expire()
         if run.ended_at is None and not run.is_stopping:
-            self._end(run, "done")
+            self._end(run, how)
 
     def _stop(self, fields: dict[str, Any]) -> Reply:
         task, number = fields["task"], fields["run"]
@@ -575,6 +583,12 @@
         self.work_of: Callable[[str], float | None] = lambda task: 0.5
         self.on_start: Callable[[Run], None] = lambda run: None
         self.on_order: Callable[[Call], Awaitable[None]] = _nothing
+        # Jobs of queues with advice, the tickets by step and executor with the time until which
+        # they hold, and for how many seconds that is.
+        self.advised: set[str] = set()
+        self.tickets: dict[tuple[str, str], tuple[str, float]] = {}
+        self.advice_valid_s = 3.0
+        self.advice_port = free_port()
         self.store_port = free_port()
         self.cloud_port = free_port()
         self._tasks: list[asyncio.Task[None]] = []
@@ -594,6 +608,7 @@
         """Listen everywhere, and begin to write the executors' entries."""
         await HttpServer(self.store.handle).listen(PLATFORM_IP, self.store_port)
         await HttpServer(self._cloud).listen(PLATFORM_IP, self.cloud_port)
+        await HttpServer(self._advise).listen(PLATFORM_IP, self.advice_port)
         for machine in self.machines.values():
             server = self.servers[machine.name] = HttpServer(self._orders_of(machine))
             await server.listen(PLATFORM_IP, machine.port)
@@ -671,6 +686,24 @@
         self.orders.append(row)
         return answer
 
+    async def _advise(self, call: Call) -> Reply:
+        """Grant tickets for a step on all executors that are named."""
+        fields = call.json()
+        until = time.monotonic() + self.advice_valid_s
+        granted = []
+        for executor in fields["workers"]:
+            ticket = f"{len(self.tickets):04x}-{executor}"
+            self.tickets[fields["step"], executor] = (ticket, until)
+            granted.append([executor, ticket])
+        return reply(200, {"granted": granted, "validMs": int(self.advice_valid_s * 1000)})
+
+    def has_ticket(self, task: str, executor: str, ticket: str) -> bool:
+        """Whether a start of a task on an executor is allowed by its queue's policy."""
+        if task.partition(".")[0] not in self.advised:
+            return True
+        known, until = self.tickets.get((task.rpartition(".")[0], executor), ("", 0.0))
+        return bool(ticket) and ticket == known and time.monotonic() <= until
+
     def _carry_out(self, machine: Machine | None, fields: dict[str, Any], fence: int) -> Reply:
         if machine is None:
             return reply(400)
@@ -791,6 +824,7 @@
             store_port = (store_ports or {}).get(name, world.store_port)
             seeds = [f"{other}:{ports['control']}" for other in ips[:3]]
             fields = _settings(name, ip, ports, seeds, store_port, world.cloud_port)
+            fields["advice"] = f"{PLATFORM_IP}:{world.advice_port}"
             settings.write_text(json.dumps(fields))
             self.by_name[name] = Daemon(name=name, ip=ip, ports=ports, settings=settings)
 
