--- a/review/stand_in_3.py
+++ b/review/stand_in_3.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import zlib
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
@@ -29,6 +30,8 @@
 # The time that a store's answer and an executor's take on the way.
 STORE_WAY_S, EXECUTOR_WAY_S = 0.004, 0.001
 MAX_LISTED_ENDS = 500
+RECORD_BYTES = 262_144
+CHECKPOINT_S = 0.5
 MAX_PAGE_ITEMS = 500
 MAX_PAGE_BYTES = 1_000_000
 HEARTBEAT_S = 1.5
@@ -161,6 +164,8 @@
         self.down = False
         self.slow_s = 0.0
         self.on_append: Callable[[Call], None] = lambda call: None
+        # How many appends were refused for a record that is too large.
+        self.refused = 0
         self._topic = ""
 
     def write(self, topic: str, key: str, value: bytes) -> None:
@@ -187,6 +192,9 @@
         topic, query = call.query["topic"], call.query
         part = self._part(topic, int(query.get("part", 0)))
         contents = list(_split(call.body))
+        if any(len(content) > RECORD_BYTES for content in contents):
+            self.refused += 1
+            return reply(400)
         self.on_append(call)
         async with part.lock:
             await asyncio.sleep(APPEND_S)
@@ -344,6 +352,8 @@
         self.started_at = time.monotonic()
         self.ended_at: float | None = None
         self.how = ""
+        # The checkpoint at its end.
+        self.final = ""
         # The number of its end in its executor's list, and when that was acknowledged.
         self.end_number = 0
         self.acknowledged_at: float | None = None
@@ -351,6 +361,14 @@
         self.timer: asyncio.TimerHandle | None = None
         self.is_stopping = False
 
+    @property
+    def saved(self) -> str:
+        """Its checkpoint, a digest of 32 digits; empty if its task keeps none."""
+        if self.task.partition(".")[0] not in self.executor.world.checkpointing:
+            return ""
+        count = int((time.monotonic() - self.started_at) / CHECKPOINT_S)
+        return f"{zlib.crc32(self.task.encode()):08x}{count:024x}" if count else ""
+
     @property
     def percent(self) -> int:
         """Its progress; a run of a task that lasts is at work after half a second."""
@@ -516,9 +534,9 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left)
         self._expire()
-        running = [[r.task, r.number, "", r.percent, 0] for r in self.running.values()]
+        running = [[r.task, r.number, r.saved, r.percent, 0] for r in self.running.values()]
         listed = self.ended[:MAX_LISTED_ENDS]
-        ended = [[number, r.task, r.number, r.how, ""] for number, r in listed]
+        ended = [[number, r.task, r.number, r.how, r.final] for number, r in listed]
         return self._reply(200, running=running, ended=ended)
 
     def _end(self, run: Run, how: str) -> None:
@@ -528,7 +546,7 @@
             self._used = self._used.minus(self.world.room_of(run.task))
         if run.timer is not None:
             run.timer.cancel()
-        run.ended_at, run.how = time.monotonic(), how
+        run.ended_at, run.how, run.final = time.monotonic(), how, run.saved
         self.count += 1
         run.end_number = self.count
         self.ended.append((self.count, run))
@@ -586,6 +604,8 @@
         # Jobs of queues with advice, the tickets by step and executor with the time until which
         # they hold, and for how many seconds that is.
         self.advised: set[str] = set()
+        # Jobs whose tasks keep checkpoints.
+        self.checkpointing: set[str] = set()
         self.tickets: dict[tuple[str, str], tuple[str, float]] = {}
         self.advice_valid_s = 3.0
         self.advice_port = free_port()
@@ -932,7 +952,7 @@
             "readsPerS": 2000,
             "parts": PARTS,
             "appendMs": 2.0,
-            "recordBytes": 262144,
+            "recordBytes": RECORD_BYTES,
             "requestBytes": 2097152,
             "keep_s": 300,
             "partitionMb": 200,
