A record that the store doesn't take no longer holds up its whole partition

Cause: the store client told one outcome, Refused, for a store that is away and for a record that is never taken. PartitionLog repeats an append until it is answered, one at a time, so everything else of the partition waited behind a record that could never be stored. The sum of a call was a constant; requestBytes of the settings wasn't read, and appends to the failover partition and to the list of paths weren't bounded at all.

Ruled out: a store that is away (its other partitions answer), a lost membership (the owner keeps it).

Change: 400 and 413 are Rejected, which isn't repeated. ShardLog refuses a record that is larger than the settings allow before it is sent, halves an append that is rejected all the same until the record at fault is alone, tells its writer that it isn't stored, logs record.rejected once with size and limit, and counts it. Calls carry requestBytes at most, also to the failover partition and to the list of paths. A status that the store rejects doesn't count as told.

Why it is enough: nothing else waits for a record that can't be stored.

The gateways' stand-in of a log states limits, as the real one does.

--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -18,6 +18,7 @@
 from mustardgap.owner_hints import OwnerHints
 from mustardgap.path_holders import Holding
 from mustardgap.peer_calls import PeerUnreachable
+from mustardgap.record_limits import RecordLimits
 from mustardgap.tickets import Stored, Ticket
 from mustardgap.timers import Clock
 from tools.actor_platforms import HandClock
@@ -157,6 +158,8 @@
 class FakeShardLog:
     """A shard's log whose appends end only when the test resolves their ticket."""
 
+    limits = RecordLimits()
+
     def __init__(self):
         self.ticket = None
 
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -21,7 +21,7 @@
 from .job_admission import JobAdmission
 from .job_events import JobEventLog
 from .job_failures import JobFailures
-from .job_request_handlers import CANCELLED, MAX_RECORD_BYTES, JobRequestHandler
+from .job_request_handlers import CANCELLED, JobRequestHandler
 from .job_states import (
     Job,
     JobPhase,
@@ -38,6 +38,7 @@
 from .pool_views import PoolRequest, PoolView, build_pool_view
 from .ports import Advice, Executors, Store
 from .rack_failures import ExecutorContact, RackFailures
+from .record_limits import RecordLimits
 from .runs import Run, RunPhase, Stray
 from .shard_logs import JOB_KEY, PROGRESS_KEY, ShardLog
 from .shard_records import read_records
@@ -96,8 +97,8 @@
     shrink_grace_s: float = 4.5
     # The longest lease that an executor grants.
     longest_lease_s: float = 10.0
-    # The largest record that the store takes.
-    record_bytes: int = MAX_RECORD_BYTES
+    # The sizes that the store takes.
+    record_limits: RecordLimits = RecordLimits()
 
 
 class Dispatcher:
@@ -150,7 +151,14 @@
         self.configuration: Configuration | None = None
         self.jobs_by_id: dict[str, Job] = {}
         events = JobEventLog(events=events, account_of=self._account_of)
-        self.log = ShardLog(store=store, shard=shard, epoch=epoch, clock=clock, events=events)
+        self.log = ShardLog(
+            store=store,
+            shard=shard,
+            epoch=epoch,
+            clock=clock,
+            events=events,
+            limits=bounds.record_limits,
+        )
         self.suspicions = Suspicions(
             siblings_of=self.siblings_of, clock=clock, events=events, policy=policy
         )
@@ -169,11 +177,7 @@
         )
         self.cancelled = CancelledJobs(log=self.log, clock=clock, events=events)
         self.job_request_handler = JobRequestHandler(
-            dispatcher=self,
-            store=store,
-            clock=clock,
-            events=events,
-            record_bytes=bounds.record_bytes,
+            dispatcher=self, store=store, clock=clock, events=events
         )
         self.roster = ExecutorRoster(
             dispatcher=self, executors=executors, clock=clock, events=events
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -17,6 +17,7 @@
 from .policies import WHOLE, Mechanism, Policy
 from .pool_views import PoolRequest, PoolView
 from .ports import Boards, Machines, NoAnswer, Refused, Store
+from .record_limits import RecordLimits
 from .room_observations import DEMANDS_KEY
 from .shard_logs import ShardLog
 from .shard_records import describe_error
@@ -58,6 +59,7 @@
     :param events: the process's event log.
     :param policy: the mechanisms that are enabled.
     :param features: the decisions for hard load that take part; by default none.
+    :param limits: the sizes that the store takes.
     """
 
     def __init__(
@@ -77,10 +79,13 @@
         events: EventLog,
         policy: Policy = WHOLE,
         features: LoadFeatures | None = None,
+        limits: RecordLimits | None = None,
     ) -> None:
         self.ended = asyncio.Event()
         self.state = FleetState(clock=clock, events=events)
-        self.log = ShardLog(store=store, shard=shard, epoch=epoch, clock=clock, events=events)
+        self.log = ShardLog(
+            store=store, shard=shard, epoch=epoch, clock=clock, events=events, limits=limits
+        )
         self._machines = machines
         self._operator = operator
         self._ask = ask
--- a/mustardgap/fleet_waves.py
+++ b/mustardgap/fleet_waves.py
@@ -8,7 +8,7 @@
 from .codecs import decode_msgpack
 from .events import EventLog
 from .fleet_states import FleetState, OrderTimes, executor_in
-from .ports import Boards, NoAnswer, Refused
+from .ports import Appended, Boards
 from .shard_logs import ShardLog
 from .timers import Clock
 from .workloads import Configuration, Machine, Wave
@@ -224,7 +224,7 @@
             if completed and not self.log.durable:
                 continue
             outcome = await self._boards.write_status(wave=wave.number, completed=completed)
-            if isinstance(outcome, Refused | NoAnswer):
+            if not isinstance(outcome, Appended):
                 continue
             self._reported_by_wave[wave.number] = completed
             self._events.note(
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -28,10 +28,6 @@
 # New jobs are rejected at once when the store has taken no records for this long. A single lost
 # answer, after which the append is repeated within about 0.3 s, isn't enough.
 MAX_STORE_FAILING_S = 0.6
-# The largest record of a deployment's store, in bytes, unless it states another.
-MAX_RECORD_BYTES = 262_144
-# What a record has beside its value: the key's length, and a version.
-RECORD_OVERHEAD_BYTES = 10
 # Why a job has ended that its caller cancelled.
 CANCELLED = "cancelled"
 
@@ -50,7 +46,6 @@
     :param store: the platform's store, which decides who owns the shard.
     :param clock: the clocks to read.
     :param events: the process's event log.
-    :param record_bytes: the largest record that the store takes.
     """
 
     def __init__(
@@ -60,9 +55,7 @@
         store: Store,
         clock: Clock,
         events: EventLog,
-        record_bytes: int = MAX_RECORD_BYTES,
     ) -> None:
-        self._record_bytes = record_bytes
         self._dispatcher = dispatcher
         self._store = store
         self._clock = clock
@@ -124,8 +117,7 @@
                 path=path,
             )
             key, record = JOB_KEY + job_id, encode_job(stored)
-            if len(key) + len(record) + RECORD_OVERHEAD_BYTES > self._record_bytes:
-                # The store would refuse each append with it, and the shard store nothing any more.
+            if not self._dispatcher.log.limits.hold(key, record):
                 detail = "the job is larger than what can be stored of one"
                 return JobReply(status_codes.JOB_INVALID, detail=detail)
             refusal = self._dispatcher.admission.refuse(job_id, stored, wait_s)
--- a/mustardgap/metrics.py
+++ b/mustardgap/metrics.py
@@ -389,6 +389,12 @@
 store_appends = _counter(
     "mustardgap.store.appends", "{append}", "Appends to owned shards by outcome", "outcome"
 )
+records_rejected = _counter(
+    "mustardgap.store.records_rejected",
+    "{record}",
+    "Records that the store doesn't take, such as too large ones, by the prefix of their key",
+    "kind",
+)
 append_duration = _duration_histogram(
     "mustardgap.store.append_duration", "Time until an append is answered"
 )
--- a/mustardgap/partition_logs.py
+++ b/mustardgap/partition_logs.py
@@ -4,7 +4,17 @@
 
 from . import metrics
 from .events import EventLog
-from .ports import Appended, Entries, Fenced, NoAnswer, Record, Refused, Store, WrongSequence
+from .ports import (
+    Appended,
+    Entries,
+    Fenced,
+    NoAnswer,
+    Record,
+    Refused,
+    Rejected,
+    Store,
+    WrongSequence,
+)
 from .tickets import Stored
 from .timers import Clock
 
@@ -89,10 +99,11 @@
             )
             await self._clock.sleep(READ_RETRY_DELAY_S)
 
-    async def append(self, records: Sequence[Record]) -> Stored:
+    async def append(self, records: Sequence[Record]) -> Stored | Rejected:
         """Append records, retrying until the store answers.
 
-        :return: YES, or another value when this owner can no longer write the shard.
+        :return: YES, Rejected if the store doesn't take one of the records, or another value when
+            this owner can no longer write the shard.
         """
         unanswered = False
         while True:
@@ -120,6 +131,11 @@
                     self._sequence = outcome.expected
                     continue
                 return Stored.UNKNOWN
+            if isinstance(outcome, Rejected):
+                # Repeated, it would hold up all other records of the partition for good. The
+                # sequence number wasn't used: an earlier attempt was refused like this one.
+                self._note_recovery()
+                return outcome
             unanswered = unanswered or isinstance(outcome, NoAnswer)
             self._note_failure(outcome)
             await self._clock.sleep(RETRY_DELAY_S)
--- a/mustardgap/path_holders.py
+++ b/mustardgap/path_holders.py
@@ -26,7 +26,7 @@
 from .codecs import Undecodable, decode_msgpack
 from .events import EventLog
 from .job_replies import JobReply
-from .ports import Entries, NoAnswer, Record, Refused, Store
+from .ports import Appended, Entries, Record, Store
 from .shard_logs import PATH_KEY
 from .tickets import Ticket
 from .timers import Clock
@@ -282,15 +282,15 @@
         :return: False if the list couldn't be reached.
         """
         shard = self._dispatcher.shard
-        written = await self._store.append_paths(
-            [
-                Record(f"{path}{SEPARATOR}{shard}", msgspec.msgpack.encode(version))
-                for path, version in versions_by_path.items()
-            ]
-        )
-        if isinstance(written, Refused | NoAnswer):
-            self._note_failure(written.detail)
-            return False
+        records = [
+            Record(f"{path}{SEPARATOR}{shard}", msgspec.msgpack.encode(version))
+            for path, version in versions_by_path.items()
+        ]
+        for batch in self._dispatcher.log.limits.batches(records):
+            written = await self._store.append_paths(batch)
+            if not isinstance(written, Appended):
+                self._note_failure(written.detail)
+                return False
         listed = await self._store.newest_paths()
         if not isinstance(listed, Entries):
             self._note_failure(listed.detail)
--- a/mustardgap/platform/daemon.py
+++ b/mustardgap/platform/daemon.py
@@ -293,6 +293,7 @@
                 events=self.events,
                 policy=self.policy,
                 features=self.features,
+                limits=self.settings.record_limits,
             )
         dispatcher = Dispatcher(
             shard=shard,
@@ -307,7 +308,7 @@
                 promises.stop_timeout_s,
                 promises.contact_s + self.settings.executor_heartbeat_s,
                 promises.longest_lease_s,
-                self.settings.record_bytes,
+                self.settings.record_limits,
             ),
             seconds_since_confirmed=self.owners.seconds_since_confirmed,
             entry_age_s=self.board.age_s,
--- a/mustardgap/platform/process_settings.py
+++ b/mustardgap/platform/process_settings.py
@@ -8,6 +8,7 @@
 from .. import status_codes
 from ..codecs import Undecodable, decode_lenient_json
 from ..exceptions import SettingsError
+from ..record_limits import RecordLimits
 
 # The part of the platform's rules that is about overload.
 OVERLOAD_CONTRACT = "pressure"
@@ -21,7 +22,8 @@
 class _PlatformFields(msgspec.Struct):
     addr: str
     parts: int = 12
-    record_bytes: int = msgspec.field(default=262_144, name="recordBytes")
+    record_bytes: int = msgspec.field(default=RecordLimits().record_bytes, name="recordBytes")
+    request_bytes: int = msgspec.field(default=RecordLimits().request_bytes, name="requestBytes")
 
 
 class _CloudFields(msgspec.Struct):
@@ -104,8 +106,7 @@
     executor_heartbeat_s: float
     store: str
     shards: int
-    # The largest record that the store takes.
-    record_bytes: int
+    record_limits: RecordLimits
     machines: str
     machine_calls_per_s: float
     machine_reads_per_s: float
@@ -153,7 +154,7 @@
         executor_heartbeat_s=fields.heartbeat_ms / 1000,
         store=fields.platform.addr,
         shards=fields.platform.parts,
-        record_bytes=fields.platform.record_bytes,
+        record_limits=RecordLimits(fields.platform.record_bytes, fields.platform.request_bytes),
         machines=fields.cloud_api.addr,
         machine_calls_per_s=fields.cloud_api.duty_per_s,
         machine_reads_per_s=fields.cloud_api.rate_per_s,
--- a/mustardgap/platform/store_client.py
+++ b/mustardgap/platform/store_client.py
@@ -18,6 +18,7 @@
     NoAnswer,
     Record,
     Refused,
+    Rejected,
     WrongSequence,
 )
 from ..shard_owners import failover_partition
@@ -44,6 +45,8 @@
 READ_KB = 1024
 # The store does nothing, now or because of its limits.
 BUSY = (429, 500, 502, 503, 504)
+# The store doesn't take such a call, however often it is sent.
+REJECTED = (400, 413)
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -71,6 +74,8 @@
         outcome = await self._append(topic, part, b"", {"producer": PRODUCER, "epoch": epoch})
         if isinstance(outcome, WrongSequence):
             return Refused(detail="a sequence number is asked for where none is used")
+        if isinstance(outcome, Rejected):
+            return Refused(detail=outcome.detail)
         return outcome
 
     async def append(
@@ -81,7 +86,7 @@
         sequence: int,
         records: Sequence[Record],
         failover: bool = False,
-    ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
+    ) -> Appended | Fenced | WrongSequence | Refused | Rejected | NoAnswer:
         """Append records under an epoch."""
         query = {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
         body = b"".join(_keyed(record) for record in records)
@@ -155,14 +160,18 @@
         """Read what executors wrote."""
         return await self._read(EXECUTORS, offset, wait_s)
 
-    async def write_status(self, *, wave: int, completed: bool) -> Appended | Refused | NoAnswer:
+    async def write_status(
+        self, *, wave: int, completed: bool
+    ) -> Appended | Refused | Rejected | NoAnswer:
         """Write how far a wave is."""
         value = msgspec.json.encode(
             {"wave": wave, "state": "completed" if completed else "running"}
         )
         return await self._append_unfenced(STATUS, [Record(f"wave/{wave}", value)])
 
-    async def append_paths(self, records: Sequence[Record]) -> Appended | Refused | NoAnswer:
+    async def append_paths(
+        self, records: Sequence[Record]
+    ) -> Appended | Refused | Rejected | NoAnswer:
         """Write to the list of paths."""
         return await self._append_unfenced(PATHS, records)
 
@@ -172,7 +181,7 @@
 
     async def _append_unfenced(
         self, topic: str, records: Sequence[Record]
-    ) -> Appended | Refused | NoAnswer:
+    ) -> Appended | Refused | Rejected | NoAnswer:
         body = b"".join(_keyed(record) for record in records)
         outcome = await self._append(topic, 0, body, {})
         if isinstance(outcome, Fenced | WrongSequence):
@@ -237,7 +246,7 @@
 
     async def _append(
         self, topic: str, shard: int, body: bytes, query: Mapping[str, object]
-    ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
+    ) -> Appended | Fenced | WrongSequence | Refused | Rejected | NoAnswer:
         target = "/mustardgap/log-append?" + urlencode({"topic": topic, "part": shard, **query})
         answer = await self._call("POST", target, body, self._patience_s)
         if not isinstance(answer, HttpAnswer):
@@ -250,6 +259,8 @@
         if answer.status == 409:
             expected = [count for key in fields if (count := count_of(fields, key)) is not None]
             return WrongSequence(expected=expected[0] if expected else -1)
+        if answer.status in REJECTED:
+            return Rejected(detail=_describe(answer))
         return _refused(answer)
 
     async def _call(
@@ -311,4 +322,8 @@
 
 
 def _refused(answer: HttpAnswer) -> Refused:
-    return Refused(detail=f"{answer.status} {answer.body[:200].decode(errors='replace')}")
+    return Refused(detail=_describe(answer))
+
+
+def _describe(answer: HttpAnswer) -> str:
+    return f"{answer.status} {answer.body[:200].decode(errors='replace')}"
--- a/mustardgap/ports.py
+++ b/mustardgap/ports.py
@@ -31,6 +31,13 @@
     detail: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class Rejected:
+    """The other side refused what was sent, and would refuse each repeat of it, too."""
+
+    detail: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class Throttled:
     """Too many calls: nothing was done, and the same call may succeed in a moment."""
@@ -168,7 +175,7 @@
         sequence: int,
         records: Sequence[Record],
         failover: bool = False,
-    ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
+    ) -> Appended | Fenced | WrongSequence | Refused | Rejected | NoAnswer:
         """Store records, all or none; a repeat with the same sequence has no further effect."""
 
     async def newest(self, *, shard: int, failover: bool = False) -> Entries | Refused | NoAnswer:
@@ -185,7 +192,9 @@
     async def owners(self) -> dict[int, str] | Refused | NoAnswer:
         """The member that holds each shard."""
 
-    async def append_paths(self, records: Sequence[Record]) -> Appended | Refused | NoAnswer:
+    async def append_paths(
+        self, records: Sequence[Record]
+    ) -> Appended | Refused | Rejected | NoAnswer:
         """Write to the list of paths that all shards share; anybody may write at any time."""
 
     async def newest_paths(self) -> Entries | Refused | NoAnswer:
@@ -205,7 +214,9 @@
     ) -> Entries | Expired | Refused | NoAnswer:
         """Records of executors from an offset on, or with None the newest of each key."""
 
-    async def write_status(self, *, wave: int, completed: bool) -> Appended | Refused | NoAnswer:
+    async def write_status(
+        self, *, wave: int, completed: bool
+    ) -> Appended | Refused | Rejected | NoAnswer:
         """Tell the operator how far a wave is."""
 
 
--- a/mustardgap/shard_logs.py
+++ b/mustardgap/shard_logs.py
@@ -3,10 +3,12 @@
 import asyncio
 from typing import NamedTuple
 
+from . import metrics
 from .events import EventLog
 from .owner_records import OWNER_KEY, encode_owner, may_have_diverted
 from .partition_logs import PartitionLog
-from .ports import Record, Store
+from .ports import Record, Rejected, Store
+from .record_limits import RecordLimits, record_size
 from .tickets import Stored, Ticket
 from .timers import Clock
 from .versioned_values import Versioned, unwrap, version_of, wrap
@@ -15,7 +17,7 @@
 # 4 ms; a delay of 8 ms is a hundredth of the shortest objective, and halves the calls when runs end
 # at 100 a second.
 BATCH_DELAY_S = 0.008
-# The largest append, in bytes; the store accepts up to 2 MB.
+# The largest append, in bytes, where the store accepts that much; larger ones delay the next ones.
 MAX_BATCH_BYTES = 1_000_000
 # Records go to the failover partition once appends to the primary one have failed for this long. A
 # single lost answer, after which the append is repeated within about 0.3 s, isn't enough; callers
@@ -36,6 +38,9 @@
     tickets: list[Ticket]
 
 
+_Batch = dict[str, _PendingWrite]
+
+
 class ShardLog:
     """Writes the records of one shard under the epoch of one ownership.
 
@@ -52,13 +57,22 @@
     :param epoch: the generation at which the shard was assigned to this daemon.
     :param clock: the clocks to read.
     :param events: the process's event log.
+    :param limits: the sizes that the store takes.
     """
 
     def __init__(
-        self, *, store: Store, shard: int, epoch: int, clock: Clock, events: EventLog
+        self,
+        *,
+        store: Store,
+        shard: int,
+        epoch: int,
+        clock: Clock,
+        events: EventLog,
+        limits: RecordLimits | None = None,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
+        self.limits = limits or RecordLimits()
         self.fenced = False
         self._clock = clock
         self._events = events
@@ -78,8 +92,14 @@
             for failover in (False, True)
         )
         self._write_count = 0
-        self._unsent_by_key: dict[str, _PendingWrite] = {}
-        self._sending_by_key: dict[str, _PendingWrite] = {}
+        self._unsent_by_key: _Batch = {}
+        self._sending_by_key: _Batch = {}
+        self._batch_limits = self.limits._replace(
+            request_bytes=min(self.limits.request_bytes, MAX_BATCH_BYTES)
+        )
+        # Keys whose newest value the store doesn't take, or not in the failover partition.
+        self._rejected_keys: set[str] = set()
+        self._undivertable_keys: set[str] = set()
         # The write numbers of the values in the failover partition; -1 while the first append of
         # a key is unanswered.
         self._diverted_by_key: dict[str, int] = {}
@@ -99,9 +119,14 @@
         )
 
     @property
-    def _pending(self) -> dict[str, _PendingWrite]:
-        """The newest value of each key that isn't yet stored in the primary partition."""
-        return {**self._sending_by_key, **self._unsent_by_key}
+    def _pending(self) -> _Batch:
+        """The newest value of each key that isn't yet stored in the primary partition.
+
+        They are in the order in which they are sent, which an append to the failover partition
+        keeps, too.
+        """
+        sending = {k: w for k, w in self._sending_by_key.items() if k not in self._unsent_by_key}
+        return sending | self._unsent_by_key
 
     def failing_s(self) -> float:
         """Seconds for which no partition has taken records, 0 while one does."""
@@ -111,20 +136,29 @@
 
     def is_pending(self, key: str) -> bool:
         """Whether the newest value of a key isn't known to be stored."""
+        if self.fenced or key in self._rejected_keys:
+            return True
         write = self._pending.get(key)
-        return self.fenced or (write is not None and self._is_unstored(key, write))
+        return write is not None and self._is_unstored(key, write)
 
     def put(self, key: str, value: bytes) -> Ticket:
         """Queue a record; a later one of the same key may replace it before it is sent.
 
         :param key: the record's key.
         :param value: its value; an empty one removes the key.
-        :return: a ticket that is resolved when the record, or a newer one of its key, is stored.
+        :return: a ticket that is resolved when the record, or a newer one of its key, is stored;
+            with NO at once if the record is larger than the store takes.
         """
         ticket = Ticket(outcome=asyncio.get_running_loop().create_future())
         if self.fenced:
             ticket.resolve(Stored.NO)
             return ticket
+        if not self.limits.hold(key, value):
+            self._reject(key, len(value), "larger than a record may be")
+            ticket.resolve(Stored.NO)
+            return ticket
+        self._rejected_keys.discard(key)
+        self._undivertable_keys.discard(key)
         earlier = self._unsent_by_key.get(key)
         tickets = [*earlier.tickets, ticket] if earlier else [ticket]
         self._write_count += 1
@@ -236,38 +270,74 @@
 
     # The primary partition.
 
-    def _take_batch(self) -> dict[str, _PendingWrite]:
-        batch: dict[str, _PendingWrite] = {}
-        size = 0
-        for key in list(self._unsent_by_key):
-            write = self._unsent_by_key[key]
-            size += len(key) + len(write.value) + 8
-            if batch and size > MAX_BATCH_BYTES:
-                break
-            batch[key] = self._unsent_by_key.pop(key)
+    def _take_batch(self) -> _Batch:
+        batch = self._first_batch(self._unsent_by_key)
+        for key in batch:
+            del self._unsent_by_key[key]
         return batch
 
-    async def _send(self, batch: dict[str, _PendingWrite]) -> None:
-        records = [self._to_record(key, write) for key, write in batch.items()]
-        tickets = [ticket for write in batch.values() for ticket in write.tickets]
-        for ticket in tickets:
+    def _first_batch(self, writes: _Batch) -> _Batch:
+        """The first writes, as many as one append may carry."""
+        records = (Record(key, write.value) for key, write in writes.items())
+        first = next(self._batch_limits.batches(records), [])
+        return {record.key: writes[record.key] for record in first}
+
+    async def _send(self, batch: _Batch) -> None:
+        for ticket in _tickets_of(batch):
             ticket.sent = True
         self._sending_by_key = batch
-        stored = Stored.UNKNOWN
+        parts = [batch]
         try:
-            stored = await self._primary.append(records)
+            while parts and not self.fenced:
+                await self._send_part(parts)
         finally:
             # However the append ended, its records may have been stored. They are no longer among
             # the unsent ones, so nothing else would resolve their tickets, and callers would wait
             # until they time out.
             self._sending_by_key = {}
-            _resolve_all(tickets, stored)
+            for part in parts:
+                _resolve_all(_tickets_of(part), Stored.UNKNOWN)
+        if self._diverted_by_key:
+            self._changed.set()
+
+    async def _send_part(self, parts: list[_Batch]) -> None:
+        """Append the first of some parts of a batch; one that the store rejects is divided."""
+        part = parts[0]
+        records = [self._to_record(key, write) for key, write in part.items()]
+        stored = await self._primary.append(records)
+        if isinstance(stored, Rejected) and len(part) > 1:
+            # One record is the cause, and the others must be stored.
+            parts[:1] = _halves(part)
+            return
+        del parts[0]
+        self._sending_by_key = _joined(parts)
+        if isinstance(stored, Rejected):
+            for key, write in part.items():
+                self._reject(key, len(write.value), stored.detail)
+            _resolve_all(_tickets_of(part), Stored.NO)
+            return
+        _resolve_all(_tickets_of(part), stored)
         if stored is not Stored.YES:
             self.close()
             return
-        self._owner_recorded = self._owner_recorded or OWNER_KEY in batch
-        if self._diverted_by_key:
-            self._changed.set()
+        self._owner_recorded = self._owner_recorded or OWNER_KEY in part
+
+    def _reject(self, key: str, size: int, why: str) -> None:
+        """Note that the newest value of a key can't be stored; said once for each key."""
+        metrics.records_rejected.add(1, {"kind": key.partition("/")[0]})
+        if key in self._rejected_keys:
+            return
+        self._rejected_keys.add(key)
+        self._events.note(
+            "record.rejected",
+            vital=True,
+            shard=self.shard,
+            epoch=self.epoch,
+            key=key,
+            bytes=record_size(key, b"") + size,
+            limit=self.limits.record_bytes,
+            why=why,
+        )
 
     def _to_record(self, key: str, write: _PendingWrite) -> Record:
         """Return the record for the primary partition.
@@ -294,22 +364,26 @@
         """Whether a write isn't known to be stored in the failover partition either."""
         return self._diverted_by_key.get(key, -1) < write.number
 
-    def _writes_to_divert(self) -> dict[str, _PendingWrite]:
-        """Return the writes to divert now.
+    def _writes_to_divert(self) -> _Batch:
+        """Return the writes to divert next, as many as one append may carry.
 
         A removal is diverted only if an older value of the key was: a removed key that is still in
         the primary partition costs its next owner some work, but breaks no guarantee.
         """
         if not self._can_divert() or self._primary.failing_s() < DIVERT_AFTER_S:
             return {}
-        return {
-            key: write
-            for key, write in self._pending.items()
-            if self._is_unstored(key, write) and (write.value or key in self._diverted_by_key)
-        }
-
-    async def _divert(self, batch: dict[str, _PendingWrite]) -> None:
-        tickets = [ticket for write in batch.values() for ticket in write.tickets]
+        return self._first_batch(
+            {
+                key: write
+                for key, write in self._pending.items()
+                if key not in self._undivertable_keys
+                and self._is_unstored(key, write)
+                and (write.value or key in self._diverted_by_key)
+            }
+        )
+
+    async def _divert(self, batch: _Batch) -> None:
+        tickets = _tickets_of(batch)
         for ticket in tickets:
             ticket.sent = ticket.diverted = True
         if not self._diverted_by_key:
@@ -318,19 +392,35 @@
         for key in batch:
             self._diverted_by_key.setdefault(key, -1)
         records = [self._to_versioned_record(key, write) for key, write in batch.items()]
-        if await self._failover.append(records) is not Stored.YES:
+        stored = await self._failover.append(records)
+        if isinstance(stored, Rejected):
+            await self._divert_apart(batch, stored)
+            return
+        if stored is not Stored.YES:
             self.close()
             return
         for key, write in batch.items():
             self._diverted_by_key[key] = write.number
         _resolve_all(tickets, Stored.YES)
 
+    async def _divert_apart(self, batch: _Batch, rejected: Rejected) -> None:
+        """Divert the records of a rejected append in smaller ones; a single one is left out."""
+        if len(batch) > 1:
+            for half in _halves(batch):
+                if not self.fenced:
+                    await self._divert(half)
+            return
+        for key in batch:
+            self._undivertable_keys.add(key)
+            self._note_failover("failover.rejected", 1, key=key, why=rejected.detail)
+
     def _clearable_keys(self) -> list[str]:
-        """Return the keys in the failover partition whose newest value the primary one has."""
+        """Return the keys to clear next: the primary partition has their newest values."""
         if self._primary.failing_since is not None:
             return []
         pending = self._pending
-        return [key for key in self._diverted_by_key if key not in pending]
+        records = (Record(key, b"") for key in self._diverted_by_key if key not in pending)
+        return [record.key for record in next(self._batch_limits.batches(records), [])]
 
     async def _clear_failover(self, keys: list[str]) -> None:
         """Remove keys from the failover partition that the primary one has."""
@@ -347,7 +437,7 @@
         if not self._diverted_by_key:
             self._note_failover("failover.cleared", len(keys))
 
-    def _note_failover(self, event: str, records: int) -> None:
+    def _note_failover(self, event: str, records: int, **fields: str) -> None:
         self._events.note(
             event,
             vital=True,
@@ -355,6 +445,7 @@
             epoch=self.epoch,
             records=records,
             failing_s=self._primary.failing_s(),
+            **fields,
         )
 
 
@@ -362,6 +453,20 @@
     return {key: unwrap(raw) for key, raw in values_by_key.items() if raw}
 
 
+def _tickets_of(batch: _Batch) -> list[Ticket]:
+    return [ticket for write in batch.values() for ticket in write.tickets]
+
+
+def _joined(parts: list[_Batch]) -> _Batch:
+    return {key: write for part in parts for key, write in part.items()}
+
+
+def _halves(batch: _Batch) -> list[_Batch]:
+    writes = list(batch.items())
+    middle = len(writes) // 2
+    return [dict(writes[:middle]), dict(writes[middle:])]
+
+
 def _resolve_all(tickets: list[Ticket], stored: Stored) -> None:
     for ticket in tickets:
         # A record that the primary partition refused may still be stored in the failover one.
--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -15,6 +15,7 @@
     NoAnswer,
     Record,
     Refused,
+    Rejected,
     WrongSequence,
 )
 
@@ -56,6 +57,12 @@
         self.slow_hosts: dict[str, float] = {}
         # The operator's records are there, but reading them takes long.
         self.operator_held = False
+        # The largest record and the largest call that it takes, in bytes; None for any.
+        self.record_bytes: int | None = None
+        self.request_bytes: int | None = None
+        # How many calls it rejected for that, and the size of the largest call of all.
+        self.rejected = 0
+        self.largest_call = 0
         # Hosts whose open reads get no answer any more, while new ones do.
         self.silenced_hosts: set[str] = set()
         self.lost_share = 0.0
@@ -173,8 +180,10 @@
         sequence: int | None,
         records: Sequence[Record],
         failover: bool = False,
-    ) -> Appended | Fenced | WrongSequence:
+    ) -> Appended | Fenced | WrongSequence | Rejected:
         """Append under an epoch."""
+        if (rejected := self._check_sizes(records)) is not None:
+            return rejected
         place = self.place(shard, failover)
         if epoch < place.epoch:
             return Fenced()
@@ -199,6 +208,25 @@
             del place.recent[old]
         return Appended(end=place.end)
 
+    def append_paths(self, records: Sequence[Record]) -> Appended | Rejected:
+        """Append to the list of paths."""
+        if (rejected := self._check_sizes(records)) is not None:
+            return rejected
+        self.paths_by_key.update((record.key, record.value) for record in records)
+        return Appended(end=len(self.paths_by_key))
+
+    def _check_sizes(self, records: Sequence[Record]) -> Rejected | None:
+        sizes = [1 + len(record.key.encode()) + len(record.value) for record in records]
+        call = sum(4 + size for size in sizes)
+        self.largest_call = max(self.largest_call, call)
+        if self.record_bytes is not None and any(size > self.record_bytes for size in sizes):
+            self.rejected += 1
+            return Rejected(detail="400 a record is too large")
+        if self.request_bytes is not None and call > self.request_bytes:
+            self.rejected += 1
+            return Rejected(detail="400 the call is too large")
+        return None
+
 
 class StorePort:
     """One host's way to the store, as the product's ``Store`` and ``Boards``.
@@ -226,7 +254,7 @@
         sequence: int,
         records: Sequence[Record],
         failover: bool = False,
-    ) -> Appended | Fenced | WrongSequence | Refused | NoAnswer:
+    ) -> Appended | Fenced | WrongSequence | Refused | Rejected | NoAnswer:
         return await self._do(  # type: ignore[no-any-return]
             lambda: self.store.append(shard, epoch, sequence, records, failover),
             (shard, failover),
@@ -274,12 +302,13 @@
 
         return await self._do(work)
 
-    async def append_paths(self, records: Sequence[Record]) -> Appended | Refused | NoAnswer:
-        def work() -> Appended | Refused:
+    async def append_paths(
+        self, records: Sequence[Record]
+    ) -> Appended | Refused | Rejected | NoAnswer:
+        def work() -> Appended | Refused | Rejected:
             if self.store.list_away:
                 return Refused(detail="503 this partition is away")
-            self.store.paths_by_key.update((record.key, record.value) for record in records)
-            return Appended(end=len(self.store.paths_by_key))
+            return self.store.append_paths(records)
 
         return await self._do(work)  # type: ignore[no-any-return]
 
--- a/tools/owner_daemons.py
+++ b/tools/owner_daemons.py
@@ -187,7 +187,7 @@
                 advice=FakeAdvice(fleet=world.fleet),
                 clock=self.clock,
                 events=self.events,
-                bounds=Bounds(stop_timeout_s=1.6),
+                bounds=Bounds(stop_timeout_s=1.6, record_limits=world.record_limits),
                 seconds_since_confirmed=self.owners.seconds_since_confirmed,
                 entry_age_s=self.board.age_s,
                 is_membership_valid=self.owners.is_membership_valid,
--- a/tools/owner_worlds.py
+++ b/tools/owner_worlds.py
@@ -11,6 +11,7 @@
 from mustardgap.job_replies import JobReply
 from mustardgap.load_features import LoadFeatures
 from mustardgap.policies import WHOLE, Policy
+from mustardgap.record_limits import RecordLimits
 from mustardgap.shard_owners import shard_of
 from mustardgap.workloads import (
     AdvicePolicy,
@@ -67,6 +68,8 @@
     :param states_starts: whether executors state when they started.
     :param features: the decisions for hard load that take part; by default none.
     :param racks: how many racks of equal size the machines stand in.
+    :param record_limits: the sizes that the store takes and states; None for any, as long as the
+        product's defaults hold.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         states_starts: bool = False,
         features: LoadFeatures | None = None,
         racks: int = 1,
+        record_limits: RecordLimits | None = None,
     ) -> None:
         self.states_starts = states_starts
         self.policy = policy
@@ -95,7 +99,10 @@
         self.small = frozenset(small)
         # Hosts whose calls of other hosts get no answer.
         self.hosts_unheard: set[str] = set()
+        self.record_limits = record_limits or RecordLimits()
         self.store = FakeStore(shards=SHARDS, seed=seed)
+        if record_limits is not None:
+            self.store.record_bytes, self.store.request_bytes = record_limits
         self.fleet = FakeExecutors(seed=seed)
         self.machines = FakeMachines(world=self)
         self.asked_by_job: dict[str, JobHistory] = {}
