A report that doesn't list all ends isn't taken for a full account of its executor

Cause: an executor lists the oldest 500 of the ends that nobody has acknowledged. ExecutorLink handed such a report on as if it were all: with the last executor's first report Job.end_inheritance frees the tasks that neither run nor have an end among those seen, so also those whose ends are numbers 501 and up.

Ruled out: lapsed leases (the case counts none), a lost record of progress (ends weren't acknowledged before the kill). executor.up now says whether a report has all ends.

Change: report_accounts tells when a report is a full account: it has fewer ends than it may list, or an end follows of a run that it listed or that was started later. The second holds also where runs end as fast as their ends are read. Until then former owners' tasks wait, and the executor's room is unknown. Of the same cause: a run that is gone with its end unlisted counted as running. It could be taken for stalled, for at work, or blamed for a crash, and an executor with more ends to list counted as empty for the fleet's owner.

The fake executor listed any number of ends, and now lists 500.

--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -9,7 +9,7 @@
 from .events import EventLog
 from .executor_lives import Incarnation, compare_starts
 from .policies import Mechanism, Policy
-from .runs import Run
+from .runs import Run, RunPhase
 from .timers import Clock
 from .workloads import ExecutorEntry
 
@@ -250,7 +250,7 @@
             # and keeps its connections until nothing runs there; if it closes them, it has crashed.
             return
         trial = link.trial if link.on_trial else None
-        runs = link.runs_by_key.values()
+        runs = [run for run in link.runs_by_key.values() if run.phase is not RunPhase.ENDED]
         classified = list(classify_crashes(runs, self._clock.monotonic(), trial))
         for run, crash in classified:
             if _has_cleared_itself(run):
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -343,7 +343,8 @@
 
     def on_report(self, link: ExecutorLink) -> None:
         """Handle an answer of an executor."""
-        self.roster.note_reported(link.entry.executor)
+        if link.accounts.any_full:
+            self.roster.note_reported(link.entry.executor)
         self.crashes.on_answered(link)
         self.wake()
 
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -27,6 +27,7 @@
     StartRefused,
     Stopped,
 )
+from .report_accounts import MAX_LISTED_ENDS, Account, ReportAccounts
 from .resources import NO_ROOM, Room
 from .runs import Run, RunPhase, Stray
 from .tickets import Ticket
@@ -66,8 +67,6 @@
 BACKLOG_POLL_S = 0.06
 # An order without an answer may be carried out this much later.
 MAX_ORDER_DELAY_S = 10.0
-# The maximum number of ended runs in one report.
-MAX_LISTED_ENDS = 500
 
 
 class LinkOwner(Protocol):
@@ -234,6 +233,7 @@
         self._last_end_number = 0
         self._unacknowledged: list[tuple[int, Ticket | None]] = []
         self._strays: set[tuple[Any, int]] = set()
+        self.accounts = ReportAccounts()
         # The runs that the last report listed.
         self._listed_runs: set[tuple[Any, int]] = set()
         # The end number that the poll under way acknowledges.
@@ -316,7 +316,7 @@
 
     def stop_run(self, run: Run, why: str) -> None:
         """Stop a run; its end is reported to the owner."""
-        if run.phase is RunPhase.STOPPING:
+        if run.phase in (RunPhase.STOPPING, RunPhase.ENDED):
             return
         run.phase = RunPhase.STOPPING
         run.stop_reason = why
@@ -372,7 +372,7 @@
         return [
             run
             for key, run in self.runs_by_key.items()
-            if run.sent and key not in self._listed_runs
+            if run.sent and key not in self._listed_runs and run.phase is not RunPhase.ENDED
         ]
 
     def close(self) -> None:
@@ -538,6 +538,7 @@
                 fence=self.fence,
                 running=len(report.running),
                 ended=len(report.ended),
+                all_ends=len(report.ended) < MAX_LISTED_ENDS,
             )
         was_silent = self._silent
         self._silent = False
@@ -548,12 +549,12 @@
         listed = self._listed_runs = {(row.task, row.run) for row in report.running}
         for row in report.running:
             self._apply_row(row, now)
-        self.foreign_tasks = tuple(
-            row.task for row in report.running if (row.task, row.run) not in self.runs_by_key
-        )
-        self.foreign = self._sum_foreign()
-        if len(report.ended) < MAX_LISTED_ENDS:
-            self._drop_missing(listed, sent_at)
+        account = Account(listed, sent_at, received_at=now)
+        if self.accounts.note_report(report, account):
+            self._drop_missing(account)
+        else:
+            self._note_unlisted_ends(account)
+        self._note_foreign(report)
         self.up = True
         self.has_reported = True
         if was_silent:
@@ -570,6 +571,8 @@
         self._strays.discard((end.task, end.run))
         ticket = self._owner.on_end(self, end, run)
         self._unacknowledged.append((end.number, ticket))
+        if account := self.accounts.note_end(end, run):
+            self._drop_missing(account)
 
     def _apply_row(self, row: RunRow, now: float) -> None:
         key = (row.task, row.run)
@@ -585,8 +588,9 @@
             run.sent = True
             self.add(run)
         if run.phase is RunPhase.STARTING:
-            run.phase = RunPhase.RUNNING
             run.confirmed_at = now
+        if run.phase in (RunPhase.STARTING, RunPhase.ENDED):
+            run.phase = RunPhase.RUNNING
         run.note_first_seen(self.report_clock_s)
         if not run.at_work and run.is_at_work(self.report_clock_s):
             run.at_work = True
@@ -598,6 +602,18 @@
             run.task.checkpoint = row.checkpoint
         run.load = row.load
 
+    def _note_foreign(self, report: Report) -> None:
+        """Note the runs that aren't this owner's, and what they use.
+
+        Those whose ends may not be listed yet count on.
+        """
+        foreign = [r.task for r in report.running if (r.task, r.run) not in self.runs_by_key]
+        if not self.accounts.lists_all_ends:
+            foreign += [task for task in self.foreign_tasks if task not in set(foreign)]
+        self.foreign_tasks = tuple(foreign)
+        # Former owners' runs whose ends aren't listed yet are unknown.
+        self.foreign = self._sum_foreign() if self.accounts.any_full else None
+
     def _sum_foreign(self) -> Room | None:
         """The resources of reported runs that aren't this owner's.
 
@@ -615,13 +631,31 @@
             room = room.plus(taken)
         return room
 
-    def _drop_missing(self, listed: set[tuple[Any, int]], sent_at: float) -> None:
-        for key, run in list(self.runs_by_key.items()):
-            if key in listed or run.confirmed_at is None or run.confirmed_at >= sent_at:
-                continue
+    def _missing_runs(self, account: Account) -> list[Run]:
+        """The runs that were gone from the executor as it made a report."""
+        return [
+            run
+            for key, run in self.runs_by_key.items()
+            if key not in account.listed
+            and run.confirmed_at is not None
+            and run.confirmed_at < account.sent_at
+        ]
+
+    def _drop_missing(self, account: Account) -> None:
+        for run in self._missing_runs(account):
             self.remove(run)
             self._owner.on_lost(self, run, "not listed")
 
+    def _note_unlisted_ends(self, account: Account) -> None:
+        """Count the runs as ended whose ends are still to be listed.
+
+        Taken for running, they would look stalled, and be blamed for a crash of their executor.
+        """
+        for run in self._missing_runs(account):
+            run.at_work = False
+            if run.phase is not RunPhase.STOPPING:
+                run.phase = RunPhase.ENDED
+
     def _stop_stray(self, key: tuple[Any, int], why: str) -> None:
         if key in self._strays:
             return
@@ -660,6 +694,7 @@
         if lapsed_at is None or now < lapsed_at or self.lapsed:
             return
         self.lapsed = True
+        self.accounts.note_lapse()
         self._events.note(
             "executor.lapsed",
             vital=True,
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -176,12 +176,14 @@
             continue
         runs = list(link.runs_by_key.values())
         lasting = sum(1 for run in runs if run.task.step.lasting)
+        # One that has more ends to list isn't empty: they would be lost with it.
+        unlisted = 0 if link.accounts.lists_all_ends else 1
         views.append(
             ExecutorView(
                 executor=link.entry.executor,
                 capacity_cpu=link.entry.capacity.cpu,
                 used_cpu=link.used.cpu,
-                short_runs=len(runs) - lasting,
+                short_runs=len(runs) - lasting + unlisted,
                 lasting_runs=lasting,
                 up_to_date=link.up and link.listed and link.has_reported and not link.rack_failed,
                 draining=link.entry.draining,
--- a/mustardgap/runs.py
+++ b/mustardgap/runs.py
@@ -17,6 +17,8 @@
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
+    # Gone from its executor, which hasn't listed its end yet.
+    ENDED = "ended"
 
 
 class Stray(NamedTuple):
--- a/tools/fake_executors.py
+++ b/tools/fake_executors.py
@@ -29,6 +29,8 @@
 STOP_S = 1.5
 AT_WORK_S = 0.5
 STEP_S = 0.02
+# The most ends that a report lists, the oldest first.
+MAX_LISTED_ENDS = 500
 GANG_S = 3.0
 # A capacity that has shrunk has to be known this long after: contact and one heartbeat.
 SHRUNK_S = 4.5
@@ -172,7 +174,8 @@
             for (task, run), there in self.runs.items()
         )
         ended = tuple(end for end in self.ended if end.number > self.acknowledged)
-        return Report(self.clock_ms(), running, ended, self.entry.started_ms)
+        listed = ended[:MAX_LISTED_ENDS]
+        return Report(self.clock_ms(), running, listed, self.entry.started_ms)
 
     def hold(self, fence: int, acknowledged: int, until_ms: int | None):  # type: ignore
         if (refusal := self._fenced(fence)) is not None:
