A new owner goes by the run numbers that are stored and reported

Cause: run numbers begin at the epoch times 100,000 and are counted without a bound, so that an owner's run into those of the next epochs.

Change: numbers go by those in stored failures and crashes, by those of reported runs and ends, and 100,000 above one that is turned down as old. Whether a run was taken over is kept with it, and no longer worked out from its number.

Ruled out: a larger step an epoch (a former release in a roll-out would begin far below), a stored reservation (a record for what a refusal tells).

The straggler plays mark taken-over runs in place of giving them numbers of another epoch.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -585,3 +585,26 @@
     Given owners on a fake platform
     When a lasting task's start and stops get no answer, and the executor of another one is lost meanwhile
     Then no promise was broken
+
+  Scenario Outline: A new owner's starts are taken although the former one's run numbers were <higher>
+    An owner numbers its starts from its epoch times 100,000. One that had started more left its successor with numbers
+    that executors turned down as old, some 200 times a second: a lasting task wasn't started again for 9 s and more.
+
+    Given owners on a fake platform
+    When the owner of lasting tasks has used run numbers <higher>, <seen>, and is killed
+    Then its successor has all of them at work again within 6 s, with a few starts turned down
+    And no promise was broken
+
+    Examples:
+      | higher                   | seen                              |
+      | within its epoch         | which still run                   |
+      | beyond the next epoch    | which still run                   |
+      | beyond the next epoch    | which ended as it was killed      |
+      | beyond the next epoch    | which ended and were acknowledged |
+      | beyond the next 9 epochs | which ended and were acknowledged |
+
+  Scenario: The number of a stored failure isn't used again
+    Guards against a failure that counts as one that is known already: the task would be started once too often.
+
+    When a job has stored failures and crashes with run numbers beyond the next epoch
+    Then the next owner's first number is above all of them
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -9,9 +9,12 @@
 from hypothesis import given as given_drawn
 from hypothesis.stateful import run_state_machine_as_test
 
-from features.support.owner_jobs import START_S, job_id_of, log_lines, run_jobs
+from features.support.owner_jobs import START_S, job_id_of, log_lines, run_jobs, until
+from mustardgap.crashes import Crash
 from mustardgap.evacuations import Evacuations
-from mustardgap.job_states import Task
+from mustardgap.job_progress import encode_whole, restore_head
+from mustardgap.job_states import Job, StoredJob, Task
+from mustardgap.run_numbers import RUN_NUMBERS_PER_EPOCH, RunNumbers
 from mustardgap.runs import Run, RunPhase
 from mustardgap.workloads import EndKind, TaskId
 from tools.owner_daemons import SHARDS
@@ -531,3 +534,68 @@
             suppress_health_check=list(HealthCheck),
         ),
     )
+
+
+@when("the owner of lasting tasks has used run numbers {higher}, {seen}, and is killed")
+def use_run_numbers(context, higher, seen):
+    epochs = {"within its epoch": 0, "beyond the next epoch": 5, "beyond the next 9 epochs": 10}
+    spec = LASTING._replace(steps=(LASTING.steps[0]._replace(anti_affinity=0),))
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        dispatcher = world.dispatcher()
+        numbers = dispatcher.starter.numbers
+        numbers._last += epochs[higher] * RUN_NUMBERS_PER_EPOCH
+        assert await world.submit_until_accepted(job_id_of(1), spec)
+        await asyncio.sleep(2)
+        (executor,) = (e for e in world.fleet.by_address.values() if e.runs)
+        for link in dispatcher.roster.links_by_executor.values():
+            # Nothing is started again before the owner is gone.
+            link.pause_until = float("inf")
+        if seen == "which ended and were acknowledged":
+            _fail_all(executor)
+            assert await until(lambda: executor.acknowledged == executor.count)
+        world.kill(world.owner())
+        if seen == "which ended as it was killed":
+            _fail_all(executor)
+        assert await until(lambda: world.owner() is not None and world.dispatcher().loaded, 10)
+        context.refused = refused = []
+        new_numbers = world.dispatcher().starter.numbers
+        note = new_numbers.note_too_low
+        new_numbers.note_too_low = lambda number: refused.append(number) or note(number)
+        await asyncio.sleep(2)
+        _fail_all(executor)
+        await asyncio.sleep(6)
+        context.at_work = len(executor.runs)
+
+    context.world = play(scene, executors=1)
+
+
+def _fail_all(executor):
+    for key in list(executor.runs):
+        executor._end(key, EndKind.FAILED)
+
+
+@then("its successor has all of them at work again within 6 s, with a few starts turned down")
+def at_work_again(context):
+    assert context.at_work == LASTING.steps[0].width, context.at_work
+    assert len(context.refused) <= 2 * LASTING.steps[0].width, len(context.refused)
+
+
+@when("a job has stored failures and crashes with run numbers beyond the next epoch")
+def store_numbers(context):
+    stored = StoredJob("quotes", "service", 0.0, TWO_STEPS)
+    job = Job(job_id=job_id_of(1), stored=stored)
+    first, second, *_ = job.tasks()
+    job.mark_failed([first], 3 * RUN_NUMBERS_PER_EPOCH + 7)
+    second.crashes[3 * RUN_NUMBERS_PER_EPOCH + 9] = Crash.AT_WORK
+    job.has_crashes = True
+    context.job = Job(job_id=job_id_of(1), stored=stored)
+    restore_head(context.job, encode_whole(job))
+
+
+@then("the next owner's first number is above all of them")
+def number_above(context):
+    numbers = RunNumbers(epoch=2)
+    numbers.note_stored(context.job)
+    assert numbers.next() == 3 * RUN_NUMBERS_PER_EPOCH + 10
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -285,6 +285,8 @@
         self.paths.restore(values)
         self.cancelled.restore(values)
         self.crashes.inherit(self.jobs_by_id.values())
+        for job in self.jobs_by_id.values():
+            self.starter.numbers.note_stored(job)
         for entry in records.executors:
             self.roster.open(entry, inherited=True)
         for executor in records.unreadable_executors:
@@ -406,6 +408,7 @@
 
     def on_unknown_row(self, link: ExecutorLink, row: RunRow) -> Run | Stray:
         """Adopt a run of a former owner if its task is still needed and runs nowhere else."""
+        self.starter.numbers.note_used(row.run)
         job = self.jobs_by_id.get(row.task.job)
         task = job.task(row.task) if job is not None else None
         if job is None or task is None:
@@ -421,6 +424,7 @@
         if not task.inherited:
             return Stray("no former owner may have started its task")
         run = Run(task=task, number=row.run, link=link, now=self._clock.monotonic())
+        run.adopted = True
         self.crashes.on_run_reported(job, task, row.run)
         task.run = run
         task.inherited = False
@@ -437,6 +441,7 @@
         job = self.jobs_by_id.get(end.task.job)
         task = job.task(end.task) if job is not None else None
         self.wake()
+        self.starter.numbers.note_used(end.run)
         if job is None or task is None:
             return None
         metrics.run_ends.add(1, {"how": end.how.name.lower()})
@@ -526,6 +531,8 @@
             self.advices.drop(StepKey.of(run.task.task_id), link.entry.executor)
         else:
             self.suspicions.on_refused(link, why)
+        if why == "old":
+            self.starter.numbers.note_too_low(run.number)
         self._free_task("run.refused", link, run, why)
 
     def _free_task(self, event: str, link: ExecutorLink, run: Run, why: str) -> None:
--- a/mustardgap/runs.py
+++ b/mustardgap/runs.py
@@ -37,6 +37,7 @@
     """
 
     __slots__ = (
+        "adopted",
         "at_work",
         "confirmed_at",
         "first_seen_s",
@@ -64,6 +65,8 @@
         # When the executor confirmed that it has the run, or that it will never start it. If a poll
         # that was sent later doesn't list the run, the run isn't there.
         self.confirmed_at: float | None = None
+        # Whether a former owner started it, so that its beginning isn't known.
+        self.adopted = False
         # Whether its start may have reached the executor.
         self.sent = False
         # Whether it was still listed some time after its start.
--- a/mustardgap/stragglers.py
+++ b/mustardgap/stragglers.py
@@ -15,7 +15,6 @@
 from .resources import total
 from .run_speeds import MIN_PEERS, MIN_RUN_S, SLOW_SPEED_RATIO
 from .runs import Run
-from .task_starters import RUN_NUMBERS_PER_EPOCH
 from .tickets import Ticket
 from .timers import Clock
 from .workloads import EndKind, TaskId
@@ -264,7 +263,7 @@
             return
         watch = self._watches.get(run)
         resumed = watch.resumed if watch is not None else bool(run.task.checkpoint)
-        if resumed or self._is_inherited(run):
+        if resumed or run.adopted:
             return
         ran_s = link.report_clock_s - run.first_seen_s
         record = self._records_by_job.setdefault(job.job_id, _JobRecord())
@@ -319,10 +318,6 @@
     def _is_on(self) -> bool:
         return self._dispatcher.features.has(Feature.STRAGGLERS)
 
-    def _is_inherited(self, run: Run) -> bool:
-        """Whether a former owner started a run, so that its beginning isn't known."""
-        return run.number // RUN_NUMBERS_PER_EPOCH != self._dispatcher.epoch
-
     def _durations(self, run: Run) -> Sequence[float]:
         """The durations of a run's siblings that have ended on other executors."""
         record = self._records_by_job.get(run.task.task_id.job)
@@ -391,7 +386,7 @@
         if task.restarted and run not in self._marked:
             return False
         job = self._dispatcher.jobs_by_id.get(task.task_id.job)
-        return job is not None and job.phase is JobPhase.LIVE and not self._is_inherited(run)
+        return job is not None and job.phase is JobPhase.LIVE and not run.adopted
 
     # Application.
 
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -18,6 +18,7 @@
     sort_for_placement,
     usable,
 )
+from .run_numbers import RunNumbers
 from .runs import Run
 from .timers import Clock
 from .workloads import AdvicePolicy, Step, TaskId
@@ -25,9 +26,6 @@
 if TYPE_CHECKING:
     from .dispatchers import Dispatcher
 
-# Run numbers begin at the epoch times this, so that a new owner's numbers exceed all earlier ones.
-RUN_NUMBERS_PER_EPOCH = 100_000
-
 
 class TaskStarter:
     """Starts waiting tasks that fit on an executor, in passes over all jobs.
@@ -41,7 +39,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._events = events
-        self._run_count = 0
+        self.numbers = RunNumbers(epoch=dispatcher.epoch)
 
     def place(self) -> None:
         """Make one pass: start the waiting tasks that fit, the most urgent jobs first."""
@@ -143,7 +141,7 @@
             return
         link = self._dispatcher.isolation.choose(task, job, tasks, links)
         if link is not None:
-            self._start(job, task, link, self._next_run_number())
+            self._start(job, task, link, self.numbers.next())
             self._dispatcher.isolation.note_started(task, link)
 
     def _cores_by_service(self, now: float) -> dict[str, float]:
@@ -187,7 +185,7 @@
             speed_class_of=class_of,
             over_racks=over_racks,
         ):
-            self._start(job, task, link, self._next_run_number())
+            self._start(job, task, link, self.numbers.next())
             started += 1
         if started < len(startable) and policy is None:
             cache.note_unplaced(step, job.service)
@@ -230,7 +228,7 @@
         chosen = choose_gang_executors(tasks, links, self._clock.monotonic(), class_of)
         if chosen is None:
             return
-        number = self._next_run_number()
+        number = self.numbers.next()
         for task, link in zip(tasks, chosen, strict=True):
             self._start(job, task, link, number)
 
@@ -258,10 +256,6 @@
         )
         link.start_run(run, payload=job.spec.payload, ticket=ticket)
 
-    def _next_run_number(self) -> int:
-        self._run_count += 1
-        return self._dispatcher.epoch * RUN_NUMBERS_PER_EPOCH + self._run_count
-
 
 def _may_start(task: Task) -> bool:
     """Whether a task waits and can be started without isolation."""
--- a/tools/straggler_plays.py
+++ b/tools/straggler_plays.py
@@ -22,7 +22,6 @@
 from mustardgap.runs import Run, RunPhase
 from mustardgap.stragglers import Stragglers
 from mustardgap.suspicions import Suspicions
-from mustardgap.task_starters import RUN_NUMBERS_PER_EPOCH
 from mustardgap.workloads import EndKind, ExecutorEntry, JobSpec, Step
 
 from .actor_platforms import HandClock
@@ -207,8 +206,8 @@
             for task, chosen in choose_executors(waiting, tasks, typed, frozenset(), now):
                 link = cast(_Link, chosen)
                 self._runs += 1
-                number = self._runs + RUN_NUMBERS_PER_EPOCH * self.epoch_of(link)
-                run = Run(task=task, number=number, link=chosen, now=now)
+                run = Run(task=task, number=self._runs, link=chosen, now=now)
+                run.adopted = self.epoch_of(link) != self.dispatcher.epoch
                 run.phase = RunPhase.RUNNING
                 run.note_first_seen(now)
                 task.run = run
