A job keeps its queue's policy after the queue is removed

The second step is never run; some 550 starts a second are turned down for want of a ticket, on idle executors.

Cause: a queue that isn't configured was taken for one without advice, in three places of TaskStarter and one of Stragglers. StoredJob keeps max_attempts of the queue, and not its advice. A refusal for want of a ticket told nobody that one is wanted.

Change: the job holds the policy: from its record, and as the queue has it as long as that is configured. Where an executor wants a ticket and no policy is known (a record of a former release, a policy removed before the queue), tickets are asked for from then on. Records of jobs without a policy are as before, byte for byte.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -608,3 +608,23 @@
 
     When a job has stored failures and crashes with run numbers beyond the next epoch
     Then the next owner's first number is above all of them
+
+  Scenario Outline: A job whose queue has a policy goes on after the queue is removed, <known>, with the fault "<fault>"
+    The owner took a queue that isn't configured any more for one without a policy. It asked for no tickets, and each
+    start was turned down, some 550 a second; the accepted job never ended.
+
+    Given owners on a fake platform
+    When 2 jobs of a queue with a policy are accepted, their queue is removed, <known>, with the fault "<fault>"
+    Then all jobs have ended as completed
+    And at most 20 starts were turned down for want of a ticket
+    And no promise was broken
+
+    Examples:
+      | known                                     | fault        |
+      | as the owner knows                        | none         |
+      | as the owner knows                        | owner killed |
+      | as the owner knows                        | all killed   |
+      | their records being of a former release   | none         |
+      | their records being of a former release   | owner killed |
+      | the policy being removed some time before | none         |
+      | the policy being removed some time before | owner killed |
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -529,6 +529,8 @@
         """Handle a start that an executor refused."""
         if why == "ticket":
             self.advices.drop(StepKey.of(run.task.task_id), link.entry.executor)
+            if (refused := self.jobs_by_id.get(run.task.task_id.job)) is not None:
+                refused.note_ticket_missing()
         else:
             self.suspicions.on_refused(link, why)
         if why == "old":
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
+
 from . import job_replies, status_codes
 from .access import check_identity, may_use
 from .accounts import Identity
@@ -115,6 +117,7 @@
                 account=account,
                 max_attempts=queue.max_attempts,
                 path=path,
+                advice=queue.advice or msgspec.UNSET,
             )
             key, record = JOB_KEY + job_id, encode_job(stored)
             if not self._dispatcher.log.limits.hold(key, record):
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -10,7 +10,7 @@
 from .crashes import Crash, CrashSite
 from .job_memory import job_bytes
 from .tickets import Ticket
-from .workloads import EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
+from .workloads import AdvicePolicy, EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
 
 if TYPE_CHECKING:
     from .progress_blocks import ProgressBlocks
@@ -18,6 +18,11 @@
     from .runs import Run
 
 
+# For a job whose queue's policy isn't known, but whose executors ask for tickets. A ticket that is
+# valid for less is turned down, and another one asked for.
+UNKNOWN_ADVICE = AdvicePolicy(decide_s=0.0, per_executor_s=0.0, valid_s=1.0)
+
+
 class JobPhase(enum.IntEnum):
     """The phase of a job; all but LIVE are final."""
 
@@ -106,7 +111,8 @@
 
     ``account`` is empty for a job without one. ``max_attempts`` is what its queue allowed then; 0
     in records of older versions, which don't hold it. ``path`` is the short name of the path that
-    it was submitted to; empty in records of older versions.
+    it was submitted to; empty in records of older versions. ``advice`` is the queue's policy then,
+    left out where it had none.
     """
 
     queue: str
@@ -116,6 +122,7 @@
     account: str = ""
     max_attempts: int = 0
     path: str = ""
+    advice: AdvicePolicy | msgspec.UnsetType = msgspec.UNSET
 
     def is_of(self, path: str, queue_name: str | None = None) -> bool:
         """Whether the job was, or may have been, submitted to a path.
@@ -157,6 +164,10 @@
         self.account = stored.account
         # How often a task may fail once its queue isn't configured any more; 0 if that isn't known.
         self.max_attempts = stored.max_attempts
+        # The policy of its queue while that was last configured; None if it has none, or if that
+        # isn't known.
+        self.advice = stored.advice or None
+        self._wants_tickets = False
         self.accepted_at = stored.accepted_at
         self.spec = stored.spec
         self.memory_bytes = job_bytes(stored.spec)
@@ -202,6 +213,17 @@
         if not stored.spec.repeats:
             self.open_occurrence(0)
 
+    def note_queue(self, queue: Queue | None) -> None:
+        """Note what its queue is like now; one that isn't configured any more changes nothing."""
+        if queue is not None and not (queue.advice is None and self._wants_tickets):
+            self.advice = queue.advice
+
+    def note_ticket_missing(self) -> None:
+        """Note that executors want tickets, although its queue isn't known to have a policy."""
+        if self.advice is None:
+            self.advice = UNKNOWN_ADVICE
+            self._wants_tickets = True
+
     def due_at(self, occurrence: int) -> float:
         """The time at which an occurrence may start, in seconds since the epoch."""
         if not self.spec.repeats:
--- a/mustardgap/stragglers.py
+++ b/mustardgap/stragglers.py
@@ -432,7 +432,6 @@
         task = run.task
         job = self._dispatcher.job_of(task.task_id)
         room = total([task.step.room, *(other.task.step.room for other in in_flight)])
-        queue = self._dispatcher.queue_of(job)
         key = StepKey.of(task.task_id)
         links = [
             link
@@ -441,9 +440,7 @@
             if link is not run.link
             if now >= link.pause_until and not link.slow_marks
             if link.entry.executor not in slow and link.holds(room)
-            if queue is None
-            or queue.advice is None
-            or self._dispatcher.advices.ticket(key, link.entry.executor)
+            if job.advice is None or self._dispatcher.advices.ticket(key, link.entry.executor)
         ]
         planned = self._dispatcher.evacuations.planned
         return choose_executor(task, job.siblings(task), links, planned, now) is not None
--- a/mustardgap/task_starters.py
+++ b/mustardgap/task_starters.py
@@ -61,6 +61,8 @@
         cache = PlacementCache(links=self._dispatcher.roster.links_by_executor.values(), now=now)
         cores_by_service = self._cores_by_service(now)
         policy = self._dispatcher.policy
+        for job in waiting:
+            job.note_queue(self._dispatcher.queue_of(job))
         for job in sort_for_placement(
             waiting,
             self._dispatcher.queue_of,
@@ -130,9 +132,8 @@
             list(self._dispatcher.roster.links_by_executor.values()),
             lambda link: is_eligible(link, task.step, job.service),
         )
-        queue = self._dispatcher.queue_of(job)
-        if queue is not None and queue.advice is not None:
-            links = self._links_with_ticket(task.task_id, links, queue.advice)
+        if job.advice is not None:
+            links = self._links_with_ticket(task.task_id, links, job.advice)
         if task.step.gang:
             gang_links = self._dispatcher.isolation.links_for_gang(tasks, job, links)
             self._place_gang(job, tasks, gang_links)
@@ -154,8 +155,7 @@
 
     def _place_step(self, job: Job, tasks: list[Task], cache: PlacementCache, now: float) -> None:
         step = tasks[0].step
-        queue = self._dispatcher.queue_of(job)
-        policy = queue.advice if queue is not None else None
+        policy = job.advice
         if policy is None and cache.is_too_large(step, job.service):
             return
         startable = [task for task in tasks if _may_start(task)]
@@ -202,12 +202,11 @@
 
     def _request_upcoming_tickets(self, job: Job) -> None:
         """Request tickets for the steps that come next, so that their start isn't delayed."""
-        queue = self._dispatcher.queue_of(job)
-        if queue is None or queue.advice is None or not job.has_started:
+        if job.advice is None or not job.has_started:
             return
         for tasks in job.upcoming_steps():
             links = self.usable_links(tasks[0].step, job)
-            self._links_with_ticket(tasks[0].task_id, links, queue.advice)
+            self._links_with_ticket(tasks[0].task_id, links, job.advice)
 
     def _links_with_ticket(
         self, task_id: TaskId, links: list[ExecutorLink], policy: AdvicePolicy
