A forecast of rises ends although the time of day was set back

Cause: DemandRises.next_at adds the interval between a pool's last two rises until it has passed the present; set back between them, the interval is negative. Change: such an interval gives no forecast, and missed rises are counted by a division instead of a loop.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -176,3 +176,22 @@
       | should have been back two seconds ago   | 4    |
       | of cuts are being emptied for it        | 0    |
       | of cuts fell silent while being emptied | 4    |
+
+  Scenario Outline: A pool has risen <rises>, and its next rise is forecast <forecast>
+    Rises are dated by the time of day. Set back between two of them, their interval was negative, and a forecast that
+    went on from rise to rise until the present never ended; set forward by a year it took as long as that has rises.
+
+    When a pool has risen <rises>, and its next rise is asked for <asked> after the last one
+    Then the forecast is <forecast> after the last one
+
+    Examples:
+      | rises                              | asked      | forecast |
+      | twice, 6 s apart                   | 1 s        | 6 s      |
+      | twice, 6 s apart                   | 8 s        | 6 s      |
+      | twice, 6 s apart                   | 10 s       | 12 s     |
+      | twice, 6 s apart                   | 1000000 s  | 1000002 s |
+      | twice, the clock set back by 20 s  | 1 s        | missing  |
+      | twice, the clock set back by 20 s  | 100 s      | missing  |
+      | twice, the clock set back by 6 s   | 1 s        | missing  |
+      | twice, the clock set back by 5.8 s | 1 s        | missing  |
+      | twice, 6 s apart                   | 31536000 s | 31536000 s |
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from mustardgap import load_metrics, metrics
+from mustardgap.demand_rises import DemandRises, Rise
 from mustardgap.duration_corrections import DurationCorrections
 from mustardgap.events import EventLog
 from mustardgap.fleet_moves import FleetMoves
@@ -341,3 +342,26 @@
 def check_sizes(context, cuts, stairs):
     sizes = [context.pools.size(pool) for pool in ("cuts", "stairs")]
     assert sizes == [cuts, stairs], sizes
+
+
+@when(
+    "a pool has risen twice, {how}, and its next rise is asked for {after:d} s after the last one"
+)
+def ask_for_rise(context, how, after):
+    set_back_s = float(how.split()[-2]) if how.startswith("the clock") else 0.0
+    rises = DemandRises()
+    began_at = 1_700_000_000.0
+    rises.seen = [
+        Rise("quotes", began_at),
+        Rise("cuts", began_at + 3.0),
+        Rise("quotes", began_at + 6.0 - set_back_s),
+    ]
+    context.last_at = rises.seen[-1].began_at
+    context.forecast = rises.next_at("quotes", 2, context.last_at + after)
+
+
+@then("the forecast is {forecast} after the last one")
+def forecast_is(context, forecast):
+    found = context.forecast
+    expected = None if forecast == "missing" else float(forecast.split()[0])
+    assert (found - context.last_at if found is not None else None) == expected, found
--- a/mustardgap/demand_rises.py
+++ b/mustardgap/demand_rises.py
@@ -1,5 +1,6 @@
 """Detects rises of the pools' demand, and forecasts the next one where rises recur."""
 
+import math
 from itertools import pairwise
 from statistics import median
 from typing import NamedTuple
@@ -102,10 +103,12 @@
             expected = own[-1] + interval
         else:
             return None
+        if interval <= SIMULTANEOUS_S:
+            # The time of day was set back between the two rises.
+            return None
         # A missed rise stays expected for half an interval more, then the next one is expected.
-        while expected + interval / 2 < now:
-            expected += interval
-        return expected
+        missed = math.ceil((now - expected) / interval - 0.5)
+        return expected + max(missed, 0) * interval
 
     def _gap_s(self) -> float | None:
         """Return the median interval between successive rises of any pools."""
