The stub of an owner in racks states its epoch, and its job a policy

TaskStarter makes the run numbers of its owner's epoch, and reads the policy from the job, not from the queue; the checks are the same. Without this the two rows of "A task that crashed an executor" ended with an error.

--- a/features/steps/racks_steps.py
+++ b/features/steps/racks_steps.py
@@ -298,8 +298,8 @@
     step = HALF_EXECUTOR._replace(requires="" if label == "nothing" else label)
     offered = []
     dispatcher = SimpleNamespace(
+        epoch=1,
         roster=SimpleNamespace(links_by_executor={link.entry.executor: link for link in links}),
-        queue_of=lambda job: None,
         account_limits=SimpleNamespace(startable=lambda job, tasks: tasks),
         isolation=SimpleNamespace(choose=lambda task, job, tasks, links: offered.extend(links)),
     )
@@ -308,7 +308,8 @@
         dispatcher=dispatcher, clock=clock, events=EventLog(host="e1", clock=clock)
     )
     task = Task(task_id=TaskId("j1", 0, 0, 0), step=step)
-    starter._place_suspect(SimpleNamespace(service="quoting"), task, [task])
+    job = SimpleNamespace(service="quoting", advice=None)
+    starter._place_suspect(job, task, [task])
     context.allowed = [link for link in offered if is_eligible(link, step, "quoting")]
 
 
