Cases of answers that need a stored job wait until the owner has taken its path

Cause, from a trace of TAKE_WAIT_S on a scratch copy: the owner answers so after 0.4 s of real time in which it has not read the list of paths back; in 103 waits of over 0.2 s the test's own process spent 0.22 to 0.45 s of processor time meanwhile, as 40 worlds begin in one event loop. With 10 at a time it is the same (104 waits, up to 0.49 s). The answer is true, and one that a caller may get: the job has not run.

Change: a case whose job is to be stored already is prepared once the path is taken, an event that is waited for like the others of the preparation. The submission still has to be accepted at its first try, and the points of the handlings under test are the same: the path was taken during the preparation before, too.

--- a/features/support/answer_cases.py
+++ b/features/support/answer_cases.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
+from mustardgap.path_holders import path_of
 from mustardgap.shard_logs import CANCELLED_KEY, JOB_KEY, PROGRESS_KEY
 from tools.owner_troubles import TWO_STEPS
 from tools.owner_worlds import QUEUE
@@ -298,6 +299,8 @@
     dispatcher = world.owner.dispatcher
     assert dispatcher is not None
     if situation.is_stored:
+        # An owner refuses a job, truthfully, that comes before it has taken the path.
+        await until(lambda: path_of(QUEUE) in dispatcher.paths.by_path, "the path is taken")
         reply = await dispatcher.job_request_handler.submit(job_id=JOB, queue=QUEUE, spec=TWO_STEPS)
         assert reply.code.http_status == 200, reply
         await until(lambda: JOB in dispatcher.jobs_by_id, "the job is accepted")
