--- a/features/job_memory.feature
+++ b/features/job_memory.feature
@@ -27,3 +27,10 @@
     Then 2 of them are accepted
     When 200 jobs of 50 tasks are submitted at once
     Then 103 of them are accepted
+
+  Scenario: Jobs that have ended leave their room to new ones
+    Guards against accepted work of a minute ago that keeps an owner from accepting more. Ended jobs are known for
+    minutes; none of their tasks is needed any more.
+
+    When 200 jobs of 50 tasks come one a second to an owner on a machine of 160 MB, each ended before the next
+    Then 200 of them are accepted
--- a/features/steps/job_memory_steps.py
+++ b/features/steps/job_memory_steps.py
@@ -5,12 +5,16 @@
 from behave import given, then, when
 
 from mustardgap.job_memory import HeldJobs, JobMemory
+from mustardgap.job_states import Job, JobPhase, StoredJob
 from mustardgap.timers import Clock
+from mustardgap.workloads import JobSpec, Step
 
 
 class _Clock(Clock):
+    now = 100.0
+
     def monotonic(self):
-        return 100.0
+        return self.now
 
 
 def _spec(tasks, steps):
@@ -45,3 +49,26 @@
 @then("{count:d} of them are accepted")
 def check_count(context, count):
     assert context.taken == count, context.taken
+
+
+@when(
+    "{count:d} jobs of {tasks:d} tasks come one a second to an owner on a machine of "
+    "{megabytes:d} MB, each ended before the next"
+)
+def end_one_by_one(context, count, tasks, megabytes):
+    clock, jobs = _Clock(), []
+    memory = JobMemory(
+        memory_mb=megabytes,
+        held=lambda: HeldJobs.of(job.memory_bytes for job in jobs),
+        clock=clock,
+    )
+    spec = JobSpec("payload", (Step(tasks, 1000, 500, 0, 0.6),))
+    for number in range(count):
+        clock.now += 1.0
+        if not memory.take(spec):
+            continue
+        job = Job(job_id=f"{number:016x}", stored=StoredJob("queue", "service", clock.now, spec))
+        job.mark_done(job.tasks())
+        job.end(JobPhase.COMPLETED, clock.now)
+        jobs.append(job)
+    context.taken = len(jobs)
