A former owner's run frees its room once its end is listed, though more ends follow

Now those whose ends are in the report don't count on. Test: partial_reports, one row more; it fails without this (a trial on a scratch copy). The stray of these rows has an id of its own, as another end had the same.

--- a/features/partial_reports.feature
+++ b/features/partial_reports.feature
@@ -38,5 +38,6 @@
       | nothing is placed there                                  | 500 ends                                                 | no room of it is free                                 |
       | room is free once its account is full                    | 500 ends, the other 200                                  | room of it is free                                    |
       | a former owner's run that is gone takes up room          | no end and a stray, 500 ends without the stray           | the stray's room isn't free                           |
+      | a former owner's run frees its room as its end is listed | no end and a stray, the stray's end and 499 more         | no stray's room is taken                              |
       | it isn't empty for the fleet's owner                     | 500 ends and no run                                      | its pool's view doesn't show it as empty              |
       | it is empty for the fleet's owner after the last end     | 500 ends and no run, the other 200                       | its pool's view shows it as empty                     |
--- a/features/steps/partial_reports_steps.py
+++ b/features/steps/partial_reports_steps.py
@@ -11,7 +11,7 @@
 from mustardgap.executor_links import ExecutorLink
 from mustardgap.job_states import Task
 from mustardgap.pool_views import _executor_views
-from mustardgap.resources import Room
+from mustardgap.resources import NO_ROOM, Room
 from mustardgap.runs import Run, RunPhase, Stray
 from mustardgap.workloads import (
     EndKind,
@@ -33,6 +33,7 @@
 ALL_ROOM = Room(10_000, 10_000, 0)
 SERVICE = "quoting"
 FORMER = "former"
+STRAY = TaskId(FORMER, 0, 1, 0)
 
 
 @when(
@@ -138,7 +139,7 @@
         running = [] if "no run" in what else [row for row in self.own if row is not self.gone]
         rows = [RunRow(begun.task.task_id, 1, "", 50) for begun in running]
         if what == "no end and a stray":
-            rows.append(RunRow(TaskId(FORMER, 0, 0, 1), 1, "", 50))
+            rows.append(RunRow(STRAY, 1, "", 50))
         if what in ("no end and a stray", "all runs again"):
             ends = self._ends(0) if "stray" in what else self._ends(500)
         elif what.startswith("500 ends"):
@@ -147,6 +148,10 @@
             ends = self._ends(200)
         elif what == "500 more of unknown runs":
             ends = self._ends(500)
+        elif what == "the stray's end and 499 more":
+            ends = self._ends(499)
+            ends[0] = ends[0]._replace(task=STRAY)
+            ends += self._ends(1)
         elif what == "that run's end":
             ends = self._ends(0, self.own[0])
         else:
@@ -257,6 +262,11 @@
     assert context.rig.link.foreign == STEP.room, context.rig.link.foreign
 
 
+@then("no stray's room is taken")
+def no_stray_room(context):
+    assert context.rig.link.foreign == NO_ROOM, context.rig.link.foreign
+
+
 @then("its pool's view {shows} it as empty")
 def pool_view(context, shows):
     link = context.rig.link
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -609,7 +609,8 @@
         """
         foreign = [r.task for r in report.running if (r.task, r.run) not in self.runs_by_key]
         if not self.accounts.lists_all_ends:
-            foreign += [task for task in self.foreign_tasks if task not in set(foreign)]
+            known = {*foreign, *(end.task for end in report.ended)}
+            foreign += [task for task in self.foreign_tasks if task not in known]
         self.foreign_tasks = tuple(foreign)
         # Former owners' runs whose ends aren't listed yet are unknown.
         self.foreign = self._sum_foreign() if self.accounts.any_full else None
--- a/mustardgap/progress_stores.py
+++ b/mustardgap/progress_stores.py
@@ -104,11 +104,12 @@
         rows: dict[int, msgspec.Raw] = {}
         tasks = blocks.tasks_at(place)
         for position, task in enumerate(tasks):
+            own = place._replace(position=position)
             found = progress_of(task)
-            if found is None:
+            if found is None and own not in blocks.checksums:
                 continue
+            found = found or TaskProgress()
             raw = msgspec.msgpack.encode(found)
-            own = place._replace(position=position)
             if own not in blocks.checksums and not self._is_apart(job, raw):
                 rows[position] = msgspec.Raw(raw)
                 continue
