Ended jobs leave their room to new ones

After the loss of other owners one has the ended jobs of several.

Change: a job whose end is durable and none of whose tasks has a run releases its tasks, also where it is read as ended, and counts by its steps alone. Room and stops of its runs that are still there go by the job's steps.

--- a/features/job_memory.feature
+++ b/features/job_memory.feature
@@ -34,3 +34,20 @@
 
     When 200 jobs of 50 tasks come one a second to an owner on a machine of 160 MB, each ended before the next
     Then 200 of them are accepted
+
+  Scenario Outline: An owner <which> counts an ended job by its steps alone, and answers for it as before
+    Guards against a successor that gets the ended jobs of others and has no room for new ones, and against tasks of
+    ended jobs that are asked for once they are forgotten.
+
+    Given owners on a fake platform
+    When 6 jobs of two steps have <ended>, and 12 s pass, with their owner <which>
+    Then the owner counts 800 bytes for each of them, and says of each that it is <state>
+    And no promise was broken
+
+    Examples:
+      | which                   | ended                | state     |
+      | that saw it end         | been completed       | completed |
+      | that took over later    | been completed       | completed |
+      | that saw it end         | been cancelled early | canceled  |
+      | that took over later    | been cancelled early | canceled  |
+      | that took over at once  | been cancelled early | canceled  |
--- a/mustardgap/account_limits.py
+++ b/mustardgap/account_limits.py
@@ -190,9 +190,9 @@
                 _add(used, jobs_by_id.get(run.task.task_id.job), run.task.step)
             for task_id in link.foreign_tasks:
                 job = jobs_by_id.get(task_id.job)
-                task = job.task(task_id) if job is not None else None
-                if task is not None:
-                    _add(used, job, task.step)
+                step = job.step_of(task_id) if job is not None else None
+                if step is not None:
+                    _add(used, job, step)
         if self._dispatcher.roster.awaiting_report:
             for job in jobs_by_id.values():
                 for task in job.tasks() if job.account else ():
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -287,6 +287,8 @@
         self.crashes.inherit(self.jobs_by_id.values())
         for job in self.jobs_by_id.values():
             self.starter.numbers.note_stored(job)
+            if job.may_release_tasks:
+                job.release_tasks()
         for entry in records.executors:
             self.roster.open(entry, inherited=True)
         for executor in records.unreadable_executors:
@@ -403,18 +405,18 @@
     def room_of(self, task_id: TaskId) -> Room | None:
         """The resources that a task takes on its executor, None if the task isn't known."""
         job = self.jobs_by_id.get(task_id.job)
-        task = job.task(task_id) if job is not None else None
-        return task.step.room if task is not None else None
+        step = job.step_of(task_id) if job is not None else None
+        return step.room if step is not None else None
 
     def on_unknown_row(self, link: ExecutorLink, row: RunRow) -> Run | Stray:
         """Adopt a run of a former owner if its task is still needed and runs nowhere else."""
         self.starter.numbers.note_used(row.run)
         job = self.jobs_by_id.get(row.task.job)
+        if job is not None and job.phase is not JobPhase.LIVE:
+            return Stray("its job has ended")
         task = job.task(row.task) if job is not None else None
         if job is None or task is None:
             return Stray("its job isn't known")
-        if job.phase is not JobPhase.LIVE:
-            return Stray("its job has ended")
         if task.done:
             return Stray("its task is done")
         if task.given_up:
@@ -593,6 +595,8 @@
     def _reap_ended_jobs(self, wall: float) -> None:
         retention_s = self._bounds.status_kept_s + RETENTION_MARGIN_S
         for job_id, job in list(self.jobs_by_id.items()):
+            if job.may_release_tasks:
+                job.release_tasks()
             if job.phase is JobPhase.LIVE or wall - job.ended_at < retention_s:
                 continue
             del self.jobs_by_id[job_id]
--- a/mustardgap/job_memory.py
+++ b/mustardgap/job_memory.py
@@ -25,6 +25,11 @@
     return STEP_BYTES * len(spec.steps) + TASK_BYTES * tasks
 
 
+def ended_job_bytes(spec: JobSpec) -> int:
+    """Return about how many bytes an owner needs for a job that has ended."""
+    return STEP_BYTES * len(spec.steps)
+
+
 class HeldJobs(NamedTuple):
     """About how many bytes the jobs of an owner need, small and large ones by themselves."""
 
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -8,7 +8,7 @@
 
 from .codecs import decode_msgpack
 from .crashes import Crash, CrashSite
-from .job_memory import job_bytes
+from .job_memory import ended_job_bytes, job_bytes
 from .tickets import Ticket
 from .workloads import AdvicePolicy, EndKind, EndRow, JobId, JobSpec, Queue, Step, TaskId
 
@@ -171,6 +171,7 @@
         self.accepted_at = stored.accepted_at
         self.spec = stored.spec
         self.memory_bytes = job_bytes(stored.spec)
+        self._released = False
         self.phase = JobPhase.LIVE
         self.ended_at = 0.0
         # The phase that callers are told. A final phase is set here only once it is durable: a new
@@ -246,7 +247,7 @@
 
     def open_occurrence(self, occurrence: int) -> None:
         """Create the tasks of one occurrence, unless they exist."""
-        if occurrence in self._occurrences:
+        if occurrence in self._occurrences or self._released:
             return
         self._remaining_work = None
         self._occurrences[occurrence] = [
@@ -319,12 +320,34 @@
         steps = self._occurrences.get(task_id.occurrence)
         if steps is None and 0 <= task_id.occurrence < self.spec.repeats:
             self.open_occurrence(task_id.occurrence)
-            steps = self._occurrences[task_id.occurrence]
+            steps = self._occurrences.get(task_id.occurrence)
         if steps is None or not 0 <= task_id.step < len(steps):
             return None
         tasks = steps[task_id.step]
         return tasks[task_id.number] if 0 <= task_id.number < len(tasks) else None
 
+    def step_of(self, task_id: TaskId) -> Step | None:
+        """The step of a task, also once tasks are released; None if the job has no such step."""
+        steps = self.spec.steps
+        return steps[task_id.step] if 0 <= task_id.step < len(steps) else None
+
+    def release_tasks(self) -> None:
+        """Forget the tasks of an ended job, of which nobody asks for more than how it ended.
+
+        Ended jobs are known for minutes. With their tasks they would fill the room for new jobs.
+        """
+        self._released = True
+        self._occurrences.clear()
+        self._remaining_work = None
+        self.memory_bytes = ended_job_bytes(self.spec)
+
+    @property
+    def may_release_tasks(self) -> bool:
+        """Whether the job's end is durable, and none of its tasks has a run any more."""
+        if self._released or self.phase is JobPhase.LIVE or self.durable_phase is not self.phase:
+            return False
+        return all(task.run is None for task in self.tasks())
+
     @property
     def has_begun(self) -> bool:
         """Whether an executor is known to have had a run of it; a start may never have arrived."""
@@ -359,6 +382,8 @@
 
     def siblings(self, task: Task) -> list[Task]:
         """The tasks of the same step and occurrence, including the task itself."""
+        if self._released:
+            return [task]
         return self._occurrences[task.task_id.occurrence][task.task_id.step]
 
     def members_of(self, task: Task) -> Sequence[Task]:
