--- a/features/support/answer_cases.py
+++ b/features/support/answer_cases.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
+from mustardgap.dispatchers import Dispatcher
 from mustardgap.path_holders import path_of
 from mustardgap.shard_logs import CANCELLED_KEY, JOB_KEY, PROGRESS_KEY
 from tools.owner_troubles import TWO_STEPS
@@ -293,14 +294,20 @@
     return THROWN.get(fault) or hold_during(lambda: world.inject(FAULTS[fault]))
 
 
+def _holds_path(dispatcher: Dispatcher | None) -> bool:
+    return dispatcher is not None and path_of(QUEUE) in dispatcher.paths.by_path
+
+
 async def _arrange(world: AnswerWorld, situation: Situation) -> None:
     if situation.is_owner_known:
         await world.receiving.owners.refresh()
-    dispatcher = world.owner.dispatcher
-    assert dispatcher is not None
+    assert world.owner.dispatcher is not None
     if situation.is_stored:
-        # An owner refuses a job, truthfully, that comes before it has taken the path.
-        await until(lambda: path_of(QUEUE) in dispatcher.paths.by_path, "the path is taken")
+        # An owner refuses a job, truthfully, that comes before it has taken the path. A stall of
+        # the process may end its ownership; the next one takes the path anew.
+        await until(lambda: _holds_path(world.owner.dispatcher), "the path is taken")
+        dispatcher = world.owner.dispatcher
+        assert dispatcher is not None
         reply = await dispatcher.job_request_handler.submit(job_id=JOB, queue=QUEUE, spec=TWO_STEPS)
         assert reply.code.http_status == 200, reply
         await until(lambda: JOB in dispatcher.jobs_by_id, "the job is accepted")
