--- a/tools/fake_store.py
+++ b/tools/fake_store.py
@@ -60,9 +60,8 @@
         # The largest record and the largest call that it takes, in bytes; None for any.
         self.record_bytes: int | None = None
         self.request_bytes: int | None = None
-        # How many calls it rejected for that, and the size of the largest call of all.
+        # How many calls it rejected for that.
         self.rejected = 0
-        self.largest_call = 0
         # Hosts whose open reads get no answer any more, while new ones do.
         self.silenced_hosts: set[str] = set()
         self.lost_share = 0.0
@@ -218,7 +217,6 @@
     def _check_sizes(self, records: Sequence[Record]) -> Rejected | None:
         sizes = [1 + len(record.key.encode()) + len(record.value) for record in records]
         call = sum(4 + size for size in sizes)
-        self.largest_call = max(self.largest_call, call)
         if self.record_bytes is not None and any(size > self.record_bytes for size in sizes):
             self.rejected += 1
             return Rejected(detail="400 a record is too large")
