Lines of executors that are given up say by which owner, and since when it is unconfirmed

executor.lapsed and executor.gone are followed by new starts of the tasks that ran there. They have the owner's fence, the seconds since the store confirmed it, and executor.lapsed whether the executor had reported to that owner.

--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -336,7 +336,11 @@
 
     def authority_s(self) -> float:
         """For how many more seconds leases may be granted."""
-        return AUTHORITY_S - self._seconds_since_confirmed()
+        return AUTHORITY_S - self.unconfirmed_s()
+
+    def unconfirmed_s(self) -> float:
+        """Seconds since the request by which the store last confirmed this owner."""
+        return self._seconds_since_confirmed()
 
     def may_stop(self, run: Run) -> bool:
         """Whether a run that is due to be stopped may be stopped now."""
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -127,6 +127,9 @@
     def authority_s(self) -> float:
         """For how many more seconds this owner may grant leases."""
 
+    def unconfirmed_s(self) -> float:
+        """Seconds since the request by which the store last confirmed this owner."""
+
     def may_stop(self, run: Run) -> bool:
         """Whether a stop of a run may be sent now."""
 
@@ -700,6 +703,9 @@
             "executor.lapsed",
             vital=True,
             executor=self.entry.executor,
+            fence=self.fence,
+            unconfirmed_s=self._owner.unconfirmed_s(),
+            reported=self.has_reported,
             runs=len(self.runs_by_key),
         )
         for run in list(self.runs_by_key.values()):
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -302,7 +302,13 @@
         executor = link.entry.executor
         del self.links_by_executor[executor]
         self._events.note(
-            "executor.gone", vital=True, executor=executor, why=why, runs=len(link.runs_by_key)
+            "executor.gone",
+            vital=True,
+            executor=executor,
+            fence=link.fence,
+            unconfirmed_s=self._dispatcher.unconfirmed_s(),
+            why=why,
+            runs=len(link.runs_by_key),
         )
         self._dispatcher.crashes.on_gone(
             link,
