--- /dev/null
+++ b/features/steps/owners_partitions_steps.py
@@ -0,0 +1,25 @@
+"""Steps for an owner that is cut off from the store, with some of the executors."""
+
+import asyncio
+
+from behave import when
+
+from features.support.owner_jobs import START_S, run_jobs
+from features.support.partitions import cut_off_together, idle_executor
+from tools.owner_worlds import play
+
+# Longer than an owner that is cut off goes on.
+PARTITION_S = 13.0
+
+
+@when("tasks of {work:g} s run while their owner and an idle executor are cut off together")
+def cut_off_from_runs(context, work):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        jobs = asyncio.ensure_future(run_jobs(world, context.states, 1))
+        await asyncio.sleep(1)
+        with cut_off_together(world, world.owner(), idle_executor(world)):
+            await asyncio.sleep(PARTITION_S)
+        await jobs
+
+    context.world = play(scene, work_s=work, **context.options)
--- a/features/support/partitions.py
+++ b/features/support/partitions.py
@@ -36,3 +36,9 @@
     """
     assert await until(lambda: world.owner() not in (None, former)), "nobody else owns the queues"
     return world.owner()
+
+
+def idle_executor(world):
+    """Return the id of an executor of the pool that has run nothing."""
+    used = {run.executor for run in world.fleet.record.runs}
+    return next(e.entry.executor for e in executors_of_pool(world) if e.entry.executor not in used)
