An owner takes leases for lapsed only if no later owner can have renewed them

Cause: an owner goes on for 8 s without the store; its successor is appointed after 1.8 s. An executor counted as lapsed 3.8 s after its last answer to this owner, by the leases that this owner had granted. If the owner is cut off from the store and from that executor, the successor has renewed the leases there, and the tasks run on, or end and are acknowledged. The former owner started them on another executor that it still reached and the successor didn't, so that no fence stopped it.

Fix: once the leases have run out, the owner makes sure that it was the owner at that time: by a confirmed membership, or by an empty append under its epoch, which a new owner has fenced off before it sends its first order. Without either the runs stay where they are, and the owner asks again. The append was made so far for callers of unknown jobs; it is in ownership_checks now, and shared.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -418,6 +418,14 @@
     Then all jobs have ended as completed
     And no promise was broken
 
+  Scenario: An owner that is cut off doesn't start again what has ended under its successor
+    Guards against taking leases for lapsed that a successor has renewed until the tasks ended.
+
+    Given owners on a fake platform
+    When tasks of 4 s run while their owner and an idle executor are cut off together
+    Then all jobs have ended as completed
+    And no promise was broken
+
   Scenario Outline: A second owner <leaves> while an earlier one still renews leases out of its reach
     Guards against a clean hand-over that is taken for the end of all earlier owners' leases.
 
--- a/features/steps/gateways_steps.py
+++ b/features/steps/gateways_steps.py
@@ -220,7 +220,7 @@
         dispatcher = _dispatcher(log)
         clock = Clock()
         handler = JobRequestHandler(
-            dispatcher=dispatcher, store=None, clock=clock, events=EventLog(host="e1", clock=clock)
+            dispatcher=dispatcher, clock=clock, events=EventLog(host="e1", clock=clock)
         )
         request = {"job_id": "0" * 16, "queue": QUEUE, "spec": TWO_STEPS}
         calls = []
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -31,6 +31,7 @@
 )
 from .load_features import Feature, LoadFeatures
 from .loop_monitors import work_times
+from .ownership_checks import OwnershipCheck
 from .pacing import Pacing
 from .path_holders import OwnersOfShards, PathHolders
 from .placing import objective_s
@@ -178,9 +179,8 @@
             dispatcher=self, store=store, owners=owners, clock=clock, events=events
         )
         self.cancelled = CancelledJobs(log=self.log, clock=clock, events=events)
-        self.job_request_handler = JobRequestHandler(
-            dispatcher=self, store=store, clock=clock, events=events
-        )
+        self.ownership = OwnershipCheck(store=store, log=self.log, on_fenced=self.step_down)
+        self.job_request_handler = JobRequestHandler(dispatcher=self, clock=clock, events=events)
         self.roster = ExecutorRoster(
             dispatcher=self, executors=executors, clock=clock, events=events
         )
@@ -342,6 +342,12 @@
         """Seconds since the request by which the store last confirmed this owner."""
         return self._seconds_since_confirmed()
 
+    async def owned_at(self, at: float) -> bool:
+        """Whether the shard certainly had no later owner at a monotonic time that has passed."""
+        if self._clock.monotonic() - self.unconfirmed_s() >= at:
+            return True
+        return await self.ownership.holds()
+
     def may_stop(self, run: Run) -> bool:
         """Whether a run that is due to be stopped may be stopped now."""
         job = self.jobs_by_id.get(run.task.task_id.job)
--- a/mustardgap/executor_links.py
+++ b/mustardgap/executor_links.py
@@ -130,6 +130,9 @@
     def unconfirmed_s(self) -> float:
         """Seconds since the request by which the store last confirmed this owner."""
 
+    async def owned_at(self, at: float) -> bool:
+        """Whether the shard certainly had no later owner at a monotonic time that has passed."""
+
     def may_stop(self, run: Run) -> bool:
         """Whether a stop of a run may be sent now."""
 
@@ -402,7 +405,7 @@
                 self.unanswered_since = self._clock.monotonic()
             if isinstance(outcome, NoAnswer) and outcome.sent and not self._note_unanswered_poll():
                 continue
-            self._note_silence(outcome)
+            await self._note_silence(outcome)
             await self._clock.sleep(RETRY_S)
 
     def _note_unanswered_poll(self) -> bool:
@@ -676,7 +679,7 @@
         )
         self._order_stop(task_id, number, None)
 
-    def _note_silence(self, outcome: Refused | NoAnswer) -> None:
+    async def _note_silence(self, outcome: Refused | NoAnswer) -> None:
         now = self._clock.monotonic()
         if not self._silent:
             self._silent = True
@@ -692,11 +695,15 @@
             )
             if isinstance(outcome, NoAnswer) and outcome.closed:
                 self._owner.on_closed(self)
-        lapsed_at = (
-            self._executor_clock.lapsed_at() if self.has_reported else self._inherited_lapse_at
-        )
+        lapsed_at = self._lapsed_at()
         if lapsed_at is None or now < lapsed_at or self.lapsed:
             return
+        if not await self._owner.owned_at(lapsed_at):
+            # A later owner may have renewed the leases, and the runs go on.
+            return
+        if self._lapsed_at() != lapsed_at:
+            # An order that was sent meanwhile may extend them.
+            return
         self.lapsed = True
         self.accounts.note_lapse()
         self._events.note(
@@ -713,6 +720,12 @@
             self._owner.on_lost(self, run, "lease lapsed")
         self._owner.on_lapsed(self)
 
+    def _lapsed_at(self) -> float | None:
+        """Monotonic time by which all known leases have lapsed; None if that can't be told yet."""
+        if self.has_reported:
+            return self._executor_clock.lapsed_at()
+        return self._inherited_lapse_at
+
     async def _start(self, run: Run, payload: str, ticket: str) -> None:
         task = run.task
         unanswered = False
--- a/mustardgap/job_request_handlers.py
+++ b/mustardgap/job_request_handlers.py
@@ -14,9 +14,7 @@
 from .job_replies import JobReply
 from .job_states import Job, JobPhase, StoredJob, encode_job
 from .path_holders import FormerCall, FormerReply, path_of
-from .ports import Appended, Fenced, Store
 from .shard_logs import CANCELLED_KEY, JOB_KEY, PROGRESS_KEY
-from .shared_checks import SharedCheck
 from .tickets import Stored, Ticket
 from .timers import Clock
 from .workloads import JobSpec, Queue
@@ -45,7 +43,6 @@
     """Answers requests for the jobs of one shard from what is durably stored.
 
     :param dispatcher: the shard's owner.
-    :param store: the platform's store, which decides who owns the shard.
     :param clock: the clocks to read.
     :param events: the process's event log.
     """
@@ -54,17 +51,13 @@
         self,
         *,
         dispatcher: "Dispatcher",
-        store: Store,
         clock: Clock,
         events: EventLog,
     ) -> None:
         self._dispatcher = dispatcher
-        self._store = store
         self._clock = clock
         self._events = events
         self._accepting_by_id: dict[str, AcceptingJob] = {}
-        # Each question with a call of its own would use up the store's rate, and a connection.
-        self._ownership_check = SharedCheck(run=self._check_ownership)
 
     async def submit(
         self,
@@ -406,18 +399,10 @@
         return accepting.stored.account if accepting is not None else ""
 
     async def _reply_to_unknown_job(self) -> JobReply:
-        return await self._ownership_check.result()
-
-    async def _check_ownership(self) -> JobReply:
         # The shard may have been assigned to another daemon that has accepted the job; the caller
-        # mustn't be told that it doesn't exist. The store knows the current owner.
-        outcome = await self._store.fence(
-            shard=self._dispatcher.shard, epoch=self._dispatcher.epoch
-        )
-        if isinstance(outcome, Appended) and not self._dispatcher.log.fenced:
+        # mustn't be told that it doesn't exist.
+        if await self._dispatcher.ownership.holds():
             return job_replies.UNKNOWN_JOB
-        if isinstance(outcome, Fenced):
-            self._dispatcher.step_down()
         return job_replies.owner_unavailable("the owner isn't sure of its jobs")
 
     async def _reply_when_stored(self, ticket: Ticket, key: str, reply: JobReply) -> JobReply:
