An owner starts tasks of an executor that has gone again only if no later owner has

Cause: an owner that is cut off from the store, and not yet fenced off by an executor, drops another one at once when a different incarnation answers at its address, and starts its tasks again. Its successor, which has adopted the runs, does the same at the same moment; the two starts meet different executors, so no fence stops either.

What an executor itself says of a run (its end, that it isn't there, that a start is refused) frees its task at once, as it is said under this owner's fence, before any successor has reached that executor.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -426,6 +426,15 @@
     Then all jobs have ended as completed
     And no promise was broken
 
+  Scenario: An owner that is cut off doesn't start again what its successor starts again
+    Guards against starts by both when another executor answers at the address of the one that ran
+    the tasks.
+
+    Given owners on a fake platform
+    When tasks run while their owner is cut off, and their executor is replaced
+    Then all jobs have ended as completed
+    And no promise was broken
+
   Scenario Outline: A second owner <leaves> while an earlier one still renews leases out of its reach
     Guards against a clean hand-over that is taken for the end of all earlier owners' leases.
 
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -15,7 +15,12 @@
 from .evacuations import Evacuations
 from .events import EventLog
 from .executor_links import ExecutorLink
-from .executor_rosters import AUTHORITY_S, OTHER_INCARNATION_ANSWERS, ExecutorRoster
+from .executor_rosters import (
+    AUTHORITY_S,
+    OTHER_INCARNATION_ANSWERS,
+    OWNERSHIP_RETRY_S,
+    ExecutorRoster,
+)
 from .executor_speeds import ExecutorSpeeds
 from .isolation import Isolation
 from .job_admission import JobAdmission
@@ -537,6 +542,21 @@
         metrics.run_losses.add(1, {"why": why})
         self._free_task("run.lost", link, run, why)
 
+    def hold_back(self, tasks: Sequence[Task]) -> None:
+        """Start tasks whose runs have gone with their executor only if no later owner has."""
+        if not tasks:
+            return
+        for task in tasks:
+            task.held_back = True
+        self.spawn(self._release(tasks, lost_at=self._clock.monotonic()))
+
+    async def _release(self, tasks: Sequence[Task], *, lost_at: float) -> None:
+        while not await self.owned_at(lost_at):
+            await self._clock.sleep(OWNERSHIP_RETRY_S)
+        for task in tasks:
+            task.held_back = False
+        self.wake()
+
     def on_refused(self, link: ExecutorLink, run: Run, why: str) -> None:
         """Handle a start that an executor refused."""
         if why == "ticket":
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -320,9 +320,11 @@
             link,
             answered=why in (OTHER_INCARNATION_ANSWERS, RESTARTED),
         )
-        for run in list(link.runs_by_key.values()):
+        lost = list(link.runs_by_key.values())
+        for run in lost:
             link.remove(run)
             self._dispatcher.on_lost(link, run, why)
+        self._dispatcher.hold_back([run.task for run in lost])
         link.up = False
         link.close()
         self._link_tasks.pop(executor).cancel()
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -52,6 +52,7 @@
         "done",
         "failed_runs",
         "given_up",
+        "held_back",
         "inherited",
         "restarted",
         "run",
@@ -70,6 +71,8 @@
         # How fast the run was that has done it, if this owner saw it.
         self.speed: RunSpeed | None = None
         self.inherited = inherited
+        # Whether its run is lost, and a later owner may have started it again.
+        self.held_back = False
         # Whether it is never started again, as it, or another task of its job, has failed for good.
         self.given_up = False
         # Whether a run of it was stopped as a straggler; this happens once at most.
@@ -98,7 +101,8 @@
     @property
     def is_waiting(self) -> bool:
         """Whether it has to be started as soon as its step is ready."""
-        return not (self.done or self.given_up or self.inherited) and self.run is None
+        unavailable = self.done or self.given_up or self.inherited or self.held_back
+        return not unavailable and self.run is None
 
     @property
     def crashes_durable(self) -> bool:
