A daemon counts as confirmed once it has released the shards that it lost

Cause: a renewal counted as confirmed as soon as it was answered, before what it said was applied. While the daemon released its shards one after another, each of them passed for certainly owned, although the answer itself said the opposite. After a pause of the process there may have been another owner for seconds.

Fix: the confirmation counts once the shards that the answer doesn't list are released.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -511,6 +511,12 @@
     And no promise was broken
     And no daemon was certain of a shard that the store had assigned to another
 
+  Scenario: A daemon isn't certain of shards that the store has assigned to others
+    Guards against starts and answers by a former owner between the store's answer and its own end.
+
+    When a daemon learns that its 3 shards were assigned to others while it couldn't renew
+    Then it wasn't certain of any of the 3 as it released them
+
   Scenario Outline: A daemon that <state> can be stopped while it is cut off from the store
     A stopped daemon was killed when its grace period ended, and callers that were still sent to it
     lost their connections. It was about to join the group again and waited for the store without a
