One place makes sure that an owner hasn't been replaced

Two loops asked the store until it confirmed the owner, one in the roster and one in the dispatcher, with a pause that one of them took from the other. OwnershipCheck has both now: by the membership that is confirmed, else by an empty append, and a wait for either.

--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -15,12 +15,7 @@
 from .evacuations import Evacuations
 from .events import EventLog
 from .executor_links import ExecutorLink
-from .executor_rosters import (
-    AUTHORITY_S,
-    OTHER_INCARNATION_ANSWERS,
-    OWNERSHIP_RETRY_S,
-    ExecutorRoster,
-)
+from .executor_rosters import AUTHORITY_S, OTHER_INCARNATION_ANSWERS, ExecutorRoster
 from .executor_speeds import ExecutorSpeeds
 from .isolation import Isolation
 from .job_admission import JobAdmission
@@ -184,7 +179,13 @@
             dispatcher=self, store=store, owners=owners, clock=clock, events=events
         )
         self.cancelled = CancelledJobs(log=self.log, clock=clock, events=events)
-        self.ownership = OwnershipCheck(store=store, log=self.log, on_fenced=self.step_down)
+        self.ownership = OwnershipCheck(
+            store=store,
+            log=self.log,
+            unconfirmed_s=seconds_since_confirmed,
+            on_fenced=self.step_down,
+            clock=clock,
+        )
         self.job_request_handler = JobRequestHandler(dispatcher=self, clock=clock, events=events)
         self.roster = ExecutorRoster(
             dispatcher=self, executors=executors, clock=clock, events=events
@@ -349,9 +350,7 @@
 
     async def owned_at(self, at: float) -> bool:
         """Whether the shard certainly had no later owner at a monotonic time that has passed."""
-        if self._clock.monotonic() - self.unconfirmed_s() >= at:
-            return True
-        return await self.ownership.holds()
+        return await self.ownership.held_at(at)
 
     def may_stop(self, run: Run) -> bool:
         """Whether a run that is due to be stopped may be stopped now."""
@@ -551,8 +550,7 @@
         self.spawn(self._release(tasks, lost_at=self._clock.monotonic()))
 
     async def _release(self, tasks: Sequence[Task], *, lost_at: float) -> None:
-        while not await self.owned_at(lost_at):
-            await self._clock.sleep(OWNERSHIP_RETRY_S)
+        await self.ownership.wait_until_held_at(lost_at)
         for task in tasks:
             task.held_back = False
         self.wake()
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -28,9 +28,6 @@
 # executor as lapsed. Together with the lease, runs survive a store outage of 11 s.
 AUTHORITY_S = 8.0
 
-# The pause before the store is asked again whether this owner still owns the shard.
-OWNERSHIP_RETRY_S = 0.15
-
 # The reason for dropping an executor at whose address another incarnation answers.
 OTHER_INCARNATION_ANSWERS = "another incarnation answers"
 
@@ -271,9 +268,7 @@
 
     async def _wait_until_lapsed(self, executor: ExecutorId) -> None:
         await self._clock.sleep(self._inherited_lease_s)
-        lapsed_at = self._clock.monotonic()
-        while not await self._dispatcher.owned_at(lapsed_at):
-            await self._clock.sleep(OWNERSHIP_RETRY_S)
+        await self._dispatcher.ownership.wait_until_held_at(self._clock.monotonic())
         self.note_reported(executor)
 
     @property
--- a/mustardgap/ownership_checks.py
+++ b/mustardgap/ownership_checks.py
@@ -1,10 +1,14 @@
-"""Asks the store whether an owner of a shard has been replaced."""
+"""Makes sure that an owner of a shard hasn't been replaced."""
 
 from collections.abc import Callable
 
 from .ports import Appended, Fenced, Store
 from .shard_logs import ShardLog
 from .shared_checks import SharedCheck
+from .timers import Clock
+
+# The pause before the store is asked again.
+RETRY_S = 0.15
 
 
 class OwnershipCheck:
@@ -16,19 +20,43 @@
 
     :param store: the platform's store.
     :param log: the owner's log of the shard.
+    :param unconfirmed_s: returns the seconds since the request by which the store last confirmed
+        this daemon's membership.
     :param on_fenced: called when there is a later owner.
+    :param clock: the clocks to read.
     """
 
-    def __init__(self, *, store: Store, log: ShardLog, on_fenced: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        *,
+        store: Store,
+        log: ShardLog,
+        unconfirmed_s: Callable[[], float],
+        on_fenced: Callable[[], None],
+        clock: Clock,
+    ) -> None:
         self._store = store
         self._log = log
+        self._unconfirmed_s = unconfirmed_s
         self._on_fenced = on_fenced
+        self._clock = clock
         self._shared = SharedCheck(run=self._append_nothing)
 
     async def holds(self) -> bool:
         """Whether the shard had no later owner at some moment from now on."""
         return await self._shared.result()
 
+    async def held_at(self, at: float) -> bool:
+        """Whether the shard certainly had no later owner at a monotonic time that has passed."""
+        if self._clock.monotonic() - self._unconfirmed_s() >= at:
+            return True
+        return await self.holds()
+
+    async def wait_until_held_at(self, at: float) -> None:
+        """Wait until it is certain that the shard had no later owner at a time that has passed."""
+        while not await self.held_at(at):
+            await self._clock.sleep(RETRY_S)
+
     async def _append_nothing(self) -> bool:
         outcome = await self._store.fence(shard=self._log.shard, epoch=self._log.epoch)
         if isinstance(outcome, Fenced):
