A new owner counts crashes under long-running tasks that nobody recorded

What callers saw: a long-running task that crashes its executors 0.4 s after each start was started six times where BUDGET allows five, if its owner was killed within some 10 ms of the first crash; an executor more went down, with all that ran there.

Cause: a crash is put on record as the executor closes its connections. An owner that is dead by then records nothing, and starts aren't stored, so its successor doesn't know what ran there. The gap is wider than the test's 5 ms: nobody owns a shard for seconds after its owner's death.

Fix: executors on record that close, or answer as another incarnation, before they have reported to the new owner are noted. Once all others have reported, each long-running task of that service of which nobody has reported a run or an end counts one crash (crash.inferred), confirmed or retracted as any other. It counts towards the limit and isolates nothing.

Why sound tasks aren't given up more often: the crash is of the weakest kind, is forgotten after 10 s at work, isn't counted twice for one executor nor twice in a row, and not for tasks that an executor reported.

--- a/features/lasting.feature
+++ b/features/lasting.feature
@@ -74,6 +74,43 @@
     And the 4 others are at work and weren't stopped
     And no promise was broken
 
+  Scenario Outline: A crashing task is contained though nobody owns it when it first crashes an executor <when>
+    Guards against starts beyond the budget, for a crash that happens before the next owner is there.
+
+    Given owners on a fake platform
+    When one of 5 long-running tasks crashes its executors <when>, and its owner is killed <ahead> s before the first crash
+    Then the task is given up after 5 starts at most
+    And the 4 others are at work and weren't stopped
+    And no promise was broken
+
+    Examples:
+      | when            | ahead |
+      | late in the run | 0.2   |
+      | after 3 s       | 0.5   |
+      | after 3 s       | 1.5   |
+
+  Scenario Outline: A task goes on though executors crash under it <count> times, <after> s after each start, and its owner with each
+    Guards against giving up a task that serves, for crashes that are only inferred.
+
+    Given owners on a fake platform
+    When executors crash <count> times under a long-running task, each <after> s after its start, and its owner is killed with each
+    Then all tasks of the job are at work, and its state is running
+    And no promise was broken
+
+    Examples:
+      | count | after |
+      | 4     | 4     |
+      | 6     | 12    |
+
+  Scenario: An executor without tasks crashes as the owner dies
+    Guards against counting a crash for tasks that run elsewhere.
+
+    Given owners on a fake platform
+    When an executor without tasks crashes beside 5 long-running tasks, and their owner is killed
+    Then all tasks of the job are at work, and its state is running
+    And no crash was inferred
+    And no promise was broken
+
   Scenario Outline: A crashing task is contained though its executors are back only <back> s later
     Guards against starts that go on while its crashes can't be confirmed.
 
--- a/features/steps/events_steps.py
+++ b/features/steps/events_steps.py
@@ -165,6 +165,7 @@
 {"time":11.0,"host":"e1","event":"run.crashed","job":"a1","task":["a1",0,0,2],"run":1,"stood":"STARTED"}
 {"time":11.0,"host":"e1","event":"run.crashed","job":"b2","task":["b2",0,0,0],"run":2,"stood":"STARTED"}
 {"time":14.0,"host":"e1","event":"run.crashed","job":"a1","task":["a1",0,0,2],"run":3,"stood":"ONLY_STARTED"}
+{"time":14.5,"host":"e1","event":"crash.inferred","job":"d4","task":["d4",0,0,0],"run":7,"stood":"UNSEEN"}
 {"time":15.0,"host":"e1","event":"run.crashed","job":"b2","task":["b2",0,0,0],"run":4,"stood":"AT_WORK"}
 {"time":15.0,"host":"e1","event":"run.crashed","job":"c3","task":["c3",0,0,0],"run":5,"stood":"AT_WORK","counts":false}
 {"time":16.0,"host":"e1","event":"crash.retracted","job":"b2","task":["b2",0,0,0],"run":4}
@@ -182,6 +183,7 @@
     text = context.page.read_text()
     rows = "<td>{}</td><td>{}</td><td>{}</td>"
     assert rows.format("a1.0.0.2", 2, "ONLY_STARTED, STARTED") in text, text[:3000]
+    assert rows.format("d4.0.0.0", 1, "UNSEEN") in text, text[:3000]
     assert rows.format("b2.0.0.0", 1, "STARTED") in text, text[:3000]
     assert "<td>c3.0.0.0</td>" not in text, "a crash that doesn't count is in the table"
 
--- a/features/steps/lasting_steps.py
+++ b/features/steps/lasting_steps.py
@@ -6,7 +6,7 @@
 
 from features.steps.crashes_lasting_steps import crash_under
 from features.steps.owners_removal_steps import remove_queues
-from features.support.owner_jobs import START_S, job_id_of, starts_by_task, until
+from features.support.owner_jobs import START_S, job_id_of, log_lines, starts_by_task, until
 from mustardgap.workloads import EndKind, JobSpec, Step, TaskId
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS
 from tools.owner_worlds import ATTEMPTS, QUEUE, REBORN_S, play
@@ -124,6 +124,67 @@
     context.world = play(scene, executors=EXECUTORS, **context.options)
 
 
+@when(
+    "one of 5 long-running tasks crashes its executors {when}, "
+    "and its owner is killed {ahead:g} s before the first crash"
+)
+def owner_dies_before_crash(context, when, ahead):
+    async def scene(world):
+        world.crashing[TASK] = CRASH_S[when]
+        await submit(world, ALONE)
+        assert await until(lambda: starts_by_task(world)[TASK] > 0, step_s=0.005)
+        started = min(r.started_at for r in world.fleet.record.runs if r.task == TASK)
+        await asyncio.sleep(started + CRASH_S[when] - ahead - world.loop.time())
+        assert world.crashes == 0
+        await BY_NAME["owner killed"](world)
+        await asyncio.sleep(CONTAINED_S)
+        await note_outcome(context, world)
+
+    context.world = play(scene, executors=EXECUTORS, **context.options)
+
+
+@when(
+    "executors crash {count:d} times under a long-running task, each {after:g} s after its start, "
+    "and its owner is killed with each"
+)
+def crash_with_owners(context, count, after):
+    async def scene(world):
+        await submit(world, ALONE)
+        for _ in range(count):
+            assert await until(lambda: world.fleet.is_at_work(TASK))
+            started = max(r.started_at for r in world.fleet.record.runs if r.task == TASK)
+            await asyncio.sleep(max(started + after - world.loop.time(), 0))
+            crash_under(world, TASK)
+            await BY_NAME["owner killed"](world)
+        await asyncio.sleep(SETTLED_S)
+        await note_outcome(context, world)
+
+    context.width = ALONE.steps[0].width
+    context.world = play(scene, executors=EXECUTORS, **context.options)
+
+
+@when("an executor without tasks crashes beside 5 long-running tasks, and their owner is killed")
+def idle_executor_crashes(context):
+    async def scene(world):
+        await submit(world, ALONE)
+        await asyncio.sleep(3)
+        idle = next(e for e in world.fleet.by_address.values() if not e.runs)
+        idle.crash()
+        world.loop.call_later(REBORN_S, world.bear_again, idle.entry.machine)
+        await BY_NAME["owner killed"](world)
+        await asyncio.sleep(SETTLED_S)
+        await note_outcome(context, world)
+
+    context.width = ALONE.steps[0].width
+    context.world = play(scene, executors=EXECUTORS, **context.options)
+
+
+@then("no crash was inferred")
+def none_inferred(context):
+    inferred = [line for line in log_lines(context.world) if line["event"] == "crash.inferred"]
+    assert not inferred, inferred
+
+
 @then("the task is given up after {most:d} starts at most")
 def given_up(context, most):
     starts = starts_by_task(context.world)[TASK]
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -11,6 +11,7 @@
 from .policies import Mechanism, Policy
 from .runs import Run, RunPhase
 from .timers import Clock
+from .unseen_crashes import UnseenCrash, UnseenCrashes
 from .workloads import ExecutorEntry
 
 if TYPE_CHECKING:
@@ -46,7 +47,8 @@
 class Crash(enum.IntEnum):
     """The state of a task's run when its executor crashed."""
 
-    # At work; another run that had just been started, or was on trial, explains the crash.
+    # At work; another run that had just been started, or was on trial, explains the crash. Also a
+    # crash that no owner has seen: it counts towards the limit of crashes and isolates no task.
     BESIDE_STARTED = 0
     # At work, as were all others.
     AT_WORK = 1
@@ -231,6 +233,7 @@
         # Times of crashes, by service, under runs that had just been started or were alone.
         self._recent_crash_times_by_service: defaultdict[str, deque[float]] = defaultdict(deque)
         self._unconfirmed_by_executor: dict[str, _UnconfirmedCrash] = {}
+        self._unseen = UnseenCrashes()
 
     def inherit(self, jobs: Iterable["Job"]) -> None:
         """Go on waiting for the confirmation of the crashes that a former owner stored.
@@ -243,6 +246,7 @@
             for task in job.tasks():
                 for number, site in task.crash_sites.items():
                     self._unconfirmed_at(site).append(_CrashedRun(task, number))
+                    self._unseen.note_recorded(task.task_id, site.executor)
 
     def on_closed(self, link: "ExecutorLink") -> None:
         """Record a crash: an executor has closed its connections and doesn't answer."""
@@ -250,6 +254,7 @@
             # It was going to stop. An executor whose machine is only being emptied isn't draining
             # and keeps its connections until nothing runs there; if it closes them, it has crashed.
             return
+        self._note_unseen(link)
         trial = link.trial if link.on_trial else None
         runs = [run for run in link.runs_by_key.values() if run.phase is not RunPhase.ENDED]
         classified = list(classify_crashes(runs, self._clock.monotonic(), trial))
@@ -259,7 +264,7 @@
         counted = [(run, crash) for run, crash in classified if not _has_cleared_itself(run)]
         if not counted:
             return
-        site = CrashSite(link.entry.executor, link.entry.machine, link.entry.service)
+        site = _site_of(link.entry)
         # What a former owner ran there counts as well, so its crashes are kept.
         self._unconfirmed_at(site, link.entry.started_ms).extend(
             _CrashedRun(run.task, run.number) for run, _ in counted
@@ -292,8 +297,55 @@
         if self._is_address_reused(link.entry):
             self._retract(link.entry.executor, "its address was given away")
         elif answered:
+            if not link.entry.draining:
+                self._note_unseen(link)
             self._confirm(link.entry.executor, store=link.entry.started_ms is not None)
 
+    def _note_unseen(self, link: "ExecutorLink") -> None:
+        """Note a crash of an executor that hasn't reported what it ran for the former owner."""
+        entry = link.entry
+        if link.has_reported or entry.executor not in self._dispatcher.roster.awaiting_report:
+            return
+        site = _site_of(entry)
+        self._unseen.note_crashed(site)
+        # Its confirmation is awaited although it isn't known yet for which runs it counts.
+        self._unconfirmed_at(site, entry.started_ms)
+
+    def on_audited(self, jobs: Iterable["Job"]) -> None:
+        """Count the crashes that no owner has seen, as all executors have reported or are gone.
+
+        Without this, a task whose owner dies within milliseconds of each crash has no bound.
+
+        :param jobs: the jobs of the shard, whose inherited tasks aren't released yet.
+        """
+        recorded = []
+        for task, crash in self._unseen.attribute(jobs):
+            # Nobody knows how long the task had been at work, so two of these in a row don't count.
+            if task.crashes and task.crashes[max(task.crashes)] is Crash.BESIDE_STARTED:
+                continue
+            self._record_unseen(task, crash)
+            recorded.append(task)
+        self._unseen.clear()
+        self._store_crashes(recorded)
+
+    def _record_unseen(self, task: "Task", crash: UnseenCrash) -> None:
+        # The number of the run isn't known. This one is higher than those of the crashes before.
+        number = self._dispatcher.starter.numbers.next()
+        task.crashes[number] = Crash.BESIDE_STARTED
+        if crash.confirmed:
+            task.crashes_confirmed.add(number)
+        else:
+            task.crash_sites[number] = crash.site
+            self._unconfirmed_at(crash.site).append(_CrashedRun(task, number))
+        metrics.task_crashes.add(1, {"stood": "unseen"})
+        self._note(
+            *("crash.inferred", task, number, crash.site.executor),
+            machine=crash.site.machine,
+            stood="UNSEEN",
+            crashes=len(task.crashes),
+            confirmed=crash.confirmed,
+        )
+
     def _has_restarted(self, entry: ExecutorEntry) -> bool:
         """Whether an entry is of a newer incarnation than the one that crashed under its id."""
         crash = self._unconfirmed_by_executor.get(entry.executor)
@@ -320,6 +372,7 @@
         :param store: whether to store that, as the id is in use again. The next owner would take an
             answer of the newer incarnation for one of the crashed.
         """
+        self._unseen.confirm(executor)
         confirmed = []
         for task, number in self._pop_unconfirmed(executor):
             task.crashes_confirmed.add(number)
@@ -352,6 +405,8 @@
 
     def on_run_reported(self, job: "Job", task: "Task", number: int) -> None:
         """Retract a crash: an executor reports the run that was thought to have crashed it."""
+        if self._dispatcher.roster.awaiting_report:
+            self._unseen.note_reported(task.task_id)
         if _forget(task, number):
             self._store_crashes([task])
 
@@ -412,6 +467,7 @@
         )
 
     def _retract(self, executor: str, why: str) -> None:
+        self._unseen.retract(executor)
         retracted = []
         for task, number in self._pop_unconfirmed(executor):
             if task.task_id.job not in self._dispatcher.jobs_by_id or not _forget(task, number):
@@ -464,6 +520,10 @@
         ticket.outcome.add_done_callback(lambda _: self._dispatcher.wake())
 
 
+def _site_of(entry: ExecutorEntry) -> CrashSite:
+    return CrashSite(entry.executor, entry.machine, entry.service)
+
+
 def _forget(task: "Task", number: int) -> bool:
     """Forget a crash under a run of a task.
 
--- a/mustardgap/day_reports.py
+++ b/mustardgap/day_reports.py
@@ -254,11 +254,11 @@
     """How the runs of tasks stood whose executors crashed, but for those that came back."""
     stood_by_run: dict[tuple[str, int], str] = {}
     for line in lines:
-        if line.event not in ("run.crashed", "crash.retracted"):
+        if line.event not in ("run.crashed", "crash.inferred", "crash.retracted"):
             continue
         run = (".".join(str(part) for part in line.fields["task"]), line.fields["run"])
         stood_by_run.pop(run, None)
-        if line.event == "run.crashed" and line.fields.get("counts", True):
+        if line.event != "crash.retracted" and line.fields.get("counts", True):
             stood_by_run[run] = line.fields["stood"]
     by_task: dict[str, list[str]] = {}
     for (task, _), stood in stood_by_run.items():
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -339,6 +339,7 @@
         self.awaiting_report.discard(executor)
         if self.awaiting_report:
             return
+        self._dispatcher.crashes.on_audited(self._dispatcher.jobs_by_id.values())
         freed = sum(job.end_inheritance() for job in self._dispatcher.jobs_by_id.values())
         self._events.note("shard.audited", vital=True, shard=self._dispatcher.shard, waiting=freed)
         self._dispatcher.wake()
