A crash is confirmed by an answer of the machine's next executor, not by an entry in the list

Cause: a crash counts as confirmed once another executor is listed for the machine. The entry of an executor stays listed for seconds after its end, beside its successor's. Opened again, by the same owner between two notices or by the next owner at its takeover, the entry of the former executor confirmed the crash of the present one, which had only closed its connections. An answer retracts a crash only until it is confirmed. A run that the executor tells of is forgotten as well; so it hit tasks whose start was broken off without an answer and never carried out.

Fix: a crash is confirmed when another executor answers on the machine. A former one answers never. Polled as soon as it is listed, the next one answers some milliseconds later than it is listed. A newer start under the same id still confirms at once. crash.confirmed in the log says what showed it. Fake executors can break off calls now.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -78,6 +78,15 @@
       | address reused       | 6     |
       | executor drains      | 4     |
 
+  Scenario: A sound job completes though two executors break off all calls and its owner is killed after each
+    Guards against taking the entry of a machine's former executor, which stays listed for seconds,
+    for that of a new one: the crashes then count as confirmed, and the job fails with no task run.
+
+    Given owners on a fake platform
+    When a job is started on 2 executors in a row that break off, while their machines' former executors are still listed
+    Then all jobs have ended as completed
+    And no promise was broken
+
   Scenario Outline: The log of a crash shows how long the run was at work: <seconds> s
     Guards against a log that doesn't tell a task that crashes executors from one that served users.
 
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -223,6 +223,56 @@
     context.world = play(scene, executors=6, **context.options)
 
 
+# How long an executor breaks off all calls, and how long after the start its owner is killed.
+BREAK_OFF_S, KILL_AFTER_S = 4.0, 2.2
+
+
+def break_off_at_starts(world, count):
+    """Have the first executors that a start is sent to break off all calls for a time.
+
+    :return: their addresses, as they are found.
+    """
+    addresses = []
+
+    def on_start_sent(entry):
+        if entry.address in addresses or len(addresses) == count:
+            return
+        addresses.append(entry.address)
+        world.fleet.breaking_off.add(entry.address)
+        world.loop.call_later(BREAK_OFF_S, world.fleet.breaking_off.discard, entry.address)
+
+    world.fleet.on_start_sent = on_start_sent
+    return addresses
+
+
+@when(
+    "a job is started on {count:d} executors in a row that break off, "
+    "while their machines' former executors are still listed"
+)
+def run_beside_former_entries(context, count):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        # The entry of an executor whose address has another one stays listed here.
+        for executor in list(world.fleet.by_address.values()):
+            executor.crash()
+            world.bear_again(executor.entry.machine)
+        await asyncio.sleep(3)
+        addresses = break_off_at_starts(world, count)
+        job_id = job_id_of(1)
+        spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=1),))
+        assert await world.submit_until_accepted(job_id, spec)
+        killings = []
+        for number in range(count):
+            # A job whose first crash isn't confirmed may complete before there is a second one.
+            if await until(lambda n=number: len(addresses) > n, 10):
+                await asyncio.sleep(KILL_AFTER_S)
+                killings.append(asyncio.ensure_future(BY_NAME["owner killed"](world)))
+        context.states[job_id] = await world.final_state(job_id, ENDED_S)
+        await asyncio.gather(*killings)
+
+    context.world = play(scene, executors=6, **context.options)
+
+
 @when(
     "a job of {width:d} tasks, one of which crashes its executors at the start, "
     "has its state read at each host"
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -281,8 +281,17 @@
         return len(recent) >= FREQUENT_CRASHES
 
     def on_answered(self, link: "ExecutorLink") -> None:
-        """Retract a crash: the executor answers, so it was only unreachable."""
-        self._retract(link.entry.executor, "the executor answers")
+        """Retract a crash of an executor that answers, and confirm those before it on its machine.
+
+        An executor that answers was only unreachable. Another one that answers on its machine is
+        its successor, as the machine runs one at a time. That it is listed doesn't show that: the
+        entry of an executor stays listed for seconds after its end, beside its successor's.
+        """
+        entry = link.entry
+        self._retract(entry.executor, "the executor answers")
+        for site in [crash.site for crash in self._unconfirmed_by_executor.values()]:
+            if site.machine and (site.machine, site.service) == (entry.machine, entry.service):
+                self._confirm(site.executor, f"{entry.executor} answers on its machine")
 
     def on_gone(self, link: "ExecutorLink", *, answered: bool) -> None:
         """Confirm or retract a crash, as an executor is gone.
@@ -292,7 +301,8 @@
         if self._is_address_reused(link.entry):
             self._retract(link.entry.executor, "its address was given away")
         elif answered:
-            self._confirm(link.entry.executor, store=link.entry.started_ms is not None)
+            why = "another incarnation answers"
+            self._confirm(link.entry.executor, why, store=link.entry.started_ms is not None)
 
     def _has_restarted(self, entry: ExecutorEntry) -> bool:
         """Whether an entry is of a newer incarnation than the one that crashed under its id."""
@@ -302,21 +312,17 @@
         return compare_starts(crash.started_ms, entry.started_ms) is Incarnation.NEWER
 
     def on_listed(self, entry: ExecutorEntry) -> None:
-        """Confirm a crash: the machine of a crashed executor runs a new one.
+        """Confirm a crash: a newer incarnation is listed under the id of the crashed executor.
 
-        It may be a newer incarnation under the same id, whose answers don't retract the crash.
+        The answers of the newer one don't retract the crash.
         """
         if self._has_restarted(entry):
-            self._confirm(entry.executor, store=True)
-        for site in [crash.site for crash in self._unconfirmed_by_executor.values()]:
-            if not site.machine or site.executor == entry.executor:
-                continue
-            if (site.machine, site.service) == (entry.machine, entry.service):
-                self._confirm(site.executor)
+            self._confirm(entry.executor, "its id is in use again", store=True)
 
-    def _confirm(self, executor: str, *, store: bool = False) -> None:
+    def _confirm(self, executor: str, why: str, *, store: bool = False) -> None:
         """Confirm the crash of an executor.
 
+        :param why: what shows that the executor has ended, for the log.
         :param store: whether to store that, as the id is in use again. The next owner would take an
             answer of the newer incarnation for one of the crashed.
         """
@@ -326,6 +332,7 @@
             task.crash_sites.pop(number, None)
             if number in task.crashes:
                 confirmed.append(task)
+                self._note("crash.confirmed", task, number, executor, why=why)
         if store:
             self._store_crashes(confirmed)
         self._dispatcher.wake()
--- a/mustardgap/job_states.py
+++ b/mustardgap/job_states.py
@@ -82,7 +82,7 @@
         self.avoided: set[str] = set()
         # The state of the run when its executor crashed, by run number.
         self.crashes: dict[int, Crash] = {}
-        # The crashes, by run number, after which the machine was seen to have a new executor. In
+        # The crashes, by run number, after which another executor answered on the machine. In
         # the other cases the executor may have left instead of crashing.
         self.crashes_confirmed: set[int] = set()
         # Where the crashes happened that aren't confirmed, by run number.
--- a/tools/fake_executors.py
+++ b/tools/fake_executors.py
@@ -302,6 +302,8 @@
         self.cut: set[tuple[str | None, str]] = set()
         # Addresses whose connections are reset and refused, while their executors run on.
         self.refused: set[str] = set()
+        # Addresses whose executors carry nothing out, and close connections without an answer.
+        self.breaking_off: set[str] = set()
         self.late_share = 0.0
         # Seconds of a host's processor that one order takes, one after the other.
         self.order_s = 0.0
@@ -432,6 +434,8 @@
             return NoAnswer(sent=True, detail="no power")
         if target is None or not target.alive or entry.address in self.fleet.refused:
             return NoAnswer(sent=False, detail="connection refused", closed=True)
+        if entry.address in self.fleet.breaking_off:
+            return NoAnswer(sent=True, detail="the connection ended", closed=True)
         if target.entry.executor != entry.executor:
             return OtherIncarnation()
         return target
