An owner is confirmed by its membership only once the shards it has lost are released

Cause: the answer to a renewal of the membership confirmed all shards of a daemon as of the sending of the request, also those that the answer no longer lists. Meanwhile the owner of the last one took itself for the owner at a time at which its successor had renewed the leases of an executor that only the successor reached: it took them for lapsed, without asking the store, and started the tasks on an executor that only it reached, so that no fence stopped it. The store can reassign shards without a request and at any time, so the last confirmation needn't be old.

Fix: the membership is confirmed after the release of those shards.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -435,6 +435,14 @@
     Then all jobs have ended as completed
     And no promise was broken
 
+  Scenario: An owner isn't confirmed by the answer that tells of its replacement
+    Guards against leases that are taken for lapsed, and tasks that are started again, while the
+    owner waits for the release of its other shards.
+
+    Given owners on a fake platform
+    When shards are reassigned while their owner can't reach an executor, and it learns that late
+    Then no run broke a promise
+
   Scenario Outline: A second owner <leaves> while an earlier one still renews leases out of its reach
     Guards against a clean hand-over that is taken for the end of all earlier owners' leases.
 
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -193,11 +193,9 @@
         if self._failing:
             self._failing = False
             self._events.note("group.regained", vital=True, generation=outcome.generation)
-        unconfirmed_s = self.seconds_since_confirmed()
-        self._confirmed_at = sent_at
         async with self._assignment_lock:
             if not self._leaving:
-                await self._apply_membership(outcome, unconfirmed_s)
+                await self._apply_membership(outcome, sent_at)
         if self._owners_generation != self.generation:
             await self._read_owners()
         else:
@@ -205,15 +203,18 @@
             self._owners_known_at = max(self._owners_known_at, sent_at)
         return True
 
-    async def _apply_membership(self, joined: Joined, unconfirmed_s: float) -> None:
+    async def _apply_membership(self, joined: Joined, sent_at: float) -> None:
         changed = joined.generation != self.generation
-        if changed and unconfirmed_s >= MEMBERSHIP_TTL_S:
+        if changed and self.seconds_since_confirmed() >= MEMBERSHIP_TTL_S:
             # Others may have owned the shards in the meantime and accepted jobs that this daemon
             # doesn't know; it would answer that no such job exists. Each shard is loaded anew.
             for shard in list(self.owned_by_shard):
                 await self._release_shard(shard, "membership lapsed")
         for shard in [s for s in self.owned_by_shard if s not in joined.shards]:
             await self._release_shard(shard, REASSIGNED)
+        # The answer confirms only the shards that are left. Each release takes up to a second, and
+        # the owners of those that wait for theirs would take themselves for confirmed.
+        self._confirmed_at = sent_at
         # Shards that are no longer assigned have been released above, before the next renewal
         # carries this generation: only then does the store assign them to another member.
         self.generation = joined.generation
