An owner asks the store before it takes leases for lapsed, though its membership is confirmed

Cause: a renewal of the membership that lists a shard was taken to show that nobody else had owned it since the renewal before. The store can reassign all shards without a request, and give them back before the first owner renews again. In between, the second owner has fenced off the first one's appends and renewed the leases of an executor that the first one doesn't reach; the first one goes on under its former epoch, takes them for lapsed, and starts the tasks on an executor that the second one hasn't reached.

Fix: the empty append comes first, as it is fenced off if there was any later owner. The membership is looked at only if the append is neither accepted nor fenced off, for as long as the store refuses the shard's partition. A lapse costs one append more.

--- a/features/owners.feature
+++ b/features/owners.feature
@@ -435,14 +435,20 @@
     Then all jobs have ended as completed
     And no promise was broken
 
-  Scenario: An owner isn't confirmed by the answer that tells of its replacement
-    Guards against leases that are taken for lapsed, and tasks that are started again, while the
-    owner waits for the release of its other shards.
+  Scenario Outline: An owner doesn't start again what runs since its shards were <reassigned>
+    Guards against leases that are taken for lapsed, and tasks that are started again, on the word
+    of a membership: while the owner waits for the release of its other shards, or when it is given
+    a shard that another one has owned meanwhile.
 
     Given owners on a fake platform
-    When shards are reassigned while their owner can't reach an executor, and it learns that late
+    When shards are <reassigned> while their owner can't reach an executor, and it learns that late
     Then no run broke a promise
 
+    Examples:
+      | reassigned                |
+      | reassigned                |
+      | reassigned and given back |
+
   Scenario Outline: A second owner <leaves> while an earlier one still renews leases out of its reach
     Guards against a clean hand-over that is taken for the end of all earlier owners' leases.
 
--- a/features/steps/owners_partitions_steps.py
+++ b/features/steps/owners_partitions_steps.py
@@ -11,6 +11,7 @@
     idle_executor,
     next_owner,
 )
+from mustardgap.shard_owners import RENEW_INTERVAL_S
 from tools.owner_worlds import play
 
 # Longer than an owner that is cut off goes on.
@@ -20,6 +21,8 @@
 POLL_S = 1.5
 # Before leases count as lapsed: they still run, and a membership that is renewed now will, too.
 TAKEOVER_S = 0.5
+# After this time a new owner has renewed the leases of the executors that it reaches.
+RENEWED_S = 0.05
 # With this delay of the store, an owner takes a quarter of a second to hand a shard over.
 SLOW_S = 0.25
 # An owner looks at leases that have lapsed every 0.65 s, so some of these moments are while it
@@ -60,8 +63,8 @@
     context.world = play(scene, work_s=WORK_S, **context.options)
 
 
-@when("shards are reassigned while their owner can't reach an executor, and it learns that late")
-def reassign_shards(context):
+@when("shards are {reassigned} while their owner can't reach an executor, and it learns that late")
+def reassign_shards(context, reassigned):
     def scene_after(pause_s):
         async def scene(world):
             await asyncio.sleep(START_S)
@@ -79,9 +82,14 @@
                 owners = await _stop_renewing(world.daemon(first))
                 world.store.deal_anew()
                 await world.daemon(second).owners._renew()
+                if reassigned == "reassigned and given back":
+                    await asyncio.sleep(RENEWED_S)
+                    world.store.deal_anew()
                 await asyncio.sleep(lapsed_at + pause_s - world.loop.time())
                 world.store.slow_hosts[first] = SLOW_S
                 await owners._renew()
+                world.store.slow_hosts.clear()
+                world.daemon(first).tasks.append(asyncio.ensure_future(_renew_again(owners)))
                 await asyncio.sleep(2)
             await jobs
 
@@ -104,3 +112,10 @@
     await asyncio.wait([renewing])
     await daemon.owners._renew()
     return daemon.owners
+
+
+async def _renew_again(owners):
+    """Renew a membership at the usual interval, without giving it up first."""
+    while True:
+        await asyncio.sleep(RENEW_INTERVAL_S)
+        await owners._renew()
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -349,9 +349,11 @@
 
     async def owned_at(self, at: float) -> bool:
         """Whether the shard certainly had no later owner at a monotonic time that has passed."""
-        if self._clock.monotonic() - self.unconfirmed_s() >= at:
+        if await self.ownership.holds():
             return True
-        return await self.ownership.holds()
+        # While the store refuses the shard's partition, the membership has to do. Alone it shows
+        # less: another daemon may have owned the shard between two renewals.
+        return not self.log.fenced and self._clock.monotonic() - self.unconfirmed_s() >= at
 
     def may_stop(self, run: Run) -> bool:
         """Whether a run that is due to be stopped may be stopped now."""
