--- a/mustardgap/ownership_checks.py
+++ b/mustardgap/ownership_checks.py
@@ -48,9 +48,11 @@
 
     async def held_at(self, at: float) -> bool:
         """Whether the shard certainly had no later owner at a monotonic time that has passed."""
-        if self._clock.monotonic() - self._unconfirmed_s() >= at:
+        if await self.holds():
             return True
-        return await self.holds()
+        # While the store refuses the shard's partition, the membership has to do. Alone it shows
+        # less: another daemon may have owned the shard between two renewals.
+        return not self._log.fenced and self._clock.monotonic() - self._unconfirmed_s() >= at
 
     async def wait_until_held_at(self, at: float) -> None:
         """Wait until it is certain that the shard had no later owner at a time that has passed."""
--- a/mustardgap/shard_owners.py
+++ b/mustardgap/shard_owners.py
@@ -212,7 +212,8 @@
                 await self._release_shard(shard, "membership lapsed")
         for shard in [s for s in self.owned_by_shard if s not in joined.shards]:
             await self._release_shard(shard, REASSIGNED)
-        # Only now, as the confirmation doesn't hold for the shards that were released.
+        # The answer confirms only the shards that are left. Each release takes up to a second, and
+        # the owners of those that wait for theirs would take themselves for confirmed.
         self._confirmed_at = sent_at
         # Shards that are no longer assigned have been released above, before the next renewal
         # carries this generation: only then does the store assign them to another member.
