An executor that the fleet's owner ordered away isn't taken for one that crashed

Cause: after the answer to the order the fleet's owner no longer named the executor as one to be emptied, and told of its end only once the list of machines showed it, 0.4 to 0.8 s later. Meanwhile the pool's owner started tasks there. Their calls were broken off, which counted as a crash under them.

Fix: an executor whose machine was ordered away is closed until its end is shown, and named as closed beside the notice of its end; a crash there is retracted with that notice. The pool's owner goes by the notice and no longer by whether the executor was last to be emptied: one that crashes while it is emptied is found missing, and not named. An id that is in use again isn't closed.

Evidence: "2 executors that are ordered away" ended as failed before, and completes; beside it the same with executors that crash ends as failed, before and now. "stays closed until it is said to have ended" failed before, with one request that closes the executor and none after it.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -87,6 +87,19 @@
     Then all jobs have ended as completed
     And no promise was broken
 
+  Scenario Outline: A job whose runs end with <count> executors that <end> ends as <state>
+    Guards against taking an executor that the fleet's owner has ordered away for one that crashed.
+
+    Given owners on a fake platform
+    When <count> executors in a row <end> while the only task of a job runs there, and their machines have new ones
+    Then all jobs have ended as <state>
+    And no promise was broken
+
+    Examples:
+      | count | end              | state     |
+      | 2     | are ordered away | completed |
+      | 2     | crash            | failed    |
+
   Scenario Outline: The log of a crash shows how long the run was at work: <seconds> s
     Guards against a log that doesn't tell a task that crashes executors from one that served users.
 
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -27,6 +27,13 @@
     And no promise was broken
     And each task has run once
 
+  Scenario: An executor whose machine is ordered down stays closed until it is said to have ended
+    Guards against starts on an executor that was just ordered away: it counted as open from the
+    answer to the order until the list of machines showed its end, some 0.4 s.
+
+    When a wave's machine has its maintenance, and each request to its pool's owner is noted
+    Then from the first request that closes the executor on, each closes it, and the last say that it has ended
+
   Scenario Outline: Lasting tasks of a pool without spare machines move in time for a wave: <left> s before its end
     A pool has work for all its machines during most of a wave. Its machines were left alone until the
     wave's last rounds. Lasting tasks move one after another, so those on the wave's machines had moved
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -10,9 +10,11 @@
 from mustardgap.crashes import Crash, classify_crashes, is_given_up, is_suspect, must_run_alone
 from mustardgap.job_states import Task
 from mustardgap.policies import Mechanism, Policy
+from mustardgap.pool_views import PoolRequest
 from mustardgap.runs import Run
 from mustardgap.workloads import TaskId
 from tools.crash_plays import CrashLoad, run_load
+from tools.owner_daemons import SERVICE
 from tools.owner_troubles import BY_NAME, LASTING, TWO_STEPS, partition_of_pool
 from tools.owner_worlds import QUEUE, play
 
@@ -223,6 +225,39 @@
     context.world = play(scene, executors=6, **context.options)
 
 
+@when(
+    "{count:d} executors in a row {end} while the only task of a job runs there, "
+    "and their machines have new ones"
+)
+def end_executors(context, count, end):
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        job_id = job_id_of(1)
+        spec = TWO_STEPS._replace(steps=(TWO_STEPS.steps[0]._replace(width=1),))
+        assert await world.submit_until_accepted(job_id, spec)
+        for _ in range(count):
+            assert await until(lambda: busy_executor(world), 20)
+            executor = busy_executor(world)
+            # By then the run counts as at work, and no other runs there.
+            await asyncio.sleep(0.6)
+            executor.crash()
+            # The owner finds the connections closed before it is told.
+            await asyncio.sleep(0.4)
+            name = executor.entry.executor
+            closing = [name] if end == "are ordered away" else []
+            world.dispatcher().pool_view(PoolRequest(SERVICE, closing, [], [name]))
+            await asyncio.sleep(1.5)
+            world.bear_again(executor.entry.machine)
+        context.states[job_id] = await world.final_state(job_id, ENDED_S)
+
+    context.world = play(scene, executors=6, work_s=6.0, **context.options)
+
+
+def busy_executor(world):
+    """An executor that runs anything, None if there is none."""
+    return next((e for e in world.fleet.by_address.values() if e.alive and e.runs), None)
+
+
 # How long an executor breaks off all calls, and how long after the start its owner is killed.
 BREAK_OFF_S, KILL_AFTER_S = 4.0, 2.2
 
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import then, when
 
@@ -10,6 +11,7 @@
 from mustardgap.fleet_orders import RECENT_KEY, FleetOrders
 from mustardgap.fleet_states import Closing, FleetState, OrderTimes
 from mustardgap.fleet_waves import FleetWaves
+from mustardgap.job_gateways import JobGateway
 from mustardgap.pool_views import ExecutorView, PoolRequest, PoolView
 from mustardgap.ports import Done, NoAnswer
 from mustardgap.shard_owners import FLEET_SHARD
@@ -103,6 +105,38 @@
     assert job_id_of(0) in context.states
 
 
+@when("a wave's machine has its maintenance, and each request to its pool's owner is noted")
+def note_requests(context):
+    context.requests = []
+    pool = JobGateway.pool
+
+    async def note(gateway, request):
+        if request.service == SERVICE:
+            context.requests.append(request)
+        return await pool(gateway, request)
+
+    async def scene(world):
+        await asyncio.sleep(START_S)
+        [first, *_] = machines_of_pool(world)
+        context.executor = world.machines.places[first].executor.entry.executor
+        publish_wave(world, [first])
+        await wait_until(lambda: world.machines.places[first].waves_done)
+        await asyncio.sleep(4)
+
+    with mock.patch.object(JobGateway, "pool", note):
+        context.world = play(scene)
+
+
+@then(
+    "from the first request that closes the executor on, each closes it, "
+    "and the last say that it has ended"
+)
+def stays_closed(context):
+    closes = [context.executor in request.closing for request in context.requests]
+    assert all(closes[closes.index(True) :]), closes
+    assert context.executor in context.requests[-1].gone, context.requests[-1]
+
+
 @then("the machine was ordered down once more than it went down")
 def ordered_once_more(context):
     assert context.ordered == 2, context.ordered
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -293,13 +293,17 @@
             if site.machine and (site.machine, site.service) == (entry.machine, entry.service):
                 self._confirm(site.executor, f"{entry.executor} answers on its machine")
 
-    def on_gone(self, link: "ExecutorLink", *, answered: bool) -> None:
+    def on_gone(self, link: "ExecutorLink", *, answered: bool, ordered_away: bool) -> None:
         """Confirm or retract a crash, as an executor is gone.
 
         :param answered: whether another incarnation answers at its address.
+        :param ordered_away: whether its machine was moved or maintained by an order. Its next
+            executor would confirm the crash.
         """
         if self._is_address_reused(link.entry):
             self._retract(link.entry.executor, "its address was given away")
+        elif ordered_away:
+            self._retract(link.entry.executor, "its machine was ordered away")
         elif answered:
             why = "another incarnation answers"
             self._confirm(link.entry.executor, why, store=link.entry.started_ms is not None)
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -17,6 +17,7 @@
 from .executor_links import ExecutorLink
 from .executor_rosters import (
     AUTHORITY_S,
+    ORDERED_AWAY,
     OTHER_INCARNATION_ANSWERS,
     OWNERSHIP_RETRY_S,
     ExecutorRoster,
@@ -711,7 +712,9 @@
                 continue
             self.roster.remove(executor)
             if link is not None:
-                self.roster.drop(link, "ordered away" if link.closing else "replaced")
+                self.roster.drop(link, ORDERED_AWAY if executor in closing else "replaced")
+        # One that has ended and is still there has been started again under the same id.
+        closing = closing.difference(request.gone)
         for executor, link in self.roster.links_by_executor.items():
             if link.entry.service == request.service:
                 link.closing = executor in closing
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -33,6 +33,8 @@
 
 # The reason for dropping an executor at whose address another incarnation answers.
 OTHER_INCARNATION_ANSWERS = "another incarnation answers"
+# The reason for dropping an executor whose machine the fleet's owner has moved or maintained.
+ORDERED_AWAY = "ordered away"
 
 
 class ExecutorRoster:
@@ -319,6 +321,7 @@
         self._dispatcher.crashes.on_gone(
             link,
             answered=why in (OTHER_INCARNATION_ANSWERS, RESTARTED),
+            ordered_away=why == ORDERED_AWAY,
         )
         lost = list(link.runs_by_key.values())
         for run in lost:
--- a/mustardgap/fleet_managers.py
+++ b/mustardgap/fleet_managers.py
@@ -270,7 +270,7 @@
         return self._granter.plan([service.name for service in services], limited)
 
     async def _query_pool(self, service: Service, grant: Grant | None) -> None:
-        closing = [c.executor for c in self.state.closing_by_machine.values()]
+        closing = self._executors_closing()
         gone = [e for e, end in self._ended_executors.items() if end.pool == service.name]
         incoming = 0
         if self._features.has(Feature.ADMISSION) and service.name in self.state.views_by_service:
@@ -292,6 +292,16 @@
         self.state.viewed_at_by_service[service.name] = now
         self.moves.note(service.name, view, now)
 
+    def _executors_closing(self) -> list[str]:
+        """The executors that are to be emptied, and those of machines that were ordered away.
+
+        Opened again once the order is answered, until the list of machines shows their end, they
+        got starts that ended with broken connections and counted as crashes.
+        """
+        ends = (self._unconfirmed_ends | self._ended_executors).items()
+        closing = [c.executor for c in self.state.closing_by_machine.values()]
+        return list(dict.fromkeys(closing + [executor for executor, end in ends if end.machine]))
+
     def _machines_due(self) -> set[str]:
         """The machines that have yet to be maintained by a wave."""
         return {name for wave in self.waves.open_waves() for name in self.waves.remaining(wave)}
@@ -371,7 +381,7 @@
                 continue
             if executor not in listed:
                 del self._unconfirmed_ends[executor]
-                self._mark_ended(executor, order.pool)
+                self._mark_ended(executor, order.pool, order.machine)
             elif now - order.at > ABSENCE_TIMEOUT_S:
                 del self._unconfirmed_ends[executor]
                 self.state.away_by_machine.pop(order.machine, None)
@@ -379,9 +389,13 @@
                     "machine.untouched", vital=True, machine=order.machine, executor=executor
                 )
 
-    def _mark_ended(self, executor: str, pool: str) -> None:
+    def _mark_ended(self, executor: str, pool: str, machine: str = "") -> None:
+        """Tell the pools that an executor has ended.
+
+        :param machine: its machine if that was ordered away.
+        """
         if executor not in self._ended_executors:
-            self._ended_executors[executor] = EndedExecutor(pool, self._clock.monotonic())
+            self._ended_executors[executor] = EndedExecutor(pool, self._clock.monotonic(), machine)
 
     # Emptying machines and sending orders.
 
--- a/mustardgap/fleet_states.py
+++ b/mustardgap/fleet_states.py
@@ -42,7 +42,8 @@
 class EndedExecutor(NamedTuple):
     """An executor that has ended, or should have by an order to its machine.
 
-    ``at`` is the monotonic time at which that became known, or of the order.
+    ``at`` is the monotonic time at which that became known, or of the order. ``machine`` is its
+    machine if that was ordered away, empty otherwise.
     """
 
     pool: str
--- a/mustardgap/pool_views.py
+++ b/mustardgap/pool_views.py
@@ -71,11 +71,12 @@
 class PoolRequest(NamedTuple):
     """A request of the fleet's owner to the owner of a pool.
 
-    ``closing`` are the executors to be emptied, ``planned`` those that will be taken away soon, and
-    ``gone`` those that have ended. ``grant`` has the allowances of client accounts with a limit.
-    ``excess_by_account`` has the fraction of an account's arriving work that exceeds its share;
-    None says nothing. ``excess_number`` orders these figures. ``incoming`` is the number of
-    machines that were ordered to the pool and don't work there yet.
+    ``closing`` are the executors to be emptied and those that were ordered away, ``planned`` those
+    that will be taken away soon, and ``gone`` those that have ended, by an order or by themselves.
+    ``grant`` has the allowances of client accounts with a limit. ``excess_by_account`` has the
+    fraction of an account's arriving work that exceeds its share; None says nothing.
+    ``excess_number`` orders these figures. ``incoming`` is the number of machines that were ordered
+    to the pool and don't work there yet.
     """
 
     service: str
