A run that was adopted at a takeover doesn't count as just started when its executor crashes

Cause: a run counts as just started for 0.25 s after it was first listed. A new owner lists all runs that it adopts for the first time; so the crash counted as ONLY_STARTED, which gives a task up with any one other crash, in place of ONLY_AT_WORK, of which it takes two.

Fix: an adopted run isn't just started: its former owner started it before it lost the shard, which takes longer than an executor needs to list it. With other runs there the crash counts as AT_WORK, or BESIDE_STARTED if one of them was just started by the new owner.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -132,6 +132,9 @@
       | was never sent           | runs at work        | no crash       |
       | was at work              | a run on trial      | BESIDE_STARTED |
       | is the run on trial      | runs at work        | ONLY_AT_WORK   |
+      | had just been adopted    | nothing             | ONLY_AT_WORK   |
+      | had just been adopted    | runs at work        | AT_WORK        |
+      | had just been adopted    | others just started | BESIDE_STARTED |
 
   Scenario Outline: After the crashes <crashes> a task <decision>
     Guards against failing the job of a sound task, and against too many starts of a faulty one.
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -107,6 +107,8 @@
     run.at_work = was in ("was at work", "is the run on trial")
     if was == "had just been started":
         run.confirmed_at = NOW_S - 0.05
+    elif was == "had just been adopted":
+        run.confirmed_at, run.adopted = NOW_S - 0.05, True
     elif was == "was answered 1 s ago":
         run.confirmed_at = NOW_S - 1
     return run
--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -111,7 +111,8 @@
 
 
 def _is_just_started(run: Run, now: float) -> bool:
-    if run.at_work:
+    # A run that was adopted began before the takeover, though it was first listed just now.
+    if run.at_work or run.adopted:
         return False
     return run.confirmed_at is None or now - run.confirmed_at <= JUST_STARTED_S
 
