--- a/mustardgap/crashes.py
+++ b/mustardgap/crashes.py
@@ -113,7 +113,8 @@
 
 
 def _is_just_started(run: Run, now: float) -> bool:
-    if run.at_work:
+    # A run that was adopted began before the takeover, though it was first listed just now.
+    if run.at_work or run.adopted:
         return False
     return run.confirmed_at is None or now - run.confirmed_at <= JUST_STARTED_S
 
@@ -298,13 +299,17 @@
             if site.machine and (site.machine, site.service) == (entry.machine, entry.service):
                 self._confirm(site.executor, f"{entry.executor} answers on its machine")
 
-    def on_gone(self, link: "ExecutorLink", *, answered: bool) -> None:
+    def on_gone(self, link: "ExecutorLink", *, answered: bool, ordered_away: bool) -> None:
         """Confirm or retract a crash, as an executor is gone.
 
         :param answered: whether another incarnation answers at its address.
+        :param ordered_away: whether its machine was moved or maintained by an order. Its next
+            executor would confirm the crash.
         """
         if self._is_address_reused(link.entry):
             self._retract(link.entry.executor, "its address was given away")
+        elif ordered_away:
+            self._retract(link.entry.executor, "its machine was ordered away")
         elif answered:
             if not link.entry.draining:
                 self._note_unseen(link)
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -15,7 +15,12 @@
 from .evacuations import Evacuations
 from .events import EventLog
 from .executor_links import ExecutorLink
-from .executor_rosters import AUTHORITY_S, OTHER_INCARNATION_ANSWERS, ExecutorRoster
+from .executor_rosters import (
+    AUTHORITY_S,
+    ORDERED_AWAY,
+    OTHER_INCARNATION_ANSWERS,
+    ExecutorRoster,
+)
 from .executor_speeds import ExecutorSpeeds
 from .isolation import Isolation
 from .job_admission import JobAdmission
@@ -709,7 +714,9 @@
                 continue
             self.roster.remove(executor)
             if link is not None:
-                self.roster.drop(link, "ordered away" if link.closing else "replaced")
+                self.roster.drop(link, ORDERED_AWAY if executor in closing else "replaced")
+        # One that has ended and is still there has been started again under the same id.
+        closing = closing.difference(request.gone)
         for executor, link in self.roster.links_by_executor.items():
             if link.entry.service == request.service:
                 link.closing = executor in closing
--- a/mustardgap/executor_rosters.py
+++ b/mustardgap/executor_rosters.py
@@ -30,6 +30,8 @@
 
 # The reason for dropping an executor at whose address another incarnation answers.
 OTHER_INCARNATION_ANSWERS = "another incarnation answers"
+# The reason for dropping an executor whose machine the fleet's owner has moved or maintained.
+ORDERED_AWAY = "ordered away"
 
 
 class ExecutorRoster:
@@ -314,6 +316,7 @@
         self._dispatcher.crashes.on_gone(
             link,
             answered=why in (OTHER_INCARNATION_ANSWERS, RESTARTED),
+            ordered_away=why == ORDERED_AWAY,
         )
         lost = list(link.runs_by_key.values())
         for run in lost:
