An owner that hasn't read the configuration doesn't tell the fleet's owner what its pool uses

What callers would see: a client account with more running than its limit. Found by looking for owners that conclude too early what a former one has left running.

Cause: a new owner may have loaded its jobs before its process has read the configuration, which has the client accounts. Its pool's summary then gave no use of any account, though tasks of its predecessor ran. The fleet's owner took the whole limit for free, and could give it to other pools. The summary's demand was too low as well, as no job's queue was known.

Fix: there is no summary without a configuration; the fleet's owner goes by the last one.

That another pool then exceeds the limit follows from the granter's code; no run has shown it, as the worlds of these tests have one pool.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -32,6 +32,12 @@
       | 1000  | 3    | nothing happens                | 1000  |
       | 0     | 6    | nothing happens                | 5000  |
 
+  Scenario: A new owner of a pool that hasn't read the configuration gives no account's use
+    Guards against a limit that is given to other pools as if nothing of the account ran in this one.
+
+    When a pool at work gets a new owner that hasn't read the configuration
+    Then it tells the fleet's owner nothing before it has read it, and then what is in use
+
   Scenario Outline: A job with <part> is answered <code> under a limit of 2000 mCPU
     Guards against work that waits for ever for a limit that can't hold it.
 
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -5,11 +5,14 @@
 from behave import then, when
 
 from features.support.account_cases import FITTERS_KEY, JOINERS_KEY, directory
+from features.support.owner_jobs import until
 from mustardgap.job_states import JobPhase
+from mustardgap.pool_views import PoolRequest
 from mustardgap.resources import Room
 from mustardgap.shard_owners import FLEET_SHARD
 from mustardgap.workloads import JobSpec, Step
 from tools.limit_plays import play as play_limits
+from tools.owner_daemons import SERVICE
 from tools.owner_troubles import TWO_STEPS
 from tools.owner_worlds import play
 
@@ -160,6 +163,35 @@
     play(scene)
 
 
+@when("a pool at work gets a new owner that hasn't read the configuration")
+def take_over_unconfigured(context):
+    async def scene(world):
+        await _configure(world, 4000)
+        assert str((await _submit(world, _job_id(1), NARROW)).code) == "MG4020"
+        assert await until(lambda: any(e.runs for e in world.fleet.by_address.values()))
+        for name in world.names:
+            world.kill(name)
+        world.store.operator_held = True
+        for name in world.names:
+            world.start(name)
+        assert await until(lambda: world.owner() is not None and world.dispatcher().loaded)
+        await asyncio.sleep(1)
+        request = PoolRequest(SERVICE, [], [])
+        context.views = [world.dispatcher().pool_view(request)]
+        world.store.operator_held = False
+        await asyncio.sleep(1)
+        context.views.append(world.dispatcher().pool_view(request))
+
+    context.world = play(scene, work_s=END_S)
+
+
+@then("it tells the fleet's owner nothing before it has read it, and then what is in use")
+def tells_when_configured(context):
+    before, after = context.views
+    assert before is None, before.uses_by_account
+    assert after.uses_by_account["joiners"].used.cpu == 3000, after.uses_by_account
+
+
 @then("they are told {code}")
 def they_are_told(context, code):
     assert str(context.reply.code) == code, context.reply
--- a/mustardgap/dispatchers.py
+++ b/mustardgap/dispatchers.py
@@ -687,10 +687,14 @@
         """Summarise a pool for the fleet's owner, and close the executors that it wants emptied.
 
         :return: the summary, None unless the shard is loaded and certainly owned by this
-            dispatcher.
+            dispatcher, and the configuration is known.
         """
         if not self.loaded or self.handing_over or not self.is_membership_valid():
             return None
+        if self.configuration is None:
+            # It has the client accounts. Without them the pool would seem to hold nothing of their
+            # limits, which other pools would get, though tasks of a former owner run here.
+            return None
         self._fleet_request_at = self._clock.monotonic()
         if request.grant is not None:
             self.account_limits.apply(request.service, request.grant)
