A stopping entry host counts only time in which it ran as lingering

Cause: a stopping entry host serves on for linger_s until the balancer knows; that was one sleep. If its process stands still meanwhile, balancers go on sending for up to 1.5 s. When it goes on, the sleep is over and timers run before anything is read, so all that waits unread is refused.

Fix: time in which the process didn't run doesn't count as lingering. The host also serves on, for twice linger_s at most, while requests less than a quarter of linger_s apart come. Both stay within half of the stop timeout.

Tests: two scenarios of features/requests.feature, both failed before, pass 5 times in a row.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -178,6 +178,20 @@
     When requests are in flight while the entry host stops
     Then requests in flight were answered and later ones refused and not run
 
+  Scenario: a planned stop in which the process stands still refuses no request
+    Balancers go on sending for a while, and what they send waits unread. When the process went on,
+    the time for which it was to serve was over, and it refused all of these.
+
+    When requests are sent to an entry host that stands still as it stops
+    Then requests that were sent as it stopped are all answered
+
+  Scenario: a planned stop refuses no request while they go on coming
+    A balancer whose checks are slow learns later than usual that the entry host isn't ready.
+
+    When requests go on coming to an entry host that stops
+    Then requests that were sent as it stopped are all answered
+    And requests' entry host has stopped within 4 s
+
   Scenario Outline: a planned stop whose step <step> <ends> cuts off no request
     The caller's request runs as the operator stops the entry host. Something that a step awaits is
     closed by another task, or fails unexpectedly, and the later steps were skipped: the caller was
--- a/features/steps/requests_endings_steps.py
+++ b/features/steps/requests_endings_steps.py
@@ -1,7 +1,9 @@
 """Steps for requests whose handling ends early: by an error, a cancellation or a stop."""
 
 import asyncio
+import selectors
 import socket
+import time
 from contextlib import suppress
 from types import SimpleNamespace
 from unittest import mock
@@ -12,7 +14,7 @@
 
 from features.steps.requests_steps import until
 from features.support.cancelled_parts import cancelled, failed
-from features.support.rigs import Rig
+from features.support.rigs import Rig, read_answer
 from mustardgap import metrics
 from mustardgap.daemons import Daemon
 from mustardgap.exceptions import ChildFailed
@@ -310,6 +312,85 @@
     asyncio.run(main())
 
 
+class PausingSelector(selectors.DefaultSelector):
+    """A selector in which the process stands still once, for ``pause_s`` seconds.
+
+    As CPython does when a signal continues a process after the timeout, it then returns no event,
+    so that timers run before anything is read.
+    """
+
+    pause_s = 0.0
+
+    def select(self, timeout=None):
+        if self.pause_s:
+            time.sleep(self.pause_s)
+            self.pause_s = 0.0
+            return []
+        return super().select(timeout)
+
+
+@when("requests are sent to an entry host that stands still as it stops")
+def stand_still_while_stopping(context):
+    selector = PausingSelector()
+
+    async def main():
+        async with Rig() as r:
+            callers = r.entry.callers
+            callers.timers = r.entry.timers
+            stopping = asyncio.create_task(callers.drain())
+            await asyncio.sleep(0.05)
+            sockets = [socket.create_connection(("127.0.0.1", callers.port)) for _ in range(5)]
+            for sock in sockets:
+                sock.sendall(b"GET /quotes/waiting HTTP/1.1\r\nHost: a\r\n\r\n")
+            # Longer than the entry host lingers.
+            selector.pause_s = 2 * callers.settings.callers.linger_s
+            await asyncio.sleep(0)
+            context.sent = len(sockets)
+            context.received = []
+            for sock in sockets:
+                sock.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=sock)
+                context.received.append(await asyncio.wait_for(read_answer(reader), 10))
+                writer.close()
+            await stopping
+
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector)) as runner:
+        runner.run(main())
+
+
+@when("requests go on coming to an entry host that stops")
+def keep_sending_while_stopping(context):
+    async def main():
+        async with Rig(callers={"linger_s": 1.0}) as r:
+            callers = r.entry.callers
+            callers.timers = r.entry.timers
+            began = time.monotonic()
+            stopping = asyncio.create_task(callers.drain())
+            context.sent, context.received = 15, []
+            for _ in range(context.sent):
+                reader, writer = await asyncio.open_connection("127.0.0.1", callers.port)
+                writer.write(b"GET /quotes/late HTTP/1.1\r\nHost: a\r\n\r\n")
+                context.received.append(await asyncio.wait_for(read_answer(reader), 10))
+                writer.close()
+                await asyncio.sleep(0.1)
+            await stopping
+            context.stop_s = time.monotonic() - began
+
+    asyncio.run(main())
+
+
+@then("requests that were sent as it stopped are all answered")
+def all_answered_while_stopping(context):
+    assert len(context.received) == context.sent, context.received
+    for answer in context.received:
+        assert b"X-Result-Code: 1000" in answer, answer
+
+
+@then("requests' entry host has stopped within {seconds:g} s")
+def stopped_within(context, seconds):
+    assert context.stop_s < seconds, context.stop_s
+
+
 class SendingClock(Clock):
     """A clock that sends a request just after its first sleep.
 
--- a/mustardgap/callers.py
+++ b/mustardgap/callers.py
@@ -23,7 +23,7 @@
 from .sessions import Sessions
 from .settings import Settings
 from .timelines import Timeline
-from .timers import Clock
+from .timers import Clock, Timers
 
 METRIC_LABELS = {"port": "callers"}
 # Connections over the limit still get a refusal with a code, up to this fraction of the limit.
@@ -34,6 +34,9 @@
 # Time to send the last answers before the connections are closed.
 CUT_OFF_TIMEOUT_S = 1.0
 UNREAD_POLL_INTERVAL_S = 0.01
+# A stopping host serves on while requests come that are less than this fraction of ``linger_s``
+# apart, as the balancer doesn't know yet, but at most this many times ``linger_s`` in all.
+QUIET_FRACTION, MAX_LINGER_FACTOR = 0.25, 2.0
 
 
 class _CallerStream(iostream.IOStream):
@@ -65,6 +68,7 @@
     :param timeline: records starting and stopping.
     :param readiness: tells whether this entry host may serve; if None, it always may.
     :param clock: the clocks to read.
+    :param timers: tells for how long this process didn't run; if None, it always ran.
     """
 
     def __init__(
@@ -75,18 +79,21 @@
         timeline: Timeline,
         readiness: Readiness | None = None,
         clock: Clock | None = None,
+        timers: Timers | None = None,
     ) -> None:
         self.settings = settings
         self.sessions = sessions
         self.timeline = timeline
         self.readiness = readiness
         self.clock = clock or Clock()
+        self.timers = timers
         self.port = settings.callers.port
         self.draining = False
         self.refusing = False
         self.held_bytes = 0
         self._exchanges: set[Exchange] = set()
         self._exchange_ended = asyncio.Event()
+        self._latest_request_at = float("-inf")
         self._connections: set[HTTP1ServerConnection] = set()
         self._sockets: list[socket.socket] = []
         self._stop_accepting: list[Callable[[], None]] = []
@@ -125,19 +132,35 @@
         """Stop without cutting off a request or a connection that is in use.
 
         First this host tells the balancer that it isn't ready and goes on serving, closing each
-        connection after its answer, so that requests can go elsewhere. Then it refuses new
+        connection after its answer, so that requests can go elsewhere. Time in which the process
+        didn't run doesn't count: what came meanwhile is still unread, and would be refused. Within
+        bounds, it also serves on while requests keep coming. Then it refuses new
         requests with the code for draining until all requests in flight have ended.
         """
         self.draining = True
         self.timeline.add("callers.draining", exchanges=len(self._exchanges))
         stop_s = self.settings.stop_timeout_s
         deadline = self.clock.monotonic() + stop_s
-        await self.clock.sleep(min(self.settings.callers.linger_s, stop_s / 2))
+        began = self.clock.monotonic()
+        while (left_s := self._linger_left_s(began)) > 0:
+            await self.clock.sleep(left_s)
         self.refusing = True
         await self._wait_until_idle(deadline)
         await self.cut_off()
         self.timeline.add("callers.closed")
 
+    def _linger_left_s(self, began: float) -> float:
+        """For how much longer a host serves that has been stopping since a given time."""
+        now = self.clock.monotonic()
+        stop_s = self.settings.stop_timeout_s
+        linger_s = min(self.settings.callers.linger_s, stop_s / 2)
+        pause_s = self.timers.process_pause_s(began) if self.timers is not None else 0.0
+        served_s = now - began - pause_s
+        left_s = linger_s - served_s
+        if served_s < linger_s * MAX_LINGER_FACTOR:
+            left_s = max(left_s, self._latest_request_at + linger_s * QUIET_FRACTION - now)
+        return min(left_s, began + stop_s / 2 - now)
+
     async def cut_off(self) -> None:
         """Answer requests in flight without waiting for outcomes, and close all connections."""
         self.draining = self.refusing = True
@@ -156,6 +179,10 @@
         """Tell whether the balancer should send requests to this server."""
         return not self.draining and (self.readiness is None or self.readiness.ready)
 
+    def note_request(self) -> None:
+        """Note that a request has come that isn't one for this server's own pages."""
+        self._latest_request_at = self.clock.monotonic()
+
     def refusal(self) -> NotRun | None:
         """Return why requests are refused now, None when they aren't."""
         if self.refusing:
--- a/mustardgap/exchanges.py
+++ b/mustardgap/exchanges.py
@@ -41,6 +41,9 @@
     def is_ready(self) -> bool:
         """Tell whether the balancer should send requests to this server."""
 
+    def note_request(self) -> None:
+        """Note that a request has come that isn't one for the server's own pages."""
+
     def refusal(self) -> NotRun | None:
         """Return why requests are refused now, None when they aren't."""
 
@@ -113,6 +116,7 @@
             return NotRun(code=status_codes.OVER_BUDGET, detail=detail, retry_after=2.0)
         if self._start_line.path.startswith(BUILTIN_PATH_PREFIX):
             return None
+        self.server.note_request()
         return self.server.refusal()
 
     def _max_body_bytes(self) -> int:
--- a/mustardgap/parts.py
+++ b/mustardgap/parts.py
@@ -171,6 +171,7 @@
             timeline=self.timeline,
             readiness=self.readiness,
             clock=clock,
+            timers=self.timers,
         )
 
     def _build_sharing(self) -> SharingPolicy:
