The test of a stop beside late requests measures no time

It asserted that the stop had ended within 4 s. Tests here assert no times: a machine that stands still would fail it.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -190,7 +190,6 @@
 
     When requests go on coming to an entry host that stops
     Then requests that were sent as it stopped are all answered
-    And requests' entry host has stopped within 4 s
 
   Scenario Outline: a planned stop whose step <step> <ends> cuts off no request
     The caller's request runs as the operator stops the entry host. Something that a step awaits is
