The soak cuts an owner off from the store and some executors, and the other daemons from the rest

What callers saw: rule TWICE, by an owner that is cut off with an executor that its successor doesn't reach. The soak's links to executors were shared by all daemons, so that it couldn't bring this.

Each daemon has a link of its own to each executor, in front of the shared one, on a loopback address of the daemon's; the stand-in shows each reader of the store the executors at the address that it calls from. The cuts last 5 to 12 s and draw numbers of their own, so that the other troubles of a seed stay as they were. A play can take up to 12 s longer than before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -1,7 +1,8 @@
 Feature: a soak of real processes, with faults from outside
   Daemons, the platform's stand-in and links between them are real. Daemons are killed, stopped, frozen
-  and reloaded, the store goes away or is slow, links are delayed, cut one way, reset or go silent; all
-  of it in series and overlapping. Callers keep connections open until the processes are gone.
+  and reloaded, the store goes away or is slow, links are delayed, cut one way, reset or go silent, an
+  owner is cut off together with some executors; all of it in series and overlapping. Callers keep
+  connections open until the processes are gone.
 
   Scenario Outline: Seed <seed> keeps every promise
     Callers hand jobs in, repeat, ask and cancel while the faults come. None is told a wrong thing, no
--- a/tools/links.py
+++ b/tools/links.py
@@ -5,6 +5,7 @@
 import enum
 
 CHUNK_BYTES = 65_536
+LOOPBACK = "127.0.0.1"
 
 
 class Way(enum.Enum):
@@ -19,9 +20,15 @@
 
     :param port: where it listens.
     :param target: the port that it leads to.
+    :param ip: the address that it listens on.
+    :param source: the address that it connects from, if that matters.
     """
 
-    def __init__(self, *, port: int, target: int) -> None:
+    def __init__(
+        self, *, port: int, target: int, ip: str = LOOPBACK, source: str | None = None
+    ) -> None:
+        self.ip = ip
+        self.source = source
         self.port = port
         self.target = target
         self.delay_s = 0.0
@@ -36,7 +43,7 @@
     async def open(self) -> None:
         """Begin to listen."""
         self.cut()
-        self._server = await asyncio.start_server(self._carry, "127.0.0.1", self.port)
+        self._server = await asyncio.start_server(self._carry, self.ip, self.port)
 
     def close(self) -> None:
         """Stop listening and end all connections."""
@@ -77,7 +84,8 @@
         self._carrying.add(task)
         task.add_done_callback(self._carrying.discard)
         try:
-            far, out = await asyncio.open_connection("127.0.0.1", self.target)
+            source = (self.source, 0) if self.source else None
+            far, out = await asyncio.open_connection(LOOPBACK, self.target, local_addr=source)
         except (OSError, asyncio.CancelledError):
             # Reset while it connects, it is cancelled, which asyncio's streams report as an error.
             back.transport.abort()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,7 +18,7 @@
 from .fake_executors import FleetRecord
 from .owner_oracle import JobHistory, crash_problems, problems
 from .soak_callers import FINAL_STATES, Caller
-from .soak_troubles import TROUBLES, resize_executors, turn_partitions_away
+from .soak_troubles import TROUBLES, partition_daemons, resize_executors, turn_partitions_away
 from .soak_world import PLATFORM, SoakWorld
 from .wire_platform import History
 
@@ -76,9 +76,12 @@
         turning_away = asyncio.create_task(turn_partitions_away(world, outages, seconds, brought))
         sizes = random.Random(f"capacities {seed}")
         resizing = asyncio.create_task(resize_executors(world, sizes, seconds, brought))
+        cuts = random.Random(f"daemons {seed}")
+        partitioning = asyncio.create_task(partition_daemons(world, cuts, seconds, brought))
         await _bring_troubles(world, rng, seconds, brought)
         await turning_away
         await resizing
+        await partitioning
         for caller in calling:
             caller.stopping.set()
         for caller in calling:
--- a/tools/soak_troubles.py
+++ b/tools/soak_troubles.py
@@ -15,6 +15,8 @@
 # A process that ended is started again after this.
 RESTART_S = (0.1, 3.0)
 DELAYS_S = (0.02, 0.4)
+# An owner that is cut off from the store goes on for 8 s, and takes leases for lapsed after 3.8 s.
+PARTITION_S = (5.0, 12.0)
 # To what share of its whole capacity an executor shrinks; a task takes a fortieth of it.
 SHARES = (0.0, 0.03, 0.1)
 
@@ -147,6 +149,30 @@
         await world.control(resize=dict.fromkeys(machines, 1.0))
 
 
+async def partition_daemons(
+    world: SoakWorld, rng: random.Random, seconds: float, brought: list[str]
+) -> None:
+    """An owner is cut off from the store and some executors, other daemons from the rest."""
+    numbers = range(1, EXECUTORS + 1)
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.uniform(SHORT_S, LONG_S))
+        name = await world.owner() or rng.choice(world.names)
+        out_of_reach = rng.sample(numbers, rng.randint(1, EXECUTORS - 1))
+        rest = [number for number in numbers if number not in out_of_reach]
+        alone_with = rng.sample(rest, rng.randint(1, len(rest)))
+        links = [world.links[f"store {name}"]]
+        links += [world.executor_links[name, number] for number in out_of_reach]
+        others = [other for other in world.names if other != name]
+        links += [world.executor_links[other, n] for other in others for n in alone_with]
+        brought.append(partition_daemons.__name__)
+        for link in links:
+            link.cut(*Way)
+        await asyncio.sleep(rng.uniform(*PARTITION_S))
+        for link in links:
+            link.cut()
+
+
 TROUBLES: tuple[Trouble, ...] = (
     daemon_killed,
     daemon_stopped,
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -35,6 +35,8 @@
         self.processes = Processes(folder=folder)
         self.names = [f"e{number}" for number in range(1, daemons + 1)]
         self.links: dict[str, Link] = {}
+        # By daemon and executor's number; each leads to the executor's link for all daemons.
+        self.executor_links: dict[tuple[str, int], Link] = {}
         self.frozen: set[str] = set()
         self.beginning: set[str] = set()
         self.busy: set[str] = set()
@@ -73,19 +75,29 @@
         await asyncio.to_thread(wait_http, self._store_url("record"))
         for name in self.names:
             self._add(f"front {name}", f"front link {name}", self._ports[f"front {name}"])
-            self._add(f"store {name}", f"store link {name}", self._store_port)
+            self._add(f"store {name}", f"store link {name}", self._store_port, self._ip(name))
         for number in range(1, EXECUTORS + 1):
             link = Link(port=self._announced + number, target=self._store_port + number)
             self.links[f"executor x{number}"] = link
-        for link in self.links.values():
+            for name in self.names:
+                own = Link(port=link.port, target=link.port, ip=self._ip(name))
+                self.executor_links[name, number] = own
+        for link in self._all_links():
             await link.open()
         for name in self.names:
             self.start_daemon(name)
         for name in self.names:
             await asyncio.to_thread(wait_http, self._ready_url(name))
 
-    def _add(self, name: str, port: str, target: int) -> None:
-        self.links[name] = Link(port=self._ports[port], target=target)
+    def _add(self, name: str, port: str, target: int, source: str | None = None) -> None:
+        self.links[name] = Link(port=self._ports[port], target=target, source=source)
+
+    def _all_links(self) -> list[Link]:
+        return [*self.links.values(), *self.executor_links.values()]
+
+    def _ip(self, name: str) -> str:
+        """The address by which the platform tells a daemon, and at which it sees executors."""
+        return f"127.0.1.{self.names.index(name) + 1}"
 
     def start_daemon(self, name: str) -> None:
         """Start a daemon's process."""
@@ -171,6 +183,10 @@
         request = Request(self._store_url("control"), json.dumps(fields).encode(), method="POST")
         urlopen(request, timeout=CALL_S).close()
 
+    async def owner(self) -> str:
+        """The daemon that owns the jobs by the store; empty if none does."""
+        return str(await asyncio.to_thread(get_json, self._store_url("owner")))
+
     async def history(self) -> History:
         """What the executors truly did so far."""
         rows = await asyncio.to_thread(get_json, self._store_url("history"))
@@ -178,7 +194,7 @@
 
     def close(self) -> None:
         """End all that was started, by process id."""
-        for link in self.links.values():
+        for link in self._all_links():
             link.close()
         self.processes.stop_all()
 
--- a/tools/wire_platform.py
+++ b/tools/wire_platform.py
@@ -22,6 +22,7 @@
     StartRefused,
     WrongSequence,
 )
+from mustardgap.shard_owners import shard_of
 from mustardgap.workloads import EndRow, ExecutorEntry, Room, TaskId
 
 from .fake_executors import FakeExecutor, FakeExecutors, RunRecord
@@ -40,6 +41,7 @@
 # What each task takes of an executor.
 TASK_ROOM = Room(200, 50, 0)
 SHARDS = 4
+SERVICE = "quoting"
 # Larger than a record, so that a job can be too large for one.
 MAX_BODY_BYTES = 1024 * 1024
 # What another writer puts among the executors' entries.
@@ -76,7 +78,8 @@
     :param port: the store's port; executors have the following ones.
     :param executors: how many executors there are.
     :param work_s: how long a task takes.
-    :param announced: the port that executors' announced ports follow, where links lie between.
+    :param announced: the port that executors' announced ports follow, where links lie between. Each
+        caller is then shown the executors at the address that it calls from.
     :param max_body_bytes: how large a caller's body may be.
     """
 
@@ -177,7 +180,7 @@
     def _executor(self, number: int, life: int = 0) -> FakeExecutor:
         entry = ExecutorEntry(
             executor=f"x{number}-{life}" if life else f"x{number}",
-            service="quoting",
+            service=SERVICE,
             address=f"{self.ip}:{self.announced + number}",
             data_centre="d1",
             draining=False,
@@ -199,7 +202,7 @@
             "name": "quotes",
             "host": "stairs.example",
             "pathPrefix": "/quotes/",
-            "service": "quoting",
+            "service": SERVICE,
             "sloMs": 600,
             "maxAttempts": 2,
             "stretch": 1.6,
@@ -208,7 +211,7 @@
         fields = {
             "version": 3,
             "routes": [route],
-            "services": [{"name": "quoting"}],
+            "services": [{"name": SERVICE}],
             "limits": {"maxBodyBytes": self.max_body_bytes},
         }
         if self.keys_by_account is None:
@@ -241,6 +244,9 @@
         if request.path == "/record":
             rows = [[list(r.task), r.run, r.executor, r.how] for r in self.fleet.record.runs]
             return 200, msgspec.json.encode(rows)
+        if request.path == "/owner":
+            holder = self.store.holders_by_shard.get(shard_of(SERVICE, SHARDS), "")
+            return 200, msgspec.json.encode(holder.rpartition("/")[2])
         if request.path == "/history":
             record = self.fleet.record
             history = History(
@@ -297,7 +303,7 @@
             await asyncio.sleep(0.02)
         body = struct.pack(">QQ", len(rows), 0)
         for key, value in rows[offset:]:
-            content = bytes([len(key)]) + key.encode() + value
+            content = bytes([len(key)]) + key.encode() + self._shown(request, value)
             body += struct.pack(">I", len(content)) + content
         return 200, body
 
@@ -312,11 +318,18 @@
         after = _query(request, "dependsOn")
         keys = sorted(key for key in values if values[key] and (not after or key > after))
         items = [
-            {"key": key, "value": base64.b64encode(values[key]).decode(), "offset": 0}
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
             for key in keys[:3]
+            for value in [self._shown(request, values[key])]
         ]
         return _json(200, {"items": items, "hasMore": len(keys) > 3, "end": end})
 
+    def _shown(self, request: httputil.HTTPServerRequest, value: bytes) -> bytes:
+        """Return a record as its reader sees it: executors are behind links of the reader's own."""
+        if self.announced == self.port or _query(request, "topic") != "keyed.servers":
+            return value
+        return value.replace(f"{self.ip}:".encode(), f"{request.remote_ip}:".encode())
+
     async def _do_log_join(self, request: httputil.HTTPServerRequest) -> Answer:
         fields = msgspec.json.decode(request.body)
         joined = self.store.join(fields["member"], fields["generation"], fields["ttlMs"] / 1000)
@@ -335,7 +348,7 @@
         rows = [
             {
                 "machine": e.entry.machine,
-                "pool": "quoting",
+                "pool": SERVICE,
                 "state": "up",
                 "zone": e.entry.data_centre,
                 "labels": list(e.entry.labels),
