Tests cut an owner off by one function, and the search takes its start from the state machine

features/support/partitions computed the same cuts as tools/owner_troubles, which came with the random plays; it calls that one now. owner_search had a third START_S.

--- a/features/support/partitions.py
+++ b/features/support/partitions.py
@@ -1,9 +1,8 @@
 """Partitions and takeovers in an owner world."""
 
-from contextlib import contextmanager
-
 from features.support.owner_jobs import until
 from tools.owner_daemons import SERVICE
+from tools.owner_troubles import cut_off
 
 
 def executors_of_pool(world):
@@ -11,22 +10,12 @@
     return [e for e in world.fleet.by_address.values() if e.entry.service == SERVICE]
 
 
-@contextmanager
 def cut_off_together(world, host, executor):
     """Cut a daemon and an executor off from the store, the other daemons and executors.
 
     :param executor: the executor's id.
     """
-    others = [e.entry.executor for e in executors_of_pool(world) if e.entry.executor != executor]
-    cut = {(host, other) for other in others}
-    cut |= {(name, executor) for name in world.names if name != host}
-    world.fleet.cut |= cut
-    world.store.cut_hosts.add(host)
-    try:
-        yield
-    finally:
-        world.fleet.cut -= cut
-        world.store.cut_hosts.discard(host)
+    return cut_off(world, host, [executor])
 
 
 async def next_owner(world, former):
--- a/tools/owner_search.py
+++ b/tools/owner_search.py
@@ -17,13 +17,12 @@
 
 from .fake_executors import FakeExecutor
 from .owner_daemons import SERVICE, HeldClock
+from .owner_machine import START_S
 from .owner_troubles import BY_NAME, LASTING, TWO_STEPS
 from .owner_worlds import OwnerWorld, play
 
 Trouble = Callable[[OwnerWorld, random.Random], Coroutine[Any, Any, None]]
 
-# After this time shards have owners, and executors are known.
-START_S = 6.0
 WORK_S = (0.3, 0.6, 1, 2, 4, 8, 12, 20)
 # Jobs are waited for this long after the last trouble.
 END_S = 80.0
--- a/tools/owner_troubles.py
+++ b/tools/owner_troubles.py
@@ -141,7 +141,7 @@
 
 
 @contextmanager
-def _cut_off(world: OwnerWorld, host: str, near: Collection[str]) -> Iterator[None]:
+def cut_off(world: OwnerWorld, host: str, near: Collection[str]) -> Iterator[None]:
     """Cut a daemon and some executors off from the store, the other daemons and executors.
 
     :param near: the executors that only this daemon reaches, by their ids.
@@ -170,7 +170,7 @@
 
 async def owner_cut_off_with_executors(world: OwnerWorld) -> None:
     """The owner and half of the executors are cut off, for longer than it goes on alone."""
-    with _cut_off(world, world.owner() or world.names[0], _idle_half(world)):
+    with cut_off(world, world.owner() or world.names[0], _idle_half(world)):
         await asyncio.sleep(13)
 
 
@@ -178,7 +178,7 @@
     """Once a cut-off owner has a successor, both find another life at an executor's address."""
     name = world.owner() or world.names[0]
     near = _idle_half(world)
-    with _cut_off(world, name, near):
+    with cut_off(world, name, near):
         await asyncio.sleep(2.5)
         executor = next((e for e in _living(world) if e.entry.executor not in near), None)
         if executor is not None:
@@ -191,7 +191,7 @@
 async def owner_cut_off_and_dealt_anew(world: OwnerWorld) -> None:
     """All shards are dealt anew, twice, while the owner reaches half of the executors only."""
     name = world.owner() or world.names[0]
-    with _cut_off(world, name, _idle_half(world)):
+    with cut_off(world, name, _idle_half(world)):
         world.store.cut_hosts.discard(name)
         await asyncio.sleep(3)
         for _ in range(2):
